--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+# The front door: make demo, make test.
+
+PROGRAMS := entry sidecar comfreyctl bench
+MODULES := . $(addprefix cmd/,$(PROGRAMS))
+GOFUMPT := mvdan.cc/gofumpt@v0.12.0
+STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
+FUZZ_TIME ?= 20s
+
+.PHONY: all build demo demo-serve test lint format fuzz bench clean standalone
+
+all: build
+
+build:
+	@for p in $(PROGRAMS); do (cd cmd/$$p && go build -o ../../bin/$$p .) || exit 1; done
+
+# Runs the whole system for some seconds and checks every answer.
+demo: build
+	./bin/bench demo
+
+# Leaves the whole system up and prints lines to try.
+demo-serve: build
+	./bin/bench demo --serve
+
+# Runs every test with the race detector. SKIP holds a pattern of tests that
+# are known to fail; .ci/run fills it from KNOWN-RED.txt.
+test:
+	@for m in $(MODULES); do (cd $$m && go test -race -count=1 $(if $(SKIP),-skip '$(SKIP)') ./...) || exit 1; done
+
+lint:
+	@out=$$(go run $(GOFUMPT) -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	@for m in $(MODULES); do (cd $$m && go vet ./... && go run $(STATICCHECK) ./...) || exit 1; done
+
+format:
+	go run $(GOFUMPT) -w $$(git ls-files '*.go')
+
+# Builds each module by itself, without the workspace.
+standalone:
+	@for m in $(MODULES); do (cd $$m && GOWORK=off go build ./...) || exit 1; done
+
+# Runs every fuzz target for a while.
+fuzz:
+	@grep -rlE '^func Fuzz' --include='*_test.go' internal | while read -r file; do \
+		for target in $$(sed -nE 's/^func (Fuzz[A-Za-z0-9]+).*/\1/p' $$file); do \
+			go test -run='^$$' -fuzz="^$$target$$" -fuzztime=$(FUZZ_TIME) ./$$(dirname $$file) || exit 1; \
+		done; \
+	done
+
+bench: build
+	go test -run='^$$' -bench=. -benchmem ./internal/...
+
+clean:
+	rm -rf bin reports
--- /dev/null
+++ b/cmd/comfreyctl/main.go
@@ -0,0 +1,16 @@
+// Program comfreyctl is the operators' tool.
+//
+// # Usage
+//
+//	comfreyctl validate FILE...
+package main
+
+import (
+	"os"
+
+	"comfreyworks/internal/transport/control"
+)
+
+func main() {
+	os.Exit(control.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/entry/main.go
@@ -0,0 +1,31 @@
+// Program entry is the process that callers talk to.
+//
+// # Usage
+//
+//	entry --config entry.jsonc
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+
+	"comfreyworks"
+	"comfreyworks/internal/transport/entry"
+	"comfreyworks/internal/transport/program"
+)
+
+func main() {
+	os.Exit(program.Main("entry", comfreyworks.RoleEntry, os.Args[1:], serve))
+}
+
+func serve(ctx context.Context, env program.Environment, listener net.Listener) error {
+	return entry.New(entry.Options{
+		Instance:   env.Instance,
+		Deployment: env.Deployment,
+		Clock:      env.Clock,
+		Logger:     env.Logger,
+		Meter:      env.Meter,
+		HTTP:       env.HTTP,
+	}).Run(ctx, listener)
+}
--- /dev/null
+++ b/cmd/sidecar/main.go
@@ -0,0 +1,35 @@
+// Program sidecar is the process beside one upstream.
+//
+// # Usage
+//
+//	sidecar --config sidecar.jsonc
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+
+	"comfreyworks"
+	"comfreyworks/internal/transport/program"
+	"comfreyworks/internal/transport/sidecar"
+)
+
+func main() {
+	os.Exit(program.Main("sidecar", comfreyworks.RoleSidecar, os.Args[1:], serve))
+}
+
+func serve(ctx context.Context, env program.Environment, listener net.Listener) error {
+	s, err := sidecar.New(sidecar.Options{
+		Instance:   env.Instance,
+		Deployment: env.Deployment,
+		Clock:      env.Clock,
+		Logger:     env.Logger,
+		Meter:      env.Meter,
+		HTTP:       env.HTTP,
+	})
+	if err != nil {
+		return err
+	}
+	return s.Run(ctx, listener)
+}
--- /dev/null
+++ b/internal/bench/command/demo.go
@@ -0,0 +1,139 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"github.com/schollz/progressbar/v3"
+	"golang.org/x/term"
+
+	"comfreyworks/examples"
+	"comfreyworks/internal/bench/load"
+	"comfreyworks/internal/bench/report"
+	"comfreyworks/internal/bench/rig"
+	"comfreyworks/internal/bench/trace"
+	"comfreyworks/internal/state/settings"
+)
+
+// The size of the demo.
+const (
+	demoEntries  = 2
+	demoEngines  = 6
+	demoServices = 2
+	demoLength   = 8 * time.Second
+	demoRate     = 25
+	demoSeed     = 1
+	// demoCrash is when an engine is killed, demoDown how long it is gone.
+	demoCrash = 4 * time.Second
+	demoDown  = time.Second
+	// demoEventLag is how late cache events come.
+	demoEventLag = 100 * time.Millisecond
+)
+
+// demoCommand runs the whole system in one process.
+type demoCommand struct {
+	Serve bool `long:"serve" description:"leave everything up and print lines to try"`
+
+	ctx context.Context
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	deployment, err := demoDeployment()
+	if err != nil {
+		return err
+	}
+	r, err := rig.Start(c.ctx, rig.Options{
+		Deployment: deployment,
+		Entries:    demoEntries,
+		Clock:      clockwork.NewRealClock(),
+		Seed:       demoSeed,
+		EventLag:   demoEventLag,
+	})
+	if err != nil {
+		return eris.Wrap(err, "start the demo")
+	}
+	defer r.Stop()
+	if c.Serve {
+		c.serve(r)
+		return nil
+	}
+	return runDemo(c.ctx, r, deployment)
+}
+
+// demoDeployment is Piedmont's, made small.
+func demoDeployment() (*settings.Deployment, error) {
+	deployment, err := settings.ReadDeployment("piedmont.jsonc", examples.Piedmont)
+	if err != nil {
+		return nil, err
+	}
+	for i := range deployment.Pools {
+		pool := &deployment.Pools[i]
+		pool.Replicas = demoEngines
+		if pool.Kind == settings.PoolService {
+			pool.Replicas = demoServices
+		}
+	}
+	return deployment, nil
+}
+
+func runDemo(ctx context.Context, r *rig.Rig, deployment *settings.Deployment) error {
+	t := trace.Generate(trace.ProfilePiedmont, trace.GenerateOptions{Seed: demoSeed, Length: demoLength, Rate: demoRate})
+	bar := newProgressBar(len(t))
+	t = append(t, trace.Line{
+		At:     trace.Duration(demoCrash),
+		Fault:  trace.FaultEngineCrash,
+		Target: "lm-pool/2",
+		For:    trace.Duration(demoDown),
+	})
+	t.Sort()
+	samples := load.Run(ctx, load.Options{
+		Rig:      r,
+		Trace:    t,
+		Texts:    trace.NewTexts(),
+		Clock:    clockwork.NewRealClock(),
+		Key:      examples.Key,
+		Progress: func() { _ = bar.Add(1) },
+	})
+	_ = bar.Finish()
+	summary := report.Summarize(samples, report.EffectsOf(r, deployment))
+	report.WriteTable(os.Stdout, summary)
+	for _, sample := range samples {
+		if sample.Outcome != load.OutcomeComplete {
+			fmt.Printf("%s at %s: %s: %s\n", sample.Line.Class, sample.Start.Round(time.Millisecond), sample.Outcome, sample.Detail)
+		}
+	}
+	if summary.Bad() > 0 || summary.DoubledCalls > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// newProgressBar shows progress on a terminal and nothing elsewhere.
+func newProgressBar(requests int) *progressbar.ProgressBar {
+	return progressbar.NewOptions(requests,
+		progressbar.OptionSetDescription("requests"),
+		progressbar.OptionSetWriter(os.Stderr),
+		progressbar.OptionSetVisibility(term.IsTerminal(int(os.Stderr.Fd()))),
+		progressbar.OptionClearOnFinish(),
+	)
+}
+
+// serve prints lines to try and waits to be stopped.
+func (c *demoCommand) serve(r *rig.Rig) {
+	url := r.EntryURL(0)
+	fmt.Printf(`Two entries are up, at %s and %s. Try:
+
+curl -sN %s/v1/chat/completions -H 'Authorization: Bearer key-office' -H 'Comfrey-Class: note' -d '{"model":"oak-12b","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"Subfloor reads 14 percent. Can we lay oak?"}]}'
+curl -s %s/v1/models -H 'Authorization: Bearer key-office'
+curl -si %s/services/dispatch/bookings -H 'Authorization: Bearer key-office' -H 'Comfrey-Class: booking' -H 'Idempotency-Key: b-1' -d '{"crew":7}'
+curl -s %s/metrics
+
+Ctrl-C stops everything.
+`, url, r.EntryURL(1), url, url, url, url)
+	<-c.ctx.Done()
+}
--- /dev/null
+++ b/internal/bench/rig/rig.go
@@ -0,0 +1,434 @@
+// Package rig runs the real roles over loopback in one process, beside
+// stand-ins for everything they talk to.
+//
+// # Usage
+//
+//	r, err := rig.Start(ctx, rig.Options{Deployment: deployment, Entries: 2, Clock: clock, Seed: 1})
+//	defer r.Stop()
+//	resp, err := http.Post(r.EntryURL(0)+"/v1/completions", ...)
+//	r.Engine("lm-pool/0").Crash(time.Second)
+//
+// Start fails when an address cannot be listened on or a role refuses its
+// settings. Everything stops when Stop is called.
+package rig
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"comfreyworks"
+	"comfreyworks/internal/standin/engine"
+	"comfreyworks/internal/standin/platform"
+	"comfreyworks/internal/standin/service"
+	"comfreyworks/internal/state/meter"
+	"comfreyworks/internal/state/settings"
+	"comfreyworks/internal/transport/entry"
+	"comfreyworks/internal/transport/program"
+	"comfreyworks/internal/transport/sidecar"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindStart  Kind = "start"
+	KindTarget Kind = "unknown target"
+)
+
+// Error is the error type of this package.
+type Error = comfreyworks.OpError[Kind]
+
+// peerSecret is the secret of a rig's processes.
+const peerSecret = "rig-secret-0123456789"
+
+// Options configures a Rig.
+type Options struct {
+	Deployment *settings.Deployment
+	Entries    int
+	Clock      comfreyworks.Clock
+	Logger     *zap.Logger
+	Seed       uint64
+	// Rates returns the speed of one engine; nil means the default.
+	Rates func(id comfreyworks.InstanceID) engine.Rates
+	// EventLag, EventLoss, LoadLag and ListLag make the stand-ins late.
+	EventLag  time.Duration
+	EventLoss float64
+	LoadLag   time.Duration
+	ListLag   time.Duration
+	// AppendsPerSecond bounds the log; zero means no bound.
+	AppendsPerSecond int
+}
+
+// upstreamProcess is one stand-in and the sidecar beside it.
+type upstreamProcess struct {
+	instance comfreyworks.Instance
+	upstream netip.AddrPort
+	engine   *engine.Engine
+	service  *service.Service
+	sidecar  *process[*sidecar.Sidecar]
+}
+
+// Rig is a set of running roles and stand-ins.
+type Rig struct {
+	options  Options
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    errgroup.Group
+	platform netip.AddrPort
+	log      *platform.Log
+	list     *platform.List
+	meter    *meter.Meter
+
+	mu        sync.Mutex
+	upstreams []*upstreamProcess
+	entries   []*process[*entry.Entry]
+}
+
+// process is one role that can be stopped and started again at its address.
+type process[T any] struct {
+	instance settings.Instance
+	role     T
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+// Start starts everything that a deployment declares.
+func Start(ctx context.Context, options Options) (*Rig, error) {
+	if options.Logger == nil {
+		options.Logger = zap.NewNop()
+	}
+	if options.Rates == nil {
+		options.Rates = func(comfreyworks.InstanceID) engine.Rates { return engine.DefaultRates() }
+	}
+	r := &Rig{options: options, meter: meter.New()}
+	r.ctx, r.cancel = context.WithCancel(ctx)
+	if err := r.start(); err != nil {
+		r.Stop()
+		return nil, &Error{Op: "start", Kind: KindStart, Err: err}
+	}
+	return r, nil
+}
+
+func (r *Rig) start() error {
+	r.log = platform.NewLog(platform.LogOptions{Clock: r.options.Clock, AppendsPerSecond: r.options.AppendsPerSecond})
+	r.list = platform.NewList(r.options.Clock, r.options.ListLag)
+	address, err := r.serveHTTP(platform.Handler(r.log, r.list))
+	if err != nil {
+		return err
+	}
+	r.platform = address
+	for _, pool := range r.options.Deployment.Pools {
+		for i := range pool.Replicas {
+			if err := r.startUpstream(pool, i); err != nil {
+				return err
+			}
+		}
+	}
+	r.publishList()
+	for _, u := range r.upstreams {
+		if err := r.startSidecar(u); err != nil {
+			return err
+		}
+	}
+	for i := range r.options.Entries {
+		if err := r.addEntry(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serveHTTP serves a stand-in on a free port.
+func (r *Rig) serveHTTP(handler http.Handler) (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	server := &http.Server{Handler: handler, ErrorLog: zap.NewStdLog(zap.NewNop())}
+	r.group.Go(func() error {
+		stop := context.AfterFunc(r.ctx, func() { _ = server.Close() })
+		defer stop()
+		_ = server.Serve(listener)
+		return nil
+	})
+	return addressOf(listener), nil
+}
+
+func addressOf(listener net.Listener) netip.AddrPort {
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (r *Rig) startUpstream(pool settings.Pool, i int) error {
+	u := &upstreamProcess{instance: comfreyworks.Instance{
+		ID:    comfreyworks.InstanceID(fmt.Sprintf("%s/%d", pool.Name, i)),
+		Role:  comfreyworks.RoleSidecar,
+		Pool:  pool.Name,
+		Zone:  pool.Zones[i%len(pool.Zones)],
+		State: comfreyworks.InstanceLive,
+	}}
+	handler := r.newStandIn(pool, u)
+	address, err := r.serveHTTP(handler)
+	if err != nil {
+		return err
+	}
+	u.upstream = address
+	if u.instance.Address, err = freeAddress(); err != nil {
+		return err
+	}
+	r.upstreams = append(r.upstreams, u)
+	return nil
+}
+
+func (r *Rig) newStandIn(pool settings.Pool, u *upstreamProcess) http.Handler {
+	if pool.Kind == settings.PoolService {
+		u.service = service.New()
+		return u.service.Handler()
+	}
+	model := r.options.Deployment.Model(pool.Models[0])
+	u.engine = engine.New(engine.Options{
+		Clock:         r.options.Clock,
+		Rates:         r.options.Rates(u.instance.ID),
+		Weights:       model.Weights,
+		ChecksFencing: pool.ChecksFencing,
+		EventLag:      r.options.EventLag,
+		EventLoss:     r.options.EventLoss,
+		LoadLag:       r.options.LoadLag,
+		Seed:          r.options.Seed<<8 + uint64(len(r.upstreams)) + 1,
+	})
+	r.group.Go(func() error { return u.engine.Run(r.ctx) })
+	return u.engine.Handler()
+}
+
+// freeAddress picks a loopback address that is free now.
+func freeAddress() (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer func() { _ = listener.Close() }()
+	return addressOf(listener), nil
+}
+
+// publishList tells the platform's list who is there.
+func (r *Rig) publishList() {
+	instances := make([]comfreyworks.Instance, len(r.upstreams))
+	for i, u := range r.upstreams {
+		instances[i] = u.instance
+	}
+	r.list.Set(instances)
+}
+
+func (r *Rig) startSidecar(u *upstreamProcess) error {
+	instance := settings.Instance{
+		ID:         u.instance.ID,
+		Role:       comfreyworks.RoleSidecar,
+		Zone:       u.instance.Zone,
+		Listen:     u.instance.Address,
+		PeerSecret: peerSecret,
+		Platform:   r.platform,
+		Pool:       u.instance.Pool,
+		Upstream:   u.upstream,
+	}
+	role, err := sidecar.New(sidecar.Options{
+		Instance:   &instance,
+		Deployment: r.options.Deployment,
+		Clock:      r.options.Clock,
+		Logger:     r.options.Logger.With(zap.String("instance", string(u.instance.ID))),
+		Meter:      r.meter,
+		HTTP:       program.NewHTTPClient(),
+	})
+	if err != nil {
+		return err
+	}
+	u.sidecar, err = launch(r, instance, role, role.Run)
+	return err
+}
+
+func (r *Rig) addEntry(i int) error {
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	zones := r.options.Deployment.Zones
+	p, err := r.startEntry(settings.Instance{
+		ID:         comfreyworks.InstanceID(fmt.Sprintf("entry/%d", i)),
+		Role:       comfreyworks.RoleEntry,
+		Zone:       zones[i%len(zones)].Name,
+		Listen:     address,
+		PeerSecret: peerSecret,
+		Platform:   r.platform,
+	})
+	if err != nil {
+		return err
+	}
+	r.entries = append(r.entries, p)
+	return nil
+}
+
+func (r *Rig) startEntry(instance settings.Instance) (*process[*entry.Entry], error) {
+	role := entry.New(entry.Options{
+		Instance:   &instance,
+		Deployment: r.options.Deployment,
+		Clock:      r.options.Clock,
+		Logger:     r.options.Logger.With(zap.String("instance", string(instance.ID))),
+		Meter:      r.meter,
+		HTTP:       program.NewHTTPClient(),
+	})
+	return launch(r, instance, role, role.Run)
+}
+
+// launch listens at a role's address and runs it.
+func launch[T any](r *Rig, instance settings.Instance, role T, run func(context.Context, net.Listener) error) (*process[T], error) {
+	listener, err := net.Listen("tcp", instance.Listen.String())
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(r.ctx)
+	p := &process[T]{instance: instance, role: role, stop: stop, done: make(chan struct{})}
+	r.group.Go(func() error {
+		defer close(p.done)
+		if err := run(ctx, listener); err != nil {
+			r.options.Logger.Warn("role ended", zap.String("instance", string(instance.ID)), zap.Error(err))
+		}
+		return nil
+	})
+	return p, nil
+}
+
+// Stop stops everything at once and waits for it.
+func (r *Rig) Stop() {
+	r.mu.Lock()
+	for _, p := range r.entries {
+		p.role.Kill()
+	}
+	for _, u := range r.upstreams {
+		if u.sidecar != nil {
+			u.sidecar.role.Kill()
+		}
+	}
+	r.mu.Unlock()
+	r.cancel()
+	_ = r.group.Wait()
+}
+
+// EntryURL returns the base URL of an entry.
+func (r *Rig) EntryURL(i int) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return "http://" + r.entries[i%len(r.entries)].instance.Listen.String()
+}
+
+// Entries returns the number of entries.
+func (r *Rig) Entries() int { return r.options.Entries }
+
+// Log returns the stand-in of the log.
+func (r *Rig) Log() *platform.Log { return r.log }
+
+// List returns the stand-in of the list of instances.
+func (r *Rig) List() *platform.List { return r.list }
+
+// Meter returns the meter that all roles share.
+func (r *Rig) Meter() *meter.Meter { return r.meter }
+
+// Engine returns the engine of an instance, or nil.
+func (r *Rig) Engine(id comfreyworks.InstanceID) *engine.Engine {
+	if u := r.find(id); u != nil {
+		return u.engine
+	}
+	return nil
+}
+
+// Engines returns the engines of a pool.
+func (r *Rig) Engines(pool comfreyworks.Pool) []*engine.Engine {
+	var engines []*engine.Engine
+	for _, u := range r.upstreams {
+		if u.instance.Pool == pool && u.engine != nil {
+			engines = append(engines, u.engine)
+		}
+	}
+	return engines
+}
+
+// Services returns the plain services of a pool.
+func (r *Rig) Services(pool comfreyworks.Pool) []*service.Service {
+	var services []*service.Service
+	for _, u := range r.upstreams {
+		if u.instance.Pool == pool && u.service != nil {
+			services = append(services, u.service)
+		}
+	}
+	return services
+}
+
+func (r *Rig) find(id comfreyworks.InstanceID) *upstreamProcess {
+	i := slices.IndexFunc(r.upstreams, func(u *upstreamProcess) bool { return u.instance.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return r.upstreams[i]
+}
+
+// RestartSidecar kills a sidecar and starts it again, empty.
+func (r *Rig) RestartSidecar(id comfreyworks.InstanceID) error {
+	u := r.find(id)
+	if u == nil {
+		return &Error{Op: "restart " + string(id), Kind: KindTarget}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u.sidecar.role.Kill()
+	<-u.sidecar.done
+	return r.startSidecar(u)
+}
+
+// StopSidecar stops a sidecar gracefully and marks it leaving in the list.
+func (r *Rig) StopSidecar(id comfreyworks.InstanceID) error {
+	u := r.find(id)
+	if u == nil {
+		return &Error{Op: "stop " + string(id), Kind: KindTarget}
+	}
+	u.instance.State = comfreyworks.InstanceLeaving
+	r.publishList()
+	u.sidecar.stop()
+	<-u.sidecar.done
+	return nil
+}
+
+// RestartEntries kills entries and starts them again; "all" names all of them.
+func (r *Rig) RestartEntries(target string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, p := range r.entries {
+		if target != "all" && !strings.EqualFold(target, string(p.instance.ID)) {
+			continue
+		}
+		p.role.Kill()
+		<-p.done
+		restarted, err := r.startEntry(p.instance)
+		if err != nil {
+			return err
+		}
+		r.entries[i] = restarted
+	}
+	return nil
+}
+
+// StopEntry stops an entry gracefully.
+func (r *Rig) StopEntry(i int) {
+	r.mu.Lock()
+	p := r.entries[i]
+	r.mu.Unlock()
+	p.stop()
+	<-p.done
+}
--- /dev/null
+++ b/internal/coordination/dispatch/call.go
@@ -0,0 +1,76 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+
+	"comfreyworks"
+	"comfreyworks/internal/state/settings"
+)
+
+// Call carries one call to a plain service. A call that may not be repeated is
+// sent on only while it is certain that nothing ran.
+func (d *Dispatcher) Call(ctx context.Context, pool *settings.Pool, work comfreyworks.ServiceWork) comfreyworks.ServiceOutcome {
+	outcome := comfreyworks.ServiceOutcome{
+		Run:     comfreyworks.NotRun,
+		Refusal: &comfreyworks.Refusal{Reason: comfreyworks.RefusedDown, RetryAfter: defaultRetryAfter},
+	}
+	var excluded []comfreyworks.InstanceID
+	pauses := d.newPauses()
+	for range maxAttempts {
+		instance, ok := d.chooseService(pool.Name, excluded)
+		if !ok {
+			if !d.pause(ctx, pauses) {
+				return outcome
+			}
+			excluded = nil
+			continue
+		}
+		outcome = d.callOnce(ctx, instance, work)
+		again := outcome.Run == comfreyworks.NotRun || (outcome.Run == comfreyworks.RunUnknown && work.Repeatable)
+		if !again || ctx.Err() != nil {
+			return outcome
+		}
+		excluded = append(excluded, instance.ID)
+	}
+	return outcome
+}
+
+func (d *Dispatcher) chooseService(pool comfreyworks.Pool, excluded []comfreyworks.InstanceID) (comfreyworks.Instance, bool) {
+	usable := slices.DeleteFunc(slices.Clone(d.options.View.Usable(pool)), func(i comfreyworks.Instance) bool {
+		return slices.Contains(excluded, i.ID)
+	})
+	if len(usable) == 0 {
+		return comfreyworks.Instance{}, false
+	}
+	return usable[rand.IntN(len(usable))], true
+}
+
+func (d *Dispatcher) callOnce(ctx context.Context, instance comfreyworks.Instance, work comfreyworks.ServiceWork) comfreyworks.ServiceOutcome {
+	outcome, err := d.options.Gates.Gate(instance).Call(ctx, work)
+	if err == nil {
+		d.noteCall(instance, outcome)
+		return outcome
+	}
+	if ctx.Err() == nil {
+		d.options.View.Failed(instance.ID)
+	}
+	if errors.Is(err, comfreyworks.ErrNotSent) {
+		refusal := &comfreyworks.Refusal{Reason: comfreyworks.RefusedDown, RetryAfter: defaultRetryAfter}
+		return comfreyworks.ServiceOutcome{Run: comfreyworks.NotRun, Refusal: refusal, Detail: err.Error()}
+	}
+	return comfreyworks.ServiceOutcome{Run: comfreyworks.RunUnknown, Detail: err.Error()}
+}
+
+func (d *Dispatcher) noteCall(instance comfreyworks.Instance, outcome comfreyworks.ServiceOutcome) {
+	switch {
+	case outcome.Refusal == nil:
+		d.options.View.Worked(instance.ID)
+	case outcome.Refusal.Reason == comfreyworks.RefusedLeaving:
+		d.options.View.Leaving(instance.ID)
+	case outcome.Refusal.Reason == comfreyworks.RefusedDown:
+		d.options.View.Failed(instance.ID)
+	}
+}
--- /dev/null
+++ b/internal/coordination/dispatch/dispatch.go
@@ -0,0 +1,335 @@
+// Package dispatch carries a request from an entry to an upstream and its
+// answer back, over as many attempts as it takes.
+//
+// An attempt chooses an upstream, starts a stream at its sidecar and reads the
+// numbered frames. A lost or silent connection is replaced and reading goes on
+// at the same frame. A lost sidecar or engine costs a new attempt elsewhere
+// that goes on behind the tokens already delivered. The caller of this package
+// sees each token once and in order, then the end.
+//
+// # Usage
+//
+//	d := dispatch.New(dispatch.Options{View: view, Gates: clients, Clock: clock, Logger: logger})
+//	result, err := d.Generate(ctx, job, func(frames []string) error { ... })
+//	outcome, err := d.Call(ctx, pool, work)
+//
+// Generate fails with KindRefused when nothing was delivered and nothing more
+// will be tried, with KindIncomplete when the answer broke off for good, with
+// KindGivenUp when ctx ended and with KindStopped when emit failed.
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"go.uber.org/zap"
+
+	"comfreyworks"
+	"comfreyworks/internal/coordination/membership"
+	"comfreyworks/internal/coordination/placement"
+	"comfreyworks/internal/state/settings"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindRefused    Kind = "refused"
+	KindIncomplete Kind = "incomplete"
+	KindGivenUp    Kind = "given up"
+	KindStopped    Kind = "stopped"
+)
+
+// Error is the error type of this package.
+type Error = comfreyworks.OpError[Kind]
+
+// RefusedError is the cause of an error with KindRefused.
+type RefusedError struct{ Refusal comfreyworks.Refusal }
+
+// Error names the reason.
+func (e *RefusedError) Error() string { return string(e.Refusal.Reason) }
+
+const (
+	// maxAttempts bounds the upstreams that are tried for one request.
+	maxAttempts = 6
+	// maxReadFailures bounds the reads of one stream that fail in a row.
+	maxReadFailures = 2
+	// readWait is how long a sidecar holds a read back for news. Silence
+	// beyond it means that the connection is lost.
+	readWait = time.Second
+	// placeTimeout bounds the question to a directory shard; the answer
+	// without a directory is nearly as good, so waiting is not worth much.
+	placeTimeout = 50 * time.Millisecond
+	// cancelTimeout bounds the message that gives a stream up.
+	cancelTimeout = time.Second
+	// firstPause and maxPause bound the pauses between attempts when no
+	// upstream is left to try.
+	firstPause = 20 * time.Millisecond
+	maxPause   = 500 * time.Millisecond
+	// defaultRetryAfter is when a caller may come back after a refusal that
+	// names no time.
+	defaultRetryAfter = time.Second
+)
+
+// Options configures a Dispatcher.
+type Options struct {
+	View   *membership.View
+	Gates  comfreyworks.GateSet
+	Clock  comfreyworks.Clock
+	Logger *zap.Logger
+}
+
+// Dispatcher carries requests. It is safe for concurrent use.
+type Dispatcher struct {
+	options Options
+}
+
+// New returns a dispatcher.
+func New(options Options) *Dispatcher {
+	return &Dispatcher{options: options}
+}
+
+// Job is one request for a model.
+type Job struct {
+	Workspace comfreyworks.Workspace
+	Class     comfreyworks.Class
+	Pool      *settings.Pool
+	Request   comfreyworks.GenerateRequest
+	Chain     comfreyworks.Chain
+	Deadline  time.Time
+}
+
+// Result sums up a complete answer.
+type Result struct {
+	Usage     comfreyworks.Usage
+	QueueWait time.Duration
+	Attempts  int
+	Instance  comfreyworks.InstanceID
+}
+
+// attemptState is what is carried from one attempt to the next.
+type attemptState struct {
+	job       Job
+	emit      func(frames []string) error
+	delivered int
+	excluded  []comfreyworks.InstanceID
+	refusal   comfreyworks.Refusal
+	result    Result
+	// finished means that err is final.
+	finished bool
+}
+
+// Generate carries one request.
+func (d *Dispatcher) Generate(ctx context.Context, job Job, emit func(frames []string) error) (Result, error) {
+	state := &attemptState{
+		job:     job,
+		emit:    emit,
+		refusal: comfreyworks.Refusal{Reason: comfreyworks.RefusedDown, RetryAfter: defaultRetryAfter},
+	}
+	pauses := d.newPauses()
+	for state.result.Attempts < maxAttempts {
+		instance, ok := d.choose(ctx, state)
+		if !ok {
+			if !d.pause(ctx, pauses) {
+				break
+			}
+			state.excluded = nil
+			state.result.Attempts++
+			continue
+		}
+		state.result.Attempts++
+		err := d.attempt(ctx, state, instance)
+		if state.finished {
+			return state.result, err
+		}
+		state.excluded = append(state.excluded, instance.ID)
+	}
+	return state.result, state.failure(ctx)
+}
+
+func (s *attemptState) failure(ctx context.Context) error {
+	switch {
+	case ctx.Err() != nil:
+		return &Error{Op: "generate", Kind: KindGivenUp, Err: context.Cause(ctx)}
+	case s.delivered > 0:
+		err := fmt.Errorf("stopped after %d tokens: %s", s.delivered, s.refusal.Reason)
+		return &Error{Op: "generate", Kind: KindIncomplete, Err: err}
+	default:
+		return &Error{Op: "generate", Kind: KindRefused, Err: &RefusedError{Refusal: s.refusal}}
+	}
+}
+
+func (d *Dispatcher) newPauses() *backoff.ExponentialBackOff {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval = firstPause
+	pauses.MaxInterval = maxPause
+	return pauses
+}
+
+// pause waits before the pool is tried again; false means that ctx ended.
+func (d *Dispatcher) pause(ctx context.Context, pauses *backoff.ExponentialBackOff) bool {
+	select {
+	case <-d.options.Clock.After(pauses.NextBackOff()):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// choose asks the directory for an upstream and falls back to rendezvous over
+// the same chain, which lands mostly where the directory would.
+func (d *Dispatcher) choose(ctx context.Context, state *attemptState) (comfreyworks.Instance, bool) {
+	pool := state.job.Pool
+	avoided := d.options.View.Avoided(pool.Name)
+	exclude := slices.Concat(state.excluded, avoided)
+	if id := d.ask(ctx, state.job, exclude, avoided); id != "" {
+		if instance, ok := d.options.View.Find(pool.Name, id); ok {
+			return instance, true
+		}
+	}
+	usable := d.options.View.Usable(pool.Name)
+	return placement.Fallback(state.job.Chain, usable, state.excluded)
+}
+
+// ask returns the directory's choice, or nothing if there is none in time.
+func (d *Dispatcher) ask(ctx context.Context, job Job, exclude, avoided []comfreyworks.InstanceID) comfreyworks.InstanceID {
+	ring := d.options.View.Ring(job.Pool.Name, job.Pool.DirectoryShards)
+	owner, ok := ring.Owner(job.Chain[0].Hash)
+	if !ok || slices.Contains(avoided, owner.ID) {
+		return ""
+	}
+	request := comfreyworks.PlaceRequest{Pool: job.Pool.Name, Chain: job.Chain, Exclude: exclude}
+	choice, err := d.options.Gates.Gate(owner).Place(ctx, request, placeTimeout)
+	if err != nil {
+		if ctx.Err() == nil {
+			d.options.View.Failed(owner.ID)
+		}
+		return ""
+	}
+	return choice.Instance
+}
+
+// attempt tries one upstream. It sets finished when its error is final.
+func (d *Dispatcher) attempt(ctx context.Context, state *attemptState, instance comfreyworks.Instance) error {
+	gate := d.options.Gates.Gate(instance)
+	work := d.work(state)
+	refusal, err := gate.Start(ctx, work)
+	if err != nil {
+		if !errors.Is(err, comfreyworks.ErrNotSent) {
+			d.cancel(ctx, gate, work.Stream)
+		}
+		if ctx.Err() == nil {
+			d.options.View.Failed(instance.ID)
+		}
+		return err
+	}
+	if refusal != nil {
+		d.noteRefusal(state, instance, *refusal)
+		return nil
+	}
+	d.options.View.Worked(instance.ID)
+	state.result.Instance = instance.ID
+	return d.relay(ctx, state, instance, work.Stream)
+}
+
+func (d *Dispatcher) work(state *attemptState) comfreyworks.Work {
+	request := state.job.Request
+	request.ResumeFrom = state.delivered
+	return comfreyworks.Work{
+		Stream:    comfreyworks.StreamID(fmt.Sprintf("%s/%d", request.ID, state.result.Attempts)),
+		Workspace: state.job.Workspace,
+		Class:     state.job.Class,
+		Request:   request,
+		Chain:     state.job.Chain,
+		Remaining: state.job.Deadline.Sub(d.options.Clock.Now()),
+	}
+}
+
+func (d *Dispatcher) noteRefusal(state *attemptState, instance comfreyworks.Instance, refusal comfreyworks.Refusal) {
+	if refusal.RetryAfter == 0 {
+		refusal.RetryAfter = defaultRetryAfter
+	}
+	state.refusal = refusal
+	switch refusal.Reason {
+	case comfreyworks.RefusedLeaving:
+		d.options.View.Leaving(instance.ID)
+	case comfreyworks.RefusedDown:
+		d.options.View.Failed(instance.ID)
+	}
+}
+
+// relay reads a stream to its end. It sets finished unless another upstream
+// should go on.
+func (d *Dispatcher) relay(ctx context.Context, state *attemptState, instance comfreyworks.Instance, id comfreyworks.StreamID) error {
+	gate := d.options.Gates.Gate(instance)
+	from := 0
+	failures := 0
+	for {
+		news, err := gate.Read(ctx, id, from, readWait)
+		switch {
+		case ctx.Err() != nil:
+			d.cancel(ctx, gate, id)
+			return d.finish(state, KindGivenUp, context.Cause(ctx))
+		case err != nil:
+			failures++
+			if failures >= maxReadFailures {
+				d.options.View.Failed(instance.ID)
+				return err
+			}
+			continue
+		case news.Unknown:
+			return nil
+		}
+		failures = 0
+		from += len(news.Frames)
+		if err := state.deliver(news.Frames); err != nil {
+			d.cancel(ctx, gate, id)
+			return d.finish(state, KindStopped, err)
+		}
+		state.result.QueueWait = max(state.result.QueueWait, news.QueueWait)
+		if news.End != nil {
+			return d.end(state, news.End)
+		}
+	}
+}
+
+func (s *attemptState) deliver(frames []string) error {
+	if len(frames) == 0 {
+		return nil
+	}
+	s.delivered += len(frames)
+	return s.emit(frames)
+}
+
+func (d *Dispatcher) end(state *attemptState, end *comfreyworks.StreamEnd) error {
+	switch end.Reason {
+	case comfreyworks.EndComplete:
+		state.result.Usage = end.Usage
+		state.finished = true
+		return nil
+	case comfreyworks.EndCancelled:
+		return d.finish(state, KindGivenUp, errors.New(end.Detail))
+	default:
+		return nil
+	}
+}
+
+func (d *Dispatcher) finish(state *attemptState, kind Kind, cause error) error {
+	state.finished = true
+	return &Error{Op: "generate", Kind: kind, Err: cause}
+}
+
+// cancel frees a stream's work; if the message is lost, the sidecar notices
+// that nobody reads.
+func (d *Dispatcher) cancel(ctx context.Context, gate comfreyworks.Gate, id comfreyworks.StreamID) {
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer stop()
+	if err := gate.Cancel(ctx, id); err != nil {
+		d.options.Logger.Debug("cancel failed", zap.String("stream", string(id)), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/protocol/peer/client.go
@@ -0,0 +1,282 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"comfreyworks"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindNotSent means that the other side has not seen the call.
+	KindNotSent Kind = "not sent"
+	// KindNoAnswer means that the call was sent and got no answer in time.
+	KindNoAnswer Kind = "no answer"
+	// KindRemote means that the other side answered with an error.
+	KindRemote Kind = "remote error"
+	// KindSecret means that the shared secret was not accepted.
+	KindSecret Kind = "secret not accepted"
+)
+
+// Error is the error type of this package.
+type Error = comfreyworks.OpError[Kind]
+
+// notSent wraps a cause in the promise that the other side saw nothing.
+func notSent(op string, kind Kind, err error) error {
+	if err == nil {
+		return &Error{Op: op, Kind: kind, Err: comfreyworks.ErrNotSent}
+	}
+	return &Error{Op: op, Kind: kind, Err: fmt.Errorf("%w: %w", comfreyworks.ErrNotSent, err)}
+}
+
+const (
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = time.Second
+	// redialDelay is how long calls fail at once after a failed dial.
+	redialDelay = 100 * time.Millisecond
+	// callTimeout bounds a call that is answered at once.
+	callTimeout = 2 * time.Second
+	// serviceName is the name that servers register their receiver under.
+	serviceName = "Sidecar"
+)
+
+// ClientOptions configures Clients.
+type ClientOptions struct {
+	Secret string
+	Clock  comfreyworks.Clock
+	// Dial opens a connection; nil means TCP. Tests pass faulty ones.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+}
+
+// Clients keeps one client for each address.
+type Clients struct {
+	options ClientOptions
+	mu      sync.Mutex
+	clients map[netip.AddrPort]*Client
+}
+
+// NewClients returns an empty set of clients.
+func NewClients(options ClientOptions) *Clients {
+	if options.Dial == nil {
+		options.Dial = dialTCP
+	}
+	return &Clients{options: options, clients: make(map[netip.AddrPort]*Client)}
+}
+
+func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", address.String())
+}
+
+// To returns the client for an address.
+func (c *Clients) To(address netip.AddrPort) *Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.clients[address]
+	if !ok {
+		client = &Client{options: &c.options, address: address}
+		c.clients[address] = client
+	}
+	return client
+}
+
+// Keep closes and forgets the clients of all other addresses.
+func (c *Clients) Keep(addresses map[netip.AddrPort]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, client := range c.clients {
+		if !addresses[address] {
+			client.drop(nil)
+			delete(c.clients, address)
+		}
+	}
+}
+
+// Close closes all connections.
+func (c *Clients) Close() { c.Keep(nil) }
+
+// Client calls one peer. It dials when it has to.
+type Client struct {
+	options  *ClientOptions
+	address  netip.AddrPort
+	dialing  singleflight.Group
+	mu       sync.Mutex
+	rpc      *rpc.Client
+	failure  error
+	failedAt time.Time
+}
+
+// Gate implements comfreyworks.GateSet.
+func (c *Clients) Gate(instance comfreyworks.Instance) comfreyworks.Gate {
+	return c.To(instance.Address)
+}
+
+var (
+	_ comfreyworks.GateSet = (*Clients)(nil)
+	_ comfreyworks.Gate    = (*Client)(nil)
+)
+
+// Start implements comfreyworks.Gate.
+func (c *Client) Start(ctx context.Context, work comfreyworks.Work) (*comfreyworks.Refusal, error) {
+	reply, err := call[StartReply](ctx, c, "Start", StartArgs{Work: work}, callTimeout)
+	return reply.Refusal, err
+}
+
+// Read implements comfreyworks.Gate.
+func (c *Client) Read(ctx context.Context, id comfreyworks.StreamID, from int, wait time.Duration) (comfreyworks.StreamNews, error) {
+	args := ReadArgs{Stream: id, From: from, Wait: wait}
+	return call[comfreyworks.StreamNews](ctx, c, "Read", args, wait+callTimeout)
+}
+
+// Cancel implements comfreyworks.Gate.
+func (c *Client) Cancel(ctx context.Context, id comfreyworks.StreamID) error {
+	_, err := call[Nothing](ctx, c, "Cancel", CancelArgs{Stream: id}, callTimeout)
+	return err
+}
+
+// Call implements comfreyworks.Gate.
+func (c *Client) Call(ctx context.Context, work comfreyworks.ServiceWork) (comfreyworks.ServiceOutcome, error) {
+	return call[comfreyworks.ServiceOutcome](ctx, c, "Call", work, work.Remaining+callTimeout)
+}
+
+// Place implements comfreyworks.Gate.
+func (c *Client) Place(ctx context.Context, request comfreyworks.PlaceRequest, timeout time.Duration) (comfreyworks.Placement, error) {
+	return call[comfreyworks.Placement](ctx, c, "Place", request, timeout)
+}
+
+// Report sends a report to a directory shard.
+func (c *Client) Report(ctx context.Context, args ReportArgs) (ReportReply, error) {
+	return call[ReportReply](ctx, c, "Report", args, callTimeout)
+}
+
+func call[R any](ctx context.Context, c *Client, method string, args any, timeout time.Duration) (R, error) {
+	var none R
+	timer := c.options.Clock.NewTimer(timeout)
+	defer timer.Stop()
+	client, err := c.connection(ctx, timer.Chan())
+	if err != nil {
+		return none, err
+	}
+	reply := new(R)
+	pending := client.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-pending.Done:
+	case <-timer.Chan():
+		c.drop(client)
+		return none, &Error{Op: method, Kind: KindNoAnswer, Err: context.DeadlineExceeded}
+	case <-ctx.Done():
+		return none, &Error{Op: method, Kind: KindNoAnswer, Err: context.Cause(ctx)}
+	}
+	return *reply, c.outcome(client, method, pending.Error)
+}
+
+// outcome sorts the error of a finished call. net/rpc reports ErrShutdown
+// before it writes anything, so only that one promises that nothing was sent.
+func (c *Client) outcome(client *rpc.Client, method string, err error) error {
+	if err == nil {
+		return nil
+	}
+	var remote rpc.ServerError
+	if errors.As(err, &remote) {
+		return &Error{Op: method, Kind: KindRemote, Err: err}
+	}
+	c.drop(client)
+	if errors.Is(err, rpc.ErrShutdown) {
+		return notSent(method, KindNotSent, err)
+	}
+	return &Error{Op: method, Kind: KindNoAnswer, Err: err}
+}
+
+// connection returns the open connection or dials one. Callers that arrive
+// while one of them dials share the result, and each waits only as long as its
+// own call may take. For a short while after a failed dial calls fail at once.
+func (c *Client) connection(ctx context.Context, timeout <-chan time.Time) (*rpc.Client, error) {
+	client, err := c.current()
+	if client != nil || err != nil {
+		return client, err
+	}
+	dialed := c.dialing.DoChan("", c.dial)
+	select {
+	case result := <-dialed:
+		if result.Err != nil {
+			return nil, result.Err
+		}
+		return result.Val.(*rpc.Client), nil
+	case <-timeout:
+		return nil, notSent("dial", KindNotSent, context.DeadlineExceeded)
+	case <-ctx.Done():
+		return nil, notSent("dial", KindNotSent, context.Cause(ctx))
+	}
+}
+
+func (c *Client) current() (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rpc != nil {
+		return c.rpc, nil
+	}
+	if c.failure != nil && c.options.Clock.Since(c.failedAt) < redialDelay {
+		return nil, c.failure
+	}
+	return nil, nil
+}
+
+func (c *Client) dial() (any, error) {
+	if client, _ := c.current(); client != nil {
+		return client, nil
+	}
+	client, err := c.dialOnce()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rpc = client
+	c.failure = err
+	c.failedAt = c.options.Clock.Now()
+	return client, err
+}
+
+func (c *Client) dialOnce() (*rpc.Client, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := c.options.Dial(ctx, c.address)
+	if err != nil {
+		return nil, notSent("dial", KindNotSent, err)
+	}
+	if err := open(conn, c.options.Secret); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return rpc.NewClient(timedConn{conn}), nil
+}
+
+func open(conn net.Conn, secret string) error {
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return notSent("handshake", KindNotSent, err)
+	}
+	if err := respond(conn, secret); err != nil {
+		return err
+	}
+	return conn.SetDeadline(time.Time{})
+}
+
+// drop closes a connection if it is still the current one; nil means any.
+func (c *Client) drop(client *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rpc == nil || (client != nil && c.rpc != client) {
+		return
+	}
+	_ = c.rpc.Close()
+	c.rpc = nil
+}
--- /dev/null
+++ b/internal/protocol/peer/server.go
@@ -0,0 +1,97 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Server serves one receiver on a listener to clients that know the secret.
+type Server struct {
+	secret string
+	rpc    *rpc.Server
+	group  errgroup.Group
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+}
+
+// NewServer returns a server for a receiver whose methods follow net/rpc's
+// rules.
+func NewServer(secret string, receiver any) (*Server, error) {
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, receiver); err != nil {
+		return nil, &Error{Op: "register", Kind: KindRemote, Err: err}
+	}
+	return &Server{secret: secret, rpc: server, conns: make(map[net.Conn]struct{})}, nil
+}
+
+// Serve accepts connections until ctx ends, then closes them all and waits for
+// their goroutines.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			s.closeAll()
+			_ = s.group.Wait()
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return &Error{Op: "accept", Kind: KindRemote, Err: err}
+		}
+		s.group.Go(func() error {
+			s.serveConn(conn)
+			return nil
+		})
+	}
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	if !s.track(conn) {
+		return
+	}
+	defer s.forget(conn)
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return
+	}
+	if err := challenge(conn, s.secret); err != nil {
+		return
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return
+	}
+	s.rpc.ServeConn(timedConn{conn})
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) forget(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/handler.go
@@ -0,0 +1,78 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"comfreyworks"
+	"comfreyworks/internal/protocol/platform"
+)
+
+// Handler returns the HTTP interface of a log and a list.
+func Handler(log *Log, list *List) http.Handler {
+	router := mux.NewRouter().UseEncodedPath()
+	router.HandleFunc("/log/{stream}", func(w http.ResponseWriter, r *http.Request) {
+		serveAppend(log, w, r)
+	}).Methods(http.MethodPost)
+	router.HandleFunc("/log/{stream}", func(w http.ResponseWriter, r *http.Request) {
+		serveRead(log, w, r)
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/instances", func(w http.ResponseWriter, r *http.Request) {
+		instances, err := list.Instances(r.Context())
+		answer(w, instances, err)
+	}).Methods(http.MethodGet)
+	return router
+}
+
+func serveAppend(log *Log, w http.ResponseWriter, r *http.Request) {
+	stream, err := url.PathUnescape(mux.Vars(r)["stream"])
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var body platform.AppendRequest
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	offset, err := log.Append(r.Context(), stream, body.Data)
+	answer(w, platform.AppendAnswer{Offset: offset}, err)
+}
+
+func serveRead(log *Log, w http.ResponseWriter, r *http.Request) {
+	stream, err := url.PathUnescape(mux.Vars(r)["stream"])
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	query := r.URL.Query()
+	from, fromErr := strconv.ParseUint(query.Get("from"), 10, 64)
+	limit, limitErr := strconv.Atoi(query.Get("limit"))
+	wait, waitErr := time.ParseDuration(query.Get("wait"))
+	if err := errors.Join(fromErr, limitErr, waitErr); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	records, err := log.Read(r.Context(), stream, comfreyworks.Offset(from), limit, wait)
+	answer(w, records, err)
+}
+
+func answer(w http.ResponseWriter, v any, err error) {
+	switch {
+	case errors.Is(err, ErrLostAnswer):
+		panic(http.ErrAbortHandler)
+	case errors.Is(err, ErrTooMany):
+		http.Error(w, err.Error(), http.StatusTooManyRequests)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(v)
+	}
+}
--- /dev/null
+++ b/internal/state/settings/decode.go
@@ -0,0 +1,345 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dustin/go-humanize"
+	"github.com/tailscale/hujson"
+)
+
+// Problem is one mistake in a settings file.
+type Problem struct {
+	File string
+	Line int
+	// Path is the place inside the file, for example "pools[1].name".
+	Path string
+	// Message says what was found and what was expected.
+	Message string
+}
+
+// String formats the problem as FILE:LINE: PATH: MESSAGE.
+func (p Problem) String() string {
+	if p.Path == "" {
+		return fmt.Sprintf("%s:%d: %s", p.File, p.Line, p.Message)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, p.Path, p.Message)
+}
+
+// Problems is every mistake found in one file.
+type Problems []Problem
+
+// Error lists the problems, one a line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// ByteSize is a number of bytes, written with a unit, for example "64KiB".
+type ByteSize int64
+
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	byteSizeType = reflect.TypeFor[ByteSize]()
+	addressType  = reflect.TypeFor[netip.AddrPort]()
+)
+
+// decoder walks a JSON tree beside a Go value and collects every mistake.
+type decoder struct {
+	file     string
+	source   []byte
+	lines    map[string]int
+	problems Problems
+}
+
+// decode fills target, a pointer to a struct, from JSON with comments.
+func decode(file string, source []byte, target any) *decoder {
+	d := &decoder{file: file, source: source, lines: make(map[string]int)}
+	root, err := hujson.Parse(source)
+	if err != nil {
+		d.problems = append(d.problems, Problem{File: file, Line: syntaxLine(err), Message: err.Error()})
+		return d
+	}
+	d.value("", root, reflect.ValueOf(target).Elem())
+	return d
+}
+
+// syntaxLine reads the line out of hujson's message, which starts with
+// "hujson: line 3, column 4:".
+func syntaxLine(err error) int {
+	var line, column int
+	if _, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d, column %d", &line, &column); scanErr != nil {
+		return 1
+	}
+	return line
+}
+
+// fail records a mistake at a path that was seen while decoding, or at the
+// nearest one above it.
+func (d *decoder) fail(path, format string, args ...any) {
+	d.problems = append(d.problems, Problem{
+		File:    d.file,
+		Line:    d.line(path),
+		Path:    path,
+		Message: fmt.Sprintf(format, args...),
+	})
+}
+
+func (d *decoder) line(path string) int {
+	for {
+		if line, ok := d.lines[path]; ok {
+			return line
+		}
+		cut := strings.LastIndexAny(path, ".[")
+		if cut < 0 {
+			return max(d.lines[""], 1)
+		}
+		path = path[:cut]
+	}
+}
+
+func (d *decoder) value(path string, from hujson.Value, to reflect.Value) {
+	d.lines[path] = 1 + strings.Count(string(d.source[:from.StartOffset]), "\n")
+	switch to.Type() {
+	case durationType:
+		d.duration(path, from, to)
+		return
+	case byteSizeType:
+		d.byteSize(path, from, to)
+		return
+	case addressType:
+		d.address(path, from, to)
+		return
+	}
+	switch to.Kind() {
+	case reflect.Struct:
+		d.object(path, from, to)
+	case reflect.Slice:
+		d.array(path, from, to)
+	case reflect.String:
+		if text, ok := d.text(path, from, "a string"); ok {
+			to.SetString(text)
+		}
+	case reflect.Bool:
+		d.boolean(path, from, to)
+	case reflect.Int:
+		d.integer(path, from, to)
+	default:
+		panic("settings: no decoder for " + to.Type().String())
+	}
+}
+
+func (d *decoder) object(path string, from hujson.Value, to reflect.Value) {
+	object, ok := from.Value.(*hujson.Object)
+	if !ok {
+		d.fail(path, "found %s, expected an object", describe(from))
+		return
+	}
+	fields := fieldsByName(to.Type())
+	seen := make(map[string]bool)
+	for i := range object.Members {
+		name := object.Members[i].Name.Value.(hujson.Literal).String()
+		inner := join(path, name)
+		index, known := fields[name]
+		if !known {
+			d.lines[inner] = 1 + strings.Count(string(d.source[:object.Members[i].Name.StartOffset]), "\n")
+			d.fail(inner, "unknown field, expected one of %s", strings.Join(fieldNames(to.Type()), ", "))
+			continue
+		}
+		if seen[name] {
+			d.fail(inner, "field is given twice")
+		}
+		seen[name] = true
+		d.value(inner, object.Members[i].Value, to.Field(index))
+	}
+	d.missing(path, to, seen)
+}
+
+// missing applies defaults and reports required fields that are absent.
+func (d *decoder) missing(path string, to reflect.Value, seen map[string]bool) {
+	for i := range to.NumField() {
+		field := to.Type().Field(i)
+		name := field.Tag.Get("json")
+		if seen[name] {
+			continue
+		}
+		inner := join(path, name)
+		if text, ok := field.Tag.Lookup("default"); ok {
+			d.setDefault(inner, text, to.Field(i))
+			continue
+		}
+		if field.Tag.Get("optional") == "" {
+			d.fail(inner, "missing, expected %s", expectation(field.Type))
+		}
+	}
+}
+
+// setDefault reads a default in the same form that a file has, so that the
+// settings reference shows what a user would write.
+func (d *decoder) setDefault(path, text string, to reflect.Value) {
+	literal, err := hujson.Parse([]byte(text))
+	if err != nil {
+		literal = hujson.Value{Value: hujson.String(text)}
+	}
+	literal.StartOffset = 0
+	line := d.line(path)
+	d.value(path, literal, to)
+	d.lines[path] = line
+}
+
+func (d *decoder) array(path string, from hujson.Value, to reflect.Value) {
+	array, ok := from.Value.(*hujson.Array)
+	if !ok {
+		d.fail(path, "found %s, expected a list", describe(from))
+		return
+	}
+	to.Set(reflect.MakeSlice(to.Type(), len(array.Elements), len(array.Elements)))
+	for i := range array.Elements {
+		d.value(fmt.Sprintf("%s[%d]", path, i), array.Elements[i], to.Index(i))
+	}
+}
+
+func (d *decoder) text(path string, from hujson.Value, expected string) (string, bool) {
+	literal, ok := from.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '"' {
+		d.fail(path, "found %s, expected %s", describe(from), expected)
+		return "", false
+	}
+	return literal.String(), true
+}
+
+func (d *decoder) boolean(path string, from hujson.Value, to reflect.Value) {
+	literal, ok := from.Value.(hujson.Literal)
+	if !ok || (literal.Kind() != 't' && literal.Kind() != 'f') {
+		d.fail(path, "found %s, expected true or false", describe(from))
+		return
+	}
+	to.SetBool(literal.Bool())
+}
+
+func (d *decoder) integer(path string, from hujson.Value, to reflect.Value) {
+	literal, ok := from.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '0' {
+		d.fail(path, "found %s, expected a whole number", describe(from))
+		return
+	}
+	n, err := strconv.ParseInt(string(literal), 10, 64)
+	if err != nil {
+		d.fail(path, "found %s, expected a whole number", describe(from))
+		return
+	}
+	if n < 0 {
+		d.fail(path, "found %d, expected zero or more", n)
+		return
+	}
+	to.SetInt(n)
+}
+
+func (d *decoder) duration(path string, from hujson.Value, to reflect.Value) {
+	const expected = `a duration with a unit, such as "250ms" or "5s"`
+	text, ok := d.text(path, from, expected)
+	if !ok {
+		return
+	}
+	duration, err := time.ParseDuration(text)
+	if err != nil || duration < 0 {
+		d.fail(path, "found %q, expected %s", text, expected)
+		return
+	}
+	to.SetInt(int64(duration))
+}
+
+func (d *decoder) byteSize(path string, from hujson.Value, to reflect.Value) {
+	const expected = `a size with a unit, such as "64KiB" or "2MB"`
+	text, ok := d.text(path, from, expected)
+	if !ok {
+		return
+	}
+	_, plainErr := strconv.ParseFloat(text, 64)
+	size, err := humanize.ParseBytes(text)
+	if err != nil || plainErr == nil || size > 1<<40 {
+		d.fail(path, "found %q, expected %s", text, expected)
+		return
+	}
+	to.SetInt(int64(size))
+}
+
+func (d *decoder) address(path string, from hujson.Value, to reflect.Value) {
+	const expected = `an IP address and a port, such as "10.0.0.7:8080"; host names are not resolved`
+	text, ok := d.text(path, from, expected)
+	if !ok {
+		return
+	}
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		d.fail(path, "found %q, expected %s", text, expected)
+		return
+	}
+	to.Set(reflect.ValueOf(address))
+}
+
+func describe(from hujson.Value) string {
+	switch v := from.Value.(type) {
+	case *hujson.Object:
+		return "an object"
+	case *hujson.Array:
+		return "a list"
+	case hujson.Literal:
+		return string(v)
+	default:
+		return "nothing"
+	}
+}
+
+func expectation(t reflect.Type) string {
+	switch {
+	case t == durationType:
+		return `a duration such as "5s"`
+	case t == byteSizeType:
+		return `a size such as "64KiB"`
+	case t == addressType:
+		return `an IP address and a port such as "10.0.0.7:8080"`
+	}
+	switch t.Kind() {
+	case reflect.Slice:
+		return "a list"
+	case reflect.Struct:
+		return "an object"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int:
+		return "a whole number"
+	default:
+		return "a string"
+	}
+}
+
+func fieldsByName(t reflect.Type) map[string]int {
+	fields := make(map[string]int, t.NumField())
+	for i := range t.NumField() {
+		fields[t.Field(i).Tag.Get("json")] = i
+	}
+	return fields
+}
+
+func fieldNames(t reflect.Type) []string {
+	names := make([]string, t.NumField())
+	for i := range t.NumField() {
+		names[i] = t.Field(i).Tag.Get("json")
+	}
+	return names
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/internal/transport/entry/entry.go
@@ -0,0 +1,193 @@
+// Package entry is the process that callers talk to: an OpenAI-compatible HTTP
+// interface for models, and routed paths for plain services.
+//
+// An entry keeps nothing that must survive. It authenticates the workspace,
+// computes the prompt's prefix chain, lets the dispatcher find an upstream and
+// relays the answer.
+//
+// # Usage
+//
+//	e, err := entry.New(entry.Options{Instance: instance, Deployment: deployment, ...})
+//	err = e.Run(ctx, listener)
+//
+// Run serves until ctx ends. It then reports that it is not ready, waits for
+// the balancer to notice, lets open requests finish within the deployment's
+// stop grace and returns.
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"comfreyworks"
+	"comfreyworks/internal/coordination/dispatch"
+	"comfreyworks/internal/coordination/membership"
+	"comfreyworks/internal/protocol/peer"
+	"comfreyworks/internal/protocol/platform"
+	"comfreyworks/internal/state/meter"
+	"comfreyworks/internal/state/settings"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// KindServe means that serving failed.
+const KindServe Kind = "serve"
+
+// Error is the error type of this package.
+type Error = comfreyworks.OpError[Kind]
+
+// maxHeaderBytes bounds a request's header, in bytes.
+const maxHeaderBytes = 32 << 10
+
+// Options configures an Entry.
+type Options struct {
+	Instance   *settings.Instance
+	Deployment *settings.Deployment
+	Clock      comfreyworks.Clock
+	Logger     *zap.Logger
+	Meter      *meter.Meter
+	// HTTP reaches the platform.
+	HTTP *http.Client
+}
+
+// Entry is one process that callers talk to.
+type Entry struct {
+	options    Options
+	clients    *peer.Clients
+	view       *membership.View
+	dispatcher *dispatch.Dispatcher
+	keys       *keyring
+	leaving    atomic.Bool
+	// stop ends when the entry stops serving; kill ends it at once.
+	stop context.Context
+	kill context.CancelFunc
+}
+
+// New returns an entry that does nothing until Run is called.
+func New(options Options) *Entry {
+	e := &Entry{options: options, keys: newKeyring(options.Deployment.Workspaces)}
+	e.stop, e.kill = context.WithCancel(context.Background())
+	e.clients = peer.NewClients(peer.ClientOptions{Secret: options.Instance.PeerSecret, Clock: options.Clock})
+	client := platform.NewClient(options.Instance.Platform, options.HTTP)
+	e.view = membership.New(membership.Options{List: client, Clock: options.Clock, Logger: options.Logger})
+	e.dispatcher = dispatch.New(dispatch.Options{
+		View:   e.view,
+		Gates:  e.clients,
+		Clock:  options.Clock,
+		Logger: options.Logger,
+	})
+	return e
+}
+
+// Run serves on a listener until ctx ends and open requests are done.
+func (e *Entry) Run(ctx context.Context, listener net.Listener) error {
+	defer e.kill()
+	e.view.Refresh(ctx)
+	server := e.server(e.stop)
+	group, work := errgroup.WithContext(e.stop)
+	group.Go(func() error { return e.view.Run(work) })
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return &Error{Op: "run", Kind: KindServe, Err: err}
+		}
+		return nil
+	})
+	e.options.Logger.Info("serving", zap.Stringer("address", listener.Addr()))
+	group.Go(func() error {
+		defer e.kill()
+		select {
+		case <-ctx.Done():
+			return e.drain(ctx, server)
+		case <-work.Done():
+			return server.Close()
+		}
+	})
+	err := group.Wait()
+	e.clients.Close()
+	return err
+}
+
+func (e *Entry) server(ctx context.Context) *http.Server {
+	callers := e.options.Deployment.Callers
+	return &http.Server{
+		Handler:           e.Handler(),
+		ReadHeaderTimeout: callers.HeaderTimeout,
+		ReadTimeout:       callers.BodyTimeout,
+		IdleTimeout:       callers.IdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          zap.NewStdLog(e.options.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+}
+
+// Kill stops the entry at once, as a crash would.
+func (e *Entry) Kill() { e.kill() }
+
+// drain turns readiness off, gives the balancer time to notice and waits for
+// open requests within the stop grace.
+func (e *Entry) drain(ctx context.Context, server *http.Server) error {
+	callers := e.options.Deployment.Callers
+	e.leaving.Store(true)
+	e.options.Logger.Info("leaving")
+	e.options.Clock.Sleep(callers.StopNotice)
+	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), callers.StopGrace)
+	defer cancel()
+	err := server.Shutdown(grace)
+	e.options.Logger.Info("left", zap.Error(err))
+	if err != nil {
+		_ = server.Close()
+		return &Error{Op: "drain", Kind: KindServe, Err: err}
+	}
+	return nil
+}
+
+// Handler returns the HTTP interface.
+func (e *Entry) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeProblem(w, problemNotFound(r.URL.Path))
+	})
+	router.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeProblem(w, problemMethod(r.Method, r.URL.Path))
+	})
+	router.HandleFunc("/healthz", e.serveHealth).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", e.serveReady).Methods(http.MethodGet)
+	router.HandleFunc("/metrics", e.serveMetrics).Methods(http.MethodGet)
+	router.HandleFunc("/v1/models", e.withCaller(e.serveModels)).Methods(http.MethodGet)
+	router.HandleFunc("/v1/chat/completions", e.withCaller(e.serveChat)).Methods(http.MethodPost)
+	router.HandleFunc("/v1/completions", e.withCaller(e.serveText)).Methods(http.MethodPost)
+	router.HandleFunc("/services/{pool}{path:/.*}", e.withCaller(e.serveService))
+	return router
+}
+
+func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// serveReady answers 200 while the entry should get new requests.
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if e.leaving.Load() {
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	if !e.view.Known() {
+		http.Error(w, "no list of instances yet", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (e *Entry) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	if err := e.options.Meter.Write(w); err != nil {
+		e.options.Logger.Debug("metrics not written", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/transport/entry/service.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"comfreyworks"
+	"comfreyworks/internal/protocol/upstream"
+	"comfreyworks/internal/state/settings"
+)
+
+// maxKeyBytes bounds an idempotency key, in bytes.
+const maxKeyBytes = 256
+
+// serveService passes a call on to a plain service and says whether it ran.
+func (e *Entry) serveService(w http.ResponseWriter, r *http.Request, c caller) {
+	pool := e.options.Deployment.Pool(comfreyworks.Pool(mux.Vars(r)["pool"]))
+	if pool == nil || pool.Kind != settings.PoolService {
+		writeProblem(w, problemPool(mux.Vars(r)["pool"]))
+		return
+	}
+	key := r.Header.Get(upstream.HeaderIdempotencyKey)
+	if len(key) > maxKeyBytes {
+		writeProblem(w, problemBody("invalid_value", upstream.HeaderIdempotencyKey+": longer than 256 bytes"))
+		return
+	}
+	body, ok := e.readBody(w, r)
+	if !ok {
+		return
+	}
+	path := mux.Vars(r)["path"]
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), c.class.Deadline)
+	defer cancel()
+	e.options.Meter.Count("comfrey_calls_total", c.labels(), 1)
+	outcome := e.dispatcher.Call(ctx, pool, comfreyworks.ServiceWork{
+		Workspace:  c.workspace,
+		Class:      c.class.Name,
+		Repeatable: pool.Repeatable(r.Method, path),
+		Remaining:  c.class.Deadline,
+		Call: comfreyworks.ServiceCall{
+			Method:         r.Method,
+			Path:           path,
+			ContentType:    r.Header.Get("Content-Type"),
+			Body:           body,
+			IdempotencyKey: key,
+		},
+	})
+	e.options.Meter.Count("comfrey_calls_"+metricName(outcome.Run)+"_total", c.labels(), 1)
+	writeOutcome(w, outcome)
+}
+
+func metricName(run comfreyworks.RunState) string {
+	if run == comfreyworks.NotRun {
+		return "not_run"
+	}
+	return string(run)
+}
+
+func writeOutcome(w http.ResponseWriter, outcome comfreyworks.ServiceOutcome) {
+	switch {
+	case outcome.Conflict:
+		writeProblem(w, problemKeyConflict())
+	case outcome.Run == comfreyworks.Ran:
+		w.Header().Set(HeaderRun, string(outcome.Run))
+		if outcome.Answer.ContentType != "" {
+			w.Header().Set("Content-Type", outcome.Answer.ContentType)
+		}
+		w.WriteHeader(outcome.Answer.Status)
+		_, _ = w.Write(outcome.Answer.Body)
+	case outcome.Run == comfreyworks.NotRun && outcome.Refusal != nil:
+		writeProblem(w, problemRefused(*outcome.Refusal))
+	default:
+		writeProblem(w, problemUnknown(outcome.Detail))
+	}
+}
--- /dev/null
+++ b/internal/transport/sidecar/sidecar.go
@@ -0,0 +1,235 @@
+// Package sidecar is the process beside one upstream: the only gate to it.
+//
+// A sidecar takes work from entries over RPC, drives its upstream over HTTP,
+// buffers answers, follows the upstream's cache and load, and serves a shard
+// of its pool's prefix directory.
+//
+// # Usage
+//
+//	s, err := sidecar.New(sidecar.Options{Instance: instance, Deployment: deployment, ...})
+//	err = s.Run(ctx, listener)
+//
+// Run serves until ctx ends, then refuses new work, lets open streams finish
+// within the deployment's stop grace and returns. New fails when the instance
+// names a pool that the deployment does not declare.
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"comfreyworks"
+	"comfreyworks/internal/coordination/admission"
+	"comfreyworks/internal/coordination/generation"
+	"comfreyworks/internal/coordination/membership"
+	"comfreyworks/internal/coordination/placement"
+	"comfreyworks/internal/coordination/tracker"
+	"comfreyworks/internal/protocol/peer"
+	"comfreyworks/internal/protocol/platform"
+	"comfreyworks/internal/protocol/upstream"
+	"comfreyworks/internal/state/directory"
+	"comfreyworks/internal/state/meter"
+	"comfreyworks/internal/state/settings"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindSettings Kind = "settings"
+	KindServe    Kind = "serve"
+)
+
+// Error is the error type of this package.
+type Error = comfreyworks.OpError[Kind]
+
+// sweepInterval is how often the directory shard is swept.
+const sweepInterval = 10 * time.Second
+
+// Options configures a Sidecar.
+type Options struct {
+	Instance   *settings.Instance
+	Deployment *settings.Deployment
+	Clock      comfreyworks.Clock
+	Logger     *zap.Logger
+	Meter      *meter.Meter
+	// HTTP reaches the upstream and the platform.
+	HTTP *http.Client
+}
+
+// Sidecar is one process beside an upstream.
+type Sidecar struct {
+	options Options
+	pool    *settings.Pool
+	server  *peer.Server
+	clients *peer.Clients
+	view    *membership.View
+	shard   *directory.Shard
+	chooser *placement.Chooser
+	service comfreyworks.Service
+	// tracker and streams are nil beside a plain service.
+	tracker *tracker.Tracker
+	streams *generation.Manager
+	calls   *calls
+	// stop ends when the sidecar stops serving; kill ends it at once.
+	stop context.Context
+	kill context.CancelFunc
+}
+
+// New returns a sidecar that does nothing until Run is called.
+func New(options Options) (*Sidecar, error) {
+	pool := options.Deployment.Pool(options.Instance.Pool)
+	if pool == nil {
+		err := fmt.Errorf("pool %q is not declared", options.Instance.Pool)
+		return nil, &Error{Op: "new", Kind: KindSettings, Err: err}
+	}
+	placer, err := placement.New(pool.Placement)
+	if err != nil {
+		return nil, &Error{Op: "new", Kind: KindSettings, Err: err}
+	}
+	s := &Sidecar{options: options, pool: pool, shard: directory.New(options.Clock)}
+	s.chooser = placement.NewChooser(s.shard, placer)
+	s.clients = peer.NewClients(peer.ClientOptions{Secret: options.Instance.PeerSecret, Clock: options.Clock})
+	client := platform.NewClient(options.Instance.Platform, options.HTTP)
+	s.view = membership.New(membership.Options{List: client, Clock: options.Clock, Logger: options.Logger})
+	switch pool.Kind {
+	case settings.PoolEngine:
+		s.setUpEngine()
+	case settings.PoolService:
+		s.service = upstream.NewService(options.Instance.Upstream, options.HTTP)
+		s.calls = newCalls(s.service)
+	}
+	s.stop, s.kill = context.WithCancel(context.Background())
+	s.server, err = peer.NewServer(options.Instance.PeerSecret, &receiver{s})
+	if err != nil {
+		return nil, &Error{Op: "new", Kind: KindServe, Err: err}
+	}
+	return s, nil
+}
+
+func (s *Sidecar) setUpEngine() {
+	engine := upstream.NewEngine(s.options.Instance.Upstream, s.options.HTTP)
+	s.tracker = tracker.New(tracker.Options{
+		Instance:    s.options.Instance.ID,
+		Engine:      engine,
+		Clock:       s.options.Clock,
+		Logger:      s.options.Logger,
+		PrefillTime: s.pool.PrefillTime(),
+		Ring:        s.ring,
+		Shard:       s.shardAt,
+	})
+	queue := admission.New(admission.Options{Clock: s.options.Clock, Concurrency: s.pool.Concurrency})
+	s.streams = generation.New(generation.Options{
+		Engine:  engine,
+		Clock:   s.options.Clock,
+		Tracker: s.tracker,
+		Queue:   queue,
+		Limits:  s.limits,
+	})
+}
+
+func (s *Sidecar) limits(name comfreyworks.Class) admission.Request {
+	class := s.options.Deployment.Class(name)
+	if class == nil {
+		return admission.Request{Class: name}
+	}
+	return admission.Request{Class: name, Priority: class.Priority, Bound: class.QueueBound}
+}
+
+// Run serves on a listener until ctx ends and every open stream is done.
+func (s *Sidecar) Run(ctx context.Context, listener net.Listener) error {
+	defer s.kill()
+	s.view.Refresh(ctx)
+	group, work := errgroup.WithContext(s.stop)
+	group.Go(func() error { return s.server.Serve(work, listener) })
+	group.Go(func() error { return s.view.Run(work) })
+	group.Go(func() error { return s.sweep(work) })
+	if s.streams != nil {
+		group.Go(func() error { return s.tracker.Run(work) })
+		group.Go(func() error { return s.streams.Run(work) })
+	}
+	s.options.Logger.Info("serving", zap.Stringer("address", listener.Addr()))
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			s.drain(ctx)
+		case <-work.Done():
+		}
+		s.kill()
+		return nil
+	})
+	err := group.Wait()
+	s.clients.Close()
+	if err != nil {
+		return &Error{Op: "run", Kind: KindServe, Err: err}
+	}
+	return nil
+}
+
+// Kill stops the sidecar at once, as a crash would.
+func (s *Sidecar) Kill() { s.kill() }
+
+// drain lets open work finish within the stop grace.
+func (s *Sidecar) drain(ctx context.Context) {
+	s.options.Logger.Info("leaving")
+	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.options.Deployment.Callers.StopGrace)
+	defer cancel()
+	var err error
+	if s.streams != nil {
+		s.tracker.SetLeaving()
+		err = s.streams.Drain(grace)
+	} else {
+		err = s.calls.drain(grace)
+	}
+	s.options.Logger.Info("left", zap.Error(err))
+}
+
+func (s *Sidecar) sweep(ctx context.Context) error {
+	for {
+		select {
+		case <-s.options.Clock.After(sweepInterval):
+			s.options.Meter.Set("comfrey_directory_levels", float64(s.shard.Sweep()))
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// ring returns the pool's directory as the list shows it now.
+func (s *Sidecar) ring() *directory.Ring {
+	return s.view.Ring(s.pool.Name, s.pool.DirectoryShards)
+}
+
+func (s *Sidecar) shardAt(owner comfreyworks.Instance) comfreyworks.DirectoryShard {
+	if owner.ID == s.options.Instance.ID {
+		return localShard{s.shard}
+	}
+	return remoteShard{client: s.clients.To(owner.Address), pool: s.pool.Name}
+}
+
+// localShard is the directory shard in this process.
+type localShard struct{ shard *directory.Shard }
+
+// Report implements comfreyworks.DirectoryShard.
+func (l localShard) Report(_ context.Context, report comfreyworks.DirectoryReport) (bool, error) {
+	return l.shard.Report(report), nil
+}
+
+// remoteShard is a directory shard in another sidecar.
+type remoteShard struct {
+	client *peer.Client
+	pool   comfreyworks.Pool
+}
+
+// Report implements comfreyworks.DirectoryShard.
+func (r remoteShard) Report(ctx context.Context, report comfreyworks.DirectoryReport) (bool, error) {
+	reply, err := r.client.Report(ctx, peer.ReportArgs{Pool: r.pool, Report: report})
+	return reply.NeedFull, err
+}
--- /dev/null
+++ b/work.go
@@ -0,0 +1,40 @@
+package comfreyworks
+
+import "time"
+
+// Work is one attempt to generate the answer to a request.
+type Work struct {
+	Stream    StreamID
+	Workspace Workspace
+	Class     Class
+	Request   GenerateRequest
+	Chain     Chain
+	// Remaining is the time left until the request's deadline.
+	Remaining time.Duration
+}
+
+// RefusalReason tells why work was not taken.
+type RefusalReason string
+
+// Reasons of refusals.
+const (
+	// RefusedLeaving means that the sidecar is being stopped.
+	RefusedLeaving RefusalReason = "leaving"
+	// RefusedBusy means that the queue of the request's class is full.
+	RefusedBusy RefusalReason = "busy"
+	// RefusedWeights means that the upstream serves other weights.
+	RefusedWeights RefusalReason = "other-weights"
+	// RefusedDown means that the upstream does not answer.
+	RefusedDown RefusalReason = "upstream-down"
+	// RefusedLogDown means that the log did not take the claim.
+	RefusedLogDown RefusalReason = "log-down"
+	// RefusedLimit means that the workspace is over its limit.
+	RefusedLimit RefusalReason = "over-limit"
+)
+
+// Refusal is a typed "not run": nothing was given to the upstream.
+type Refusal struct {
+	Reason RefusalReason
+	// RetryAfter is when the caller may come back; zero means at once.
+	RetryAfter time.Duration
+}
