Test state, coordination and protocol at their interfaces

Cause: nothing but the demo spoke for the parts.

A slow directory shard no longer counts against the engine beside it: the dispatch tests showed that one unanswered question kept work away from the upstream that held the prompt.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -185,9 +185,8 @@
 // the same chain, which lands mostly where the directory would.
 func (d *Dispatcher) choose(ctx context.Context, state *attemptState) (comfreyworks.Instance, bool) {
 	pool := state.job.Pool
-	avoided := d.options.View.Avoided(pool.Name)
-	exclude := slices.Concat(state.excluded, avoided)
-	if id := d.ask(ctx, state.job, exclude, avoided); id != "" {
+	exclude := slices.Concat(state.excluded, d.options.View.Avoided(pool.Name))
+	if id := d.ask(ctx, state.job, exclude); id != "" {
 		if instance, ok := d.options.View.Find(pool.Name, id); ok {
 			return instance, true
 		}
@@ -197,20 +196,21 @@
 }
 
 // ask returns the directory's choice, or nothing if there is none in time.
-func (d *Dispatcher) ask(ctx context.Context, job Job, exclude, avoided []comfreyworks.InstanceID) comfreyworks.InstanceID {
+func (d *Dispatcher) ask(ctx context.Context, job Job, exclude []comfreyworks.InstanceID) comfreyworks.InstanceID {
 	ring := d.options.View.Ring(job.Pool.Name, job.Pool.DirectoryShards)
 	owner, ok := ring.Owner(job.Chain[0].Hash)
-	if !ok || slices.Contains(avoided, owner.ID) {
+	if !ok || !d.options.View.DirectoryUsable(owner.ID) {
 		return ""
 	}
 	request := comfreyworks.PlaceRequest{Pool: job.Pool.Name, Chain: job.Chain, Exclude: exclude}
 	choice, err := d.options.Gates.Gate(owner).Place(ctx, request, placeTimeout)
 	if err != nil {
 		if ctx.Err() == nil {
-			d.options.View.Failed(owner.ID)
+			d.options.View.DirectoryFailed(owner.ID)
 		}
 		return ""
 	}
+	d.options.View.DirectoryWorked(owner.ID)
 	return choice.Instance
 }
 
--- /dev/null
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -0,0 +1,265 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"comfreyworks"
+	"comfreyworks/internal/coordination/membership"
+	"comfreyworks/internal/standin/platform"
+	"comfreyworks/internal/state/settings"
+)
+
+// fakeGate is a sidecar that follows a script.
+type fakeGate struct {
+	refusal  *comfreyworks.Refusal
+	startErr error
+	// reads are the answers to reads, in order; the last one is repeated.
+	reads   []readAnswer
+	outcome comfreyworks.ServiceOutcome
+	callErr error
+
+	started   []comfreyworks.Work
+	read      int
+	cancelled int
+	called    int
+}
+
+type readAnswer struct {
+	news comfreyworks.StreamNews
+	err  error
+}
+
+func (g *fakeGate) Start(_ context.Context, work comfreyworks.Work) (*comfreyworks.Refusal, error) {
+	g.started = append(g.started, work)
+	return g.refusal, g.startErr
+}
+
+func (g *fakeGate) Read(_ context.Context, _ comfreyworks.StreamID, _ int, _ time.Duration) (comfreyworks.StreamNews, error) {
+	answer := g.reads[min(g.read, len(g.reads)-1)]
+	g.read++
+	return answer.news, answer.err
+}
+
+func (g *fakeGate) Cancel(context.Context, comfreyworks.StreamID) error {
+	g.cancelled++
+	return nil
+}
+
+func (g *fakeGate) Call(context.Context, comfreyworks.ServiceWork) (comfreyworks.ServiceOutcome, error) {
+	g.called++
+	return g.outcome, g.callErr
+}
+
+func (g *fakeGate) Place(context.Context, comfreyworks.PlaceRequest, time.Duration) (comfreyworks.Placement, error) {
+	return comfreyworks.Placement{}, errors.New("no directory")
+}
+
+type fakeGates []*fakeGate
+
+func (g fakeGates) Gate(instance comfreyworks.Instance) comfreyworks.Gate {
+	return g[instance.Address.Port()]
+}
+
+func frames(text string) []string { return strings.Split(text, "") }
+
+func news(text string) readAnswer {
+	return readAnswer{news: comfreyworks.StreamNews{Frames: frames(text)}}
+}
+
+func ends(text string, reason comfreyworks.EndReason) readAnswer {
+	var all []string
+	if text != "" {
+		all = frames(text)
+	}
+	return readAnswer{news: comfreyworks.StreamNews{Frames: all, End: &comfreyworks.StreamEnd{Reason: reason}}}
+}
+
+var (
+	errLost    = errors.New("no answer")
+	errNotSent = fmt.Errorf("dial: %w", comfreyworks.ErrNotSent)
+	unknown    = readAnswer{news: comfreyworks.StreamNews{Unknown: true}}
+	lost       = readAnswer{err: errLost}
+)
+
+func newDispatcher(gates fakeGates) *Dispatcher {
+	clock := clockwork.NewRealClock()
+	list := platform.NewList(clock, 0)
+	var instances []comfreyworks.Instance
+	for i := range gates {
+		instance := comfreyworks.Instance{
+			ID: comfreyworks.InstanceID(fmt.Sprintf("lm/%d", i)), Role: comfreyworks.RoleSidecar, Pool: "lm",
+			State: comfreyworks.InstanceLive, Address: address(i),
+		}
+		instances = append(instances, instance)
+	}
+	list.Set(instances)
+	view := membership.New(membership.Options{List: list, Clock: clock, Logger: zap.NewNop()})
+	view.Refresh(context.Background())
+	return New(Options{View: view, Gates: gates, Clock: clock, Logger: zap.NewNop()})
+}
+
+func newJob() Job {
+	return Job{
+		Pool:     &settings.Pool{Name: "lm", DirectoryShards: 1},
+		Chain:    comfreyworks.Chain{{Hash: 1, Tokens: 2000}},
+		Request:  comfreyworks.GenerateRequest{ID: "r1"},
+		Deadline: time.Now().Add(time.Minute),
+	}
+}
+
+// inOrder returns the gates in the order in which the fallback tries them.
+func inOrder(scripts ...*fakeGate) fakeGates {
+	probe := make(fakeGates, len(scripts))
+	for i := range probe {
+		probe[i] = &fakeGate{startErr: errNotSent}
+	}
+	d := newDispatcher(probe)
+	gates := make(fakeGates, len(scripts))
+	state := &attemptState{job: newJob()}
+	for _, script := range scripts {
+		instance, _ := d.choose(context.Background(), state)
+		state.excluded = append(state.excluded, instance.ID)
+		gates[instance.Address.Port()] = script
+	}
+	return gates
+}
+
+// expectText runs a job and checks the text that the caller gets.
+func expectText(t *testing.T, gates fakeGates, text string) Result {
+	t.Helper()
+	var got []string
+	result, err := newDispatcher(gates).Generate(context.Background(), newJob(), func(frames []string) error {
+		got = append(got, frames...)
+		return nil
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Join(got, ""), text)
+	return result
+}
+
+func expectFailure(t *testing.T, gates fakeGates, kind Kind) error {
+	t.Helper()
+	_, err := newDispatcher(gates).Generate(context.Background(), newJob(), func([]string) error { return nil })
+	var e *Error
+	assert.Assert(t, errors.As(err, &e), "got %v", err)
+	assert.Equal(t, e.Kind, kind, "%v", err)
+	return err
+}
+
+func TestGenerate(t *testing.T) {
+	rest := func() *fakeGate { return &fakeGate{reads: []readAnswer{ends("de", comfreyworks.EndComplete)}} }
+	t.Run("one upstream", func(t *testing.T) {
+		expectText(t, fakeGates{{reads: []readAnswer{news("ab"), news("c"), ends("", comfreyworks.EndComplete)}}}, "abc")
+	})
+	t.Run("a lost answer is read again from the same frame", func(t *testing.T) {
+		gate := &fakeGate{reads: []readAnswer{news("ab"), lost, news("c"), ends("", comfreyworks.EndComplete)}}
+		result := expectText(t, fakeGates{gate}, "abc")
+		assert.Equal(t, result.Attempts, 1)
+	})
+	tests := []struct {
+		name  string
+		first *fakeGate
+	}{
+		{"engine crash", &fakeGate{reads: []readAnswer{news("abc"), ends("", comfreyworks.EndIncomplete)}}},
+		{"sidecar restart", &fakeGate{reads: []readAnswer{news("abc"), unknown}}},
+		{"silent sidecar", &fakeGate{reads: []readAnswer{news("abc"), lost, lost}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name+" goes on elsewhere behind the last token", func(t *testing.T) {
+			second := rest()
+			result := expectText(t, inOrder(test.first, second), "abcde")
+			assert.Equal(t, result.Attempts, 2)
+			assert.Equal(t, second.started[0].Request.ResumeFrom, 3)
+			assert.Assert(t, second.started[0].Stream != test.first.started[0].Stream)
+		})
+	}
+	t.Run("nothing sent, then elsewhere", func(t *testing.T) {
+		first := &fakeGate{startErr: errNotSent}
+		expectText(t, inOrder(first, rest()), "de")
+		assert.Equal(t, first.cancelled, 0)
+	})
+	t.Run("perhaps started is cancelled, then elsewhere", func(t *testing.T) {
+		first := &fakeGate{startErr: errLost}
+		expectText(t, inOrder(first, rest()), "de")
+		assert.Equal(t, first.cancelled, 1)
+	})
+	t.Run("leaving, then elsewhere", func(t *testing.T) {
+		first := &fakeGate{refusal: &comfreyworks.Refusal{Reason: comfreyworks.RefusedLeaving}}
+		expectText(t, inOrder(first, rest()), "de")
+	})
+}
+
+func TestGenerateFails(t *testing.T) {
+	busy := func() *fakeGate {
+		return &fakeGate{refusal: &comfreyworks.Refusal{Reason: comfreyworks.RefusedBusy, RetryAfter: 3 * time.Second}}
+	}
+	t.Run("all busy is a refusal that says when to come back", func(t *testing.T) {
+		err := expectFailure(t, fakeGates{busy(), busy()}, KindRefused)
+		var refused *RefusedError
+		assert.Assert(t, errors.As(err, &refused))
+		assert.Equal(t, refused.Refusal, comfreyworks.Refusal{Reason: comfreyworks.RefusedBusy, RetryAfter: 3 * time.Second})
+	})
+	t.Run("nobody left part of the way is incomplete, never complete", func(t *testing.T) {
+		crashing := &fakeGate{reads: []readAnswer{news("a"), ends("", comfreyworks.EndIncomplete)}}
+		expectFailure(t, fakeGates{crashing}, KindIncomplete)
+	})
+	t.Run("the deadline at the sidecar", func(t *testing.T) {
+		expectFailure(t, fakeGates{{reads: []readAnswer{ends("", comfreyworks.EndCancelled)}}}, KindGivenUp)
+	})
+	t.Run("a caller that left frees the work", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		gate := &fakeGate{reads: []readAnswer{news("a")}}
+		_, err := newDispatcher(fakeGates{gate}).Generate(ctx, newJob(), func([]string) error {
+			cancel()
+			return nil
+		})
+		assert.ErrorContains(t, err, string(KindGivenUp))
+		assert.Equal(t, gate.cancelled, 1)
+	})
+	t.Run("a caller that cannot be written to frees the work", func(t *testing.T) {
+		gate := &fakeGate{reads: []readAnswer{news("a")}}
+		_, err := newDispatcher(fakeGates{gate}).Generate(context.Background(), newJob(), func([]string) error { return errLost })
+		assert.ErrorContains(t, err, string(KindStopped))
+		assert.Equal(t, gate.cancelled, 1)
+	})
+}
+
+func TestCall(t *testing.T) {
+	ran := func() *fakeGate { return &fakeGate{outcome: comfreyworks.ServiceOutcome{Run: comfreyworks.Ran}} }
+	tests := []struct {
+		name       string
+		first      *fakeGate
+		repeatable bool
+		run        comfreyworks.RunState
+		calls      int
+	}{
+		{"ran", ran(), false, comfreyworks.Ran, 1},
+		{"not sent, then elsewhere", &fakeGate{callErr: errNotSent}, false, comfreyworks.Ran, 2},
+		{"lost answer of a call that may not be repeated", &fakeGate{callErr: errLost}, false, comfreyworks.RunUnknown, 1},
+		{"lost answer of a call that may", &fakeGate{callErr: errLost}, true, comfreyworks.Ran, 2},
+		{"unknown at the sidecar", &fakeGate{outcome: comfreyworks.ServiceOutcome{Run: comfreyworks.RunUnknown}}, false, comfreyworks.RunUnknown, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			// The choice among equals is random, so a doubt about the second
+			// makes the first one the choice.
+			second := ran()
+			gates := fakeGates{test.first, second}
+			d := newDispatcher(gates)
+			d.options.View.Failed("lm/1")
+			outcome := d.Call(context.Background(), &settings.Pool{Name: "lm"}, comfreyworks.ServiceWork{Repeatable: test.repeatable})
+			assert.Equal(t, outcome.Run, test.run)
+			assert.Equal(t, test.first.called+second.called, test.calls)
+			assert.Equal(t, test.first.called, 1)
+		})
+	}
+}
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -39,6 +39,7 @@
 	// it doubles with each further one up to maxFailureAvoidance.
 	failureAvoidance    = 250 * time.Millisecond
 	maxFailureAvoidance = 8 * time.Second
+	maxDoublings        = 10
 	// leavingAvoidance is how long an instance is avoided that said it leaves.
 	leavingAvoidance = 30 * time.Second
 )
@@ -50,29 +51,28 @@
 	Logger *zap.Logger
 }
 
-// evidence is what this process saw of an instance itself.
-type evidence struct {
-	failures int
-	until    time.Time
-}
-
 // View is one process's view of the instances. It is safe for concurrent use.
 type View struct {
-	options  Options
-	mu       sync.RWMutex
-	known    bool
-	byPool   map[comfreyworks.Pool][]comfreyworks.Instance
-	rings    map[comfreyworks.Pool]*directory.Ring
-	evidence map[comfreyworks.InstanceID]evidence
+	options Options
+	mu      sync.RWMutex
+	known   bool
+	byPool  map[comfreyworks.Pool][]comfreyworks.Instance
+	rings   map[comfreyworks.Pool]*directory.Ring
+	// work holds doubts about instances that take work, directory doubts
+	// about the same instances as holders of the directory: a slow answer from
+	// a directory shard says nothing about the engine beside it.
+	work      doubts
+	directory doubts
 }
 
 // New returns a view that knows nobody until its first Refresh.
 func New(options Options) *View {
 	return &View{
-		options:  options,
-		byPool:   make(map[comfreyworks.Pool][]comfreyworks.Instance),
-		rings:    make(map[comfreyworks.Pool]*directory.Ring),
-		evidence: make(map[comfreyworks.InstanceID]evidence),
+		options:   options,
+		byPool:    make(map[comfreyworks.Pool][]comfreyworks.Instance),
+		rings:     make(map[comfreyworks.Pool]*directory.Ring),
+		work:      make(doubts),
+		directory: make(doubts),
 	}
 }
 
@@ -134,13 +134,13 @@
 func (v *View) Avoided(pool comfreyworks.Pool) []comfreyworks.InstanceID {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	if len(v.evidence) == 0 {
+	if len(v.work) == 0 {
 		return nil
 	}
 	now := v.options.Clock.Now()
 	var avoided []comfreyworks.InstanceID
 	for _, instance := range v.byPool[pool] {
-		if now.Before(v.evidence[instance.ID].until) {
+		if v.work.has(instance.ID, now) {
 			avoided = append(avoided, instance.ID)
 		}
 	}
@@ -185,7 +185,7 @@
 			continue
 		}
 		live = append(live, instance)
-		if !now.Before(v.evidence[instance.ID].until) {
+		if !v.work.has(instance.ID, now) {
 			usable = append(usable, instance)
 		}
 	}
@@ -195,44 +195,55 @@
 	return usable
 }
 
-// Failed records that a call to an instance failed.
+// Failed records that an instance did not do its work.
 func (v *View) Failed(id comfreyworks.InstanceID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now := v.options.Clock.Now()
-	e := v.evidence[id]
-	if now.Before(e.until) {
-		return
-	}
-	if e.failures == 0 {
+	if v.work.fail(id, v.options.Clock.Now()) {
 		v.options.Logger.Info("instance avoided after a failure", zap.String("instance", string(id)))
 	}
-	e.until = now.Add(min(failureAvoidance<<min(e.failures, 10), maxFailureAvoidance))
-	e.failures++
-	v.evidence[id] = e
+}
+
+// DirectoryFailed records that a directory shard did not answer.
+func (v *View) DirectoryFailed(id comfreyworks.InstanceID) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.directory.fail(id, v.options.Clock.Now()) {
+		v.options.Logger.Info("directory shard avoided after a failure", zap.String("instance", string(id)))
+	}
+}
+
+// DirectoryWorked records that a directory shard answered.
+func (v *View) DirectoryWorked(id comfreyworks.InstanceID) { v.worked(v.directory, id) }
+
+// DirectoryUsable reports whether a directory shard is worth asking.
+func (v *View) DirectoryUsable(id comfreyworks.InstanceID) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return !v.directory.has(id, v.options.Clock.Now())
 }
 
 // Leaving records that an instance refused work because it is leaving.
 func (v *View) Leaving(id comfreyworks.InstanceID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.evidence[id].failures == 0 {
+	if v.work.avoid(id, v.options.Clock.Now().Add(leavingAvoidance)) {
 		v.options.Logger.Info("instance is leaving", zap.String("instance", string(id)))
 	}
-	v.evidence[id] = evidence{failures: 1, until: v.options.Clock.Now().Add(leavingAvoidance)}
 }
 
-// Worked records that an instance did what was asked. It ends the evidence
-// against it.
-func (v *View) Worked(id comfreyworks.InstanceID) {
+// Worked records that an instance took work. It ends the doubts about it.
+func (v *View) Worked(id comfreyworks.InstanceID) { v.worked(v.work, id) }
+
+func (v *View) worked(d doubts, id comfreyworks.InstanceID) {
 	v.mu.RLock()
-	_, doubted := v.evidence[id]
+	_, doubted := d[id]
 	v.mu.RUnlock()
 	if !doubted {
 		return
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	delete(v.evidence, id)
+	delete(d, id)
 	v.options.Logger.Info("instance works again", zap.String("instance", string(id)))
 }
--- /dev/null
+++ b/internal/coordination/placement/placement_test.go
@@ -0,0 +1,134 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"comfreyworks"
+	"comfreyworks/internal/state/directory"
+)
+
+const prefillTime = 40 * time.Microsecond
+
+func expectPlaced(t *testing.T, policy comfreyworks.PolicyName, prompt int, expected int, candidates ...comfreyworks.Candidate) {
+	t.Helper()
+	placer, err := New(policy)
+	assert.NilError(t, err)
+	for i := range candidates {
+		candidates[i].PrefillTime = prefillTime
+	}
+	assert.Equal(t, placer.Place(prompt, candidates), expected)
+}
+
+func TestPolicies(t *testing.T) {
+	type c = comfreyworks.Candidate
+	tests := []struct {
+		name       string
+		policy     comfreyworks.PolicyName
+		expected   int
+		candidates []c
+	}{
+		{"nobody", comfreyworks.PolicyComfrey, -1, nil},
+		{"nobody to count", comfreyworks.PolicyRoundRobin, -1, nil},
+		{"the holder", comfreyworks.PolicyComfrey, 1, []c{{Score: 9}, {CachedTokens: 900}}},
+		{"the deeper holder", comfreyworks.PolicyComfrey, 1, []c{{CachedTokens: 500}, {CachedTokens: 900}}},
+		{"a holder with a short queue", comfreyworks.PolicyComfrey, 1, []c{{}, {CachedTokens: 900, QueuedTokens: 1000}}},
+		{"not a holder with a long queue", comfreyworks.PolicyComfrey, 0, []c{{}, {CachedTokens: 900, QueuedTokens: 4000}}},
+		{"the home of a cold prompt", comfreyworks.PolicyComfrey, 1, []c{{Score: 1}, {Score: 9}, {Score: 5}}},
+		{"the home of a warm prompt on two", comfreyworks.PolicyComfrey, 2, []c{{Score: 9}, {Score: 1, CachedTokens: 990}, {Score: 5, CachedTokens: 990}}},
+		{"the least queue", comfreyworks.PolicyLeastLoaded, 1, []c{{QueuedTokens: 5, CachedTokens: 900}, {QueuedTokens: 1}}},
+		{"the highest score", comfreyworks.PolicyRendezvous, 1, []c{{CachedTokens: 900}, {Score: 9, QueuedTokens: 9000}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			expectPlaced(t, test.policy, 1000, test.expected, test.candidates...)
+		})
+	}
+	t.Run("unknown policy", func(t *testing.T) {
+		_, err := New("best")
+		assert.ErrorContains(t, err, string(KindUnknownPolicy))
+	})
+	t.Run("round robin takes turns", func(t *testing.T) {
+		placer := new(RoundRobin)
+		for i := range 6 {
+			assert.Equal(t, placer.Place(1, make([]c, 3)), i%3)
+		}
+	})
+}
+
+func TestBurstOfOneNewPrefix(t *testing.T) {
+	// Ten requests for one new prefix within a report interval: the first one
+	// decides where the prefix will be, the others follow it.
+	clock := clockwork.NewFakeClock()
+	shard := directory.New(clock)
+	for i := range 5 {
+		shard.Report(comfreyworks.DirectoryReport{
+			Instance: comfreyworks.InstanceID(fmt.Sprintf("lm/%d", i)), Full: true, Sequence: 1, PrefillTime: prefillTime,
+		})
+	}
+	chooser := NewChooser(shard, Comfrey{})
+	chain := comfreyworks.Chain{{Hash: 1, Tokens: 9000}}
+	first := chooser.Choose(chain, nil)
+	assert.Equal(t, first.Candidates, 5)
+	for range 2 {
+		assert.Equal(t, chooser.Choose(chain, nil).Instance, first.Instance)
+	}
+	t.Run("an excluded instance is not chosen", func(t *testing.T) {
+		choice := chooser.Choose(chain, []comfreyworks.InstanceID{first.Instance})
+		assert.Assert(t, choice.Instance != first.Instance)
+	})
+}
+
+func TestFallback(t *testing.T) {
+	chain := comfreyworks.Chain{{Hash: 1, Tokens: 9000}}
+	usable := []comfreyworks.Instance{{ID: "lm/0"}, {ID: "lm/1"}, {ID: "lm/2"}}
+	first, ok := Fallback(chain, usable, nil)
+	assert.Assert(t, ok)
+	t.Run("it lands where a cold directory would", func(t *testing.T) {
+		shard := directory.New(clockwork.NewFakeClock())
+		for _, instance := range usable {
+			shard.Report(comfreyworks.DirectoryReport{Instance: instance.ID, Full: true, Sequence: 1, PrefillTime: prefillTime})
+		}
+		assert.Equal(t, NewChooser(shard, Comfrey{}).Choose(chain, nil).Instance, first.ID)
+	})
+	t.Run("nobody is left", func(t *testing.T) {
+		_, ok := Fallback(chain, usable[:1], []comfreyworks.InstanceID{"lm/0"})
+		assert.Assert(t, !ok)
+	})
+}
+
+func benchmarkChoose(b *testing.B, replicas int) {
+	shard := directory.New(clockwork.NewFakeClock())
+	chain := make(comfreyworks.Chain, comfreyworks.MaxLevels)
+	for i := range chain {
+		chain[i] = comfreyworks.Level{Hash: uint64(i + 1), Tokens: (i + 1) * 600}
+	}
+	for i := range replicas {
+		report := comfreyworks.DirectoryReport{
+			Instance: comfreyworks.InstanceID(fmt.Sprintf("lm/%d", i)), Full: true, Sequence: 1, PrefillTime: prefillTime,
+		}
+		for _, l := range chain[:i%len(chain)/4] {
+			report.Changes = append(report.Changes, comfreyworks.LevelChange{Hash: l.Hash, Root: 1, Tokens: int32(l.Tokens), Held: true})
+		}
+		shard.Report(report)
+	}
+	placer := Comfrey{}
+	buffer := make([]comfreyworks.Candidate, 0, replicas)
+	b.ReportAllocs()
+	for b.Loop() {
+		buffer = shard.Candidates(chain, buffer[:0])
+		if placer.Place(chain.Tokens(), buffer) < 0 {
+			b.Fatal("no choice")
+		}
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, replicas := range []int{10, 20, 40, 70, 80} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) { benchmarkChoose(b, replicas) })
+	}
+}
--- a/internal/coordination/tracker/tracker.go
+++ b/internal/coordination/tracker/tracker.go
@@ -113,13 +113,14 @@
 // followLoad notices crashes, restarts and changes of weights.
 func (t *Tracker) followLoad(ctx context.Context) error {
 	for ctx.Err() == nil {
-		t.readLoad(ctx)
+		t.Refresh(ctx)
 		t.sleep(ctx, loadInterval)
 	}
 	return nil
 }
 
-func (t *Tracker) readLoad(ctx context.Context) {
+// Refresh reads the engine's load once.
+func (t *Tracker) Refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	load, err := t.options.Engine.Load(ctx)
--- /dev/null
+++ b/internal/protocol/peer/peer_test.go
@@ -0,0 +1,155 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"comfreyworks"
+)
+
+const secret = "a secret of the tests"
+
+// echo is a receiver that knows one stream.
+type echo struct{ reads atomic.Int32 }
+
+func (e *echo) Read(args ReadArgs, reply *comfreyworks.StreamNews) error {
+	e.reads.Add(1)
+	if args.Stream == "broken" {
+		return errors.New("out of order")
+	}
+	reply.Frames = []string{string(args.Stream)}
+	return nil
+}
+
+// serve runs a server until the test ends.
+func serve(t *testing.T) (netip.AddrPort, *echo) {
+	t.Helper()
+	receiver := new(echo)
+	server, err := NewServer(secret, receiver)
+	assert.NilError(t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(ctx, listener) })
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, group.Wait())
+	})
+	return listener.Addr().(*net.TCPAddr).AddrPort(), receiver
+}
+
+func expectKind(t *testing.T, err error, kind Kind) {
+	t.Helper()
+	var e *Error
+	assert.Assert(t, errors.As(err, &e), "got %v", err)
+	assert.Equal(t, e.Kind, kind, "%v", err)
+	assert.Equal(t, errors.Is(err, comfreyworks.ErrNotSent), kind == KindNotSent || kind == KindSecret)
+}
+
+func read(c *Client, id comfreyworks.StreamID) (comfreyworks.StreamNews, error) {
+	return c.Read(context.Background(), id, 0, 0)
+}
+
+func TestClient(t *testing.T) {
+	address, receiver := serve(t)
+	t.Run("call", func(t *testing.T) {
+		clients := NewClients(ClientOptions{Secret: secret, Clock: clockwork.NewRealClock()})
+		defer clients.Close()
+		news, err := read(clients.To(address), "s1")
+		assert.NilError(t, err)
+		assert.DeepEqual(t, news.Frames, []string{"s1"})
+		_, err = read(clients.To(address), "broken")
+		expectKind(t, err, KindRemote)
+	})
+	t.Run("wrong secret", func(t *testing.T) {
+		before := receiver.reads.Load()
+		clients := NewClients(ClientOptions{Secret: "another secret", Clock: clockwork.NewRealClock()})
+		defer clients.Close()
+		_, err := read(clients.To(address), "s1")
+		expectKind(t, err, KindSecret)
+		assert.Equal(t, receiver.reads.Load(), before)
+	})
+	t.Run("nobody listens", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		gone := listener.Addr().(*net.TCPAddr).AddrPort()
+		assert.NilError(t, listener.Close())
+		clients := NewClients(ClientOptions{Secret: secret, Clock: clockwork.NewRealClock()})
+		_, err = read(clients.To(gone), "s1")
+		expectKind(t, err, KindNotSent)
+	})
+}
+
+// silentConn swallows everything once it is told to, as a connection does that
+// something between the two ends has lost track of.
+type silentConn struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+func (c silentConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func TestSilentConnection(t *testing.T) {
+	address, _ := serve(t)
+	clock := clockwork.NewFakeClock()
+	var silent atomic.Bool
+	var dials atomic.Int32
+	clients := NewClients(ClientOptions{Secret: secret, Clock: clock, Dial: func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+		conn, err := dialTCP(ctx, a)
+		if dials.Add(1) > 1 {
+			return conn, err
+		}
+		return silentConn{Conn: conn, silent: &silent}, err
+	}})
+	defer clients.Close()
+	client := clients.To(address)
+	_, err := read(client, "s1")
+	assert.NilError(t, err)
+
+	silent.Store(true)
+	var group errgroup.Group
+	group.Go(func() error {
+		_, err := read(client, "s2")
+		return err
+	})
+	assert.NilError(t, clock.BlockUntilContext(context.Background(), 1))
+	clock.Advance(callTimeout)
+	expectKind(t, group.Wait(), KindNoAnswer)
+
+	news, err := read(client, "s3")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, news.Frames, []string{"s3"})
+	assert.Equal(t, dials.Load(), int32(2))
+}
+
+func TestHandshakeCutShort(t *testing.T) {
+	for bytes := range 40 {
+		client, server := net.Pipe()
+		var group errgroup.Group
+		group.Go(func() error {
+			err := challenge(server, secret)
+			_ = server.Close()
+			return err
+		})
+		_ = client.SetDeadline(time.Now().Add(time.Second))
+		_, _ = io.CopyN(io.Discard, client, int64(min(bytes, nonceBytes)))
+		_ = client.Close()
+		assert.Assert(t, group.Wait() != nil)
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/platform_test.go
@@ -0,0 +1,131 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"comfreyworks"
+	"comfreyworks/internal/protocol/platform"
+)
+
+var bg = context.Background()
+
+func expectRecords(t *testing.T, log comfreyworks.Log, from comfreyworks.Offset, expected ...string) {
+	t.Helper()
+	records, err := log.Read(bg, "s", from, 10, 0)
+	assert.NilError(t, err)
+	var got []string
+	for _, record := range records {
+		got = append(got, string(record.Data))
+	}
+	assert.DeepEqual(t, got, expected)
+}
+
+func TestLog(t *testing.T) {
+	newLog := func(options LogOptions) (*Log, *clockwork.FakeClock) {
+		clock := clockwork.NewFakeClock()
+		options.Clock = clock
+		return NewLog(options), clock
+	}
+	t.Run("offsets", func(t *testing.T) {
+		log, _ := newLog(LogOptions{})
+		offset, err := log.Append(bg, "s", [][]byte{[]byte("a"), []byte("b")})
+		assert.NilError(t, err)
+		assert.Equal(t, offset, comfreyworks.Offset(0))
+		expectRecords(t, log, 1, "b")
+		expectRecords(t, log, 9)
+	})
+	t.Run("retention", func(t *testing.T) {
+		log, clock := newLog(LogOptions{Retention: time.Minute})
+		_, _ = log.Append(bg, "s", [][]byte{[]byte("a")})
+		clock.Advance(2 * time.Minute)
+		_, _ = log.Append(bg, "s", [][]byte{[]byte("b")})
+		expectRecords(t, log, 0, "b")
+	})
+	t.Run("a lost answer has taken effect", func(t *testing.T) {
+		log, _ := newLog(LogOptions{})
+		log.LoseAnswers(1)
+		_, err := log.Append(bg, "s", [][]byte{[]byte("a")})
+		assert.Assert(t, errors.Is(err, ErrLostAnswer))
+		expectRecords(t, log, 0, "a")
+	})
+	t.Run("appends are limited, outages refuse", func(t *testing.T) {
+		log, _ := newLog(LogOptions{AppendsPerSecond: 1})
+		_, err := log.Append(bg, "s", nil)
+		assert.NilError(t, err)
+		_, err = log.Append(bg, "s", nil)
+		assert.Assert(t, errors.Is(err, ErrTooMany))
+		log.SetOutage(true)
+		_, err = log.Read(bg, "s", 0, 1, 0)
+		assert.Assert(t, errors.Is(err, ErrOutage))
+	})
+}
+
+func TestHTTP(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	log := NewLog(LogOptions{Clock: clock, AppendsPerSecond: 2})
+	list := NewList(clock, 0)
+	server := httptest.NewServer(Handler(log, list))
+	t.Cleanup(server.Close)
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	client := platform.NewClient(address, &http.Client{Transport: &http.Transport{}})
+	expectKind := func(t *testing.T, err error, kind platform.Kind) {
+		t.Helper()
+		var e *platform.Error
+		assert.Assert(t, errors.As(err, &e), "got %v", err)
+		assert.Equal(t, e.Kind, kind)
+	}
+	t.Run("append and read", func(t *testing.T) {
+		_, err := client.Append(bg, "claims/dispatch", [][]byte{[]byte("a")})
+		assert.NilError(t, err)
+		records, err := client.Read(bg, "claims/dispatch", 0, 10, time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, string(records[0].Data), "a")
+	})
+	t.Run("a lost answer may have taken effect", func(t *testing.T) {
+		log.LoseAnswers(1)
+		_, err := client.Append(bg, "s", [][]byte{[]byte("a")})
+		expectKind(t, err, platform.KindUnavailable)
+		expectRecords(t, client, 0, "a")
+	})
+	t.Run("over the limit has not taken effect", func(t *testing.T) {
+		_, err := client.Append(bg, "s", [][]byte{[]byte("b")})
+		expectKind(t, err, platform.KindRefused)
+		expectRecords(t, client, 0, "a")
+	})
+}
+
+func TestList(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	list := NewList(clock, time.Minute)
+	expect := func(n int) {
+		t.Helper()
+		instances, err := list.Instances(bg)
+		assert.NilError(t, err)
+		assert.Equal(t, len(instances), n)
+	}
+	list.Set(make([]comfreyworks.Instance, 1))
+	expect(1)
+	clock.Advance(time.Second)
+	list.Set(make([]comfreyworks.Instance, 2))
+	expect(1)
+	clock.Advance(time.Minute)
+	expect(2)
+}
+
+func TestWeights(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := NewWeights(clock, time.Second, 1)
+	ctx, cancel := context.WithCancel(bg)
+	cancel()
+	assert.Assert(t, errors.Is(store.Fetch(ctx, "m", "v"), context.Canceled))
+}
--- /dev/null
+++ b/internal/state/directory/directory_test.go
@@ -0,0 +1,241 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"comfreyworks"
+)
+
+const (
+	replicaA = comfreyworks.InstanceID("lm/0")
+	replicaB = comfreyworks.InstanceID("lm/1")
+)
+
+var testChain = comfreyworks.Chain{{Hash: 1, Tokens: 100}, {Hash: 2, Tokens: 2000}, {Hash: 3, Tokens: 2100}}
+
+func held(hash uint64, tokens int32) comfreyworks.LevelChange {
+	return comfreyworks.LevelChange{Hash: hash, Root: 1, Tokens: tokens, Held: true}
+}
+
+func full(id comfreyworks.InstanceID, changes ...comfreyworks.LevelChange) comfreyworks.DirectoryReport {
+	return comfreyworks.DirectoryReport{
+		Instance: id, Incarnation: 1, Weights: "v1", Sequence: 1, Full: true, Changes: changes,
+		PrefillTime: 40 * time.Microsecond,
+	}
+}
+
+func expectCached(t *testing.T, s *Shard, id comfreyworks.InstanceID, tokens int) {
+	t.Helper()
+	for _, candidate := range s.Candidates(testChain, nil) {
+		if candidate.Instance == id {
+			assert.Equal(t, candidate.CachedTokens, tokens)
+			return
+		}
+	}
+	t.Fatalf("%s is no candidate", id)
+}
+
+func expectNoCandidate(t *testing.T, s *Shard) {
+	t.Helper()
+	assert.Equal(t, len(s.Candidates(testChain, nil)), 0)
+}
+
+func TestReports(t *testing.T) {
+	t.Run("the deepest level held counts", func(t *testing.T) {
+		s := New(clockwork.NewFakeClock())
+		assert.Assert(t, !s.Report(full(replicaA, held(1, 100), held(2, 2000))))
+		assert.Assert(t, !s.Report(full(replicaB, held(1, 100))))
+		expectCached(t, s, replicaA, 2000)
+		expectCached(t, s, replicaB, 100)
+	})
+	t.Run("a gap asks for a full report", func(t *testing.T) {
+		s := New(clockwork.NewFakeClock())
+		s.Report(full(replicaA, held(1, 100)))
+		next := full(replicaA)
+		next.Full = false
+		next.Sequence = 3
+		assert.Assert(t, s.Report(next))
+	})
+	t.Run("a new incarnation empties the upstream", func(t *testing.T) {
+		s := New(clockwork.NewFakeClock())
+		s.Report(full(replicaA, held(2, 2000)))
+		next := full(replicaA)
+		next.Incarnation = 2
+		next.Full = false
+		next.Sequence = 2
+		assert.Assert(t, s.Report(next))
+		expectCached(t, s, replicaA, 0)
+	})
+	t.Run("other weights empty the upstream", func(t *testing.T) {
+		s := New(clockwork.NewFakeClock())
+		s.Report(full(replicaA, held(2, 2000)))
+		next := full(replicaA)
+		next.Weights = "v2"
+		s.Report(next)
+		expectCached(t, s, replicaA, 0)
+	})
+	t.Run("leaving, down and silent upstreams are no candidates", func(t *testing.T) {
+		clock := clockwork.NewFakeClock()
+		s := New(clock)
+		leaving := full(replicaA)
+		leaving.Leaving = true
+		s.Report(leaving)
+		expectNoCandidate(t, s)
+		down := full(replicaA)
+		down.Down = true
+		s.Report(down)
+		expectNoCandidate(t, s)
+		s.Report(full(replicaA))
+		expectCached(t, s, replicaA, 0)
+		clock.Advance(reportLife + time.Second)
+		expectNoCandidate(t, s)
+	})
+}
+
+func TestAssign(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := New(clock)
+	s.Report(full(replicaA))
+	s.Assign(replicaA, testChain, 2100)
+	t.Run("assigned work counts as queued and its prefix as held", func(t *testing.T) {
+		candidate := s.Candidates(testChain, nil)[0]
+		assert.Equal(t, candidate.QueuedTokens, 2100)
+		assert.Equal(t, candidate.CachedTokens, 2100)
+	})
+	t.Run("a later report replaces the assigned work", func(t *testing.T) {
+		clock.Advance(2 * assignmentDelay)
+		next := full(replicaA)
+		next.Full = false
+		next.Sequence = 2
+		next.QueuedTokens = 1500
+		s.Report(next)
+		candidate := s.Candidates(testChain, nil)[0]
+		assert.Equal(t, candidate.QueuedTokens, 1500)
+	})
+	t.Run("an expectation that nothing confirms runs out", func(t *testing.T) {
+		clock.Advance(expectationLife)
+		next := full(replicaA)
+		next.Full = false
+		next.Sequence = 3
+		s.Report(next)
+		expectCached(t, s, replicaA, 0)
+		assert.Equal(t, s.Sweep(), 0)
+	})
+}
+
+// naive remembers everything: for each replica, its incarnation, weights and
+// the levels it holds.
+type naive struct {
+	incarnation comfreyworks.Incarnation
+	weights     comfreyworks.WeightsVersion
+	sequence    uint64
+	levels      map[uint64]int32
+}
+
+// TestAgainstNaive drives a shard and a model that remembers everything with
+// the same random gains, losses, crashes and changes of weights. Both give the
+// same cached tokens for every replica, so none is ever credited with cache of
+// a dead incarnation or of older weights.
+func TestAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(clockwork.NewFakeClock())
+		models := make(map[comfreyworks.InstanceID]*naive)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			id := comfreyworks.InstanceID(fmt.Sprintf("lm/%d", rapid.IntRange(0, 3).Draw(t, "replica")))
+			m := models[id]
+			if m == nil {
+				m = &naive{incarnation: 1, weights: "v1", levels: make(map[uint64]int32)}
+				models[id] = m
+			}
+			report := nextReport(t, id, m)
+			for s.Report(report) {
+				report = fullReport(id, m)
+			}
+		}
+		for _, candidate := range s.Candidates(testChain, nil) {
+			if expected := models[candidate.Instance].cached(); candidate.CachedTokens != expected {
+				t.Fatalf("%s: got %d tokens, expected %d", candidate.Instance, candidate.CachedTokens, expected)
+			}
+		}
+	})
+}
+
+func nextReport(t *rapid.T, id comfreyworks.InstanceID, m *naive) comfreyworks.DirectoryReport {
+	switch rapid.IntRange(0, 9).Draw(t, "event") {
+	case 0:
+		m.incarnation++
+		m.levels = make(map[uint64]int32)
+	case 1:
+		m.weights += "+"
+		m.levels = make(map[uint64]int32)
+	}
+	level := testChain[rapid.IntRange(0, len(testChain)-1).Draw(t, "level")]
+	change := held(level.Hash, int32(level.Tokens))
+	change.Held = rapid.Bool().Draw(t, "held")
+	if change.Held {
+		m.levels[change.Hash] = change.Tokens
+	} else {
+		delete(m.levels, change.Hash)
+	}
+	m.sequence++
+	// A lost report leaves a gap that the shard must notice.
+	if rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
+		m.sequence++
+	}
+	report := fullReport(id, m)
+	report.Full = false
+	report.Changes = []comfreyworks.LevelChange{change}
+	return report
+}
+
+func fullReport(id comfreyworks.InstanceID, m *naive) comfreyworks.DirectoryReport {
+	report := comfreyworks.DirectoryReport{
+		Instance: id, Incarnation: m.incarnation, Weights: m.weights, Sequence: m.sequence, Full: true,
+	}
+	for hash, tokens := range m.levels {
+		report.Changes = append(report.Changes, held(hash, tokens))
+	}
+	return report
+}
+
+func (m *naive) cached() int {
+	best := int32(0)
+	for _, tokens := range m.levels {
+		best = max(best, tokens)
+	}
+	return int(best)
+}
+
+func TestRing(t *testing.T) {
+	var listed []comfreyworks.Instance
+	for i := range 10 {
+		listed = append(listed, comfreyworks.Instance{ID: comfreyworks.InstanceID(fmt.Sprintf("lm/%d", i))})
+	}
+	ring := NewRing("lm", 3, listed)
+	assert.Equal(t, len(ring.Owners()), 3)
+	t.Run("a lost owner moves only its own roots", func(t *testing.T) {
+		var rest []comfreyworks.Instance
+		for _, instance := range listed {
+			if instance.ID != ring.Owners()[0].ID {
+				rest = append(rest, instance)
+			}
+		}
+		newcomer := NewRing("lm", 3, rest).Owners()[2].ID
+		for root := range uint64(1000) {
+			before, _ := ring.Owner(root)
+			after, _ := NewRing("lm", 3, rest).Owner(root)
+			moved := before.ID != after.ID
+			assert.Assert(t, !moved || before.ID == ring.Owners()[0].ID || after.ID == newcomer)
+		}
+	})
+	t.Run("an empty ring has no owner", func(t *testing.T) {
+		_, ok := NewRing("lm", 3, nil).Owner(1)
+		assert.Assert(t, !ok)
+	})
+}
--- a/internal/transport/entry/answer.go
+++ b/internal/transport/entry/answer.go
@@ -70,11 +70,6 @@
 }
 
 func (a *answer) raw(data string) error {
-	controller := http.NewResponseController(a.w)
-	deadline := time.Now().Add(a.entry.options.Deployment.Callers.WriteTimeout)
-	if err := controller.SetWriteDeadline(deadline); err != nil {
-		return err
-	}
 	if !a.started {
 		a.started = true
 		a.w.Header().Set("Content-Type", "text/event-stream")
@@ -86,7 +81,7 @@
 	if _, err := message.WriteTo(a.w); err != nil {
 		return err
 	}
-	return controller.Flush()
+	return http.NewResponseController(a.w).Flush()
 }
 
 // end finishes the answer, or tells the caller what went wrong.
--- a/internal/transport/entry/completions.go
+++ b/internal/transport/entry/completions.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/dispatch"
@@ -62,7 +63,10 @@
 	answer.end(r.Context(), result, err)
 }
 
-// readBody reads a body within the size limit, or answers why not.
+// readBody reads a body within the size limit, or answers why not. The time
+// limit on reading ends with the body: while the answer is written the server
+// still reads, to notice that the caller leaves, and would take the passing of
+// the limit for just that.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	limit := int64(e.options.Deployment.Callers.MaxBody)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
@@ -75,6 +79,9 @@
 		writeProblem(w, problemBody("unreadable_body", "the body could not be read"))
 		return nil, false
 	}
+	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
+		e.options.Logger.Debug("read deadline not cleared", zap.Error(err))
+	}
 	return body, true
 }
 
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -165,7 +165,7 @@
 	router.HandleFunc("/v1/chat/completions", e.withCaller(e.serveChat)).Methods(http.MethodPost)
 	router.HandleFunc("/v1/completions", e.withCaller(e.serveText)).Methods(http.MethodPost)
 	router.HandleFunc("/services/{pool}{path:/.*}", e.withCaller(e.serveService))
-	return router
+	return e.withBounds(router)
 }
 
 func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
