--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 FUZZ_TIME ?= 20s
 
-.PHONY: all build demo demo-serve test lint format fuzz bench clean standalone
+.PHONY: all build demo demo-serve demo-processes test lint format fuzz bench clean standalone
 
 all: build
 
@@ -21,10 +21,14 @@
 demo-serve: build
 	./bin/bench demo --serve
 
+# Runs the demo with every entry and sidecar as a process of its own.
+demo-processes: build
+	./scripts/processes.sh
+
 # Runs every test with the race detector. SKIP holds a pattern of tests that
 # are known to fail; .ci/run fills it from KNOWN-RED.txt.
 test:
-	@for m in $(MODULES); do (cd $$m && go test -race -count=1 $(if $(SKIP),-skip '$(SKIP)') ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && go test -race -count=1 -timeout=300s $(if $(SKIP),-skip '$(SKIP)') ./...) || exit 1; done
 
 lint:
 	@out=$$(go run $(GOFUMPT) -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
--- a/internal/bench/command/command.go
+++ b/internal/bench/command/command.go
@@ -28,13 +28,15 @@
 // commands are the subcommands.
 type commands struct {
 	Demo demoCommand `command:"demo" description:"run the whole system for some seconds and check every answer"`
+
+	Processes processesCommand `command:"processes" description:"run the demo against roles that are processes of their own"`
 }
 
 // Main runs one command and returns the exit code.
 func Main(args []string) program.ExitCode {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	c := commands{Demo: demoCommand{ctx: ctx}}
+	c := commands{Demo: demoCommand{ctx: ctx}, Processes: processesCommand{ctx: ctx}}
 	parser := flags.NewNamedParser("bench", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", &c); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -68,6 +68,9 @@
 	ListLag   time.Duration
 	// AppendsPerSecond bounds the log; zero means no bound.
 	AppendsPerSecond int
+	// External means that only the stand-ins run here; the roles are started
+	// as processes of their own from the settings that Instances returns.
+	External bool
 }
 
 // upstreamProcess is one stand-in and the sidecar beside it.
@@ -137,6 +140,9 @@
 	}
 	r.publishList()
 	for _, u := range r.upstreams {
+		if r.options.External {
+			break
+		}
 		if err := r.startSidecar(u); err != nil {
 			return err
 		}
@@ -230,16 +236,7 @@
 }
 
 func (r *Rig) startSidecar(u *upstreamProcess) error {
-	instance := settings.Instance{
-		ID:         u.instance.ID,
-		Role:       comfreyworks.RoleSidecar,
-		Zone:       u.instance.Zone,
-		Listen:     u.instance.Address,
-		PeerSecret: peerSecret,
-		Platform:   r.platform,
-		Pool:       u.instance.Pool,
-		Upstream:   u.upstream,
-	}
+	instance := r.sidecarSettings(u)
 	role, err := sidecar.New(sidecar.Options{
 		Instance:   &instance,
 		Deployment: r.options.Deployment,
@@ -255,20 +252,52 @@
 	return err
 }
 
+func (r *Rig) sidecarSettings(u *upstreamProcess) settings.Instance {
+	return settings.Instance{
+		ID:         u.instance.ID,
+		Role:       comfreyworks.RoleSidecar,
+		Zone:       u.instance.Zone,
+		Listen:     u.instance.Address,
+		PeerSecret: peerSecret,
+		Platform:   r.platform,
+		Pool:       u.instance.Pool,
+		Upstream:   u.upstream,
+	}
+}
+
+// Instances returns the settings of every entry and sidecar.
+func (r *Rig) Instances() []settings.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var instances []settings.Instance
+	for _, u := range r.upstreams {
+		instances = append(instances, r.sidecarSettings(u))
+	}
+	for _, p := range r.entries {
+		instances = append(instances, p.instance)
+	}
+	return instances
+}
+
 func (r *Rig) addEntry(i int) error {
 	address, err := freeAddress()
 	if err != nil {
 		return err
 	}
 	zones := r.options.Deployment.Zones
-	p, err := r.startEntry(settings.Instance{
+	instance := settings.Instance{
 		ID:         comfreyworks.InstanceID(fmt.Sprintf("entry/%d", i)),
 		Role:       comfreyworks.RoleEntry,
 		Zone:       zones[i%len(zones)].Name,
 		Listen:     address,
 		PeerSecret: peerSecret,
 		Platform:   r.platform,
-	})
+	}
+	if r.options.External {
+		r.entries = append(r.entries, &process[*entry.Entry]{instance: instance})
+		return nil
+	}
+	p, err := r.startEntry(instance)
 	if err != nil {
 		return err
 	}
@@ -310,7 +339,9 @@
 func (r *Rig) Stop() {
 	r.mu.Lock()
 	for _, p := range r.entries {
-		p.role.Kill()
+		if p.role != nil {
+			p.role.Kill()
+		}
 	}
 	for _, u := range r.upstreams {
 		if u.sidecar != nil {
--- a/internal/coordination/generation/generation_test.go
+++ b/internal/coordination/generation/generation_test.go
@@ -21,14 +21,16 @@
 type fakeEngine struct {
 	pieces chan comfreyworks.Piece
 	err    error
+	begun  chan struct{}
 	gone   chan struct{}
 }
 
 func newEngine() *fakeEngine {
-	return &fakeEngine{pieces: make(chan comfreyworks.Piece, 16), gone: make(chan struct{}, 16)}
+	return &fakeEngine{pieces: make(chan comfreyworks.Piece, 16), begun: make(chan struct{}, 16), gone: make(chan struct{}, 16)}
 }
 
 func (e *fakeEngine) Generate(ctx context.Context, _ comfreyworks.GenerateRequest, emit func(comfreyworks.Piece) error) (comfreyworks.Usage, error) {
+	e.begun <- struct{}{}
 	defer func() { e.gone <- struct{}{} }()
 	for {
 		select {
@@ -189,12 +191,14 @@
 	t.Run("cancel frees the engine", func(t *testing.T) {
 		f := newFixture(t)
 		f.start(t, "s1")
+		<-f.engine.begun
 		f.manager.Cancel("s1")
 		<-f.engine.gone
 	})
 	t.Run("a stream without a reader is cancelled", func(t *testing.T) {
 		f := newFixture(t)
 		f.start(t, "s1")
+		<-f.engine.begun
 		f.clock.Advance(orphanTime + time.Second)
 		f.manager.Sweep()
 		<-f.engine.gone
--- /dev/null
+++ b/internal/transport/entry/entry_test.go
@@ -0,0 +1,312 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"comfreyworks"
+	"comfreyworks/examples"
+	"comfreyworks/internal/bench/rig"
+	"comfreyworks/internal/protocol/completion"
+	"comfreyworks/internal/standin/engine"
+	"comfreyworks/internal/state/meter"
+	"comfreyworks/internal/state/settings"
+	"comfreyworks/internal/transport/entry"
+)
+
+// setUp changes a deployment and the engines before they start.
+type setUp struct {
+	callers func(*settings.Callers)
+	rates   func(*engine.Rates)
+}
+
+// newRig runs one entry, two engines and two services.
+func newRig(t *testing.T, set setUp) *rig.Rig {
+	t.Helper()
+	deployment, err := settings.ReadDeployment("piedmont.jsonc", examples.Piedmont)
+	assert.NilError(t, err)
+	for i := range deployment.Pools {
+		deployment.Pools[i].Replicas = 2
+	}
+	deployment.Callers.StopNotice = 0
+	if set.callers != nil {
+		set.callers(&deployment.Callers)
+	}
+	rates := engine.DefaultRates()
+	rates.StepTime = time.Millisecond
+	if set.rates != nil {
+		set.rates(&rates)
+	}
+	r, err := rig.Start(context.Background(), rig.Options{
+		Deployment: deployment, Entries: 1, Clock: clockwork.NewRealClock(), Seed: 1,
+		Rates: func(comfreyworks.InstanceID) engine.Rates { return rates },
+	})
+	assert.NilError(t, err)
+	t.Cleanup(r.Stop)
+	return r
+}
+
+func request(t *testing.T, method, url, body string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer key-office")
+	return req
+}
+
+const goodBody = `{"model":"oak-12b","max_tokens":3,"messages":[{"role":"user","content":"hello"}]}`
+
+// expectProblem checks a typed error and that it says whether anything ran.
+func expectProblem(t *testing.T, req *http.Request, status int, code string, run comfreyworks.RunState) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(t, resp.StatusCode, status)
+	assert.Equal(t, resp.Header.Get("Content-Type"), "application/json")
+	assert.Equal(t, resp.Header.Get(entry.HeaderRun), string(run))
+	var problem completion.Problem
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&problem))
+	assert.Equal(t, problem.Error.Code, code, problem.Error.Message)
+	assert.Assert(t, problem.Error.Message != "")
+}
+
+// expectAnswer checks that the entry still serves.
+func expectAnswer(t *testing.T, r *rig.Rig) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(request(t, http.MethodPost, r.EntryURL(0)+"/v1/chat/completions", goodBody))
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	var answer completion.Answer
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&answer))
+	expected := ""
+	for i := range 3 {
+		expected += engine.OutputToken(answer.ID, i)
+	}
+	assert.Equal(t, answer.Choices[0].Message.Content, expected)
+}
+
+func TestBadInput(t *testing.T) {
+	r := newRig(t, setUp{callers: func(c *settings.Callers) { c.MaxBody = 1 << 10 }})
+	url := r.EntryURL(0)
+	const chat = "/v1/chat/completions"
+	tests := []struct {
+		name, method, path, body string
+		change                   func(*http.Request)
+		status                   int
+		code                     string
+	}{
+		{"no key", "POST", chat, goodBody, func(r *http.Request) { r.Header.Del("Authorization") }, 401, "invalid_key"},
+		{"unknown key", "POST", chat, goodBody, func(r *http.Request) { r.Header.Set("Authorization", "Bearer key-nobody") }, 401, "invalid_key"},
+		{"unknown class", "POST", chat, goodBody, func(r *http.Request) { r.Header.Set(entry.HeaderClass, "vip") }, 400, "unknown_class"},
+		{"unknown model", "POST", chat, strings.Replace(goodBody, "oak-12b", "elm", 1), nil, 404, "unknown_model"},
+		{"malformed JSON", "POST", chat, goodBody[:20], nil, 400, "malformed_json"},
+		{"no messages", "POST", chat, `{"model":"oak-12b"}`, nil, 400, "invalid_value"},
+		{"too many tokens", "POST", chat, `{"model":"oak-12b","max_tokens":1000000}`, nil, 400, "invalid_value"},
+		{"picture", "POST", chat, `{"model":"oak-12b","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, nil, 400, "invalid_value"},
+		{"prompt that is no text", "POST", "/v1/completions", `{"model":"oak-12b","prompt":[1]}`, nil, 400, "invalid_value"},
+		{"over-long body", "POST", chat, strings.Repeat(" ", 2<<10), nil, 413, "body_too_large"},
+		{"wrong method", "GET", chat, "", nil, 405, "method_not_allowed"},
+		{"unknown path", "GET", "/v2", "", nil, 404, "not_found"},
+		{"unknown service", "GET", "/services/nobody/x", "", nil, 404, "unknown_service"},
+		{"a model pool is no service", "GET", "/services/lm-pool/x", "", nil, 404, "unknown_service"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			req := request(t, test.method, url+test.path, test.body)
+			if test.change != nil {
+				test.change(req)
+			}
+			expectProblem(t, req, test.status, test.code, comfreyworks.NotRun)
+		})
+	}
+	expectAnswer(t, r)
+}
+
+func TestModelsHealthAndMetrics(t *testing.T) {
+	r := newRig(t, setUp{})
+	expectAnswer(t, r)
+	tests := []struct{ path, expected string }{
+		{"/v1/models", `"id":"oak-12b"`},
+		{"/healthz", "ok"},
+		{"/readyz", "ready"},
+		{"/metrics", `comfrey_ttft_seconds_count{workspace="office",class="review"} 1`},
+	}
+	for _, test := range tests {
+		t.Run(test.path, func(t *testing.T) {
+			resp, err := http.DefaultClient.Do(request(t, http.MethodGet, r.EntryURL(0)+test.path, ""))
+			assert.NilError(t, err)
+			defer func() { _ = resp.Body.Close() }()
+			body, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			assert.Assert(t, strings.Contains(string(body), test.expected), string(body))
+		})
+	}
+}
+
+func TestServiceCalls(t *testing.T) {
+	r := newRig(t, setUp{})
+	do := func(method, path string) (*http.Response, string) {
+		req := request(t, method, r.EntryURL(0)+"/services/dispatch"+path, "body")
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		return resp, string(body)
+	}
+	for _, method := range []string{"GET", "POST", "PUT", "DELETE"} {
+		t.Run(method, func(t *testing.T) {
+			resp, body := do(method, "/jobs?crew=7")
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+			assert.Equal(t, resp.Header.Get(entry.HeaderRun), string(comfreyworks.Ran))
+			assert.Assert(t, strings.Contains(body, fmt.Sprintf(`"method":%q,"path":"/jobs?crew=7","echo":"body"`, method)), body)
+		})
+	}
+	t.Run("a lost answer is unknown, not repeated", func(t *testing.T) {
+		for _, s := range r.Services("dispatch") {
+			s.Break(1)
+		}
+		expectProblem(t, request(t, "POST", r.EntryURL(0)+"/services/dispatch/orders", ""), 502, "run_unknown", comfreyworks.RunUnknown)
+		runs := 0
+		for _, s := range r.Services("dispatch") {
+			for call, n := range s.Runs() {
+				if call.Path == "/orders" {
+					runs += n
+				}
+			}
+		}
+		assert.Equal(t, runs, 1)
+	})
+}
+
+// startStream sends a long streamed request and returns its open answer after
+// the first event.
+func startStream(t *testing.T, ctx context.Context, r *rig.Rig, tokens int) (*http.Response, *bufio.Reader) {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":"oak-12b","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, tokens)
+	resp, err := http.DefaultClient.Do(request(t, http.MethodPost, r.EntryURL(0)+"/v1/chat/completions", body).WithContext(ctx))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	reader := bufio.NewReader(resp.Body)
+	line, err := reader.ReadString('\n')
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(line, "id: cmpl-"), line)
+	return resp, reader
+}
+
+func waitIdle(r *rig.Rig) {
+	for busy := 1; busy > 0; {
+		busy = 0
+		for _, e := range r.Engines("lm-pool") {
+			busy += e.Running()
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func cancelled(r *rig.Rig) int {
+	n := 0
+	for _, e := range r.Engines("lm-pool") {
+		n += e.Counts().Cancelled
+	}
+	return n
+}
+
+func TestCallerHangsUp(t *testing.T) {
+	r := newRig(t, setUp{})
+	ctx, cancel := context.WithCancel(context.Background())
+	resp, _ := startStream(t, ctx, r, 16000)
+	cancel()
+	_ = resp.Body.Close()
+	waitIdle(r)
+	assert.Equal(t, cancelled(r), 1)
+	expectAnswer(t, r)
+}
+
+func TestSlowReader(t *testing.T) {
+	r := newRig(t, setUp{
+		callers: func(c *settings.Callers) { c.WriteTimeout = 100 * time.Millisecond },
+		rates:   func(rates *engine.Rates) { rates.StepTime = 20 * time.Microsecond },
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.EntryURL(0), "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(1<<10))
+	body := `{"model":"oak-12b","stream":true,"max_tokens":16384,"messages":[{"role":"user","content":"hello"}]}`
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer key-office\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	assert.NilError(t, err)
+	// The reader reads nothing. Others are served, and the work ends.
+	expectAnswer(t, r)
+	waitIdle(r)
+	expectAnswer(t, r)
+}
+
+func TestTimeLimitsDoNotCutAnswers(t *testing.T) {
+	r := newRig(t, setUp{
+		callers: func(c *settings.Callers) {
+			c.BodyTimeout = 100 * time.Millisecond
+			c.WriteTimeout = 100 * time.Millisecond
+		},
+		rates: func(rates *engine.Rates) { rates.StepTime = 10 * time.Millisecond },
+	})
+	resp, reader := startStream(t, context.Background(), r, 40)
+	defer func() { _ = resp.Body.Close() }()
+	rest, err := io.ReadAll(reader)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(string(rest), "data: [DONE]\n\n"), string(rest))
+	// The kept connection has not inherited a deadline that has passed.
+	time.Sleep(150 * time.Millisecond)
+	expectAnswer(t, r)
+}
+
+func TestPlannedStops(t *testing.T) {
+	t.Run("an entry finishes its streams", func(t *testing.T) {
+		r := newRig(t, setUp{rates: func(rates *engine.Rates) { rates.StepTime = 5 * time.Millisecond }})
+		resp, reader := startStream(t, context.Background(), r, 60)
+		defer func() { _ = resp.Body.Close() }()
+		var group errgroup.Group
+		group.Go(func() error {
+			r.StopEntry(0)
+			return nil
+		})
+		rest, err := io.ReadAll(reader)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasSuffix(string(rest), "data: [DONE]\n\n"))
+		assert.NilError(t, group.Wait())
+		_, err = http.Get(r.EntryURL(0) + "/healthz")
+		assert.Assert(t, err != nil)
+	})
+	t.Run("a sidecar finishes its streams and takes no new work", func(t *testing.T) {
+		r := newRig(t, setUp{rates: func(rates *engine.Rates) { rates.StepTime = 5 * time.Millisecond }})
+		resp, reader := startStream(t, context.Background(), r, 60)
+		defer func() { _ = resp.Body.Close() }()
+		leaving := comfreyworks.InstanceID("lm-pool/0")
+		if r.Engine(leaving).Running() == 0 {
+			leaving = "lm-pool/1"
+		}
+		var group errgroup.Group
+		group.Go(func() error { return r.StopSidecar(leaving) })
+		rest, err := io.ReadAll(reader)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasSuffix(string(rest), "data: [DONE]\n\n"))
+		assert.NilError(t, group.Wait())
+		assert.Equal(t, r.Meter().Counter("comfrey_attempts_total", meter.Labels{Workspace: "office", Class: "review"}), 1)
+		before := r.Engine(leaving).Counts().Requests
+		expectAnswer(t, r)
+		assert.Equal(t, r.Engine(leaving).Counts().Requests, before)
+	})
+}
