Compare placement policies on the same traces, and mend the view of queues

Two views were wrong. Each of several requests for one new prefix counted its whole prompt as queued, so the queue looked several times as long as it was and copies were made elsewhere; and the learned time for a prompt token was a mean of ratios, in which the first of two prompts that end together takes all the time.

--- a/internal/bench/command/command.go
+++ b/internal/bench/command/command.go
@@ -29,6 +29,10 @@
 type commands struct {
 	Demo demoCommand `command:"demo" description:"run the whole system for some seconds and check every answer"`
 
+	Trace   traceCommand   `command:"trace" description:"write a generated trace"`
+	Run     runCommand     `command:"run" description:"run a trace under one policy"`
+	Compare compareCommand `command:"compare" description:"run policies on the same traces"`
+
 	Processes processesCommand `command:"processes" description:"run the demo against roles that are processes of their own"`
 }
 
@@ -36,7 +40,12 @@
 func Main(args []string) program.ExitCode {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	c := commands{Demo: demoCommand{ctx: ctx}, Processes: processesCommand{ctx: ctx}}
+	c := commands{
+		Demo:      demoCommand{ctx: ctx},
+		Run:       runCommand{ctx: ctx},
+		Compare:   compareCommand{ctx: ctx},
+		Processes: processesCommand{ctx: ctx},
+	}
 	parser := flags.NewNamedParser("bench", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", &c); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/internal/bench/experiment/compare.go
@@ -0,0 +1,113 @@
+package experiment
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"comfreyworks/internal/bench/trace"
+)
+
+// CompareOptions describes a comparison.
+type CompareOptions struct {
+	// Trace returns the trace of a seed.
+	Trace    func(seed uint64) trace.Trace
+	Policies []Policy
+	Seeds    int
+	// Parallel is how many runs go on at once.
+	Parallel  int
+	WarmUp    time.Duration
+	EventLoss float64
+	Replicas  int
+	Progress  func()
+}
+
+// Compare runs every policy on the same traces. Runs of one seed come next to
+// each other, so that a slow moment of the machine meets all policies.
+func Compare(ctx context.Context, options CompareOptions) ([]Result, error) {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(options.Parallel)
+	results := make([]Result, options.Seeds*len(options.Policies))
+	for i := range results {
+		seed := uint64(i/len(options.Policies)) + 1
+		policy := options.Policies[i%len(options.Policies)]
+		group.Go(func() error {
+			result, err := Run(ctx, Options{
+				Trace: options.Trace(seed), Policy: policy, Seed: seed,
+				WarmUp: options.WarmUp, EventLoss: options.EventLoss, Replicas: options.Replicas,
+			})
+			results[i] = result
+			if options.Progress != nil {
+				options.Progress()
+			}
+			return err
+		})
+	}
+	return results, group.Wait()
+}
+
+// Spread is the median and the range of a figure over seeds.
+type Spread struct {
+	Median float64 `json:"median"`
+	Min    float64 `json:"min"`
+	Max    float64 `json:"max"`
+}
+
+// Row sums up one policy over all seeds.
+type Row struct {
+	Policy  Policy `json:"policy"`
+	HitRate Spread `json:"hit-rate"`
+	Waste   Spread `json:"waste"`
+	Busy    Spread `json:"prefill-busy"`
+	// TTFT50, TTFT95 and TTFT99 are in seconds.
+	TTFT50 Spread `json:"ttft-p50-seconds"`
+	TTFT95 Spread `json:"ttft-p95-seconds"`
+	TTFT99 Spread `json:"ttft-p99-seconds"`
+	Bad    int    `json:"bad"`
+}
+
+// Rows sums up results by policy, in the order of the policies.
+func Rows(results []Result, policies []Policy) []Row {
+	var rows []Row
+	for _, policy := range policies {
+		var own []Result
+		for _, result := range results {
+			if result.Policy == policy {
+				own = append(own, result)
+			}
+		}
+		rows = append(rows, row(policy, own))
+	}
+	return rows
+}
+
+func row(policy Policy, results []Result) Row {
+	r := Row{
+		Policy:  policy,
+		HitRate: spread(results, func(r Result) float64 { return r.HitRate }),
+		Waste:   spread(results, func(r Result) float64 { return r.Waste }),
+		Busy:    spread(results, func(r Result) float64 { return r.PrefillBusy }),
+		TTFT50:  spread(results, func(r Result) float64 { return r.Summary.TTFT50.Seconds() }),
+		TTFT95:  spread(results, func(r Result) float64 { return r.Summary.TTFT95.Seconds() }),
+		TTFT99:  spread(results, func(r Result) float64 { return r.Summary.TTFT99.Seconds() }),
+	}
+	for _, result := range results {
+		r.Bad += result.Summary.Bad() + result.Summary.DoubledCalls
+	}
+	return r
+}
+
+func spread(results []Result, figure func(Result) float64) Spread {
+	values := make([]float64, len(results))
+	for i, result := range results {
+		values[i] = figure(result)
+	}
+	slices.SortFunc(values, cmp.Compare[float64])
+	if len(values) == 0 {
+		return Spread{}
+	}
+	return Spread{Median: values[len(values)/2], Min: values[0], Max: values[len(values)-1]}
+}
--- /dev/null
+++ b/internal/bench/experiment/plot.go
@@ -0,0 +1,122 @@
+package experiment
+
+import (
+	"image/color"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"comfreyworks/internal/bench/load"
+	"comfreyworks/internal/bench/report"
+)
+
+// The size of plots.
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 11 * vg.Centimeter
+)
+
+// hitRateStep is the width of one point of the hit rate over time.
+const hitRateStep = time.Second
+
+// shownPercentiles are the percentiles of the TTFT plot.
+var shownPercentiles = []float64{0.5, 0.75, 0.9, 0.95, 0.99, 1}
+
+// WritePlots writes ttft.svg and hit-rate.svg into a directory.
+func WritePlots(dir string, results []Result, policies []Policy) error {
+	ttft := newPlot("Time to first token", "percentile", "seconds")
+	hits := newPlot("Prefix hit rate over time", "seconds", "share of prompt tokens")
+	hits.Y.Min, hits.Y.Max = 0, 1
+	for i, policy := range policies {
+		samples := samplesOf(results, policy)
+		if err := addLine(ttft, i, string(policy), ttftPoints(samples)); err != nil {
+			return &Error{Op: "plot", Kind: KindSetUp, Err: err}
+		}
+		if err := addLine(hits, i, string(policy), hitPoints(samples)); err != nil {
+			return &Error{Op: "plot", Kind: KindSetUp, Err: err}
+		}
+	}
+	for name, p := range map[string]*plot.Plot{"ttft.svg": ttft, "hit-rate.svg": hits} {
+		if err := p.Save(plotWidth, plotHeight, filepath.Join(dir, name)); err != nil {
+			return &Error{Op: "plot", Kind: KindSetUp, Err: err}
+		}
+	}
+	return nil
+}
+
+func newPlot(title, x, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = x
+	p.Y.Label.Text = y
+	p.Legend.Top = true
+	p.Legend.Left = true
+	p.BackgroundColor = color.White
+	return p
+}
+
+func addLine(p *plot.Plot, i int, name string, points plotter.XYs) error {
+	if len(points) == 0 {
+		return nil
+	}
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return err
+	}
+	line.Color = plotutil.Color(i)
+	line.Dashes = plotutil.Dashes(i)
+	p.Add(line)
+	p.Legend.Add(name, line)
+	return nil
+}
+
+func samplesOf(results []Result, policy Policy) []load.Sample {
+	var samples []load.Sample
+	for _, result := range results {
+		if result.Policy == policy {
+			samples = append(samples, result.Samples...)
+		}
+	}
+	return slices.DeleteFunc(samples, func(s load.Sample) bool {
+		return s.Line.IsCall() || s.Outcome != load.OutcomeComplete
+	})
+}
+
+func ttftPoints(samples []load.Sample) plotter.XYs {
+	var ttft []time.Duration
+	for _, sample := range samples {
+		ttft = append(ttft, sample.TTFT)
+	}
+	var points plotter.XYs
+	for _, p := range shownPercentiles {
+		points = append(points, plotter.XY{X: 100 * p, Y: report.Quantile(ttft, p).Seconds()})
+	}
+	return points
+}
+
+func hitPoints(samples []load.Sample) plotter.XYs {
+	prompt := make(map[int]int)
+	cached := make(map[int]int)
+	last := 0
+	for _, sample := range samples {
+		step := int(sample.Start / hitRateStep)
+		prompt[step] += sample.PromptTokens
+		cached[step] += sample.CachedTokens
+		last = max(last, step)
+	}
+	var points plotter.XYs
+	for step := range last + 1 {
+		if prompt[step] > 0 {
+			points = append(points, plotter.XY{
+				X: float64(step) * hitRateStep.Seconds(),
+				Y: float64(cached[step]) / float64(prompt[step]),
+			})
+		}
+	}
+	return points
+}
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -82,6 +82,8 @@
 	Gates  comfreyworks.GateSet
 	Clock  comfreyworks.Clock
 	Logger *zap.Logger
+	// Chooser replaces the prefix directory; nil means the directory.
+	Chooser comfreyworks.Chooser
 }
 
 // Dispatcher carries requests. It is safe for concurrent use.
@@ -197,6 +199,10 @@
 
 // ask returns the directory's choice, or nothing if there is none in time.
 func (d *Dispatcher) ask(ctx context.Context, job Job, exclude []comfreyworks.InstanceID) comfreyworks.InstanceID {
+	if d.options.Chooser != nil {
+		id, _ := d.options.Chooser.Choose(job.Pool.Name, job.Request, exclude)
+		return id
+	}
 	ring := d.options.View.Ring(job.Pool.Name, job.Pool.DirectoryShards)
 	owner, ok := ring.Owner(job.Chain[0].Hash)
 	if !ok || !d.options.View.DirectoryUsable(owner.ID) {
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -28,9 +28,9 @@
 // Error is the error type of this package.
 type Error = comfreyworks.OpError[Kind]
 
-// recomputeWeight is how much more than its own time a recomputed token costs:
+// DefaultRecomputeWeight is how much more than its own time a recomputed token costs:
 // it takes the engine from other requests and evicts blocks that they need.
-const recomputeWeight = 2.5
+const DefaultRecomputeWeight = 2.5
 
 // tieTolerance is the difference in cost below which candidates count as
 // equal and the rendezvous score decides. It keeps cold prompts on the home
@@ -47,7 +47,7 @@
 	case comfreyworks.PolicyRendezvous:
 		return Rendezvous{}, nil
 	case comfreyworks.PolicyComfrey:
-		return Comfrey{}, nil
+		return Comfrey{RecomputeWeight: DefaultRecomputeWeight}, nil
 	default:
 		return nil, &Error{Op: "new " + string(name), Kind: KindUnknownPolicy}
 	}
@@ -107,19 +107,23 @@
 
 // Comfrey takes the candidate with the lowest expected cost: the wait for the
 // queue ahead plus the weighted time to compute what is not cached.
-type Comfrey struct{}
+type Comfrey struct {
+	// RecomputeWeight is how much more than its own time a recomputed token
+	// costs.
+	RecomputeWeight float64
+}
 
 // Place implements comfreyworks.Placer.
-func (Comfrey) Place(promptTokens int, candidates []comfreyworks.Candidate) int {
+func (p Comfrey) Place(promptTokens int, candidates []comfreyworks.Candidate) int {
 	cheapest := time.Duration(-1)
 	for i := range candidates {
-		if c := Cost(promptTokens, &candidates[i]); cheapest < 0 || c < cheapest {
+		if c := p.Cost(promptTokens, &candidates[i]); cheapest < 0 || c < cheapest {
 			cheapest = c
 		}
 	}
 	best := -1
 	for i := range candidates {
-		if Cost(promptTokens, &candidates[i]) > cheapest+tieTolerance {
+		if p.Cost(promptTokens, &candidates[i]) > cheapest+tieTolerance {
 			continue
 		}
 		if best < 0 || candidates[i].Score > candidates[best].Score {
@@ -130,9 +134,9 @@
 }
 
 // Cost returns the expected cost of a prompt at a candidate, as a time.
-func Cost(promptTokens int, c *comfreyworks.Candidate) time.Duration {
+func (p Comfrey) Cost(promptTokens int, c *comfreyworks.Candidate) time.Duration {
 	uncached := float64(max(promptTokens-c.CachedTokens, 0))
-	return wait(c) + time.Duration(recomputeWeight*uncached*float64(c.PrefillTime))
+	return wait(c) + time.Duration(p.RecomputeWeight*uncached*float64(c.PrefillTime))
 }
 
 func wait(c *comfreyworks.Candidate) time.Duration {
--- a/internal/coordination/tracker/report.go
+++ b/internal/coordination/tracker/report.go
@@ -84,7 +84,7 @@
 		Changes:      state.backlog,
 		QueuedTokens: t.queuedTokens(),
 		Running:      t.running,
-		PrefillTime:  t.prefillTime,
+		PrefillTime:  t.speed.prefillTime(),
 	}
 	if state.full {
 		report.Changes = t.allOf(id)
--- a/internal/coordination/tracker/tracker.go
+++ b/internal/coordination/tracker/tracker.go
@@ -42,10 +42,6 @@
 	retryDelay = 100 * time.Millisecond
 	// resyncPause is the least time between two snapshots.
 	resyncPause = time.Second
-	// rateWeight is the weight of a new sample in the prefill time.
-	rateWeight = 0.2
-	// rateTokens is the least number of tokens that make a sample.
-	rateTokens = 256
 )
 
 // Options configures a Tracker.
@@ -72,10 +68,12 @@
 	leaving bool
 	resync  time.Time
 	work    map[*Work]struct{}
+	// coming counts the requests that are about to store each level.
+	coming  map[uint64]int
 	running int
-	// prefillTime is learned from requests; lastPrefill is when the engine
-	// last finished a prompt.
-	prefillTime time.Duration
+	// speed is learned from requests; lastPrefill is when the engine last
+	// finished a prompt.
+	speed       speed
 	lastPrefill time.Time
 	ring        *directory.Ring
 	shards      map[comfreyworks.InstanceID]*shardState
@@ -85,12 +83,13 @@
 // New returns a tracker of an engine that it has not seen yet.
 func New(options Options) *Tracker {
 	return &Tracker{
-		options:     options,
-		down:        true,
-		work:        make(map[*Work]struct{}),
-		prefillTime: options.PrefillTime,
-		shards:      make(map[comfreyworks.InstanceID]*shardState),
-		dirty:       make(chan struct{}, 1),
+		options: options,
+		down:    true,
+		work:    make(map[*Work]struct{}),
+		coming:  make(map[uint64]int),
+		speed:   newSpeed(options.PrefillTime),
+		shards:  make(map[comfreyworks.InstanceID]*shardState),
+		dirty:   make(chan struct{}, 1),
 	}
 }
 
--- /dev/null
+++ b/internal/coordination/tracker/tracker_test.go
@@ -0,0 +1,177 @@
+package tracker
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"comfreyworks"
+	"comfreyworks/internal/state/directory"
+)
+
+// fakeEngine answers with what the test sets.
+type fakeEngine struct {
+	load     comfreyworks.EngineLoad
+	err      error
+	snapshot comfreyworks.CacheSnapshot
+}
+
+func (e *fakeEngine) Generate(context.Context, comfreyworks.GenerateRequest, func(comfreyworks.Piece) error) (comfreyworks.Usage, error) {
+	return comfreyworks.Usage{}, nil
+}
+
+func (e *fakeEngine) Events(context.Context, uint64, time.Duration) (comfreyworks.CacheEvents, error) {
+	return comfreyworks.CacheEvents{}, e.err
+}
+
+func (e *fakeEngine) Snapshot(context.Context) (comfreyworks.CacheSnapshot, error) {
+	return e.snapshot, e.err
+}
+
+func (e *fakeEngine) Load(context.Context) (comfreyworks.EngineLoad, error) { return e.load, e.err }
+
+// fakeShard keeps the reports it gets.
+type fakeShard struct {
+	reports  []comfreyworks.DirectoryReport
+	needFull bool
+	err      error
+}
+
+func (s *fakeShard) Report(_ context.Context, report comfreyworks.DirectoryReport) (bool, error) {
+	s.reports = append(s.reports, report)
+	return s.needFull, s.err
+}
+
+func (s *fakeShard) last() comfreyworks.DirectoryReport { return s.reports[len(s.reports)-1] }
+
+type fixture struct {
+	engine  *fakeEngine
+	shard   *fakeShard
+	clock   *clockwork.FakeClock
+	tracker *Tracker
+}
+
+const prefillTime = time.Millisecond
+
+func newFixture() fixture {
+	f := fixture{
+		engine: &fakeEngine{load: comfreyworks.EngineLoad{Incarnation: 1, BlockTokens: 16, Weights: "v1"}},
+		shard:  new(fakeShard),
+		clock:  clockwork.NewFakeClock(),
+	}
+	ring := directory.NewRing("lm", 1, []comfreyworks.Instance{{ID: "lm/0"}})
+	f.tracker = New(Options{
+		Instance: "lm/0", Engine: f.engine, Clock: f.clock, Logger: zap.NewNop(), PrefillTime: prefillTime,
+		Ring:  func() *directory.Ring { return ring },
+		Shard: func(comfreyworks.Instance) comfreyworks.DirectoryShard { return f.shard },
+	})
+	f.tracker.Refresh(context.Background())
+	return f
+}
+
+func (f fixture) report() comfreyworks.DirectoryReport {
+	f.tracker.reportOnce(context.Background())
+	return f.shard.last()
+}
+
+func chain(tokens ...int) comfreyworks.Chain {
+	var c comfreyworks.Chain
+	for i, n := range tokens {
+		c = append(c, comfreyworks.Level{Hash: uint64(i + 1), Tokens: n})
+	}
+	return c
+}
+
+func TestReports(t *testing.T) {
+	t.Run("full first, then what changed", func(t *testing.T) {
+		f := newFixture()
+		assert.Assert(t, f.report().Full)
+		f.tracker.Begin("r1", chain(64)).End(comfreyworks.Usage{PromptTokens: 64}, true)
+		report := f.report()
+		assert.Assert(t, !report.Full)
+		assert.Equal(t, report.Sequence, uint64(2))
+		assert.Equal(t, len(report.Changes), 1)
+		assert.Equal(t, len(f.report().Changes), 0)
+	})
+	t.Run("full again after a lost answer", func(t *testing.T) {
+		f := newFixture()
+		f.report()
+		f.shard.err = errors.New("no answer")
+		f.tracker.Begin("r1", chain(64)).End(comfreyworks.Usage{PromptTokens: 64}, true)
+		f.report()
+		f.shard.err = nil
+		report := f.report()
+		assert.Assert(t, report.Full)
+		assert.Equal(t, len(report.Changes), 1)
+	})
+	t.Run("a crash is told, and a new incarnation holds nothing", func(t *testing.T) {
+		f := newFixture()
+		f.tracker.Begin("r1", chain(64)).End(comfreyworks.Usage{PromptTokens: 64}, true)
+		f.report()
+		f.engine.err = errors.New("connection refused")
+		f.tracker.Refresh(context.Background())
+		assert.Assert(t, f.report().Down)
+		f.engine.err = nil
+		f.engine.load.Incarnation = 2
+		f.tracker.Refresh(context.Background())
+		report := f.report()
+		assert.Assert(t, !report.Down)
+		assert.Equal(t, report.Incarnation, comfreyworks.Incarnation(2))
+		f.shard.needFull = true
+		f.report()
+		assert.Equal(t, len(f.report().Changes), 0)
+	})
+	t.Run("leaving is told", func(t *testing.T) {
+		f := newFixture()
+		f.tracker.SetLeaving()
+		assert.Assert(t, f.report().Leaving)
+	})
+}
+
+func TestQueuedTokens(t *testing.T) {
+	t.Run("a prompt counts until its first token", func(t *testing.T) {
+		f := newFixture()
+		work := f.tracker.Begin("r1", chain(3000))
+		assert.Equal(t, f.report().QueuedTokens, 3000)
+		work.FirstToken()
+		assert.Equal(t, f.report().QueuedTokens, 0)
+	})
+	t.Run("a prefix that is coming is counted once", func(t *testing.T) {
+		f := newFixture()
+		f.tracker.Begin("r1", chain(2000, 3000))
+		second := chain(2000, 3500)
+		second[1].Hash = 9
+		f.tracker.Begin("r2", second)
+		assert.Equal(t, f.report().QueuedTokens, 3000+1500)
+	})
+	t.Run("time spent on the oldest prompt counts as done", func(t *testing.T) {
+		f := newFixture()
+		f.tracker.Begin("r1", chain(3000))
+		f.clock.Advance(time.Second)
+		assert.Equal(t, f.report().QueuedTokens, 2000)
+		f.clock.Advance(time.Minute)
+		assert.Equal(t, f.report().QueuedTokens, 0)
+	})
+}
+
+func TestSpeed(t *testing.T) {
+	// Two prompts end in one step: the first seems to take all the time, the
+	// second none. The mean over both is right.
+	s := newSpeed(prefillTime)
+	for range 2000 {
+		s.add(1000, 4*time.Second)
+		s.add(1000, 0)
+	}
+	got := s.prefillTime()
+	assert.Assert(t, got > 1900*time.Microsecond && got < 2100*time.Microsecond, "got %s", got)
+	t.Run("short prompts do not count", func(t *testing.T) {
+		before := s.prefillTime()
+		s.add(10, time.Hour)
+		assert.Equal(t, s.prefillTime(), before)
+	})
+}
--- a/internal/coordination/tracker/work.go
+++ b/internal/coordination/tracker/work.go
@@ -10,10 +10,13 @@
 type Work struct {
 	tracker  *Tracker
 	id       comfreyworks.RequestID
+	chain    comfreyworks.Chain
 	uncached int
 	since    time.Time
-	started  bool
-	ended    bool
+	// prefill is how long the engine worked on the prompt, by all we know.
+	prefill time.Duration
+	started bool
+	ended   bool
 }
 
 // Begin records that a request is about to wait for or go to the engine.
@@ -24,8 +27,18 @@
 	if t.index != nil {
 		predicted = t.index.Expect(id, chain)
 	}
-	w := &Work{tracker: t, id: id, uncached: max(chain.Tokens()-predicted, 0), since: t.options.Clock.Now()}
+	predicted = max(predicted, t.comingTokens(chain))
+	w := &Work{
+		tracker:  t,
+		id:       id,
+		chain:    chain,
+		uncached: max(chain.Tokens()-predicted, 0),
+		since:    t.options.Clock.Now(),
+	}
 	t.work[w] = struct{}{}
+	for _, level := range chain {
+		t.coming[level.Hash]++
+	}
 	t.running++
 	t.touch()
 	return w
@@ -41,25 +54,35 @@
 	}
 	w.started = true
 	now := t.options.Clock.Now()
-	t.learn(w, now)
+	w.prefill = now.Sub(t.busySince(w))
 	t.lastPrefill = now
-	delete(t.work, w)
+	t.forget(w)
 	t.touch()
 }
 
-// learn improves the prefill time. While there is work the engine computes one
-// prompt after the other, so the time since the last one ended, or since this
-// request came if that was later, was spent on this request's tokens.
-func (t *Tracker) learn(w *Work, now time.Time) {
-	if w.uncached < rateTokens {
+// comingTokens returns how many tokens of a chain a request ahead is about to
+// store. The mutex must be held.
+func (t *Tracker) comingTokens(chain comfreyworks.Chain) int {
+	for i := len(chain) - 1; i >= 0; i-- {
+		if t.coming[chain[i].Hash] > 0 {
+			return chain[i].Tokens
+		}
+	}
+	return 0
+}
+
+// forget takes a request off the queue. The mutex must be held.
+func (t *Tracker) forget(w *Work) {
+	if _, queued := t.work[w]; !queued {
 		return
 	}
-	from := w.since
-	if t.lastPrefill.After(from) {
-		from = t.lastPrefill
+	delete(t.work, w)
+	for _, level := range w.chain {
+		t.coming[level.Hash]--
+		if t.coming[level.Hash] == 0 {
+			delete(t.coming, level.Hash)
+		}
 	}
-	sample := float64(now.Sub(from)) / float64(w.uncached)
-	t.prefillTime = time.Duration((1-rateWeight)*float64(t.prefillTime) + rateWeight*sample)
 }
 
 // End records that the request has left the engine. The usage counts only if
@@ -72,20 +95,40 @@
 		return
 	}
 	w.ended = true
-	delete(t.work, w)
+	t.forget(w)
 	t.running--
 	if complete && t.index != nil {
 		t.index.Observe(w.id, usage.CachedTokens)
+		t.speed.add(usage.PromptTokens-usage.CachedTokens, w.prefill)
 	}
 	t.touch()
 }
 
-// queuedTokens is the prefill work ahead of a new request. The mutex must be
-// held.
+// busySince returns when the engine began to work on a request: it computes one
+// prompt after the other, so when the last one ended or, if that was later,
+// when this one came. The mutex must be held.
+func (t *Tracker) busySince(w *Work) time.Time {
+	if t.lastPrefill.After(w.since) {
+		return t.lastPrefill
+	}
+	return w.since
+}
+
+// queuedTokens is the prefill work ahead of a new request, less what the engine
+// should have done of the oldest prompt by now. The mutex must be held.
 func (t *Tracker) queuedTokens() int {
 	sum := 0
+	var oldest *Work
 	for w := range t.work {
 		sum += w.uncached
+		if oldest == nil || w.since.Before(oldest.since) {
+			oldest = w
+		}
+	}
+	if oldest == nil {
+		return 0
 	}
-	return sum
+	worked := t.options.Clock.Since(t.busySince(oldest))
+	done := min(int(worked/t.speed.prefillTime()), oldest.uncached)
+	return sum - done
 }
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -7,11 +7,14 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
+// BlockTokens is the number of tokens in one cached block.
+const BlockTokens = 16
+
 const (
 	// bytesPerToken is the length of every token of a prompt, in bytes.
 	bytesPerToken = 4
 	// blockTokens is the number of tokens in one cached block.
-	blockTokens = 16
+	blockTokens = BlockTokens
 	// blockBytes is the length of the text of one block, in bytes.
 	blockBytes = bytesPerToken * blockTokens
 )
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -260,6 +260,28 @@
 	return e.core.cache.peek(blocks) * blockTokens
 }
 
+// Outlook is what an observer with full sight of an engine expects of it.
+type Outlook struct {
+	// HeldTokens is what a prompt will find: cached blocks, and blocks that a
+	// request ahead of it is going to store.
+	HeldTokens   int
+	QueuedTokens int
+	Down         bool
+}
+
+// Outlook looks at the true cache and queue.
+func (e *Engine) Outlook(blocks []uint64) Outlook {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isDown() {
+		return Outlook{Down: true}
+	}
+	return Outlook{
+		HeldTokens:   e.core.outlook(blocks) * blockTokens,
+		QueuedTokens: e.core.queuedTokens(),
+	}
+}
+
 // visibleEvents returns the events after a number that readers may see.
 func (e *Engine) visibleEvents(after uint64) comfreyworks.CacheEvents {
 	e.mu.Lock()
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -56,6 +56,8 @@
 	Meter      *meter.Meter
 	// HTTP reaches the platform.
 	HTTP *http.Client
+	// Chooser replaces the prefix directory; nil means the directory.
+	Chooser comfreyworks.Chooser
 }
 
 // Entry is one process that callers talk to.
@@ -83,6 +85,8 @@
 		Gates:  e.clients,
 		Clock:  options.Clock,
 		Logger: options.Logger,
+
+		Chooser: options.Chooser,
 	})
 	return e
 }
--- a/placement.go
+++ b/placement.go
@@ -37,6 +37,13 @@
 	Place(promptTokens int, candidates []Candidate) int
 }
 
+// Chooser chooses an upstream for a request in place of the prefix directory.
+// The bench uses it for a policy that sees what no router can see.
+type Chooser interface {
+	// Choose returns false when it knows no upstream.
+	Choose(pool Pool, request GenerateRequest, exclude []InstanceID) (InstanceID, bool)
+}
+
 // PolicyNames lists the placement policies.
 func PolicyNames() []PolicyName {
 	return []PolicyName{PolicyRoundRobin, PolicyLeastLoaded, PolicyRendezvous, PolicyComfrey}
