Count the tokens that an engine was expected to hold and did not

Cause: drift between the directory and the engines could not be seen from outside.

Change: comfrey_missed_tokens_total per workspace and class.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -112,6 +112,9 @@
 	QueueWait time.Duration
 	Attempts  int
 	Instance  comfreyworks.InstanceID
+	// ExpectedTokens is how many of the prompt's tokens the directory expected
+	// the upstream to hold.
+	ExpectedTokens int
 }
 
 // attemptState is what is carried from one attempt to the next.
@@ -188,25 +191,25 @@
 func (d *Dispatcher) choose(ctx context.Context, state *attemptState) (comfreyworks.Instance, bool) {
 	pool := state.job.Pool
 	exclude := slices.Concat(state.excluded, d.options.View.Avoided(pool.Name))
-	if id := d.ask(ctx, state.job, exclude); id != "" {
-		if instance, ok := d.options.View.Find(pool.Name, id); ok {
-			return instance, true
-		}
+	choice := d.ask(ctx, state.job, exclude)
+	state.result.ExpectedTokens = choice.CachedTokens
+	if instance, ok := d.options.View.Find(pool.Name, choice.Instance); ok {
+		return instance, true
 	}
 	usable := d.options.View.Usable(pool.Name)
 	return placement.Fallback(state.job.Chain, usable, state.excluded)
 }
 
 // ask returns the directory's choice, or nothing if there is none in time.
-func (d *Dispatcher) ask(ctx context.Context, job Job, exclude []comfreyworks.InstanceID) comfreyworks.InstanceID {
+func (d *Dispatcher) ask(ctx context.Context, job Job, exclude []comfreyworks.InstanceID) comfreyworks.Placement {
 	if d.options.Chooser != nil {
 		id, _ := d.options.Chooser.Choose(job.Pool.Name, job.Request, exclude)
-		return id
+		return comfreyworks.Placement{Instance: id}
 	}
 	ring := d.options.View.Ring(job.Pool.Name, job.Pool.DirectoryShards)
 	owner, ok := ring.Owner(job.Chain[0].Hash)
 	if !ok || !d.options.View.DirectoryUsable(owner.ID) {
-		return ""
+		return comfreyworks.Placement{}
 	}
 	request := comfreyworks.PlaceRequest{Pool: job.Pool.Name, Chain: job.Chain, Exclude: exclude}
 	choice, err := d.options.Gates.Gate(owner).Place(ctx, request, placeTimeout)
@@ -214,10 +217,10 @@
 		if ctx.Err() == nil {
 			d.options.View.DirectoryFailed(owner.ID)
 		}
-		return ""
+		return comfreyworks.Placement{}
 	}
 	d.options.View.DirectoryWorked(owner.ID)
-	return choice.Instance
+	return choice
 }
 
 // attempt tries one upstream. It sets finished when its error is final.
--- a/internal/transport/entry/completions.go
+++ b/internal/transport/entry/completions.go
@@ -122,6 +122,10 @@
 	}
 }
 
+// missTolerance is how many tokens fewer than expected an engine may find
+// without anything being wrong: it caches whole blocks only.
+const missTolerance = 64
+
 // record counts how a request ended.
 func (e *Entry) record(c caller, result dispatch.Result, err error) {
 	m := e.options.Meter
@@ -136,5 +140,6 @@
 	m.Count("comfrey_prompt_tokens_total", labels, result.Usage.PromptTokens)
 	m.Count("comfrey_cached_tokens_total", labels, result.Usage.CachedTokens)
 	m.Count("comfrey_computed_tokens_total", labels, result.Usage.PromptTokens-result.Usage.CachedTokens)
+	m.Count("comfrey_missed_tokens_total", labels, max(result.ExpectedTokens-result.Usage.CachedTokens-missTolerance, 0))
 	m.Count("comfrey_completion_tokens_total", labels, result.Usage.CompletionTokens)
 }
