Run calls that may not be repeated at most once, by claims on the log

Cause: a caller that repeats a booking after a lost answer reached another sidecar, which could not know of the first run.

Change: a call with a key is claimed on the pool's stream before it runs, and runs only if its claim is read back as the first. Claims that are given up are abandoned on the log and pass the key on; outcomes go on the log too, so any sidecar can repeat the first answer, also after the first one is gone. Keys are UUIDs of version 7, whose time tells when the ledger cannot know any more. Ruled out: leases (a paused holder acts after its lease has passed on), asking the winner over RPC (a gone winner knows nothing, and the log is read anyway).

A repeated key through an entry: 6 calls, 1 run, one answer.

--- a/internal/bench/command/demo.go
+++ b/internal/bench/command/demo.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 	"github.com/schollz/progressbar/v3"
@@ -130,10 +131,10 @@
 
 curl -sN %s/v1/chat/completions -H 'Authorization: Bearer key-office' -H 'Comfrey-Class: note' -d '{"model":"oak-12b","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"Subfloor reads 14 percent. Can we lay oak?"}]}'
 curl -s %s/v1/models -H 'Authorization: Bearer key-office'
-curl -si %s/services/dispatch/bookings -H 'Authorization: Bearer key-office' -H 'Comfrey-Class: booking' -H 'Idempotency-Key: b-1' -d '{"crew":7}'
+curl -si %s/services/dispatch/bookings -H 'Authorization: Bearer key-office' -H 'Comfrey-Class: booking' -H 'Idempotency-Key: %s' -d '{"crew":7}'
 curl -s %s/metrics
 
 Ctrl-C stops everything.
-`, url, r.EntryURL(1), url, url, url, url)
+`, url, r.EntryURL(1), url, url, url, uuid.Must(uuid.NewV7()), url)
 	<-c.ctx.Done()
 }
--- a/internal/bench/load/client.go
+++ b/internal/bench/load/client.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/tmaxmax/go-sse"
 
 	"comfreyworks"
@@ -190,11 +191,23 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(entry.HeaderClass, string(line.Class))
 	if line.Key != "" {
-		req.Header.Set(upstream.HeaderIdempotencyKey, line.Key)
+		req.Header.Set(upstream.HeaderIdempotencyKey, r.idempotencyKey(line.Key))
 	}
 	return r.client.Do(req)
 }
 
+// idempotencyKey returns the key that a line's name stands for in this run.
+func (r *runner) idempotencyKey(name string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key, ok := r.keys[name]
+	if !ok {
+		key = uuid.Must(uuid.NewV7()).String()
+		r.keys[name] = key
+	}
+	return key
+}
+
 func fail(sample *Sample, outcome Outcome, detail string) {
 	sample.Outcome = outcome
 	sample.Detail = detail
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -79,6 +79,7 @@
 	start   time.Time
 	mu      sync.Mutex
 	samples []Sample
+	keys    map[string]string
 }
 
 // maxIdleConns bounds the idle connections to one entry.
@@ -90,6 +91,7 @@
 		options: options,
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}},
 		start:   options.Clock.Now(),
+		keys:    make(map[string]string),
 	}
 	defer r.client.CloseIdleConnections()
 	var group errgroup.Group
--- a/internal/coordination/dispatch/call.go
+++ b/internal/coordination/dispatch/call.go
@@ -30,7 +30,7 @@
 		}
 		outcome = d.callOnce(ctx, instance, work)
 		again := outcome.Run == comfreyworks.NotRun || (outcome.Run == comfreyworks.RunUnknown && work.Repeatable)
-		if !again || ctx.Err() != nil {
+		if !again || ctx.Err() != nil || isLogDown(outcome) {
 			return outcome
 		}
 		excluded = append(excluded, instance.ID)
@@ -38,6 +38,12 @@
 	return outcome
 }
 
+// isLogDown reports whether a call was not run because the log did not answer.
+// It would not answer another sidecar either.
+func isLogDown(outcome comfreyworks.ServiceOutcome) bool {
+	return outcome.Refusal != nil && outcome.Refusal.Reason == comfreyworks.RefusedLogDown
+}
+
 func (d *Dispatcher) chooseService(pool comfreyworks.Pool, excluded []comfreyworks.InstanceID) (comfreyworks.Instance, bool) {
 	usable := slices.DeleteFunc(slices.Clone(d.options.View.Usable(pool)), func(i comfreyworks.Instance) bool {
 		return slices.Contains(excluded, i.ID)
--- a/internal/protocol/upstream/engine.go
+++ b/internal/protocol/upstream/engine.go
@@ -202,7 +202,7 @@
 		return resp, nil
 	}
 	if isDialFailure(err) {
-		return nil, &Error{Op: method, Kind: KindNotSent, Err: err}
+		return nil, &Error{Op: method, Kind: KindNotSent, Err: fmt.Errorf("%w: %w", comfreyworks.ErrNotSent, err)}
 	}
 	return nil, &Error{Op: method, Kind: KindBroken, Err: err}
 }
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -103,6 +103,9 @@
 	// PrefillRate is the prompt tokens that an upstream computes in a second,
 	// as a first estimate; sidecars learn the real rate.
 	PrefillRate int `json:"prefill-tokens-per-second" default:"25000"`
+	// IdempotencyWindow is how long an idempotency key is valid after its
+	// issue. The platform's log must keep records for longer.
+	IdempotencyWindow time.Duration `json:"idempotency-window" default:"15m"`
 	// Calls declares the calls of a service pool. A call that is not declared
 	// must not be repeated.
 	Calls []Call `json:"calls" default:"[]"`
--- a/internal/transport/entry/entry_test.go
+++ b/internal/transport/entry/entry_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
@@ -21,6 +22,7 @@
 	"comfreyworks/internal/bench/rig"
 	"comfreyworks/internal/protocol/completion"
 	"comfreyworks/internal/standin/engine"
+	"comfreyworks/internal/standin/service"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/settings"
 	"comfreyworks/internal/transport/entry"
@@ -193,6 +195,73 @@
 	})
 }
 
+func TestKeyedCalls(t *testing.T) {
+	r := newRig(t, setUp{})
+	keyed := func(key, body string) *http.Request {
+		req := request(t, http.MethodPost, r.EntryURL(0)+"/services/dispatch/bookings", body)
+		req.Header.Set("Idempotency-Key", key)
+		return req
+	}
+	answer := func(key string) string {
+		resp, err := http.DefaultClient.Do(keyed(key, "crew 7"))
+		assert.NilError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Header.Get(entry.HeaderRun), string(comfreyworks.Ran), string(body))
+		return string(body)
+	}
+	runs := func(key string) int {
+		n := 0
+		for _, s := range r.Services("dispatch") {
+			n += s.Runs()[service.Call{Method: http.MethodPost, Path: "/bookings", Key: key}]
+		}
+		return n
+	}
+	t.Run("a repeated key gets the first answer", func(t *testing.T) {
+		key := uuid.Must(uuid.NewV7()).String()
+		first := answer(key)
+		for range 5 {
+			assert.Equal(t, answer(key), first)
+		}
+		assert.Equal(t, runs(key), 1)
+	})
+	t.Run("another body under a used key", func(t *testing.T) {
+		key := uuid.Must(uuid.NewV7()).String()
+		answer(key)
+		expectProblem(t, keyed(key, "crew 8"), 409, "key_conflict", comfreyworks.NotRun)
+	})
+	t.Run("a key without a time of issue", func(t *testing.T) {
+		expectProblem(t, keyed("b-1", "crew 7"), 400, "invalid_key", comfreyworks.NotRun)
+	})
+	t.Run("a lost answer of the service", func(t *testing.T) {
+		key := uuid.Must(uuid.NewV7()).String()
+		for _, s := range r.Services("dispatch") {
+			s.Break(1)
+		}
+		expectProblem(t, keyed(key, "crew 7"), 502, "run_unknown", comfreyworks.RunUnknown)
+		expectProblem(t, keyed(key, "crew 7"), 502, "run_unknown", comfreyworks.RunUnknown)
+		assert.Equal(t, runs(key), 1)
+		for _, s := range r.Services("dispatch") {
+			s.Break(0)
+		}
+	})
+	t.Run("the log is down", func(t *testing.T) {
+		key := uuid.Must(uuid.NewV7()).String()
+		r.Log().SetOutage(true)
+		resp, err := http.DefaultClient.Do(keyed(key, "crew 7"))
+		assert.NilError(t, err)
+		_ = resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(t, resp.Header.Get(entry.HeaderRun), string(comfreyworks.NotRun))
+		assert.Assert(t, resp.Header.Get("Retry-After") != "")
+		assert.Equal(t, runs(key), 0)
+		r.Log().SetOutage(false)
+		answer(key)
+		assert.Equal(t, runs(key), 1)
+	})
+}
+
 // startStream sends a long streamed request and returns its open answer after
 // the first event.
 func startStream(t *testing.T, ctx context.Context, r *rig.Rig, tokens int) (*http.Response, *bufio.Reader) {
--- a/internal/transport/entry/service.go
+++ b/internal/transport/entry/service.go
@@ -7,13 +7,11 @@
 	"github.com/gorilla/mux"
 
 	"comfreyworks"
+	"comfreyworks/internal/coordination/claim"
 	"comfreyworks/internal/protocol/upstream"
 	"comfreyworks/internal/state/settings"
 )
 
-// maxKeyBytes bounds an idempotency key, in bytes.
-const maxKeyBytes = 256
-
 // serveService passes a call on to a plain service and says whether it ran.
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request, c caller) {
 	pool := e.options.Deployment.Pool(comfreyworks.Pool(mux.Vars(r)["pool"]))
@@ -21,26 +19,29 @@
 		writeProblem(w, problemPool(mux.Vars(r)["pool"]))
 		return
 	}
+	path := mux.Vars(r)["path"]
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	repeatable := pool.Repeatable(r.Method, path)
 	key := r.Header.Get(upstream.HeaderIdempotencyKey)
-	if len(key) > maxKeyBytes {
-		writeProblem(w, problemBody("invalid_value", upstream.HeaderIdempotencyKey+": longer than 256 bytes"))
-		return
+	if key != "" && !repeatable {
+		if _, err := claim.CheckKey(key, e.options.Clock.Now()); err != nil {
+			writeProblem(w, problemBody("invalid_key", upstream.HeaderIdempotencyKey+": expected a UUID of version 7: "+err.Error()))
+			return
+		}
 	}
 	body, ok := e.readBody(w, r)
 	if !ok {
 		return
 	}
-	path := mux.Vars(r)["path"]
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
-	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.class.Deadline)
 	defer cancel()
 	e.options.Meter.Count("comfrey_calls_total", c.labels(), 1)
 	outcome := e.dispatcher.Call(ctx, pool, comfreyworks.ServiceWork{
 		Workspace:  c.workspace,
 		Class:      c.class.Name,
-		Repeatable: pool.Repeatable(r.Method, path),
+		Repeatable: repeatable,
 		Remaining:  c.class.Deadline,
 		Call: comfreyworks.ServiceCall{
 			Method:         r.Method,
--- a/internal/transport/sidecar/calls.go
+++ b/internal/transport/sidecar/calls.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"comfreyworks"
-	"comfreyworks/internal/protocol/upstream"
+	"comfreyworks/internal/coordination/claim"
 )
 
 // drainPoll is how often a drain looks whether calls are left.
@@ -14,39 +15,46 @@
 
 // calls makes calls to a plain service and says truly whether they ran.
 type calls struct {
-	service comfreyworks.Service
-	mu      sync.Mutex
-	open    int
-	leaving bool
+	service  comfreyworks.Service
+	executor *claim.Executor
+	mu       sync.Mutex
+	open     int
+	leaving  bool
 }
 
-func newCalls(service comfreyworks.Service) *calls {
-	return &calls{service: service}
+func newCalls(service comfreyworks.Service, executor *claim.Executor) *calls {
+	return &calls{service: service, executor: executor}
 }
 
+// do makes one call. Calls with a key that may not be repeated go through a
+// claim; the others are sent once, and whoever asked decides about a retry.
 func (c *calls) do(ctx context.Context, work comfreyworks.ServiceWork) comfreyworks.ServiceOutcome {
 	if !c.enter() {
-		return comfreyworks.ServiceOutcome{
-			Run:     comfreyworks.NotRun,
-			Refusal: &comfreyworks.Refusal{Reason: comfreyworks.RefusedLeaving},
-		}
+		return refused(comfreyworks.RefusedLeaving, "")
 	}
 	defer c.leave()
+	if !work.Repeatable && work.Call.IdempotencyKey != "" {
+		return c.executor.Do(ctx, work)
+	}
 	answer, err := c.service.Do(ctx, work.Call)
 	switch {
 	case err == nil:
 		return comfreyworks.ServiceOutcome{Run: comfreyworks.Ran, Answer: answer}
-	case upstream.IsKind(err, upstream.KindNotSent):
-		return comfreyworks.ServiceOutcome{
-			Run:     comfreyworks.NotRun,
-			Refusal: &comfreyworks.Refusal{Reason: comfreyworks.RefusedDown},
-			Detail:  err.Error(),
-		}
+	case errors.Is(err, comfreyworks.ErrNotSent):
+		return refused(comfreyworks.RefusedDown, err.Error())
 	default:
 		return comfreyworks.ServiceOutcome{Run: comfreyworks.RunUnknown, Detail: err.Error()}
 	}
 }
 
+func refused(reason comfreyworks.RefusalReason, detail string) comfreyworks.ServiceOutcome {
+	return comfreyworks.ServiceOutcome{
+		Run:     comfreyworks.NotRun,
+		Refusal: &comfreyworks.Refusal{Reason: reason},
+		Detail:  detail,
+	}
+}
+
 func (c *calls) enter() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -69,7 +77,8 @@
 	return c.open
 }
 
-// drain refuses new calls and waits for the open ones until ctx ends.
+// drain refuses new calls, waits for the open ones and then for their records
+// to be on the log, until ctx ends.
 func (c *calls) drain(ctx context.Context) error {
 	c.mu.Lock()
 	c.leaving = true
@@ -83,5 +92,5 @@
 			return context.Cause(ctx)
 		}
 	}
-	return nil
+	return c.executor.Drain(ctx)
 }
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -26,6 +26,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/admission"
+	"comfreyworks/internal/coordination/claim"
 	"comfreyworks/internal/coordination/generation"
 	"comfreyworks/internal/coordination/membership"
 	"comfreyworks/internal/coordination/placement"
@@ -73,11 +74,12 @@
 	view    *membership.View
 	shard   *directory.Shard
 	chooser *placement.Chooser
-	service comfreyworks.Service
-	// tracker and streams are nil beside a plain service.
-	tracker *tracker.Tracker
-	streams *generation.Manager
-	calls   *calls
+	// tracker and streams are nil beside a plain service, executor and calls
+	// beside an engine.
+	tracker  *tracker.Tracker
+	streams  *generation.Manager
+	executor *claim.Executor
+	calls    *calls
 	// stop ends when the sidecar stops serving; kill ends it at once.
 	stop context.Context
 	kill context.CancelFunc
@@ -103,8 +105,7 @@
 	case settings.PoolEngine:
 		s.setUpEngine()
 	case settings.PoolService:
-		s.service = upstream.NewService(options.Instance.Upstream, options.HTTP)
-		s.calls = newCalls(s.service)
+		s.setUpService(client)
 	}
 	s.stop, s.kill = context.WithCancel(context.Background())
 	s.server, err = peer.NewServer(options.Instance.PeerSecret, &receiver{s})
@@ -135,6 +136,19 @@
 	})
 }
 
+func (s *Sidecar) setUpService(log comfreyworks.Log) {
+	service := upstream.NewService(s.options.Instance.Upstream, s.options.HTTP)
+	s.executor = claim.New(claim.Options{
+		Log:     log,
+		Service: service,
+		Clock:   s.options.Clock,
+		Logger:  s.options.Logger,
+		Stream:  "claims/" + string(s.pool.Name),
+		Window:  s.pool.IdempotencyWindow,
+	})
+	s.calls = newCalls(service, s.executor)
+}
+
 func (s *Sidecar) limits(name comfreyworks.Class) admission.Request {
 	class := s.options.Deployment.Class(name)
 	if class == nil {
@@ -155,6 +169,9 @@
 		group.Go(func() error { return s.tracker.Run(work) })
 		group.Go(func() error { return s.streams.Run(work) })
 	}
+	if s.executor != nil {
+		group.Go(func() error { return s.executor.Run(work) })
+	}
 	s.options.Logger.Info("serving", zap.Stringer("address", listener.Addr()))
 	group.Go(func() error {
 		select {
--- a/service.go
+++ b/service.go
@@ -23,7 +23,7 @@
 // Service is a plain service as its sidecar sees it.
 type Service interface {
 	// Do sends the call once. After an error the call may or may not have
-	// run, unless the error says that nothing was sent.
+	// run, unless the error wraps ErrNotSent.
 	Do(ctx context.Context, call ServiceCall) (ServiceAnswer, error)
 }
 
