--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 FUZZ_TIME ?= 20s
 
-.PHONY: all build demo demo-serve demo-processes test lint format fuzz bench clean standalone
+.PHONY: all build demo demo-serve demo-processes test lint format fuzz bench capacity clean standalone
 
 all: build
 
@@ -52,5 +52,9 @@
 bench: build
 	go test -run='^$$' -bench=. -benchmem ./internal/...
 
+# Measures the slopes of docs/CAPACITY.md and prints its tables.
+capacity: build
+	./bin/bench capacity
+
 clean:
 	rm -rf bin reports
--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -27,6 +27,7 @@
 		Logger:     env.Logger,
 		Meter:      env.Meter,
 		HTTP:       env.HTTP,
+		Admin:      env.Admin,
 	})
 	if err != nil {
 		return err
--- a/internal/bench/command/command.go
+++ b/internal/bench/command/command.go
@@ -33,6 +33,8 @@
 	Run     runCommand     `command:"run" description:"run a trace under one policy"`
 	Compare compareCommand `command:"compare" description:"run policies on the same traces"`
 
+	Capacity capacityCommand `command:"capacity" description:"measure slopes and work out what full size takes"`
+
 	Processes processesCommand `command:"processes" description:"run the demo against roles that are processes of their own"`
 }
 
@@ -44,6 +46,7 @@
 		Demo:      demoCommand{ctx: ctx},
 		Run:       runCommand{ctx: ctx},
 		Compare:   compareCommand{ctx: ctx},
+		Capacity:  capacityCommand{ctx: ctx},
 		Processes: processesCommand{ctx: ctx},
 	}
 	parser := flags.NewNamedParser("bench", flags.HelpFlag|flags.PassDoubleDash)
--- a/internal/coordination/claim/follow.go
+++ b/internal/coordination/claim/follow.go
@@ -42,7 +42,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	wait := readWait
-	if !e.isReady() {
+	if !e.Ready() {
 		wait = 0
 	}
 	return e.options.Log.Read(ctx, e.options.Stream, next, readLimit, wait)
@@ -55,7 +55,8 @@
 	}
 }
 
-func (e *Executor) isReady() bool {
+// Ready reports whether everything that was on the stream has been read.
+func (e *Executor) Ready() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.ready
--- a/internal/protocol/platform/platform.go
+++ b/internal/protocol/platform/platform.go
@@ -22,6 +22,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"sync"
 	"time"
 
 	"comfreyworks"
@@ -56,6 +57,10 @@
 type Client struct {
 	base string
 	http *http.Client
+	mu   sync.Mutex
+	// tag and listed are the last list and its tag, for conditional reads.
+	tag    string
+	listed []comfreyworks.Instance
 }
 
 var (
@@ -87,23 +92,54 @@
 	return records, err
 }
 
-// Instances implements comfreyworks.InstanceList.
+// Instances implements comfreyworks.InstanceList. A list that has not changed
+// since the last read is not sent again: at full size it is far too long to be
+// read every second.
 func (c *Client) Instances(ctx context.Context) ([]comfreyworks.Instance, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	resp, err := c.send(ctx, "instances", http.MethodGet, "/instances", nil, http.Header{"If-None-Match": {c.tag}})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusNotModified {
+		return c.listed, nil
+	}
 	var instances []comfreyworks.Instance
-	err := c.do(ctx, "instances", http.MethodGet, "/instances", nil, &instances)
-	return instances, err
+	if err := decode("instances", resp, &instances); err != nil {
+		return nil, err
+	}
+	c.tag = resp.Header.Get("ETag")
+	c.listed = instances
+	return instances, nil
 }
 
 func (c *Client) do(ctx context.Context, op, method, path string, body []byte, answer any) error {
+	resp, err := c.send(ctx, op, method, path, body, nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return decode(op, resp, answer)
+}
+
+func (c *Client) send(ctx context.Context, op, method, path string, body []byte, header http.Header) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return &Error{Op: op, Kind: KindRefused, Err: err}
+		return nil, &Error{Op: op, Kind: KindRefused, Err: err}
+	}
+	if header != nil {
+		req.Header = header
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return &Error{Op: op, Kind: KindUnavailable, Err: err}
+		return nil, &Error{Op: op, Kind: KindUnavailable, Err: err}
 	}
-	defer func() { _ = resp.Body.Close() }()
+	return resp, nil
+}
+
+func decode(op string, resp *http.Response, answer any) error {
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		return &Error{Op: op, Kind: KindUnavailable, Err: err}
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -24,12 +24,23 @@
 		serveRead(log, w, r)
 	}).Methods(http.MethodGet)
 	router.HandleFunc("/instances", func(w http.ResponseWriter, r *http.Request) {
-		instances, err := list.Instances(r.Context())
-		answer(w, instances, err)
+		serveList(list, w, r)
 	}).Methods(http.MethodGet)
 	return router
 }
 
+// serveList sends the list unless the reader has it already.
+func serveList(list *List, w http.ResponseWriter, r *http.Request) {
+	version, instances := list.current()
+	tag := strconv.Quote(strconv.Itoa(version))
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("ETag", tag)
+	answer(w, instances, nil)
+}
+
 func serveAppend(log *Log, w http.ResponseWriter, r *http.Request) {
 	stream, err := url.PathUnescape(mux.Vars(r)["stream"])
 	if err != nil {
--- a/internal/standin/platform/list.go
+++ b/internal/standin/platform/list.go
@@ -46,21 +46,27 @@
 	l.lag = lag
 }
 
-// Instances implements comfreyworks.InstanceList. Before the first list is old
-// enough it is returned all the same.
+// Instances implements comfreyworks.InstanceList.
 func (l *List) Instances(context.Context) ([]comfreyworks.Instance, error) {
+	_, instances := l.current()
+	return instances, nil
+}
+
+// current returns the list that readers see now, and its version. Before the
+// first list is old enough it is returned all the same.
+func (l *List) current() (int, []comfreyworks.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.history) == 0 {
-		return nil, nil
+		return 0, nil
 	}
 	limit := l.clock.Now().Add(-l.lag)
 	for i := len(l.history) - 1; i > 0; i-- {
 		if !l.history[i].at.After(limit) {
-			return l.history[i].instances, nil
+			return i, l.history[i].instances
 		}
 	}
-	return l.history[0].instances, nil
+	return 0, l.history[0].instances
 }
 
 // Weights is the weight store: loads take longer when too many run at once.
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -84,6 +84,18 @@
 		assert.Assert(t, errors.As(err, &e), "got %v", err)
 		assert.Equal(t, e.Kind, kind)
 	}
+	t.Run("a list that has not changed is not sent again", func(t *testing.T) {
+		list.Set([]comfreyworks.Instance{{ID: "lm/0", Address: netip.MustParseAddrPort("127.0.0.1:1")}})
+		for n := 1; n <= 2; n++ {
+			first, err := client.Instances(bg)
+			assert.NilError(t, err)
+			assert.Equal(t, len(first), n)
+			second, err := client.Instances(bg)
+			assert.NilError(t, err)
+			assert.Assert(t, &first[0] == &second[0])
+			list.Set(append(first, comfreyworks.Instance{ID: "lm/1", Address: netip.MustParseAddrPort("127.0.0.1:2")}))
+		}
+	})
 	t.Run("append and read", func(t *testing.T) {
 		_, err := client.Append(bg, "claims/dispatch", [][]byte{[]byte("a")})
 		assert.NilError(t, err)
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -46,13 +46,16 @@
 		_, _ = fmt.Fprintln(stderr, err)
 		return program.ExitUsage
 	}
-	_, err := parser.ParseArgs(args)
+	rest, err := parser.ParseArgs(args)
 	switch {
 	case flags.WroteHelp(err):
 		_, _ = fmt.Fprintln(stdout, err)
 	case err != nil:
 		_, _ = fmt.Fprintln(stderr, err)
 		return program.ExitUsage
+	case parser.Active == nil && len(rest) > 0:
+		_, _ = fmt.Fprintf(stderr, "unknown command %q\n", rest[0])
+		return program.ExitUsage
 	case versionShown:
 	case parser.Active == nil:
 		parser.WriteHelp(stderr)
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -33,6 +33,7 @@
 	"comfreyworks/internal/protocol/platform"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/settings"
+	"comfreyworks/internal/transport/admin"
 )
 
 // Kind classifies the errors of this package.
@@ -162,9 +163,7 @@
 	router.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writeProblem(w, problemMethod(r.Method, r.URL.Path))
 	})
-	router.HandleFunc("/healthz", e.serveHealth).Methods(http.MethodGet)
-	router.HandleFunc("/readyz", e.serveReady).Methods(http.MethodGet)
-	router.HandleFunc("/metrics", e.serveMetrics).Methods(http.MethodGet)
+	admin.Register(router, admin.Options{Meter: e.options.Meter, Ready: e.notReady, Logger: e.options.Logger})
 	router.HandleFunc("/v1/models", e.withCaller(e.serveModels)).Methods(http.MethodGet)
 	router.HandleFunc("/v1/chat/completions", e.withCaller(e.serveChat)).Methods(http.MethodPost)
 	router.HandleFunc("/v1/completions", e.withCaller(e.serveText)).Methods(http.MethodPost)
@@ -172,26 +171,14 @@
 	return e.withBounds(router)
 }
 
-func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	_, _ = w.Write([]byte("ok\n"))
-}
-
-// serveReady answers 200 while the entry should get new requests.
-func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if e.leaving.Load() {
-		http.Error(w, "leaving", http.StatusServiceUnavailable)
-		return
-	}
-	if !e.view.Known() {
-		http.Error(w, "no list of instances yet", http.StatusServiceUnavailable)
-		return
-	}
-	_, _ = w.Write([]byte("ready\n"))
-}
-
-func (e *Entry) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	if err := e.options.Meter.Write(w); err != nil {
-		e.options.Logger.Debug("metrics not written", zap.Error(err))
+// notReady returns why the balancer should send nothing new here, or nothing.
+func (e *Entry) notReady() string {
+	switch {
+	case e.leaving.Load():
+		return "leaving"
+	case !e.view.Known():
+		return "no list of instances yet"
+	default:
+		return ""
 	}
 }
--- a/internal/transport/program/program.go
+++ b/internal/transport/program/program.go
@@ -69,6 +69,8 @@
 	Logger     *zap.Logger
 	Meter      *meter.Meter
 	HTTP       *http.Client
+	// Admin is where health and metrics are served; nil means nowhere.
+	Admin net.Listener
 }
 
 // Serve runs a program on its listener until ctx ends.
@@ -117,6 +119,12 @@
 	if err != nil {
 		return fail(ExitListen, err)
 	}
+	var admin net.Listener
+	if instance.AdminListen.IsValid() {
+		if admin, err = net.Listen("tcp", instance.AdminListen.String()); err != nil {
+			return fail(ExitListen, err)
+		}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	env := Environment{
@@ -126,6 +134,7 @@
 		Logger:     logger.With(zap.String("program", name), zap.String("instance", string(instance.ID))),
 		Meter:      meter.New(),
 		HTTP:       NewHTTPClient(),
+		Admin:      admin,
 	}
 	if err := serve(ctx, env, listener); err != nil {
 		return fail(ExitFailure, err)
--- /dev/null
+++ b/internal/transport/program/program_test.go
@@ -0,0 +1,65 @@
+package program
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyworks"
+	"comfreyworks/examples"
+)
+
+const instanceFile = `{
+  "instance": "entry/0", "role": "entry", "zone": "atl-a", "deployment-file": "piedmont.jsonc",
+  "listen": "127.0.0.1:0", "peer-secret": "0123456789abcdef", "platform": "127.0.0.1:8900"
+}`
+
+// settingsFile writes an instance file and its deployment and returns its path.
+func settingsFile(t *testing.T, old, changed string) string {
+	t.Helper()
+	dir := t.TempDir()
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, "piedmont.jsonc"), examples.Piedmont, 0o600))
+	path := filepath.Join(dir, "entry.jsonc")
+	assert.NilError(t, os.WriteFile(path, []byte(strings.Replace(instanceFile, old, changed, 1)), 0o600))
+	return path
+}
+
+func TestExitCodes(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = taken.Close() })
+	good := settingsFile(t, "", "")
+	tests := []struct {
+		name     string
+		args     []string
+		serveErr error
+		expected ExitCode
+	}{
+		{"help", []string{"--help"}, nil, ExitOK},
+		{"version", []string{"--version"}, nil, ExitOK},
+		{"check", []string{"--config", good, "--check-config"}, nil, ExitOK},
+		{"serve", []string{"--config", good}, nil, ExitOK},
+		{"serve fails", []string{"--config", good}, errors.New("broken"), ExitFailure},
+		{"unknown flag", []string{"--colour"}, nil, ExitUsage},
+		{"argument", []string{"now"}, nil, ExitUsage},
+		{"no settings", nil, nil, ExitUsage},
+		{"no such file", []string{"--config", "none.jsonc"}, nil, ExitSettings},
+		{"bad file", []string{"--config", settingsFile(t, `"atl-a"`, `7`)}, nil, ExitSettings},
+		{"other role", []string{"--config", settingsFile(t, `"role": "entry"`, `"role": "sidecar", "pool": "p", "upstream": "127.0.0.1:1"`)}, nil, ExitSettings},
+		{"address in use", []string{"--config", settingsFile(t, "127.0.0.1:0", taken.Addr().String())}, nil, ExitListen},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := Main("entry", comfreyworks.RoleEntry, test.args, func(context.Context, Environment, net.Listener) error {
+				return test.serveErr
+			})
+			assert.Equal(t, got, test.expected)
+		})
+	}
+}
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -19,6 +19,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,6 +38,7 @@
 	"comfreyworks/internal/state/directory"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/settings"
+	"comfreyworks/internal/transport/admin"
 )
 
 // Kind classifies the errors of this package.
@@ -63,6 +65,8 @@
 	Meter      *meter.Meter
 	// HTTP reaches the upstream and the platform.
 	HTTP *http.Client
+	// Admin is where health and metrics are served; nil means nowhere.
+	Admin net.Listener
 }
 
 // Sidecar is one process beside an upstream.
@@ -80,6 +84,7 @@
 	streams  *generation.Manager
 	executor *claim.Executor
 	calls    *calls
+	leaving  atomic.Bool
 	// stop ends when the sidecar stops serving; kill ends it at once.
 	stop context.Context
 	kill context.CancelFunc
@@ -172,6 +177,10 @@
 	if s.executor != nil {
 		group.Go(func() error { return s.executor.Run(work) })
 	}
+	if s.options.Admin != nil {
+		pages := admin.Options{Meter: s.options.Meter, Ready: s.notReady, Logger: s.options.Logger}
+		group.Go(func() error { return admin.Serve(work, s.options.Admin, pages) })
+	}
 	s.options.Logger.Info("serving", zap.Stringer("address", listener.Addr()))
 	group.Go(func() error {
 		select {
@@ -190,11 +199,26 @@
 	return nil
 }
 
+// notReady returns why the sidecar takes no new work, or nothing.
+func (s *Sidecar) notReady() string {
+	switch {
+	case s.leaving.Load():
+		return "leaving"
+	case s.tracker != nil && s.tracker.Down():
+		return "upstream does not answer"
+	case s.executor != nil && !s.executor.Ready():
+		return "claims are not read yet"
+	default:
+		return ""
+	}
+}
+
 // Kill stops the sidecar at once, as a crash would.
 func (s *Sidecar) Kill() { s.kill() }
 
 // drain lets open work finish within the stop grace.
 func (s *Sidecar) drain(ctx context.Context) {
+	s.leaving.Store(true)
 	s.options.Logger.Info("leaving")
 	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.options.Deployment.Callers.StopGrace)
 	defer cancel()
