--- a/internal/bench/capacity/capacity.go
+++ b/internal/bench/capacity/capacity.go
@@ -44,6 +44,8 @@
 	SlopeChangeBytes      SlopeName = "bytes per reported change"
 	SlopePlaceBytes       SlopeName = "bytes per placement of 8 levels, both ways"
 	SlopeClaimBytes       SlopeName = "log bytes per claimed call"
+	SlopePullBytes        SlopeName = "bytes per question for a newer configuration"
+	SlopePullCPU          SlopeName = "processor time per question for a newer configuration, both ends"
 	SlopePlaceCPU         SlopeName = "processor time per placement, both ends"
 	SlopeReadCPU          SlopeName = "processor time per read of one token, both ends"
 	SlopeReportCPU        SlopeName = "processor time per report, both ends"
--- a/internal/bench/capacity/role.go
+++ b/internal/bench/capacity/role.go
@@ -49,7 +49,12 @@
 	shardsPerPool = 2
 	// reportsPerSecond is the most reports that a busy sidecar sends to each
 	// shard.
-	reportsPerSecond = 17
+	reportsPerSecond = 4
+	// pullsPerSecond is how often an instance asks a peer for a newer
+	// configuration, sectionBytes the size of a section that changes.
+	pullsPerSecond = 2
+	sectionBytes   = 200 << 10
+	changesPerDay  = 1300
 	// newLevels is how many levels of a prompt nobody has asked for before.
 	newLevels = 3
 	// tokenGap is the time between tokens.
@@ -115,7 +120,16 @@
 // Roles works the figures of every role out.
 func Roles(slopes Slopes, size Size) []Figure {
 	e := estimate{Size: size, slopes: slopes}
-	return slices.Concat(e.entry(), e.sidecar(), e.directory(), e.claims())
+	return slices.Concat(e.entry(), e.sidecar(), e.directory(), e.claims(), e.configuration())
+}
+
+func (e estimate) configuration() []Figure {
+	const role = "configuration"
+	changed := sectionBytes * changesPerDay / (24 * time.Hour).Seconds()
+	return []Figure{
+		{role, "questions and changes", pullsPerSecond*e.slope(SlopePullBytes) + changed, unitRate, boundBytes, "pulls from random peers; only changed sections travel", "2 questions a second + 1,300 changes a day x 200 KiB (1,600 workspaces are one section)"},
+		{role, "processor time", core(e.slope(SlopePullCPU), pullsPerSecond), unitShare, boundCPU, "pulls from random peers", "2 questions a second x cost"},
+	}
 }
 
 func (e estimate) entry() []Figure {
--- a/internal/bench/capacity/traffic.go
+++ b/internal/bench/capacity/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -58,6 +59,12 @@
 	return nil
 }
 
+// Pull answers that there is nothing newer.
+func (r *receiver) Pull(args peer.PullArgs, reply *comfreyworks.ConfigUpdate) error {
+	*reply = comfreyworks.ConfigUpdate{Revision: args.Since, Digest: strings.Repeat("0", 64)}
+	return nil
+}
+
 // countingConn counts the bytes of a client's connection, both ways.
 type countingConn struct {
 	net.Conn
@@ -123,7 +130,7 @@
 	if err := w.fillShard(ctx); err != nil {
 		return err
 	}
-	steps := []func(context.Context, Slopes) error{w.measurePlace, w.measureRead, w.measureReports, w.measureConnections}
+	steps := []func(context.Context, Slopes) error{w.measurePlace, w.measureRead, w.measureReports, w.measurePull, w.measureConnections}
 	for _, step := range steps {
 		if err := step(ctx, slopes); err != nil {
 			return err
@@ -205,6 +212,16 @@
 	return err
 }
 
+func (w *wire) measurePull(ctx context.Context, slopes Slopes) error {
+	bytes, nanos, err := w.cost(trafficCalls, func() error {
+		_, err := w.client.Pull(ctx, 1300)
+		return err
+	})
+	slopes.set(SlopePullBytes, bytes, unitBytes)
+	slopes.set(SlopePullCPU, nanos, unitNanos)
+	return err
+}
+
 // measureConnections holds many connections open, each of which was used.
 func (w *wire) measureConnections(ctx context.Context, slopes Slopes) error {
 	var kept []*peer.Clients
--- a/internal/bench/rig/omniscient.go
+++ b/internal/bench/rig/omniscient.go
@@ -66,16 +66,17 @@
 	candidate := comfreyworks.Candidate{
 		Instance:     id,
 		CachedTokens: outlook.HeldTokens,
-		QueuedTokens: outlook.QueuedTokens,
 		PrefillTime:  o.rig.options.Rates(id).PrefillTime,
 	}
+	queued := outlook.QueuedTokens
 	for _, s := range o.sent {
 		if s.instance == id {
-			candidate.QueuedTokens += s.uncached
+			queued += s.uncached
 			common := engine.CommonTokens(s.blocks, blocks)
 			candidate.CachedTokens = max(candidate.CachedTokens, common)
 		}
 	}
+	candidate.Wait = time.Duration(queued) * candidate.PrefillTime
 	return candidate
 }
 
--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -158,6 +158,7 @@
 			return err
 		}
 	}
+	r.publishList()
 	return nil
 }
 
@@ -230,9 +231,18 @@
 
 // publishList tells the platform's list who is there.
 func (r *Rig) publishList() {
-	instances := make([]comfreyworks.Instance, len(r.upstreams))
-	for i, u := range r.upstreams {
-		instances[i] = u.instance
+	var instances []comfreyworks.Instance
+	for _, u := range r.upstreams {
+		instances = append(instances, u.instance)
+	}
+	for _, p := range r.entries {
+		instances = append(instances, comfreyworks.Instance{
+			ID:      p.instance.ID,
+			Role:    comfreyworks.RoleEntry,
+			Zone:    p.instance.Zone,
+			Address: p.instance.Listen,
+			State:   comfreyworks.InstanceLive,
+		})
 	}
 	r.list.Set(instances)
 }
@@ -373,6 +383,12 @@
 // Log returns the stand-in of the log.
 func (r *Rig) Log() *platform.Log { return r.log }
 
+// Platform returns the address of the platform's stand-in.
+func (r *Rig) Platform() netip.AddrPort { return r.platform }
+
+// PeerSecret returns the secret that the roles prove to each other.
+func (r *Rig) PeerSecret() string { return peerSecret }
+
 // List returns the stand-in of the list of instances.
 func (r *Rig) List() *platform.List { return r.list }
 
--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -68,17 +68,18 @@
 
 // Queue admits requests. It is safe for concurrent use.
 type Queue struct {
-	options Options
-	mu      sync.Mutex
-	running int
-	order   uint64
-	waiting []*Ticket
-	byClass map[comfreyworks.Class]int
+	options     Options
+	mu          sync.Mutex
+	concurrency int
+	running     int
+	order       uint64
+	waiting     []*Ticket
+	byClass     map[comfreyworks.Class]int
 }
 
 // New returns an empty queue.
 func New(options Options) *Queue {
-	return &Queue{options: options, byClass: make(map[comfreyworks.Class]int)}
+	return &Queue{options: options, concurrency: options.Concurrency, byClass: make(map[comfreyworks.Class]int)}
 }
 
 // Join takes a place in the queue, or runs at once when there is room.
@@ -86,7 +87,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	t := &Ticket{queue: q, request: request, since: q.options.Clock.Now(), ready: make(chan struct{})}
-	if q.running < q.options.Concurrency {
+	if q.running < q.concurrency {
 		q.running++
 		close(t.ready)
 		return t, nil
@@ -131,10 +132,27 @@
 	}
 }
 
+// SetConcurrency changes how many requests run at once. Fewer take effect as
+// requests leave.
+func (q *Queue) SetConcurrency(n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.concurrency = n
+	for q.running < q.concurrency {
+		next := q.best()
+		if next == nil {
+			return
+		}
+		q.running++
+		q.remove(next)
+		close(next.ready)
+	}
+}
+
 // release hands a place to the best waiter or frees it.
 func (q *Queue) release() {
 	next := q.best()
-	if next == nil {
+	if next == nil || q.running > q.concurrency {
 		q.running--
 		return
 	}
--- /dev/null
+++ b/internal/coordination/configuration/configuration_test.go
@@ -0,0 +1,211 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"comfreyworks"
+	"comfreyworks/examples"
+	"comfreyworks/internal/standin/platform"
+	"comfreyworks/internal/state/revision"
+)
+
+func document(t *testing.T, seconds int) *revision.Document {
+	t.Helper()
+	text := strings.Replace(string(examples.Piedmont), `"deadline": "60s"`, fmt.Sprintf(`"deadline": "%ds"`, seconds), 1)
+	d, err := revision.Parse("piedmont.jsonc", []byte(text))
+	assert.NilError(t, err)
+	return d
+}
+
+// fleet is a number of followers that see one log and each other.
+type fleet struct {
+	clock     *clockwork.FakeClock
+	log       *platform.Log
+	followers []*Follower
+	pulled    atomic.Int64
+	reverted  atomic.Bool
+}
+
+// link is a peer that counts what it is asked.
+type link struct {
+	fleet *fleet
+	to    int
+}
+
+func (l link) Pull(_ context.Context, since comfreyworks.Revision) (comfreyworks.ConfigUpdate, error) {
+	if l.fleet.followers[l.to] == nil {
+		return comfreyworks.ConfigUpdate{}, errors.New("connection refused")
+	}
+	l.fleet.pulled.Add(1)
+	return l.fleet.followers[l.to].Pull(since), nil
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	f := &fleet{clock: clockwork.NewFakeClock(), followers: make([]*Follower, n)}
+	f.log = platform.NewLog(platform.LogOptions{Clock: f.clock})
+	for i := range f.followers {
+		f.followers[i] = f.newFollower(t, i)
+	}
+	return f
+}
+
+func (f *fleet) instance(i int) comfreyworks.Instance {
+	return comfreyworks.Instance{ID: comfreyworks.InstanceID(fmt.Sprintf("lm/%d", i))}
+}
+
+func (f *fleet) newFollower(t *testing.T, i int) *Follower {
+	highest := comfreyworks.Revision(0)
+	return New(Options{
+		Instance: f.instance(i).ID,
+		Initial:  revision.FromDeployment(document(t, 1).Deployment()),
+		Log:      f.log,
+		Clock:    f.clock,
+		Logger:   zap.NewNop(),
+		Peers: func() []comfreyworks.Instance {
+			var peers []comfreyworks.Instance
+			for j := range f.followers {
+				peers = append(peers, f.instance(j))
+			}
+			return peers
+		},
+		Peer: func(instance comfreyworks.Instance) comfreyworks.ConfigPeer {
+			var to int
+			_, _ = fmt.Sscanf(string(instance.ID), "lm/%d", &to)
+			return link{fleet: f, to: to}
+		},
+		Changed: func(d *revision.Document) {
+			if d.Number() < highest {
+				f.reverted.Store(true)
+			}
+			highest = d.Number()
+		},
+	})
+}
+
+// run runs all followers and the clock until the test ends.
+func (f *fleet) run(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	for _, follower := range f.followers {
+		group.Go(func() error { return follower.Run(ctx) })
+	}
+	var done atomic.Bool
+	group.Go(func() error {
+		for !done.Load() {
+			f.clock.Advance(10 * time.Millisecond)
+			// Slow enough for what happens within a step to happen in it.
+			time.Sleep(time.Millisecond)
+		}
+		return nil
+	})
+	t.Cleanup(func() {
+		cancel()
+		time.AfterFunc(20*time.Millisecond, func() { done.Store(true) })
+		assert.NilError(t, group.Wait())
+		assert.Assert(t, !f.reverted.Load())
+	})
+}
+
+func (f *fleet) append(t *testing.T, record revision.Record) {
+	t.Helper()
+	data, err := json.Marshal(record)
+	assert.NilError(t, err)
+	_, err = f.log.Append(context.Background(), Stream, [][]byte{data})
+	assert.NilError(t, err)
+}
+
+// await waits until all followers have a revision in force and returns how
+// long that took on the fake clock.
+func (f *fleet) await(number comfreyworks.Revision) time.Duration {
+	start := f.clock.Now()
+	for _, follower := range f.followers {
+		for follower.Current().Number() < number {
+			time.Sleep(100 * time.Microsecond)
+		}
+	}
+	return f.clock.Since(start)
+}
+
+func TestSpread(t *testing.T) {
+	f := newFleet(t, 40)
+	f.run(t)
+	f.append(t, revision.Empty().Propose(document(t, 60), "ann", "", f.clock.Now()))
+	t.Logf("first revision on 40 instances after %s", f.await(1))
+	current := f.followers[0].Current()
+
+	t.Run("a change with the log up", func(t *testing.T) {
+		f.append(t, current.Propose(document(t, 30), "ann", "", f.clock.Now()))
+		t.Logf("in force on 40 instances after %s", f.await(2))
+		for _, follower := range f.followers {
+			assert.Equal(t, follower.Current().Deployment().Class("review").Deadline, 30*time.Second)
+		}
+	})
+	t.Run("racing operators leave one winner everywhere", func(t *testing.T) {
+		base := f.followers[0].Current()
+		f.append(t, base.Propose(document(t, 41), "ann", "", f.clock.Now()))
+		f.append(t, base.Propose(document(t, 42), "bob", "", f.clock.Now()))
+		f.await(3)
+		for _, follower := range f.followers {
+			assert.Equal(t, follower.Current().Number(), comfreyworks.Revision(3))
+			assert.Equal(t, follower.Current().Deployment().Class("review").Deadline, 41*time.Second)
+		}
+	})
+	t.Run("what does not validate is in force nowhere", func(t *testing.T) {
+		bad := f.followers[0].Current().Propose(document(t, 50), "eve", "", f.clock.Now())
+		bad.Sections["pools"] = json.RawMessage(`[{"name":"x"}]`)
+		f.append(t, bad)
+		_, err := f.log.Append(context.Background(), Stream, [][]byte{[]byte("by hand")})
+		assert.NilError(t, err)
+		f.append(t, f.followers[0].Current().Propose(document(t, 51), "ann", "", f.clock.Now()))
+		f.await(4)
+		assert.Equal(t, f.followers[7].Current().Deployment().Class("review").Deadline, 51*time.Second)
+	})
+}
+
+func TestLogDown(t *testing.T) {
+	f := newFleet(t, 40)
+	f.append(t, revision.Empty().Propose(document(t, 60), "ann", "", f.clock.Now()))
+	// One instance has read the log before it went down.
+	f.followers[3].readOnce(context.Background(), 0)
+	f.log.SetOutage(true)
+	f.run(t)
+	t.Logf("from one instance to 40 by peers alone after %s", f.await(1))
+
+	t.Run("a replaced instance has the newest revision before it serves", func(t *testing.T) {
+		restarted := f.newFollower(t, 11)
+		restarted.Bootstrap(context.Background())
+		assert.Equal(t, restarted.Current().Number(), comfreyworks.Revision(1))
+	})
+}
+
+func TestCarriedForward(t *testing.T) {
+	f := newFleet(t, 1)
+	f.log = platform.NewLog(platform.LogOptions{Clock: f.clock, Retention: 3 * carryAfter})
+	f.followers[0].options.Log = f.log
+	f.append(t, revision.Empty().Propose(document(t, 60), "ann", "", f.clock.Now()))
+	ctx := context.Background()
+	for range 5 {
+		f.followers[0].readOnce(ctx, 0)
+		f.followers[0].carryIfOld(ctx)
+		f.clock.Advance(carryAfter + carryJitter)
+	}
+	// The first record is gone; a newcomer without peers still learns it.
+	newcomer := f.newFollower(t, 0)
+	f.followers[0] = nil
+	newcomer.Bootstrap(ctx)
+	assert.Equal(t, newcomer.Current().Number(), comfreyworks.Revision(1))
+}
--- a/internal/coordination/dispatch/call.go
+++ b/internal/coordination/dispatch/call.go
@@ -76,7 +76,7 @@
 		d.options.View.Worked(instance.ID)
 	case outcome.Refusal.Reason == comfreyworks.RefusedLeaving:
 		d.options.View.Leaving(instance.ID)
-	case outcome.Refusal.Reason == comfreyworks.RefusedDown:
+	case outcome.Refusal.Reason == comfreyworks.RefusedDown, outcome.Refusal.Reason == comfreyworks.RefusedStarting:
 		d.options.View.Failed(instance.ID)
 	}
 }
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -267,7 +267,7 @@
 	switch refusal.Reason {
 	case comfreyworks.RefusedLeaving:
 		d.options.View.Leaving(instance.ID)
-	case comfreyworks.RefusedDown:
+	case comfreyworks.RefusedDown, comfreyworks.RefusedStarting:
 		d.options.View.Failed(instance.ID)
 	}
 }
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -162,6 +162,17 @@
 	return v.byPool[pool]
 }
 
+// All returns the sidecars of every pool that the list names.
+func (v *View) All() []comfreyworks.Instance {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var all []comfreyworks.Instance
+	for _, members := range v.byPool {
+		all = append(all, members...)
+	}
+	return all
+}
+
 // Find returns one listed sidecar of a pool.
 func (v *View) Find(pool comfreyworks.Pool, id comfreyworks.InstanceID) (comfreyworks.Instance, bool) {
 	for _, instance := range v.Listed(pool) {
--- a/internal/coordination/placement/chooser.go
+++ b/internal/coordination/placement/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 
 	"comfreyworks"
 	"comfreyworks/internal/state/directory"
@@ -11,14 +12,19 @@
 // so that the next choice already counts on this one.
 type Chooser struct {
 	shard  *directory.Shard
-	placer comfreyworks.Placer
+	placer atomic.Pointer[comfreyworks.Placer]
 }
 
 // NewChooser returns a chooser that applies a policy to a shard.
 func NewChooser(shard *directory.Shard, placer comfreyworks.Placer) *Chooser {
-	return &Chooser{shard: shard, placer: placer}
+	c := &Chooser{shard: shard}
+	c.SetPlacer(placer)
+	return c
 }
 
+// SetPlacer replaces the policy.
+func (c *Chooser) SetPlacer(placer comfreyworks.Placer) { c.placer.Store(&placer) }
+
 // Choose picks an upstream for a chain. The choice is empty when there is no
 // candidate left.
 func (c *Chooser) Choose(chain comfreyworks.Chain, exclude []comfreyworks.InstanceID) comfreyworks.Placement {
@@ -28,7 +34,7 @@
 			return slices.Contains(exclude, candidate.Instance)
 		})
 	}
-	index := c.placer.Place(chain.Tokens(), candidates)
+	index := (*c.placer.Load()).Place(chain.Tokens(), candidates)
 	if index < 0 {
 		return comfreyworks.Placement{}
 	}
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -79,10 +79,8 @@
 }
 
 func lessLoaded(a, b *comfreyworks.Candidate) bool {
-	waitA := wait(a)
-	waitB := wait(b)
-	if waitA != waitB {
-		return waitA < waitB
+	if a.Wait != b.Wait {
+		return a.Wait < b.Wait
 	}
 	if a.Running != b.Running {
 		return a.Running < b.Running
@@ -136,9 +134,5 @@
 // Cost returns the expected cost of a prompt at a candidate, as a time.
 func (p Comfrey) Cost(promptTokens int, c *comfreyworks.Candidate) time.Duration {
 	uncached := float64(max(promptTokens-c.CachedTokens, 0))
-	return wait(c) + time.Duration(p.RecomputeWeight*uncached*float64(c.PrefillTime))
-}
-
-func wait(c *comfreyworks.Candidate) time.Duration {
-	return time.Duration(c.QueuedTokens) * c.PrefillTime
+	return c.Wait + time.Duration(p.RecomputeWeight*uncached*float64(c.PrefillTime))
 }
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -36,12 +36,12 @@
 		{"nobody to count", comfreyworks.PolicyRoundRobin, -1, nil},
 		{"the holder", comfreyworks.PolicyComfrey, 1, []c{{Score: 9}, {CachedTokens: 900}}},
 		{"the deeper holder", comfreyworks.PolicyComfrey, 1, []c{{CachedTokens: 500}, {CachedTokens: 900}}},
-		{"a holder with a short queue", comfreyworks.PolicyComfrey, 1, []c{{}, {CachedTokens: 900, QueuedTokens: 1000}}},
-		{"not a holder with a long queue", comfreyworks.PolicyComfrey, 0, []c{{}, {CachedTokens: 900, QueuedTokens: 4000}}},
+		{"a holder with a short queue", comfreyworks.PolicyComfrey, 1, []c{{}, {CachedTokens: 900, Wait: 1000 * prefillTime}}},
+		{"not a holder with a long queue", comfreyworks.PolicyComfrey, 0, []c{{}, {CachedTokens: 900, Wait: 4000 * prefillTime}}},
 		{"the home of a cold prompt", comfreyworks.PolicyComfrey, 1, []c{{Score: 1}, {Score: 9}, {Score: 5}}},
 		{"the home of a warm prompt on two", comfreyworks.PolicyComfrey, 2, []c{{Score: 9}, {Score: 1, CachedTokens: 990}, {Score: 5, CachedTokens: 990}}},
-		{"the least queue", comfreyworks.PolicyLeastLoaded, 1, []c{{QueuedTokens: 5, CachedTokens: 900}, {QueuedTokens: 1}}},
-		{"the highest score", comfreyworks.PolicyRendezvous, 1, []c{{CachedTokens: 900}, {Score: 9, QueuedTokens: 9000}}},
+		{"the least queue", comfreyworks.PolicyLeastLoaded, 1, []c{{Wait: 5, CachedTokens: 900}, {Wait: 1}}},
+		{"the highest score", comfreyworks.PolicyRendezvous, 1, []c{{CachedTokens: 900}, {Score: 9, Wait: time.Hour}}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/coordination/tracker/report.go
+++ b/internal/coordination/tracker/report.go
@@ -12,7 +12,7 @@
 
 const (
 	// reportPause is the least time between two reports.
-	reportPause = 50 * time.Millisecond
+	reportPause = 250 * time.Millisecond
 	// heartbeatInterval is the longest time between two reports.
 	heartbeatInterval = time.Second
 	// reportTimeout bounds one report to one shard.
--- a/internal/protocol/peer/client.go
+++ b/internal/protocol/peer/client.go
@@ -124,8 +124,9 @@
 }
 
 var (
-	_ comfreyworks.GateSet = (*Clients)(nil)
-	_ comfreyworks.Gate    = (*Client)(nil)
+	_ comfreyworks.GateSet    = (*Clients)(nil)
+	_ comfreyworks.Gate       = (*Client)(nil)
+	_ comfreyworks.ConfigPeer = (*Client)(nil)
 )
 
 // Start implements comfreyworks.Gate.
@@ -156,6 +157,11 @@
 	return call[comfreyworks.Placement](ctx, c, "Place", request, timeout)
 }
 
+// Pull implements comfreyworks.ConfigPeer.
+func (c *Client) Pull(ctx context.Context, since comfreyworks.Revision) (comfreyworks.ConfigUpdate, error) {
+	return call[comfreyworks.ConfigUpdate](ctx, c, "Pull", PullArgs{Since: since}, callTimeout)
+}
+
 // Report sends a report to a directory shard.
 func (c *Client) Report(ctx context.Context, args ReportArgs) (ReportReply, error) {
 	return call[ReportReply](ctx, c, "Report", args, callTimeout)
--- a/internal/protocol/peer/messages.go
+++ b/internal/protocol/peer/messages.go
@@ -58,5 +58,10 @@
 	NeedFull bool
 }
 
+// PullArgs asks for the configuration that changed after a revision.
+type PullArgs struct {
+	Since comfreyworks.Revision
+}
+
 // Nothing is an empty reply.
 type Nothing struct{}
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -59,24 +59,28 @@
 
 // member is one upstream.
 type member struct {
-	id           comfreyworks.InstanceID
-	seed         uint64
-	incarnation  comfreyworks.Incarnation
-	weights      comfreyworks.WeightsVersion
-	epoch        epoch
-	sequence     uint64
-	closed       bool
-	reported     time.Time
-	queuedTokens int
-	running      int
-	prefillTime  time.Duration
-	assigned     []assignment
+	id          comfreyworks.InstanceID
+	seed        uint64
+	incarnation comfreyworks.Incarnation
+	weights     comfreyworks.WeightsVersion
+	epoch       epoch
+	sequence    uint64
+	closed      bool
+	reported    time.Time
+	// busyUntil is when the member will have computed all prompts that it is
+	// known to have. It moves on with each assignment and is set anew by each
+	// report, so that between two reports the queue drains as the engine works.
+	busyUntil   time.Time
+	running     int
+	prefillTime time.Duration
+	// recent are assignments that the next report may not contain yet.
+	recent []assignment
 }
 
-// assignment is work sent to a member that its load may not yet contain.
+// assignment is work that was sent to a member.
 type assignment struct {
-	at     time.Time
-	tokens int
+	at   time.Time
+	cost time.Duration
 }
 
 // Shard is one shard of a directory.
@@ -141,11 +145,23 @@
 func (s *Shard) updateLoad(m *member, report comfreyworks.DirectoryReport) {
 	now := s.clock.Now()
 	m.closed = report.Leaving || report.Down
-	m.queuedTokens = report.QueuedTokens
 	m.running = report.Running
 	m.prefillTime = report.PrefillTime
 	m.reported = now
-	m.assigned = dropBefore(m.assigned, now.Add(-assignmentDelay))
+	m.recent = dropBefore(m.recent, now.Add(-assignmentDelay))
+	m.busyUntil = now.Add(time.Duration(report.QueuedTokens) * report.PrefillTime)
+	for _, a := range m.recent {
+		m.take(now, a.cost)
+	}
+}
+
+// take adds work to a member's queue.
+func (m *member) take(now time.Time, cost time.Duration) {
+	if m.busyUntil.Before(now) {
+		m.busyUntil = now
+	}
+	m.busyUntil = m.busyUntil.Add(cost)
+	m.running++
 }
 
 // assignmentDelay is how long an assignment may take to show in a report: the
@@ -220,27 +236,18 @@
 		if m.closed || now.Sub(m.reported) > reportLife {
 			continue
 		}
-		queued, running := m.load()
 		buffer = append(buffer, comfreyworks.Candidate{
 			Instance:     m.id,
 			Score:        rendezvous.Score(m.seed, home),
 			CachedTokens: int(cached[index]),
-			QueuedTokens: queued,
-			Running:      running,
+			Wait:         max(m.busyUntil.Sub(now), 0),
+			Running:      m.running,
 			PrefillTime:  m.prefillTime,
 		})
 	}
 	return buffer
 }
 
-func (m *member) load() (queuedTokens, running int) {
-	queuedTokens = m.queuedTokens
-	for _, a := range m.assigned {
-		queuedTokens += a.tokens
-	}
-	return queuedTokens, m.running + len(m.assigned)
-}
-
 // cachedTokens returns for each member the length of the deepest level held.
 func (s *Shard) cachedTokens(chain comfreyworks.Chain, now time.Time) []int32 {
 	cached := make([]int32, len(s.members))
@@ -286,7 +293,9 @@
 	}
 	now := s.clock.Now()
 	m := s.members[index]
-	m.assigned = append(m.assigned, assignment{at: now, tokens: uncachedTokens})
+	cost := time.Duration(uncachedTokens) * m.prefillTime
+	m.recent = append(dropBefore(m.recent, now.Add(-assignmentDelay)), assignment{at: now, cost: cost})
+	m.take(now, cost)
 	until := now.Add(expectationLife).UnixNano()
 	for _, l := range chain {
 		entry := s.levels[l.Hash]
--- a/internal/state/directory/directory_test.go
+++ b/internal/state/directory/directory_test.go
@@ -12,6 +12,8 @@
 	"comfreyworks"
 )
 
+const prefillTime = 40 * time.Microsecond
+
 const (
 	replicaA = comfreyworks.InstanceID("lm/0")
 	replicaB = comfreyworks.InstanceID("lm/1")
@@ -26,7 +28,7 @@
 func full(id comfreyworks.InstanceID, changes ...comfreyworks.LevelChange) comfreyworks.DirectoryReport {
 	return comfreyworks.DirectoryReport{
 		Instance: id, Incarnation: 1, Weights: "v1", Sequence: 1, Full: true, Changes: changes,
-		PrefillTime: 40 * time.Microsecond,
+		PrefillTime: prefillTime,
 	}
 }
 
@@ -103,26 +105,38 @@
 	s := New(clock)
 	s.Report(full(replicaA))
 	s.Assign(replicaA, testChain, 2100)
+	expectWait := func(t *testing.T, expected time.Duration) {
+		t.Helper()
+		assert.Equal(t, s.Candidates(testChain, nil)[0].Wait, expected)
+	}
 	t.Run("assigned work counts as queued and its prefix as held", func(t *testing.T) {
-		candidate := s.Candidates(testChain, nil)[0]
-		assert.Equal(t, candidate.QueuedTokens, 2100)
-		assert.Equal(t, candidate.CachedTokens, 2100)
+		expectWait(t, 2100*prefillTime)
+		expectCached(t, s, replicaA, 2100)
 	})
-	t.Run("a later report replaces the assigned work", func(t *testing.T) {
-		clock.Advance(2 * assignmentDelay)
+	t.Run("a report that cannot contain the work yet does not hide it", func(t *testing.T) {
 		next := full(replicaA)
 		next.Full = false
 		next.Sequence = 2
+		s.Report(next)
+		expectWait(t, 2100*prefillTime)
+	})
+	t.Run("the queue drains between reports", func(t *testing.T) {
+		clock.Advance(2 * assignmentDelay)
+		expectWait(t, 2100*prefillTime-2*assignmentDelay)
+	})
+	t.Run("a later report replaces the estimate", func(t *testing.T) {
+		next := full(replicaA)
+		next.Full = false
+		next.Sequence = 3
 		next.QueuedTokens = 1500
 		s.Report(next)
-		candidate := s.Candidates(testChain, nil)[0]
-		assert.Equal(t, candidate.QueuedTokens, 1500)
+		expectWait(t, 1500*prefillTime)
 	})
 	t.Run("an expectation that nothing confirms runs out", func(t *testing.T) {
 		clock.Advance(expectationLife)
 		next := full(replicaA)
 		next.Full = false
-		next.Sequence = 3
+		next.Sequence = 4
 		s.Report(next)
 		expectCached(t, s, replicaA, 0)
 		assert.Equal(t, s.Sweep(), 0)
--- a/internal/transport/admin/admin.go
+++ b/internal/transport/admin/admin.go
@@ -8,9 +8,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -32,9 +34,37 @@
 // headerTimeout bounds the reading of a request's header.
 const headerTimeout = 5 * time.Second
 
+// revisionPath is where the configuration in force is shown.
+const revisionPath = "/revision"
+
+// revisionPage is the body of that page.
+type revisionPage struct {
+	Revision comfreyworks.Revision `json:"revision"`
+}
+
+// AskRevision asks another process for its configuration in force.
+func AskRevision(ctx context.Context, address netip.AddrPort) (comfreyworks.Revision, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+revisionPath, nil)
+	if err != nil {
+		return 0, &Error{Op: "ask", Kind: KindServe, Err: err}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, &Error{Op: "ask", Kind: KindServe, Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var page revisionPage
+	if err := json.NewDecoder(resp.Body).Decode(&page); err != nil {
+		return 0, &Error{Op: "ask", Kind: KindServe, Err: err}
+	}
+	return page.Revision, nil
+}
+
 // Options configures the pages.
 type Options struct {
 	Meter *meter.Meter
+	// Revision returns the configuration in force.
+	Revision func() comfreyworks.Revision
 	// Ready returns why the process should get no new work, or nothing.
 	Ready  func() string
 	Logger *zap.Logger
@@ -52,6 +82,10 @@
 		}
 		_, _ = w.Write([]byte("ready\n"))
 	}).Methods(http.MethodGet)
+	router.HandleFunc(revisionPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(revisionPage{Revision: options.Revision()})
+	}).Methods(http.MethodGet)
 	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		if err := options.Meter.Write(w); err != nil {
--- /dev/null
+++ b/internal/transport/control/configure_test.go
@@ -0,0 +1,122 @@
+package control_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"comfreyworks/examples"
+	"comfreyworks/internal/bench/rig"
+	"comfreyworks/internal/state/settings"
+	"comfreyworks/internal/transport/control"
+	"comfreyworks/internal/transport/program"
+)
+
+// fixture is a small running system and an operator in front of it.
+type fixture struct {
+	rig    *rig.Rig
+	dir    string
+	secret string
+}
+
+func newFixture(t *testing.T) fixture {
+	t.Helper()
+	deployment, err := settings.ReadDeployment("piedmont.jsonc", examples.Piedmont)
+	assert.NilError(t, err)
+	for i := range deployment.Pools {
+		deployment.Pools[i].Replicas = 2
+	}
+	r, err := rig.Start(context.Background(), rig.Options{
+		Deployment: deployment, Entries: 2, Clock: clockwork.NewRealClock(), Seed: 1,
+	})
+	assert.NilError(t, err)
+	t.Cleanup(r.Stop)
+	f := fixture{rig: r, dir: t.TempDir()}
+	f.secret = f.write(t, "secret", r.PeerSecret())
+	return f
+}
+
+func (f fixture) write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(f.dir, name)
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// file writes the example with another deadline and without one workspace.
+func (f fixture) file(t *testing.T, deadline string) string {
+	t.Helper()
+	text := strings.Replace(string(examples.Piedmont), `"deadline": "60s"`, `"deadline": "`+deadline+`"`, 1)
+	text = strings.Replace(text, `{"name": "albany"`, `// {"name": "albany"`, 1)
+	return f.write(t, "piedmont-"+deadline+".jsonc", text)
+}
+
+// expect runs a command and checks its exit code and a part of what it prints.
+func (f fixture) expect(t *testing.T, code program.ExitCode, part string, args ...string) {
+	t.Helper()
+	args = append(args, "--platform", f.rig.Platform().String(), "--peer-secret-file", f.secret)
+	var out bytes.Buffer
+	assert.Equal(t, control.Main(args, &out, &out), code, out.String())
+	assert.Assert(t, strings.Contains(out.String(), part), out.String())
+}
+
+func (f fixture) modelsStatus(t *testing.T, entry int, key string) int {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, f.rig.EntryURL(entry)+"/v1/models", nil)
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	return resp.StatusCode
+}
+
+func TestConfigure(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, f.modelsStatus(t, 0, "key-albany"), http.StatusOK)
+	t.Run("apply is in force everywhere", func(t *testing.T) {
+		f.expect(t, program.ExitOK, "in force on 6 of 6 instances", "apply", f.file(t, "50s"), "--author", "ann", "--wait")
+		for entry := range 2 {
+			assert.Equal(t, f.modelsStatus(t, entry, "key-albany"), http.StatusUnauthorized)
+			assert.Equal(t, f.modelsStatus(t, entry, "key-office"), http.StatusOK)
+		}
+		f.expect(t, program.ExitOK, "lm-pool/1", "status")
+	})
+	t.Run("diff shows the change", func(t *testing.T) {
+		f.expect(t, program.ExitOK, `"40s"`, "diff", f.file(t, "40s"))
+		f.expect(t, program.ExitOK, "no difference", "diff", f.file(t, "50s"))
+	})
+	t.Run("a file for an older revision is a conflict that names the winner", func(t *testing.T) {
+		f.expect(t, control.ExitConflict, "revision 1 by ann", "apply", f.file(t, "30s"), "--author", "bob", "--base", "0")
+	})
+	t.Run("a wrong file is not applied", func(t *testing.T) {
+		f.expect(t, program.ExitSettings, `found "soon"`, "apply", f.file(t, "soon"), "--author", "bob")
+		f.expect(t, program.ExitOK, "no difference", "diff", f.file(t, "50s"))
+	})
+	t.Run("a lost answer of the log is looked up", func(t *testing.T) {
+		f.rig.Log().LoseAnswers(1)
+		f.expect(t, program.ExitOK, "revision 2 accepted", "apply", f.file(t, "20s"), "--author", "ann", "--wait")
+	})
+	t.Run("rollback is a new revision", func(t *testing.T) {
+		f.expect(t, program.ExitOK, "revision 3 accepted", "rollback", "1", "--author", "ann", "--wait")
+		f.expect(t, program.ExitOK, "back to revision 1", "history")
+	})
+	t.Run("a replaced entry has the newest revision with the log down", func(t *testing.T) {
+		f.rig.Log().SetOutage(true)
+		defer f.rig.Log().SetOutage(false)
+		assert.NilError(t, f.rig.RestartEntries("entry/0"))
+		for f.modelsStatus(t, 0, "key-office") != http.StatusOK {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, f.modelsStatus(t, 0, "key-albany"), http.StatusUnauthorized)
+		f.expect(t, program.ExitFailure, "read the log", "history")
+	})
+}
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -4,36 +4,84 @@
 //
 //	os.Exit(control.Main(os.Args[1:], os.Stdout, os.Stderr))
 //
-// Exit codes are those of package program.
+// Exit codes are those of package program; a conflict with another operator
+// ends with ExitConflict.
 package control
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
+	"comfreyworks"
 	"comfreyworks/internal/state/settings"
 	"comfreyworks/internal/transport/program"
 )
 
+// ExitConflict means that another operator's change came first.
+const ExitConflict program.ExitCode = 5
+
 // commands are the subcommands and the options before them.
 type commands struct {
 	Version  func()          `long:"version" description:"print the version and exit"`
 	Validate validateCommand `command:"validate" description:"check deployment files and print every mistake"`
+	Diff     diffCommand     `command:"diff" description:"show what applying a file would change"`
+	Apply    applyCommand    `command:"apply" description:"make a file the configuration in force, as a whole"`
+	Status   statusCommand   `command:"status" description:"show which revision every instance has in force"`
+	History  historyCommand  `command:"history" description:"list the revisions and the records that made none"`
+	Rollback rollbackCommand `command:"rollback" description:"make an older revision's content the next revision"`
+}
+
+// fileArgument is the file of a command.
+type fileArgument struct {
+	File string `positional-arg-name:"FILE" required:"yes"`
+}
+
+// waiting are the options of commands that change the configuration.
+type waiting struct {
+	Author  string        `long:"author" description:"who makes the change" required:"yes"`
+	Wait    bool          `long:"wait" description:"return when every live instance has it in force"`
+	Timeout time.Duration `long:"timeout" default:"30s" description:"how long --wait waits"`
 }
 
-// validateCommand checks deployment files.
 type validateCommand struct {
 	Args struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes"`
 }
 
+type diffCommand struct {
+	connection
+	Args fileArgument `positional-args:"yes"`
+}
+
+type applyCommand struct {
+	connection
+	waiting
+	Base    *uint64      `long:"base" description:"revision that the file was made for; a newer one is a conflict"`
+	Message string       `long:"message" description:"why the change is made"`
+	Args    fileArgument `positional-args:"yes"`
+}
+
+type statusCommand struct{ connection }
+
+type historyCommand struct{ connection }
+
+type rollbackCommand struct {
+	connection
+	waiting
+	Args struct {
+		Revision uint64 `positional-arg-name:"REVISION" required:"yes"`
+	} `positional-args:"yes"`
+}
+
 // Main runs one command and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) program.ExitCode {
-	code := program.ExitOK
 	versionShown := false
 	var c commands
 	c.Version = func() {
@@ -50,36 +98,104 @@
 	switch {
 	case flags.WroteHelp(err):
 		_, _ = fmt.Fprintln(stdout, err)
+		return program.ExitOK
 	case err != nil:
 		_, _ = fmt.Fprintln(stderr, err)
 		return program.ExitUsage
+	case versionShown:
+		return program.ExitOK
 	case parser.Active == nil && len(rest) > 0:
 		_, _ = fmt.Fprintf(stderr, "unknown command %q\n", rest[0])
 		return program.ExitUsage
-	case versionShown:
 	case parser.Active == nil:
 		parser.WriteHelp(stderr)
 		return program.ExitUsage
+	}
+	return exitCode(c.run(parser.Active.Name, stdout), stderr)
+}
+
+func exitCode(err error, stderr io.Writer) program.ExitCode {
+	if err == nil {
+		return program.ExitOK
+	}
+	_, _ = fmt.Fprintln(stderr, err)
+	var problems settings.Problems
+	switch {
+	case errors.As(err, &problems), errors.Is(err, os.ErrNotExist):
+		return program.ExitSettings
+	case errors.Is(err, errConflict):
+		return ExitConflict
+	default:
+		return program.ExitFailure
+	}
+}
+
+func (c *commands) run(name string, stdout io.Writer) error {
+	ctx := context.Background()
+	switch name {
+	case "validate":
+		return validate(c.Validate.Args.Files, stdout)
+	case "diff":
+		return c.Diff.do(ctx, stdout, func(o *operator) error { return o.diff(c.Diff.Args.File) })
+	case "apply":
+		return c.Apply.do(ctx, stdout, c.Apply.execute)
+	case "status":
+		return c.Status.do(ctx, stdout, (*operator).status)
+	case "history":
+		return c.History.do(ctx, stdout, (*operator).history)
 	default:
-		code = validate(c.Validate.Args.Files, stdout, stderr)
+		return c.Rollback.do(ctx, stdout, c.Rollback.execute)
+	}
+}
+
+// do opens the connection for one command.
+func (c *connection) do(ctx context.Context, stdout io.Writer, command func(*operator) error) error {
+	o, err := c.open(ctx, stdout)
+	if err != nil {
+		return err
+	}
+	defer o.peers.Close()
+	return command(o)
+}
+
+func (c *applyCommand) execute(o *operator) error {
+	next, err := readFile(c.Args.File)
+	if err != nil {
+		return err
+	}
+	var base *comfreyworks.Revision
+	if c.Base != nil {
+		base = new(comfreyworks.Revision(*c.Base))
+	}
+	number, err := o.apply(next, base, c.Author, c.Message)
+	return c.finish(o, number, err)
+}
+
+func (c *rollbackCommand) execute(o *operator) error {
+	number, err := o.rollback(comfreyworks.Revision(c.Args.Revision), c.Author)
+	return c.finish(o, number, err)
+}
+
+func (w *waiting) finish(o *operator, number comfreyworks.Revision, err error) error {
+	if err != nil || !w.Wait {
+		return err
 	}
-	return code
+	return o.wait(number, w.Timeout)
 }
 
 // validate checks every file, so that one run shows every mistake.
-func validate(files []string, stdout, stderr io.Writer) program.ExitCode {
-	code := program.ExitOK
+func validate(files []string, stdout io.Writer) error {
+	var all []error
 	for _, file := range files {
 		source, err := os.ReadFile(file)
 		if err == nil {
 			_, err = settings.ReadDeployment(file, source)
 		}
 		if err != nil {
-			code = program.ExitSettings
-			_, _ = fmt.Fprintln(stderr, err)
+			all = append(all, err)
 			continue
 		}
 		_, _ = fmt.Fprintf(stdout, "%s: settings are good\n", file)
 	}
-	return code
+	return errors.Join(all...)
 }
--- a/internal/transport/entry/caller.go
+++ b/internal/transport/entry/caller.go
@@ -68,7 +68,7 @@
 			writeProblem(w, problemKey("expected a header Authorization: Bearer KEY"))
 			return
 		}
-		workspace := e.keys.find(key)
+		workspace := e.keys.Load().find(key)
 		if workspace == nil {
 			writeProblem(w, problemKey("the key belongs to no workspace"))
 			return
@@ -81,6 +81,12 @@
 			writeProblem(w, problemClass(name, workspace.Classes))
 			return
 		}
-		next(w, r, caller{workspace: workspace.Name, class: e.options.Deployment.Class(name)})
+		// The class may just have been taken out of the configuration.
+		class := e.deployment().Class(name)
+		if class == nil {
+			writeProblem(w, problemClass(name, workspace.Classes))
+			return
+		}
+		next(w, r, caller{workspace: workspace.Name, class: class})
 	}
 }
--- a/internal/transport/entry/completions.go
+++ b/internal/transport/entry/completions.go
@@ -20,8 +20,8 @@
 
 func (e *Entry) serveModels(w http.ResponseWriter, _ *http.Request, _ caller) {
 	list := completion.ModelList{Object: "list"}
-	for _, model := range e.options.Deployment.Models {
-		list.Data = append(list.Data, completion.Model{ID: model.Name, Object: "model", OwnedBy: e.options.Deployment.Name})
+	for _, model := range e.deployment().Models {
+		list.Data = append(list.Data, completion.Model{ID: model.Name, Object: "model", OwnedBy: e.deployment().Name})
 	}
 	writeJSON(w, http.StatusOK, list)
 }
@@ -45,7 +45,7 @@
 		writeProblem(w, parseProblem(err))
 		return
 	}
-	model := e.options.Deployment.Model(call.Model)
+	model := e.deployment().Model(call.Model)
 	if model == nil {
 		writeProblem(w, problemModel(call.Model))
 		return
@@ -68,7 +68,7 @@
 // still reads, to notice that the caller leaves, and would take the passing of
 // the limit for just that.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	limit := int64(e.options.Deployment.Callers.MaxBody)
+	limit := int64(e.deployment().Callers.MaxBody)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -106,7 +106,7 @@
 	return dispatch.Job{
 		Workspace: c.workspace,
 		Class:     c.class.Name,
-		Pool:      e.options.Deployment.PoolOf(model.Name),
+		Pool:      e.deployment().PoolOf(model.Name),
 		Chain:     prefix.Compute(seed, call.Parts, model.BytesPerToken),
 		Deadline:  start.Add(c.class.Deadline),
 		Request: comfreyworks.GenerateRequest{
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -27,11 +27,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"comfreyworks"
+	"comfreyworks/internal/coordination/configuration"
 	"comfreyworks/internal/coordination/dispatch"
 	"comfreyworks/internal/coordination/membership"
 	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/protocol/platform"
 	"comfreyworks/internal/state/meter"
+	"comfreyworks/internal/state/revision"
 	"comfreyworks/internal/state/settings"
 	"comfreyworks/internal/transport/admin"
 )
@@ -67,7 +69,8 @@
 	clients    *peer.Clients
 	view       *membership.View
 	dispatcher *dispatch.Dispatcher
-	keys       *keyring
+	config     *configuration.Follower
+	keys       atomic.Pointer[keyring]
 	leaving    atomic.Bool
 	// stop ends when the entry stops serving; kill ends it at once.
 	stop context.Context
@@ -76,11 +79,24 @@
 
 // New returns an entry that does nothing until Run is called.
 func New(options Options) *Entry {
-	e := &Entry{options: options, keys: newKeyring(options.Deployment.Workspaces)}
+	e := &Entry{options: options}
+	e.keys.Store(newKeyring(options.Deployment.Workspaces))
 	e.stop, e.kill = context.WithCancel(context.Background())
 	e.clients = peer.NewClients(peer.ClientOptions{Secret: options.Instance.PeerSecret, Clock: options.Clock})
 	client := platform.NewClient(options.Instance.Platform, options.HTTP)
 	e.view = membership.New(membership.Options{List: client, Clock: options.Clock, Logger: options.Logger})
+	e.config = configuration.New(configuration.Options{
+		Instance: options.Instance.ID,
+		Initial:  revision.FromDeployment(options.Deployment),
+		Log:      client,
+		Clock:    options.Clock,
+		Logger:   options.Logger,
+		Peers:    e.view.All,
+		Peer:     func(i comfreyworks.Instance) comfreyworks.ConfigPeer { return e.clients.To(i.Address) },
+		Changed: func(document *revision.Document) {
+			e.keys.Store(newKeyring(document.Deployment().Workspaces))
+		},
+	})
 	e.dispatcher = dispatch.New(dispatch.Options{
 		View:   e.view,
 		Gates:  e.clients,
@@ -96,9 +112,11 @@
 func (e *Entry) Run(ctx context.Context, listener net.Listener) error {
 	defer e.kill()
 	e.view.Refresh(ctx)
+	e.config.Bootstrap(ctx)
 	server := e.server(e.stop)
 	group, work := errgroup.WithContext(e.stop)
 	group.Go(func() error { return e.view.Run(work) })
+	group.Go(func() error { return e.config.Run(work) })
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return &Error{Op: "run", Kind: KindServe, Err: err}
@@ -121,7 +139,7 @@
 }
 
 func (e *Entry) server(ctx context.Context) *http.Server {
-	callers := e.options.Deployment.Callers
+	callers := e.deployment().Callers
 	return &http.Server{
 		Handler:           e.Handler(),
 		ReadHeaderTimeout: callers.HeaderTimeout,
@@ -133,13 +151,18 @@
 	}
 }
 
+func (e *Entry) revision() comfreyworks.Revision { return e.config.Current().Number() }
+
+// deployment returns the settings in force.
+func (e *Entry) deployment() *settings.Deployment { return e.config.Current().Deployment() }
+
 // Kill stops the entry at once, as a crash would.
 func (e *Entry) Kill() { e.kill() }
 
 // drain turns readiness off, gives the balancer time to notice and waits for
 // open requests within the stop grace.
 func (e *Entry) drain(ctx context.Context, server *http.Server) error {
-	callers := e.options.Deployment.Callers
+	callers := e.deployment().Callers
 	e.leaving.Store(true)
 	e.options.Logger.Info("leaving")
 	e.options.Clock.Sleep(callers.StopNotice)
@@ -163,7 +186,9 @@
 	router.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writeProblem(w, problemMethod(r.Method, r.URL.Path))
 	})
-	admin.Register(router, admin.Options{Meter: e.options.Meter, Ready: e.notReady, Logger: e.options.Logger})
+	admin.Register(router, admin.Options{
+		Meter: e.options.Meter, Revision: e.revision, Ready: e.notReady, Logger: e.options.Logger,
+	})
 	router.HandleFunc("/v1/models", e.withCaller(e.serveModels)).Methods(http.MethodGet)
 	router.HandleFunc("/v1/chat/completions", e.withCaller(e.serveChat)).Methods(http.MethodPost)
 	router.HandleFunc("/v1/completions", e.withCaller(e.serveText)).Methods(http.MethodPost)
--- a/internal/transport/entry/service.go
+++ b/internal/transport/entry/service.go
@@ -14,7 +14,7 @@
 
 // serveService passes a call on to a plain service and says whether it ran.
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request, c caller) {
-	pool := e.options.Deployment.Pool(comfreyworks.Pool(mux.Vars(r)["pool"]))
+	pool := e.deployment().Pool(comfreyworks.Pool(mux.Vars(r)["pool"]))
 	if pool == nil || pool.Kind != settings.PoolService {
 		writeProblem(w, problemPool(mux.Vars(r)["pool"]))
 		return
--- a/internal/transport/entry/writer.go
+++ b/internal/transport/entry/writer.go
@@ -29,7 +29,7 @@
 // withBounds gives every answer a boundedWriter.
 func (e *Entry) withBounds(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		bounded := &boundedWriter{ResponseWriter: w, timeout: e.options.Deployment.Callers.WriteTimeout}
+		bounded := &boundedWriter{ResponseWriter: w, timeout: e.deployment().Callers.WriteTimeout}
 		next.ServeHTTP(bounded, r)
 	})
 }
--- a/internal/transport/sidecar/receiver.go
+++ b/internal/transport/sidecar/receiver.go
@@ -26,6 +26,10 @@
 	if r.sidecar.streams == nil {
 		return errNoEngine
 	}
+	if r.sidecar.starting.Load() {
+		reply.Refusal = &comfreyworks.Refusal{Reason: comfreyworks.RefusedStarting}
+		return nil
+	}
 	reply.Refusal = r.sidecar.streams.Start(args.Work)
 	return nil
 }
@@ -56,6 +60,10 @@
 	if r.sidecar.calls == nil {
 		return errNoService
 	}
+	if r.sidecar.starting.Load() {
+		*reply = refused(comfreyworks.RefusedStarting, "")
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(r.sidecar.stop, work.Remaining)
 	defer cancel()
 	*reply = r.sidecar.calls.do(ctx, work)
@@ -64,7 +72,7 @@
 
 // Place chooses an upstream from this sidecar's directory shard.
 func (r *receiver) Place(request comfreyworks.PlaceRequest, reply *comfreyworks.Placement) error {
-	if request.Pool != r.sidecar.pool.Name || len(request.Chain) > comfreyworks.MaxLevels {
+	if request.Pool != r.sidecar.pool().Name || len(request.Chain) > comfreyworks.MaxLevels {
 		return errors.New("bad placement request")
 	}
 	*reply = r.sidecar.chooser.Choose(request.Chain, request.Exclude)
@@ -73,9 +81,15 @@
 
 // Report takes another sidecar's report.
 func (r *receiver) Report(args peer.ReportArgs, reply *peer.ReportReply) error {
-	if args.Pool != r.sidecar.pool.Name {
+	if args.Pool != r.sidecar.pool().Name {
 		return errors.New("report for another pool")
 	}
 	reply.NeedFull = r.sidecar.shard.Report(args.Report)
 	return nil
 }
+
+// Pull answers with the configuration that changed after a revision.
+func (r *receiver) Pull(args peer.PullArgs, reply *comfreyworks.ConfigUpdate) error {
+	*reply = r.sidecar.config.Pull(args.Since)
+	return nil
+}
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -28,6 +28,7 @@
 	"comfreyworks"
 	"comfreyworks/internal/coordination/admission"
 	"comfreyworks/internal/coordination/claim"
+	"comfreyworks/internal/coordination/configuration"
 	"comfreyworks/internal/coordination/generation"
 	"comfreyworks/internal/coordination/membership"
 	"comfreyworks/internal/coordination/placement"
@@ -37,6 +38,7 @@
 	"comfreyworks/internal/protocol/upstream"
 	"comfreyworks/internal/state/directory"
 	"comfreyworks/internal/state/meter"
+	"comfreyworks/internal/state/revision"
 	"comfreyworks/internal/state/settings"
 	"comfreyworks/internal/transport/admin"
 )
@@ -72,18 +74,22 @@
 // Sidecar is one process beside an upstream.
 type Sidecar struct {
 	options Options
-	pool    *settings.Pool
-	server  *peer.Server
-	clients *peer.Clients
-	view    *membership.View
-	shard   *directory.Shard
-	chooser *placement.Chooser
+	// declared is the pool as the configuration in force declares it.
+	declared atomic.Pointer[settings.Pool]
+	config   *configuration.Follower
+	server   *peer.Server
+	clients  *peer.Clients
+	view     *membership.View
+	shard    *directory.Shard
+	chooser  *placement.Chooser
 	// tracker and streams are nil beside a plain service, executor and calls
 	// beside an engine.
 	tracker  *tracker.Tracker
+	queue    *admission.Queue
 	streams  *generation.Manager
 	executor *claim.Executor
 	calls    *calls
+	starting atomic.Bool
 	leaving  atomic.Bool
 	// stop ends when the sidecar stops serving; kill ends it at once.
 	stop context.Context
@@ -101,11 +107,13 @@
 	if err != nil {
 		return nil, &Error{Op: "new", Kind: KindSettings, Err: err}
 	}
-	s := &Sidecar{options: options, pool: pool, shard: directory.New(options.Clock)}
+	s := &Sidecar{options: options, shard: directory.New(options.Clock)}
+	s.declared.Store(pool)
 	s.chooser = placement.NewChooser(s.shard, placer)
 	s.clients = peer.NewClients(peer.ClientOptions{Secret: options.Instance.PeerSecret, Clock: options.Clock})
 	client := platform.NewClient(options.Instance.Platform, options.HTTP)
 	s.view = membership.New(membership.Options{List: client, Clock: options.Clock, Logger: options.Logger})
+	s.setUpConfiguration(client)
 	switch pool.Kind {
 	case settings.PoolEngine:
 		s.setUpEngine()
@@ -120,6 +128,39 @@
 	return s, nil
 }
 
+// pool returns the sidecar's pool as the configuration in force declares it.
+func (s *Sidecar) pool() *settings.Pool { return s.declared.Load() }
+
+func (s *Sidecar) setUpConfiguration(log comfreyworks.Log) {
+	s.config = configuration.New(configuration.Options{
+		Instance: s.options.Instance.ID,
+		Initial:  revision.FromDeployment(s.options.Deployment),
+		Log:      log,
+		Clock:    s.options.Clock,
+		Logger:   s.options.Logger,
+		Peers:    s.view.All,
+		Peer:     func(i comfreyworks.Instance) comfreyworks.ConfigPeer { return s.clients.To(i.Address) },
+		Changed:  s.reconfigure,
+	})
+}
+
+// reconfigure takes a new configuration over into what runs. A pool that is no
+// longer declared goes on as it was: its upstreams are still there.
+func (s *Sidecar) reconfigure(document *revision.Document) {
+	pool := document.Deployment().Pool(s.pool().Name)
+	if pool == nil {
+		s.options.Logger.Warn("the pool is no longer declared")
+		return
+	}
+	s.declared.Store(pool)
+	if placer, err := placement.New(pool.Placement); err == nil {
+		s.chooser.SetPlacer(placer)
+	}
+	if s.queue != nil {
+		s.queue.SetConcurrency(pool.Concurrency)
+	}
+}
+
 func (s *Sidecar) setUpEngine() {
 	engine := upstream.NewEngine(s.options.Instance.Upstream, s.options.HTTP)
 	s.tracker = tracker.New(tracker.Options{
@@ -127,16 +168,16 @@
 		Engine:      engine,
 		Clock:       s.options.Clock,
 		Logger:      s.options.Logger,
-		PrefillTime: s.pool.PrefillTime(),
+		PrefillTime: s.pool().PrefillTime(),
 		Ring:        s.ring,
 		Shard:       s.shardAt,
 	})
-	queue := admission.New(admission.Options{Clock: s.options.Clock, Concurrency: s.pool.Concurrency})
+	s.queue = admission.New(admission.Options{Clock: s.options.Clock, Concurrency: s.pool().Concurrency})
 	s.streams = generation.New(generation.Options{
 		Engine:  engine,
 		Clock:   s.options.Clock,
 		Tracker: s.tracker,
-		Queue:   queue,
+		Queue:   s.queue,
 		Limits:  s.limits,
 	})
 }
@@ -148,14 +189,14 @@
 		Service: service,
 		Clock:   s.options.Clock,
 		Logger:  s.options.Logger,
-		Stream:  "claims/" + string(s.pool.Name),
-		Window:  s.pool.IdempotencyWindow,
+		Stream:  "claims/" + string(s.pool().Name),
+		Window:  s.pool().IdempotencyWindow,
 	})
 	s.calls = newCalls(service, s.executor)
 }
 
 func (s *Sidecar) limits(name comfreyworks.Class) admission.Request {
-	class := s.options.Deployment.Class(name)
+	class := s.config.Current().Deployment().Class(name)
 	if class == nil {
 		return admission.Request{Class: name}
 	}
@@ -167,7 +208,11 @@
 	defer s.kill()
 	s.view.Refresh(ctx)
 	group, work := errgroup.WithContext(s.stop)
+	s.starting.Store(true)
 	group.Go(func() error { return s.server.Serve(work, listener) })
+	s.config.Bootstrap(ctx)
+	s.starting.Store(false)
+	group.Go(func() error { return s.config.Run(work) })
 	group.Go(func() error { return s.view.Run(work) })
 	group.Go(func() error { return s.sweep(work) })
 	if s.streams != nil {
@@ -178,7 +223,9 @@
 		group.Go(func() error { return s.executor.Run(work) })
 	}
 	if s.options.Admin != nil {
-		pages := admin.Options{Meter: s.options.Meter, Ready: s.notReady, Logger: s.options.Logger}
+		pages := admin.Options{
+			Meter: s.options.Meter, Revision: s.revision, Ready: s.notReady, Logger: s.options.Logger,
+		}
 		group.Go(func() error { return admin.Serve(work, s.options.Admin, pages) })
 	}
 	s.options.Logger.Info("serving", zap.Stringer("address", listener.Addr()))
@@ -199,11 +246,15 @@
 	return nil
 }
 
+func (s *Sidecar) revision() comfreyworks.Revision { return s.config.Current().Number() }
+
 // notReady returns why the sidecar takes no new work, or nothing.
 func (s *Sidecar) notReady() string {
 	switch {
 	case s.leaving.Load():
 		return "leaving"
+	case s.starting.Load():
+		return "starting"
 	case s.tracker != nil && s.tracker.Down():
 		return "upstream does not answer"
 	case s.executor != nil && !s.executor.Ready():
@@ -220,7 +271,7 @@
 func (s *Sidecar) drain(ctx context.Context) {
 	s.leaving.Store(true)
 	s.options.Logger.Info("leaving")
-	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.options.Deployment.Callers.StopGrace)
+	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.config.Current().Deployment().Callers.StopGrace)
 	defer cancel()
 	var err error
 	if s.streams != nil {
@@ -245,14 +296,14 @@
 
 // ring returns the pool's directory as the list shows it now.
 func (s *Sidecar) ring() *directory.Ring {
-	return s.view.Ring(s.pool.Name, s.pool.DirectoryShards)
+	return s.view.Ring(s.pool().Name, s.pool().DirectoryShards)
 }
 
 func (s *Sidecar) shardAt(owner comfreyworks.Instance) comfreyworks.DirectoryShard {
 	if owner.ID == s.options.Instance.ID {
 		return localShard{s.shard}
 	}
-	return remoteShard{client: s.clients.To(owner.Address), pool: s.pool.Name}
+	return remoteShard{client: s.clients.To(owner.Address), pool: s.pool().Name}
 }
 
 // localShard is the directory shard in this process.
--- a/names.go
+++ b/names.go
@@ -25,3 +25,7 @@
 	// StreamID identifies one attempt to generate the answer to a request.
 	StreamID string
 )
+
+// Revision numbers the accepted configurations; it only grows. Zero is the file
+// that an instance was started with.
+type Revision uint64
--- a/placement.go
+++ b/placement.go
@@ -21,8 +21,8 @@
 	Score uint64
 	// CachedTokens is how many of the prompt's tokens the upstream holds.
 	CachedTokens int
-	// QueuedTokens is the prefill work ahead of the request, in tokens.
-	QueuedTokens int
+	// Wait is how long the prefill work ahead of the request takes.
+	Wait time.Duration
 	// Running is the number of requests at the upstream.
 	Running int
 	// PrefillTime is the time to compute one prompt token.
--- a/work.go
+++ b/work.go
@@ -20,6 +20,8 @@
 const (
 	// RefusedLeaving means that the sidecar is being stopped.
 	RefusedLeaving RefusalReason = "leaving"
+	// RefusedStarting means that the sidecar is not ready yet.
+	RefusedStarting RefusalReason = "starting"
 	// RefusedBusy means that the queue of the request's class is full.
 	RefusedBusy RefusalReason = "busy"
 	// RefusedWeights means that the upstream serves other weights.
