Let a caller go on with its stream at any entry

Cause: a caller whose entry was lost had to ask again from the start, though the stream was still running beside the engine.

Change: event identifiers name the request, the stream, its start and the tokens sent; a caller that sends Last-Event-ID with the same body goes on from there. The request's identifier carries a proof for its workspace that every entry can check, so entries remember nothing. If the stream is still there it is read on, else the rest is generated behind the tokens sent.

Figures: an entry killed after 10 of 80 tokens, and a caller that hung up after 10: both answers byte-equal after the reconnect at the other entry. A foreign workspace and 3 forged identifiers: refused, nothing run.

Conclusion: no entry is needed to finish what it began.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	d := dispatch.New(dispatch.Options{View: view, Gates: clients, Clock: clock, Logger: logger})
-//	result, err := d.Generate(ctx, job, func(frames []string) error { ... })
+//	result, err := d.Generate(ctx, job, func(delivery dispatch.Delivery) error { ... })
 //	outcome, err := d.Call(ctx, pool, work)
 //
 // Generate fails with KindRefused when nothing was delivered and nothing more
@@ -104,6 +104,8 @@
 	Request   comfreyworks.GenerateRequest
 	Chain     comfreyworks.Chain
 	Deadline  time.Time
+	// Resume is nil for a new request.
+	Resume *Resume
 }
 
 // Result sums up a complete answer.
@@ -111,7 +113,6 @@
 	Usage     comfreyworks.Usage
 	QueueWait time.Duration
 	Attempts  int
-	Instance  comfreyworks.InstanceID
 	// ExpectedTokens is how many of the prompt's tokens the directory expected
 	// the upstream to hold.
 	ExpectedTokens int
@@ -120,22 +121,28 @@
 // attemptState is what is carried from one attempt to the next.
 type attemptState struct {
 	job       Job
-	emit      func(frames []string) error
+	emit      func(Delivery) error
 	delivered int
-	excluded  []comfreyworks.InstanceID
-	refusal   comfreyworks.Refusal
-	result    Result
+	// firstAttempt is the number of the last stream before this dispatch.
+	firstAttempt int
+	place        Place
+	excluded     []comfreyworks.InstanceID
+	refusal      comfreyworks.Refusal
+	result       Result
 	// finished means that err is final.
 	finished bool
 }
 
 // Generate carries one request.
-func (d *Dispatcher) Generate(ctx context.Context, job Job, emit func(frames []string) error) (Result, error) {
+func (d *Dispatcher) Generate(ctx context.Context, job Job, emit func(Delivery) error) (Result, error) {
 	state := &attemptState{
 		job:     job,
 		emit:    emit,
 		refusal: comfreyworks.Refusal{Reason: comfreyworks.RefusedDown, RetryAfter: defaultRetryAfter},
 	}
+	if err := d.begin(ctx, state); state.finished {
+		return state.result, err
+	}
 	pauses := d.newPauses()
 	for state.result.Attempts < maxAttempts {
 		instance, ok := d.choose(ctx, state)
@@ -242,15 +249,21 @@
 		return nil
 	}
 	d.options.View.Worked(instance.ID)
-	state.result.Instance = instance.ID
+	state.place.Instance = instance.ID
 	return d.relay(ctx, state, instance, work.Stream)
 }
 
+// streamID names the stream of the current attempt.
+func (s *attemptState) streamID() comfreyworks.StreamID {
+	return comfreyworks.StreamID(fmt.Sprintf("%s/%d", s.job.Request.ID, s.place.Attempt))
+}
+
 func (d *Dispatcher) work(state *attemptState) comfreyworks.Work {
+	state.place = Place{Attempt: state.firstAttempt + state.result.Attempts, Start: state.delivered}
 	request := state.job.Request
 	request.ResumeFrom = state.delivered
 	return comfreyworks.Work{
-		Stream:    comfreyworks.StreamID(fmt.Sprintf("%s/%d", request.ID, state.result.Attempts)),
+		Stream:    state.streamID(),
 		Workspace: state.job.Workspace,
 		Class:     state.job.Class,
 		Request:   request,
@@ -276,7 +289,7 @@
 // should go on.
 func (d *Dispatcher) relay(ctx context.Context, state *attemptState, instance comfreyworks.Instance, id comfreyworks.StreamID) error {
 	gate := d.options.Gates.Gate(instance)
-	from := 0
+	from := state.delivered - state.place.Start
 	failures := 0
 	for {
 		news, err := gate.Read(ctx, id, from, readWait)
@@ -312,7 +325,7 @@
 		return nil
 	}
 	s.delivered += len(frames)
-	return s.emit(frames)
+	return s.emit(Delivery{Frames: frames, Place: s.place})
 }
 
 func (d *Dispatcher) end(state *attemptState, end *comfreyworks.StreamEnd) error {
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -137,8 +137,8 @@
 func expectText(t *testing.T, gates fakeGates, text string) Result {
 	t.Helper()
 	var got []string
-	result, err := newDispatcher(gates).Generate(context.Background(), newJob(), func(frames []string) error {
-		got = append(got, frames...)
+	result, err := newDispatcher(gates).Generate(context.Background(), newJob(), func(delivery Delivery) error {
+		got = append(got, delivery.Frames...)
 		return nil
 	})
 	assert.NilError(t, err)
@@ -148,7 +148,7 @@
 
 func expectFailure(t *testing.T, gates fakeGates, kind Kind) error {
 	t.Helper()
-	_, err := newDispatcher(gates).Generate(context.Background(), newJob(), func([]string) error { return nil })
+	_, err := newDispatcher(gates).Generate(context.Background(), newJob(), func(Delivery) error { return nil })
 	var e *Error
 	assert.Assert(t, errors.As(err, &e), "got %v", err)
 	assert.Equal(t, e.Kind, kind, "%v", err)
@@ -218,7 +218,7 @@
 	t.Run("a caller that left frees the work", func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		gate := &fakeGate{reads: []readAnswer{news("a")}}
-		_, err := newDispatcher(fakeGates{gate}).Generate(ctx, newJob(), func([]string) error {
+		_, err := newDispatcher(fakeGates{gate}).Generate(ctx, newJob(), func(Delivery) error {
 			cancel()
 			return nil
 		})
@@ -227,7 +227,7 @@
 	})
 	t.Run("a caller that cannot be written to frees the work", func(t *testing.T) {
 		gate := &fakeGate{reads: []readAnswer{news("a")}}
-		_, err := newDispatcher(fakeGates{gate}).Generate(context.Background(), newJob(), func([]string) error { return errLost })
+		_, err := newDispatcher(fakeGates{gate}).Generate(context.Background(), newJob(), func(Delivery) error { return errLost })
 		assert.ErrorContains(t, err, string(KindStopped))
 		assert.Equal(t, gate.cancelled, 1)
 	})
--- a/internal/coordination/generation/generation.go
+++ b/internal/coordination/generation/generation.go
@@ -193,7 +193,8 @@
 	frames, end, err := g.buffer.Read(ctx, from)
 	queueWait := m.leave(g, end != nil)
 	if err != nil {
-		return comfreyworks.StreamNews{}, err
+		// Frames that were never written belong to another stream.
+		return comfreyworks.StreamNews{Unknown: true}, nil
 	}
 	return comfreyworks.StreamNews{Frames: frames, End: end, QueueWait: queueWait}, nil
 }
--- a/internal/transport/entry/answer.go
+++ b/internal/transport/entry/answer.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -31,15 +30,17 @@
 	start   time.Time
 
 	tokens  int
+	place   dispatch.Place
 	last    time.Time
 	text    strings.Builder
 	started bool
 }
 
 // emit takes the next tokens.
-func (a *answer) emit(frames []string) error {
-	a.measure(len(frames))
-	text := strings.Join(frames, "")
+func (a *answer) emit(delivery dispatch.Delivery) error {
+	a.measure(len(delivery.Frames))
+	a.place = delivery.Place
+	text := strings.Join(delivery.Frames, "")
 	if !a.call.Stream {
 		a.text.WriteString(text)
 		return nil
@@ -51,7 +52,7 @@
 func (a *answer) measure(tokens int) {
 	now := a.entry.options.Clock.Now()
 	m := a.entry.options.Meter
-	if a.tokens == 0 {
+	if a.last.IsZero() {
 		m.Observe("comfrey_ttft_seconds", a.caller.labels(), now.Sub(a.start))
 	} else {
 		m.Observe("comfrey_time_between_tokens_seconds", a.caller.labels(), now.Sub(a.last)/time.Duration(tokens))
@@ -60,7 +61,7 @@
 	a.last = now
 }
 
-// event sends one event. Its identifier is the number of tokens sent so far.
+// event sends one event. Its identifier is the place in the answer behind it.
 func (a *answer) event(v any) error {
 	data, err := json.Marshal(v)
 	if err != nil {
@@ -76,7 +77,7 @@
 		a.w.Header().Set("Cache-Control", "no-store")
 		a.w.WriteHeader(http.StatusOK)
 	}
-	message := sse.Message{ID: sse.ID(fmt.Sprintf("%s/%d", a.id, a.tokens))}
+	message := sse.Message{ID: sse.ID(eventID(a.id, a.place, a.tokens))}
 	message.AppendData(data)
 	if _, err := message.WriteTo(a.w); err != nil {
 		return err
--- a/internal/transport/entry/completions.go
+++ b/internal/transport/entry/completions.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"comfreyworks"
@@ -53,10 +52,21 @@
 	ctx, cancel := context.WithTimeout(r.Context(), c.class.Deadline)
 	defer cancel()
 	job := e.job(call, model, c, start)
+	if last := r.Header.Get(HeaderLastEventID); last != "" && call.Stream {
+		job.Request.ID, job.Resume, err = parseEventID(e.options.Instance.PeerSecret, c.workspace, last)
+		if err != nil {
+			writeProblem(w, problemBody("invalid_value", HeaderLastEventID+": "+err.Error()))
+			return
+		}
+	}
 	answer := &answer{
 		entry: e, w: w, call: call, caller: c,
 		id: job.Request.ID, created: start, start: start,
 	}
+	if job.Resume != nil {
+		answer.tokens = job.Resume.Delivered
+		answer.place = job.Resume.Place
+	}
 	e.options.Meter.Count("comfrey_requests_total", c.labels(), 1)
 	result, err := e.dispatcher.Generate(ctx, job, answer.emit)
 	e.record(c, result, err)
@@ -110,7 +120,7 @@
 		Chain:     prefix.Compute(seed, call.Parts, model.BytesPerToken),
 		Deadline:  start.Add(c.class.Deadline),
 		Request: comfreyworks.GenerateRequest{
-			ID:        comfreyworks.RequestID("cmpl-" + uuid.NewString()),
+			ID:        newRequestID(e.options.Instance.PeerSecret, c.workspace),
 			Model:     model.Name,
 			Weights:   model.Weights,
 			Adapter:   model.Adapter,
--- a/internal/transport/entry/entry_test.go
+++ b/internal/transport/entry/entry_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
+	"github.com/tmaxmax/go-sse"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
@@ -36,6 +37,12 @@
 
 // newRig runs one entry, two engines and two services.
 func newRig(t *testing.T, set setUp) *rig.Rig {
+	t.Helper()
+	return newRigOf(t, set, 1)
+}
+
+// newRigOf runs some entries, two engines and two services.
+func newRigOf(t *testing.T, set setUp, entries int) *rig.Rig {
 	t.Helper()
 	deployment, err := settings.ReadDeployment("piedmont.jsonc", examples.Piedmont)
 	assert.NilError(t, err)
@@ -52,7 +59,7 @@
 		set.rates(&rates)
 	}
 	r, err := rig.Start(context.Background(), rig.Options{
-		Deployment: deployment, Entries: 1, Clock: clockwork.NewRealClock(), Seed: 1,
+		Deployment: deployment, Entries: entries, Clock: clockwork.NewRealClock(), Seed: 1,
 		Rates: func(comfreyworks.InstanceID) engine.Rates { return rates },
 	})
 	assert.NilError(t, err)
@@ -342,6 +349,89 @@
 	expectAnswer(t, r)
 }
 
+// readText reads events until the stream ends and returns their text, the
+// identifier of the last one and whether the answer is complete.
+func readText(t *testing.T, body io.Reader, events int) (text, last string, complete bool) {
+	t.Helper()
+	for event, err := range sse.Read(body, nil) {
+		if err != nil {
+			return text, last, false
+		}
+		last = event.LastEventID
+		if event.Data == "[DONE]" {
+			return text, last, true
+		}
+		var chunk completion.Answer
+		assert.NilError(t, json.Unmarshal([]byte(event.Data), &chunk))
+		for _, choice := range chunk.Choices {
+			text += choice.Delta.Content
+		}
+		events--
+		if events == 0 {
+			return text, last, false
+		}
+	}
+	return text, last, false
+}
+
+const longBody = `{"model":"oak-12b","stream":true,"max_tokens":80,"messages":[{"role":"user","content":"hello"}]}`
+
+func TestResume(t *testing.T) {
+	slow := setUp{rates: func(rates *engine.Rates) { rates.StepTime = 5 * time.Millisecond }}
+	// resumed reads a few events, breaks off and goes on at another entry.
+	resumed := func(t *testing.T, breakOff func(r *rig.Rig, cancel func())) {
+		r := newRigOf(t, slow, 2)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		resp, err := http.DefaultClient.Do(request(t, http.MethodPost, r.EntryURL(0)+"/v1/chat/completions", longBody).WithContext(ctx))
+		assert.NilError(t, err)
+		first, last, complete := readText(t, resp.Body, 10)
+		assert.Assert(t, !complete)
+		breakOff(r, cancel)
+		_ = resp.Body.Close()
+
+		again := request(t, http.MethodPost, r.EntryURL(1)+"/v1/chat/completions", longBody)
+		again.Header.Set(entry.HeaderLastEventID, last)
+		resp, err = http.DefaultClient.Do(again)
+		assert.NilError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		rest, last, complete := readText(t, resp.Body, -1)
+		assert.Assert(t, complete)
+		id, _, _ := strings.Cut(last, ".")
+		var expected strings.Builder
+		for i := range 80 {
+			expected.WriteString(engine.OutputToken(comfreyworks.RequestID(id), i))
+		}
+		assert.Equal(t, first+rest, expected.String())
+	}
+	t.Run("after the entry was lost the stream goes on", func(t *testing.T) {
+		resumed(t, func(r *rig.Rig, _ func()) { assert.NilError(t, r.RestartEntries("entry/0")) })
+	})
+	t.Run("after the caller hung up the rest is generated again", func(t *testing.T) {
+		resumed(t, func(r *rig.Rig, cancel func()) {
+			cancel()
+			waitIdle(r)
+		})
+	})
+	t.Run("only the workspace that asked may go on", func(t *testing.T) {
+		r := newRig(t, slow)
+		resp, err := http.DefaultClient.Do(request(t, http.MethodPost, r.EntryURL(0)+"/v1/chat/completions", longBody))
+		assert.NilError(t, err)
+		_, last, _ := readText(t, resp.Body, 2)
+		_ = resp.Body.Close()
+		for _, id := range []string{"x", last + ".1", strings.Replace(last, "cmpl-", "cmpl-0", 1)} {
+			again := request(t, http.MethodPost, r.EntryURL(0)+"/v1/chat/completions", longBody)
+			again.Header.Set(entry.HeaderLastEventID, id)
+			expectProblem(t, again, 400, "invalid_value", comfreyworks.NotRun)
+		}
+		other := request(t, http.MethodPost, r.EntryURL(0)+"/v1/chat/completions", longBody)
+		other.Header.Set("Authorization", "Bearer key-atlanta")
+		other.Header.Set(entry.HeaderLastEventID, last)
+		expectProblem(t, other, 400, "invalid_value", comfreyworks.NotRun)
+	})
+}
+
 func TestPlannedStops(t *testing.T) {
 	t.Run("an entry finishes its streams", func(t *testing.T) {
 		r := newRig(t, setUp{rates: func(rates *engine.Rates) { rates.StepTime = 5 * time.Millisecond }})
