Keep one slow call from failing all others on its connection

Cause: 1,000 concurrent streams under the race detector ended in refusals. A placement that got no answer within its 50 ms closed the connection that hundreds of Start calls shared; they were tried again, all at once, and used the retry budget up. Looked for first and ruled out: engines marked as down by one broken stream (real, mended here too), sidecars that were not ready yet (real, mended too), dials that ran out of time (longer now).

Change: a connection is given up only after a usual call's time of silence; a call to a slow peer is given its time again while anything comes back. Retries have a budget for each workspace and pool. A broken stream makes the tracker look at the engine instead of declaring it dead. A stream that somebody else gave up is gone on with. The load client comes back with Last-Event-ID and repeats keyed calls; partitions and shifts of hot prefixes can be injected.

Conclusion: silence has to last before it proves anything.

--- a/internal/bench/load/client.go
+++ b/internal/bench/load/client.go
@@ -48,6 +48,7 @@
 		if i == 0 {
 			role = "system"
 		}
+		level.Name += strings.Repeat("~", int(r.shifts.Load()))
 		request.Messages = append(request.Messages, completion.Message{Role: role, Content: r.options.Texts.Of(level)})
 	}
 	tail := trace.Level{Name: fmt.Sprintf("tail-%s-%d", line.Workspace, line.At), Tokens: line.TailTokens}
@@ -55,8 +56,25 @@
 	return json.Marshal(request)
 }
 
-// complete streams one completion and checks every token of it.
-func (r *runner) complete(ctx context.Context, url string, sample *Sample) {
+// maxReconnects is how often a client comes back after a lost connection.
+const maxReconnects = 5
+
+// reconnectPause is how long it waits before that.
+const reconnectPause = 50 * time.Millisecond
+
+// reception is what a client has of an answer.
+type reception struct {
+	text  strings.Builder
+	id    comfreyworks.RequestID
+	event string
+	began time.Time
+	last  time.Time
+}
+
+// complete streams one completion and checks every token of it. A client that
+// loses its connection comes back, at whichever entry the balancer gives it,
+// and goes on behind the last event that it got.
+func (r *runner) complete(ctx context.Context, first int, sample *Sample) {
 	body, err := r.body(sample.Line)
 	if err != nil {
 		fail(sample, OutcomeFailed, err.Error())
@@ -68,60 +86,75 @@
 		return
 	}
 	held := r.bestHeld(sample.Line, strings.Join(parsed.Parts, ""))
-	began := r.options.Clock.Now()
-	resp, err := r.post(ctx, http.MethodPost, url+"/v1/chat/completions", sample.Line, body)
+	got := &reception{began: r.options.Clock.Now()}
+	for try := range maxReconnects {
+		if r.receive(ctx, r.options.Rig.EntryURL(first+try), body, sample, got) {
+			break
+		}
+		sample.Reconnects++
+		r.options.Clock.Sleep(reconnectPause)
+	}
+	if sample.Outcome == OutcomeComplete {
+		sample.WastedTokens = max(held-sample.CachedTokens, 0)
+	}
+}
+
+// receive makes one connection. It returns false if the connection was lost.
+func (r *runner) receive(ctx context.Context, url string, body []byte, sample *Sample, got *reception) bool {
+	resp, err := r.post(ctx, http.MethodPost, url+"/v1/chat/completions", sample.Line, body, got.event)
 	if err != nil {
 		fail(sample, OutcomeFailed, err.Error())
-		return
+		return false
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		failWith(sample, resp)
-		return
-	}
-	r.readStream(resp.Body, began, sample)
-	sample.WastedTokens = max(held-sample.CachedTokens, 0)
-	if sample.Outcome != OutcomeComplete {
-		sample.WastedTokens = 0
+		return true
 	}
+	return r.readStream(resp.Body, sample, got)
 }
 
-// readStream reads to the end of a stream and compares it with the answer that
-// the engine generates for the request.
-func (r *runner) readStream(body io.Reader, began time.Time, sample *Sample) {
-	var text strings.Builder
-	var id comfreyworks.RequestID
-	last := began
+// readStream reads to the end of a stream and compares the answer with the one
+// that the engine generates for the request. It returns false if the stream
+// ended without saying so.
+func (r *runner) readStream(body io.Reader, sample *Sample, got *reception) bool {
 	for event, err := range sse.Read(body, nil) {
 		if err != nil {
 			fail(sample, OutcomeFailed, err.Error())
-			return
+			return false
 		}
+		got.event = event.LastEventID
 		if event.Data == "[DONE]" {
-			judge(sample, id, text.String())
-			return
+			judge(sample, got.id, got.text.String())
+			return true
 		}
 		chunk, problem, err := parseChunk(event.Data)
 		if err != nil || problem.Error.Code != "" {
 			fail(sample, OutcomeIncomplete, problem.Error.Message)
-			return
+			return true
 		}
-		id = chunk.ID
+		got.id = chunk.ID
 		if chunk.Usage != nil {
 			sample.PromptTokens = chunk.Usage.PromptTokens
 			sample.CachedTokens = chunk.Usage.Details.CachedTokens
 		}
-		if n := appendText(&text, chunk); n > 0 {
-			now := r.options.Clock.Now()
-			if last.Equal(began) {
-				sample.TTFT = now.Sub(began)
-			} else {
-				sample.Gaps = append(sample.Gaps, now.Sub(last))
-			}
-			last = now
+		if appendText(&got.text, chunk) > 0 {
+			r.measure(sample, got)
 		}
 	}
 	fail(sample, OutcomeFailed, "the stream ended without its end event")
+	return false
+}
+
+// measure notes the time of a token.
+func (r *runner) measure(sample *Sample, got *reception) {
+	now := r.options.Clock.Now()
+	if got.last.IsZero() {
+		sample.TTFT = now.Sub(got.began)
+	} else {
+		sample.Gaps = append(sample.Gaps, now.Sub(got.last))
+	}
+	got.last = now
 }
 
 func parseChunk(data string) (completion.Answer, completion.Problem, error) {
@@ -157,32 +190,45 @@
 	sample.Outcome = OutcomeComplete
 }
 
-// call makes one call to a plain service.
-func (r *runner) call(ctx context.Context, url string, sample *Sample) {
-	line := sample.Line
+// call makes one call to a plain service. A client that loses its connection
+// repeats a call that has a key, or that only reads.
+func (r *runner) call(ctx context.Context, first int, sample *Sample) {
 	began := r.options.Clock.Now()
-	resp, err := r.post(ctx, line.Method, url+"/services/"+string(line.Pool)+line.Path, line, []byte(line.Key))
+	for try := range maxReconnects {
+		if r.callOnce(ctx, r.options.Rig.EntryURL(first+try), sample) {
+			break
+		}
+		sample.Reconnects++
+		r.options.Clock.Sleep(reconnectPause)
+	}
+	sample.TTFT = r.options.Clock.Since(began)
+}
+
+// callOnce makes one connection. It returns false if the connection was lost.
+func (r *runner) callOnce(ctx context.Context, url string, sample *Sample) bool {
+	line := sample.Line
+	resp, err := r.post(ctx, line.Method, url+"/services/"+string(line.Pool)+line.Path, line, []byte(line.Key), "")
 	if err != nil {
 		fail(sample, OutcomeFailed, err.Error())
-		return
+		return false
 	}
 	defer func() { _ = resp.Body.Close() }()
-	sample.TTFT = r.options.Clock.Since(began)
 	if resp.StatusCode != http.StatusOK {
 		failWith(sample, resp)
-		return
+		return true
 	}
 	var answer struct {
 		Echo string `json:"echo"`
 	}
 	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil || answer.Echo != line.Key {
 		fail(sample, OutcomeWrong, "the answer belongs to another call")
-		return
+		return true
 	}
 	sample.Outcome = OutcomeComplete
+	return true
 }
 
-func (r *runner) post(ctx context.Context, method, url string, line trace.Line, body []byte) (*http.Response, error) {
+func (r *runner) post(ctx context.Context, method, url string, line trace.Line, body []byte, lastEvent string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
@@ -190,6 +236,9 @@
 	req.Header.Set("Authorization", "Bearer "+r.options.Key(string(line.Workspace)))
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(entry.HeaderClass, string(line.Class))
+	if lastEvent != "" {
+		req.Header.Set(entry.HeaderLastEventID, lastEvent)
+	}
 	if line.Key != "" {
 		req.Header.Set(upstream.HeaderIdempotencyKey, r.idempotencyKey(line.Key))
 	}
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -57,7 +58,9 @@
 	// WastedTokens were computed although a live upstream of the pool held
 	// them when the request was sent.
 	WastedTokens int
-	Detail       string
+	// Reconnects counts the connections that were lost.
+	Reconnects int
+	Detail     string
 }
 
 // Options configures a run.
@@ -80,6 +83,8 @@
 	mu      sync.Mutex
 	samples []Sample
 	keys    map[string]string
+	// shifts counts the times that all prefixes have become new ones.
+	shifts atomic.Int32
 }
 
 // maxIdleConns bounds the idle connections to one entry.
@@ -137,12 +142,11 @@
 
 func (r *runner) send(ctx context.Context, i int, line trace.Line) Sample {
 	sample := Sample{Line: line, Start: r.options.Clock.Since(r.start)}
-	url := r.options.Rig.EntryURL(i)
 	began := r.options.Clock.Now()
 	if line.IsCall() {
-		r.call(ctx, url, &sample)
+		r.call(ctx, i, &sample)
 	} else {
-		r.complete(ctx, url, &sample)
+		r.complete(ctx, i, &sample)
 	}
 	sample.Total = r.options.Clock.Since(began)
 	return sample
@@ -161,6 +165,10 @@
 
 // fault brings a fault about and ends it after its time.
 func (r *runner) fault(ctx context.Context, line trace.Line) {
+	if line.Fault == trace.FaultHotShift {
+		r.shifts.Add(1)
+		return
+	}
 	undo := r.options.Rig.Inject(line)
 	if undo == nil {
 		return
--- a/internal/bench/load/load_test.go
+++ b/internal/bench/load/load_test.go
@@ -102,6 +102,10 @@
 		{Fault: trace.FaultSidecarRestart, Target: "lm-pool/1"},
 		{Fault: trace.FaultEngineSlow, Target: "lm-pool/2", For: trace.Duration(300 * time.Millisecond)},
 		{Fault: trace.FaultEventsLost, For: trace.Duration(300 * time.Millisecond)},
+		{Fault: trace.FaultPartition, Target: "lm-pool/3", For: trace.Duration(500 * time.Millisecond)},
+		{Fault: trace.FaultHotShift},
+		{Fault: trace.FaultLogDown, For: trace.Duration(300 * time.Millisecond)},
+		{Fault: trace.FaultEntryRestart, Target: "entry/0"},
 		{Fault: trace.FaultListLag, For: trace.Duration(300 * time.Millisecond)},
 	}
 	for _, fault := range faults {
--- a/internal/bench/rig/fault.go
+++ b/internal/bench/rig/fault.go
@@ -45,6 +45,9 @@
 	case trace.FaultListLag:
 		r.list.SetLag(listLag)
 		return func() { r.list.SetLag(r.options.ListLag) }
+	case trace.FaultPartition:
+		r.cuts.set(id, true)
+		return func() { r.cuts.set(id, false) }
 	}
 	return nil
 }
--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -52,6 +52,13 @@
 // peerSecret is the secret of a rig's processes.
 const peerSecret = "rig-secret-0123456789"
 
+// readyPoll is how often a sidecar is asked whether it takes work, readyTimeout
+// how long.
+const (
+	readyPoll    = time.Millisecond
+	readyTimeout = 30 * time.Second
+)
+
 // Options configures a Rig.
 type Options struct {
 	Deployment *settings.Deployment
@@ -96,6 +103,7 @@
 	log      *platform.Log
 	list     *platform.List
 	meter    *meter.Meter
+	cuts     *partition
 
 	mu        sync.Mutex
 	upstreams []*upstreamProcess
@@ -118,7 +126,7 @@
 	if options.Rates == nil {
 		options.Rates = func(comfreyworks.InstanceID) engine.Rates { return engine.DefaultRates() }
 	}
-	r := &Rig{options: options, meter: meter.New()}
+	r := &Rig{options: options, meter: meter.New(), cuts: newPartition()}
 	r.ctx, r.cancel = context.WithCancel(ctx)
 	if err := r.start(); err != nil {
 		r.Stop()
@@ -159,6 +167,20 @@
 		}
 	}
 	r.publishList()
+	return r.awaitReady()
+}
+
+// awaitReady waits until every sidecar takes work.
+func (r *Rig) awaitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, u := range r.upstreams {
+		for u.sidecar != nil && !u.sidecar.role.Ready() {
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s is not ready after %s", u.instance.ID, readyTimeout)
+			}
+			time.Sleep(readyPoll)
+		}
+	}
 	return nil
 }
 
@@ -200,6 +222,7 @@
 		return err
 	}
 	u.instance.Address = addressOf(u.reserved)
+	r.cuts.add(u.instance.ID, u.instance.Address)
 	r.upstreams = append(r.upstreams, u)
 	return nil
 }
@@ -256,6 +279,7 @@
 		Logger:     r.options.Logger.With(zap.String("instance", string(u.instance.ID))),
 		Meter:      r.meter,
 		HTTP:       program.NewHTTPClient(),
+		Dial:       r.cuts.dialer(instance.Listen),
 	})
 	if err != nil {
 		return err
@@ -333,6 +357,7 @@
 		Logger:     r.options.Logger.With(zap.String("instance", string(instance.ID))),
 		Meter:      r.meter,
 		HTTP:       program.NewHTTPClient(),
+		Dial:       r.cuts.dialer(instance.Listen),
 		Chooser:    chooser,
 	})
 	return launch(r, instance, role, role.Run, listener)
--- a/internal/coordination/dispatch/call.go
+++ b/internal/coordination/dispatch/call.go
@@ -18,8 +18,13 @@
 		Refusal: &comfreyworks.Refusal{Reason: comfreyworks.RefusedDown, RetryAfter: defaultRetryAfter},
 	}
 	var excluded []comfreyworks.InstanceID
+	budget := budgetKey{workspace: work.Workspace, pool: pool.Name}
+	d.budgets.earn(budget)
 	pauses := d.newPauses()
-	for range maxAttempts {
+	for attempt := range maxAttempts {
+		if attempt > 0 && !d.budgets.spend(budget) {
+			return outcome
+		}
 		instance, ok := d.chooseService(pool.Name, excluded)
 		if !ok {
 			if !d.pause(ctx, pauses) {
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -89,11 +89,12 @@
 // Dispatcher carries requests. It is safe for concurrent use.
 type Dispatcher struct {
 	options Options
+	budgets *budgets
 }
 
 // New returns a dispatcher.
 func New(options Options) *Dispatcher {
-	return &Dispatcher{options: options}
+	return &Dispatcher{options: options, budgets: newBudgets()}
 }
 
 // Job is one request for a model.
@@ -143,8 +144,13 @@
 	if err := d.begin(ctx, state); state.finished {
 		return state.result, err
 	}
+	budget := budgetKey{workspace: job.Workspace, pool: job.Pool.Name}
+	d.budgets.earn(budget)
 	pauses := d.newPauses()
 	for state.result.Attempts < maxAttempts {
+		if !d.mayTry(state, budget) {
+			break
+		}
 		instance, ok := d.choose(ctx, state)
 		if !ok {
 			if !d.pause(ctx, pauses) {
@@ -164,6 +170,12 @@
 	return state.result, state.failure(ctx)
 }
 
+// mayTry reports whether another attempt is within the budget. An answer that
+// has begun always goes on: giving it up would waste all that was done for it.
+func (d *Dispatcher) mayTry(state *attemptState, budget budgetKey) bool {
+	return state.result.Attempts == 0 || state.delivered > 0 || d.budgets.spend(budget)
+}
+
 func (s *attemptState) failure(ctx context.Context) error {
 	switch {
 	case ctx.Err() != nil:
@@ -268,7 +280,7 @@
 		Class:     state.job.Class,
 		Request:   request,
 		Chain:     state.job.Chain,
-		Remaining: state.job.Deadline.Sub(d.options.Clock.Now()),
+		Remaining: d.remaining(state),
 	}
 }
 
@@ -335,12 +347,23 @@
 		state.finished = true
 		return nil
 	case comfreyworks.EndCancelled:
-		return d.finish(state, KindGivenUp, errors.New(end.Detail))
+		// Either the deadline has passed, or somebody else gave the stream up:
+		// the entry that relayed it before may have noticed that its caller
+		// left only after the caller came here.
+		if d.remaining(state) <= 0 {
+			return d.finish(state, KindGivenUp, errors.New(end.Detail))
+		}
+		return nil
 	default:
 		return nil
 	}
 }
 
+// remaining is the time left until the job's deadline.
+func (d *Dispatcher) remaining(state *attemptState) time.Duration {
+	return state.job.Deadline.Sub(d.options.Clock.Now())
+}
+
 func (d *Dispatcher) finish(state *attemptState, kind Kind, cause error) error {
 	state.finished = true
 	return &Error{Op: "generate", Kind: kind, Err: cause}
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -171,6 +171,7 @@
 	}{
 		{"engine crash", &fakeGate{reads: []readAnswer{news("abc"), ends("", comfreyworks.EndIncomplete)}}},
 		{"sidecar restart", &fakeGate{reads: []readAnswer{news("abc"), unknown}}},
+		{"stream given up by somebody else", &fakeGate{reads: []readAnswer{news("abc"), ends("", comfreyworks.EndCancelled)}}},
 		{"silent sidecar", &fakeGate{reads: []readAnswer{news("abc"), lost, lost}}},
 	}
 	for _, test := range tests {
@@ -213,7 +214,11 @@
 		expectFailure(t, fakeGates{crashing}, KindIncomplete)
 	})
 	t.Run("the deadline at the sidecar", func(t *testing.T) {
-		expectFailure(t, fakeGates{{reads: []readAnswer{ends("", comfreyworks.EndCancelled)}}}, KindGivenUp)
+		job := newJob()
+		job.Deadline = time.Now()
+		gates := fakeGates{{reads: []readAnswer{ends("", comfreyworks.EndCancelled)}}}
+		_, err := newDispatcher(gates).Generate(context.Background(), job, func(Delivery) error { return nil })
+		assert.ErrorContains(t, err, string(KindGivenUp))
 	})
 	t.Run("a caller that left frees the work", func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -233,6 +238,37 @@
 	})
 }
 
+func TestRetryBudget(t *testing.T) {
+	// A pool that refuses everything: retries add a bounded share to the load.
+	const requests = 1000
+	gates := fakeGates{}
+	for range 4 {
+		gates = append(gates, &fakeGate{refusal: &comfreyworks.Refusal{Reason: comfreyworks.RefusedBusy}})
+	}
+	d := newDispatcher(gates)
+	for range requests {
+		_, err := d.Generate(context.Background(), newJob(), func(Delivery) error { return nil })
+		assert.ErrorContains(t, err, string(KindRefused))
+	}
+	attempts := 0
+	for _, gate := range gates {
+		attempts += len(gate.started)
+	}
+	assert.Assert(t, attempts >= requests)
+	assert.Assert(t, attempts <= requests+budgetBurst+requests*budgetShare, "%d attempts", attempts)
+	t.Run("another workspace has its own", func(t *testing.T) {
+		assert.Assert(t, !d.budgets.spend(budgetKey{pool: "lm"}))
+		other := budgetKey{workspace: "other", pool: "lm"}
+		d.budgets.earn(other)
+		assert.Assert(t, d.budgets.spend(other))
+	})
+	t.Run("an answer that has begun goes on", func(t *testing.T) {
+		state := &attemptState{delivered: 1}
+		state.result.Attempts = 1
+		assert.Assert(t, d.mayTry(state, budgetKey{pool: "lm"}))
+	})
+}
+
 func TestCall(t *testing.T) {
 	ran := func() *fakeGate { return &fakeGate{outcome: comfreyworks.ServiceOutcome{Run: comfreyworks.Ran}} }
 	tests := []struct {
--- a/internal/coordination/generation/generation.go
+++ b/internal/coordination/generation/generation.go
@@ -172,7 +172,7 @@
 	case ctx.Err() != nil:
 		g.buffer.Close(comfreyworks.StreamEnd{Reason: comfreyworks.EndCancelled, Detail: err.Error()})
 	default:
-		m.options.Tracker.Failed()
+		m.options.Tracker.Doubt()
 		g.buffer.Close(comfreyworks.StreamEnd{Reason: comfreyworks.EndIncomplete, Detail: err.Error()})
 	}
 }
--- a/internal/coordination/generation/generation_test.go
+++ b/internal/coordination/generation/generation_test.go
@@ -21,8 +21,10 @@
 type fakeEngine struct {
 	pieces chan comfreyworks.Piece
 	err    error
-	begun  chan struct{}
-	gone   chan struct{}
+	// loadErr is what the engine answers when it is asked for its load.
+	loadErr error
+	begun   chan struct{}
+	gone    chan struct{}
 }
 
 func newEngine() *fakeEngine {
@@ -57,12 +59,13 @@
 }
 
 func (e *fakeEngine) Load(context.Context) (comfreyworks.EngineLoad, error) {
-	return comfreyworks.EngineLoad{Incarnation: 1, BlockTokens: 16, Weights: "v1"}, nil
+	return comfreyworks.EngineLoad{Incarnation: 1, BlockTokens: 16, Weights: "v1"}, e.loadErr
 }
 
 type fixture struct {
 	engine  *fakeEngine
 	manager *Manager
+	tracker *tracker.Tracker
 	clock   *clockwork.FakeClock
 }
 
@@ -79,7 +82,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	follower.Refresh(ctx)
-	return fixture{engine: engine, clock: clock, manager: New(Options{
+	return fixture{engine: engine, clock: clock, tracker: follower, manager: New(Options{
 		Engine:  engine,
 		Clock:   clock,
 		Tracker: follower,
@@ -150,8 +153,18 @@
 		f.engine.pieces <- comfreyworks.Piece{Index: 2, Text: "a"}
 		close(f.engine.pieces)
 		f.expectStream(t, "s1", "a", comfreyworks.EndIncomplete)
+		f.engine.loadErr = errors.New("connection refused")
+		f.tracker.Refresh(context.Background())
 		expectRefused(t, f.manager.Start(work("s2")), comfreyworks.RefusedDown)
 	})
+	t.Run("one broken connection does not turn work away", func(t *testing.T) {
+		f := newFixture(t)
+		f.engine.err = errors.New("connection reset")
+		f.start(t, "s1")
+		close(f.engine.pieces)
+		f.expectStream(t, "s1", "", comfreyworks.EndIncomplete)
+		f.start(t, "s2")
+	})
 	t.Run("a lost token is never hidden", func(t *testing.T) {
 		f := newFixture(t)
 		f.start(t, "s1")
--- a/internal/coordination/tracker/tracker.go
+++ b/internal/coordination/tracker/tracker.go
@@ -78,6 +78,7 @@
 	ring        *directory.Ring
 	shards      map[comfreyworks.InstanceID]*shardState
 	dirty       chan struct{}
+	doubt       chan struct{}
 }
 
 // New returns a tracker of an engine that it has not seen yet.
@@ -90,6 +91,7 @@
 		speed:   newSpeed(options.PrefillTime),
 		shards:  make(map[comfreyworks.InstanceID]*shardState),
 		dirty:   make(chan struct{}, 1),
+		doubt:   make(chan struct{}, 1),
 	}
 }
 
@@ -113,7 +115,11 @@
 func (t *Tracker) followLoad(ctx context.Context) error {
 	for ctx.Err() == nil {
 		t.Refresh(ctx)
-		t.sleep(ctx, loadInterval)
+		select {
+		case <-t.options.Clock.After(loadInterval):
+		case <-t.doubt:
+		case <-ctx.Done():
+		}
 	}
 	return nil
 }
@@ -124,7 +130,7 @@
 	defer cancel()
 	load, err := t.options.Engine.Load(ctx)
 	if err != nil {
-		t.Failed()
+		t.failed()
 		return
 	}
 	t.mu.Lock()
@@ -143,9 +149,20 @@
 	t.load = load
 }
 
-// Failed records that a call to the engine failed. No work is given to it
-// until it answers again.
-func (t *Tracker) Failed() {
+// Doubt asks for a look at the engine now, because a request to it failed. One
+// broken connection does not make an engine dead: if it did, a burst that
+// overruns a few connections would turn everything away from a healthy engine,
+// and send it to the next one.
+func (t *Tracker) Doubt() {
+	select {
+	case t.doubt <- struct{}{}:
+	default:
+	}
+}
+
+// failed records that the engine does not answer. No work is given to it until
+// it does again.
+func (t *Tracker) failed() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.down {
--- a/internal/protocol/peer/client.go
+++ b/internal/protocol/peer/client.go
@@ -8,8 +8,10 @@
 	"net/netip"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/singleflight"
 
 	"comfreyworks"
@@ -43,7 +45,10 @@
 
 const (
 	// dialTimeout bounds the opening of a connection.
-	dialTimeout = time.Second
+	dialTimeout = 3 * time.Second
+	// maxExtensions bounds how often a call to a slow peer is given its time
+	// again.
+	maxExtensions = 5
 	// redialDelay is how long calls fail at once after a failed dial.
 	redialDelay = 100 * time.Millisecond
 	// callTimeout bounds a call that is answered at once.
@@ -52,12 +57,15 @@
 	serviceName = "Sidecar"
 )
 
+// Dial opens a connection to a peer. Tests pass faulty ones.
+type Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+
 // ClientOptions configures Clients.
 type ClientOptions struct {
 	Secret string
 	Clock  comfreyworks.Clock
-	// Dial opens a connection; nil means TCP. Tests pass faulty ones.
-	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// Dial opens connections; nil means TCP.
+	Dial Dial
 }
 
 // Clients keeps one client for each address.
@@ -113,7 +121,7 @@
 	address  netip.AddrPort
 	dialing  singleflight.Group
 	mu       sync.Mutex
-	rpc      *rpc.Client
+	open     *link
 	failure  error
 	failedAt time.Time
 }
@@ -171,26 +179,62 @@
 	var none R
 	timer := c.options.Clock.NewTimer(timeout)
 	defer timer.Stop()
-	client, err := c.connection(ctx, timer.Chan())
+	l, err := c.connection(ctx, timer.Chan())
 	if err != nil {
 		return none, err
 	}
 	reply := new(R)
-	pending := client.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-pending.Done:
-	case <-timer.Chan():
-		c.drop(client)
-		return none, &Error{Op: method, Kind: KindNoAnswer, Err: context.DeadlineExceeded}
-	case <-ctx.Done():
-		return none, &Error{Op: method, Kind: KindNoAnswer, Err: context.Cause(ctx)}
+	p := patience{timer: timer, timeout: timeout, link: l, heard: l.heard.Load()}
+	pending := l.rpc.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	for {
+		select {
+		case <-pending.Done:
+			return *reply, c.outcome(l, method, pending.Error)
+		case <-timer.Chan():
+			if p.extend() {
+				continue
+			}
+			if p.silent() && l.quietFor(c.options.Clock.Now(), timeout) >= callTimeout {
+				c.drop(l)
+			}
+			return none, &Error{Op: method, Kind: KindNoAnswer, Err: context.DeadlineExceeded}
+		case <-ctx.Done():
+			return none, &Error{Op: method, Kind: KindNoAnswer, Err: context.Cause(ctx)}
+		}
 	}
-	return *reply, c.outcome(client, method, pending.Error)
+}
+
+// patience decides how long one call waits. Other calls share its connection.
+// If anything came back on it while this one waited, the peer is slow and the
+// connection is not to blame: closing it would fail every other call too, and
+// all of them would be tried again on a peer that is slow already. Such a call
+// is given its time again, a few times over. Calls with a short timeout have
+// something better to do than to wait.
+type patience struct {
+	timer      clockwork.Timer
+	timeout    time.Duration
+	link       *link
+	heard      int64
+	extensions int
+}
+
+// silent reports whether nothing came back since the last look.
+func (p *patience) silent() bool { return p.link.heard.Load() == p.heard }
+
+// extend gives the call its time again if that makes sense.
+func (p *patience) extend() bool {
+	if p.silent() || p.timeout < callTimeout || p.extensions >= maxExtensions {
+		return false
+	}
+	p.extensions++
+	p.heard = p.link.heard.Load()
+	p.timer.Reset(p.timeout)
+	return true
 }
 
 // outcome sorts the error of a finished call. net/rpc reports ErrShutdown
 // before it writes anything, so only that one promises that nothing was sent.
-func (c *Client) outcome(client *rpc.Client, method string, err error) error {
+func (c *Client) outcome(l *link, method string, err error) error {
 	if err == nil {
 		return nil
 	}
@@ -198,7 +242,7 @@
 	if errors.As(err, &remote) {
 		return &Error{Op: method, Kind: KindRemote, Err: err}
 	}
-	c.drop(client)
+	c.drop(l)
 	if errors.Is(err, rpc.ErrShutdown) {
 		return notSent(method, KindNotSent, err)
 	}
@@ -208,10 +252,10 @@
 // connection returns the open connection or dials one. Callers that arrive
 // while one of them dials share the result, and each waits only as long as its
 // own call may take. For a short while after a failed dial calls fail at once.
-func (c *Client) connection(ctx context.Context, timeout <-chan time.Time) (*rpc.Client, error) {
-	client, err := c.current()
-	if client != nil || err != nil {
-		return client, err
+func (c *Client) connection(ctx context.Context, timeout <-chan time.Time) (*link, error) {
+	l, err := c.current()
+	if l != nil || err != nil {
+		return l, err
 	}
 	dialed := c.dialing.DoChan("", c.dial)
 	select {
@@ -219,7 +263,7 @@
 		if result.Err != nil {
 			return nil, result.Err
 		}
-		return result.Val.(*rpc.Client), nil
+		return result.Val.(*link), nil
 	case <-timeout:
 		return nil, notSent("dial", KindNotSent, context.DeadlineExceeded)
 	case <-ctx.Done():
@@ -227,11 +271,11 @@
 	}
 }
 
-func (c *Client) current() (*rpc.Client, error) {
+func (c *Client) current() (*link, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.rpc != nil {
-		return c.rpc, nil
+	if c.open != nil {
+		return c.open, nil
 	}
 	if c.failure != nil && c.options.Clock.Since(c.failedAt) < redialDelay {
 		return nil, c.failure
@@ -240,33 +284,33 @@
 }
 
 func (c *Client) dial() (any, error) {
-	if client, _ := c.current(); client != nil {
-		return client, nil
+	if l, _ := c.current(); l != nil {
+		return l, nil
 	}
-	client, err := c.dialOnce()
+	l, err := c.dialOnce()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rpc = client
+	c.open = l
 	c.failure = err
 	c.failedAt = c.options.Clock.Now()
-	return client, err
+	return l, err
 }
 
-func (c *Client) dialOnce() (*rpc.Client, error) {
+func (c *Client) dialOnce() (*link, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	conn, err := c.options.Dial(ctx, c.address)
 	if err != nil {
 		return nil, notSent("dial", KindNotSent, err)
 	}
-	if err := open(conn, c.options.Secret); err != nil {
+	if err := openConn(conn, c.options.Secret); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	return rpc.NewClient(timedConn{conn}), nil
+	return newLink(conn), nil
 }
 
-func open(conn net.Conn, secret string) error {
+func openConn(conn net.Conn, secret string) error {
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return notSent("handshake", KindNotSent, err)
 	}
@@ -277,12 +321,58 @@
 }
 
 // drop closes a connection if it is still the current one; nil means any.
-func (c *Client) drop(client *rpc.Client) {
+func (c *Client) drop(l *link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.rpc == nil || (client != nil && c.rpc != client) {
+	if c.open == nil || (l != nil && c.open != l) {
 		return
 	}
-	_ = c.rpc.Close()
-	c.rpc = nil
+	_ = c.open.rpc.Close()
+	c.open = nil
+}
+
+// link is one open connection.
+type link struct {
+	rpc *rpc.Client
+	// heard counts the reads that brought something.
+	heard *atomic.Int64
+	mu    sync.Mutex
+	// quietAt and quietSince are the count and the time from which on calls
+	// have waited in vain.
+	quietAt    int64
+	quietSince time.Time
+}
+
+// quietFor is told of a call that waited in vain and returns for how long calls
+// have done so without anything coming back. One short wait proves nothing: a
+// connection is given up only when the silence has lasted.
+func (l *link) quietFor(now time.Time, waited time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	heard := l.heard.Load()
+	if l.quietSince.IsZero() || l.quietAt != heard {
+		l.quietAt = heard
+		l.quietSince = now.Add(-waited)
+	}
+	return now.Sub(l.quietSince)
+}
+
+func newLink(conn net.Conn) *link {
+	heard := new(atomic.Int64)
+	return &link{rpc: rpc.NewClient(listeningConn{Conn: timedConn{conn}, heard: heard}), heard: heard}
+}
+
+// listeningConn counts the reads that brought something.
+type listeningConn struct {
+	net.Conn
+	heard *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (c listeningConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heard.Add(1)
+	}
+	return n, err
 }
--- a/internal/protocol/peer/peer_test.go
+++ b/internal/protocol/peer/peer_test.go
@@ -20,10 +20,17 @@
 const secret = "a secret of the tests"
 
 // echo is a receiver that knows one stream.
-type echo struct{ reads atomic.Int32 }
+type echo struct {
+	reads atomic.Int32
+	// hold keeps the stream "held" waiting until it is closed.
+	hold chan struct{}
+}
 
 func (e *echo) Read(args ReadArgs, reply *comfreyworks.StreamNews) error {
 	e.reads.Add(1)
+	if args.Stream == "held" {
+		<-e.hold
+	}
 	if args.Stream == "broken" {
 		return errors.New("out of order")
 	}
@@ -138,6 +145,60 @@
 	assert.Equal(t, dials.Load(), int32(2))
 }
 
+func TestShortSilence(t *testing.T) {
+	address, receiver := serve(t)
+	receiver.hold = make(chan struct{})
+	defer close(receiver.hold)
+	clock := clockwork.NewFakeClock()
+	clients := NewClients(ClientOptions{Secret: secret, Clock: clock})
+	defer clients.Close()
+	client := clients.To(address)
+	_, err := read(client, "s1")
+	assert.NilError(t, err)
+	const short = callTimeout / 4
+	// Each call with a short timeout waits in vain. Only when that has gone on
+	// for as long as a usual call may take is the connection given up.
+	for i := range 5 {
+		before, _ := client.current()
+		var group errgroup.Group
+		group.Go(func() error {
+			_, err := call[comfreyworks.StreamNews](context.Background(), client, "Read", ReadArgs{Stream: "held"}, short)
+			return err
+		})
+		assert.NilError(t, clock.BlockUntilContext(context.Background(), 1))
+		clock.Advance(short)
+		expectKind(t, group.Wait(), KindNoAnswer)
+		after, _ := client.current()
+		assert.Equal(t, before == after, i != 3, "call %d", i)
+		if i == 3 {
+			return
+		}
+	}
+}
+
+func TestSlowCall(t *testing.T) {
+	address, receiver := serve(t)
+	receiver.hold = make(chan struct{})
+	clock := clockwork.NewFakeClock()
+	clients := NewClients(ClientOptions{Secret: secret, Clock: clock})
+	defer clients.Close()
+	client := clients.To(address)
+	var group errgroup.Group
+	group.Go(func() error {
+		_, err := read(client, "held")
+		return err
+	})
+	for receiver.reads.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	// Another call is answered meanwhile, so the connection is not to blame.
+	_, err := read(client, "s1")
+	assert.NilError(t, err)
+	clock.Advance(callTimeout)
+	close(receiver.hold)
+	assert.NilError(t, group.Wait())
+}
+
 func TestHandshakeCutShort(t *testing.T) {
 	for bytes := range 40 {
 		client, server := net.Pipe()
--- a/internal/state/residency/residency.go
+++ b/internal/state/residency/residency.go
@@ -220,6 +220,11 @@
 // Resync replaces the block view by a snapshot: levels whose block is not in
 // it are dropped, as are levels without a known block, and the index is no
 // longer suspect.
+//
+// The snapshot is usually ahead of the events, which come late. Those events
+// are still applied when they come: skipping them would leave the prompts that
+// they store without a block, and a level without a block is believed in long
+// after it was evicted.
 func (x *Index) Resync(snapshot comfreyworks.CacheSnapshot) {
 	if snapshot.Incarnation != x.incarnation || snapshot.Sequence < x.sequence {
 		return
@@ -233,7 +238,6 @@
 			x.drop(hash, held)
 		}
 	}
-	x.sequence = snapshot.Sequence
 	x.suspect = false
 }
 
--- a/internal/state/residency/residency_test.go
+++ b/internal/state/residency/residency_test.go
@@ -108,6 +108,15 @@
 		x.Resync(comfreyworks.CacheSnapshot{Incarnation: 1, Sequence: 1, Blocks: []uint64{101, 102, 103}})
 		expectHeld(t, x, 1, 2, 3)
 	})
+	t.Run("events that a snapshot overtook still count", func(t *testing.T) {
+		x := newIndex()
+		x.Expect("r2", chain(1, 2, 9))
+		x.Resync(comfreyworks.CacheSnapshot{Incarnation: 1, Sequence: 3, Blocks: []uint64{101, 102, 109}})
+		x.Observe("r2", 2*blockTokens)
+		expectHeld(t, x, 1, 2, 9)
+		apply(x, stored(2, "r2", 101, 102, 109), removed(3, 103), removed(4, 109))
+		expectHeld(t, x, 1, 2)
+	})
 	t.Run("an older snapshot changes nothing", func(t *testing.T) {
 		x := newIndex()
 		x.Resync(comfreyworks.CacheSnapshot{Incarnation: 1, Sequence: 0})
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -59,6 +59,8 @@
 	Meter      *meter.Meter
 	// HTTP reaches the platform.
 	HTTP *http.Client
+	// Dial opens connections to peers; nil means TCP.
+	Dial peer.Dial
 	// Chooser replaces the prefix directory; nil means the directory.
 	Chooser comfreyworks.Chooser
 }
@@ -82,7 +84,11 @@
 	e := &Entry{options: options}
 	e.keys.Store(newKeyring(options.Deployment.Workspaces))
 	e.stop, e.kill = context.WithCancel(context.Background())
-	e.clients = peer.NewClients(peer.ClientOptions{Secret: options.Instance.PeerSecret, Clock: options.Clock})
+	e.clients = peer.NewClients(peer.ClientOptions{
+		Secret: options.Instance.PeerSecret,
+		Clock:  options.Clock,
+		Dial:   options.Dial,
+	})
 	client := platform.NewClient(options.Instance.Platform, options.HTTP)
 	e.view = membership.New(membership.Options{List: client, Clock: options.Clock, Logger: options.Logger})
 	e.config = configuration.New(configuration.Options{
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -67,6 +67,8 @@
 	Meter      *meter.Meter
 	// HTTP reaches the upstream and the platform.
 	HTTP *http.Client
+	// Dial opens connections to peers; nil means TCP.
+	Dial peer.Dial
 	// Admin is where health and metrics are served; nil means nowhere.
 	Admin net.Listener
 }
@@ -110,7 +112,11 @@
 	s := &Sidecar{options: options, shard: directory.New(options.Clock)}
 	s.declared.Store(pool)
 	s.chooser = placement.NewChooser(s.shard, placer)
-	s.clients = peer.NewClients(peer.ClientOptions{Secret: options.Instance.PeerSecret, Clock: options.Clock})
+	s.clients = peer.NewClients(peer.ClientOptions{
+		Secret: options.Instance.PeerSecret,
+		Clock:  options.Clock,
+		Dial:   options.Dial,
+	})
 	client := platform.NewClient(options.Instance.Platform, options.HTTP)
 	s.view = membership.New(membership.Options{List: client, Clock: options.Clock, Logger: options.Logger})
 	s.setUpConfiguration(client)
@@ -120,6 +126,7 @@
 	case settings.PoolService:
 		s.setUpService(client)
 	}
+	s.starting.Store(true)
 	s.stop, s.kill = context.WithCancel(context.Background())
 	s.server, err = peer.NewServer(options.Instance.PeerSecret, &receiver{s})
 	if err != nil {
@@ -208,9 +215,11 @@
 	defer s.kill()
 	s.view.Refresh(ctx)
 	group, work := errgroup.WithContext(s.stop)
-	s.starting.Store(true)
 	group.Go(func() error { return s.server.Serve(work, listener) })
 	s.config.Bootstrap(ctx)
+	if s.tracker != nil {
+		s.tracker.Refresh(ctx)
+	}
 	s.starting.Store(false)
 	group.Go(func() error { return s.config.Run(work) })
 	group.Go(func() error { return s.view.Run(work) })
@@ -248,6 +257,9 @@
 
 func (s *Sidecar) revision() comfreyworks.Revision { return s.config.Current().Number() }
 
+// Ready reports whether the sidecar takes work.
+func (s *Sidecar) Ready() bool { return s.notReady() == "" }
+
 // notReady returns why the sidecar takes no new work, or nothing.
 func (s *Sidecar) notReady() string {
 	switch {
