--- a/internal/bench/command/command.go
+++ b/internal/bench/command/command.go
@@ -27,6 +27,8 @@
 
 // commands are the subcommands.
 type commands struct {
+	Version func() `long:"version" description:"print the version and exit"`
+
 	Demo demoCommand `command:"demo" description:"run the whole system for some seconds and check every answer"`
 
 	Trace   traceCommand   `command:"trace" description:"write a generated trace"`
@@ -49,6 +51,10 @@
 		Capacity:  capacityCommand{ctx: ctx},
 		Processes: processesCommand{ctx: ctx},
 	}
+	c.Version = func() {
+		fmt.Println("bench", program.Version)
+		os.Exit(program.ExitOK)
+	}
 	parser := flags.NewNamedParser("bench", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", &c); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/bench/command/experiments.go
+++ b/internal/bench/command/experiments.go
@@ -14,6 +14,7 @@
 	"comfreyworks/internal/bench/experiment"
 	"comfreyworks/internal/bench/report"
 	"comfreyworks/internal/bench/trace"
+	"comfreyworks/internal/state/settings"
 )
 
 // traceCommand writes a generated trace.
@@ -31,6 +32,8 @@
 
 // runOptions are shared by run and compare.
 type runOptions struct {
+	Config    string        `long:"config" description:"deployment file; without one an example is used" value-name:"FILE"`
+	Check     bool          `long:"check-config" description:"check the deployment file and exit"`
 	Trace     string        `long:"trace" description:"trace file; without one a trace is generated" value-name:"FILE"`
 	WarmUp    time.Duration `long:"warm-up" default:"10s" description:"time at the start that does not count"`
 	EventLoss float64       `long:"event-loss" default:"0" description:"share of cache events that are lost, 0 to 1"`
@@ -38,6 +41,22 @@
 	JSON      bool          `long:"json" description:"print JSON"`
 }
 
+// deployment reads the deployment file. It returns done when it was only to be
+// checked.
+func (o *runOptions) deployment() (source []byte, done bool, err error) {
+	if o.Config == "" {
+		return nil, o.Check, nil
+	}
+	source, err = os.ReadFile(o.Config)
+	if err != nil {
+		return nil, false, eris.Wrap(err, "--config")
+	}
+	if _, err := settings.ReadDeployment(o.Config, source); err != nil {
+		return nil, false, err
+	}
+	return source, o.Check, nil
+}
+
 func readTrace(path string) (trace.Trace, error) {
 	file, err := os.Open(path)
 	if err != nil {
@@ -58,6 +77,10 @@
 
 // Execute implements flags.Commander.
 func (c *runCommand) Execute([]string) error {
+	deployment, done, err := c.deployment()
+	if err != nil || done {
+		return err
+	}
 	policies, err := parsePolicies([]string{c.Policy})
 	if err != nil {
 		return err
@@ -68,7 +91,7 @@
 	}
 	result, err := experiment.Run(c.ctx, experiment.Options{
 		Trace: t, Policy: policies[0], Seed: c.Seed,
-		WarmUp: c.WarmUp, EventLoss: c.EventLoss, Replicas: c.Replicas,
+		WarmUp: c.WarmUp, EventLoss: c.EventLoss, Replicas: c.Replicas, Deployment: deployment,
 	})
 	if err != nil {
 		return err
@@ -98,6 +121,10 @@
 
 // Execute implements flags.Commander.
 func (c *compareCommand) Execute([]string) error {
+	deployment, done, err := c.deployment()
+	if err != nil || done {
+		return err
+	}
 	policies, err := parsePolicies(c.Policies)
 	if err != nil {
 		return err
@@ -109,7 +136,7 @@
 	bar := newProgressBar(c.Seeds * len(policies))
 	results, err := experiment.Compare(c.ctx, experiment.CompareOptions{
 		Trace: source, Policies: policies, Seeds: c.Seeds, Parallel: c.Parallel,
-		WarmUp: c.WarmUp, EventLoss: c.EventLoss, Replicas: c.Replicas,
+		WarmUp: c.WarmUp, EventLoss: c.EventLoss, Replicas: c.Replicas, Deployment: deployment,
 		Progress: func() { _ = bar.Add(1) },
 	})
 	if err != nil {
--- a/internal/bench/experiment/compare.go
+++ b/internal/bench/experiment/compare.go
@@ -22,7 +22,9 @@
 	WarmUp    time.Duration
 	EventLoss float64
 	Replicas  int
-	Progress  func()
+	// Deployment is a deployment file to run; nil means an example.
+	Deployment []byte
+	Progress   func()
 }
 
 // Compare runs every policy on the same traces. Runs of one seed come next to
@@ -37,7 +39,7 @@
 		group.Go(func() error {
 			result, err := Run(ctx, Options{
 				Trace: options.Trace(seed), Policy: policy, Seed: seed,
-				WarmUp: options.WarmUp, EventLoss: options.EventLoss, Replicas: options.Replicas,
+				WarmUp: options.WarmUp, EventLoss: options.EventLoss, Replicas: options.Replicas, Deployment: options.Deployment,
 			})
 			results[i] = result
 			if options.Progress != nil {
--- a/internal/bench/experiment/experiment.go
+++ b/internal/bench/experiment/experiment.go
@@ -84,6 +84,9 @@
 	WarmUp time.Duration
 	// EventLoss is the share of cache events that are lost.
 	EventLoss float64
+	// Deployment is a deployment file to run; nil means the example that
+	// declares the trace's pools.
+	Deployment []byte
 	// Replicas replaces the number of engines; zero keeps the deployment's.
 	Replicas int
 	Progress func()
@@ -136,6 +139,9 @@
 // deploymentFor finds the user's deployment that declares the trace's pools.
 func deploymentFor(options Options) (*settings.Deployment, error) {
 	files := map[string][]byte{"piedmont.jsonc": examples.Piedmont, "ramdeen.jsonc": examples.Ramdeen}
+	if options.Deployment != nil {
+		files = map[string][]byte{"deployment": options.Deployment}
+	}
 	for file, source := range files {
 		deployment, err := settings.ReadDeployment(file, source)
 		if err != nil {
@@ -146,7 +152,7 @@
 		}
 		return deployment, prepare(deployment, options)
 	}
-	return nil, &Error{Op: "find a deployment", Kind: KindSetUp, Err: fmt.Errorf("no example declares all pools of the trace")}
+	return nil, &Error{Op: "find a deployment", Kind: KindSetUp, Err: fmt.Errorf("the deployment does not declare all pools of the trace")}
 }
 
 func declares(deployment *settings.Deployment, t trace.Trace) bool {
--- a/internal/state/settings/check.go
+++ b/internal/state/settings/check.go
@@ -47,6 +47,23 @@
 	return instance, nil
 }
 
+// ReadOperator reads and checks an operator file. The error is a Problems value.
+func ReadOperator(file string, source []byte) (*Operator, error) {
+	operator := new(Operator)
+	d := decode(file, source, operator)
+	checkSecret(d, operator.PeerSecret)
+	if len(d.problems) > 0 {
+		return nil, d.sorted()
+	}
+	return operator, nil
+}
+
+func checkSecret(d *decoder, secret string) {
+	if secret != "" && len(secret) < minSecretBytes {
+		d.fail("peer-secret", "found %d bytes, expected at least %d", len(secret), minSecretBytes)
+	}
+}
+
 func (d *decoder) sorted() Problems {
 	slices.SortStableFunc(d.problems, func(a, b Problem) int { return a.Line - b.Line })
 	return d.problems
@@ -172,9 +189,7 @@
 }
 
 func checkInstance(d *decoder, v *Instance) {
-	if v.PeerSecret != "" && len(v.PeerSecret) < minSecretBytes {
-		d.fail("peer-secret", "found %d bytes, expected at least %d", len(v.PeerSecret), minSecretBytes)
-	}
+	checkSecret(d, v.PeerSecret)
 	switch v.Role {
 	case comfreyworks.RoleEntry, "":
 	case comfreyworks.RoleSidecar:
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -1,9 +1,10 @@
 // Package settings reads and checks settings files: JSON with comments, names
 // in kebab case, durations and sizes with units, addresses as IP numbers.
 //
-// There are two kinds of file. A deployment file declares what operators own:
+// There are three kinds of file. A deployment file declares what operators own:
 // zones, models, classes, workspaces and pools. An instance file tells one
-// process its name, zone and addresses and names the deployment file.
+// process its name, zone and addresses and names the deployment file. An
+// operator file tells comfreyctl how to reach the system.
 //
 // # Usage
 //
@@ -138,6 +139,14 @@
 	StopGrace time.Duration `json:"stop-grace" default:"30s"`
 }
 
+// Operator tells the operators' tool how to reach the system.
+type Operator struct {
+	// Platform is the address of the platform's log and instance list.
+	Platform netip.AddrPort `json:"platform"`
+	// PeerSecret is the secret that instances prove to each other.
+	PeerSecret string `json:"peer-secret"`
+}
+
 // Instance tells one process who it is.
 type Instance struct {
 	ID   comfreyworks.InstanceID `json:"instance"`
--- a/internal/transport/control/configure.go
+++ b/internal/transport/control/configure.go
@@ -7,9 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -22,6 +20,7 @@
 	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/protocol/platform"
 	"comfreyworks/internal/state/revision"
+	"comfreyworks/internal/state/settings"
 	"comfreyworks/internal/transport/admin"
 )
 
@@ -41,8 +40,7 @@
 
 // connection is how the tool reaches the platform and the instances.
 type connection struct {
-	Platform   string `long:"platform" description:"IP address and port of the platform's log and list" value-name:"ADDRESS" required:"yes"`
-	SecretFile string `long:"peer-secret-file" description:"file with the instances' secret; needed to ask them" value-name:"FILE"`
+	Config string `long:"config" description:"operator settings file" value-name:"FILE" default:"operator.jsonc"`
 }
 
 // operator carries out the commands that talk to the platform.
@@ -54,22 +52,18 @@
 }
 
 func (c *connection) open(ctx context.Context, out io.Writer) (*operator, error) {
-	address, err := netip.ParseAddrPort(c.Platform)
+	source, err := os.ReadFile(c.Config)
 	if err != nil {
-		return nil, eris.Errorf("--platform: found %q, expected an IP address and a port", c.Platform)
+		return nil, eris.Wrap(err, "--config")
 	}
-	secret := ""
-	if c.SecretFile != "" {
-		text, err := os.ReadFile(c.SecretFile)
-		if err != nil {
-			return nil, eris.Wrap(err, "--peer-secret-file")
-		}
-		secret = strings.TrimSpace(string(text))
+	operatorSettings, err := settings.ReadOperator(c.Config, source)
+	if err != nil {
+		return nil, err
 	}
 	return &operator{
 		ctx: ctx, out: out,
-		client: platform.NewClient(address, http.DefaultClient),
-		peers:  peer.NewClients(peer.ClientOptions{Secret: secret, Clock: clockwork.NewRealClock()}),
+		client: platform.NewClient(operatorSettings.Platform, http.DefaultClient),
+		peers:  peer.NewClients(peer.ClientOptions{Secret: operatorSettings.PeerSecret, Clock: clockwork.NewRealClock()}),
 	}, nil
 }
 
--- a/internal/transport/control/configure_test.go
+++ b/internal/transport/control/configure_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -22,9 +23,10 @@
 
 // fixture is a small running system and an operator in front of it.
 type fixture struct {
-	rig    *rig.Rig
-	dir    string
-	secret string
+	rig *rig.Rig
+	dir string
+	// config is the operator settings file.
+	config string
 }
 
 func newFixture(t *testing.T) fixture {
@@ -40,7 +42,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(r.Stop)
 	f := fixture{rig: r, dir: t.TempDir()}
-	f.secret = f.write(t, "secret", r.PeerSecret())
+	f.config = f.write(t, "operator.jsonc", fmt.Sprintf(`{"platform": %q, "peer-secret": %q}`, r.Platform(), r.PeerSecret()))
 	return f
 }
 
@@ -62,7 +64,7 @@
 // expect runs a command and checks its exit code and a part of what it prints.
 func (f fixture) expect(t *testing.T, code program.ExitCode, part string, args ...string) {
 	t.Helper()
-	args = append(args, "--platform", f.rig.Platform().String(), "--peer-secret-file", f.secret)
+	args = append(args, "--config", f.config)
 	var out bytes.Buffer
 	assert.Equal(t, control.Main(args, &out, &out), code, out.String())
 	assert.Assert(t, strings.Contains(out.String(), part), out.String())
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -29,6 +29,7 @@
 // commands are the subcommands and the options before them.
 type commands struct {
 	Version  func()          `long:"version" description:"print the version and exit"`
+	Check    checkCommand    `command:"check-config" description:"check an operator settings file"`
 	Validate validateCommand `command:"validate" description:"check deployment files and print every mistake"`
 	Diff     diffCommand     `command:"diff" description:"show what applying a file would change"`
 	Apply    applyCommand    `command:"apply" description:"make a file the configuration in force, as a whole"`
@@ -37,6 +38,8 @@
 	Rollback rollbackCommand `command:"rollback" description:"make an older revision's content the next revision"`
 }
 
+type checkCommand struct{ connection }
+
 // fileArgument is the file of a command.
 type fileArgument struct {
 	File string `positional-arg-name:"FILE" required:"yes"`
@@ -135,6 +138,11 @@
 	switch name {
 	case "validate":
 		return validate(c.Validate.Args.Files, stdout)
+	case "check-config":
+		return c.Check.do(ctx, stdout, func(o *operator) error {
+			o.printf("%s: settings are good\n", c.Check.Config)
+			return nil
+		})
 	case "diff":
 		return c.Diff.do(ctx, stdout, func(o *operator) error { return o.diff(c.Diff.Args.File) })
 	case "apply":
--- a/internal/transport/control/control_test.go
+++ b/internal/transport/control/control_test.go
@@ -15,6 +15,8 @@
 func TestMainCommand(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.jsonc")
 	assert.NilError(t, os.WriteFile(bad, []byte("{\n  \"colour\": 1\n}"), 0o600))
+	hostName := filepath.Join(t.TempDir(), "host.jsonc")
+	assert.NilError(t, os.WriteFile(hostName, []byte(`{"platform": "log.example:1", "peer-secret": "0123456789abcdef"}`), 0o600))
 	const good = "../../../examples/piedmont.jsonc"
 	tests := []struct {
 		name     string
@@ -29,6 +31,9 @@
 		{"no file", []string{"validate"}, program.ExitUsage, "FILE"},
 		{"no such file", []string{"validate", "none.jsonc"}, program.ExitSettings, "none.jsonc"},
 		{"unknown command", []string{"fly"}, program.ExitUsage, "fly"},
+		{"good settings", []string{"check-config", "--config", "../../../examples/operator.jsonc"}, program.ExitOK, "settings are good"},
+		{"bad settings", []string{"check-config", "--config", bad}, program.ExitSettings, "colour: unknown field"},
+		{"host name in settings", []string{"status", "--config", hostName}, program.ExitSettings, "host names are not resolved"},
 		{"nothing", nil, program.ExitUsage, "validate"},
 	}
 	for _, test := range tests {
