--- a/internal/coordination/tracker/report.go
+++ b/internal/coordination/tracker/report.go
@@ -11,8 +11,15 @@
 )
 
 const (
-	// reportPause is the least time between two reports.
+	// reportPause is the least time between two usual reports.
 	reportPause = 250 * time.Millisecond
+	// urgentPause is the least time between any two reports.
+	urgentPause = 10 * time.Millisecond
+	// urgentTokens is the work, in uncached tokens, that is reported at once.
+	// A shard knows what it gave to an upstream itself; of the choices of other
+	// shards it learns by reports only, and until then would send a second
+	// long prompt behind the first.
+	urgentTokens = 2048
 	// heartbeatInterval is the longest time between two reports.
 	heartbeatInterval = time.Second
 	// reportTimeout bounds one report to one shard.
@@ -33,16 +40,30 @@
 func (t *Tracker) report(ctx context.Context) error {
 	for ctx.Err() == nil {
 		t.reportOnce(ctx)
-		t.sleep(ctx, reportPause)
-		select {
-		case <-t.dirty:
-		case <-t.options.Clock.After(heartbeatInterval - reportPause):
-		case <-ctx.Done():
-		}
+		t.sleep(ctx, urgentPause)
+		t.awaitNews(ctx)
 	}
 	return nil
 }
 
+// awaitNews returns when the next report is due: at once for urgent news, after
+// the pause for other news, and for the heartbeat without any.
+func (t *Tracker) awaitNews(ctx context.Context) {
+	select {
+	case <-t.urgent:
+		return
+	case <-t.options.Clock.After(reportPause):
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-t.urgent:
+	case <-t.dirty:
+	case <-t.options.Clock.After(heartbeatInterval - reportPause):
+	case <-ctx.Done():
+	}
+}
+
 func (t *Tracker) reportOnce(ctx context.Context) {
 	ring := t.options.Ring()
 	reports := t.reports(ring)
--- a/internal/coordination/tracker/tracker.go
+++ b/internal/coordination/tracker/tracker.go
@@ -79,6 +79,7 @@
 	shards      map[comfreyworks.InstanceID]*shardState
 	dirty       chan struct{}
 	doubt       chan struct{}
+	urgent      chan struct{}
 }
 
 // New returns a tracker of an engine that it has not seen yet.
@@ -92,6 +93,7 @@
 		shards:  make(map[comfreyworks.InstanceID]*shardState),
 		dirty:   make(chan struct{}, 1),
 		doubt:   make(chan struct{}, 1),
+		urgent:  make(chan struct{}, 1),
 	}
 }
 
@@ -153,9 +155,12 @@
 // broken connection does not make an engine dead: if it did, a burst that
 // overruns a few connections would turn everything away from a healthy engine,
 // and send it to the next one.
-func (t *Tracker) Doubt() {
+func (t *Tracker) Doubt() { signal(t.doubt) }
+
+// signal wakes whoever waits on a channel with room for one signal.
+func signal(c chan struct{}) {
 	select {
-	case t.doubt <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -195,12 +200,7 @@
 }
 
 // touch asks for a report soon. The mutex must be held.
-func (t *Tracker) touch() {
-	select {
-	case t.dirty <- struct{}{}:
-	default:
-	}
-}
+func (t *Tracker) touch() { signal(t.dirty) }
 
 // followEvents keeps the index up to date.
 func (t *Tracker) followEvents(ctx context.Context) error {
--- a/internal/coordination/tracker/work.go
+++ b/internal/coordination/tracker/work.go
@@ -41,6 +41,9 @@
 	}
 	t.running++
 	t.touch()
+	if w.uncached >= urgentTokens {
+		signal(t.urgent)
+	}
 	return w
 }
 
