--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 
 # Builds each module by itself, without the workspace.
 standalone:
-	@for m in $(MODULES); do (cd $$m && GOWORK=off go build ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && GOWORK=off go build -o /dev/null ./...) || exit 1; done
 
 # Runs every fuzz target for a while.
 fuzz:
--- /dev/null
+++ b/internal/bench/rig/access.go
@@ -0,0 +1,101 @@
+package rig
+
+import (
+	"net/netip"
+	"slices"
+
+	"comfreyworks"
+	"comfreyworks/internal/standin/engine"
+	"comfreyworks/internal/standin/platform"
+	"comfreyworks/internal/standin/service"
+	"comfreyworks/internal/state/meter"
+	"comfreyworks/internal/state/settings"
+)
+
+// EntryURL returns the base URL of an entry.
+func (r *Rig) EntryURL(i int) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return "http://" + r.entries[i%len(r.entries)].instance.Listen.String()
+}
+
+// Entries returns the number of entries.
+func (r *Rig) Entries() int { return r.options.Entries }
+
+// Log returns the stand-in of the log.
+func (r *Rig) Log() *platform.Log { return r.log }
+
+// Platform returns the address of the platform's stand-in.
+func (r *Rig) Platform() netip.AddrPort { return r.platform }
+
+// PeerSecret returns the secret that the roles prove to each other.
+func (r *Rig) PeerSecret() string { return peerSecret }
+
+// List returns the stand-in of the list of instances.
+func (r *Rig) List() *platform.List { return r.list }
+
+// Meter returns the meter that all roles share.
+func (r *Rig) Meter() *meter.Meter { return r.meter }
+
+// Engine returns the engine of an instance, or nil.
+func (r *Rig) Engine(id comfreyworks.InstanceID) *engine.Engine {
+	if u := r.find(id); u != nil {
+		return u.engine
+	}
+	return nil
+}
+
+// Engines returns the engines of a pool.
+func (r *Rig) Engines(pool comfreyworks.Pool) []*engine.Engine {
+	var engines []*engine.Engine
+	for _, u := range r.upstreams {
+		if u.instance.Pool == pool && u.engine != nil {
+			engines = append(engines, u.engine)
+		}
+	}
+	return engines
+}
+
+// EngineIDs returns the instances of a pool that have an engine.
+func (r *Rig) EngineIDs(pool comfreyworks.Pool) []comfreyworks.InstanceID {
+	var ids []comfreyworks.InstanceID
+	for _, u := range r.upstreams {
+		if u.instance.Pool == pool && u.engine != nil {
+			ids = append(ids, u.instance.ID)
+		}
+	}
+	return ids
+}
+
+// Services returns the plain services of a pool.
+func (r *Rig) Services(pool comfreyworks.Pool) []*service.Service {
+	var services []*service.Service
+	for _, u := range r.upstreams {
+		if u.instance.Pool == pool && u.service != nil {
+			services = append(services, u.service)
+		}
+	}
+	return services
+}
+
+func (r *Rig) find(id comfreyworks.InstanceID) *upstreamProcess {
+	i := slices.IndexFunc(r.upstreams, func(u *upstreamProcess) bool { return u.instance.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return r.upstreams[i]
+}
+
+// Instances returns the settings of every entry and sidecar.
+func (r *Rig) Instances() []settings.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var instances []settings.Instance
+	for _, u := range r.upstreams {
+		instances = append(instances, r.sidecarSettings(u))
+	}
+	for _, p := range r.entries {
+		instances = append(instances, p.instance)
+	}
+	return instances
+}
--- /dev/null
+++ b/internal/bench/rig/restart.go
@@ -0,0 +1,62 @@
+package rig
+
+import (
+	"net"
+	"strings"
+
+	"comfreyworks"
+)
+
+// RestartSidecar kills a sidecar and starts it again, empty.
+func (r *Rig) RestartSidecar(id comfreyworks.InstanceID) error {
+	u := r.find(id)
+	if u == nil {
+		return &Error{Op: "restart " + string(id), Kind: KindTarget}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u.sidecar.role.Kill()
+	<-u.sidecar.done
+	return r.startSidecar(u)
+}
+
+// StopSidecar stops a sidecar gracefully and marks it leaving in the list.
+func (r *Rig) StopSidecar(id comfreyworks.InstanceID) error {
+	u := r.find(id)
+	if u == nil {
+		return &Error{Op: "stop " + string(id), Kind: KindTarget}
+	}
+	u.instance.State = comfreyworks.InstanceLeaving
+	r.publishList()
+	u.sidecar.stop()
+	<-u.sidecar.done
+	return nil
+}
+
+// RestartEntries kills entries and starts them again; "all" names all of them.
+func (r *Rig) RestartEntries(target string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, p := range r.entries {
+		if target != "all" && !strings.EqualFold(target, string(p.instance.ID)) {
+			continue
+		}
+		p.role.Kill()
+		<-p.done
+		listener, err := net.Listen("tcp", p.instance.Listen.String())
+		if err != nil {
+			return err
+		}
+		r.entries[i] = r.startEntry(p.instance, listener)
+	}
+	return nil
+}
+
+// StopEntry stops an entry gracefully.
+func (r *Rig) StopEntry(i int) {
+	r.mu.Lock()
+	p := r.entries[i]
+	r.mu.Unlock()
+	p.stop()
+	<-p.done
+}
--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -18,8 +18,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -308,20 +306,6 @@
 	}
 }
 
-// Instances returns the settings of every entry and sidecar.
-func (r *Rig) Instances() []settings.Instance {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var instances []settings.Instance
-	for _, u := range r.upstreams {
-		instances = append(instances, r.sidecarSettings(u))
-	}
-	for _, p := range r.entries {
-		instances = append(instances, p.instance)
-	}
-	return instances
-}
-
 func (r *Rig) addEntry(i int) error {
 	listener, err := listenAnywhere()
 	if err != nil {
@@ -394,131 +378,3 @@
 	r.cancel()
 	_ = r.group.Wait()
 }
-
-// EntryURL returns the base URL of an entry.
-func (r *Rig) EntryURL(i int) string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return "http://" + r.entries[i%len(r.entries)].instance.Listen.String()
-}
-
-// Entries returns the number of entries.
-func (r *Rig) Entries() int { return r.options.Entries }
-
-// Log returns the stand-in of the log.
-func (r *Rig) Log() *platform.Log { return r.log }
-
-// Platform returns the address of the platform's stand-in.
-func (r *Rig) Platform() netip.AddrPort { return r.platform }
-
-// PeerSecret returns the secret that the roles prove to each other.
-func (r *Rig) PeerSecret() string { return peerSecret }
-
-// List returns the stand-in of the list of instances.
-func (r *Rig) List() *platform.List { return r.list }
-
-// Meter returns the meter that all roles share.
-func (r *Rig) Meter() *meter.Meter { return r.meter }
-
-// Engine returns the engine of an instance, or nil.
-func (r *Rig) Engine(id comfreyworks.InstanceID) *engine.Engine {
-	if u := r.find(id); u != nil {
-		return u.engine
-	}
-	return nil
-}
-
-// Engines returns the engines of a pool.
-func (r *Rig) Engines(pool comfreyworks.Pool) []*engine.Engine {
-	var engines []*engine.Engine
-	for _, u := range r.upstreams {
-		if u.instance.Pool == pool && u.engine != nil {
-			engines = append(engines, u.engine)
-		}
-	}
-	return engines
-}
-
-// EngineIDs returns the instances of a pool that have an engine.
-func (r *Rig) EngineIDs(pool comfreyworks.Pool) []comfreyworks.InstanceID {
-	var ids []comfreyworks.InstanceID
-	for _, u := range r.upstreams {
-		if u.instance.Pool == pool && u.engine != nil {
-			ids = append(ids, u.instance.ID)
-		}
-	}
-	return ids
-}
-
-// Services returns the plain services of a pool.
-func (r *Rig) Services(pool comfreyworks.Pool) []*service.Service {
-	var services []*service.Service
-	for _, u := range r.upstreams {
-		if u.instance.Pool == pool && u.service != nil {
-			services = append(services, u.service)
-		}
-	}
-	return services
-}
-
-func (r *Rig) find(id comfreyworks.InstanceID) *upstreamProcess {
-	i := slices.IndexFunc(r.upstreams, func(u *upstreamProcess) bool { return u.instance.ID == id })
-	if i < 0 {
-		return nil
-	}
-	return r.upstreams[i]
-}
-
-// RestartSidecar kills a sidecar and starts it again, empty.
-func (r *Rig) RestartSidecar(id comfreyworks.InstanceID) error {
-	u := r.find(id)
-	if u == nil {
-		return &Error{Op: "restart " + string(id), Kind: KindTarget}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	u.sidecar.role.Kill()
-	<-u.sidecar.done
-	return r.startSidecar(u)
-}
-
-// StopSidecar stops a sidecar gracefully and marks it leaving in the list.
-func (r *Rig) StopSidecar(id comfreyworks.InstanceID) error {
-	u := r.find(id)
-	if u == nil {
-		return &Error{Op: "stop " + string(id), Kind: KindTarget}
-	}
-	u.instance.State = comfreyworks.InstanceLeaving
-	r.publishList()
-	u.sidecar.stop()
-	<-u.sidecar.done
-	return nil
-}
-
-// RestartEntries kills entries and starts them again; "all" names all of them.
-func (r *Rig) RestartEntries(target string) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for i, p := range r.entries {
-		if target != "all" && !strings.EqualFold(target, string(p.instance.ID)) {
-			continue
-		}
-		p.role.Kill()
-		<-p.done
-		listener, err := net.Listen("tcp", p.instance.Listen.String())
-		if err != nil {
-			return err
-		}
-		r.entries[i] = r.startEntry(p.instance, listener)
-	}
-	return nil
-}
-
-// StopEntry stops an entry gracefully.
-func (r *Rig) StopEntry(i int) {
-	r.mu.Lock()
-	p := r.entries[i]
-	r.mu.Unlock()
-	p.stop()
-	<-p.done
-}
