Never call a request not run that may have been given away

Cause: reading the dispatcher again showed answers that were not true: a stream that broke before its first token, and a start whose answer was lost, ended in "not run" when no other upstream was left; so did a repeatable call whose first attempt may have run and whose second was refused.

Change: once a sidecar took the work, or may have, the failure is "incomplete" for a model and "unknown" for a call. A call with a key goes on to another sidecar after a lost answer, since the claim keeps it from running twice and the other may know the outcome. A conflict is final.

Conclusion: "not run" is now said only where nothing was sent.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 GOFUMPT := mvdan.cc/gofumpt@v0.12.0
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 FUZZ_TIME ?= 20s
+SEEDS ?= 3
 
 .PHONY: all build demo demo-serve demo-processes test lint format fuzz bench capacity clean standalone
 
@@ -49,8 +50,12 @@
 		done; \
 	done
 
+# Measures the decision alone, then all policies on the same traces: read the
+# rows of one run against each other.
 bench: build
-	go test -run='^$$' -bench=. -benchmem ./internal/...
+	go test -run='^$$' -bench=. -benchmem ./internal/coordination/placement
+	./bin/bench compare --profile piedmont --rate 82 --length 25s --seeds $(SEEDS) --plots reports/piedmont
+	./bin/bench compare --profile ramdeen --rate 170 --length 25s --seeds $(SEEDS) --plots reports/ramdeen
 
 # Measures the slopes of docs/CAPACITY.md and prints its tables.
 capacity: build
--- a/internal/coordination/dispatch/call.go
+++ b/internal/coordination/dispatch/call.go
@@ -11,12 +11,16 @@
 )
 
 // Call carries one call to a plain service. A call that may not be repeated is
-// sent on only while it is certain that nothing ran.
+// sent on only while it is certain that nothing ran, or if it has a key: the
+// key's claim keeps it from running twice, and another sidecar may know how it
+// ended.
 func (d *Dispatcher) Call(ctx context.Context, pool *settings.Pool, work comfreyworks.ServiceWork) comfreyworks.ServiceOutcome {
 	outcome := comfreyworks.ServiceOutcome{
 		Run:     comfreyworks.NotRun,
 		Refusal: &comfreyworks.Refusal{Reason: comfreyworks.RefusedDown, RetryAfter: defaultRetryAfter},
 	}
+	harmless := work.Repeatable || work.Call.IdempotencyKey != ""
+	mayHaveRun := false
 	var excluded []comfreyworks.InstanceID
 	budget := budgetKey{workspace: work.Workspace, pool: pool.Name}
 	d.budgets.earn(budget)
@@ -34,8 +38,13 @@
 			continue
 		}
 		outcome = d.callOnce(ctx, instance, work)
-		again := outcome.Run == comfreyworks.NotRun || (outcome.Run == comfreyworks.RunUnknown && work.Repeatable)
-		if !again || ctx.Err() != nil || isLogDown(outcome) {
+		mayHaveRun = mayHaveRun || outcome.Run == comfreyworks.RunUnknown
+		if outcome.Run == comfreyworks.NotRun && mayHaveRun {
+			// True of this attempt, but not of the ones before it.
+			outcome = comfreyworks.ServiceOutcome{Run: comfreyworks.RunUnknown, Detail: outcome.Detail}
+		}
+		again := outcome.Run != comfreyworks.Ran && (harmless || !mayHaveRun)
+		if !again || outcome.Conflict || ctx.Err() != nil || isLogDown(outcome) {
 			return outcome
 		}
 		excluded = append(excluded, instance.ID)
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -130,6 +130,9 @@
 	excluded     []comfreyworks.InstanceID
 	refusal      comfreyworks.Refusal
 	result       Result
+	// given means that some sidecar took the work or may have taken it, so that
+	// "not run" would no longer be true.
+	given bool
 	// finished means that err is final.
 	finished bool
 }
@@ -180,7 +183,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return &Error{Op: "generate", Kind: KindGivenUp, Err: context.Cause(ctx)}
-	case s.delivered > 0:
+	case s.given:
 		err := fmt.Errorf("stopped after %d tokens: %s", s.delivered, s.refusal.Reason)
 		return &Error{Op: "generate", Kind: KindIncomplete, Err: err}
 	default:
@@ -249,6 +252,7 @@
 	refusal, err := gate.Start(ctx, work)
 	if err != nil {
 		if !errors.Is(err, comfreyworks.ErrNotSent) {
+			state.given = true
 			d.cancel(ctx, gate, work.Stream)
 		}
 		if ctx.Err() == nil {
@@ -260,6 +264,7 @@
 		d.noteRefusal(state, instance, *refusal)
 		return nil
 	}
+	state.given = true
 	d.options.View.Worked(instance.ID)
 	state.place.Instance = instance.ID
 	return d.relay(ctx, state, instance, work.Stream)
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -209,6 +209,21 @@
 		assert.Assert(t, errors.As(err, &refused))
 		assert.Equal(t, refused.Refusal, comfreyworks.Refusal{Reason: comfreyworks.RefusedBusy, RetryAfter: 3 * time.Second})
 	})
+	given := []struct {
+		name string
+		gate *fakeGate
+	}{
+		{"a stream that broke before its first token", &fakeGate{reads: []readAnswer{ends("", comfreyworks.EndIncomplete)}}},
+		{"a start whose answer was lost", &fakeGate{startErr: errLost}},
+	}
+	for _, test := range given {
+		t.Run(test.name+" is never called not run", func(t *testing.T) {
+			expectFailure(t, fakeGates{test.gate}, KindIncomplete)
+		})
+	}
+	t.Run("nothing sent is not run", func(t *testing.T) {
+		expectFailure(t, fakeGates{{startErr: errNotSent}}, KindRefused)
+	})
 	t.Run("nobody left part of the way is incomplete, never complete", func(t *testing.T) {
 		crashing := &fakeGate{reads: []readAnswer{news("a"), ends("", comfreyworks.EndIncomplete)}}
 		expectFailure(t, fakeGates{crashing}, KindIncomplete)
@@ -282,6 +297,8 @@
 		{"not sent, then elsewhere", &fakeGate{callErr: errNotSent}, false, comfreyworks.Ran, 2},
 		{"lost answer of a call that may not be repeated", &fakeGate{callErr: errLost}, false, comfreyworks.RunUnknown, 1},
 		{"lost answer of a call that may", &fakeGate{callErr: errLost}, true, comfreyworks.Ran, 2},
+		{"lost answer of a call with a key", &fakeGate{callErr: errLost}, false, comfreyworks.Ran, 2},
+		{"key used with another body", &fakeGate{outcome: comfreyworks.ServiceOutcome{Run: comfreyworks.NotRun, Conflict: true}}, false, comfreyworks.NotRun, 1},
 		{"unknown at the sidecar", &fakeGate{outcome: comfreyworks.ServiceOutcome{Run: comfreyworks.RunUnknown}}, false, comfreyworks.RunUnknown, 1},
 	}
 	for _, test := range tests {
@@ -292,10 +309,24 @@
 			gates := fakeGates{test.first, second}
 			d := newDispatcher(gates)
 			d.options.View.Failed("lm/1")
-			outcome := d.Call(context.Background(), &settings.Pool{Name: "lm"}, comfreyworks.ServiceWork{Repeatable: test.repeatable})
+			work := comfreyworks.ServiceWork{Repeatable: test.repeatable}
+			if strings.HasSuffix(test.name, "with a key") {
+				work.Call.IdempotencyKey = "k"
+			}
+			outcome := d.Call(context.Background(), &settings.Pool{Name: "lm"}, work)
 			assert.Equal(t, outcome.Run, test.run)
 			assert.Equal(t, test.first.called+second.called, test.calls)
 			assert.Equal(t, test.first.called, 1)
 		})
 	}
 }
+
+func TestCallNeverForgetsThatItMayHaveRun(t *testing.T) {
+	refusing := &fakeGate{outcome: comfreyworks.ServiceOutcome{
+		Run: comfreyworks.NotRun, Refusal: &comfreyworks.Refusal{Reason: comfreyworks.RefusedLeaving},
+	}}
+	d := newDispatcher(fakeGates{{callErr: errLost}, refusing})
+	d.options.View.Failed("lm/1")
+	outcome := d.Call(context.Background(), &settings.Pool{Name: "lm"}, comfreyworks.ServiceWork{Repeatable: true})
+	assert.Equal(t, outcome.Run, comfreyworks.RunUnknown)
+}
--- a/internal/coordination/dispatch/resume.go
+++ b/internal/coordination/dispatch/resume.go
@@ -37,6 +37,7 @@
 		return nil
 	}
 	state.delivered = resume.Delivered
+	state.given = true
 	state.firstAttempt = resume.Place.Attempt
 	state.place = resume.Place
 	instance, ok := d.options.View.Find(state.job.Pool.Name, resume.Place.Instance)
--- a/internal/coordination/tracker/tracker.go
+++ b/internal/coordination/tracker/tracker.go
@@ -237,6 +237,9 @@
 	if len(events.Events) > 0 {
 		t.touch()
 	}
+	if index.LostTokens() >= urgentTokens {
+		signal(t.urgent)
+	}
 	return events.Incarnation == index.Incarnation()
 }
 
--- a/internal/state/residency/residency.go
+++ b/internal/state/residency/residency.go
@@ -248,6 +248,18 @@
 	return changes
 }
 
+// LostTokens returns the length of the longest level that was lost since the
+// last call of Changes.
+func (x *Index) LostTokens() int {
+	longest := int32(0)
+	for _, change := range x.changes {
+		if !change.Held {
+			longest = max(longest, change.Tokens)
+		}
+	}
+	return int(longest)
+}
+
 // All returns every level held, as gains.
 func (x *Index) All() []comfreyworks.LevelChange {
 	all := make([]comfreyworks.LevelChange, 0, len(x.levels))
