--- a/internal/state/residency/residency_test.go
+++ b/internal/state/residency/residency_test.go
@@ -68,6 +68,15 @@
 		apply(x, stored(2, "r2", 101, 102, 103), removed(3, 103))
 		expectHeld(t, x, 1, 2)
 	})
+	t.Run("the longest loss is known until it is told", func(t *testing.T) {
+		x := newIndex()
+		x.Changes()
+		assert.Equal(t, x.LostTokens(), 0)
+		apply(x, removed(2, 102), removed(3, 103))
+		assert.Equal(t, x.LostTokens(), 3*blockTokens)
+		x.Changes()
+		assert.Equal(t, x.LostTokens(), 0)
+	})
 	t.Run("changes are told once", func(t *testing.T) {
 		x := newIndex()
 		assert.Equal(t, len(x.Changes()), 3)
