Forget instances that have gone

Change: a shard gives the place of an upstream that has been silent for a minute to a newcomer, with a new epoch so that old holdings do not become the newcomer's; views and clients forget what the list no longer names. Capacity counts urgent reports and the replay of a claims stream.

Figures: 1,000 upstreams that replace each other took 1,000 places in a shard before and take 2 now.

Conclusion: state follows the size of the system, not its age.

--- a/internal/bench/capacity/capacity.go
+++ b/internal/bench/capacity/capacity.go
@@ -51,6 +51,7 @@
 	SlopeReportCPU        SlopeName = "processor time per report, both ends"
 	SlopeChangeCPU        SlopeName = "processor time per reported change, at the shard"
 	SlopeEventCPU         SlopeName = "processor time per cache event"
+	SlopeReplayCPU        SlopeName = "processor time per claim record replayed"
 	SlopeChainCPU         SlopeName = "processor time per KiB of prompt hashed"
 )
 
--- a/internal/bench/capacity/role.go
+++ b/internal/bench/capacity/role.go
@@ -42,14 +42,19 @@
 	boundBytes  = 7e3
 	boundCPU    = 0.039
 	boundMemory = 256 << 20
+	// boundRestart is how soon a restarted process has to serve, in seconds.
+	boundRestart = 1
 )
 
 // What the estimates take from the design.
 const (
 	shardsPerPool = 2
-	// reportsPerSecond is the most reports that a busy sidecar sends to each
-	// shard.
-	reportsPerSecond = 4
+	// usualReports is the most usual reports a second that a busy sidecar sends
+	// to each shard. Urgent ones come on top: a quarter of the requests is cold,
+	// and each of those begins a long prompt and evicts another.
+	usualReports = 4
+	coldShare    = 0.25
+	urgentFor    = 2
 	// pullsPerSecond is how often an instance asks a peer for a newer
 	// configuration, sectionBytes the size of a section that changes.
 	pullsPerSecond = 2
@@ -84,6 +89,7 @@
 const (
 	unitRate  = "B/s"
 	unitShare = "core"
+	unitTime  = "s"
 )
 
 // estimate is a size with what follows from it.
@@ -109,6 +115,11 @@
 	return e.requestsPerReplica() * newLevels * e.blockLife()
 }
 
+// reportRate is the number of reports a second from one sidecar to one shard.
+func (e estimate) reportRate() float64 {
+	return usualReports + urgentFor*coldShare*e.requestsPerReplica()
+}
+
 func (e estimate) changesPerReplica() float64 { return 2 * newLevels * e.requestsPerReplica() }
 
 // openStreams is how many streams are open at a replica.
@@ -148,13 +159,13 @@
 
 func (e estimate) sidecar() []Figure {
 	const role = "sidecar"
-	reports := reportsPerSecond * shardsPerPool * e.slope(SlopeReportBytes)
+	reports := e.reportRate() * shardsPerPool * e.slope(SlopeReportBytes)
 	changed := e.changesPerReplica() * e.slope(SlopeChangeBytes)
 	events := e.CacheEvents / e.Replicas
 	memory := e.levelsPerReplica()*e.slope(SlopeResidencyMemory) +
 		(e.Nodes+e.replicasPerPool())*e.slope(SlopeConnectionMemory)/2 +
 		e.openStreams()*e.slope(SlopeStreamMemory)
-	cpu := core(e.slope(SlopeReportCPU), reportsPerSecond*shardsPerPool) + core(e.slope(SlopeEventCPU), events)
+	cpu := core(e.slope(SlopeReportCPU), e.reportRate()*shardsPerPool) + core(e.slope(SlopeEventCPU), events)
 	return []Figure{
 		{role, "reports sent", reports + changed, unitRate, boundBytes, "batched changes of levels; blocks end at the sidecar", "reports x shards x bytes + changes x bytes"},
 		{role, "processor time for control", cpu, unitShare, boundCPU, "reports and the residency index", "reports x cost + events x cost"},
@@ -166,7 +177,7 @@
 	const role = "directory shard"
 	members := e.replicasPerPool()
 	places := e.Requests / e.Models / shardsPerPool
-	reports := members * reportsPerSecond
+	reports := members * e.reportRate()
 	changed := members * e.changesPerReplica() / shardsPerPool
 	bytes := places*e.slope(SlopePlaceBytes) + reports*e.slope(SlopeReportBytes) + changed*e.slope(SlopeChangeBytes)
 	cpu := core(e.slope(SlopePlaceCPU), places) + core(e.slope(SlopeReportCPU), reports) + core(e.slope(SlopeChangeCPU), changed)
@@ -184,6 +195,7 @@
 	bytes := calls * e.slope(SlopeClaimBytes)
 	return []Figure{
 		{role, "claims read and written", bytes + bytes/servicePoolSize, unitRate, boundBytes, "batched appends to one stream for each service pool", "calls with a key (1 % of requests) x bytes"},
+		{role, "replay at a restart", core(e.slope(SlopeReplayCPU), 2*calls*window.Seconds()), unitTime, boundRestart, "the whole stream is read before keyed calls are taken", "2 records a call x 30 min x cost"},
 		{role, "memory for keys", calls * window.Seconds() * e.slope(SlopeLedgerMemory), unitBytes, boundMemory, "the fold of the stream, two windows long", "calls x 30 min x bytes"},
 	}
 }
@@ -221,6 +233,8 @@
 	switch unit {
 	case unitShare:
 		return fmt.Sprintf("%.2f %% of a core", 100*value)
+	case unitTime:
+		return fmt.Sprintf("%.1f s", value)
 	default:
 		return humanize.SIWithDigits(value, 1, unit)
 	}
--- a/internal/bench/capacity/state.go
+++ b/internal/bench/capacity/state.go
@@ -41,6 +41,7 @@
 	slopes.set(SlopeChangeCPU, changeCPU(), unitNanos)
 	slopes.set(SlopeEventCPU, eventCPU(), unitNanos)
 	slopes.set(SlopeChainCPU, chainCPU(), unitNanos)
+	slopes.set(SlopeReplayCPU, replayCPU(), unitNanos)
 }
 
 func changes(from, n int) []comfreyworks.LevelChange {
@@ -121,6 +122,28 @@
 	return float64(len(first) + len(second))
 }
 
+// replayCPU folds stored records as an executor does when it starts.
+func replayCPU() float64 {
+	var stored [][]byte
+	for i := range measuredKeys {
+		claim, outcome := claimRecord(i)
+		for _, record := range []ledger.Record{claim, outcome} {
+			text, _ := json.Marshal(record)
+			stored = append(stored, text)
+		}
+	}
+	l := ledger.New()
+	i := 0
+	cost, _ := cpuOf(len(stored), func() error {
+		var record ledger.Record
+		err := json.Unmarshal(stored[i], &record)
+		l.Apply(record)
+		i++
+		return err
+	})
+	return cost
+}
+
 func openStreams() []*stream.Buffer {
 	buffers := make([]*stream.Buffer, measuredStreams)
 	for i := range buffers {
--- a/internal/coordination/membership/doubt.go
+++ b/internal/coordination/membership/doubt.go
@@ -41,3 +41,12 @@
 	d[id] = doubt{failures: old.failures + 1, until: until}
 	return old.failures == 0
 }
+
+// keep forgets the doubts about all other instances.
+func (d doubts) keep(ids map[comfreyworks.InstanceID]bool) {
+	for id := range d {
+		if !ids[id] {
+			delete(d, id)
+		}
+	}
+}
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"reflect"
 	"slices"
 	"strings"
@@ -49,6 +50,9 @@
 	List   comfreyworks.InstanceList
 	Clock  comfreyworks.Clock
 	Logger *zap.Logger
+	// Changed is called with the addresses of all listed sidecars when the list
+	// has changed; it may be nil.
+	Changed func(addresses map[netip.AddrPort]bool)
 }
 
 // View is one process's view of the instances. It is safe for concurrent use.
@@ -115,6 +119,25 @@
 	}
 	v.byPool = byPool
 	v.rings = make(map[comfreyworks.Pool]*directory.Ring)
+	v.forgetDeparted()
+}
+
+// forgetDeparted drops what is kept for instances that are no longer listed.
+// The mutex must be held.
+func (v *View) forgetDeparted() {
+	ids := make(map[comfreyworks.InstanceID]bool)
+	addresses := make(map[netip.AddrPort]bool)
+	for _, members := range v.byPool {
+		for _, instance := range members {
+			ids[instance.ID] = true
+			addresses[instance.Address] = true
+		}
+	}
+	v.work.keep(ids)
+	v.directory.keep(ids)
+	if v.options.Changed != nil {
+		v.options.Changed(addresses)
+	}
 }
 
 // Ring returns the ring of a pool's directory. It is the same one until the
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -91,6 +92,17 @@
 		f.view.Refresh(context.Background())
 		f.expectUsable(t, "lm/0", "lm/1")
 	})
+	t.Run("departed instances are forgotten", func(t *testing.T) {
+		f := newFixture(0)
+		f.view.Failed("lm/0")
+		f.view.DirectoryFailed("lm/0")
+		var told map[netip.AddrPort]bool
+		f.view.options.Changed = func(addresses map[netip.AddrPort]bool) { told = addresses }
+		f.list.Set([]comfreyworks.Instance{sidecar("lm/1", comfreyworks.InstanceLive)})
+		f.view.Refresh(context.Background())
+		assert.Equal(t, len(f.view.work)+len(f.view.directory), 0)
+		assert.Equal(t, len(told), 1)
+	})
 	t.Run("the ring stays the same until the list changes", func(t *testing.T) {
 		f := newFixture(0)
 		ring := f.view.Ring("lm", 2)
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -37,6 +37,8 @@
 	expectationLife = 10 * time.Second
 	// reportLife is how long an upstream stays a candidate without a report.
 	reportLife = 5 * time.Second
+	// memberLife is how long an upstream is remembered without a report.
+	memberLife = time.Minute
 	// homeTokens is the length, in tokens, from which a level is deep enough
 	// to give a prompt its home.
 	homeTokens = 1024
@@ -88,8 +90,10 @@
 	clock   comfreyworks.Clock
 	mu      sync.Mutex
 	members []*member
-	byID    map[comfreyworks.InstanceID]uint32
-	levels  map[uint64]*levelEntry
+	// free are the places of members that were forgotten.
+	free   []uint32
+	byID   map[comfreyworks.InstanceID]uint32
+	levels map[uint64]*levelEntry
 }
 
 // New returns an empty shard.
@@ -136,12 +140,38 @@
 		return index, s.members[index]
 	}
 	m := &member{id: id, seed: rendezvous.Seed(string(id))}
-	index := uint32(len(s.members))
-	s.members = append(s.members, m)
+	index := s.place(m)
 	s.byID[id] = index
 	return index, m
 }
 
+// place finds a place for a new member. In the place of a forgotten one it
+// goes on with that one's epochs, so that holdings which still name the place
+// do not become the newcomer's.
+func (s *Shard) place(m *member) uint32 {
+	if last := len(s.free) - 1; last >= 0 {
+		index := s.free[last]
+		s.free = s.free[:last]
+		m.epoch = s.members[index].epoch + 1
+		s.members[index] = m
+		return index
+	}
+	s.members = append(s.members, m)
+	return uint32(len(s.members) - 1)
+}
+
+// forget gives up the places of members that have been silent for long.
+func (s *Shard) forget(now time.Time) {
+	for id, index := range s.byID {
+		m := s.members[index]
+		if now.Sub(m.reported) > memberLife {
+			m.epoch++
+			delete(s.byID, id)
+			s.free = append(s.free, index)
+		}
+	}
+}
+
 func (s *Shard) updateLoad(m *member, report comfreyworks.DirectoryReport) {
 	now := s.clock.Now()
 	m.closed = report.Leaving || report.Down
@@ -321,15 +351,16 @@
 	return chain[len(chain)-1].Hash
 }
 
-// Sweep drops every holding that can no longer match and returns the number of
-// levels left. Call it now and then: levels that are never asked for again
+// Sweep drops every holding that can no longer match, forgets upstreams that
+// have gone and returns the number of levels left. Call it now and then: levels that are never asked for again
 // would stay otherwise.
 func (s *Shard) Sweep() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock.Now().UnixNano()
+	now := s.clock.Now()
+	s.forget(now)
 	for hash, entry := range s.levels {
-		entry.sweep(s.members, now)
+		entry.sweep(s.members, now.UnixNano())
 		if len(entry.holdings) == 0 {
 			delete(s.levels, hash)
 		}
--- a/internal/state/directory/directory_test.go
+++ b/internal/state/directory/directory_test.go
@@ -143,6 +143,23 @@
 	})
 }
 
+func TestReplacedUpstreams(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := New(clock)
+	for i := range 1000 {
+		id := comfreyworks.InstanceID(fmt.Sprintf("lm/%d", i))
+		s.Report(full(id))
+		expectCached(t, s, id, 0)
+		s.Report(full(id, held(2, 2000)))
+		expectCached(t, s, id, 2000)
+		clock.Advance(memberLife + time.Second)
+		if i%2 == 0 {
+			s.Sweep()
+		}
+	}
+	assert.Assert(t, len(s.members) <= 2)
+}
+
 // naive remembers everything: for each replica, its incarnation, weights and
 // the levels it holds.
 type naive struct {
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -90,7 +90,9 @@
 		Dial:   options.Dial,
 	})
 	client := platform.NewClient(options.Instance.Platform, options.HTTP)
-	e.view = membership.New(membership.Options{List: client, Clock: options.Clock, Logger: options.Logger})
+	e.view = membership.New(membership.Options{
+		List: client, Clock: options.Clock, Logger: options.Logger, Changed: e.clients.Keep,
+	})
 	e.config = configuration.New(configuration.Options{
 		Instance: options.Instance.ID,
 		Initial:  revision.FromDeployment(options.Deployment),
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -118,7 +118,9 @@
 		Dial:   options.Dial,
 	})
 	client := platform.NewClient(options.Instance.Platform, options.HTTP)
-	s.view = membership.New(membership.Options{List: client, Clock: options.Clock, Logger: options.Logger})
+	s.view = membership.New(membership.Options{
+		List: client, Clock: options.Clock, Logger: options.Logger, Changed: s.clients.Keep,
+	})
 	s.setUpConfiguration(client)
 	switch pool.Kind {
 	case settings.PoolEngine:
