Check every promise under random faults

Change: bench check generates traces with crashes, slow engines, lost events, restarts of entries and sidecars, outages of the log, a lagging list, shifts of hot prefixes and partitions at random times, records every request and answer, and holds them against what the services ran. Names of instances are checked.

--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 # Measures the decision alone, then all policies on the same traces: read the
 # rows of one run against each other.
 bench: build
-	go test -run='^$$' -bench=. -benchmem ./internal/coordination/placement
+	go test -run='^$$' -bench=. -benchmem ./internal/coordination/placement ./internal/coordination/claim
 	./bin/bench compare --profile piedmont --rate 82 --length 25s --seeds $(SEEDS) --plots reports/piedmont
 	./bin/bench compare --profile ramdeen --rate 170 --length 25s --seeds $(SEEDS) --plots reports/ramdeen
 
--- a/internal/bench/command/command.go
+++ b/internal/bench/command/command.go
@@ -35,6 +35,8 @@
 	Run     runCommand     `command:"run" description:"run a trace under one policy"`
 	Compare compareCommand `command:"compare" description:"run policies on the same traces"`
 
+	Check checkCommand `command:"check" description:"run traces with faults and check every promise"`
+
 	Capacity capacityCommand `command:"capacity" description:"measure slopes and work out what full size takes"`
 
 	Processes processesCommand `command:"processes" description:"run the demo against roles that are processes of their own"`
@@ -48,6 +50,7 @@
 		Demo:      demoCommand{ctx: ctx},
 		Run:       runCommand{ctx: ctx},
 		Compare:   compareCommand{ctx: ctx},
+		Check:     checkCommand{ctx: ctx},
 		Capacity:  capacityCommand{ctx: ctx},
 		Processes: processesCommand{ctx: ctx},
 	}
--- a/internal/bench/command/experiments.go
+++ b/internal/bench/command/experiments.go
@@ -107,6 +107,47 @@
 	return nil
 }
 
+// checkCommand runs generated or given traces with faults and checks the
+// promises.
+type checkCommand struct {
+	runOptions
+	traceCommand
+	Runs int `long:"runs" default:"1" description:"number of runs, each with the next seed"`
+
+	ctx context.Context
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	deployment, done, err := c.deployment()
+	if err != nil || done {
+		return err
+	}
+	source, err := source(c.runOptions, c.traceCommand, trace.GenerateFaulty)
+	if err != nil {
+		return err
+	}
+	broken := 0
+	for seed := c.Seed; seed < c.Seed+uint64(c.Runs); seed++ {
+		result, err := experiment.Run(c.ctx, experiment.Options{
+			Trace: source(seed), Policy: experiment.Policy("comfrey"), Seed: seed,
+			EventLoss: c.EventLoss, Replicas: c.Replicas, Deployment: deployment,
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: %d requests, %v, %d violations\n", seed, result.Summary.Requests, result.Summary.Outcomes, len(result.Violations))
+		for _, violation := range result.Violations {
+			fmt.Println("  ", violation)
+		}
+		broken += len(result.Violations)
+	}
+	if broken > 0 {
+		return errBroken
+	}
+	return nil
+}
+
 // compareCommand runs every policy on the same traces.
 type compareCommand struct {
 	runOptions
@@ -129,7 +170,7 @@
 	if err != nil {
 		return err
 	}
-	source, err := c.source()
+	source, err := source(c.runOptions, c.traceCommand, trace.Generate)
 	if err != nil {
 		return err
 	}
@@ -160,13 +201,13 @@
 
 // source returns the trace of each seed: the file's, which is the same for
 // all, or a generated one.
-func (c *compareCommand) source() (func(uint64) trace.Trace, error) {
-	if c.Trace == "" {
+func source(run runOptions, generated traceCommand, generate func(trace.Profile, trace.GenerateOptions) trace.Trace) (func(uint64) trace.Trace, error) {
+	if run.Trace == "" {
 		return func(seed uint64) trace.Trace {
-			return trace.Generate(c.Profile, trace.GenerateOptions{Seed: seed, Length: c.Length, Rate: c.Rate})
+			return generate(generated.Profile, trace.GenerateOptions{Seed: seed, Length: generated.Length, Rate: generated.Rate})
 		}, nil
 	}
-	t, err := readTrace(c.Trace)
+	t, err := readTrace(run.Trace)
 	return func(uint64) trace.Trace { return t }, err
 }
 
--- a/internal/bench/experiment/experiment.go
+++ b/internal/bench/experiment/experiment.go
@@ -19,6 +19,7 @@
 
 	"comfreyworks"
 	"comfreyworks/examples"
+	"comfreyworks/internal/bench/check"
 	"comfreyworks/internal/bench/load"
 	"comfreyworks/internal/bench/report"
 	"comfreyworks/internal/bench/rig"
@@ -103,6 +104,8 @@
 	Waste       float64 `json:"waste"`
 	// Samples are the requests that counted.
 	Samples []load.Sample `json:"-"`
+	// Violations are the promises that the whole run broke, warm-up included.
+	Violations []check.Violation `json:"violations"`
 }
 
 // Run runs one trace under one policy.
@@ -210,6 +213,7 @@
 	return Result{
 		Policy: options.Policy, Seed: options.Seed, Summary: summary, PrefillBusy: busy,
 		HitRate: summary.HitRate(), Waste: summary.Waste(), Samples: counted,
+		Violations: check.Run(samples, check.RunsOf(r.Services, deployment), deployment),
 	}
 }
 
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -58,6 +58,8 @@
 	// WastedTokens were computed although a live upstream of the pool held
 	// them when the request was sent.
 	WastedTokens int
+	// Key is the idempotency key of a call that has one.
+	Key string
 	// Reconnects counts the connections that were lost.
 	Reconnects int
 	Detail     string
@@ -143,6 +145,9 @@
 func (r *runner) send(ctx context.Context, i int, line trace.Line) Sample {
 	sample := Sample{Line: line, Start: r.options.Clock.Since(r.start)}
 	began := r.options.Clock.Now()
+	if line.Key != "" {
+		sample.Key = r.idempotencyKey(line.Key)
+	}
 	if line.IsCall() {
 		r.call(ctx, i, &sample)
 	} else {
--- a/internal/bench/trace/generate.go
+++ b/internal/bench/trace/generate.go
@@ -125,6 +125,45 @@
 	return t
 }
 
+// faultGap is the mean time between faults, faultLength their longest time.
+const (
+	faultGap    = 1500 * time.Millisecond
+	faultLength = 1200 * time.Millisecond
+)
+
+// GenerateFaulty returns a trace of a profile with faults of every kind at
+// random times, singly and together.
+func GenerateFaulty(profile Profile, options GenerateOptions) Trace {
+	t := Generate(profile, options)
+	random := rand.New(rand.NewPCG(options.Seed, 2))
+	pool := piedmont.pool
+	if profile == ProfileRamdeen {
+		pool = ramdeen.pool
+	}
+	for at := time.Duration(0); at < options.Length; {
+		at += time.Duration(random.ExpFloat64() * float64(faultGap))
+		fault := Line{
+			At:     Duration(at),
+			Fault:  faultNames[random.IntN(len(faultNames))],
+			Target: fmt.Sprintf("%s/%d", pool, random.IntN(faultTargets)),
+			For:    Duration(random.Float64() * float64(faultLength)),
+		}
+		if fault.Fault == FaultEntryRestart {
+			fault.Target = fmt.Sprintf("entry/%d", random.IntN(faultEntries))
+		}
+		t = append(t, fault)
+	}
+	t.Sort()
+	return t
+}
+
+// faultTargets and faultEntries are how many upstreams and entries faults pick
+// from.
+const (
+	faultTargets = 4
+	faultEntries = 3
+)
+
 type generator struct {
 	random  *rand.Rand
 	options GenerateOptions
--- a/internal/state/settings/check.go
+++ b/internal/state/settings/check.go
@@ -19,6 +19,10 @@
 
 var kebabCase = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
 
+// instanceName is kebab case in parts that slashes separate. Identifiers of
+// events carry the name between dots, so it must not have any.
+var instanceName = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*(/[a-z0-9]+(-[a-z0-9]+)*)*$`)
+
 // ReadDeployment reads and checks a deployment file. The error is a Problems
 // value.
 func ReadDeployment(file string, source []byte) (*Deployment, error) {
@@ -189,6 +193,9 @@
 }
 
 func checkInstance(d *decoder, v *Instance) {
+	if v.ID != "" && !instanceName.MatchString(string(v.ID)) {
+		d.fail("instance", "found %q, expected a name such as \"lm-pool/3\"", v.ID)
+	}
 	checkSecret(d, v.PeerSecret)
 	switch v.Role {
 	case comfreyworks.RoleEntry, "":
--- a/internal/state/settings/settings_test.go
+++ b/internal/state/settings/settings_test.go
@@ -93,6 +93,7 @@
 		name, old, new, expected string
 	}{
 		{"host name", "127.0.0.1:8900", "platform.example:8900", `i.jsonc:3: platform: found "platform.example:8900", expected an IP address and a port, such as "10.0.0.7:8080"; host names are not resolved`},
+		{"instance with a dot", "entry/0", "entry.0", `i.jsonc:2: instance: found "entry.0", expected a name such as "lm-pool/3"`},
 		{"short secret", "0123456789abcdef", "short", `i.jsonc:3: peer-secret: found 5 bytes, expected at least 16`},
 		{"unknown role", `"role": "entry"`, `"role": "router"`, `i.jsonc:2: role: found "router", expected entry or sidecar`},
 		{"doubled field", `"zone": "a"`, `"zone": "a", "zone": "b"`, `i.jsonc:2: zone: field is given twice`},
