Prove the secret from both sides, and ask before weights change

Cause: a server without the secret could take a client's prompts, since only the client proved itself; and a file with other weights would have made every sidecar refuse, because nothing orders the engines to load them yet.

Change: both sides of a connection prove the secret, each in its own words; comfreyctl applies changed weights only when told that they are loaded.

Figures: two kinds of impostor are refused; a server that returned what it was sent was accepted in the one-sided form, which checked nothing.

Conclusion: orders remain to be built; until then nobody runs into their lack unwarned.

--- a/internal/protocol/peer/handshake.go
+++ b/internal/protocol/peer/handshake.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// nonceBytes is the length of the server's challenge, in bytes.
+	// nonceBytes is the length of each side's challenge, in bytes.
 	nonceBytes = 32
 	// handshakeTimeout bounds the exchange that opens a connection.
 	handshakeTimeout = 3 * time.Second
@@ -19,48 +19,76 @@
 	writeTimeout = 5 * time.Second
 )
 
-// accepted is the byte that ends a successful handshake.
-const accepted = 1
+// side tells whose proof it is. The two sides prove different things, so that
+// neither can answer with what it was just sent.
+type side string
 
-// challenge checks on the server's side that the client knows the secret.
+const (
+	clientSide side = "client"
+	serverSide side = "server"
+)
+
+// challenge is the server's half of the handshake: it sends a nonce, checks the
+// client's proof and proves that it knows the secret too. A client hands over
+// prompts, so it has to know whom it talks to.
 func challenge(conn net.Conn, secret string) error {
-	nonce := make([]byte, nonceBytes)
-	if _, err := rand.Read(nonce); err != nil {
-		return notSent("challenge", KindNotSent, err)
+	nonce, err := newNonce()
+	if err != nil {
+		return err
 	}
 	if _, err := conn.Write(nonce); err != nil {
 		return notSent("challenge", KindNotSent, err)
 	}
-	proof := make([]byte, sha256.Size)
-	if _, err := io.ReadFull(conn, proof); err != nil {
+	answer := make([]byte, nonceBytes+sha256.Size)
+	if _, err := io.ReadFull(conn, answer); err != nil {
 		return notSent("challenge", KindNotSent, err)
 	}
-	if !hmac.Equal(proof, prove(secret, nonce)) {
+	theirs, proof := answer[:nonceBytes], answer[nonceBytes:]
+	if !hmac.Equal(proof, prove(secret, clientSide, nonce, theirs)) {
 		return notSent("challenge", KindSecret, nil)
 	}
-	_, err := conn.Write([]byte{accepted})
-	return err
+	if _, err := conn.Write(prove(secret, serverSide, nonce, theirs)); err != nil {
+		return notSent("challenge", KindNotSent, err)
+	}
+	return nil
 }
 
-// respond answers the server's challenge on the client's side.
+// respond is the client's half of the handshake.
 func respond(conn net.Conn, secret string) error {
-	nonce := make([]byte, nonceBytes)
-	if _, err := io.ReadFull(conn, nonce); err != nil {
+	theirs := make([]byte, nonceBytes)
+	if _, err := io.ReadFull(conn, theirs); err != nil {
 		return notSent("handshake", KindNotSent, err)
 	}
-	if _, err := conn.Write(prove(secret, nonce)); err != nil {
+	nonce, err := newNonce()
+	if err != nil {
+		return err
+	}
+	if _, err := conn.Write(append(nonce, prove(secret, clientSide, theirs, nonce)...)); err != nil {
 		return notSent("handshake", KindNotSent, err)
 	}
-	verdict := make([]byte, 1)
-	if _, err := io.ReadFull(conn, verdict); err != nil {
+	proof := make([]byte, sha256.Size)
+	if _, err := io.ReadFull(conn, proof); err != nil {
 		return notSent("handshake", KindSecret, err)
 	}
+	if !hmac.Equal(proof, prove(secret, serverSide, theirs, nonce)) {
+		return notSent("handshake", KindSecret, nil)
+	}
 	return nil
 }
 
-func prove(secret string, nonce []byte) []byte {
+func newNonce() ([]byte, error) {
+	nonce := make([]byte, nonceBytes, nonceBytes+sha256.Size)
+	if _, err := rand.Read(nonce); err != nil {
+		return nil, notSent("nonce", KindNotSent, err)
+	}
+	return nonce, nil
+}
+
+func prove(secret string, by side, serverNonce, clientNonce []byte) []byte {
 	mac := hmac.New(sha256.New, []byte(secret))
-	mac.Write(nonce)
+	_, _ = mac.Write([]byte(by))
+	_, _ = mac.Write(serverNonce)
+	_, _ = mac.Write(clientNonce)
 	return mac.Sum(nil)
 }
 
--- a/internal/protocol/peer/messages.go
+++ b/internal/protocol/peer/messages.go
@@ -1,7 +1,7 @@
 // Package peer holds the messages between the system's own processes, and the
 // client and server that carry them over net/rpc.
 //
-// A connection opens with a proof of the shared secret. Every call has a
+// A connection opens with proofs of the shared secret, from both sides. Every call has a
 // deadline. A call that gets no answer in time makes the connection suspect:
 // it is closed and the next call dials anew, because a connection may have
 // gone silent for good while new ones work. Calls are therefore safe to
--- a/internal/protocol/peer/peer_test.go
+++ b/internal/protocol/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"errors"
 	"io"
 	"net"
@@ -199,8 +200,33 @@
 	assert.NilError(t, group.Wait())
 }
 
+func TestServerWithoutSecret(t *testing.T) {
+	impostors := map[string]func(conn net.Conn){
+		"another secret": func(conn net.Conn) { _ = challenge(conn, "another secret") },
+		"what it was sent": func(conn net.Conn) {
+			_, _ = conn.Write(make([]byte, nonceBytes))
+			answer := make([]byte, nonceBytes+sha256.Size)
+			_, _ = io.ReadFull(conn, answer)
+			_, _ = conn.Write(answer[nonceBytes:])
+		},
+	}
+	for name, impostor := range impostors {
+		t.Run(name, func(t *testing.T) {
+			client, server := net.Pipe()
+			var group errgroup.Group
+			group.Go(func() error {
+				impostor(server)
+				return server.Close()
+			})
+			expectKind(t, respond(client, secret), KindSecret)
+			assert.NilError(t, client.Close())
+			assert.NilError(t, group.Wait())
+		})
+	}
+}
+
 func TestHandshakeCutShort(t *testing.T) {
-	for bytes := range 40 {
+	for bytes := range nonceBytes + 1 {
 		client, server := net.Pipe()
 		var group errgroup.Group
 		group.Go(func() error {
@@ -209,7 +235,7 @@
 			return err
 		})
 		_ = client.SetDeadline(time.Now().Add(time.Second))
-		_, _ = io.CopyN(io.Discard, client, int64(min(bytes, nonceBytes)))
+		_, _ = io.CopyN(io.Discard, client, int64(bytes))
 		_ = client.Close()
 		assert.Assert(t, group.Wait() != nil)
 	}
--- a/internal/transport/control/configure.go
+++ b/internal/transport/control/configure.go
@@ -49,6 +49,9 @@
 	out    io.Writer
 	client *platform.Client
 	peers  *peer.Clients
+	// weightsLoaded means that the engines serve the weights that a change
+	// names already.
+	weightsLoaded bool
 }
 
 func (c *connection) open(ctx context.Context, out io.Writer) (*operator, error) {
@@ -136,6 +139,21 @@
 	return values
 }
 
+// weightsChanged names the models whose weights a change would replace.
+func weightsChanged(current, next *revision.Document) []comfreyworks.Model {
+	var changed []comfreyworks.Model
+	if current.Deployment() == nil {
+		return nil
+	}
+	for _, model := range next.Deployment().Models {
+		before := current.Deployment().Model(model.Name)
+		if before != nil && before.Weights != model.Weights {
+			changed = append(changed, model.Name)
+		}
+	}
+	return changed
+}
+
 // apply proposes a document and reads back whether it won.
 func (o *operator) apply(next *revision.Document, base *comfreyworks.Revision, author, message string) (comfreyworks.Revision, error) {
 	steps, err := o.steps()
@@ -150,6 +168,10 @@
 		o.printf("revision %d is in force already, nothing to change\n", current.Number())
 		return current.Number(), nil
 	}
+	if models := weightsChanged(current, next); len(models) > 0 && !o.weightsLoaded {
+		return 0, eris.Errorf("the weights of %v would change; engines are not told to load them, and until they serve them "+
+			"every request for these models is refused: load them first and repeat with --weights-loaded", models)
+	}
 	data, err := json.Marshal(current.Propose(next, author, message, time.Now()))
 	if err != nil {
 		return 0, eris.Wrap(err, "write the record")
--- a/internal/transport/control/configure_test.go
+++ b/internal/transport/control/configure_test.go
@@ -103,6 +103,11 @@
 		f.expect(t, program.ExitSettings, `found "soon"`, "apply", f.file(t, "soon"), "--author", "bob")
 		f.expect(t, program.ExitOK, "no difference", "diff", f.file(t, "50s"))
 	})
+	t.Run("a change of weights has to be meant", func(t *testing.T) {
+		text := strings.Replace(string(examples.Piedmont), `"2026-10"`, `"2026-12"`, 1)
+		file := f.write(t, "weights.jsonc", text)
+		f.expect(t, program.ExitFailure, "weights of [oak-12b] would change", "apply", file, "--author", "bob")
+	})
 	t.Run("a lost answer of the log is looked up", func(t *testing.T) {
 		f.rig.Log().LoseAnswers(1)
 		f.expect(t, program.ExitOK, "revision 2 accepted", "apply", f.file(t, "20s"), "--author", "ann", "--wait")
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -47,6 +47,7 @@
 
 // waiting are the options of commands that change the configuration.
 type waiting struct {
+	Loaded  bool          `long:"weights-loaded" description:"the engines serve the changed weights already"`
 	Author  string        `long:"author" description:"who makes the change" required:"yes"`
 	Wait    bool          `long:"wait" description:"return when every live instance has it in force"`
 	Timeout time.Duration `long:"timeout" default:"30s" description:"how long --wait waits"`
@@ -175,11 +176,13 @@
 	if c.Base != nil {
 		base = new(comfreyworks.Revision(*c.Base))
 	}
+	o.weightsLoaded = c.Loaded
 	number, err := o.apply(next, base, c.Author, c.Message)
 	return c.finish(o, number, err)
 }
 
 func (c *rollbackCommand) execute(o *operator) error {
+	o.weightsLoaded = c.Loaded
 	number, err := o.rollback(comfreyworks.Revision(c.Args.Revision), c.Author)
 	return c.finish(o, number, err)
 }
