Import prefixes from the store of kept KV cache

Cause: what remains of the tail is the cold prompt itself: 10,000 tokens take an engine 0.4 s, whoever places it. Placing better cannot shorten that.

Change: before a prompt with 2,048 tokens or more to compute goes to its engine, the deepest of its shared levels that the store has is imported; after one was computed its shared levels are exported, once. Keys are level hashes, which cover workspace, weights and adapter. A store that fails is left alone for 2 s and costs at most 250 ms.

--- a/internal/bench/command/demo.go
+++ b/internal/bench/command/demo.go
@@ -31,6 +31,8 @@
 	// demoCrash is when an engine is killed, demoDown how long it is gone.
 	demoCrash = 4 * time.Second
 	demoDown  = time.Second
+	// demoKeptBlocks is the size of the store of kept KV cache, in blocks.
+	demoKeptBlocks = 1 << 17
 	// demoEventLag is how late cache events come.
 	demoEventLag = 100 * time.Millisecond
 )
@@ -54,6 +56,7 @@
 		Clock:      clockwork.NewRealClock(),
 		Seed:       demoSeed,
 		EventLag:   demoEventLag,
+		KeptBlocks: demoKeptBlocks,
 	})
 	if err != nil {
 		return eris.Wrap(err, "start the demo")
--- a/internal/bench/command/experiments.go
+++ b/internal/bench/command/experiments.go
@@ -38,6 +38,7 @@
 	WarmUp    time.Duration `long:"warm-up" default:"10s" description:"time at the start that does not count"`
 	EventLoss float64       `long:"event-loss" default:"0" description:"share of cache events that are lost, 0 to 1"`
 	Replicas  int           `long:"replicas" default:"0" description:"number of engines; 0 keeps the deployment's"`
+	Kept      int           `long:"kept-blocks" default:"0" description:"size of the store of kept KV cache, in blocks of 16 tokens; 0 means none"`
 	JSON      bool          `long:"json" description:"print JSON"`
 }
 
@@ -91,7 +92,7 @@
 	}
 	result, err := experiment.Run(c.ctx, experiment.Options{
 		Trace: t, Policy: policies[0], Seed: c.Seed,
-		WarmUp: c.WarmUp, EventLoss: c.EventLoss, Replicas: c.Replicas, Deployment: deployment,
+		WarmUp: c.WarmUp, EventLoss: c.EventLoss, Replicas: c.Replicas, Deployment: deployment, KeptBlocks: c.Kept,
 	})
 	if err != nil {
 		return err
@@ -131,7 +132,7 @@
 	for seed := c.Seed; seed < c.Seed+uint64(c.Runs); seed++ {
 		result, err := experiment.Run(c.ctx, experiment.Options{
 			Trace: source(seed), Policy: experiment.Policy("comfrey"), Seed: seed,
-			EventLoss: c.EventLoss, Replicas: c.Replicas, Deployment: deployment,
+			EventLoss: c.EventLoss, Replicas: c.Replicas, Deployment: deployment, KeptBlocks: c.Kept,
 		})
 		if err != nil {
 			return err
@@ -177,7 +178,7 @@
 	bar := newProgressBar(c.Seeds * len(policies))
 	results, err := experiment.Compare(c.ctx, experiment.CompareOptions{
 		Trace: source, Policies: policies, Seeds: c.Seeds, Parallel: c.Parallel,
-		WarmUp: c.WarmUp, EventLoss: c.EventLoss, Replicas: c.Replicas, Deployment: deployment,
+		WarmUp: c.WarmUp, EventLoss: c.EventLoss, Replicas: c.Replicas, Deployment: deployment, KeptBlocks: c.Kept,
 		Progress: func() { _ = bar.Add(1) },
 	})
 	if err != nil {
--- a/internal/bench/command/processes.go
+++ b/internal/bench/command/processes.go
@@ -61,6 +61,7 @@
 		Clock:      clockwork.NewRealClock(),
 		Seed:       demoSeed,
 		EventLag:   demoEventLag,
+		KeptBlocks: demoKeptBlocks,
 		External:   true,
 	})
 	if err != nil {
--- a/internal/bench/experiment/compare.go
+++ b/internal/bench/experiment/compare.go
@@ -22,6 +22,8 @@
 	WarmUp    time.Duration
 	EventLoss float64
 	Replicas  int
+	// KeptBlocks is the size of the store of kept cache; zero means none.
+	KeptBlocks int
 	// Deployment is a deployment file to run; nil means an example.
 	Deployment []byte
 	Progress   func()
@@ -40,6 +42,7 @@
 			result, err := Run(ctx, Options{
 				Trace: options.Trace(seed), Policy: policy, Seed: seed,
 				WarmUp: options.WarmUp, EventLoss: options.EventLoss, Replicas: options.Replicas, Deployment: options.Deployment,
+				KeptBlocks: options.KeptBlocks,
 			})
 			results[i] = result
 			if options.Progress != nil {
--- a/internal/bench/experiment/experiment.go
+++ b/internal/bench/experiment/experiment.go
@@ -85,6 +85,8 @@
 	WarmUp time.Duration
 	// EventLoss is the share of cache events that are lost.
 	EventLoss float64
+	// KeptBlocks is the size of the store of kept cache; zero means none.
+	KeptBlocks int
 	// Deployment is a deployment file to run; nil means the example that
 	// declares the trace's pools.
 	Deployment []byte
@@ -123,6 +125,7 @@
 		EventLoss:  options.EventLoss,
 		LoadLag:    loadLag,
 		ListLag:    listLag,
+		KeptBlocks: options.KeptBlocks,
 	}
 	if weight, ok := omniscientWeights[options.Policy]; ok {
 		rigOptions.Chooser = rig.Omniscient(weight)
@@ -174,6 +177,9 @@
 		if pool.Kind != settings.PoolEngine {
 			continue
 		}
+		if options.KeptBlocks == 0 {
+			pool.KeptCache = ""
+		}
 		if options.Replicas > 0 {
 			pool.Replicas = options.Replicas
 		}
--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -26,6 +26,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/standin/engine"
+	"comfreyworks/internal/standin/kept"
 	"comfreyworks/internal/standin/platform"
 	"comfreyworks/internal/standin/service"
 	"comfreyworks/internal/state/meter"
@@ -71,6 +72,9 @@
 	EventLoss float64
 	LoadLag   time.Duration
 	ListLag   time.Duration
+	// KeptBlocks is the size of the store of kept cache, in blocks; zero means
+	// that there is none.
+	KeptBlocks int
 	// AppendsPerSecond bounds the log; zero means no bound.
 	AppendsPerSecond int
 	// Chooser builds a replacement of the prefix directory; nil means none.
@@ -101,6 +105,7 @@
 	log      *platform.Log
 	list     *platform.List
 	meter    *meter.Meter
+	kept     *kept.Store
 	cuts     *partition
 
 	mu        sync.Mutex
@@ -125,6 +130,9 @@
 		options.Rates = func(comfreyworks.InstanceID) engine.Rates { return engine.DefaultRates() }
 	}
 	r := &Rig{options: options, meter: meter.New(), cuts: newPartition()}
+	if options.KeptBlocks > 0 {
+		r.kept = kept.New(options.KeptBlocks)
+	}
 	r.ctx, r.cancel = context.WithCancel(ctx)
 	if err := r.start(); err != nil {
 		r.Stop()
@@ -236,6 +244,7 @@
 		Rates:         r.options.Rates(u.instance.ID),
 		Weights:       model.Weights,
 		ChecksFencing: pool.ChecksFencing,
+		Kept:          r.kept,
 		EventLag:      r.options.EventLag,
 		EventLoss:     r.options.EventLoss,
 		LoadLag:       r.options.LoadLag,
--- a/internal/coordination/generation/generation.go
+++ b/internal/coordination/generation/generation.go
@@ -30,6 +30,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/admission"
+	"comfreyworks/internal/coordination/keep"
 	"comfreyworks/internal/coordination/tracker"
 	"comfreyworks/internal/state/stream"
 )
@@ -63,6 +64,9 @@
 	Clock   comfreyworks.Clock
 	Tracker *tracker.Tracker
 	Queue   *admission.Queue
+	// Keeper moves prefixes from and to the store of kept cache; nil means that
+	// there is none.
+	Keeper *keep.Keeper
 	// Limits returns the queue limits of a class.
 	Limits func(comfreyworks.Class) admission.Request
 }
@@ -146,12 +150,19 @@
 		return
 	}
 	m.setQueueWait(g, waited)
+	if m.options.Keeper != nil {
+		work.Cached(m.options.Keeper.Before(ctx, g.work, work.CachedTokens()))
+	}
 	usage, err := m.options.Engine.Generate(ctx, g.work.Request, func(piece comfreyworks.Piece) error {
 		work.FirstToken()
 		return g.append(piece)
 	})
 	work.End(usage, err == nil)
 	m.finish(ctx, g, usage, err)
+	if m.options.Keeper != nil && err == nil {
+		ticket.Leave()
+		m.options.Keeper.After(ctx, g.work, usage)
+	}
 }
 
 // append buffers a token. Its index must be the next one: a gap would make an
--- a/internal/coordination/tracker/work.go
+++ b/internal/coordination/tracker/work.go
@@ -47,6 +47,22 @@
 	return w
 }
 
+// CachedTokens is how many of the prompt's tokens the engine should find.
+func (w *Work) CachedTokens() int {
+	w.tracker.mu.Lock()
+	defer w.tracker.mu.Unlock()
+	return max(w.chain.Tokens()-w.uncached, 0)
+}
+
+// Cached corrects how many of the prompt's tokens the engine will find.
+func (w *Work) Cached(tokens int) {
+	t := w.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w.uncached = max(w.chain.Tokens()-tokens, 0)
+	t.touch()
+}
+
 // FirstToken records that the prompt has been computed.
 func (w *Work) FirstToken() {
 	t := w.tracker
--- a/internal/protocol/upstream/engine.go
+++ b/internal/protocol/upstream/engine.go
@@ -158,6 +158,40 @@
 	return nil
 }
 
+var _ comfreyworks.CacheKeeper = (*Engine)(nil)
+
+// Export implements comfreyworks.CacheKeeper.
+func (e *Engine) Export(ctx context.Context, key uint64, request comfreyworks.RequestID, tokens int) error {
+	_, err := e.keep(ctx, PathExport, KeepOrder{Key: key, Request: request, Tokens: tokens})
+	return err
+}
+
+// Import implements comfreyworks.CacheKeeper.
+func (e *Engine) Import(ctx context.Context, key uint64) (int, error) {
+	answer, err := e.keep(ctx, PathImport, KeepOrder{Key: key})
+	return answer.Tokens, err
+}
+
+func (e *Engine) keep(ctx context.Context, path string, order KeepOrder) (KeepAnswer, error) {
+	var answer KeepAnswer
+	body, err := json.Marshal(order)
+	if err != nil {
+		return answer, &Error{Op: path, Kind: KindNotSent, Err: err}
+	}
+	resp, err := send(ctx, e.http, http.MethodPost, e.base+path, jsonHeader(), body)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return answer, refused(path, resp)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&answer); err != nil {
+		return answer, &Error{Op: path, Kind: KindBroken, Err: err}
+	}
+	return answer, nil
+}
+
 func (e *Engine) get(ctx context.Context, op, path string, answer any) error {
 	resp, err := send(ctx, e.http, http.MethodGet, e.base+path, nil, nil)
 	if err != nil {
--- a/internal/protocol/upstream/wire.go
+++ b/internal/protocol/upstream/wire.go
@@ -70,9 +70,18 @@
 	Weights comfreyworks.WeightsVersion `json:"weights"`
 }
 
-// BlockList names cached blocks for export and import.
-type BlockList struct {
-	Blocks []uint64 `json:"blocks"`
+// KeepOrder asks an engine to export or import a prefix.
+type KeepOrder struct {
+	// Key stands for the prefix in the store.
+	Key uint64 `json:"key"`
+	// Request and Tokens say what to export: the first tokens of its prompt.
+	Request comfreyworks.RequestID `json:"request,omitempty"`
+	Tokens  int                    `json:"tokens,omitempty"`
+}
+
+// KeepAnswer says how many tokens were exported or imported.
+type KeepAnswer struct {
+	Tokens int `json:"tokens"`
 }
 
 // streamEnd is the data of the event that ends a completion's stream.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -23,7 +23,10 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"comfreyworks"
+	"comfreyworks/internal/standin/kept"
 )
 
 // Options configures an Engine.
@@ -34,6 +37,8 @@
 	Weights comfreyworks.WeightsVersion
 	// Store is where orders load weights from; nil makes loading free.
 	Store comfreyworks.WeightStore
+	// Kept is the store of kept cache; nil means none.
+	Kept *kept.Store
 	// ChecksFencing makes the engine refuse orders with an old number.
 	ChecksFencing bool
 	// EventLag and EventLoss make cache events late and incomplete; the loss
@@ -45,6 +50,9 @@
 	Seed    uint64
 }
 
+// recentPrompts is how many prompts can still be exported.
+const recentPrompts = 1024
+
 // maxEvents bounds the cache events that are kept for readers.
 const maxEvents = 1 << 14
 
@@ -74,6 +82,8 @@
 	load        comfreyworks.EngineLoad
 	loadAt      time.Time
 	counts      Counts
+	// prompts are the blocks of recent prompts, for exports.
+	prompts *simplelru.LRU[comfreyworks.RequestID, []uint64]
 }
 
 // Counts sums up what an engine did over all incarnations.
@@ -88,7 +98,12 @@
 
 // New returns an engine that does nothing until Run is called.
 func New(options Options) *Engine {
+	prompts, err := simplelru.NewLRU[comfreyworks.RequestID, []uint64](recentPrompts, nil)
+	if err != nil {
+		panic("engine: no room for prompts")
+	}
 	return &Engine{
+		prompts:     prompts,
 		options:     options,
 		core:        newCore(options.Rates),
 		random:      rand.New(rand.NewPCG(options.Seed, options.Seed)),
@@ -169,6 +184,7 @@
 	}
 	e.counts.Requests++
 	j := e.core.submit(request)
+	e.prompts.Add(request.ID, j.blocks)
 	select {
 	case e.wake <- struct{}{}:
 	default:
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -134,35 +134,65 @@
 	}
 }
 
-// serveExport answers with the blocks that the engine holds.
+// serveExport puts the first blocks of a request's prompt into the store.
 func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
-	var body upstream.BlockList
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	order, ok := e.keepOrder(w, r)
+	if !ok {
 		return
 	}
+	blocks := e.exportable(order)
+	if !e.options.Kept.Put(order.Key, blocks) {
+		http.Error(w, "the store does not answer", http.StatusBadGateway)
+		return
+	}
+	writeJSON(w, upstream.KeepAnswer{Tokens: len(blocks) * blockTokens})
+}
+
+// exportable returns the blocks of an export that the engine still holds.
+func (e *Engine) exportable(order upstream.KeepOrder) []uint64 {
 	e.mu.Lock()
-	n := e.core.cache.held(body.Blocks)
-	e.mu.Unlock()
-	writeJSON(w, upstream.BlockList{Blocks: body.Blocks[:n]})
+	defer e.mu.Unlock()
+	prompt, _ := e.prompts.Get(order.Request)
+	wanted := prompt[:min(order.Tokens/blockTokens, len(prompt))]
+	return wanted[:e.core.cache.peek(wanted)]
 }
 
-// serveImport stores blocks and takes its time over it.
+// serveImport takes a prefix from the store. The blocks that the engine lacks
+// take their time.
 func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
-	var body upstream.BlockList
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	order, ok := e.keepOrder(w, r)
+	if !ok {
+		return
+	}
+	blocks, ok := e.options.Kept.Get(order.Key)
+	if !ok {
+		http.Error(w, "the store does not answer", http.StatusBadGateway)
 		return
 	}
-	e.options.Clock.Sleep(time.Duration(len(body.Blocks)) * e.options.Rates.ImportTime)
 	e.mu.Lock()
-	removed := e.core.cache.store(body.Blocks)
-	if len(removed) > 0 {
+	missing := len(blocks) - e.core.cache.peek(blocks)
+	e.mu.Unlock()
+	e.options.Clock.Sleep(time.Duration(missing) * e.options.Rates.ImportTime)
+	e.mu.Lock()
+	if removed := e.core.cache.store(blocks); len(removed) > 0 {
 		e.core.emit(comfreyworks.CacheEvent{Kind: comfreyworks.BlocksRemoved, Blocks: removed})
 		e.publish()
 	}
 	e.mu.Unlock()
-	writeJSON(w, body)
+	writeJSON(w, upstream.KeepAnswer{Tokens: len(blocks) * blockTokens})
+}
+
+func (e *Engine) keepOrder(w http.ResponseWriter, r *http.Request) (upstream.KeepOrder, bool) {
+	var order upstream.KeepOrder
+	if e.options.Kept == nil {
+		http.Error(w, "no store of kept cache", http.StatusNotImplemented)
+		return order, false
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return order, false
+	}
+	return order, true
 }
 
 // serveOrder loads other weights. The cache is emptied, as a new incarnation.
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -30,6 +30,7 @@
 	"comfreyworks/internal/coordination/claim"
 	"comfreyworks/internal/coordination/configuration"
 	"comfreyworks/internal/coordination/generation"
+	"comfreyworks/internal/coordination/keep"
 	"comfreyworks/internal/coordination/membership"
 	"comfreyworks/internal/coordination/placement"
 	"comfreyworks/internal/coordination/tracker"
@@ -182,7 +183,12 @@
 		Shard:       s.shardAt,
 	})
 	s.queue = admission.New(admission.Options{Clock: s.options.Clock, Concurrency: s.pool().Concurrency})
+	var keeper *keep.Keeper
+	if s.pool().KeptCache != "" {
+		keeper = keep.New(keep.Options{Engine: engine, Clock: s.options.Clock, Logger: s.options.Logger})
+	}
 	s.streams = generation.New(generation.Options{
+		Keeper:  keeper,
 		Engine:  engine,
 		Clock:   s.options.Clock,
 		Tracker: s.tracker,
