--- a/internal/bench/capacity/role.go
+++ b/internal/bench/capacity/role.go
@@ -134,11 +134,22 @@
 	return slices.Concat(e.entry(), e.sidecar(), e.directory(), e.claims(), e.configuration())
 }
 
+// listBytes is what the conditional reads of the list take: the whole list at
+// each change, two for each restart.
+func (e estimate) listBytes() float64 {
+	return e.instances() * e.slope(SlopeListBytes) * e.Restarts * 2 / (24 * time.Hour).Seconds()
+}
+
+// configurationBytes is what questions and changes of the configuration take.
+func (e estimate) configurationBytes() float64 {
+	changed := sectionBytes * changesPerDay / (24 * time.Hour).Seconds()
+	return pullsPerSecond*e.slope(SlopePullBytes) + changed
+}
+
 func (e estimate) configuration() []Figure {
 	const role = "configuration"
-	changed := sectionBytes * changesPerDay / (24 * time.Hour).Seconds()
 	return []Figure{
-		{role, "questions and changes", pullsPerSecond*e.slope(SlopePullBytes) + changed, unitRate, boundBytes, "pulls from random peers; only changed sections travel", "2 questions a second + 1,300 changes a day x 200 KiB (1,600 workspaces are one section)"},
+		{role, "questions and changes", e.configurationBytes(), unitRate, boundBytes, "pulls from random peers; only changed sections travel", "2 questions a second + 1,300 changes a day x 200 KiB (1,600 workspaces are one section)"},
 		{role, "processor time", core(e.slope(SlopePullCPU), pullsPerSecond), unitShare, boundCPU, "pulls from random peers", "2 questions a second x cost"},
 	}
 }
@@ -147,10 +158,12 @@
 	const role = "entry"
 	rate := e.requestsPerEntry()
 	tokens := e.Tokens / e.Nodes
-	list := e.instances() * e.slope(SlopeListBytes) * e.Restarts * 2 / (24 * time.Hour).Seconds()
+	placements := rate * e.slope(SlopePlaceBytes)
+	list := e.listBytes()
 	return []Figure{
-		{role, "placements", rate * e.slope(SlopePlaceBytes), unitRate, boundBytes, "one RPC a request to the owner of the prompt's root", "requests a node x bytes a placement"},
+		{role, "placements", placements, unitRate, boundBytes, "one RPC a request to the owner of the prompt's root", "requests a node x bytes a placement"},
 		{role, "list of instances", list, unitRate, boundBytes, "conditional read of the platform's list: the whole list when it changed", "instances x bytes x two changes for each restart"},
+		{role, "all bytes for control", placements + list + e.configurationBytes(), unitRate, boundBytes, "placements, list, configuration", "sum"},
 		{role, "processor time for control", core(e.slope(SlopePlaceCPU), rate) + core(e.slope(SlopeChainCPU), rate*promptKiB), unitShare, boundCPU, "hashing and placement", "requests a node x (placement + 48 KiB hashed)"},
 		{role, "memory for control", e.Replicas*e.slope(SlopeConnectionMemory)/2 + e.instances()*e.slope(SlopeInstanceMemory), unitBytes, boundMemory, "a connection to every sidecar, the view of instances", "replicas x half a connection + instances x view"},
 		{role, "relay, not control", core(e.slope(SlopeReadCPU), tokens), unitShare, 0, "long-poll reads of numbered frames", "tokens a node x read of one token, both ends"},
@@ -168,6 +181,7 @@
 	cpu := core(e.slope(SlopeReportCPU), e.reportRate()*shardsPerPool) + core(e.slope(SlopeEventCPU), events)
 	return []Figure{
 		{role, "reports sent", reports + changed, unitRate, boundBytes, "batched changes of levels; blocks end at the sidecar", "reports x shards x bytes + changes x bytes"},
+		{role, "all bytes for control", reports + changed + e.listBytes() + e.configurationBytes(), unitRate, boundBytes, "reports, list, configuration; no shard", "sum"},
 		{role, "processor time for control", cpu, unitShare, boundCPU, "reports and the residency index", "reports x cost + events x cost"},
 		{role, "memory", memory, unitBytes, boundMemory, "residency index, connections, open streams", fmt.Sprintf("%.0f levels, %.0f connections, %.0f streams", e.levelsPerReplica(), e.Nodes+e.replicasPerPool(), e.openStreams())},
 	}
--- a/internal/bench/experiment/plot.go
+++ b/internal/bench/experiment/plot.go
@@ -27,7 +27,7 @@
 // shownPercentiles are the percentiles of the TTFT plot.
 var shownPercentiles = []float64{0.5, 0.75, 0.9, 0.95, 0.99, 1}
 
-// WritePlots writes ttft.svg and hit-rate.svg into a directory.
+// WritePlots writes the plots ttft and hit-rate into a directory.
 func WritePlots(dir string, results []Result, policies []Policy) error {
 	ttft := newPlot("Time to first token", "percentile", "seconds")
 	hits := newPlot("Prefix hit rate over time", "seconds", "share of prompt tokens")
@@ -41,8 +41,16 @@
 			return &Error{Op: "plot", Kind: KindSetUp, Err: err}
 		}
 	}
-	for name, p := range map[string]*plot.Plot{"ttft.svg": ttft, "hit-rate.svg": hits} {
-		if err := p.Save(plotWidth, plotHeight, filepath.Join(dir, name)); err != nil {
+	if err := save(ttft, dir, "ttft"); err != nil {
+		return err
+	}
+	return save(hits, dir, "hit-rate")
+}
+
+// save writes a plot as SVG and as PNG.
+func save(p *plot.Plot, dir, name string) error {
+	for _, ending := range []string{".svg", ".png"} {
+		if err := p.Save(plotWidth, plotHeight, filepath.Join(dir, name+ending)); err != nil {
 			return &Error{Op: "plot", Kind: KindSetUp, Err: err}
 		}
 	}
