Notice modules that are not tidy before a fresh clone does

Cause: a new library was in the root module's list and not in those of the programs; the workspace hid it, and the check in a fresh clone failed.

Change: make lint compares every module with what go mod tidy would write; make tidy writes it.

Conclusion: the list is checked where it is changed.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 FUZZ_TIME ?= 20s
 SEEDS ?= 3
 
-.PHONY: all build demo demo-serve demo-processes test lint format fuzz bench capacity clean standalone
+.PHONY: all build demo demo-serve demo-processes test lint tidy format fuzz bench capacity clean standalone
 
 all: build
 
@@ -33,8 +33,13 @@
 
 lint:
 	@out=$$(go run $(GOFUMPT) -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	@for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy -diff) || exit 1; done
 	@for m in $(MODULES); do (cd $$m && go vet ./... && go run $(STATICCHECK) ./...) || exit 1; done
 
+# Brings every module's list of libraries up to date.
+tidy:
+	@for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy) || exit 1; done
+
 format:
 	go run $(GOFUMPT) -w $$(git ls-files '*.go')
 
