--- a/internal/transport/control/configure.go
+++ b/internal/transport/control/configure.go
@@ -38,11 +38,6 @@
 // errConflict means that another operator was faster.
 var errConflict = errors.New("conflict")
 
-// connection is how the tool reaches the platform and the instances.
-type connection struct {
-	Config string `long:"config" description:"operator settings file" value-name:"FILE" default:"operator.jsonc"`
-}
-
 // operator carries out the commands that talk to the platform.
 type operator struct {
 	ctx    context.Context
@@ -54,12 +49,13 @@
 	weightsLoaded bool
 }
 
-func (c *connection) open(ctx context.Context, out io.Writer) (*operator, error) {
-	source, err := os.ReadFile(c.Config)
+// openOperator reads an operator file.
+func openOperator(ctx context.Context, config string, out io.Writer) (*operator, error) {
+	source, err := os.ReadFile(config)
 	if err != nil {
 		return nil, eris.Wrap(err, "--config")
 	}
-	operatorSettings, err := settings.ReadOperator(c.Config, source)
+	operatorSettings, err := settings.ReadOperator(config, source)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -29,7 +29,8 @@
 // commands are the subcommands and the options before them.
 type commands struct {
 	Version  func()          `long:"version" description:"print the version and exit"`
-	Check    checkCommand    `command:"check-config" description:"check an operator settings file"`
+	Config   string          `long:"config" description:"operator settings file" value-name:"FILE" default:"operator.jsonc"`
+	Check    bool            `long:"check-config" description:"check the operator settings file and exit"`
 	Validate validateCommand `command:"validate" description:"check deployment files and print every mistake"`
 	Diff     diffCommand     `command:"diff" description:"show what applying a file would change"`
 	Apply    applyCommand    `command:"apply" description:"make a file the configuration in force, as a whole"`
@@ -38,8 +39,6 @@
 	Rollback rollbackCommand `command:"rollback" description:"make an older revision's content the next revision"`
 }
 
-type checkCommand struct{ connection }
-
 // fileArgument is the file of a command.
 type fileArgument struct {
 	File string `positional-arg-name:"FILE" required:"yes"`
@@ -60,24 +59,21 @@
 }
 
 type diffCommand struct {
-	connection
 	Args fileArgument `positional-args:"yes"`
 }
 
 type applyCommand struct {
-	connection
 	waiting
 	Base    *uint64      `long:"base" description:"revision that the file was made for; a newer one is a conflict"`
 	Message string       `long:"message" description:"why the change is made"`
 	Args    fileArgument `positional-args:"yes"`
 }
 
-type statusCommand struct{ connection }
+type statusCommand struct{}
 
-type historyCommand struct{ connection }
+type historyCommand struct{}
 
 type rollbackCommand struct {
-	connection
 	waiting
 	Args struct {
 		Revision uint64 `positional-arg-name:"REVISION" required:"yes"`
@@ -108,6 +104,8 @@
 		return program.ExitUsage
 	case versionShown:
 		return program.ExitOK
+	case c.Check:
+		return exitCode(c.checkConfig(stdout), stderr)
 	case parser.Active == nil && len(rest) > 0:
 		_, _ = fmt.Fprintf(stderr, "unknown command %q\n", rest[0])
 		return program.ExitUsage
@@ -134,39 +132,38 @@
 	}
 }
 
+func (c *commands) checkConfig(stdout io.Writer) error {
+	o, err := openOperator(context.Background(), c.Config, stdout)
+	if err != nil {
+		return err
+	}
+	o.printf("%s: settings are good\n", c.Config)
+	return nil
+}
+
 func (c *commands) run(name string, stdout io.Writer) error {
-	ctx := context.Background()
-	switch name {
-	case "validate":
+	if name == "validate" {
 		return validate(c.Validate.Args.Files, stdout)
-	case "check-config":
-		return c.Check.do(ctx, stdout, func(o *operator) error {
-			o.printf("%s: settings are good\n", c.Check.Config)
-			return nil
-		})
+	}
+	o, err := openOperator(context.Background(), c.Config, stdout)
+	if err != nil {
+		return err
+	}
+	defer o.peers.Close()
+	switch name {
 	case "diff":
-		return c.Diff.do(ctx, stdout, func(o *operator) error { return o.diff(c.Diff.Args.File) })
+		return o.diff(c.Diff.Args.File)
 	case "apply":
-		return c.Apply.do(ctx, stdout, c.Apply.execute)
+		return c.Apply.execute(o)
 	case "status":
-		return c.Status.do(ctx, stdout, (*operator).status)
+		return o.status()
 	case "history":
-		return c.History.do(ctx, stdout, (*operator).history)
+		return o.history()
 	default:
-		return c.Rollback.do(ctx, stdout, c.Rollback.execute)
+		return c.Rollback.execute(o)
 	}
 }
 
-// do opens the connection for one command.
-func (c *connection) do(ctx context.Context, stdout io.Writer, command func(*operator) error) error {
-	o, err := c.open(ctx, stdout)
-	if err != nil {
-		return err
-	}
-	defer o.peers.Close()
-	return command(o)
-}
-
 func (c *applyCommand) execute(o *operator) error {
 	next, err := readFile(c.Args.File)
 	if err != nil {
