--- a/internal/bench/experiment/experiment.go
+++ b/internal/bench/experiment/experiment.go
@@ -12,7 +12,6 @@
 import (
 	"context"
 	"fmt"
-	"runtime"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -222,10 +221,3 @@
 		Violations: check.Run(samples, check.RunsOf(r.Services, deployment), deployment),
 	}
 }
-
-// Memory returns the bytes of memory in use, for reports.
-func Memory() uint64 {
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapInuse
-}
--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -58,6 +58,9 @@
 	readyTimeout = 30 * time.Second
 )
 
+// loadTime is how long an engine takes to load weights.
+const loadTime = 350 * time.Millisecond
+
 // Options configures a Rig.
 type Options struct {
 	Deployment *settings.Deployment
@@ -106,6 +109,7 @@
 	list     *platform.List
 	meter    *meter.Meter
 	kept     *kept.Store
+	weights  map[comfreyworks.Pool]*platform.Weights
 	cuts     *partition
 
 	mu        sync.Mutex
@@ -129,7 +133,7 @@
 	if options.Rates == nil {
 		options.Rates = func(comfreyworks.InstanceID) engine.Rates { return engine.DefaultRates() }
 	}
-	r := &Rig{options: options, meter: meter.New(), cuts: newPartition()}
+	r := &Rig{options: options, meter: meter.New(), cuts: newPartition(), weights: make(map[comfreyworks.Pool]*platform.Weights)}
 	if options.KeptBlocks > 0 {
 		r.kept = kept.New(options.KeptBlocks)
 	}
@@ -150,6 +154,7 @@
 	}
 	r.platform = address
 	for _, pool := range r.options.Deployment.Pools {
+		r.weights[pool.Name] = platform.NewWeights(r.options.Clock, loadTime, max(pool.LoadPermits, 1))
 		for i := range pool.Replicas {
 			if err := r.startUpstream(pool, i); err != nil {
 				return err
@@ -245,6 +250,7 @@
 		Weights:       model.Weights,
 		ChecksFencing: pool.ChecksFencing,
 		Kept:          r.kept,
+		Store:         r.weights[pool.Name],
 		EventLag:      r.options.EventLag,
 		EventLoss:     r.options.EventLoss,
 		LoadLag:       r.options.LoadLag,
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -16,6 +16,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/protocol/upstream"
+	"comfreyworks/internal/standin/platform"
 )
 
 func testRates() Rates {
@@ -212,7 +213,8 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			_, client := serve(t, Options{Rates: testRates(), Weights: "v1", ChecksFencing: test.checks, Seed: 1})
+			store := platform.NewWeights(clockwork.NewRealClock(), time.Millisecond, 1)
+			_, client := serve(t, Options{Rates: testRates(), Weights: "v1", Store: store, ChecksFencing: test.checks, Seed: 1})
 			assert.NilError(t, client.Order(context.Background(), order(7)))
 			err := client.Order(context.Background(), order(6))
 			assert.Equal(t, upstream.IsKind(err, upstream.KindRefused), test.refused)
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
@@ -137,6 +138,16 @@
 func TestWeights(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	store := NewWeights(clock, time.Second, 1)
+	var group errgroup.Group
+	for range 2 {
+		group.Go(func() error { return store.Fetch(bg, "m", "v") })
+	}
+	// One load at a time: the second begins when the first has ended.
+	for range 2 {
+		assert.NilError(t, clock.BlockUntilContext(bg, 1))
+		clock.Advance(time.Second)
+	}
+	assert.NilError(t, group.Wait())
 	ctx, cancel := context.WithCancel(bg)
 	cancel()
 	assert.Assert(t, errors.Is(store.Fetch(ctx, "m", "v"), context.Canceled))
