Start the demo's rig in one place

Cause: the demo and the demo over processes built the same rig in two places, and three accessors walked the upstreams alike.

Change: one function each.

Conclusion: a change of the demo's size is made once.

--- a/internal/bench/command/demo.go
+++ b/internal/bench/command/demo.go
@@ -46,27 +46,38 @@
 
 // Execute implements flags.Commander.
 func (c *demoCommand) Execute([]string) error {
-	deployment, err := demoDeployment()
+	r, deployment, err := startDemo(c.ctx, false)
 	if err != nil {
 		return err
 	}
-	r, err := rig.Start(c.ctx, rig.Options{
+	defer r.Stop()
+	if c.Serve {
+		c.serve(r)
+		return nil
+	}
+	return runDemo(c.ctx, r, deployment)
+}
+
+// startDemo starts the demo's rig; external means that its roles are processes
+// of their own.
+func startDemo(ctx context.Context, external bool) (*rig.Rig, *settings.Deployment, error) {
+	deployment, err := demoDeployment()
+	if err != nil {
+		return nil, nil, err
+	}
+	r, err := rig.Start(ctx, rig.Options{
 		Deployment: deployment,
 		Entries:    demoEntries,
 		Clock:      clockwork.NewRealClock(),
 		Seed:       demoSeed,
 		EventLag:   demoEventLag,
 		KeptBlocks: demoKeptBlocks,
+		External:   external,
 	})
 	if err != nil {
-		return eris.Wrap(err, "start the demo")
+		return nil, nil, eris.Wrap(err, "start the demo")
 	}
-	defer r.Stop()
-	if c.Serve {
-		c.serve(r)
-		return nil
-	}
-	return runDemo(c.ctx, r, deployment)
+	return r, deployment, nil
 }
 
 // demoDeployment is Piedmont's, made small.
--- a/internal/bench/command/processes.go
+++ b/internal/bench/command/processes.go
@@ -9,7 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 
 	"comfreyworks"
@@ -51,22 +50,10 @@
 
 // Execute implements flags.Commander.
 func (c *processesCommand) Execute([]string) error {
-	deployment, err := demoDeployment()
+	r, deployment, err := startDemo(c.ctx, true)
 	if err != nil {
 		return err
 	}
-	r, err := rig.Start(c.ctx, rig.Options{
-		Deployment: deployment,
-		Entries:    demoEntries,
-		Clock:      clockwork.NewRealClock(),
-		Seed:       demoSeed,
-		EventLag:   demoEventLag,
-		KeptBlocks: demoKeptBlocks,
-		External:   true,
-	})
-	if err != nil {
-		return eris.Wrap(err, "start the stand-ins")
-	}
 	defer r.Stop()
 	if err := c.writeSettings(r); err != nil {
 		return eris.Wrap(err, "write the settings")
--- a/internal/bench/rig/access.go
+++ b/internal/bench/rig/access.go
@@ -48,8 +48,8 @@
 // Engines returns the engines of a pool.
 func (r *Rig) Engines(pool comfreyworks.Pool) []*engine.Engine {
 	var engines []*engine.Engine
-	for _, u := range r.upstreams {
-		if u.instance.Pool == pool && u.engine != nil {
+	for _, u := range r.upstreamsOf(pool) {
+		if u.engine != nil {
 			engines = append(engines, u.engine)
 		}
 	}
@@ -59,8 +59,8 @@
 // EngineIDs returns the instances of a pool that have an engine.
 func (r *Rig) EngineIDs(pool comfreyworks.Pool) []comfreyworks.InstanceID {
 	var ids []comfreyworks.InstanceID
-	for _, u := range r.upstreams {
-		if u.instance.Pool == pool && u.engine != nil {
+	for _, u := range r.upstreamsOf(pool) {
+		if u.engine != nil {
 			ids = append(ids, u.instance.ID)
 		}
 	}
@@ -70,14 +70,24 @@
 // Services returns the plain services of a pool.
 func (r *Rig) Services(pool comfreyworks.Pool) []*service.Service {
 	var services []*service.Service
-	for _, u := range r.upstreams {
-		if u.instance.Pool == pool && u.service != nil {
+	for _, u := range r.upstreamsOf(pool) {
+		if u.service != nil {
 			services = append(services, u.service)
 		}
 	}
 	return services
 }
 
+func (r *Rig) upstreamsOf(pool comfreyworks.Pool) []*upstreamProcess {
+	var members []*upstreamProcess
+	for _, u := range r.upstreams {
+		if u.instance.Pool == pool {
+			members = append(members, u)
+		}
+	}
+	return members
+}
+
 func (r *Rig) find(id comfreyworks.InstanceID) *upstreamProcess {
 	i := slices.IndexFunc(r.upstreams, func(u *upstreamProcess) bool { return u.instance.ID == id })
 	if i < 0 {
