Test the limits on headers and idle connections

Cause: both were set on the server and nothing showed that they hold.

Change: three connections that stop talking are closed, and the entry serves on.

--- a/internal/transport/entry/entry_test.go
+++ b/internal/transport/entry/entry_test.go
@@ -331,6 +331,31 @@
 	expectAnswer(t, r)
 }
 
+func TestConnectionLimits(t *testing.T) {
+	r := newRig(t, setUp{callers: func(c *settings.Callers) {
+		c.HeaderTimeout = 100 * time.Millisecond
+		c.IdleTimeout = 100 * time.Millisecond
+	}})
+	tests := []struct{ name, sent string }{
+		{"half a header", "POST /v1/chat/completions HTTP/1.1\r\nHo"},
+		{"a header without its end", "GET /healthz HTTP/1.1\r\nHost: entry\r\n"},
+		{"nothing after an answer", "GET /healthz HTTP/1.1\r\nHost: entry\r\n\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", strings.TrimPrefix(r.EntryURL(0), "http://"))
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, test.sent)
+			assert.NilError(t, err)
+			// The read ends only when the entry closes the connection.
+			_, err = io.ReadAll(conn)
+			assert.NilError(t, err)
+		})
+	}
+	expectAnswer(t, r)
+}
+
 func TestTimeLimitsDoNotCutAnswers(t *testing.T) {
 	r := newRig(t, setUp{
 		callers: func(c *settings.Callers) {
