Sum up what services ran in one place

Cause: reading the whole change again: the summary of a run and the check of its promises walked the services and added their runs up, each in its own way, and the check's sum mixed calls of different pools that look alike.

Change: the rig gives the runs of a pool; both use it. A comment is wrapped.

--- a/internal/bench/check/check.go
+++ b/internal/bench/check/check.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	violations := check.Run(samples, runs, deployment)
+//	violations := check.Run(samples, rig.Runs, deployment)
 //
 // An empty list means that every promise was kept.
 package check
@@ -50,13 +50,17 @@
 	return service.Call{Method: sample.Line.Method, Path: sample.Line.Path, Key: sample.Key}
 }
 
-// Run checks one run. runs counts what the services ran.
-func Run(samples []load.Sample, runs map[service.Call]int, deployment *settings.Deployment) []Violation {
+// Run checks one run. runs returns what the services of a pool ran.
+func Run(samples []load.Sample, runs func(comfreyworks.Pool) map[service.Call]int, deployment *settings.Deployment) []Violation {
+	byPool := make(map[comfreyworks.Pool]map[service.Call]int)
+	for _, pool := range deployment.Pools {
+		byPool[pool.Name] = runs(pool.Name)
+	}
 	var violations []Violation
 	for _, sample := range samples {
 		violations = append(violations, answerOf(sample)...)
 		if sample.Key != "" && !repeatable(sample, deployment) {
-			violations = append(violations, effectOf(sample, runs[call(sample)])...)
+			violations = append(violations, effectOf(sample, byPool[sample.Line.Pool][call(sample)])...)
 		}
 	}
 	return violations
@@ -100,16 +104,3 @@
 	return fmt.Sprintf("%s of %s at %s: %s %s", sample.Line.Class, sample.Line.Workspace,
 		sample.Start.Round(time.Millisecond), sample.Outcome, sample.Detail)
 }
-
-// RunsOf sums up what the services of a deployment ran.
-func RunsOf(services func(comfreyworks.Pool) []*service.Service, deployment *settings.Deployment) map[service.Call]int {
-	runs := make(map[service.Call]int)
-	for _, pool := range deployment.Pools {
-		for _, s := range services(pool.Name) {
-			for call, n := range s.Runs() {
-				runs[call] += n
-			}
-		}
-	}
-	return runs
-}
--- a/internal/bench/check/check_test.go
+++ b/internal/bench/check/check_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"comfreyworks"
 	"comfreyworks/examples"
 	"comfreyworks/internal/bench/load"
 	"comfreyworks/internal/bench/trace"
@@ -43,7 +44,9 @@
 			if test.line.Method != "" {
 				sample.Key = "k"
 			}
-			runs := map[service.Call]int{call(sample): test.runs}
+			runs := func(comfreyworks.Pool) map[service.Call]int {
+				return map[service.Call]int{call(sample): test.runs}
+			}
 			var broken []Promise
 			for _, violation := range Run([]load.Sample{sample}, runs, deployment) {
 				broken = append(broken, violation.Promise)
--- a/internal/bench/experiment/experiment.go
+++ b/internal/bench/experiment/experiment.go
@@ -218,6 +218,6 @@
 	return Result{
 		Policy: options.Policy, Seed: options.Seed, Summary: summary, PrefillBusy: busy,
 		HitRate: summary.HitRate(), Waste: summary.Waste(), Samples: counted,
-		Violations: check.Run(samples, check.RunsOf(r.Services, deployment), deployment),
+		Violations: check.Run(samples, r.Runs, deployment),
 	}
 }
--- a/internal/bench/report/format.go
+++ b/internal/bench/report/format.go
@@ -17,17 +17,11 @@
 	var effects Effects
 	for i := range deployment.Pools {
 		pool := &deployment.Pools[i]
-		runs := make(map[string]int)
-		for _, s := range r.Services(pool.Name) {
-			for call, n := range s.Runs() {
-				if call.Key != "" && !pool.Repeatable(call.Method, call.Path) {
-					runs[call.Method+" "+call.Path+" "+call.Key] += n
-				}
+		for call, n := range r.Runs(pool.Name) {
+			if call.Key != "" && !pool.Repeatable(call.Method, call.Path) {
+				effects.DoubledCalls += max(n-1, 0)
 			}
 		}
-		for _, n := range runs {
-			effects.DoubledCalls += max(n-1, 0)
-		}
 	}
 	return effects
 }
--- a/internal/bench/rig/access.go
+++ b/internal/bench/rig/access.go
@@ -78,6 +78,17 @@
 	return services
 }
 
+// Runs returns how often the services of a pool ran each call.
+func (r *Rig) Runs(pool comfreyworks.Pool) map[service.Call]int {
+	runs := make(map[service.Call]int)
+	for _, s := range r.Services(pool) {
+		for call, n := range s.Runs() {
+			runs[call] += n
+		}
+	}
+	return runs
+}
+
 func (r *Rig) upstreamsOf(pool comfreyworks.Pool) []*upstreamProcess {
 	var members []*upstreamProcess
 	for _, u := range r.upstreams {
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -352,8 +352,8 @@
 }
 
 // Sweep drops every holding that can no longer match, forgets upstreams that
-// have gone and returns the number of levels left. Call it now and then: levels that are never asked for again
-// would stay otherwise.
+// have gone and returns the number of levels left. Call it now and then: levels
+// that are never asked for again would stay otherwise.
 func (s *Shard) Sweep() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
