--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The front door: make demo, make test.
 
-PROGRAMS := entry sidecar comfreyctl bench
+PROGRAMS := entry sidecar gateway comfreyctl bench
 MODULES := . $(addprefix cmd/,$(PROGRAMS))
 GOFUMPT := mvdan.cc/gofumpt@v0.12.0
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
--- a/internal/bench/rig/access.go
+++ b/internal/bench/rig/access.go
@@ -6,7 +6,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/standin/engine"
-	"comfreyworks/internal/standin/platform"
+	"comfreyworks/internal/standin/logservice"
 	"comfreyworks/internal/standin/service"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/settings"
@@ -23,7 +23,7 @@
 func (r *Rig) Entries() int { return r.options.Entries }
 
 // Log returns the stand-in of the log.
-func (r *Rig) Log() *platform.Log { return r.log }
+func (r *Rig) Log() *logservice.Log { return r.log }
 
 // Platform returns the address of the platform's stand-in.
 func (r *Rig) Platform() netip.AddrPort { return r.platform }
@@ -32,7 +32,7 @@
 func (r *Rig) PeerSecret() string { return peerSecret }
 
 // List returns the stand-in of the list of instances.
-func (r *Rig) List() *platform.List { return r.list }
+func (r *Rig) List() *logservice.List { return r.list }
 
 // Meter returns the meter that all roles share.
 func (r *Rig) Meter() *meter.Meter { return r.meter }
--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -27,7 +27,7 @@
 	"comfreyworks"
 	"comfreyworks/internal/standin/engine"
 	"comfreyworks/internal/standin/kept"
-	"comfreyworks/internal/standin/platform"
+	"comfreyworks/internal/standin/logservice"
 	"comfreyworks/internal/standin/service"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/settings"
@@ -105,11 +105,11 @@
 	cancel   context.CancelFunc
 	group    errgroup.Group
 	platform netip.AddrPort
-	log      *platform.Log
-	list     *platform.List
+	log      *logservice.Log
+	list     *logservice.List
 	meter    *meter.Meter
 	kept     *kept.Store
-	weights  map[comfreyworks.Pool]*platform.Weights
+	weights  map[comfreyworks.Pool]*logservice.Weights
 	cuts     *partition
 
 	mu        sync.Mutex
@@ -133,7 +133,7 @@
 	if options.Rates == nil {
 		options.Rates = func(comfreyworks.InstanceID) engine.Rates { return engine.DefaultRates() }
 	}
-	r := &Rig{options: options, meter: meter.New(), cuts: newPartition(), weights: make(map[comfreyworks.Pool]*platform.Weights)}
+	r := &Rig{options: options, meter: meter.New(), cuts: newPartition(), weights: make(map[comfreyworks.Pool]*logservice.Weights)}
 	if options.KeptBlocks > 0 {
 		r.kept = kept.New(options.KeptBlocks)
 	}
@@ -146,15 +146,15 @@
 }
 
 func (r *Rig) start() error {
-	r.log = platform.NewLog(platform.LogOptions{Clock: r.options.Clock, AppendsPerSecond: r.options.AppendsPerSecond})
-	r.list = platform.NewList(r.options.Clock, r.options.ListLag)
-	address, err := r.serveHTTP(platform.Handler(r.log, r.list))
+	r.log = logservice.NewLog(logservice.LogOptions{Clock: r.options.Clock, AppendsPerSecond: r.options.AppendsPerSecond})
+	r.list = logservice.NewList(r.options.Clock, r.options.ListLag)
+	address, err := r.serveHTTP(logservice.Handler(r.log, r.list))
 	if err != nil {
 		return err
 	}
 	r.platform = address
 	for _, pool := range r.options.Deployment.Pools {
-		r.weights[pool.Name] = platform.NewWeights(r.options.Clock, loadTime, max(pool.LoadPermits, 1))
+		r.weights[pool.Name] = logservice.NewWeights(r.options.Clock, loadTime, max(pool.LoadPermits, 1))
 		for i := range pool.Replicas {
 			if err := r.startUpstream(pool, i); err != nil {
 				return err
--- /dev/null
+++ b/internal/coordination/balance/balance.go
@@ -0,0 +1,306 @@
+// Package balance chooses the upstream for a request from what this process
+// has seen of each upstream: the work that it has sent there, failures and
+// refusals, the weights that answered.
+//
+// Sessions stay where their prompt is cached as long as the load allows: the
+// last declared part ranks the engines by rendezvous hashing, which needs no
+// state and is the same in every process, and the first engine whose load is
+// within a bound over the mean takes the request.
+//
+// # Usage
+//
+//	b := balance.New(balance.Options{Catalog: c, Clock: clock, Zone: zone})
+//	pick := b.Pick(query) // nil: no upstream may take it
+//	... send to pick.Upstream ...
+//	pick.Done(balance.Result{Outcome: balance.Answered, Elapsed: elapsed})
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"comfreyworks"
+	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/rendezvous"
+)
+
+const (
+	// avoidance is how long an upstream is avoided after a failure; it
+	// doubles with each further one up to maxAvoidance.
+	avoidance    = 200 * time.Millisecond
+	maxAvoidance = 3200 * time.Millisecond
+	// failuresBeforeAvoidance is how many failures in a row a reachable
+	// upstream may have: single failures say little about the next request.
+	failuresBeforeAvoidance = 3
+	// fullFor is how long an upstream counts as full after it said so; queues
+	// move within a few requests' time.
+	fullFor = 60 * time.Millisecond
+	// loadingFor is how long an upstream counts as loading weights after it
+	// refused work while newer weights are due.
+	loadingFor = 250 * time.Millisecond
+	// latencyShare is the weight of the newest answer in the mean latency.
+	latencyShare = 0.1
+	// staleWeightsAfter is how long superseded weights are as good as new
+	// ones: answers on them lose worth from 1.5 s on.
+	staleWeightsAfter = 1200 * time.Millisecond
+	// weightsMargin is how much earlier than the bound superseded weights stop
+	// being used: the way to the engine and the age of the news.
+	weightsMargin = 1200 * time.Millisecond
+)
+
+// Options configures a Balancer.
+type Options struct {
+	Catalog *catalog.Catalog
+	Clock   comfreyworks.Clock
+	Zone    comfreyworks.Zone
+	// WeightsBound is how long superseded weights may answer; zero means for
+	// ever.
+	WeightsBound time.Duration
+}
+
+// Query asks for an upstream.
+type Query struct {
+	Pool  comfreyworks.Pool
+	Model comfreyworks.Model
+	// Affinity ranks engines; zero means that any is as good.
+	Affinity uint64
+	// Tokens is the length of the prompt.
+	Tokens int
+	// Exclude lists upstreams that have been tried.
+	Exclude []comfreyworks.InstanceID
+}
+
+// Outcome tells what became of a request at an upstream.
+type Outcome string
+
+// Outcomes of requests.
+const (
+	// Answered means that the upstream answered as it should.
+	Answered Outcome = "answered"
+	// Failed means that its answer was a failure, broken, or none.
+	Failed Outcome = "failed"
+	// Unreachable means that the request could not be sent.
+	Unreachable Outcome = "unreachable"
+	// Full means that the upstream had no room.
+	Full Outcome = "full"
+	// OtherWeights means that it serves other weights.
+	OtherWeights Outcome = "other-weights"
+	// Gone means that another upstream has its address.
+	Gone Outcome = "gone"
+	// Withdrawn means that the request was given up; it says nothing.
+	Withdrawn Outcome = "withdrawn"
+)
+
+// Result is an outcome with what it taught.
+type Result struct {
+	Outcome Outcome
+	// Elapsed is the time to the answer, for Answered.
+	Elapsed time.Duration
+	// Weights is the revision that answered; zero when unknown.
+	Weights comfreyworks.WeightsRevision
+}
+
+// Balancer is safe for concurrent use.
+type Balancer struct {
+	options Options
+
+	mu        sync.Mutex
+	endpoints map[comfreyworks.InstanceID]*endpoint
+}
+
+// endpoint is what this process knows of one upstream by itself.
+type endpoint struct {
+	seed     uint64
+	started  time.Time
+	requests int
+	tokens   int
+	latency  time.Duration
+	failures int
+	// avoidUntil, fullUntil and loadingUntil end what was learned by failures
+	// and refusals.
+	avoidUntil, fullUntil, loadingUntil time.Time
+	weights                             map[comfreyworks.Model]comfreyworks.WeightsRevision
+	seenAt                              time.Time
+}
+
+// New returns a balancer that has seen nothing.
+func New(options Options) *Balancer {
+	return &Balancer{options: options, endpoints: make(map[comfreyworks.InstanceID]*endpoint)}
+}
+
+// Pick is a chosen upstream; Done must be called once.
+type Pick struct {
+	Upstream comfreyworks.Upstream
+	// Weights is the revision that the engine is believed to serve.
+	Weights comfreyworks.WeightsRevision
+	// Candidates is the number of upstreams that were considered.
+	Candidates int
+
+	balancer *Balancer
+	endpoint *endpoint
+	query    Query
+}
+
+// Pick chooses an upstream and counts the request there, or returns nil.
+func (b *Balancer) Pick(query Query) *Pick {
+	named := b.options.Catalog.Weights(query.Model)
+	upstreams := b.options.Catalog.Upstreams(query.Pool)
+	now := b.options.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	candidates := make([]candidate, 0, len(upstreams))
+	for i := range upstreams {
+		if c, ok := b.candidate(&upstreams[i], &query, named, now); ok {
+			candidates = append(candidates, c)
+		}
+	}
+	best := choose(candidates, query.Affinity != 0, query.Tokens)
+	if best < 0 {
+		return nil
+	}
+	chosen := &candidates[best]
+	chosen.endpoint.requests++
+	chosen.endpoint.tokens += query.Tokens
+	return &Pick{
+		Upstream: *chosen.upstream, Weights: chosen.weights, Candidates: len(candidates),
+		balancer: b, endpoint: chosen.endpoint, query: query,
+	}
+}
+
+func (b *Balancer) candidate(upstream *comfreyworks.Upstream, query *Query, named catalog.NamedWeights, now time.Time) (candidate, bool) {
+	for _, id := range query.Exclude {
+		if id == upstream.ID {
+			return candidate{}, false
+		}
+	}
+	if upstream.State != comfreyworks.InstanceLive {
+		return candidate{}, false
+	}
+	e := b.endpoint(upstream, now)
+	c := candidate{
+		upstream: upstream, endpoint: e,
+		requests: e.requests, tokens: e.tokens, latency: e.latency,
+		near:    upstream.Zone == b.options.Zone,
+		avoided: now.Before(e.avoidUntil),
+		full:    now.Before(e.fullUntil) || now.Before(e.loadingUntil),
+	}
+	if query.Affinity != 0 {
+		c.score = rendezvous.Score(e.seed, query.Affinity)
+	}
+	if query.Model == "" {
+		return c, true
+	}
+	c.weights = max(upstream.Weights[query.Model], e.weights[query.Model])
+	if c.weights >= named.Revision {
+		return c, true
+	}
+	superseded := now.Sub(named.Since)
+	c.stale = superseded > staleWeightsAfter
+	expired := b.options.WeightsBound > 0 && superseded > b.options.WeightsBound-weightsMargin
+	return c, !expired
+}
+
+// endpoint returns the record of an upstream; a new life starts a new one.
+func (b *Balancer) endpoint(upstream *comfreyworks.Upstream, now time.Time) *endpoint {
+	e, ok := b.endpoints[upstream.ID]
+	if !ok || !e.started.Equal(upstream.Started) {
+		e = &endpoint{
+			seed: rendezvous.Seed(string(upstream.ID)), started: upstream.Started,
+			weights: make(map[comfreyworks.Model]comfreyworks.WeightsRevision),
+		}
+		b.endpoints[upstream.ID] = e
+	}
+	e.seenAt = now
+	return e
+}
+
+// Loading marks an upstream as about to load weights for a while.
+func (b *Balancer) Loading(id comfreyworks.InstanceID, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e, ok := b.endpoints[id]; ok {
+		e.loadingUntil = until
+	}
+}
+
+// Loaded records the revision that an upstream serves from now on.
+func (b *Balancer) Loaded(id comfreyworks.InstanceID, model comfreyworks.Model, revision comfreyworks.WeightsRevision) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e, ok := b.endpoints[id]; ok {
+		e.weights[model] = max(e.weights[model], revision)
+		e.loadingUntil = time.Time{}
+	}
+}
+
+// Weights returns the revision that an upstream is believed to serve.
+func (b *Balancer) Weights(upstream *comfreyworks.Upstream, model comfreyworks.Model) comfreyworks.WeightsRevision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	revision := upstream.Weights[model]
+	if e, ok := b.endpoints[upstream.ID]; ok && e.started.Equal(upstream.Started) {
+		revision = max(revision, e.weights[model])
+	}
+	return revision
+}
+
+// Forget drops the records of upstreams that were not seen for a while.
+func (b *Balancer) Forget(unseenFor time.Duration) {
+	now := b.options.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, e := range b.endpoints {
+		if e.requests == 0 && now.Sub(e.seenAt) > unseenFor {
+			delete(b.endpoints, id)
+		}
+	}
+}
+
+// Done ends the request at the chosen upstream.
+func (p *Pick) Done(result Result) {
+	now := p.balancer.options.Clock.Now()
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	e := p.endpoint
+	e.requests--
+	e.tokens -= p.query.Tokens
+	if result.Weights != 0 && p.query.Model != "" {
+		e.weights[p.query.Model] = max(e.weights[p.query.Model], result.Weights)
+	}
+	switch result.Outcome {
+	case Answered:
+		e.failures = 0
+		e.avoidUntil = time.Time{}
+		e.learnLatency(result.Elapsed)
+	case Failed:
+		e.fail(now, failuresBeforeAvoidance)
+	case Unreachable:
+		e.fail(now, 1)
+	case Full:
+		e.fullUntil = now.Add(fullFor)
+	case OtherWeights:
+		if result.Weights == 0 {
+			e.loadingUntil = now.Add(loadingFor)
+		}
+	case Gone:
+		e.avoidUntil = now.Add(maxAvoidance)
+	case Withdrawn:
+	}
+}
+
+func (e *endpoint) learnLatency(elapsed time.Duration) {
+	if e.latency == 0 {
+		e.latency = elapsed
+		return
+	}
+	e.latency += time.Duration(latencyShare * float64(elapsed-e.latency))
+}
+
+// fail counts a failure and avoids the upstream from a number of them on.
+func (e *endpoint) fail(now time.Time, from int) {
+	e.failures++
+	if e.failures < from {
+		return
+	}
+	e.avoidUntil = now.Add(min(avoidance<<min(e.failures-from, 10), maxAvoidance))
+}
--- a/internal/coordination/claim/bench_test.go
+++ b/internal/coordination/claim/bench_test.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"comfreyworks"
-	"comfreyworks/internal/standin/platform"
+	"comfreyworks/internal/standin/logservice"
 )
 
 // instantService answers every call at once.
@@ -26,7 +26,7 @@
 func BenchmarkDo(b *testing.B) {
 	const sidecars, callers = 3, 400
 	clock := clockwork.NewRealClock()
-	log := platform.NewLog(platform.LogOptions{Clock: clock, AppendsPerSecond: 300})
+	log := logservice.NewLog(logservice.LogOptions{Clock: clock, AppendsPerSecond: 300})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running errgroup.Group
 	var executors []*Executor
--- a/internal/coordination/claim/claim_test.go
+++ b/internal/coordination/claim/claim_test.go
@@ -17,7 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
-	"comfreyworks/internal/standin/platform"
+	"comfreyworks/internal/standin/logservice"
 )
 
 // fakeService counts what it runs and fails as it is told.
@@ -64,7 +64,7 @@
 // fixture is a pool of executors in front of one service.
 type fixture struct {
 	clock     *clockwork.FakeClock
-	log       *platform.Log
+	log       *logservice.Log
 	service   *fakeService
 	executors []*Executor
 	stop      []context.CancelFunc
@@ -77,7 +77,7 @@
 func newFixture(t *testing.T, n int) *fixture {
 	t.Helper()
 	f := &fixture{clock: clockwork.NewFakeClockAt(time.Now()), service: newService()}
-	f.log = platform.NewLog(platform.LogOptions{Clock: f.clock, AppendsPerSecond: 300})
+	f.log = logservice.NewLog(logservice.LogOptions{Clock: f.clock, AppendsPerSecond: 300})
 	var group errgroup.Group
 	var done atomic.Bool
 	group.Go(func() error {
--- a/internal/coordination/configuration/configuration_test.go
+++ b/internal/coordination/configuration/configuration_test.go
@@ -17,7 +17,7 @@
 
 	"comfreyworks"
 	"comfreyworks/examples"
-	"comfreyworks/internal/standin/platform"
+	"comfreyworks/internal/standin/logservice"
 	"comfreyworks/internal/state/revision"
 )
 
@@ -32,7 +32,7 @@
 // fleet is a number of followers that see one log and each other.
 type fleet struct {
 	clock     *clockwork.FakeClock
-	log       *platform.Log
+	log       *logservice.Log
 	followers []*Follower
 	pulled    atomic.Int64
 	reverted  atomic.Bool
@@ -55,7 +55,7 @@
 func newFleet(t *testing.T, n int) *fleet {
 	t.Helper()
 	f := &fleet{clock: clockwork.NewFakeClock(), followers: make([]*Follower, n)}
-	f.log = platform.NewLog(platform.LogOptions{Clock: f.clock})
+	f.log = logservice.NewLog(logservice.LogOptions{Clock: f.clock})
 	for i := range f.followers {
 		f.followers[i] = f.newFollower(t, i)
 	}
@@ -194,7 +194,7 @@
 
 func TestCarriedForward(t *testing.T) {
 	f := newFleet(t, 1)
-	f.log = platform.NewLog(platform.LogOptions{Clock: f.clock, Retention: 3 * carryAfter})
+	f.log = logservice.NewLog(logservice.LogOptions{Clock: f.clock, Retention: 3 * carryAfter})
 	f.followers[0].options.Log = f.log
 	f.append(t, revision.Empty().Propose(document(t, 60), "ann", "", f.clock.Now()))
 	ctx := context.Background()
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -14,7 +14,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/membership"
-	"comfreyworks/internal/standin/platform"
+	"comfreyworks/internal/standin/logservice"
 	"comfreyworks/internal/state/settings"
 )
 
@@ -92,7 +92,7 @@
 
 func newDispatcher(gates fakeGates) *Dispatcher {
 	clock := clockwork.NewRealClock()
-	list := platform.NewList(clock, 0)
+	list := logservice.NewList(clock, 0)
 	var instances []comfreyworks.Instance
 	for i := range gates {
 		instance := comfreyworks.Instance{
--- /dev/null
+++ b/internal/coordination/follow/follow.go
@@ -0,0 +1,144 @@
+// Package follow keeps a catalog current: it asks the sources of declarations
+// and upstreams again and again, and notices when one stops answering.
+//
+// # Usage
+//
+//	follower := follow.New(follow.Options{Declarations: source, Upstreams: source, Catalog: c, ...})
+//	group.Go(func() error { return follower.Run(ctx) })
+//
+// Run returns when ctx ends.
+package follow
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"comfreyworks"
+	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/meter"
+)
+
+const (
+	// declarationWait is how long a question for declarations waits for news.
+	// Its answer proves the routing as of the time of the question.
+	declarationWait = 700 * time.Millisecond
+	// upstreamInterval is the pause between questions for upstreams; engines
+	// leave at the earliest two seconds after they said so.
+	upstreamInterval = 500 * time.Millisecond
+	// answerTimeout bounds a question beyond its wait; a slow store takes
+	// 0.4 s.
+	answerTimeout = 1200 * time.Millisecond
+	// retryInterval is the pause after a question without an answer.
+	retryInterval = 150 * time.Millisecond
+)
+
+// Options configures a Follower.
+type Options struct {
+	Declarations comfreyworks.DeclarationSource
+	Upstreams    comfreyworks.UpstreamSource
+	Catalog      *catalog.Catalog
+	Clock        comfreyworks.Clock
+	Logger       *zap.Logger
+	Meter        *meter.Meter
+}
+
+// Follower keeps one catalog current.
+type Follower struct {
+	options Options
+}
+
+// New returns a follower.
+func New(options Options) *Follower { return &Follower{options: options} }
+
+// Run follows both sources until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return f.repeat(ctx, "declarations", 0, f.askDeclarations) })
+	group.Go(func() error { return f.repeat(ctx, "upstreams", upstreamInterval, f.askUpstreams) })
+	return group.Wait()
+}
+
+// repeat asks a source until ctx ends and logs when it is lost and regained.
+func (f *Follower) repeat(ctx context.Context, source string, pause time.Duration, ask func(context.Context) error) error {
+	logger := f.options.Logger.With(zap.String("source", source))
+	var lostAt time.Time
+	for ctx.Err() == nil {
+		err := ask(ctx)
+		wait := pause
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case err != nil:
+			wait = retryInterval
+			f.options.Meter.Count("comfrey_source_errors_total", meter.Labels{}, 1)
+			if lostAt.IsZero() {
+				lostAt = f.options.Clock.Now()
+				logger.Warn("source lost", zap.Error(err))
+			}
+		case !lostAt.IsZero():
+			logger.Info("source regained", zap.Duration("after", f.options.Clock.Since(lostAt)))
+			lostAt = time.Time{}
+		}
+		if wait > 0 {
+			f.sleep(ctx, wait)
+		}
+	}
+	return nil
+}
+
+func (f *Follower) sleep(ctx context.Context, d time.Duration) {
+	timer := f.options.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+}
+
+func (f *Follower) askDeclarations(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, declarationWait+answerTimeout)
+	defer cancel()
+	after, _ := f.options.Catalog.Positions()
+	askedAt := f.options.Clock.Now()
+	declaration, err := f.options.Declarations.Declarations(ctx, after, declarationWait)
+	if err != nil {
+		return err
+	}
+	change := f.options.Catalog.ApplyDeclaration(declaration, askedAt)
+	f.log(&change, uint64(declaration.Next), askedAt)
+	return nil
+}
+
+func (f *Follower) askUpstreams(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	_, after := f.options.Catalog.Positions()
+	askedAt := f.options.Clock.Now()
+	changes, err := f.options.Upstreams.Upstreams(ctx, after, 0)
+	if err != nil {
+		return err
+	}
+	change := f.options.Catalog.ApplyUpstreams(changes, askedAt)
+	f.log(&change, uint64(changes.Next), askedAt)
+	return nil
+}
+
+func (f *Follower) log(change *catalog.Change, position uint64, askedAt time.Time) {
+	if change.Empty() {
+		return
+	}
+	fields := []zap.Field{zap.Uint64("position", position), zap.Duration("age", f.options.Clock.Since(askedAt))}
+	if change.Routing != nil {
+		fields = append(fields, zap.Uint64("routing", uint64(change.Routing.Version())))
+	}
+	for model, revision := range change.Weights {
+		fields = append(fields, zap.String("model", string(model)), zap.Uint64("weights", uint64(revision)))
+	}
+	if len(change.Joined)+len(change.Left)+len(change.Lapsed) > 0 {
+		fields = append(fields, zap.Any("joined", change.Joined), zap.Any("left", change.Left), zap.Any("lapsed", change.Lapsed))
+	}
+	f.options.Logger.Info("belief changed", fields...)
+}
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
-	"comfreyworks/internal/standin/platform"
+	"comfreyworks/internal/standin/logservice"
 )
 
 func sidecar(id comfreyworks.InstanceID, state comfreyworks.InstanceState) comfreyworks.Instance {
@@ -21,13 +21,13 @@
 
 type fixture struct {
 	clock *clockwork.FakeClock
-	list  *platform.List
+	list  *logservice.List
 	view  *View
 }
 
 func newFixture(lag time.Duration) fixture {
 	clock := clockwork.NewFakeClock()
-	list := platform.NewList(clock, lag)
+	list := logservice.NewList(clock, lag)
 	list.Set([]comfreyworks.Instance{
 		sidecar("lm/0", comfreyworks.InstanceLive),
 		sidecar("lm/1", comfreyworks.InstanceLive),
--- /dev/null
+++ b/internal/coordination/rollout/rollout.go
@@ -0,0 +1,226 @@
+// Package rollout brings engines to the weights that are named, a few at a
+// time, from one process that holds a lease.
+//
+// # Usage
+//
+//	r := rollout.New(rollout.Options{Self: id, Catalog: c, Balancer: b, Log: log, Loader: loader, ...})
+//	group.Go(func() error { return r.Run(ctx, stopping) })
+//
+// Run returns when ctx ends; when stopping ends it gives up the lease.
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"comfreyworks"
+	"comfreyworks/internal/coordination/balance"
+	"comfreyworks/internal/coordination/lease"
+	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/meter"
+)
+
+const (
+	// leaseStream is the log stream of the lease.
+	leaseStream = "rollout"
+	// planInterval is the pause between two looks at what has to be loaded.
+	planInterval = 40 * time.Millisecond
+	// callTimeout bounds one call to an engine or to the log.
+	callTimeout = 800 * time.Millisecond
+	// loadShare is the part of a model's engines that load at once, and
+	// leastLoads the number below which it does not fall.
+	loadShare  = 0.25
+	leastLoads = 2
+	// loadTime is how long a load takes at least; an engine is not asked
+	// earlier.
+	loadTime = 300 * time.Millisecond
+	// statusInterval is the pause between questions to a loading engine.
+	statusInterval = 120 * time.Millisecond
+	// loadTimeout is after how long an order counts as lost.
+	loadTimeout = 2500 * time.Millisecond
+	// retryPause is how long an engine is left alone that did not take an order.
+	retryPause = 300 * time.Millisecond
+)
+
+// Options configures a Rollout.
+type Options struct {
+	Self     comfreyworks.InstanceID
+	Lease    time.Duration
+	Catalog  *catalog.Catalog
+	Balancer *balance.Balancer
+	Log      comfreyworks.LeaseLog
+	Loader   comfreyworks.WeightLoader
+	Clock    comfreyworks.Clock
+	Logger   *zap.Logger
+	Meter    *meter.Meter
+}
+
+// Rollout brings engines to the weights that are named.
+type Rollout struct {
+	options Options
+	lease   *lease.Lease
+	loads   loads
+}
+
+// New returns a rollout that does nothing until Run is called.
+func New(options Options) *Rollout {
+	return &Rollout{
+		options: options,
+		lease: lease.New(lease.Options{
+			Log: options.Log, Stream: leaseStream, Self: options.Self,
+			Duration: options.Lease, Clock: options.Clock,
+		}),
+		loads: newLoads(),
+	}
+}
+
+// Run works until ctx ends.
+func (r *Rollout) Run(ctx, stopping context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.keepLease(ctx, stopping) })
+	group.Go(func() error {
+		for r.sleep(ctx, planInterval) {
+			if token, ok := r.lease.Held(); ok && stopping.Err() == nil {
+				r.plan(ctx, group, token)
+			}
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// sleep returns false when ctx has ended.
+func (r *Rollout) sleep(ctx context.Context, d time.Duration) bool {
+	timer := r.options.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *Rollout) keepLease(ctx, stopping context.Context) error {
+	holds := false
+	for stopping.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		pause, err := r.lease.Step(call)
+		cancel()
+		token, held := r.lease.Held()
+		if held != holds {
+			holds = held
+			r.options.Logger.Info("lease changed", zap.Bool("held", held), zap.Uint64("token", token), zap.Error(err))
+		}
+		if !r.sleep(stopping, pause) {
+			break
+		}
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := r.lease.Release(call); err != nil {
+		r.options.Logger.Warn("lease not released", zap.Error(err))
+	}
+	return nil
+}
+
+// plan starts as many loads as may run at once.
+func (r *Rollout) plan(ctx context.Context, group *errgroup.Group, token uint64) {
+	table, _ := r.options.Catalog.Routing()
+	if table == nil {
+		return
+	}
+	for _, pool := range table.Declared().Pools {
+		for _, model := range pool.Models {
+			named := r.options.Catalog.Weights(model)
+			if named.Revision == 0 {
+				continue
+			}
+			for _, engine := range r.next(pool.Name, model, named.Revision) {
+				order := comfreyworks.LoadOrder{
+					Upstream: engine, Model: model, Weights: named.Revision,
+					Mode: comfreyworks.LoadAfterRuns, Holder: r.options.Self, Token: token,
+				}
+				r.loads.begin(engine.ID)
+				group.Go(func() error {
+					r.load(ctx, order)
+					return nil
+				})
+			}
+		}
+	}
+}
+
+// next returns the engines that shall load now.
+func (r *Rollout) next(pool comfreyworks.Pool, model comfreyworks.Model, revision comfreyworks.WeightsRevision) []comfreyworks.Upstream {
+	engines := r.options.Catalog.Upstreams(pool)
+	var behind []waiting
+	for i := range engines {
+		if engines[i].State != comfreyworks.InstanceLive {
+			continue
+		}
+		if serves := r.options.Balancer.Weights(&engines[i], model); serves < revision {
+			behind = append(behind, waiting{engine: engines[i], serves: serves})
+		}
+	}
+	return r.loads.next(behind, loadLimit(len(engines)), r.options.Clock.Now())
+}
+
+// loadLimit is how many of a number of engines may load at once.
+func loadLimit(engines int) int { return max(leastLoads, int(loadShare*float64(engines))) }
+
+// load gives one order and watches until the engine serves the weights.
+func (r *Rollout) load(ctx context.Context, order comfreyworks.LoadOrder) {
+	startedAt := r.options.Clock.Now()
+	r.options.Balancer.Loading(order.Upstream.ID, startedAt.Add(loadTimeout))
+	result, err := r.order(ctx, order)
+	r.options.Meter.Count("comfrey_load_orders_total", meter.Labels{}, 1)
+	done := result == comfreyworks.LoadDone
+	if err == nil && result == comfreyworks.LoadStarted {
+		done = r.watch(ctx, order, startedAt)
+	}
+	if done {
+		r.options.Balancer.Loaded(order.Upstream.ID, order.Model, order.Weights)
+		r.loads.end(order.Upstream.ID, time.Time{})
+	} else {
+		now := r.options.Clock.Now()
+		r.options.Balancer.Loading(order.Upstream.ID, now)
+		r.loads.end(order.Upstream.ID, now.Add(retryPause))
+	}
+	r.options.Logger.Info("load",
+		zap.String("upstream", string(order.Upstream.ID)), zap.String("model", string(order.Model)),
+		zap.Uint64("weights", uint64(order.Weights)), zap.Uint64("token", order.Token),
+		zap.String("result", string(result)), zap.Bool("done", done),
+		zap.Duration("took", r.options.Clock.Since(startedAt)), zap.Error(err))
+}
+
+// order checks the lease again right before it sends.
+func (r *Rollout) order(ctx context.Context, order comfreyworks.LoadOrder) (comfreyworks.LoadResult, error) {
+	if token, ok := r.lease.Held(); !ok || token != order.Token {
+		return comfreyworks.LoadFenced, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.options.Loader.Load(ctx, order)
+}
+
+// watch asks an engine until it serves the weights.
+func (r *Rollout) watch(ctx context.Context, order comfreyworks.LoadOrder, startedAt time.Time) bool {
+	pause := loadTime
+	for r.options.Clock.Since(startedAt) < loadTimeout && r.sleep(ctx, pause) {
+		pause = statusInterval
+		if r.options.Balancer.Weights(&order.Upstream, order.Model) >= order.Weights {
+			return true
+		}
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		status, err := r.options.Loader.Status(call, order.Upstream)
+		cancel()
+		if err == nil && status.Weights[order.Model] >= order.Weights {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/protocol/platform/platform.go
+++ b/internal/protocol/logservice/logservice.go
@@ -1,9 +1,9 @@
-// Package platform is the client of the platform's services over HTTP: the
+// Package logservice is the client of the platform's services over HTTP: the
 // append-only log and the list of instances.
 //
 // # Usage
 //
-//	client := platform.NewClient(address, httpClient)
+//	client := logservice.NewClient(address, httpClient)
 //	offset, err := client.Append(ctx, "claims/dispatch", records)
 //	records, err := client.Read(ctx, "claims/dispatch", 0, 100, 0)
 //	instances, err := client.Instances(ctx)
@@ -11,7 +11,7 @@
 // Errors have KindUnavailable when the platform did not answer, in which case
 // an append may or may not have happened, and KindRefused when it said no, in
 // which case it has not.
-package platform
+package logservice
 
 import (
 	"bytes"
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -16,7 +16,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/protocol/upstream"
-	"comfreyworks/internal/standin/platform"
+	"comfreyworks/internal/standin/logservice"
 )
 
 func testRates() Rates {
@@ -213,7 +213,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			store := platform.NewWeights(clockwork.NewRealClock(), time.Millisecond, 1)
+			store := logservice.NewWeights(clockwork.NewRealClock(), time.Millisecond, 1)
 			_, client := serve(t, Options{Rates: testRates(), Weights: "v1", Store: store, ChecksFencing: test.checks, Seed: 1})
 			assert.NilError(t, client.Order(context.Background(), order(7)))
 			err := client.Order(context.Background(), order(6))
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/logservice/handler.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"encoding/json"
@@ -11,7 +11,7 @@
 	"github.com/gorilla/mux"
 
 	"comfreyworks"
-	"comfreyworks/internal/protocol/platform"
+	"comfreyworks/internal/protocol/logservice"
 )
 
 // Handler returns the HTTP interface of a log and a list.
@@ -47,13 +47,13 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	var body platform.AppendRequest
+	var body logservice.AppendRequest
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	offset, err := log.Append(r.Context(), stream, body.Data)
-	answer(w, platform.AppendAnswer{Offset: offset}, err)
+	answer(w, logservice.AppendAnswer{Offset: offset}, err)
 }
 
 func serveRead(log *Log, w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/platform/log.go
+++ b/internal/standin/logservice/log.go
@@ -1,17 +1,17 @@
-// Package platform is a small stand-in for what the platform gives: an
+// Package logservice is a small stand-in for what the platform gives: an
 // append-only log, a lagging list of instances and a rate-limited weight store.
 //
 // # Usage
 //
-//	log := platform.NewLog(platform.LogOptions{Clock: clock, AppendsPerSecond: 300})
-//	list := platform.NewList(clock, time.Second)
-//	server := http.Server{Handler: platform.Handler(log, list)}
+//	log := logservice.NewLog(logservice.LogOptions{Clock: clock, AppendsPerSecond: 300})
+//	list := logservice.NewList(clock, time.Second)
+//	server := http.Server{Handler: logservice.Handler(log, list)}
 //	log.SetOutage(true)
 //	list.Set(instances)
 //
 // All parts are safe for concurrent use. A Log in an outage answers every call
 // with ErrOutage; a lost answer is ErrLostAnswer, after the append took effect.
-package platform
+package logservice
 
 import (
 	"context"
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/logservice/logservice_test.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
-	"comfreyworks/internal/protocol/platform"
+	"comfreyworks/internal/protocol/logservice"
 )
 
 var bg = context.Background()
@@ -78,10 +78,10 @@
 	server := httptest.NewServer(Handler(log, list))
 	t.Cleanup(server.Close)
 	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
-	client := platform.NewClient(address, &http.Client{Transport: &http.Transport{}})
-	expectKind := func(t *testing.T, err error, kind platform.Kind) {
+	client := logservice.NewClient(address, &http.Client{Transport: &http.Transport{}})
+	expectKind := func(t *testing.T, err error, kind logservice.Kind) {
 		t.Helper()
-		var e *platform.Error
+		var e *logservice.Error
 		assert.Assert(t, errors.As(err, &e), "got %v", err)
 		assert.Equal(t, e.Kind, kind)
 	}
@@ -107,12 +107,12 @@
 	t.Run("a lost answer may have taken effect", func(t *testing.T) {
 		log.LoseAnswers(1)
 		_, err := client.Append(bg, "s", [][]byte{[]byte("a")})
-		expectKind(t, err, platform.KindUnavailable)
+		expectKind(t, err, logservice.KindUnavailable)
 		expectRecords(t, client, 0, "a")
 	})
 	t.Run("over the limit has not taken effect", func(t *testing.T) {
 		_, err := client.Append(bg, "s", [][]byte{[]byte("b")})
-		expectKind(t, err, platform.KindRefused)
+		expectKind(t, err, logservice.KindRefused)
 		expectRecords(t, client, 0, "a")
 	})
 }
--- /dev/null
+++ b/internal/state/catalog/catalog.go
@@ -0,0 +1,277 @@
+// Package catalog holds what a gateway believes about the deployment: the
+// routing in force, the weights that models shall serve, and the upstreams.
+//
+// Every belief carries the time of the question that proved it, so that
+// whoever acts on it can tell how old it may be. Versions only grow: an older
+// answer that arrives late changes nothing.
+//
+// # Usage
+//
+//	c := catalog.New(clock)
+//	c.ApplyDeclaration(declaration, askedAt)
+//	c.ApplyUpstreams(changes, askedAt)
+//	table, provenAt := c.Routing() // nil until the first declaration
+//	for _, upstream := range c.Upstreams(pool) { ... }
+package catalog
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"comfreyworks"
+	"comfreyworks/internal/state/routing"
+)
+
+const (
+	// outageAge is the age of the last proof from which on missing entries may
+	// have lapsed while the list could not be written; five missed questions.
+	outageAge = 2500 * time.Millisecond
+	// lapseGrace is how long an upstream that is missing after an outage is
+	// kept; its entry is back within two seconds if it lives.
+	lapseGrace = 1800 * time.Millisecond
+)
+
+// NamedWeights is a revision that a model shall serve.
+type NamedWeights struct {
+	Revision comfreyworks.WeightsRevision
+	// Since is when this process learned of it.
+	Since time.Time
+	// Previous is the revision before it, as far as this process knows.
+	Previous comfreyworks.WeightsRevision
+}
+
+// Change tells what an applied answer changed.
+type Change struct {
+	// Routing is set when a newer version came into force.
+	Routing *routing.Table
+	// Weights are the models for which newer weights were named.
+	Weights map[comfreyworks.Model]comfreyworks.WeightsRevision
+	// Joined, Left and Lapsed list upstreams; lapsed ones are still used.
+	Joined, Left, Lapsed []comfreyworks.InstanceID
+}
+
+// Empty reports whether nothing changed.
+func (c *Change) Empty() bool {
+	return c.Routing == nil && len(c.Weights) == 0 && len(c.Joined) == 0 && len(c.Left) == 0 && len(c.Lapsed) == 0
+}
+
+// Catalog is safe for concurrent use.
+type Catalog struct {
+	clock comfreyworks.Clock
+	table atomic.Pointer[routing.Table]
+	pools atomic.Pointer[map[comfreyworks.Pool][]comfreyworks.Upstream]
+
+	mu       sync.Mutex
+	declared proof
+	listed   proof
+	weights  map[comfreyworks.Model]NamedWeights
+	entries  map[comfreyworks.InstanceID]entry
+	// lapseUntil is until when missing entries are kept.
+	lapseUntil time.Time
+}
+
+// proof tells how current a belief is.
+type proof struct {
+	at       time.Time
+	position comfreyworks.Position
+}
+
+// entry is an upstream with the end of its grace, when its entry is missing.
+type entry struct {
+	upstream  comfreyworks.Upstream
+	keepUntil time.Time
+}
+
+// New returns a catalog that knows nothing.
+func New(clock comfreyworks.Clock) *Catalog {
+	c := &Catalog{
+		clock:   clock,
+		weights: make(map[comfreyworks.Model]NamedWeights),
+		entries: make(map[comfreyworks.InstanceID]entry),
+	}
+	c.pools.Store(&map[comfreyworks.Pool][]comfreyworks.Upstream{})
+	return c
+}
+
+// Routing returns the routing in force and when it was last proven to be the
+// newest; nil when none is known.
+func (c *Catalog) Routing() (*routing.Table, time.Time) {
+	table := c.table.Load()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return table, c.declared.at
+}
+
+// Upstreams returns the upstreams of a pool, sorted by ID. The caller must not
+// change the slice.
+func (c *Catalog) Upstreams(pool comfreyworks.Pool) []comfreyworks.Upstream {
+	return (*c.pools.Load())[pool]
+}
+
+// UpstreamsProven returns when the list was last proven current; zero means
+// never.
+func (c *Catalog) UpstreamsProven() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.listed.at
+}
+
+// Weights returns the revision that a model shall serve.
+func (c *Catalog) Weights(model comfreyworks.Model) NamedWeights {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.weights[model]
+}
+
+// AllWeights returns the revisions of all models.
+func (c *Catalog) AllWeights() map[comfreyworks.Model]NamedWeights {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.weights)
+}
+
+// Positions returns up to where both sources were read.
+func (c *Catalog) Positions() (declared, listed comfreyworks.Position) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.declared.position, c.listed.position
+}
+
+// ApplyDeclaration takes in an answer to a question asked at a time.
+func (c *Catalog) ApplyDeclaration(d comfreyworks.Declaration, askedAt time.Time) Change {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var change Change
+	if d.Next < c.declared.position {
+		return change
+	}
+	c.declared.position = d.Next
+	if askedAt.After(c.declared.at) {
+		c.declared.at = askedAt
+	}
+	current := c.table.Load()
+	if d.Routing != nil && (current == nil || d.Routing.Version > current.Version()) {
+		change.Routing = routing.New(*d.Routing)
+		c.table.Store(change.Routing)
+	}
+	for model, revision := range d.Weights {
+		known := c.weights[model]
+		if revision <= known.Revision {
+			continue
+		}
+		c.weights[model] = NamedWeights{Revision: revision, Since: c.clock.Now(), Previous: known.Revision}
+		if change.Weights == nil {
+			change.Weights = make(map[comfreyworks.Model]comfreyworks.WeightsRevision)
+		}
+		change.Weights[model] = revision
+	}
+	return change
+}
+
+// ApplyUpstreams takes in an answer to a question asked at a time.
+func (c *Catalog) ApplyUpstreams(changes comfreyworks.UpstreamChanges, askedAt time.Time) Change {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var change Change
+	if changes.Next < c.listed.position {
+		return change
+	}
+	now := c.clock.Now()
+	if !c.listed.at.IsZero() && askedAt.Sub(c.listed.at) > outageAge {
+		c.lapseUntil = now.Add(lapseGrace)
+	}
+	c.listed.position = changes.Next
+	if askedAt.After(c.listed.at) {
+		c.listed.at = askedAt
+	}
+	for _, upstream := range changes.Present {
+		c.present(upstream, &change)
+	}
+	for _, id := range c.missing(changes) {
+		c.gone(id, now, &change)
+	}
+	for id, e := range c.entries {
+		if !e.keepUntil.IsZero() && !now.Before(e.keepUntil) {
+			delete(c.entries, id)
+			change.Left = append(change.Left, id)
+		}
+	}
+	if len(changes.Present) > 0 || !change.Empty() {
+		c.publish()
+	}
+	return change
+}
+
+func (c *Catalog) present(upstream comfreyworks.Upstream, change *Change) {
+	known, ok := c.entries[upstream.ID]
+	if ok && outdated(&upstream, &known.upstream) {
+		return
+	}
+	if !ok {
+		change.Joined = append(change.Joined, upstream.ID)
+	} else if known.upstream.State != upstream.State && upstream.State == comfreyworks.InstanceLeaving {
+		change.Left = append(change.Left, upstream.ID)
+	}
+	c.entries[upstream.ID] = entry{upstream: upstream}
+}
+
+// outdated reports whether an entry is of an earlier life, or was written
+// earlier in the same one.
+func outdated(upstream, known *comfreyworks.Upstream) bool {
+	if !upstream.Started.Equal(known.Started) {
+		return upstream.Started.Before(known.Started)
+	}
+	return upstream.Sequence < known.Sequence
+}
+
+func (c *Catalog) missing(changes comfreyworks.UpstreamChanges) []comfreyworks.InstanceID {
+	gone := changes.Gone
+	if !changes.Whole {
+		return gone
+	}
+	listed := make(map[comfreyworks.InstanceID]bool, len(changes.Present))
+	for _, upstream := range changes.Present {
+		listed[upstream.ID] = true
+	}
+	for id := range c.entries {
+		if !listed[id] {
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
+func (c *Catalog) gone(id comfreyworks.InstanceID, now time.Time, change *Change) {
+	e, ok := c.entries[id]
+	if !ok {
+		return
+	}
+	if now.Before(c.lapseUntil) && e.upstream.State == comfreyworks.InstanceLive {
+		if e.keepUntil.IsZero() {
+			e.keepUntil = c.lapseUntil
+			c.entries[id] = e
+			change.Lapsed = append(change.Lapsed, id)
+		}
+		return
+	}
+	delete(c.entries, id)
+	change.Left = append(change.Left, id)
+}
+
+// publish makes the current entries visible to readers.
+func (c *Catalog) publish() {
+	pools := make(map[comfreyworks.Pool][]comfreyworks.Upstream)
+	for _, e := range c.entries {
+		pools[e.upstream.Pool] = append(pools[e.upstream.Pool], e.upstream)
+	}
+	for _, upstreams := range pools {
+		slices.SortFunc(upstreams, func(a, b comfreyworks.Upstream) int {
+			return strings.Compare(string(a.ID), string(b.ID))
+		})
+	}
+	c.pools.Store(&pools)
+}
--- a/internal/transport/control/configure.go
+++ b/internal/transport/control/configure.go
@@ -17,8 +17,8 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/configuration"
+	"comfreyworks/internal/protocol/logservice"
 	"comfreyworks/internal/protocol/peer"
-	"comfreyworks/internal/protocol/platform"
 	"comfreyworks/internal/state/revision"
 	"comfreyworks/internal/state/settings"
 	"comfreyworks/internal/transport/admin"
@@ -42,7 +42,7 @@
 type operator struct {
 	ctx    context.Context
 	out    io.Writer
-	client *platform.Client
+	client *logservice.Client
 	peers  *peer.Clients
 	// weightsLoaded means that the engines serve the weights that a change
 	// names already.
@@ -61,7 +61,7 @@
 	}
 	return &operator{
 		ctx: ctx, out: out,
-		client: platform.NewClient(operatorSettings.Platform, http.DefaultClient),
+		client: logservice.NewClient(operatorSettings.Platform, http.DefaultClient),
 		peers:  peer.NewClients(peer.ClientOptions{Secret: operatorSettings.PeerSecret, Clock: clockwork.NewRealClock()}),
 	}, nil
 }
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -30,8 +30,8 @@
 	"comfreyworks/internal/coordination/configuration"
 	"comfreyworks/internal/coordination/dispatch"
 	"comfreyworks/internal/coordination/membership"
+	"comfreyworks/internal/protocol/logservice"
 	"comfreyworks/internal/protocol/peer"
-	"comfreyworks/internal/protocol/platform"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/revision"
 	"comfreyworks/internal/state/settings"
@@ -89,7 +89,7 @@
 		Clock:  options.Clock,
 		Dial:   options.Dial,
 	})
-	client := platform.NewClient(options.Instance.Platform, options.HTTP)
+	client := logservice.NewClient(options.Instance.Platform, options.HTTP)
 	e.view = membership.New(membership.Options{
 		List: client, Clock: options.Clock, Logger: options.Logger, Changed: e.clients.Keep,
 	})
--- /dev/null
+++ b/internal/transport/gateway/gateway.go
@@ -0,0 +1,224 @@
+// Package gateway is a process that takes callers' requests by host and path
+// and passes them, body and answer unchanged, to upstreams that it reaches
+// directly.
+//
+// # Usage
+//
+//	g := gateway.New(gateway.Options{Settings: settings, Declarations: source, Upstreams: source, ...})
+//	err := g.Run(ctx, listeners)
+//
+// Run serves until ctx ends. It then reports that it is not ready, goes on
+// serving until the balancer has noticed, answers what it has read and returns
+// within the stop grace.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"comfreyworks"
+	"comfreyworks/internal/coordination/balance"
+	"comfreyworks/internal/coordination/follow"
+	"comfreyworks/internal/coordination/forward"
+	"comfreyworks/internal/coordination/rollout"
+	"comfreyworks/internal/protocol/exchange"
+	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/meter"
+	"comfreyworks/internal/state/retrybudget"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// KindServe means that serving failed.
+const KindServe Kind = "serve"
+
+// Error is the error type of this package.
+type Error = comfreyworks.OpError[Kind]
+
+const (
+	// stopNotice is how long a stopping gateway goes on taking connections: the
+	// balancer asks every second and gives up after two misses.
+	stopNotice = 3200 * time.Millisecond
+	// stopMargin is what is left of the stop grace when everything is closed.
+	stopMargin = 400 * time.Millisecond
+	// forgetAfter is how long an upstream is remembered that is not listed.
+	forgetAfter = 30 * time.Second
+	// retryShares is among how many gateways the slack of the retry budget is
+	// divided.
+	retryShares = 8
+	// headerTimeout and idleTimeout bound callers before a routing is known.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeaderBytes bounds the header of a request at the server; the routing
+	// may set less.
+	maxHeaderBytes = 64 << 10
+)
+
+// Options configures a Gateway.
+type Options struct {
+	Settings     comfreyworks.GatewaySettings
+	Declarations comfreyworks.DeclarationSource
+	Upstreams    comfreyworks.UpstreamSource
+	// Leases and Loader bring engines to the weights that are named; without
+	// them nobody does.
+	Leases comfreyworks.LeaseLog
+	Loader comfreyworks.WeightLoader
+	Clock  comfreyworks.Clock
+	Logger *zap.Logger
+	Meter  *meter.Meter
+}
+
+// Listeners are where a gateway serves.
+type Listeners struct {
+	Requests net.Listener
+	Ready    net.Listener
+	Metrics  net.Listener
+}
+
+// Gateway is one process that takes callers' requests.
+type Gateway struct {
+	options   Options
+	catalog   *catalog.Catalog
+	balancer  *balance.Balancer
+	forwarder *forward.Forwarder
+	follower  *follow.Follower
+	client    *exchange.Client
+	rollout   *rollout.Rollout
+	leaving   atomic.Bool
+}
+
+// New returns a gateway that does nothing until Run is called.
+func New(options Options) *Gateway {
+	g := &Gateway{options: options}
+	g.catalog = catalog.New(options.Clock)
+	g.balancer = balance.New(balance.Options{
+		Catalog: g.catalog, Clock: options.Clock, Zone: options.Settings.Zone,
+		WeightsBound: options.Settings.Bounds.Weights,
+	})
+	g.client = exchange.NewClient(exchange.Options{
+		Clock: options.Clock, Headers: options.Settings.Headers,
+		Opened: func() { options.Meter.Count("comfrey_upstream_connections_total", meter.Labels{}, 1) },
+	})
+	g.forwarder = forward.New(forward.Options{
+		Catalog: g.catalog, Balancer: g.balancer, Exchanger: g.client, Clock: options.Clock,
+		Logger: options.Logger, Meter: options.Meter, RetryLimit: g.retryLimit,
+	})
+	g.follower = follow.New(follow.Options{
+		Declarations: options.Declarations, Upstreams: options.Upstreams, Catalog: g.catalog,
+		Clock: options.Clock, Logger: options.Logger, Meter: options.Meter,
+	})
+	if options.Leases != nil && options.Loader != nil {
+		g.rollout = rollout.New(rollout.Options{
+			Self: options.Settings.ID, Lease: options.Settings.Bounds.Lease,
+			Catalog: g.catalog, Balancer: g.balancer, Log: options.Leases, Loader: options.Loader,
+			Clock: options.Clock, Logger: options.Logger, Meter: options.Meter,
+		})
+	}
+	return g
+}
+
+func (g *Gateway) retryLimit() retrybudget.Limit {
+	bounds := &g.options.Settings.Bounds
+	return retrybudget.Limit{
+		Ratio: bounds.RetryRatio, Slack: float64(bounds.RetrySlack) / retryShares, Window: bounds.RetryWindow,
+	}
+}
+
+// Run serves until ctx ends and open requests are done.
+func (g *Gateway) Run(ctx context.Context, listeners Listeners) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	requests := g.server(g.handler())
+	pages := g.server(g.readyHandler())
+	group.Go(func() error { return serve(requests, listeners.Requests) })
+	group.Go(func() error { return serve(pages, listeners.Ready) })
+	if listeners.Metrics != nil {
+		metrics := g.server(g.metricsHandler())
+		group.Go(func() error { return serve(metrics, listeners.Metrics) })
+		context.AfterFunc(work, func() { _ = metrics.Close() })
+	}
+	group.Go(func() error { return g.follower.Run(work) })
+	group.Go(func() error { return g.tidy(work) })
+	if g.rollout != nil {
+		group.Go(func() error { return g.rollout.Run(work, ctx) })
+	}
+	g.options.Logger.Info("started", zap.Stringer("address", listeners.Requests.Addr()))
+	group.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			g.drain(requests)
+		case <-work.Done():
+			_ = requests.Close()
+		}
+		return pages.Close()
+	})
+	err := group.Wait()
+	g.client.Close()
+	g.options.Logger.Info("stopped", zap.Error(err))
+	return err
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return &Error{Op: "serve", Kind: KindServe, Err: err}
+	}
+	return nil
+}
+
+func (g *Gateway) server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog:       g.serverLog(),
+	}
+}
+
+// serverLog takes what the HTTP server says: panics of handlers, mostly.
+func (g *Gateway) serverLog() *log.Logger {
+	std, err := zap.NewStdLogAt(g.options.Logger, zap.WarnLevel)
+	if err != nil {
+		return zap.NewStdLog(g.options.Logger)
+	}
+	return std
+}
+
+// drain keeps serving until the balancer has noticed, then lets open requests
+// finish within the stop grace.
+func (g *Gateway) drain(server *http.Server) {
+	startedAt := g.options.Clock.Now()
+	g.leaving.Store(true)
+	g.options.Logger.Info("leaving")
+	g.options.Clock.Sleep(stopNotice)
+	left := g.options.Settings.Bounds.StopGrace - stopMargin - g.options.Clock.Since(startedAt)
+	grace, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	if err := server.Shutdown(grace); err != nil {
+		g.options.Logger.Warn("requests cut at the end of the stop grace", zap.Error(err))
+		_ = server.Close()
+	}
+}
+
+// tidy forgets upstreams that are long gone.
+func (g *Gateway) tidy(ctx context.Context) error {
+	ticker := g.options.Clock.NewTicker(forgetAfter)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+			g.balancer.Forget(forgetAfter)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/program/run.go
@@ -0,0 +1,57 @@
+package program
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
+)
+
+// CommonFlags are the options of programs whose settings come from elsewhere
+// than the command line.
+type CommonFlags struct {
+	CheckConfig bool   `long:"check-config" description:"check the settings, print what is wrong and exit"`
+	LogLevel    string `long:"log-level" description:"least level of log lines" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info"`
+	Version     bool   `long:"version" description:"print the version and exit"`
+}
+
+// Run runs a program until it is told to stop and returns its exit code. Its
+// log goes to standard output. With check set, run only checks its settings.
+func Run(name string, args []string, run func(ctx context.Context, logger *zap.Logger, check bool) error) ExitCode {
+	var f CommonFlags
+	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &f); err != nil {
+		return fail(ExitUsage, err)
+	}
+	rest, err := parser.ParseArgs(args)
+	switch {
+	case flags.WroteHelp(err):
+		fmt.Println(err)
+		return ExitOK
+	case err != nil:
+		return fail(ExitUsage, err)
+	case len(rest) > 0:
+		return fail(ExitUsage, fmt.Errorf("unexpected argument %q", rest[0]))
+	case f.Version:
+		fmt.Println(name, Version)
+		return ExitOK
+	}
+	out := newLineWriter(os.Stdout)
+	defer out.Close()
+	logger, err := NewLogger(f.LogLevel, out)
+	if err != nil {
+		return fail(ExitUsage, err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx, sampled(logger), f.CheckConfig); err != nil && !errors.Is(err, context.Canceled) {
+		logger.Error("failed", zap.Error(err))
+		return fail(ExitFailure, err)
+	}
+	return ExitOK
+}
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -34,8 +34,8 @@
 	"comfreyworks/internal/coordination/membership"
 	"comfreyworks/internal/coordination/placement"
 	"comfreyworks/internal/coordination/tracker"
+	"comfreyworks/internal/protocol/logservice"
 	"comfreyworks/internal/protocol/peer"
-	"comfreyworks/internal/protocol/platform"
 	"comfreyworks/internal/protocol/upstream"
 	"comfreyworks/internal/state/directory"
 	"comfreyworks/internal/state/meter"
@@ -118,7 +118,7 @@
 		Clock:  options.Clock,
 		Dial:   options.Dial,
 	})
-	client := platform.NewClient(options.Instance.Platform, options.HTTP)
+	client := logservice.NewClient(options.Instance.Platform, options.HTTP)
 	s.view = membership.New(membership.Options{
 		List: client, Clock: options.Clock, Logger: options.Logger, Changed: s.clients.Keep,
 	})
