Import shared parts of prompts from the replica that holds them

Ruled out: placing by rendezvous alone; the load bound moves sessions, and each roll-out empties the replicas they sit on.

Change: an index of what each replica holds, from its events and our own requests; the house's placer weighs queue against tokens to read, where importable tokens count as nearly held; the import goes along with the request.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -37,11 +37,12 @@
 		return err
 	}
 	client := program.NewHTTPClient()
+	replicas := platform.NewReplicas(client)
 	store := platform.NewStore(settings.Store, client, logger)
 	return gateway.New(gateway.Options{
 		Settings: settings.Gateway, Declarations: store, Upstreams: store, Leases: store,
-		Loader: platform.NewOrders(client),
-		Clock:  bootclock.New(), Logger: logger, Meter: meter.New(),
+		Loader: replicas, Caches: replicas,
+		Clock: bootclock.New(), Logger: logger, Meter: meter.New(),
 	}).Run(ctx, listeners)
 }
 
--- a/exchange.go
+++ b/exchange.go
@@ -213,3 +213,29 @@
 	// Status asks an engine for its account.
 	Status(ctx context.Context, upstream Upstream) (EngineStatus, error)
 }
+
+// CacheChange tells that an engine or store holds a part of a prompt, or no
+// longer does when Tokens is zero.
+type CacheChange struct {
+	Salt   string
+	Model  Model
+	ID     string
+	Tokens int
+}
+
+// CacheChanges is one answer about what an engine holds.
+type CacheChanges struct {
+	// Life changes when the engine has restarted.
+	Life    uint64
+	Changes []CacheChange
+	// Lost means that changes before these are missing.
+	Lost bool
+	Next uint64
+}
+
+// CacheSource tells what engines hold.
+type CacheSource interface {
+	// CacheChanges returns what has changed after a number, waiting up to wait
+	// for the first change.
+	CacheChanges(ctx context.Context, engine netip.AddrPort, after uint64, wait time.Duration) (CacheChanges, error)
+}
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -1,26 +1,29 @@
 // Package balance chooses the upstream for a request from what this process
 // has seen of each upstream: the work that it has sent there, failures and
-// refusals, the weights that answered.
+// refusals, the weights that answered, the parts of prompts that it holds.
 //
-// Sessions stay where their prompt is cached as long as the load allows: the
-// last declared part ranks the engines by rendezvous hashing, which needs no
-// state and is the same in every process, and the first engine whose load is
-// within a bound over the mean takes the request.
+// A placer weighs an engine's queue against the tokens that it would have to
+// read. Tokens that another engine holds can be imported and count as nearly
+// held. Where engines cost the same, rendezvous hashing by the last declared
+// part decides, so that all processes send a new session to the same engine.
 //
 // # Usage
 //
-//	b := balance.New(balance.Options{Catalog: c, Clock: clock, Zone: zone})
+//	b := balance.New(balance.Options{Catalog: c, Holdings: index, Placer: placer, Clock: clock, Zone: zone})
 //	pick := b.Pick(query) // nil: no upstream may take it
-//	... send to pick.Upstream ...
+//	... send to pick.Upstream, importing from pick.ImportFrom ...
+//	pick.Begun()          // the answer has begun
 //	pick.Done(balance.Result{Outcome: balance.Answered, Elapsed: elapsed})
 package balance
 
 import (
+	"net/netip"
 	"sync"
 	"time"
 
 	"comfreyworks"
 	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/rendezvous"
 )
 
@@ -50,9 +53,12 @@
 
 // Options configures a Balancer.
 type Options struct {
-	Catalog *catalog.Catalog
-	Clock   comfreyworks.Clock
-	Zone    comfreyworks.Zone
+	Catalog  *catalog.Catalog
+	Holdings *holdings.Index
+	// Placer chooses among the engines that may take a prompt.
+	Placer comfreyworks.Placer
+	Clock  comfreyworks.Clock
+	Zone   comfreyworks.Zone
 	// WeightsBound is how long superseded weights may answer; zero means for
 	// ever.
 	WeightsBound time.Duration
@@ -62,9 +68,12 @@
 type Query struct {
 	Pool  comfreyworks.Pool
 	Model comfreyworks.Model
-	// Affinity ranks engines; zero means that any is as good.
+	// Wall names whose cached parts may be used.
+	Wall string
+	// Affinity ranks engines that are as good otherwise.
 	Affinity uint64
-	// Tokens is the length of the prompt.
+	// Parts are the declared parts of the prompt, Tokens its whole length.
+	Parts  []comfreyworks.PromptPart
 	Tokens int
 	// Exclude lists upstreams that have been tried.
 	Exclude []comfreyworks.InstanceID
@@ -113,7 +122,8 @@
 	seed     uint64
 	started  time.Time
 	requests int
-	tokens   int
+	// unread is the number of prompt tokens that the upstream has yet to read.
+	unread   int
 	latency  time.Duration
 	failures int
 	// avoidUntil, fullUntil and loadingUntil end what was learned by failures
@@ -135,10 +145,15 @@
 	Weights comfreyworks.WeightsRevision
 	// Candidates is the number of upstreams that were considered.
 	Candidates int
+	// Held is how many tokens of the prompt the engine is believed to hold.
+	Held int
+	// ImportFrom holds more of the prompt; it may not be valid.
+	ImportFrom netip.AddrPort
 
 	balancer *Balancer
 	endpoint *endpoint
 	query    Query
+	unread   int
 }
 
 // Pick chooses an upstream and counts the request there, or returns nil.
@@ -154,16 +169,30 @@
 			candidates = append(candidates, c)
 		}
 	}
-	best := choose(candidates, query.Affinity != 0, query.Tokens)
-	if best < 0 {
+	tier := leastTier(candidates)
+	if len(tier) == 0 {
 		return nil
 	}
-	chosen := &candidates[best]
-	chosen.endpoint.requests++
-	chosen.endpoint.tokens += query.Tokens
+	if query.Model == "" {
+		return b.take(&tier[chooseIdle(tier)], query, len(candidates), 0)
+	}
+	sources := b.weigh(tier, &query, now)
+	best := b.options.Placer.Place(query.Tokens, placerCandidates(tier))
+	chosen := &tier[best]
+	pick := b.take(chosen, query, len(candidates), max(query.Tokens-max(chosen.held, chosen.importable), 0))
+	if source, ok := sources[chosen.weights]; ok && chosen.importable >= chosen.held+leastImport {
+		pick.ImportFrom = source.address
+	}
+	return pick
+}
+
+// take counts a request at a candidate.
+func (b *Balancer) take(c *candidate, query Query, candidates, unread int) *Pick {
+	c.endpoint.requests++
+	c.endpoint.unread += unread
 	return &Pick{
-		Upstream: *chosen.upstream, Weights: chosen.weights, Candidates: len(candidates),
-		balancer: b, endpoint: chosen.endpoint, query: query,
+		Upstream: *c.upstream, Weights: c.weights, Candidates: candidates, Held: c.held,
+		balancer: b, endpoint: c.endpoint, query: query, unread: unread,
 	}
 }
 
@@ -179,24 +208,22 @@
 	e := b.endpoint(upstream, now)
 	c := candidate{
 		upstream: upstream, endpoint: e,
-		requests: e.requests, tokens: e.tokens, latency: e.latency,
+		requests: e.requests, unread: e.unread, latency: e.latency,
 		near:    upstream.Zone == b.options.Zone,
 		avoided: now.Before(e.avoidUntil),
 		full:    now.Before(e.fullUntil) || now.Before(e.loadingUntil),
 	}
-	if query.Affinity != 0 {
-		c.score = rendezvous.Score(e.seed, query.Affinity)
-	}
+	c.score = rendezvous.Score(e.seed, query.Affinity)
 	if query.Model == "" {
 		return c, true
 	}
 	c.weights = max(upstream.Weights[query.Model], e.weights[query.Model])
-	if c.weights >= named.Revision {
+	at, superseded := named.SupersededAt(c.weights)
+	if !superseded {
 		return c, true
 	}
-	superseded := now.Sub(named.Since)
-	c.stale = superseded > staleWeightsAfter
-	expired := b.options.WeightsBound > 0 && superseded > b.options.WeightsBound-weightsMargin
+	c.stale = now.Sub(at) > staleWeightsAfter
+	expired := b.options.WeightsBound > 0 && now.Sub(at) > b.options.WeightsBound-weightsMargin
 	return c, !expired
 }
 
@@ -228,7 +255,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if e, ok := b.endpoints[id]; ok {
-		e.weights[model] = max(e.weights[model], revision)
+		if revision > e.weights[model] {
+			// Loading weights discards what the engine held.
+			b.options.Holdings.Forget(id)
+			e.weights[model] = revision
+		}
 		e.loadingUntil = time.Time{}
 	}
 }
@@ -256,6 +287,24 @@
 	}
 }
 
+// Begun records that the answer has begun, so that the engine has read the
+// prompt and holds it.
+func (p *Pick) Begun() {
+	p.balancer.mu.Lock()
+	p.endpoint.unread -= p.unread
+	p.unread = 0
+	p.balancer.mu.Unlock()
+	if p.query.Model == "" {
+		return
+	}
+	salt := holdings.Salt(p.query.Wall, p.Weights)
+	for _, part := range p.query.Parts {
+		p.balancer.options.Holdings.Add(p.Upstream.ID, holdings.Part{
+			Salt: salt, Model: p.query.Model, ID: part.ID, Tokens: part.Tokens,
+		})
+	}
+}
+
 // Done ends the request at the chosen upstream.
 func (p *Pick) Done(result Result) {
 	now := p.balancer.options.Clock.Now()
@@ -263,7 +312,7 @@
 	defer p.balancer.mu.Unlock()
 	e := p.endpoint
 	e.requests--
-	e.tokens -= p.query.Tokens
+	e.unread -= p.unread
 	if result.Weights != 0 && p.query.Model != "" {
 		e.weights[p.query.Model] = max(e.weights[p.query.Model], result.Weights)
 	}
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -1,19 +1,27 @@
 package balance
 
 import (
+	"net/netip"
 	"time"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/holdings"
 )
 
 const (
-	// loadBound is how far over the mean an engine's load may be for a session
-	// to stay with it.
-	loadBound = 1.3
 	// farLatency is the way to another availability zone and back.
 	farLatency = 2 * time.Millisecond
 	// firstLatency is assumed of an upstream that has not answered yet.
 	firstLatency = 50 * time.Millisecond
+	// prefillTime is the time to read one prompt token, and slotTime what each
+	// running request adds to the time of a new one; only their ratio matters.
+	prefillTime = 25 * time.Microsecond
+	slotTime    = 2 * time.Millisecond
+	// importShare is the part of the time to read a token that importing it
+	// takes.
+	importShare = 0.03
+	// leastImport is the number of tokens from which on an import pays.
+	leastImport = 64
 )
 
 // candidate is an upstream that may take a request.
@@ -23,10 +31,13 @@
 	// score ranks the candidates for a session.
 	score    uint64
 	requests int
-	tokens   int
+	unread   int
 	latency  time.Duration
 	weights  comfreyworks.WeightsRevision
 	near     bool
+	// held is what the engine holds of the prompt, importable the most that
+	// another one with the same weights does.
+	held, importable int
 	// avoided candidates have failed, full ones have no room, stale ones serve
 	// weights that lose the answer's worth.
 	avoided, full, stale bool
@@ -47,65 +58,93 @@
 	return tier
 }
 
-// choose returns the index of the best candidate, or -1 when there is none.
-func choose(candidates []candidate, affinity bool, tokens int) int {
-	best := -1
-	lowest := 0
+// leastTier returns the candidates whose state is best.
+func leastTier(candidates []candidate) []candidate {
+	var least []candidate
 	for i := range candidates {
-		if t := candidates[i].tier(); best < 0 || t < lowest {
-			best, lowest = i, t
+		switch {
+		case len(least) == 0 || candidates[i].tier() < least[0].tier():
+			least = append(least[:0:0], candidates[i])
+		case candidates[i].tier() == least[0].tier():
+			least = append(least, candidates[i])
 		}
 	}
-	if best < 0 {
-		return -1
-	}
-	if affinity {
-		return chooseHome(candidates, lowest, tokens)
-	}
-	return chooseIdle(candidates, lowest)
+	return least
+}
+
+// source is where a prefix can be imported from.
+type source struct {
+	address netip.AddrPort
+	held    int
 }
 
-// chooseHome returns the highest score whose load stays within the bound, or
-// the least loaded candidate.
-func chooseHome(candidates []candidate, tier, tokens int) int {
-	total, n := 0, 0
+// weigh fills in what the candidates hold, and returns the best source for each
+// revision that they serve.
+func (b *Balancer) weigh(candidates []candidate, query *Query, now time.Time) map[comfreyworks.WeightsRevision]source {
+	sources := make(map[comfreyworks.WeightsRevision]source)
+	held := make(map[comfreyworks.WeightsRevision]map[comfreyworks.InstanceID]int)
 	for i := range candidates {
-		if candidates[i].tier() == tier {
-			total += candidates[i].tokens
-			n++
+		c := &candidates[i]
+		if _, ok := held[c.weights]; !ok {
+			held[c.weights] = b.options.Holdings.Prefix(holdings.Salt(query.Wall, c.weights), query.Model, query.Parts)
+			if s := b.source(query.Pool, held[c.weights], now); s.held > 0 {
+				sources[c.weights] = s
+			}
+		}
+		c.held = held[c.weights][c.upstream.ID]
+		c.importable = sources[c.weights].held
+	}
+	return sources
+}
+
+// source returns the engine that holds most, of those in this zone if several
+// do.
+func (b *Balancer) source(pool comfreyworks.Pool, held map[comfreyworks.InstanceID]int, now time.Time) source {
+	var best source
+	near := false
+	for _, upstream := range b.options.Catalog.Upstreams(pool) {
+		n := held[upstream.ID]
+		if n == 0 || n < best.held || (n == best.held && near) || b.endpointAvoided(upstream.ID, now) {
+			continue
 		}
+		best = source{upstream.Address, n}
+		near = upstream.Zone == b.options.Zone
 	}
-	bound := loadBound*float64(total+tokens)/float64(n) + float64(tokens)
-	best, least := -1, -1
+	return best
+}
+
+func (b *Balancer) endpointAvoided(id comfreyworks.InstanceID, now time.Time) bool {
+	e, ok := b.endpoints[id]
+	return ok && now.Before(e.avoidUntil)
+}
+
+// placerCandidates puts the candidates into the placer's terms.
+func placerCandidates(candidates []candidate) []comfreyworks.Candidate {
+	placed := make([]comfreyworks.Candidate, len(candidates))
 	for i := range candidates {
 		c := &candidates[i]
-		if c.tier() != tier {
-			continue
+		cached := c.held
+		if c.importable > c.held {
+			cached += int((1 - importShare) * float64(c.importable-c.held))
 		}
-		if least < 0 || c.tokens < candidates[least].tokens {
-			least = i
+		placed[i] = comfreyworks.Candidate{
+			Instance: c.upstream.ID, Score: c.score, CachedTokens: cached,
+			Wait:    time.Duration(c.unread)*prefillTime + time.Duration(c.requests)*slotTime,
+			Running: c.requests, PrefillTime: prefillTime,
 		}
-		if float64(c.tokens+tokens) <= bound && (best < 0 || c.score > candidates[best].score) {
-			best = i
+		if !c.near {
+			placed[i].Wait += farLatency
 		}
 	}
-	if best < 0 {
-		return least
-	}
-	return best
+	return placed
 }
 
 // chooseIdle returns the candidate with the shortest expected time.
-func chooseIdle(candidates []candidate, tier int) int {
-	best := -1
-	var shortest time.Duration
+func chooseIdle(candidates []candidate) int {
+	best := 0
 	for i := range candidates {
-		c := &candidates[i]
-		if c.tier() != tier {
-			continue
-		}
-		if cost := c.expected(); best < 0 || cost < shortest {
-			best, shortest = i, cost
+		if candidates[i].expected() < candidates[best].expected() {
+			best = i
 		}
 	}
 	return best
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -12,6 +12,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
+	"comfreyworks/internal/state/holdings"
 )
 
 // errSilent is the cause when an upstream is given up for its silence.
@@ -79,7 +80,8 @@
 	}
 	if a.request.Prompt.Model != "" {
 		instructions.Weights = a.pick.Weights
-		instructions.CacheSalt = salt(a.request.Workspace, a.pick.Weights)
+		instructions.CacheSalt = holdings.Salt(wall(a.request.Workspace), a.pick.Weights)
+		instructions.ImportFrom = a.pick.ImportFrom
 		instructions.Priority = a.priority()
 	}
 	return instructions
@@ -173,6 +175,7 @@
 }
 
 func (a *attempt) answered(status int) {
+	a.pick.Begun()
 	a.result.Outcome = balance.Answered
 	a.result.Elapsed = a.options.Clock.Since(a.startedAt)
 	if status >= http.StatusInternalServerError {
@@ -188,6 +191,7 @@
 		zap.Int("send", a.sends),
 		zap.Int("candidates", a.pick.Candidates),
 		zap.Uint64("weights", uint64(a.pick.Weights)),
+		zap.Int("held", a.pick.Held), zap.Stringer("import-from", a.pick.ImportFrom),
 		zap.Duration("list-age", a.options.Clock.Since(a.options.Catalog.UpstreamsProven())),
 		zap.Duration("took", a.options.Clock.Since(a.startedAt)),
 		zap.String("outcome", string(a.result.Outcome)),
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -287,7 +287,8 @@
 func (j *journey) query() balance.Query {
 	return balance.Query{
 		Pool: j.request.Pool, Model: j.request.Prompt.Model,
-		Affinity: affinity(j.request), Tokens: j.request.Prompt.Tokens + j.request.Prompt.AnswerTokens,
+		Wall: wall(j.request.Workspace), Affinity: affinity(j.request),
+		Parts: j.request.Prompt.Parts, Tokens: j.request.Prompt.Tokens,
 		Exclude: j.tried,
 	}
 }
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -35,13 +35,37 @@
 	lapseGrace = 1800 * time.Millisecond
 )
 
-// NamedWeights is a revision that a model shall serve.
+// keptNames is how many of the revisions of a model are remembered.
+const keptNames = 32
+
+// NamedWeights is the revision that a model shall serve, and those before it.
 type NamedWeights struct {
 	Revision comfreyworks.WeightsRevision
-	// Since is when this process learned of it.
-	Since time.Time
-	// Previous is the revision before it, as far as this process knows.
-	Previous comfreyworks.WeightsRevision
+	// names are the last revisions in rising order. They are never changed.
+	names []naming
+}
+
+// naming is when this process learned of a revision.
+type naming struct {
+	revision comfreyworks.WeightsRevision
+	at       time.Time
+}
+
+// SupersededAt returns when a revision was followed by a newer one; false when
+// it was not.
+func (n NamedWeights) SupersededAt(revision comfreyworks.WeightsRevision) (time.Time, bool) {
+	for _, name := range n.names {
+		if name.revision > revision {
+			return name.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// with returns the names with one more.
+func (n NamedWeights) with(revision comfreyworks.WeightsRevision, at time.Time) NamedWeights {
+	names := append(slices.Clone(n.names), naming{revision, at})
+	return NamedWeights{Revision: revision, names: names[max(len(names)-keptNames, 0):]}
 }
 
 // Change tells what an applied answer changed.
@@ -163,7 +187,7 @@
 		if revision <= known.Revision {
 			continue
 		}
-		c.weights[model] = NamedWeights{Revision: revision, Since: c.clock.Now(), Previous: known.Revision}
+		c.weights[model] = known.with(revision, c.clock.Now())
 		if change.Weights == nil {
 			change.Weights = make(map[comfreyworks.Model]comfreyworks.WeightsRevision)
 		}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -28,9 +28,12 @@
 	"comfreyworks/internal/coordination/balance"
 	"comfreyworks/internal/coordination/follow"
 	"comfreyworks/internal/coordination/forward"
+	"comfreyworks/internal/coordination/placement"
 	"comfreyworks/internal/coordination/rollout"
+	"comfreyworks/internal/coordination/watch"
 	"comfreyworks/internal/protocol/exchange"
 	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/retrybudget"
 )
@@ -72,6 +75,9 @@
 	// them nobody does.
 	Leases comfreyworks.LeaseLog
 	Loader comfreyworks.WeightLoader
+	// Caches tells what engines hold; nil means that only this process's own
+	// requests do.
+	Caches comfreyworks.CacheSource
 	Clock  comfreyworks.Clock
 	Logger *zap.Logger
 	Meter  *meter.Meter
@@ -93,6 +99,8 @@
 	follower  *follow.Follower
 	client    *exchange.Client
 	rollout   *rollout.Rollout
+	holdings  *holdings.Index
+	watcher   *watch.Watcher
 	leaving   atomic.Bool
 }
 
@@ -100,8 +108,11 @@
 func New(options Options) *Gateway {
 	g := &Gateway{options: options}
 	g.catalog = catalog.New(options.Clock)
+	g.holdings = holdings.New()
 	g.balancer = balance.New(balance.Options{
-		Catalog: g.catalog, Clock: options.Clock, Zone: options.Settings.Zone,
+		Catalog: g.catalog, Holdings: g.holdings,
+		Placer: placement.Comfrey{RecomputeWeight: placement.DefaultRecomputeWeight},
+		Clock:  options.Clock, Zone: options.Settings.Zone,
 		WeightsBound: options.Settings.Bounds.Weights,
 	})
 	g.client = exchange.NewClient(exchange.Options{
@@ -116,6 +127,12 @@
 		Declarations: options.Declarations, Upstreams: options.Upstreams, Catalog: g.catalog,
 		Clock: options.Clock, Logger: options.Logger, Meter: options.Meter,
 	})
+	if options.Caches != nil {
+		g.watcher = watch.New(watch.Options{
+			Source: options.Caches, Index: g.holdings, Targets: g.engines,
+			Clock: options.Clock, Logger: options.Logger,
+		})
+	}
 	if options.Leases != nil && options.Loader != nil {
 		g.rollout = rollout.New(rollout.Options{
 			Self: options.Settings.ID, Lease: options.Settings.Bounds.Lease,
@@ -126,6 +143,26 @@
 	return g
 }
 
+// engines are the live upstreams whose caches are worth following.
+func (g *Gateway) engines() []watch.Target {
+	table, _ := g.catalog.Routing()
+	if table == nil {
+		return nil
+	}
+	var targets []watch.Target
+	for _, pool := range table.Declared().Pools {
+		if len(pool.Models) == 0 {
+			continue
+		}
+		for _, upstream := range g.catalog.Upstreams(pool.Name) {
+			if upstream.State == comfreyworks.InstanceLive {
+				targets = append(targets, watch.Target{ID: upstream.ID, Address: upstream.Address})
+			}
+		}
+	}
+	return targets
+}
+
 func (g *Gateway) retryLimit() retrybudget.Limit {
 	bounds := &g.options.Settings.Bounds
 	return retrybudget.Limit{
@@ -149,6 +186,9 @@
 	}
 	group.Go(func() error { return g.follower.Run(work) })
 	group.Go(func() error { return g.tidy(work) })
+	if g.watcher != nil {
+		group.Go(func() error { return g.watcher.Run(work) })
+	}
 	if g.rollout != nil {
 		group.Go(func() error { return g.rollout.Run(work, ctx) })
 	}
