--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -36,11 +36,16 @@
 	if listeners.Ready, err = listen(settings.Gateway.ReadyListen); err != nil {
 		return err
 	}
+	if settings.Gateway.PeerListen.IsValid() {
+		if listeners.Peers, err = listen(settings.Gateway.PeerListen); err != nil {
+			return err
+		}
+	}
 	client := program.NewHTTPClient()
 	replicas := platform.NewReplicas(client)
 	store := platform.NewStore(settings.Store, client, logger)
 	return gateway.New(gateway.Options{
-		Settings: settings.Gateway, Declarations: store, Upstreams: store, Leases: store,
+		Settings: settings.Gateway, Declarations: store, Upstreams: store, Leases: store, Registry: store,
 		Loader: replicas, Caches: replicas,
 		Clock: bootclock.New(), Logger: logger, Meter: meter.New(),
 	}).Run(ctx, listeners)
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -49,6 +49,10 @@
 	// weightsMargin is how much earlier than the bound superseded weights stop
 	// being used: the way to the engine and the age of the news.
 	weightsMargin = 1200 * time.Millisecond
+	// unknownAgeLimit is how long a process uses weights that were superseded
+	// at an unknown time before it started: long enough to load new ones after
+	// all processes were lost.
+	unknownAgeLimit = 1500 * time.Millisecond
 )
 
 // Options configures a Balancer.
@@ -115,6 +119,14 @@
 
 	mu        sync.Mutex
 	endpoints map[comfreyworks.InstanceID]*endpoint
+	// peers is what other processes have sent, by process.
+	peers map[comfreyworks.InstanceID]peerLoads
+}
+
+// peerLoads is one process's account of what it has sent.
+type peerLoads struct {
+	loads map[comfreyworks.InstanceID]comfreyworks.UpstreamLoad
+	until time.Time
 }
 
 // endpoint is what this process knows of one upstream by itself.
@@ -135,7 +147,11 @@
 
 // New returns a balancer that has seen nothing.
 func New(options Options) *Balancer {
-	return &Balancer{options: options, endpoints: make(map[comfreyworks.InstanceID]*endpoint)}
+	return &Balancer{
+		options:   options,
+		endpoints: make(map[comfreyworks.InstanceID]*endpoint),
+		peers:     make(map[comfreyworks.InstanceID]peerLoads),
+	}
 }
 
 // Pick is a chosen upstream; Done must be called once.
@@ -147,8 +163,10 @@
 	Candidates int
 	// Held is how many tokens of the prompt the engine is believed to hold.
 	Held int
-	// ImportFrom holds more of the prompt; it may not be valid.
+	// ImportFrom holds more of the prompt, Importable tokens of it; it may not
+	// be valid.
 	ImportFrom netip.AddrPort
+	Importable int
 
 	balancer *Balancer
 	endpoint *endpoint
@@ -181,7 +199,7 @@
 	chosen := &tier[best]
 	pick := b.take(chosen, query, len(candidates), max(query.Tokens-max(chosen.held, chosen.importable), 0))
 	if source, ok := sources[chosen.weights]; ok && chosen.importable >= chosen.held+leastImport {
-		pick.ImportFrom = source.address
+		pick.ImportFrom, pick.Importable = source.address, source.held
 	}
 	return pick
 }
@@ -206,9 +224,10 @@
 		return candidate{}, false
 	}
 	e := b.endpoint(upstream, now)
+	others := b.others(upstream.ID, now)
 	c := candidate{
-		upstream: upstream, endpoint: e,
-		requests: e.requests, unread: e.unread, latency: e.latency,
+		upstream: upstream, endpoint: e, latency: e.latency,
+		requests: e.requests + others.Requests, unread: e.unread + others.Unread,
 		near:    upstream.Zone == b.options.Zone,
 		avoided: now.Before(e.avoidUntil),
 		full:    now.Before(e.fullUntil) || now.Before(e.loadingUntil),
@@ -218,13 +237,16 @@
 		return c, true
 	}
 	c.weights = max(upstream.Weights[query.Model], e.weights[query.Model])
-	at, superseded := named.SupersededAt(c.weights)
+	successor, superseded := named.Succeeded(c.weights)
 	if !superseded {
 		return c, true
 	}
-	c.stale = now.Sub(at) > staleWeightsAfter
-	expired := b.options.WeightsBound > 0 && now.Sub(at) > b.options.WeightsBound-weightsMargin
-	return c, !expired
+	age, limit := now.Sub(successor.At), b.options.WeightsBound-weightsMargin
+	if successor.Earlier {
+		limit = min(limit, unknownAgeLimit)
+	}
+	c.stale = successor.Earlier || age > staleWeightsAfter
+	return c, b.options.WeightsBound == 0 || age <= limit
 }
 
 // endpoint returns the record of an upstream; a new life starts a new one.
@@ -241,26 +263,75 @@
 	return e
 }
 
-// Loading marks an upstream as about to load weights for a while.
-func (b *Balancer) Loading(id comfreyworks.InstanceID, until time.Time) {
+// others sums up what other processes have sent to an upstream.
+func (b *Balancer) others(id comfreyworks.InstanceID, now time.Time) comfreyworks.UpstreamLoad {
+	var sum comfreyworks.UpstreamLoad
+	for _, peer := range b.peers {
+		if load, ok := peer.loads[id]; ok && now.Before(peer.until) {
+			sum.Requests += load.Requests
+			sum.Unread += load.Unread
+		}
+	}
+	return sum
+}
+
+// PeerLoads takes in what another process has sent, good until a time.
+func (b *Balancer) PeerLoads(peer comfreyworks.InstanceID, loads []comfreyworks.UpstreamLoad, until time.Time) {
+	account := peerLoads{loads: make(map[comfreyworks.InstanceID]comfreyworks.UpstreamLoad, len(loads)), until: until}
+	for _, load := range loads {
+		account.loads[load.ID] = load
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e, ok := b.endpoints[id]; ok {
-		e.loadingUntil = until
+	b.peers[peer] = account
+}
+
+// ForgetPeer drops what another process has sent.
+func (b *Balancer) ForgetPeer(peer comfreyworks.InstanceID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.peers, peer)
+}
+
+// Loads returns what this process has sent.
+func (b *Balancer) Loads() []comfreyworks.UpstreamLoad {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var loads []comfreyworks.UpstreamLoad
+	for id, e := range b.endpoints {
+		if e.requests > 0 {
+			loads = append(loads, comfreyworks.UpstreamLoad{ID: id, Requests: e.requests, Unread: e.unread})
+		}
 	}
+	return loads
 }
 
-// Loaded records the revision that an upstream serves from now on.
-func (b *Balancer) Loaded(id comfreyworks.InstanceID, model comfreyworks.Model, revision comfreyworks.WeightsRevision) {
+// Requests returns how many requests an upstream has, from all processes.
+func (b *Balancer) Requests(id comfreyworks.InstanceID) int {
+	now := b.options.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	n := b.others(id, now).Requests
 	if e, ok := b.endpoints[id]; ok {
-		if revision > e.weights[model] {
-			// Loading weights discards what the engine held.
-			b.options.Holdings.Forget(id)
-			e.weights[model] = revision
-		}
-		e.loadingUntil = time.Time{}
+		n += e.requests
+	}
+	return n
+}
+
+// Notice takes in that an engine is about to load weights, or has done so.
+func (b *Balancer) Notice(notice comfreyworks.LoadNotice) {
+	now := b.options.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, ok := b.endpoints[notice.Engine]
+	if !ok {
+		return
+	}
+	e.loadingUntil = now.Add(notice.For)
+	if notice.Done && notice.Weights > e.weights[notice.Model] {
+		// Loading weights discards what the engine held.
+		b.options.Holdings.Forget(notice.Engine)
+		e.weights[notice.Model] = notice.Weights
 	}
 }
 
@@ -327,9 +398,13 @@
 		e.fail(now, 1)
 	case Full:
 		e.fullUntil = now.Add(fullFor)
+		if p.query.Model != "" && p.Weights < p.balancer.options.Catalog.Weights(p.query.Model).Revision {
+			// It is likely to refuse because it loads newer weights.
+			e.loadingUntil = later(e.loadingUntil, now.Add(loadingFor))
+		}
 	case OtherWeights:
 		if result.Weights == 0 {
-			e.loadingUntil = now.Add(loadingFor)
+			e.loadingUntil = later(e.loadingUntil, now.Add(loadingFor))
 		}
 	case Gone:
 		e.avoidUntil = now.Add(maxAvoidance)
@@ -337,6 +412,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (e *endpoint) learnLatency(elapsed time.Duration) {
 	if e.latency == 0 {
 		e.latency = elapsed
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -4,8 +4,11 @@
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"comfreyworks"
 	"comfreyworks/internal/state/holdings"
+	"comfreyworks/internal/state/rendezvous"
 )
 
 const (
@@ -38,6 +41,9 @@
 	// held is what the engine holds of the prompt, importable the most that
 	// another one with the same weights does.
 	held, importable int
+	// expected is what it will hold behind that: nobody holds it yet, and
+	// requests for it from all processes come here.
+	expected int
 	// avoided candidates have failed, full ones have no room, stale ones serve
 	// weights that lose the answer's worth.
 	avoided, full, stale bool
@@ -94,9 +100,44 @@
 		c.held = held[c.weights][c.upstream.ID]
 		c.importable = sources[c.weights].held
 	}
+	for weights := range held {
+		expect(candidates, query, weights, sources[weights].held)
+	}
 	return sources
 }
 
+// expect makes one of the engines with certain weights the home of the parts
+// that nobody holds, so that no two engines read them at the same time. The last
+// part is the request's own and has no home.
+func expect(candidates []candidate, query *Query, weights comfreyworks.WeightsRevision, known int) {
+	shared := query.Parts[:max(len(query.Parts)-1, 0)]
+	start, missing := 0, 0
+	var key uint64
+	for _, part := range shared {
+		if start+part.Tokens > known {
+			if missing == 0 {
+				key = xxhash.Sum64String(query.Wall + "/" + part.ID)
+			}
+			missing = start + part.Tokens - known
+		}
+		start += part.Tokens
+	}
+	if missing == 0 {
+		return
+	}
+	home := -1
+	var highest uint64
+	for i := range candidates {
+		if candidates[i].weights != weights {
+			continue
+		}
+		if score := rendezvous.Score(candidates[i].endpoint.seed, key); home < 0 || score > highest {
+			home, highest = i, score
+		}
+	}
+	candidates[home].expected = missing
+}
+
 // source returns the engine that holds most, of those in this zone if several
 // do.
 func (b *Balancer) source(pool comfreyworks.Pool, held map[comfreyworks.InstanceID]int, now time.Time) source {
@@ -128,7 +169,7 @@
 			cached += int((1 - importShare) * float64(c.importable-c.held))
 		}
 		placed[i] = comfreyworks.Candidate{
-			Instance: c.upstream.ID, Score: c.score, CachedTokens: cached,
+			Instance: c.upstream.ID, Score: c.score, CachedTokens: cached + c.expected,
 			Wait:    time.Duration(c.unread)*prefillTime + time.Duration(c.requests)*slotTime,
 			Running: c.requests, PrefillTime: prefillTime,
 		}
@@ -143,15 +184,15 @@
 func chooseIdle(candidates []candidate) int {
 	best := 0
 	for i := range candidates {
-		if candidates[i].expected() < candidates[best].expected() {
+		if candidates[i].expectedTime() < candidates[best].expectedTime() {
 			best = i
 		}
 	}
 	return best
 }
 
-// expected is the time that the candidate will take, for comparison.
-func (c *candidate) expected() time.Duration {
+// expectedTime is the time that the candidate will take, for comparison.
+func (c *candidate) expectedTime() time.Duration {
 	latency := c.latency
 	if latency == 0 {
 		latency = firstLatency
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -130,15 +130,6 @@
 	if change.Empty() {
 		return
 	}
-	fields := []zap.Field{zap.Uint64("position", position), zap.Duration("age", f.options.Clock.Since(askedAt))}
-	if change.Routing != nil {
-		fields = append(fields, zap.Uint64("routing", uint64(change.Routing.Version())))
-	}
-	for model, revision := range change.Weights {
-		fields = append(fields, zap.String("model", string(model)), zap.Uint64("weights", uint64(revision)))
-	}
-	if len(change.Joined)+len(change.Left)+len(change.Lapsed) > 0 {
-		fields = append(fields, zap.Any("joined", change.Joined), zap.Any("left", change.Left), zap.Any("lapsed", change.Lapsed))
-	}
-	f.options.Logger.Info("belief changed", fields...)
+	f.options.Logger.Info("belief changed", append(change.Fields(),
+		zap.Uint64("position", position), zap.Duration("age", f.options.Clock.Since(askedAt)))...)
 }
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -89,8 +89,8 @@
 
 // priority is the workspace's, else the route's.
 func (a *attempt) priority() int {
-	if a.request.Workspace != nil && a.request.Workspace.Priority != nil {
-		return *a.request.Workspace.Priority
+	if a.request.Workspace != nil && a.request.Workspace.Priority >= 0 {
+		return a.request.Workspace.Priority
 	}
 	return a.request.Route.Priority
 }
@@ -191,7 +191,8 @@
 		zap.Int("send", a.sends),
 		zap.Int("candidates", a.pick.Candidates),
 		zap.Uint64("weights", uint64(a.pick.Weights)),
-		zap.Int("held", a.pick.Held), zap.Stringer("import-from", a.pick.ImportFrom),
+		zap.Int("shared", a.request.Prompt.shared()), zap.Int("held", a.pick.Held),
+		zap.Int("importable", a.pick.Importable), zap.Stringer("import-from", a.pick.ImportFrom),
 		zap.Duration("list-age", a.options.Clock.Since(a.options.Catalog.UpstreamsProven())),
 		zap.Duration("took", a.options.Clock.Since(a.startedAt)),
 		zap.String("outcome", string(a.result.Outcome)),
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -32,7 +32,7 @@
 	callTimeout = 800 * time.Millisecond
 	// loadShare is the part of a model's engines that load at once, and
 	// leastLoads the number below which it does not fall.
-	loadShare  = 0.25
+	loadShare  = 0.19
 	leastLoads = 2
 	// loadTime is how long a load takes at least; an engine is not asked
 	// earlier.
@@ -41,6 +41,10 @@
 	statusInterval = 120 * time.Millisecond
 	// loadTimeout is after how long an order counts as lost.
 	loadTimeout = 2500 * time.Millisecond
+	// clearTime is how long an engine is given to finish its requests before
+	// its order, clearInterval the pause between two looks whether it has.
+	clearTime     = 250 * time.Millisecond
+	clearInterval = 30 * time.Millisecond
 	// retryPause is how long an engine is left alone that did not take an order.
 	retryPause = 300 * time.Millisecond
 )
@@ -51,6 +55,8 @@
 	Lease    time.Duration
 	Catalog  *catalog.Catalog
 	Balancer *balance.Balancer
+	// Announce tells the other gateways; nil means that there are none.
+	Announce func(ctx context.Context, notice comfreyworks.LoadNotice)
 	Log      comfreyworks.LeaseLog
 	Loader   comfreyworks.WeightLoader
 	Clock    comfreyworks.Clock
@@ -142,7 +148,7 @@
 			for _, engine := range r.next(pool.Name, model, named.Revision) {
 				order := comfreyworks.LoadOrder{
 					Upstream: engine, Model: model, Weights: named.Revision,
-					Mode: comfreyworks.LoadAfterRuns, Holder: r.options.Self, Token: token,
+					Mode: comfreyworks.LoadUnderRuns, Holder: r.options.Self, Token: token,
 				}
 				r.loads.begin(engine.ID)
 				group.Go(func() error {
@@ -174,22 +180,24 @@
 
 // load gives one order and watches until the engine serves the weights.
 func (r *Rollout) load(ctx context.Context, order comfreyworks.LoadOrder) {
+	r.tell(ctx, comfreyworks.LoadNotice{Engine: order.Upstream.ID, Model: order.Model, For: clearTime + loadTimeout})
+	r.clear(ctx, order.Upstream.ID)
 	startedAt := r.options.Clock.Now()
-	r.options.Balancer.Loading(order.Upstream.ID, startedAt.Add(loadTimeout))
 	result, err := r.order(ctx, order)
 	r.options.Meter.Count("comfrey_load_orders_total", meter.Labels{}, 1)
 	done := result == comfreyworks.LoadDone
 	if err == nil && result == comfreyworks.LoadStarted {
 		done = r.watch(ctx, order, startedAt)
 	}
+	notice := comfreyworks.LoadNotice{Engine: order.Upstream.ID, Model: order.Model}
+	var pauseUntil time.Time
 	if done {
-		r.options.Balancer.Loaded(order.Upstream.ID, order.Model, order.Weights)
-		r.loads.end(order.Upstream.ID, time.Time{})
+		notice.Weights, notice.Done = order.Weights, true
 	} else {
-		now := r.options.Clock.Now()
-		r.options.Balancer.Loading(order.Upstream.ID, now)
-		r.loads.end(order.Upstream.ID, now.Add(retryPause))
+		pauseUntil = r.options.Clock.Now().Add(retryPause)
 	}
+	r.loads.end(order.Upstream.ID, pauseUntil)
+	r.tell(ctx, notice)
 	r.options.Logger.Info("load",
 		zap.String("upstream", string(order.Upstream.ID)), zap.String("model", string(order.Model)),
 		zap.Uint64("weights", uint64(order.Weights)), zap.Uint64("token", order.Token),
@@ -197,6 +205,25 @@
 		zap.Duration("took", r.options.Clock.Since(startedAt)), zap.Error(err))
 }
 
+// tell tells this and all other gateways about a load.
+func (r *Rollout) tell(ctx context.Context, notice comfreyworks.LoadNotice) {
+	r.options.Balancer.Notice(notice)
+	if r.options.Announce != nil {
+		r.options.Announce(ctx, notice)
+	}
+}
+
+// clear waits until an engine that gets no new work has finished what it has,
+// but not for long: the order waits for the rest.
+func (r *Rollout) clear(ctx context.Context, engine comfreyworks.InstanceID) {
+	until := r.options.Clock.Now().Add(clearTime)
+	for r.options.Balancer.Requests(engine) > 0 && r.options.Clock.Now().Before(until) {
+		if !r.sleep(ctx, clearInterval) {
+			return
+		}
+	}
+}
+
 // order checks the lease again right before it sends.
 func (r *Rollout) order(ctx context.Context, order comfreyworks.LoadOrder) (comfreyworks.LoadResult, error) {
 	if token, ok := r.lease.Held(); !ok || token != order.Token {
--- a/internal/protocol/peer/client.go
+++ b/internal/protocol/peer/client.go
@@ -52,7 +52,7 @@
 	// callTimeout bounds a call that is answered at once.
 	callTimeout = 2 * time.Second
 	// serviceName is the name that servers register their receiver under.
-	serviceName = "Sidecar"
+	serviceName = "Peer"
 )
 
 // Dial opens a connection to a peer. Tests pass faulty ones.
@@ -130,9 +130,10 @@
 }
 
 var (
-	_ comfreyworks.GateSet    = (*Clients)(nil)
-	_ comfreyworks.Gate       = (*Client)(nil)
-	_ comfreyworks.ConfigPeer = (*Client)(nil)
+	_ comfreyworks.GateSet     = (*Clients)(nil)
+	_ comfreyworks.Gate        = (*Client)(nil)
+	_ comfreyworks.ConfigPeer  = (*Client)(nil)
+	_ comfreyworks.GatewayLink = (*Client)(nil)
 )
 
 // Start implements comfreyworks.Gate.
@@ -173,6 +174,17 @@
 	return call[ReportReply](ctx, c, "Report", args, callTimeout)
 }
 
+// Sync implements comfreyworks.GatewayLink.
+func (c *Client) Sync(ctx context.Context, state comfreyworks.GatewayState) (comfreyworks.GatewayNews, error) {
+	return call[comfreyworks.GatewayNews](ctx, c, "Sync", state, callTimeout)
+}
+
+// Notify implements comfreyworks.GatewayLink.
+func (c *Client) Notify(ctx context.Context, notice comfreyworks.LoadNotice) error {
+	_, err := call[Nothing](ctx, c, "Notify", notice, callTimeout)
+	return err
+}
+
 func call[R any](ctx context.Context, c *Client, method string, args any, timeout time.Duration) (R, error) {
 	var none R
 	timer := c.options.Clock.NewTimer(timeout)
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -22,6 +22,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"comfreyworks"
 	"comfreyworks/internal/state/routing"
 )
@@ -49,23 +51,33 @@
 type naming struct {
 	revision comfreyworks.WeightsRevision
 	at       time.Time
+	// earlier means that it was named before this process began to follow.
+	earlier bool
+}
+
+// Succession tells when a revision was followed by a newer one.
+type Succession struct {
+	// At is when this process learned of it.
+	At time.Time
+	// Earlier means that it happened at an unknown time before.
+	Earlier bool
 }
 
-// SupersededAt returns when a revision was followed by a newer one; false when
-// it was not.
-func (n NamedWeights) SupersededAt(revision comfreyworks.WeightsRevision) (time.Time, bool) {
+// Succeeded returns when a revision was followed by a newer one; false when it
+// was not.
+func (n NamedWeights) Succeeded(revision comfreyworks.WeightsRevision) (Succession, bool) {
 	for _, name := range n.names {
 		if name.revision > revision {
-			return name.at, true
+			return Succession{At: name.at, Earlier: name.earlier}, true
 		}
 	}
-	return time.Time{}, false
+	return Succession{}, false
 }
 
 // with returns the names with one more.
-func (n NamedWeights) with(revision comfreyworks.WeightsRevision, at time.Time) NamedWeights {
-	names := append(slices.Clone(n.names), naming{revision, at})
-	return NamedWeights{Revision: revision, names: names[max(len(names)-keptNames, 0):]}
+func (n NamedWeights) with(name naming) NamedWeights {
+	names := append(slices.Clone(n.names), name)
+	return NamedWeights{Revision: name.revision, names: names[max(len(names)-keptNames, 0):]}
 }
 
 // Change tells what an applied answer changed.
@@ -83,6 +95,56 @@
 	return c.Routing == nil && len(c.Weights) == 0 && len(c.Joined) == 0 && len(c.Left) == 0 && len(c.Lapsed) == 0
 }
 
+// Fields describes the change for a log line.
+func (c *Change) Fields() []zap.Field {
+	var fields []zap.Field
+	if c.Routing != nil {
+		fields = append(fields, zap.Uint64("routing", uint64(c.Routing.Version())))
+	}
+	for model, revision := range c.Weights {
+		fields = append(fields, zap.String("model", string(model)), zap.Uint64("weights", uint64(revision)))
+	}
+	for name, ids := range map[string][]comfreyworks.InstanceID{"joined": c.Joined, "left": c.Left, "lapsed": c.Lapsed} {
+		if len(ids) > 0 {
+			fields = append(fields, zap.Any(name, ids))
+		}
+	}
+	return fields
+}
+
+// Snapshot is everything that a catalog holds, with its age.
+type Snapshot struct {
+	Declaration comfreyworks.Declaration
+	DeclaredAt  time.Time
+	Upstreams   comfreyworks.UpstreamChanges
+	ListedAt    time.Time
+}
+
+// Snapshot returns everything in force.
+func (c *Catalog) Snapshot() Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := Snapshot{
+		Declaration: comfreyworks.Declaration{
+			Weights: make(map[comfreyworks.Model]comfreyworks.WeightsRevision, len(c.weights)),
+			Next:    c.declared.position,
+		},
+		DeclaredAt: c.declared.at,
+		Upstreams:  comfreyworks.UpstreamChanges{Whole: true, Next: c.listed.position},
+		ListedAt:   c.listed.at,
+	}
+	if table := c.table.Load(); table != nil {
+		s.Declaration.Routing = table.Declared()
+	}
+	for model, named := range c.weights {
+		s.Declaration.Weights[model] = named.Revision
+	}
+	for _, e := range c.entries {
+		s.Upstreams.Present = append(s.Upstreams.Present, e.upstream)
+	}
+	return s
+}
+
 // Catalog is safe for concurrent use.
 type Catalog struct {
 	clock comfreyworks.Clock
@@ -173,6 +235,7 @@
 	if d.Next < c.declared.position {
 		return change
 	}
+	earlier := c.declared.position == 0
 	c.declared.position = d.Next
 	if askedAt.After(c.declared.at) {
 		c.declared.at = askedAt
@@ -187,7 +250,7 @@
 		if revision <= known.Revision {
 			continue
 		}
-		c.weights[model] = known.with(revision, c.clock.Now())
+		c.weights[model] = known.with(naming{revision, c.clock.Now(), earlier})
 		if change.Weights == nil {
 			change.Weights = make(map[comfreyworks.Model]comfreyworks.WeightsRevision)
 		}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"log"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -28,10 +29,12 @@
 	"comfreyworks/internal/coordination/balance"
 	"comfreyworks/internal/coordination/follow"
 	"comfreyworks/internal/coordination/forward"
+	"comfreyworks/internal/coordination/peering"
 	"comfreyworks/internal/coordination/placement"
 	"comfreyworks/internal/coordination/rollout"
 	"comfreyworks/internal/coordination/watch"
 	"comfreyworks/internal/protocol/exchange"
+	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/meter"
@@ -50,9 +53,9 @@
 const (
 	// stopNotice is how long a stopping gateway goes on taking connections: the
 	// balancer asks every second and gives up after two misses.
-	stopNotice = 3200 * time.Millisecond
+	stopNotice = 2300 * time.Millisecond
 	// stopMargin is what is left of the stop grace when everything is closed.
-	stopMargin = 400 * time.Millisecond
+	stopMargin = 250 * time.Millisecond
 	// forgetAfter is how long an upstream is remembered that is not listed.
 	forgetAfter = 30 * time.Second
 	// retryShares is among how many gateways the slack of the retry budget is
@@ -75,6 +78,9 @@
 	// them nobody does.
 	Leases comfreyworks.LeaseLog
 	Loader comfreyworks.WeightLoader
+	// Registry is where gateways find each other beside the seeds; it may be
+	// nil.
+	Registry comfreyworks.GatewayRegistry
 	// Caches tells what engines hold; nil means that only this process's own
 	// requests do.
 	Caches comfreyworks.CacheSource
@@ -88,6 +94,8 @@
 	Requests net.Listener
 	Ready    net.Listener
 	Metrics  net.Listener
+	// Peers takes calls of other gateways; nil means that there are none.
+	Peers net.Listener
 }
 
 // Gateway is one process that takes callers' requests.
@@ -101,6 +109,8 @@
 	rollout   *rollout.Rollout
 	holdings  *holdings.Index
 	watcher   *watch.Watcher
+	peering   *peering.Peering
+	peers     *peer.Clients
 	leaving   atomic.Bool
 }
 
@@ -127,6 +137,13 @@
 		Declarations: options.Declarations, Upstreams: options.Upstreams, Catalog: g.catalog,
 		Clock: options.Clock, Logger: options.Logger, Meter: options.Meter,
 	})
+	g.peers = peer.NewClients(peer.ClientOptions{Clock: options.Clock})
+	g.peering = peering.New(peering.Options{
+		Self:  comfreyworks.GatewayPeer{ID: options.Settings.ID, Address: options.Settings.PeerListen},
+		Seeds: options.Settings.Peers, Registry: options.Registry,
+		Link:    func(address netip.AddrPort) comfreyworks.GatewayLink { return g.peers.To(address) },
+		Catalog: g.catalog, Balancer: g.balancer, Clock: options.Clock, Logger: options.Logger,
+	})
 	if options.Caches != nil {
 		g.watcher = watch.New(watch.Options{
 			Source: options.Caches, Index: g.holdings, Targets: g.engines,
@@ -136,7 +153,7 @@
 	if options.Leases != nil && options.Loader != nil {
 		g.rollout = rollout.New(rollout.Options{
 			Self: options.Settings.ID, Lease: options.Settings.Bounds.Lease,
-			Catalog: g.catalog, Balancer: g.balancer, Log: options.Leases, Loader: options.Loader,
+			Catalog: g.catalog, Balancer: g.balancer, Announce: g.peering.Announce, Log: options.Leases, Loader: options.Loader,
 			Clock: options.Clock, Logger: options.Logger, Meter: options.Meter,
 		})
 	}
@@ -186,6 +203,11 @@
 	}
 	group.Go(func() error { return g.follower.Run(work) })
 	group.Go(func() error { return g.tidy(work) })
+	if listeners.Peers != nil {
+		if err := g.servePeers(work, group, listeners.Peers); err != nil {
+			return err
+		}
+	}
 	if g.watcher != nil {
 		group.Go(func() error { return g.watcher.Run(work) })
 	}
@@ -205,6 +227,7 @@
 	})
 	err := group.Wait()
 	g.client.Close()
+	g.peers.Close()
 	g.options.Logger.Info("stopped", zap.Error(err))
 	return err
 }
--- a/routing.go
+++ b/routing.go
@@ -88,8 +88,8 @@
 type WorkspaceKeys struct {
 	Name Workspace
 	Keys []string
-	// Priority overrides the priority of routes; nil means it does not.
-	Priority *int
+	// Priority overrides the priority of routes; negative means it does not.
+	Priority int
 	// Isolated workspaces share no cached prefix with any other.
 	Isolated bool
 }
