Give an order again under one number, and leave unreachable replicas out

Ruled out: late orders loading older weights (17 orders, 16 loads).

Change: an order bears the number of orders that the engine has accepted and is sent up to four times within 0.8 s; a replica that could not be reached is no candidate while it is avoided; the time to read what waits at a replica counts against the age of its weights.

--- a/exchange.go
+++ b/exchange.go
@@ -177,6 +177,9 @@
 	Model    Model
 	Weights  WeightsRevision
 	Mode     LoadMode
+	// Accepted is how many orders the engine has accepted so far. An order that
+	// arrives after another one has been accepted is not carried out.
+	Accepted uint64
 	// Holder and Token name the lease under which the order is given.
 	Holder InstanceID
 	Token  uint64
@@ -191,12 +194,15 @@
 	LoadStarted LoadResult = "started"
 	// LoadDone means that the engine serves the weights already.
 	LoadDone LoadResult = "done"
-	// LoadBusy means that the engine carries out another order.
+	// LoadBusy means that the engine carries out another order, or has accepted
+	// one since.
 	LoadBusy LoadResult = "busy"
 	// LoadFenced means that a newer holder has given orders.
 	LoadFenced LoadResult = "fenced"
 	// LoadRefused means that the engine does not take the order.
 	LoadRefused LoadResult = "refused"
+	// LoadElsewhere means that another engine has the address.
+	LoadElsewhere LoadResult = "other-instance"
 )
 
 // EngineStatus is an engine's own account of its orders; it lags.
@@ -204,6 +210,8 @@
 	Weights map[Model]WeightsRevision
 	// Loading means that an order is being carried out.
 	Loading bool
+	// Accepted is the number of orders that it has accepted since its start.
+	Accepted uint64
 }
 
 // WeightLoader gives orders to engines.
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -47,8 +47,9 @@
 	// ones: answers on them lose worth from 1.5 s on.
 	staleWeightsAfter = 1200 * time.Millisecond
 	// weightsMargin is how much earlier than the bound superseded weights stop
-	// being used: the way to the engine and the age of the news.
-	weightsMargin = 1200 * time.Millisecond
+	// being used, beside the time to read what waits there: the way to the
+	// engine, the age of the news and what other processes send meanwhile.
+	weightsMargin = 800 * time.Millisecond
 	// unknownAgeLimit is how long a process uses weights that were superseded
 	// at an unknown time before it started: long enough to load new ones after
 	// all processes were lost.
@@ -138,6 +139,8 @@
 	unread   int
 	latency  time.Duration
 	failures int
+	// unreachable means that the last request could not be sent.
+	unreachable bool
 	// avoidUntil, fullUntil and loadingUntil end what was learned by failures
 	// and refusals.
 	avoidUntil, fullUntil, loadingUntil time.Time
@@ -232,6 +235,9 @@
 		avoided: now.Before(e.avoidUntil),
 		full:    now.Before(e.fullUntil) || now.Before(e.loadingUntil),
 	}
+	if c.avoided && e.unreachable {
+		return candidate{}, false
+	}
 	c.score = rendezvous.Score(e.seed, query.Affinity)
 	if query.Model == "" {
 		return c, true
@@ -241,7 +247,8 @@
 	if !superseded {
 		return c, true
 	}
-	age, limit := now.Sub(successor.At), b.options.WeightsBound-weightsMargin
+	age := now.Sub(successor.At)
+	limit := b.options.WeightsBound - weightsMargin - time.Duration(c.unread)*prefillTime
 	if successor.Earlier {
 		limit = min(limit, unknownAgeLimit)
 	}
@@ -390,11 +397,13 @@
 	switch result.Outcome {
 	case Answered:
 		e.failures = 0
+		e.unreachable = false
 		e.avoidUntil = time.Time{}
 		e.learnLatency(result.Elapsed)
 	case Failed:
 		e.fail(now, failuresBeforeAvoidance)
 	case Unreachable:
+		e.unreachable = true
 		e.fail(now, 1)
 	case Full:
 		e.fullUntil = now.Add(fullFor)
@@ -407,6 +416,7 @@
 			e.loadingUntil = later(e.loadingUntil, now.Add(loadingFor))
 		}
 	case Gone:
+		e.unreachable = true
 		e.avoidUntil = now.Add(maxAvoidance)
 	case Withdrawn:
 	}
--- a/internal/coordination/rollout/loads.go
+++ b/internal/coordination/rollout/loads.go
@@ -20,13 +20,25 @@
 	mu      *sync.Mutex
 	running map[comfreyworks.InstanceID]bool
 	paused  map[comfreyworks.InstanceID]time.Time
+	// orders is how many orders each engine is known to have accepted in its
+	// present life.
+	orders map[life]uint64
 }
 
+// life is one life of an engine.
+type life struct {
+	id      comfreyworks.InstanceID
+	started time.Time
+}
+
+func lifeOf(engine *comfreyworks.Upstream) life { return life{engine.ID, engine.Started} }
+
 func newLoads() loads {
 	return loads{
 		mu:      new(sync.Mutex),
 		running: make(map[comfreyworks.InstanceID]bool),
 		paused:  make(map[comfreyworks.InstanceID]time.Time),
+		orders:  make(map[life]uint64),
 	}
 }
 
@@ -64,3 +76,23 @@
 		l.paused[id] = until
 	}
 }
+
+// accepted returns how many orders an engine is known to have accepted.
+func (l *loads) accepted(engine *comfreyworks.Upstream) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.orders[lifeOf(engine)]
+}
+
+func (l *loads) accept(engine *comfreyworks.Upstream, n uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.orders[lifeOf(engine)] = n
+}
+
+// forget makes the engine's own account count.
+func (l *loads) forget(engine *comfreyworks.Upstream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.orders, lifeOf(engine))
+}
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -28,8 +28,13 @@
 	leaseStream = "rollout"
 	// planInterval is the pause between two looks at what has to be loaded.
 	planInterval = 40 * time.Millisecond
-	// callTimeout bounds one call to an engine or to the log.
+	// callTimeout bounds one call to the log, which answers slowly at times.
 	callTimeout = 800 * time.Millisecond
+	// engineTimeout bounds one call to an engine, which answers at once; an
+	// order without an answer is sent again under the same number, up to
+	// orderTries times.
+	engineTimeout = 200 * time.Millisecond
+	orderTries    = 4
 	// loadShare is the part of a model's engines that load at once, and
 	// leastLoads the number below which it does not fall.
 	loadShare  = 0.19
@@ -184,7 +189,6 @@
 	r.clear(ctx, order.Upstream.ID)
 	startedAt := r.options.Clock.Now()
 	result, err := r.order(ctx, order)
-	r.options.Meter.Count("comfrey_load_orders_total", meter.Labels{}, 1)
 	done := result == comfreyworks.LoadDone
 	if err == nil && result == comfreyworks.LoadStarted {
 		done = r.watch(ctx, order, startedAt)
@@ -224,16 +228,51 @@
 	}
 }
 
-// order checks the lease again right before it sends.
+// order gives one order, again under the same number if it is not answered: of
+// all that arrive, also late, the engine carries out one.
 func (r *Rollout) order(ctx context.Context, order comfreyworks.LoadOrder) (comfreyworks.LoadResult, error) {
+	status, err := r.status(ctx, order.Upstream)
+	if err != nil {
+		return "", err
+	}
+	if status.Weights[order.Model] >= order.Weights {
+		return comfreyworks.LoadDone, nil
+	}
+	order.Accepted = max(status.Accepted, r.loads.accepted(&order.Upstream))
+	var result comfreyworks.LoadResult
+	for try := 0; try < orderTries; try++ {
+		if result, err = r.send(ctx, order); err == nil {
+			break
+		}
+	}
+	switch {
+	case err == nil && result == comfreyworks.LoadStarted:
+		r.loads.accept(&order.Upstream, order.Accepted+1)
+	case result == comfreyworks.LoadBusy:
+		// The account lags, or one of the tries was accepted without an answer.
+		r.loads.forget(&order.Upstream)
+		return comfreyworks.LoadStarted, nil
+	}
+	return result, err
+}
+
+// send checks the lease right before it sends.
+func (r *Rollout) send(ctx context.Context, order comfreyworks.LoadOrder) (comfreyworks.LoadResult, error) {
 	if token, ok := r.lease.Held(); !ok || token != order.Token {
 		return comfreyworks.LoadFenced, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	r.options.Meter.Count("comfrey_load_orders_total", meter.Labels{}, 1)
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	return r.options.Loader.Load(ctx, order)
 }
 
+func (r *Rollout) status(ctx context.Context, engine comfreyworks.Upstream) (comfreyworks.EngineStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	return r.options.Loader.Status(ctx, engine)
+}
+
 // watch asks an engine until it serves the weights.
 func (r *Rollout) watch(ctx context.Context, order comfreyworks.LoadOrder, startedAt time.Time) bool {
 	pause := loadTime
@@ -242,9 +281,7 @@
 		if r.options.Balancer.Weights(&order.Upstream, order.Model) >= order.Weights {
 			return true
 		}
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		status, err := r.options.Loader.Status(call, order.Upstream)
-		cancel()
+		status, err := r.status(ctx, order.Upstream)
 		if err == nil && status.Weights[order.Model] >= order.Weights {
 			return true
 		}
