--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -135,12 +135,35 @@
 		Header: c.header(message, instructions),
 		Body:   io.NopCloser(&onceReader{left: message.Body}), ContentLength: int64(len(message.Body)),
 	}
-	if len(message.Body) == 0 && message.Method != http.MethodGet && message.Method != http.MethodHead {
+	if len(message.Body) == 0 && usuallyHasBody(message.Method) {
 		r.Body = http.NoBody
+		hideRepeatability(r.Header)
 	}
 	return r.WithContext(ctx)
 }
 
+// usuallyHasBody reports whether the transport would send an empty body of
+// unknown length in chunks.
+func usuallyHasBody(method string) bool {
+	switch method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		return true
+	default:
+		return false
+	}
+}
+
+// hideRepeatability keeps the transport from finding the headers that make it
+// send a request without a body again. Names have no case on the wire.
+func hideRepeatability(header http.Header) {
+	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		if values, ok := header[name]; ok {
+			delete(header, name)
+			header[strings.ToLower(name)] = values
+		}
+	}
+}
+
 func (c *Client) header(message *comfreyworks.Message, instructions comfreyworks.Instructions) http.Header {
 	names := &c.options.Headers
 	header := message.Header.Clone()
--- /dev/null
+++ b/internal/state/routing/routing_test.go
@@ -0,0 +1,90 @@
+package routing
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyworks"
+)
+
+func table() *Table {
+	return New(comfreyworks.Routing{
+		Version: 3,
+		Routes: []comfreyworks.Route{
+			{Name: "all", Host: "api.example", PathPrefix: "/"},
+			{Name: "orders", Host: "api.example", PathPrefix: "/orders/"},
+			{Name: "new", Host: "API.example", PathPrefix: "/orders/new/"},
+			{Name: "other", Host: "maps.example", PathPrefix: "/maps/"},
+		},
+		Workspaces: []comfreyworks.WorkspaceKeys{
+			{Name: "office", Keys: []string{"k1", "k2"}},
+			{Name: "crew", Keys: []string{"k3"}},
+		},
+	})
+}
+
+func TestRoute(t *testing.T) {
+	cases := map[string]struct{ host, path, want string }{
+		"longest prefix":          {"api.example", "/orders/new/7", "new"},
+		"shorter prefix":          {"api.example", "/orders/7", "orders"},
+		"not part of a segment":   {"api.example", "/ordersnew", "all"},
+		"host with port":          {"api.example:8080", "/orders/7", "orders"},
+		"host in capitals":        {"Api.Example", "/orders/7", "orders"},
+		"prefix of another host":  {"maps.example", "/orders/7", ""},
+		"unknown host":            {"none.example", "/orders/7", ""},
+		"prefix without its end":  {"maps.example", "/maps", ""},
+		"the prefix itself":       {"maps.example", "/maps/", "other"},
+		"escaped path is not cut": {"maps.example", "/maps/a%2Fb", "other"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := ""
+			if route := table().Route(c.host, c.path); route != nil {
+				got = route.Name
+			}
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
+
+func TestWorkspace(t *testing.T) {
+	cases := map[string]struct {
+		key  string
+		want comfreyworks.Workspace
+	}{
+		"first key":  {"k1", "office"},
+		"second key": {"k2", "office"},
+		"other":      {"k3", "crew"},
+		"unknown":    {"k4", ""},
+		"none":       {"", ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var got comfreyworks.Workspace
+			if workspace := table().Workspace(c.key); workspace != nil {
+				got = workspace.Name
+			}
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
+
+func TestChoose(t *testing.T) {
+	route := &comfreyworks.Route{Pools: []comfreyworks.PoolWeight{{Pool: "a", Weight: 90}, {Pool: "off", Weight: 0}, {Pool: "b", Weight: 10}}}
+	cases := map[string]struct {
+		draw float64
+		want comfreyworks.Pool
+	}{
+		"start":              {0, "a"},
+		"just below a share": {0.899, "a"},
+		"next share":         {0.9, "b"},
+		"end":                {0.999, "b"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, Choose(route, c.draw), c.want) })
+	}
+	t.Run("no weights at all", func(t *testing.T) {
+		assert.Equal(t, Choose(&comfreyworks.Route{Pools: []comfreyworks.PoolWeight{{Pool: "a"}}}, 0.5), comfreyworks.Pool("a"))
+	})
+}
