--- a/Makefile
+++ b/Makefile
@@ -7,13 +7,17 @@
 FUZZ_TIME ?= 20s
 SEEDS ?= 1
 
-.PHONY: all build demo demo-serve demo-processes test lint tidy format fuzz bench capacity clean standalone
+.PHONY: all build deploy demo demo-serve demo-processes test lint tidy format fuzz bench capacity clean standalone
 
 all: build
 
 build:
 	@for p in $(PROGRAMS); do (cd cmd/$$p && go build -o ../../bin/$$p .) || exit 1; done
 
+# Builds what deploy/system.toml builds, by its own words.
+deploy:
+	sh -c "$$(sed -nE 's/^build = "(.*)"$$/\1/p' deploy/system.toml)"
+
 # Runs the whole system for some seconds and checks every answer.
 demo: build
 	./bin/bench demo
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -328,12 +328,13 @@
 // Notice takes in that an engine is about to load weights, or has done so.
 func (b *Balancer) Notice(notice comfreyworks.LoadNotice) {
 	now := b.options.Clock.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	e, ok := b.endpoints[notice.Engine]
+	engine, ok := b.options.Catalog.Upstream(notice.Engine)
 	if !ok {
 		return
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.endpoint(&engine, now)
 	e.loadingUntil = now.Add(notice.For)
 	if notice.Done && notice.Weights > e.weights[notice.Model] {
 		// Loading weights discards what the engine held.
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -61,6 +62,11 @@
 	return group.Wait()
 }
 
+// Ask asks both sources once.
+func (f *Follower) Ask(ctx context.Context) error {
+	return errors.Join(f.askDeclarations(ctx), f.askUpstreams(ctx))
+}
+
 // repeat asks a source until ctx ends and logs when it is lost and regained.
 func (f *Follower) repeat(ctx context.Context, source string, pause time.Duration, ask func(context.Context) error) error {
 	logger := f.options.Logger.With(zap.String("source", source))
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -198,6 +198,14 @@
 	return (*c.pools.Load())[pool]
 }
 
+// Upstream returns an upstream by its ID; false when it is not listed.
+func (c *Catalog) Upstream(id comfreyworks.InstanceID) (comfreyworks.Upstream, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.entries[id]
+	return e.upstream, ok
+}
+
 // UpstreamsProven returns when the list was last proven current; zero means
 // never.
 func (c *Catalog) UpstreamsProven() time.Time {
