Keep newly read parts in the store of KV cache

Change: a request whose shared parts nobody holds saves them, on the newest weights only; a part that no engine holds is imported from the store. Far replicas have to be 10 ms faster, for the price of bytes between zones.

--- a/exchange.go
+++ b/exchange.go
@@ -34,6 +34,7 @@
 	Weights         string
 	CacheSalt       string
 	ImportFrom      string
+	SaveTo          string
 	Priority        string
 	// Reserved are further names that callers may not set.
 	Reserved []string
@@ -47,7 +48,7 @@
 		Prefix: "Comfrey-Prefix", LastEventID: "Last-Event-Id", Proof: "Comfrey-Digest",
 		NotRun: "Comfrey-Not-Run", Target: "Comfrey-Target", Instance: "Comfrey-Instance",
 		ExpectedWeights: "Comfrey-Expected-Weights", Weights: "Comfrey-Weights",
-		CacheSalt: "Comfrey-Cache-Salt", ImportFrom: "Comfrey-Import-From", Priority: "Comfrey-Priority",
+		CacheSalt: "Comfrey-Cache-Salt", ImportFrom: "Comfrey-Import-From", SaveTo: "Comfrey-Save-To", Priority: "Comfrey-Priority",
 	}
 }
 
@@ -81,6 +82,8 @@
 	CacheSalt string
 	// ImportFrom is another engine or store that holds more of the prompt.
 	ImportFrom netip.AddrPort
+	// SaveTo is a store that shall get what the engine reads of the prompt.
+	SaveTo netip.AddrPort
 	// Priority is from 0, the most urgent, to 9; negative means not set.
 	Priority int
 	// LastEventID resumes a stream; empty means from the start.
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -170,6 +170,8 @@
 	// be valid.
 	ImportFrom netip.AddrPort
 	Importable int
+	// SaveTo shall get the parts that nobody holds; it may not be valid.
+	SaveTo netip.AddrPort
 
 	balancer *Balancer
 	endpoint *endpoint
@@ -204,6 +206,9 @@
 	if source, ok := sources[chosen.weights]; ok && chosen.importable >= chosen.held+leastImport {
 		pick.ImportFrom, pick.Importable = source.address, source.held
 	}
+	if newest := b.options.Catalog.Weights(query.Model).Revision; chosen.weights == newest {
+		pick.SaveTo = b.store(query.Parts, max(chosen.held, chosen.importable))
+	}
 	return pick
 }
 
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -137,6 +138,40 @@
 	})
 }
 
+// TestStore is the load of sessions that outlive an engine's memory, a load of
+// weights or a crash: what nobody holds goes to the store, and comes from there
+// when no engine holds it any more.
+func TestStore(t *testing.T) {
+	f := newFixture(3)
+	address := netip.MustParseAddrPort("10.9.9.9:80")
+	f.position++
+	f.catalog.ApplyDeclaration(comfreyworks.Declaration{Next: f.position, Routing: &comfreyworks.Routing{
+		Version: 1, Pools: []comfreyworks.UpstreamPool{{Name: "keep", Store: &comfreyworks.CacheStore{Address: address}}},
+	}}, f.clock.Now())
+	t.Run("what nobody holds is saved", func(t *testing.T) {
+		assert.Equal(t, f.run(t, prompt("guide", "site")).SaveTo, address)
+	})
+	t.Run("what an engine holds is not", func(t *testing.T) {
+		assert.Assert(t, !f.run(t, prompt("guide", "site")).SaveTo.IsValid())
+	})
+	t.Run("what only the store holds comes from there", func(t *testing.T) {
+		salt := holdings.Salt("shared", 1)
+		for _, part := range prompt("guide", "site").Parts {
+			f.holdings.Add("store/keep", holdings.Part{Salt: salt, Model: model, ID: part.ID, Tokens: part.Tokens})
+		}
+		for _, engine := range f.catalog.Upstreams(engines) {
+			f.holdings.Forget(engine.ID)
+		}
+		pick := f.run(t, prompt("guide", "site"))
+		assert.Equal(t, pick.ImportFrom, address)
+		assert.Assert(t, !pick.SaveTo.IsValid())
+	})
+	t.Run("what runs on superseded weights is not saved", func(t *testing.T) {
+		f.name(2)
+		assert.Assert(t, !f.run(t, prompt("new guide", "new site")).SaveTo.IsValid())
+	})
+}
+
 // pickOn picks a certain engine.
 func (f *fixture) pickOn(t *testing.T, id comfreyworks.InstanceID) *Pick {
 	t.Helper()
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// farLatency is the way to another availability zone and back.
-	farLatency = 2 * time.Millisecond
+	// farPenalty is what an upstream in another availability zone may be faster
+	// for to be taken: the way there and back is 2 ms, the rest is for the price
+	// of bytes between zones.
+	farPenalty = 10 * time.Millisecond
 	// firstLatency is assumed of an upstream that has not answered yet.
 	firstLatency = 50 * time.Millisecond
 	// prefillTime is the time to read one prompt token, and slotTime what each
@@ -25,6 +27,8 @@
 	importShare = 0.03
 	// leastImport is the number of tokens from which on an import pays.
 	leastImport = 64
+	// leastSave is the number of tokens from which on a store is used.
+	leastSave = 512
 )
 
 // candidate is an upstream that may take a request.
@@ -151,9 +155,31 @@
 		best = source{upstream.Address, n}
 		near = upstream.Zone == b.options.Zone
 	}
+	for _, store := range b.options.Catalog.Stores() {
+		// An engine's link is faster than a store's, which all engines share.
+		if n := held[store.ID]; n > best.held+leastSave {
+			best = source{store.Address, n}
+		}
+	}
 	return best
 }
 
+// store returns the store of kept cache if enough of a prompt is held by nobody
+// to be worth keeping beyond the memory of one engine.
+func (b *Balancer) store(parts []comfreyworks.PromptPart, known int) netip.AddrPort {
+	shared := 0
+	for _, part := range parts[:max(len(parts)-1, 0)] {
+		shared += part.Tokens
+	}
+	if shared-known < leastSave {
+		return netip.AddrPort{}
+	}
+	for _, store := range b.options.Catalog.Stores() {
+		return store.Address
+	}
+	return netip.AddrPort{}
+}
+
 func (b *Balancer) endpointAvoided(id comfreyworks.InstanceID, now time.Time) bool {
 	e, ok := b.endpoints[id]
 	return ok && now.Before(e.avoidUntil)
@@ -174,7 +200,7 @@
 			Running: c.requests, PrefillTime: prefillTime,
 		}
 		if !c.near {
-			placed[i].Wait += farLatency
+			placed[i].Wait += farPenalty
 		}
 	}
 	return placed
@@ -199,7 +225,7 @@
 	}
 	expected := latency * time.Duration(c.requests+1)
 	if !c.near {
-		expected += farLatency
+		expected += farPenalty
 	}
 	return expected
 }
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -82,6 +82,7 @@
 		instructions.Weights = a.pick.Weights
 		instructions.CacheSalt = holdings.Salt(wall(a.request.Workspace), a.pick.Weights)
 		instructions.ImportFrom = a.pick.ImportFrom
+		instructions.SaveTo = a.pick.SaveTo
 		instructions.Priority = a.priority()
 	}
 	return instructions
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -188,6 +188,9 @@
 	if instructions.ImportFrom.IsValid() {
 		header.Set(names.ImportFrom, instructions.ImportFrom.String())
 	}
+	if instructions.SaveTo.IsValid() {
+		header.Set(names.SaveTo, instructions.SaveTo.String())
+	}
 	if instructions.Priority >= 0 {
 		header.Set(names.Priority, strconv.Itoa(min(instructions.Priority, maxPriority)))
 	}
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -214,6 +214,27 @@
 	return c.listed.at
 }
 
+// Store is a store of kept KV cache under an ID of its own.
+type Store struct {
+	ID comfreyworks.InstanceID
+	comfreyworks.CacheStore
+}
+
+// Stores returns the stores of kept KV cache that are declared.
+func (c *Catalog) Stores() []Store {
+	table := c.table.Load()
+	if table == nil {
+		return nil
+	}
+	var stores []Store
+	for _, pool := range table.Declared().Pools {
+		if pool.Store != nil {
+			stores = append(stores, Store{ID: comfreyworks.InstanceID("store/" + string(pool.Name)), CacheStore: *pool.Store})
+		}
+	}
+	return stores
+}
+
 // Weights returns the revision that a model shall serve.
 func (c *Catalog) Weights(model comfreyworks.Model) NamedWeights {
 	c.mu.Lock()
--- a/internal/state/settings/reference_test.go
+++ b/internal/state/settings/reference_test.go
@@ -28,7 +28,7 @@
 // TestReference holds the settings reference against the code: every field is
 // described, and every default is the one that is applied.
 func TestReference(t *testing.T) {
-	page, err := os.ReadFile("../../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	for _, kind := range []any{Deployment{}, Instance{}, Operator{}} {
 		for _, name := range fieldsOf(reflect.TypeOf(kind)) {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -177,6 +177,9 @@
 			}
 		}
 	}
+	for _, store := range g.catalog.Stores() {
+		targets = append(targets, watch.Target{ID: store.ID, Address: store.Address})
+	}
 	return targets
 }
 
--- a/internal/transport/gateway/request.go
+++ b/internal/transport/gateway/request.go
@@ -129,7 +129,7 @@
 	}
 	for _, name := range []string{
 		names.Key, names.Workspace, names.Target, names.ExpectedWeights, names.CacheSalt,
-		names.ImportFrom, names.Priority, names.Deadline, names.NotRun, names.Instance, names.Weights, names.Proof,
+		names.ImportFrom, names.SaveTo, names.Priority, names.Deadline, names.NotRun, names.Instance, names.Weights, names.Proof,
 	} {
 		passed.Del(name)
 	}
