Let two gateways ask the store for all

Ruled out: slower questions by everyone; a leaving replica must be known within two seconds.

Change: the two gateways that rendezvous hashing puts first ask; the others learn from them ten times a second and ask by themselves when what they know is 1.8 s old.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -25,10 +25,16 @@
 const (
 	// declarationWait is how long a question for declarations waits for news.
 	// Its answer proves the routing as of the time of the question.
-	declarationWait = 700 * time.Millisecond
+	declarationWait = 1200 * time.Millisecond
 	// upstreamInterval is the pause between questions for upstreams; engines
 	// leave at the earliest two seconds after they said so.
-	upstreamInterval = 500 * time.Millisecond
+	upstreamInterval = 600 * time.Millisecond
+	// fallbackAge is the age of a proof from which on a process asks that leaves
+	// the questions to others: more than a wait or a pause and the way to peers.
+	fallbackAge = 1800 * time.Millisecond
+	// idleInterval is the pause of a process that leaves the questions to others
+	// before it looks again whether they ask.
+	idleInterval = 100 * time.Millisecond
 	// answerTimeout bounds a question beyond its wait; a slow store takes
 	// 0.4 s.
 	answerTimeout = 1200 * time.Millisecond
@@ -41,9 +47,12 @@
 	Declarations comfreyworks.DeclarationSource
 	Upstreams    comfreyworks.UpstreamSource
 	Catalog      *catalog.Catalog
-	Clock        comfreyworks.Clock
-	Logger       *zap.Logger
-	Meter        *meter.Meter
+	// Reader reports whether this process asks the sources; the others learn
+	// from it, and ask when they do not. Nil means that it does.
+	Reader func() bool
+	Clock  comfreyworks.Clock
+	Logger *zap.Logger
+	Meter  *meter.Meter
 }
 
 // Follower keeps one catalog current.
@@ -57,23 +66,55 @@
 // Run follows both sources until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return f.repeat(ctx, "declarations", 0, f.askDeclarations) })
-	group.Go(func() error { return f.repeat(ctx, "upstreams", upstreamInterval, f.askUpstreams) })
+	group.Go(func() error {
+		return f.repeat(ctx, question{source: "declarations", ask: f.askDeclarations, provenAt: f.declared})
+	})
+	group.Go(func() error {
+		return f.repeat(ctx, question{
+			source: "upstreams", ask: f.askUpstreams, provenAt: f.options.Catalog.UpstreamsProven, pause: upstreamInterval,
+		})
+	})
 	return group.Wait()
 }
 
+// question is what one source is asked again and again.
+type question struct {
+	source   string
+	ask      func(context.Context) error
+	provenAt func() time.Time
+	// pause is the time between an answer and the next question.
+	pause time.Duration
+}
+
+func (f *Follower) declared() time.Time {
+	_, at := f.options.Catalog.Routing()
+	return at
+}
+
+// leaves reports whether this process leaves a question to others for now.
+func (f *Follower) leaves(q *question) bool {
+	if f.options.Reader == nil || f.options.Reader() {
+		return false
+	}
+	return f.options.Clock.Since(q.provenAt()) < fallbackAge
+}
+
 // Ask asks both sources once.
 func (f *Follower) Ask(ctx context.Context) error {
 	return errors.Join(f.askDeclarations(ctx), f.askUpstreams(ctx))
 }
 
 // repeat asks a source until ctx ends and logs when it is lost and regained.
-func (f *Follower) repeat(ctx context.Context, source string, pause time.Duration, ask func(context.Context) error) error {
-	logger := f.options.Logger.With(zap.String("source", source))
+func (f *Follower) repeat(ctx context.Context, q question) error {
+	logger := f.options.Logger.With(zap.String("source", q.source))
 	var lostAt time.Time
 	for ctx.Err() == nil {
-		err := ask(ctx)
-		wait := pause
+		if f.leaves(&q) {
+			f.sleep(ctx, idleInterval)
+			continue
+		}
+		err := q.ask(ctx)
+		wait := q.pause
 		switch {
 		case ctx.Err() != nil:
 			return nil
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -43,10 +43,13 @@
 	// covers what it has sent and is still on its way.
 	actingShare = 0.6
 	// renewShare is the part of the duration after which a holder renews.
-	renewShare = 0.25
+	renewShare = 0.3
 	// watchShare is the part of the duration between two looks of a process
 	// that does not hold the lease.
 	watchShare = 0.4
+	// standbyShare is the same for a process that leaves the succession to
+	// others.
+	standbyShare = 1.0
 )
 
 // Options configures a Lease.
@@ -56,7 +59,10 @@
 	Self   comfreyworks.InstanceID
 	// Duration is how long others wait for a silent holder.
 	Duration time.Duration
-	Clock    comfreyworks.Clock
+	// Candidate reports whether this process is among the first to succeed a
+	// silent holder; nil means that it is.
+	Candidate func() bool
+	Clock     comfreyworks.Clock
 }
 
 // record is the holder's mark on the log.
@@ -142,6 +148,9 @@
 	case data == nil || ours || waited >= l.options.Duration:
 		return l.pause(renewShare), l.append(ctx, end, uint64(end)+1, false)
 	default:
+		if l.options.Candidate != nil && !l.options.Candidate() {
+			return l.pause(standbyShare), nil
+		}
 		return min(l.pause(watchShare), l.options.Duration-waited), nil
 	}
 }
--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -22,12 +22,14 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
 	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/rendezvous"
 )
 
 const (
@@ -315,6 +317,12 @@
 	return live
 }
 
+// Chosen reports whether this gateway is among the first n for a duty. All
+// gateways that see each other agree, and the duty moves when one is gone.
+func (p *Peering) Chosen(duty string, n int) bool {
+	return slices.Contains(rendezvous.Top(p.Live(), xxhash.Sum64String(duty), n), p.options.Self.ID)
+}
+
 // Announce tells all peers that an engine loads weights. It returns when all
 // have answered or the time is up.
 func (p *Peering) Announce(ctx context.Context, notice comfreyworks.LoadNotice) {
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -60,6 +60,9 @@
 	Lease    time.Duration
 	Catalog  *catalog.Catalog
 	Balancer *balance.Balancer
+	// Candidate reports whether this process is among the first to become the
+	// holder; nil means that it is.
+	Candidate func() bool
 	// Announce tells the other gateways; nil means that there are none.
 	Announce func(ctx context.Context, notice comfreyworks.LoadNotice)
 	Log      comfreyworks.LeaseLog
@@ -82,7 +85,7 @@
 		options: options,
 		lease: lease.New(lease.Options{
 			Log: options.Log, Stream: leaseStream, Self: options.Self,
-			Duration: options.Lease, Clock: options.Clock,
+			Duration: options.Lease, Candidate: options.Candidate, Clock: options.Clock,
 		}),
 		loads: newLoads(),
 	}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -58,6 +58,10 @@
 	stopMargin = 250 * time.Millisecond
 	// forgetAfter is how long an upstream is remembered that is not listed.
 	forgetAfter = 30 * time.Second
+	// readers is how many gateways ask the sources for all, candidates how many
+	// watch the lease closely; two, so that the loss of one is not felt.
+	readers    = 2
+	candidates = 2
 	// retryShares is among how many gateways the slack of the retry budget is
 	// divided.
 	retryShares = 8
@@ -135,7 +139,8 @@
 	})
 	g.follower = follow.New(follow.Options{
 		Declarations: options.Declarations, Upstreams: options.Upstreams, Catalog: g.catalog,
-		Clock: options.Clock, Logger: options.Logger, Meter: options.Meter,
+		Reader: func() bool { return g.peering.Chosen("read", readers) },
+		Clock:  options.Clock, Logger: options.Logger, Meter: options.Meter,
 	})
 	g.peers = peer.NewClients(peer.ClientOptions{Clock: options.Clock})
 	g.peering = peering.New(peering.Options{
@@ -154,7 +159,8 @@
 		g.rollout = rollout.New(rollout.Options{
 			Self: options.Settings.ID, Lease: options.Settings.Bounds.Lease,
 			Catalog: g.catalog, Balancer: g.balancer, Announce: g.peering.Announce, Log: options.Leases, Loader: options.Loader,
-			Clock: options.Clock, Logger: options.Logger, Meter: options.Meter,
+			Candidate: func() bool { return g.peering.Chosen("rollout", candidates) },
+			Clock:     options.Clock, Logger: options.Logger, Meter: options.Meter,
 		})
 	}
 	return g
