Divide the retry budget among all gateways that were seen

Ruled out: repeats beyond a process's own share; TestEveryWindow holds each.

Change: the slack is divided by the most gateways that were known at once, eight at least, and grows over the first window of a process.

--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -74,6 +74,8 @@
 	options Options
 	mu      sync.Mutex
 	peers   map[netip.AddrPort]*peer
+	// most is the highest number of gateways that were known at once.
+	most int
 }
 
 // peer is another gateway, or an address where one may be.
@@ -290,6 +292,7 @@
 	if heardAt.After(known.heardAt) {
 		known.id, known.heardAt = id, heardAt
 	}
+	p.most = max(p.most, len(p.peers)+1)
 }
 
 func (p *Peering) silent(address netip.AddrPort, err error) {
@@ -317,6 +320,14 @@
 	return live
 }
 
+// MostSeen returns the highest number of gateways that were known at once, this
+// one included. Gateways that this one cannot reach now may still be at work.
+func (p *Peering) MostSeen() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.most
+}
+
 // Chosen reports whether this gateway is among the first n for a duty. All
 // gateways that see each other agree, and the duty moves when one is gone.
 func (p *Peering) Chosen(duty string, n int) bool {
--- a/internal/coordination/peering/peering_test.go
+++ b/internal/coordination/peering/peering_test.go
@@ -187,6 +187,14 @@
 		assert.NilError(t, n.sync(2, 0))
 		assert.DeepEqual(t, n.gateway(2).Live(), []comfreyworks.InstanceID{"g0", "g2"})
 	})
+	t.Run("the most that were seen are remembered", func(t *testing.T) {
+		n := newNetwork(3)
+		assert.NilError(t, n.sync(1, 0))
+		assert.NilError(t, n.sync(2, 0))
+		assert.Equal(t, n.gateway(2).MostSeen(), 3)
+		n.clock.Advance(time.Hour)
+		assert.Equal(t, n.gateway(2).MostSeen(), 3)
+	})
 	t.Run("a registered address is asked for a while only", func(t *testing.T) {
 		n := newNetwork(1)
 		g := n.gateway(0)
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -62,9 +62,9 @@
 	// watch the lease closely; two, so that the loss of one is not felt.
 	readers    = 2
 	candidates = 2
-	// retryShares is among how many gateways the slack of the retry budget is
-	// divided.
-	retryShares = 8
+	// leastRetryShares is the least number of gateways that the slack of the
+	// retry budget is divided among: as many may be there unseen.
+	leastRetryShares = 8
 	// headerTimeout and idleTimeout bound callers before a routing is known.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
@@ -116,11 +116,12 @@
 	peering   *peering.Peering
 	peers     *peer.Clients
 	leaving   atomic.Bool
+	startedAt time.Time
 }
 
 // New returns a gateway that does nothing until Run is called.
 func New(options Options) *Gateway {
-	g := &Gateway{options: options}
+	g := &Gateway{options: options, startedAt: options.Clock.Now()}
 	g.catalog = catalog.New(options.Clock)
 	g.holdings = holdings.New()
 	g.balancer = balance.New(balance.Options{
@@ -189,11 +190,16 @@
 	return targets
 }
 
+// retryLimit is this gateway's share of the retry budget. The slack grows from
+// nothing over the first window: the process that was here before may just have
+// spent it.
 func (g *Gateway) retryLimit() retrybudget.Limit {
 	bounds := &g.options.Settings.Bounds
-	return retrybudget.Limit{
-		Ratio: bounds.RetryRatio, Slack: float64(bounds.RetrySlack) / retryShares, Window: bounds.RetryWindow,
+	slack := float64(bounds.RetrySlack) / float64(max(g.peering.MostSeen(), leastRetryShares))
+	if age := g.options.Clock.Since(g.startedAt); age < bounds.RetryWindow {
+		slack *= float64(age) / float64(bounds.RetryWindow)
 	}
+	return retrybudget.Limit{Ratio: bounds.RetryRatio, Slack: slack, Window: bounds.RetryWindow}
 }
 
 // Run serves until ctx ends and open requests are done.
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -121,6 +121,7 @@
 		},
 		Declarations: f.source, Upstreams: f.source, Clock: f.clock, Logger: zap.NewNop(), Meter: meter.New(),
 	})
+	f.clock.Advance(f.gateway.options.Settings.Bounds.RetryWindow)
 	f.server = httptest.NewServer(f.gateway.handler())
 	t.Cleanup(f.server.Close)
 	f.learn(t)
@@ -452,6 +453,20 @@
 	}
 }
 
+// TestRetryShare is the load of gateways that are stopped and started in turn:
+// a new process must not spend again what its predecessor has spent.
+func TestRetryShare(t *testing.T) {
+	f := newFixture(t)
+	f.gateway.startedAt = f.clock.Now()
+	for _, c := range []struct {
+		advance time.Duration
+		want    float64
+	}{{0, 0}, {5 * time.Second, 6.25}, {5 * time.Second, 12.5}, {time.Hour, 12.5}} {
+		f.clock.Advance(c.advance)
+		assert.Equal(t, f.gateway.retryLimit().Slack, c.want)
+	}
+}
+
 func TestLeaving(t *testing.T) {
 	f := newFixture(t)
 	f.gateway.leaving.Store(true)
