Hand the lease of roll-outs over sooner, and hold callers to their limits

Change: a release says how long ago the last order was; three gateways look for it every 0.75 s, the others every 1.8 s. A new process waits up to 0.25 s for its first beliefs before it takes requests. Header and idle limits of the routing hold from a process's start.

Ruled out: orders of two holders at once; TestOneActs goes on holding.

--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -12,7 +12,7 @@
 //	pause, err := l.Step(ctx)       // again and again, after each pause
 //	if token, ok := l.Held(); ok {  // before each act
 //	}
-//	err = l.Release(ctx)
+//	err = l.Release(ctx, sinceLastAct)
 package lease
 
 import (
@@ -46,10 +46,10 @@
 	renewShare = 0.3
 	// watchShare is the part of the duration between two looks of a process
 	// that does not hold the lease.
-	watchShare = 0.4
+	watchShare = 0.25
 	// standbyShare is the same for a process that leaves the succession to
 	// others.
-	standbyShare = 1.0
+	standbyShare = 0.6
 )
 
 // Options configures a Lease.
@@ -70,6 +70,9 @@
 	Holder   comfreyworks.InstanceID `json:"holder"`
 	Token    uint64                  `json:"token"`
 	Released bool                    `json:"released,omitempty"`
+	// IdleMS is how long before a release the holder acted last, in
+	// milliseconds.
+	IdleMS int64 `json:"idle-ms,omitempty"`
 }
 
 // Lease is one process's view of a lease. It is safe for concurrent use; Step
@@ -109,7 +112,7 @@
 	token, end, unsure := l.token, l.end, l.unsure
 	l.mu.Unlock()
 	if token != 0 && !unsure {
-		return l.pause(renewShare), l.append(ctx, end, token, false)
+		return l.pause(renewShare), l.append(ctx, end, record{Token: token})
 	}
 	return l.look(ctx)
 }
@@ -141,12 +144,15 @@
 	}
 	l.unsure = false
 	token, waited := l.token, now.Sub(l.seenAt)
+	if newest.Released {
+		waited += time.Duration(newest.IdleMS) * time.Millisecond
+	}
 	l.mu.Unlock()
 	switch {
 	case token != 0:
 		return 0, nil
 	case data == nil || ours || waited >= l.options.Duration:
-		return l.pause(renewShare), l.append(ctx, end, uint64(end)+1, false)
+		return l.pause(renewShare), l.append(ctx, end, record{Token: uint64(end) + 1})
 	default:
 		if l.options.Candidate != nil && !l.options.Candidate() {
 			return l.pause(standbyShare), nil
@@ -156,8 +162,9 @@
 }
 
 // append writes a record behind a known end of the log.
-func (l *Lease) append(ctx context.Context, at comfreyworks.Offset, token uint64, released bool) error {
-	data, err := json.Marshal(record{Holder: l.options.Self, Token: token, Released: released})
+func (l *Lease) append(ctx context.Context, at comfreyworks.Offset, mark record) error {
+	mark.Holder = l.options.Self
+	data, err := json.Marshal(mark)
 	if err != nil {
 		return &Error{Op: "append", Kind: KindRecord, Err: err}
 	}
@@ -173,14 +180,14 @@
 		l.token, l.unsure = 0, false
 		return nil
 	}
-	l.token, l.renewedAt, l.unsure = token, sentAt, false
+	l.token, l.renewedAt, l.unsure = mark.Token, sentAt, false
 	l.end, l.seenAt, l.seen = at+1, l.options.Clock.Now(), true
 	return nil
 }
 
-// Release gives the lease up, if it is held. Others still wait for its
-// duration, because an act of this process may be on its way.
-func (l *Lease) Release(ctx context.Context) error {
+// Release gives the lease up, if it is held. Others still wait for its duration
+// from the last act, which was idle ago: that act may be on its way.
+func (l *Lease) Release(ctx context.Context, idle time.Duration) error {
 	l.mu.Lock()
 	token, end := l.token, l.end
 	l.token = 0
@@ -188,7 +195,7 @@
 	if token == 0 {
 		return nil
 	}
-	err := l.append(ctx, end, token, true)
+	err := l.append(ctx, end, record{Token: token, Released: true, IdleMS: idle.Milliseconds()})
 	l.mu.Lock()
 	l.token = 0
 	l.mu.Unlock()
--- a/internal/coordination/lease/lease_test.go
+++ b/internal/coordination/lease/lease_test.go
@@ -138,7 +138,7 @@
 		f := newFixture()
 		a, b := f.lease("a"), f.lease("b")
 		step(a)
-		assert.NilError(t, a.Release(context.Background()))
+		assert.NilError(t, a.Release(context.Background(), 0))
 		expectHeld(t, a, false)
 		step(b)
 		expectHeld(t, b, false)
@@ -148,6 +148,28 @@
 	})
 }
 
+// TestHandOver is the load of gateways that are stopped in turn: one that has not
+// acted for a while leaves nothing to wait for.
+func TestHandOver(t *testing.T) {
+	for idle, wait := range map[time.Duration]time.Duration{0: duration, time.Second: duration - time.Second, time.Hour: 0} {
+		t.Run(idle.String(), func(t *testing.T) {
+			f := newFixture()
+			a, b := f.lease("a"), f.lease("b")
+			step(a)
+			assert.NilError(t, a.Release(context.Background(), idle))
+			if wait > 0 {
+				step(b)
+				f.clock.Advance(wait - time.Millisecond)
+				step(b)
+				expectHeld(t, b, false)
+				f.clock.Advance(time.Millisecond)
+			}
+			step(b)
+			expectHeld(t, b, true)
+		})
+	}
+}
+
 func TestLostAnswers(t *testing.T) {
 	t.Run("of an acquisition", func(t *testing.T) {
 		f := newFixture()
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -77,6 +78,8 @@
 	options Options
 	lease   *lease.Lease
 	loads   loads
+	// orderedAt is when the last order was sent.
+	orderedAt atomic.Pointer[time.Time]
 }
 
 // New returns a rollout that does nothing until Run is called.
@@ -135,12 +138,20 @@
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := r.lease.Release(call); err != nil {
+	if err := r.lease.Release(call, r.idle()); err != nil {
 		r.options.Logger.Warn("lease not released", zap.Error(err))
 	}
 	return nil
 }
 
+// idle is the time since the last order.
+func (r *Rollout) idle() time.Duration {
+	if at := r.orderedAt.Load(); at != nil {
+		return r.options.Clock.Since(*at)
+	}
+	return r.options.Lease
+}
+
 // plan starts as many loads as may run at once.
 func (r *Rollout) plan(ctx context.Context, group *errgroup.Group, token uint64) {
 	table, _ := r.options.Catalog.Routing()
@@ -265,6 +276,8 @@
 		return comfreyworks.LoadFenced, nil
 	}
 	r.options.Meter.Count("comfrey_load_orders_total", meter.Labels{}, 1)
+	now := r.options.Clock.Now()
+	r.orderedAt.Store(&now)
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	return r.options.Loader.Load(ctx, order)
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -56,12 +56,17 @@
 	stopNotice = 2300 * time.Millisecond
 	// stopMargin is what is left of the stop grace when everything is closed.
 	stopMargin = 250 * time.Millisecond
+	// startWait is how long a new process waits for its first beliefs before it
+	// takes requests, a few answers of a store that works; startPoll is the
+	// pause between two looks.
+	startWait = 250 * time.Millisecond
+	startPoll = 5 * time.Millisecond
 	// forgetAfter is how long an upstream is remembered that is not listed.
 	forgetAfter = 30 * time.Second
 	// readers is how many gateways ask the sources for all, candidates how many
-	// watch the lease closely; two, so that the loss of one is not felt.
+	// watch the lease closely, so that the loss of one is not felt.
 	readers    = 2
-	candidates = 2
+	candidates = 3
 	// leastRetryShares is the least number of gateways that the slack of the
 	// retry budget is divided among: as many may be there unseen.
 	leastRetryShares = 8
@@ -209,7 +214,11 @@
 	group, work := errgroup.WithContext(work)
 	requests := g.server(g.handler())
 	pages := g.server(g.readyHandler())
-	group.Go(func() error { return serve(requests, listeners.Requests) })
+	group.Go(func() error {
+		g.awaitBeliefs(work)
+		g.limitCallers(requests)
+		return serve(requests, listeners.Requests)
+	})
 	group.Go(func() error { return serve(pages, listeners.Ready) })
 	if listeners.Metrics != nil {
 		metrics := g.server(g.metricsHandler())
@@ -247,6 +256,37 @@
 	return err
 }
 
+// awaitBeliefs waits shortly for the first routing and upstreams. Connections
+// that come meanwhile wait too, which takes less time than coming again.
+func (g *Gateway) awaitBeliefs(ctx context.Context) {
+	until := g.options.Clock.Now().Add(startWait)
+	for ctx.Err() == nil && g.options.Clock.Now().Before(until) {
+		if table, _ := g.catalog.Routing(); table != nil && !g.catalog.UpstreamsProven().IsZero() {
+			return
+		}
+		g.options.Clock.Sleep(startPoll)
+	}
+}
+
+// limitCallers sets what the routing says of callers. The limits of a server
+// hold from its start on; a later change takes a restart.
+func (g *Gateway) limitCallers(server *http.Server) {
+	table, _ := g.catalog.Routing()
+	if table == nil {
+		return
+	}
+	limits := table.Limits()
+	if limits.HeaderBytes > 0 {
+		server.MaxHeaderBytes = limits.HeaderBytes
+	}
+	if limits.HeaderTimeout > 0 {
+		server.ReadHeaderTimeout = limits.HeaderTimeout
+	}
+	if limits.IdleTimeout > 0 {
+		server.IdleTimeout = limits.IdleTimeout
+	}
+}
+
 func serve(server *http.Server, listener net.Listener) error {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return &Error{Op: "serve", Kind: KindServe, Err: err}
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -467,6 +467,69 @@
 	}
 }
 
+func TestCallerLimits(t *testing.T) {
+	f := newFixture(t)
+	f.source.change(func(s *source) {
+		s.routing.Limits = comfreyworks.CallerLimits{HeaderBytes: 1000, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	})
+	f.learn(t)
+	server := f.gateway.server(f.gateway.handler())
+	f.gateway.limitCallers(server)
+	assert.Equal(t, server.ReadHeaderTimeout, 3*time.Second)
+	assert.Equal(t, server.IdleTimeout, 15*time.Second)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var group errgroup.Group
+	group.Go(func() error { return serve(server, listener) })
+	r := f.request(t, http.MethodPost, "/book/1", "")
+	r.URL.Host = listener.Addr().String()
+	r.Header.Set("X-Own", strings.Repeat("x", 10_000))
+	assert.Equal(t, f.do(t, r).StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	r.Header.Set("X-Own", "x")
+	assert.Equal(t, f.do(t, r).StatusCode, http.StatusOK)
+	assert.NilError(t, server.Close())
+	assert.NilError(t, group.Wait())
+}
+
+// TestFullLife starts a gateway on listeners, uses it and stops it.
+func TestFullLife(t *testing.T) {
+	f := newFixture(t)
+	options := f.gateway.options
+	options.Clock = clockwork.NewRealClock()
+	options.Settings.Bounds.StopGrace = stopNotice + time.Second
+	g := New(options)
+	listeners := Listeners{Requests: listen(t), Ready: listen(t), Metrics: listen(t), Peers: listen(t)}
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return g.Run(ctx, listeners) })
+	get := func(l net.Listener, path string) int {
+		resp, err := http.Get("http://" + l.Addr().String() + path)
+		if err != nil {
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	waitFor(t, func() bool { return get(listeners.Ready, "/ready") == http.StatusOK })
+	r := f.request(t, http.MethodPost, "/book/1", "text")
+	r.URL.Host = listeners.Requests.Addr().String()
+	assert.Equal(t, f.do(t, r).StatusCode, http.StatusOK)
+	assert.Equal(t, get(listeners.Metrics, "/metrics"), http.StatusOK)
+	stop()
+	waitFor(t, func() bool { return get(listeners.Ready, "/ready") == http.StatusServiceUnavailable })
+	r = f.request(t, http.MethodPost, "/book/1", "text")
+	r.URL.Host = listeners.Requests.Addr().String()
+	assert.Equal(t, f.do(t, r).StatusCode, http.StatusOK, "still served while the balancer has not noticed")
+	assert.NilError(t, group.Wait())
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return listener
+}
+
 func TestLeaving(t *testing.T) {
 	f := newFixture(t)
 	f.gateway.leaving.Store(true)
