Refuse a trace that names what the deployment lacks

Cause: bench run and compare refused every request of such a trace and exited 0.

Ruled out: an error for traces with faults only, or generated ones; all of internal/bench passes.

Change: an error names the file and line, what was found and what is missing.

--- a/internal/bench/experiment/experiment.go
+++ b/internal/bench/experiment/experiment.go
@@ -115,6 +115,9 @@
 	if err != nil {
 		return Result{}, err
 	}
+	if err := options.Trace.Check(deployment); err != nil {
+		return Result{}, err
+	}
 	rigOptions := rig.Options{
 		Deployment: deployment,
 		Entries:    entries,
--- a/internal/bench/trace/trace.go
+++ b/internal/bench/trace/trace.go
@@ -35,6 +35,7 @@
 	"time"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/settings"
 )
 
 // Kind classifies the errors of this package.
@@ -44,6 +45,8 @@
 const (
 	KindSyntax Kind = "syntax"
 	KindWrite  Kind = "write"
+	// KindUndeclared means that a trace names what a deployment lacks.
+	KindUndeclared Kind = "not declared"
 )
 
 // Error is the error type of this package.
@@ -133,6 +136,10 @@
 	Fault  FaultName `json:"fault,omitempty"`
 	Target string    `json:"target,omitempty"`
 	For    Duration  `json:"for,omitempty"`
+
+	// Origin is the file and the number of the line; empty when the trace was
+	// generated.
+	Origin string `json:"-"`
 }
 
 // IsFault reports whether the line is a fault.
@@ -180,6 +187,7 @@
 		if err != nil {
 			return nil, &Error{Op: fmt.Sprintf("%s:%d", file, number), Kind: KindSyntax, Err: err}
 		}
+		line.Origin = fmt.Sprintf("%s:%d", file, number)
 		t = append(t, line)
 	}
 	if err := scanner.Err(); err != nil {
@@ -189,6 +197,37 @@
 	return t, nil
 }
 
+// Check holds a trace against a deployment. A trace that names what the
+// deployment lacks would measure nothing but refusals.
+func (t Trace) Check(deployment *settings.Deployment) error {
+	for i := range t {
+		if err := t[i].check(deployment); err != nil {
+			return &Error{Op: cmp.Or(t[i].Origin, "generated trace"), Kind: KindUndeclared, Err: err}
+		}
+	}
+	return nil
+}
+
+func (l *Line) check(deployment *settings.Deployment) error {
+	if l.IsFault() {
+		return nil
+	}
+	workspace := slices.IndexFunc(deployment.Workspaces, func(w settings.Workspace) bool { return w.Name == l.Workspace })
+	pool := slices.IndexFunc(deployment.Pools, func(p settings.Pool) bool { return p.Name == l.Pool })
+	switch {
+	case workspace < 0:
+		return fmt.Errorf("workspace: found %q, which the deployment does not declare", l.Workspace)
+	case !slices.Contains(deployment.Workspaces[workspace].Classes, l.Class):
+		return fmt.Errorf("class: found %q, which workspace %q may not use", l.Class, l.Workspace)
+	case pool < 0:
+		return fmt.Errorf("pool: found %q, which the deployment does not declare", l.Pool)
+	case !l.IsCall() && !slices.Contains(deployment.Pools[pool].Models, l.Model):
+		return fmt.Errorf("model: found %q, which pool %q does not serve", l.Model, l.Pool)
+	default:
+		return nil
+	}
+}
+
 func parse(text []byte) (Line, error) {
 	decoder := json.NewDecoder(bytes.NewReader(text))
 	decoder.DisallowUnknownFields()
--- a/internal/bench/trace/trace_test.go
+++ b/internal/bench/trace/trace_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"comfreyworks/examples"
+	"comfreyworks/internal/state/settings"
 )
 
 func TestRead(t *testing.T) {
@@ -36,6 +39,32 @@
 	}
 }
 
+// TestCheck expects the line of a trace that names what a deployment lacks.
+func TestCheck(t *testing.T) {
+	deployment, err := settings.ReadDeployment("piedmont.jsonc", examples.Piedmont)
+	assert.NilError(t, err)
+	const good = `{"at":"1s","workspace":"office","class":"note","model":"oak-12b","tail-tokens":1,"output-tokens":1,"pool":"lm-pool"}`
+	cases := map[string]struct{ from, to, expected string }{
+		"good":              {"", "", ""},
+		"unknown workspace": {`"office"`, `"nobody"`, `t.jsonl:2: not declared: workspace: found "nobody"`},
+		"unknown class":     {`"note"`, `"poem"`, `class: found "poem"`},
+		"unknown pool":      {`"lm-pool"`, `"none"`, `pool: found "none"`},
+		"unknown model":     {`"oak-12b"`, `"ash"`, `model: found "ash"`},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			trace, err := Read("t.jsonl", strings.NewReader(good+"\n"+strings.Replace(good, c.from, c.to, 1)))
+			assert.NilError(t, err)
+			err = trace.Check(deployment)
+			if c.expected == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorContains(t, err, c.expected)
+		})
+	}
+}
+
 func TestGenerate(t *testing.T) {
 	for _, profile := range Profiles() {
 		t.Run(string(profile), func(t *testing.T) {
