Tell a slow engine from one that is down

Cause: TestThousandStreams failed beside load: a question for an engine's load ran out of its 2 s and every new request was refused, upstream-down, though tokens came from the engine all the while.

Ruled out: a broken connection (a refused one still counts at once).

Change: an engine that answered anything within the time of a call is slow, not down. TestSlowIsNotDown failed before.

--- a/internal/coordination/tracker/tracker.go
+++ b/internal/coordination/tracker/tracker.go
@@ -65,6 +65,8 @@
 	index   *residency.Index
 	load    comfreyworks.EngineLoad
 	down    bool
+	// heardAt is when the engine last answered anything.
+	heardAt time.Time
 	leaving bool
 	resync  time.Time
 	work    map[*Work]struct{}
@@ -132,11 +134,14 @@
 	defer cancel()
 	load, err := t.options.Engine.Load(ctx)
 	if err != nil {
-		t.failed()
+		if ctx.Err() == nil || !t.heardLately() {
+			t.failed()
+		}
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.heardAt = t.options.Clock.Now()
 	if t.down {
 		t.options.Logger.Info("upstream answers", zap.Uint64("incarnation", uint64(load.Incarnation)))
 	}
@@ -151,6 +156,14 @@
 	t.load = load
 }
 
+// heardLately reports whether the engine answered anything within the time that
+// a call may take. Such an engine is slow, and not down.
+func (t *Tracker) heardLately() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.options.Clock.Since(t.heardAt) < callTimeout
+}
+
 // Doubt asks for a look at the engine now, because a request to it failed. One
 // broken connection does not make an engine dead: if it did, a burst that
 // overruns a few connections would turn everything away from a healthy engine,
@@ -234,6 +247,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	index.Apply(events)
+	t.heardAt = t.options.Clock.Now()
 	if len(events.Events) > 0 {
 		t.touch()
 	}
--- a/internal/coordination/tracker/tracker_test.go
+++ b/internal/coordination/tracker/tracker_test.go
@@ -175,3 +175,36 @@
 		assert.Equal(t, s.prefillTime(), before)
 	})
 }
+
+// TestSlowIsNotDown lets questions about the load run out of time: an engine
+// that answers other calls meanwhile is slow, and turning everything away from
+// it would help nobody.
+func TestSlowIsNotDown(t *testing.T) {
+	timedOut := func() context.Context {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		return ctx
+	}
+	t.Run("while tokens come", func(t *testing.T) {
+		f := newFixture()
+		work := f.tracker.Begin("r1", chain(64))
+		f.clock.Advance(callTimeout)
+		work.FirstToken()
+		f.engine.err = context.DeadlineExceeded
+		f.tracker.Refresh(timedOut())
+		assert.Assert(t, !f.tracker.Down())
+	})
+	t.Run("not when nothing comes", func(t *testing.T) {
+		f := newFixture()
+		f.clock.Advance(callTimeout)
+		f.engine.err = context.DeadlineExceeded
+		f.tracker.Refresh(timedOut())
+		assert.Assert(t, f.tracker.Down())
+	})
+	t.Run("not when the engine refuses the connection", func(t *testing.T) {
+		f := newFixture()
+		f.engine.err = errors.New("connection refused")
+		f.tracker.Refresh(context.Background())
+		assert.Assert(t, f.tracker.Down())
+	})
+}
--- a/internal/coordination/tracker/work.go
+++ b/internal/coordination/tracker/work.go
@@ -68,11 +68,12 @@
 	t := w.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.options.Clock.Now()
+	t.heardAt = now
 	if w.started {
 		return
 	}
 	w.started = true
-	now := t.options.Clock.Now()
 	w.prefill = now.Sub(t.busySince(w))
 	t.lastPrefill = now
 	t.forget(w)
