Bound who follows an engine's cache, and what is remembered of it

Cause: an engine lets twelve questions for cache events wait and charges for the rest; 24 gateways asked all 44 engines. Gateways that do not follow an engine would remember its parts for ever.

Change: an engine is followed by three quarters of what it bears, chosen by rendezvous hashing; an engine's parts are bounded, the oldest go first.

--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -218,6 +218,9 @@
 type Store struct {
 	ID comfreyworks.InstanceID
 	comfreyworks.CacheStore
+	// Readers is how many processes may follow it at once; zero means any
+	// number.
+	Readers int
 }
 
 // Stores returns the stores of kept KV cache that are declared.
@@ -229,7 +232,8 @@
 	var stores []Store
 	for _, pool := range table.Declared().Pools {
 		if pool.Store != nil {
-			stores = append(stores, Store{ID: comfreyworks.InstanceID("store/" + string(pool.Name)), CacheStore: *pool.Store})
+			id := comfreyworks.InstanceID("store/" + string(pool.Name))
+			stores = append(stores, Store{ID: id, CacheStore: *pool.Store, Readers: pool.CacheReaders})
 		}
 	}
 	return stores
--- a/internal/state/holdings/holdings.go
+++ b/internal/state/holdings/holdings.go
@@ -15,6 +15,8 @@
 	"strconv"
 	"sync"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"comfreyworks"
 )
 
@@ -22,6 +24,10 @@
 // if less than a block of it is missing.
 const blockTokens = 16
 
+// maxParts bounds the parts that are remembered of one engine: more than fit
+// into its memory, for engines whose evictions are not followed.
+const maxParts = 4096
+
 // Part is one part of a prompt that an engine holds.
 type Part struct {
 	Salt   string
@@ -41,14 +47,15 @@
 type Index struct {
 	mu      sync.RWMutex
 	holders map[key]map[comfreyworks.InstanceID]int
-	held    map[comfreyworks.InstanceID]map[key]struct{}
+	// held are the parts of each engine, those added last first.
+	held map[comfreyworks.InstanceID]*simplelru.LRU[key, struct{}]
 }
 
 // New returns an index that knows nothing.
 func New() *Index {
 	return &Index{
 		holders: make(map[key]map[comfreyworks.InstanceID]int),
-		held:    make(map[comfreyworks.InstanceID]map[key]struct{}),
+		held:    make(map[comfreyworks.InstanceID]*simplelru.LRU[key, struct{}]),
 	}
 }
 
@@ -71,10 +78,24 @@
 		x.holders[k] = make(map[comfreyworks.InstanceID]int)
 	}
 	x.holders[k][engine] = part.Tokens
+	x.partsOf(engine).Add(k, struct{}{})
+}
+
+// partsOf returns the parts of an engine; the oldest go when there are too many.
+func (x *Index) partsOf(engine comfreyworks.InstanceID) *simplelru.LRU[key, struct{}] {
 	if x.held[engine] == nil {
-		x.held[engine] = make(map[key]struct{})
+		// The only error is a size below one.
+		x.held[engine], _ = simplelru.NewLRU(maxParts, func(k key, _ struct{}) { x.drop(engine, k) })
+	}
+	return x.held[engine]
+}
+
+// drop forgets that an engine holds a part.
+func (x *Index) drop(engine comfreyworks.InstanceID, k key) {
+	delete(x.holders[k], engine)
+	if len(x.holders[k]) == 0 {
+		delete(x.holders, k)
 	}
-	x.held[engine][k] = struct{}{}
 }
 
 // Remove records that an engine holds nothing of a part any more.
@@ -85,19 +106,17 @@
 }
 
 func (x *Index) remove(engine comfreyworks.InstanceID, k key) {
-	delete(x.holders[k], engine)
-	if len(x.holders[k]) == 0 {
-		delete(x.holders, k)
+	if parts := x.held[engine]; parts != nil {
+		parts.Remove(k)
 	}
-	delete(x.held[engine], k)
 }
 
 // Forget records that nothing is known about an engine.
 func (x *Index) Forget(engine comfreyworks.InstanceID) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for k := range x.held[engine] {
-		x.remove(engine, k)
+	if parts := x.held[engine]; parts != nil {
+		parts.Purge()
 	}
 	delete(x.held, engine)
 }
--- a/internal/state/holdings/holdings_test.go
+++ b/internal/state/holdings/holdings_test.go
@@ -1,6 +1,7 @@
 package holdings
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -58,3 +59,14 @@
 		assert.Equal(t, len(index.holders), 0)
 	})
 }
+
+// TestBound adds parts of an engine that never tells what it evicts.
+func TestBound(t *testing.T) {
+	index := New()
+	for i := range 2 * maxParts {
+		index.Add("e1", Part{Salt: "s", Model: model, ID: fmt.Sprint(i), Tokens: 100})
+	}
+	assert.Equal(t, len(index.holders), maxParts)
+	last := []comfreyworks.PromptPart{{ID: fmt.Sprint(2*maxParts - 1), Tokens: 100}}
+	assert.Equal(t, index.Prefix("s", model, last)["e1"], 100)
+}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -67,6 +67,9 @@
 	// watch the lease closely, so that the loss of one is not felt.
 	readers    = 2
 	candidates = 3
+	// watchShare is the part of an engine's followers that gateways make up; the
+	// rest is for questions that still wait there when gateways change.
+	watchShare = 0.75
 	// leastRetryShares is the least number of gateways that the slack of the
 	// retry budget is divided among: as many may be there unseen.
 	leastRetryShares = 8
@@ -172,7 +175,9 @@
 	return g
 }
 
-// engines are the live upstreams whose caches are worth following.
+// engines are the live engines and the stores whose caches this gateway follows.
+// An engine bears a number of followers only; where there are more gateways,
+// each engine is followed by some, and the others know what they sent there.
 func (g *Gateway) engines() []watch.Target {
 	table, _ := g.catalog.Routing()
 	if table == nil {
@@ -184,17 +189,27 @@
 			continue
 		}
 		for _, upstream := range g.catalog.Upstreams(pool.Name) {
-			if upstream.State == comfreyworks.InstanceLive {
+			if upstream.State == comfreyworks.InstanceLive && g.follows(upstream.ID, pool.CacheReaders) {
 				targets = append(targets, watch.Target{ID: upstream.ID, Address: upstream.Address})
 			}
 		}
 	}
 	for _, store := range g.catalog.Stores() {
-		targets = append(targets, watch.Target{ID: store.ID, Address: store.Address})
+		if g.follows(store.ID, store.Readers) {
+			targets = append(targets, watch.Target{ID: store.ID, Address: store.Address})
+		}
 	}
 	return targets
 }
 
+// follows reports whether this gateway is among those that follow an engine.
+func (g *Gateway) follows(id comfreyworks.InstanceID, readers int) bool {
+	if readers == 0 {
+		return true
+	}
+	return g.peering.Chosen("watch/"+string(id), max(int(watchShare*float64(readers)), 1))
+}
+
 // retryLimit is this gateway's share of the retry budget. The slack grows from
 // nothing over the first window: the process that was here before may just have
 // spent it.
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -467,6 +467,35 @@
 	}
 }
 
+// TestFollowers is the load of many gateways on few engines: no engine gets more
+// followers than it bears, and each has some.
+func TestFollowers(t *testing.T) {
+	const gateways, readers = 30, 12
+	f := newFixture(t)
+	f.source.change(func(s *source) { s.routing.Pools[0].CacheReaders = readers })
+	followers := make(map[comfreyworks.InstanceID]int)
+	for i := range gateways {
+		options := f.gateway.options
+		options.Settings.ID = comfreyworks.InstanceID(fmt.Sprint("g", i))
+		options.Settings.PeerListen = netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1))
+		g := New(options)
+		assert.NilError(t, g.follower.Ask(context.Background()))
+		for j := range gateways {
+			g.peering.Answer(comfreyworks.GatewayState{Self: comfreyworks.GatewayPeer{
+				ID:      comfreyworks.InstanceID(fmt.Sprint("g", j)),
+				Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(j+1)),
+			}})
+		}
+		for _, target := range g.engines() {
+			followers[target.ID]++
+		}
+	}
+	assert.Equal(t, len(followers), len(f.engines))
+	for id, n := range followers {
+		assert.Equal(t, n, 9, "%s", id)
+	}
+}
+
 func TestCallerLimits(t *testing.T) {
 	f := newFixture(t)
 	f.source.change(func(s *source) {
--- a/routing.go
+++ b/routing.go
@@ -66,6 +66,9 @@
 	Models []Model
 	// CacheTokens is the KV memory of one engine, in tokens.
 	CacheTokens int
+	// CacheReaders is how many processes may follow the cache of one engine or
+	// store at once; zero means that there is no bound.
+	CacheReaders int
 	// Store is set for a store of kept KV cache, which takes no requests.
 	Store *CacheStore
 }
