Let each gateway spend seven tenths of the retry ratio

Three gateways were stopped in turn during a burst; each kept to its own last ten seconds, but these ended at different times and covered more than one window of the rule.

Ruled out: attempts that are not counted (244 repeats in the logs, 244 seen).

Change: a process spends 0.7 of the ratio, and the slack is divided by the gateways seen and two more. TestTrafficMoves failed before (255 of 254).

--- a/internal/state/retrybudget/retrybudget.go
+++ b/internal/state/retrybudget/retrybudget.go
@@ -33,6 +33,17 @@
 	Window time.Duration
 }
 
+// ratioShare is the part of the ratio that each of several processes spends. When
+// traffic moves from one to another, their windows end at different times and
+// together cover half as much again as one window.
+const ratioShare = 0.7
+
+// Share returns what one of a number of processes may spend of a limit, so that
+// together they stay within it.
+func (l Limit) Share(processes int) Limit {
+	return Limit{Ratio: ratioShare * l.Ratio, Slack: l.Slack / float64(processes), Window: l.Window}
+}
+
 // Budget counts requests and repeats. It is safe for concurrent use.
 type Budget struct {
 	clock comfreyworks.Clock
--- a/internal/state/retrybudget/retrybudget_test.go
+++ b/internal/state/retrybudget/retrybudget_test.go
@@ -84,3 +84,42 @@
 	}
 	return n
 }
+
+// TestTrafficMoves is the load of gateways that are stopped in turn while most
+// requests fail: the requests of one move to the next, and each spends what it
+// may. Together they must stay within the limit in every window, measured
+// against the requests of that window, the one before it or half a window before.
+func TestTrafficMoves(t *testing.T) {
+	const processes, step, perStep = 4, 50 * time.Millisecond, 5
+	limit := Limit{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+	clock := clockwork.NewFakeClockAt(time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC))
+	var budgets []*Budget
+	for range processes {
+		budgets = append(budgets, New(clock, limit.Share(processes+2)))
+	}
+	var requests, repeats []time.Time
+	for at := time.Duration(0); at < 40*time.Second; at += step {
+		clock.Advance(step)
+		// From the tenth second on a process leaves every 1.5 s.
+		left := max(int((at-10*time.Second)/(1500*time.Millisecond))+1, 0)
+		active := budgets[min(left, processes-1):]
+		for i := range perStep {
+			b := active[i%len(active)]
+			b.Earn()
+			requests = append(requests, clock.Now())
+			if at > 8*time.Second && b.Spend() {
+				repeats = append(repeats, clock.Now())
+			}
+		}
+	}
+	for _, end := range repeats {
+		start := end.Add(-limit.Window)
+		most := 0
+		for _, shift := range []time.Duration{0, limit.Window / 2, limit.Window} {
+			most = max(most, within(requests, start.Add(-shift), end.Add(-shift)))
+		}
+		allowed := int(limit.Ratio*float64(most) + limit.Slack)
+		n := within(repeats, start, end)
+		assert.Assert(t, n <= allowed, "%d repeats up to %s, %d allowed", n, end, allowed)
+	}
+}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -70,9 +70,10 @@
 	// watchShare is the part of an engine's followers that gateways make up; the
 	// rest is for questions that still wait there when gateways change.
 	watchShare = 0.75
-	// leastRetryShares is the least number of gateways that the slack of the
-	// retry budget is divided among: as many may be there unseen.
-	leastRetryShares = 8
+	// unseenGateways is for how many gateways more than were ever seen the retry
+	// budget is divided, and leastRetryShares the least number it is divided by.
+	unseenGateways   = 2
+	leastRetryShares = 6
 	// headerTimeout and idleTimeout bound callers before a routing is known.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
@@ -215,11 +216,12 @@
 // spent it.
 func (g *Gateway) retryLimit() retrybudget.Limit {
 	bounds := &g.options.Settings.Bounds
-	slack := float64(bounds.RetrySlack) / float64(max(g.peering.MostSeen(), leastRetryShares))
+	limit := retrybudget.Limit{Ratio: bounds.RetryRatio, Slack: float64(bounds.RetrySlack), Window: bounds.RetryWindow}
+	limit = limit.Share(max(g.peering.MostSeen()+unseenGateways, leastRetryShares))
 	if age := g.options.Clock.Since(g.startedAt); age < bounds.RetryWindow {
-		slack *= float64(age) / float64(bounds.RetryWindow)
+		limit.Slack *= float64(age) / float64(bounds.RetryWindow)
 	}
-	return retrybudget.Limit{Ratio: bounds.RetryRatio, Slack: slack, Window: bounds.RetryWindow}
+	return limit
 }
 
 // Run serves until ctx ends and open requests are done.
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -116,7 +116,7 @@
 		Settings: comfreyworks.GatewaySettings{
 			ID: "g0", ReadyPath: "/ready", Headers: f.names,
 			Bounds: comfreyworks.GatewayBounds{
-				KeyRevocation: 5 * time.Second, StopGrace: 8 * time.Second, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second,
+				KeyRevocation: 5 * time.Second, StopGrace: 8 * time.Second, RetryRatio: 2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 			},
 		},
 		Declarations: f.source, Upstreams: f.source, Clock: f.clock, Logger: zap.NewNop(), Meter: meter.New(),
@@ -461,7 +461,7 @@
 	for _, c := range []struct {
 		advance time.Duration
 		want    float64
-	}{{0, 0}, {5 * time.Second, 6.25}, {5 * time.Second, 12.5}, {time.Hour, 12.5}} {
+	}{{0, 0}, {5 * time.Second, 50. / 6}, {5 * time.Second, 100. / 6}, {time.Hour, 100. / 6}} {
 		f.clock.Advance(c.advance)
 		assert.Equal(t, f.gateway.retryLimit().Slack, c.want)
 	}
