Let a queue count towards the patience with an upstream

Cause: in a burst, requests that may run again were given up as unanswered after twice their objective while they waited in a queue, and sent to another one.

Change: the time that an engine takes to read what waits there is added. TestPatience names the load.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -164,6 +164,8 @@
 	Weights comfreyworks.WeightsRevision
 	// Candidates is the number of upstreams that were considered.
 	Candidates int
+	// Wait is how long the engine takes to read what waits there.
+	Wait time.Duration
 	// Held is how many tokens of the prompt the engine is believed to hold.
 	Held int
 	// ImportFrom holds more of the prompt, Importable tokens of it; it may not
@@ -218,6 +220,7 @@
 	c.endpoint.unread += unread
 	return &Pick{
 		Upstream: *c.upstream, Weights: c.weights, Candidates: candidates, Held: c.held,
+		Wait:     time.Duration(c.unread) * prefillTime,
 		balancer: b, endpoint: c.endpoint, query: query, unread: unread,
 	}
 }
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -40,13 +40,14 @@
 }
 
 // patience is how long to wait for the first sign of an answer before the
-// request goes elsewhere; zero means as long as the request has time.
+// request goes elsewhere; zero means as long as the request has time. A queue is
+// no silence: leaving it would only make another one longer.
 func (a *attempt) patience() time.Duration {
 	route := a.request.Route
 	if !route.Repeatable() || a.runs+1 >= route.MaxAttempts {
 		return 0
 	}
-	return max(patienceFactor*route.Objective, leastPatience)
+	return max(patienceFactor*(route.Objective+a.pick.Wait), leastPatience)
 }
 
 // eventPatience is how long to wait for each further event of a stream.
--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -289,6 +289,28 @@
 	})
 }
 
+// TestPatience is the load of a burst: requests that wait in a queue must not be
+// sent a second time for that.
+func TestPatience(t *testing.T) {
+	cases := map[string]struct {
+		route *comfreyworks.Route
+		wait  time.Duration
+		want  time.Duration
+	}{
+		"idle upstream":        {route(comfreyworks.RouteIdempotent, 2, false), 0, 600 * time.Millisecond},
+		"with a queue":         {route(comfreyworks.RouteIdempotent, 2, false), 2 * time.Second, 4600 * time.Millisecond},
+		"may not run again":    {route(comfreyworks.RouteNonIdempotent, 2, false), 0, 0},
+		"no other run allowed": {route(comfreyworks.RouteIdempotent, 1, false), 0, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			a := &attempt{journey: &journey{Forwarder: f.forwarder, request: f.request(c.route)}, pick: &balance.Pick{Wait: c.wait}}
+			assert.Equal(t, a.patience(), c.want)
+		})
+	}
+}
+
 func TestInstructions(t *testing.T) {
 	f := newFixture(ok("x"))
 	request := f.request(route(comfreyworks.RouteNonIdempotent, 1, false))
