--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -110,7 +110,7 @@
 	var lostAt time.Time
 	for ctx.Err() == nil {
 		if f.leaves(&q) {
-			f.sleep(ctx, idleInterval)
+			comfreyworks.Pause(ctx, f.options.Clock, idleInterval)
 			continue
 		}
 		err := q.ask(ctx)
@@ -130,21 +130,12 @@
 			lostAt = time.Time{}
 		}
 		if wait > 0 {
-			f.sleep(ctx, wait)
+			comfreyworks.Pause(ctx, f.options.Clock, wait)
 		}
 	}
 	return nil
 }
 
-func (f *Follower) sleep(ctx context.Context, d time.Duration) {
-	timer := f.options.Clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-	case <-ctx.Done():
-	}
-}
-
 func (f *Follower) askDeclarations(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, declarationWait+answerTimeout)
 	defer cancel()
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -185,7 +185,7 @@
 	}
 }
 
-func (a *attempt) log(next step) {
+func (a *attempt) log() {
 	a.options.Logger.Info("attempt",
 		zap.String("request", string(a.request.Message.ID)),
 		zap.String("route", a.request.Route.Name),
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -280,7 +280,7 @@
 	j.tried = append(j.tried, pick.Upstream.ID)
 	a := &attempt{journey: j, pick: pick, startedAt: j.options.Clock.Now()}
 	outcome, next := a.run(ctx)
-	a.log(next)
+	a.log()
 	return outcome, next
 }
 
--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -15,8 +15,8 @@
 package peering
 
 import (
-	"cmp"
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -107,7 +107,7 @@
 	group.Go(func() error {
 		for {
 			p.reconcile(ctx, group)
-			if !p.sleep(ctx, reconcileInterval) {
+			if !comfreyworks.Pause(ctx, p.options.Clock, reconcileInterval) {
 				return nil
 			}
 		}
@@ -115,18 +115,6 @@
 	return group.Wait()
 }
 
-// sleep returns false when ctx has ended.
-func (p *Peering) sleep(ctx context.Context, d time.Duration) bool {
-	timer := p.options.Clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // reconcile asks every known peer and stops asking forgotten ones.
 func (p *Peering) reconcile(ctx context.Context, group *errgroup.Group) {
 	now := p.options.Clock.Now()
@@ -161,7 +149,7 @@
 			pause = silentPause
 			p.silent(address, err)
 		}
-		if !p.sleep(ctx, pause) {
+		if !comfreyworks.Pause(ctx, p.options.Clock, pause) {
 			return
 		}
 	}
@@ -304,19 +292,25 @@
 	}
 }
 
-// Live returns the gateways that were heard of lately, this one included,
-// sorted by ID.
-func (p *Peering) Live() []comfreyworks.InstanceID {
+// recent returns the peers that were heard of lately.
+func (p *Peering) recent() map[netip.AddrPort]comfreyworks.InstanceID {
 	now := p.options.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	live := []comfreyworks.InstanceID{p.options.Self.ID}
-	for _, known := range p.peers {
+	recent := make(map[netip.AddrPort]comfreyworks.InstanceID)
+	for address, known := range p.peers {
 		if known.id != "" && now.Sub(known.heardAt) <= loadAge {
-			live = append(live, known.id)
+			recent[address] = known.id
 		}
 	}
-	slices.SortFunc(live, func(a, b comfreyworks.InstanceID) int { return cmp.Compare(a, b) })
+	return recent
+}
+
+// Live returns the gateways that were heard of lately, this one included,
+// sorted by ID.
+func (p *Peering) Live() []comfreyworks.InstanceID {
+	live := append(slices.Collect(maps.Values(p.recent())), p.options.Self.ID)
+	slices.Sort(live)
 	return live
 }
 
@@ -340,7 +334,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var group errgroup.Group
-	for _, address := range p.lately() {
+	for address := range p.recent() {
 		group.Go(func() error {
 			if err := p.options.Link(address).Notify(ctx, notice); err != nil {
 				p.options.Logger.Debug("notice not delivered", zap.Stringer("address", address), zap.Error(err))
@@ -350,16 +344,3 @@
 	}
 	_ = group.Wait()
 }
-
-func (p *Peering) lately() []netip.AddrPort {
-	now := p.options.Clock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var addresses []netip.AddrPort
-	for address, known := range p.peers {
-		if known.id != "" && now.Sub(known.heardAt) <= loadAge {
-			addresses = append(addresses, address)
-		}
-	}
-	return addresses
-}
--- a/internal/coordination/peering/registry.go
+++ b/internal/coordination/peering/registry.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"comfreyworks"
 )
 
 // followRegistry records this gateway and looks for others.
@@ -16,10 +18,10 @@
 		}
 		p.readRegistry(ctx)
 		pause := registryInterval
-		if !registered || len(p.lately()) == 0 {
+		if !registered || len(p.recent()) == 0 {
 			pause = lonelyInterval
 		}
-		if !p.sleep(ctx, pause) {
+		if !comfreyworks.Pause(ctx, p.options.Clock, pause) {
 			return nil
 		}
 	}
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -99,7 +99,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return r.keepLease(ctx, stopping) })
 	group.Go(func() error {
-		for r.sleep(ctx, planInterval) {
+		for comfreyworks.Pause(ctx, r.options.Clock, planInterval) {
 			if token, ok := r.lease.Held(); ok && stopping.Err() == nil {
 				r.plan(ctx, group, token)
 			}
@@ -109,18 +109,6 @@
 	return group.Wait()
 }
 
-// sleep returns false when ctx has ended.
-func (r *Rollout) sleep(ctx context.Context, d time.Duration) bool {
-	timer := r.options.Clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (r *Rollout) keepLease(ctx, stopping context.Context) error {
 	holds := false
 	for stopping.Err() == nil {
@@ -132,7 +120,7 @@
 			holds = held
 			r.options.Logger.Info("lease changed", zap.Bool("held", held), zap.Uint64("token", token), zap.Error(err))
 		}
-		if !r.sleep(stopping, pause) {
+		if !comfreyworks.Pause(stopping, r.options.Clock, pause) {
 			break
 		}
 	}
@@ -236,7 +224,7 @@
 func (r *Rollout) clear(ctx context.Context, engine comfreyworks.InstanceID) {
 	until := r.options.Clock.Now().Add(clearTime)
 	for r.options.Balancer.Requests(engine) > 0 && r.options.Clock.Now().Before(until) {
-		if !r.sleep(ctx, clearInterval) {
+		if !comfreyworks.Pause(ctx, r.options.Clock, clearInterval) {
 			return
 		}
 	}
@@ -292,7 +280,7 @@
 // watch asks an engine until it serves the weights.
 func (r *Rollout) watch(ctx context.Context, order comfreyworks.LoadOrder, startedAt time.Time) bool {
 	pause := loadTime
-	for r.options.Clock.Since(startedAt) < loadTimeout && r.sleep(ctx, pause) {
+	for r.options.Clock.Since(startedAt) < loadTimeout && comfreyworks.Pause(ctx, r.options.Clock, pause) {
 		pause = statusInterval
 		if r.options.Balancer.Weights(&order.Upstream, order.Model) >= order.Weights {
 			return true
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -109,7 +109,7 @@
 		cancel()
 		if err != nil {
 			w.options.Logger.Debug("cache events missed", zap.String("engine", string(target.ID)), zap.Error(err))
-			w.sleep(ctx, pause)
+			comfreyworks.Pause(ctx, w.options.Clock, pause)
 			pause = min(2*pause, maxPause)
 			continue
 		}
@@ -125,12 +125,3 @@
 		}
 	}
 }
-
-func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
-	timer := w.options.Clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-	case <-ctx.Done():
-	}
-}
--- a/internal/transport/program/program.go
+++ b/internal/transport/program/program.go
@@ -79,19 +79,10 @@
 // Main runs a serving program and returns its exit code.
 func Main(name string, role comfreyworks.Role, args []string, serve Serve) ExitCode {
 	var f Flags
-	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Options", "", &f); err != nil {
-		return fail(ExitUsage, err)
+	if code, done := parseFlags(name, args, &f); done {
+		return code
 	}
-	rest, err := parser.ParseArgs(args)
 	switch {
-	case flags.WroteHelp(err):
-		fmt.Println(err)
-		return ExitOK
-	case err != nil:
-		return fail(ExitUsage, err)
-	case len(rest) > 0:
-		return fail(ExitUsage, fmt.Errorf("unexpected argument %q", rest[0]))
 	case f.Version:
 		fmt.Println(name, Version)
 		return ExitOK
@@ -101,6 +92,27 @@
 	return start(name, role, f, serve)
 }
 
+// parseFlags reads a command line into flags. It returns done, with the exit
+// code, if the program has nothing more to do.
+func parseFlags(name string, args []string, into any) (code ExitCode, done bool) {
+	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", into); err != nil {
+		return fail(ExitUsage, err), true
+	}
+	rest, err := parser.ParseArgs(args)
+	switch {
+	case flags.WroteHelp(err):
+		fmt.Println(err)
+		return ExitOK, true
+	case err != nil:
+		return fail(ExitUsage, err), true
+	case len(rest) > 0:
+		return fail(ExitUsage, fmt.Errorf("unexpected argument %q", rest[0])), true
+	default:
+		return ExitOK, false
+	}
+}
+
 func start(name string, role comfreyworks.Role, f Flags, serve Serve) ExitCode {
 	instance, deployment, err := Load(f.Config, role)
 	if err != nil {
--- a/internal/transport/program/run.go
+++ b/internal/transport/program/run.go
@@ -8,7 +8,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
 	"go.uber.org/zap"
 )
 
@@ -26,20 +25,10 @@
 // settings.
 func Run(name string, args []string, run func(ctx context.Context, logger *zap.Logger, f CommonFlags) error) ExitCode {
 	var f CommonFlags
-	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Options", "", &f); err != nil {
-		return fail(ExitUsage, err)
+	if code, done := parseFlags(name, args, &f); done {
+		return code
 	}
-	rest, err := parser.ParseArgs(args)
-	switch {
-	case flags.WroteHelp(err):
-		fmt.Println(err)
-		return ExitOK
-	case err != nil:
-		return fail(ExitUsage, err)
-	case len(rest) > 0:
-		return fail(ExitUsage, fmt.Errorf("unexpected argument %q", rest[0]))
-	case f.Version:
+	if f.Version {
 		fmt.Println(name, Version)
 		return ExitOK
 	}
