Correct comments that an earlier way had left behind

Cause: reading the change as a newcomer: the package balance still named the last declared part, and the roll-out an order that waits.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -4,8 +4,8 @@
 //
 // A placer weighs an engine's queue against the tokens that it would have to
 // read. Tokens that another engine holds can be imported and count as nearly
-// held. Where engines cost the same, rendezvous hashing by the last declared
-// part decides, so that all processes send a new session to the same engine.
+// held. Parts that nobody holds have a home by rendezvous hashing, so that all
+// processes send the first requests for them to the same engine.
 //
 // # Usage
 //
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -220,7 +220,7 @@
 }
 
 // clear waits until an engine that gets no new work has finished what it has,
-// but not for long: the order waits for the rest.
+// but not for long: what is left goes on under the new weights and is lost.
 func (r *Rollout) clear(ctx context.Context, engine comfreyworks.InstanceID) {
 	until := r.options.Clock.Now().Add(clearTime)
 	for r.options.Balancer.Requests(engine) > 0 && r.options.Clock.Now().Before(until) {
