Call what the project had, and derive what gateways kept or built anew

Cause: reading the whole change again.

- Metrics and readiness pages stood in admin and again in the gateway: admin's handlers serve both.
- The line "belief changed" was written in two packages: Change.Log.
- A gateway copied the whole list of upstreams for each peer's question, some seven times a second and peer, to send it hardly ever: only if the asker is behind.
The declared stores were gathered twice for each request: once for each routing.
An event was copied as a string to find its ID.
- Dead: AllWeights, Index.Remove, the meter of the forwarder, the bound on answer tokens, settings that nothing read.
- Loops with tickers that Pause serves; the newest weights asked for twice in one choice.

Ruled out: a change of behaviour; all tests of the packages concerned pass with their assertions as they were, under the race detector.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -18,6 +18,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -208,7 +209,7 @@
 	if source, ok := sources[chosen.weights]; ok && chosen.importable >= chosen.held+leastImport {
 		pick.ImportFrom, pick.Importable = source.address, source.held
 	}
-	if newest := b.options.Catalog.Weights(query.Model).Revision; chosen.weights == newest {
+	if chosen.weights == named.Revision {
 		pick.SaveTo = b.store(query.Parts, max(chosen.held, chosen.importable))
 	}
 	return pick
@@ -226,12 +227,7 @@
 }
 
 func (b *Balancer) candidate(upstream *comfreyworks.Upstream, query *Query, named catalog.NamedWeights, now time.Time) (candidate, bool) {
-	for _, id := range query.Exclude {
-		if id == upstream.ID {
-			return candidate{}, false
-		}
-	}
-	if upstream.State != comfreyworks.InstanceLive {
+	if upstream.State != comfreyworks.InstanceLive || slices.Contains(query.Exclude, upstream.ID) {
 		return candidate{}, false
 	}
 	e := b.endpoint(upstream, now)
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -174,8 +174,8 @@
 	if shared-known < leastSave {
 		return netip.AddrPort{}
 	}
-	for _, store := range b.options.Catalog.Stores() {
-		return store.Address
+	if stores := b.options.Catalog.Stores(); len(stores) > 0 {
+		return stores[0].Address
 	}
 	return netip.AddrPort{}
 }
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -67,7 +67,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		return f.repeat(ctx, question{source: "declarations", ask: f.askDeclarations, provenAt: f.declared})
+		return f.repeat(ctx, question{source: "declarations", ask: f.askDeclarations, provenAt: f.declaredAt})
 	})
 	group.Go(func() error {
 		return f.repeat(ctx, question{
@@ -86,9 +86,9 @@
 	pause time.Duration
 }
 
-func (f *Follower) declared() time.Time {
-	_, at := f.options.Catalog.Routing()
-	return at
+func (f *Follower) declaredAt() time.Time {
+	declared, _ := f.options.Catalog.Proofs()
+	return declared.At
 }
 
 // leaves reports whether this process leaves a question to others for now.
@@ -139,35 +139,31 @@
 func (f *Follower) askDeclarations(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, declarationWait+answerTimeout)
 	defer cancel()
-	after, _ := f.options.Catalog.Positions()
+	declared, _ := f.options.Catalog.Proofs()
 	askedAt := f.options.Clock.Now()
-	declaration, err := f.options.Declarations.Declarations(ctx, after, declarationWait)
+	declaration, err := f.options.Declarations.Declarations(ctx, declared.Position, declarationWait)
 	if err != nil {
 		return err
 	}
 	change := f.options.Catalog.ApplyDeclaration(declaration, askedAt)
-	f.log(&change, uint64(declaration.Next), askedAt)
+	f.log(&change, declaration.Next, askedAt)
 	return nil
 }
 
 func (f *Follower) askUpstreams(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	_, after := f.options.Catalog.Positions()
+	_, listed := f.options.Catalog.Proofs()
 	askedAt := f.options.Clock.Now()
-	changes, err := f.options.Upstreams.Upstreams(ctx, after, 0)
+	changes, err := f.options.Upstreams.Upstreams(ctx, listed.Position, 0)
 	if err != nil {
 		return err
 	}
 	change := f.options.Catalog.ApplyUpstreams(changes, askedAt)
-	f.log(&change, uint64(changes.Next), askedAt)
+	f.log(&change, changes.Next, askedAt)
 	return nil
 }
 
-func (f *Follower) log(change *catalog.Change, position uint64, askedAt time.Time) {
-	if change.Empty() {
-		return
-	}
-	f.options.Logger.Info("belief changed", append(change.Fields(),
-		zap.Uint64("position", position), zap.Duration("age", f.options.Clock.Since(askedAt)))...)
+func (f *Follower) log(change *catalog.Change, position comfreyworks.Position, askedAt time.Time) {
+	change.Log(f.options.Logger, zap.Uint64("position", uint64(position)), zap.Duration("age", f.options.Clock.Since(askedAt)))
 }
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -28,7 +28,6 @@
 	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
 	"comfreyworks/internal/state/catalog"
-	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/retrybudget"
 )
 
@@ -100,9 +99,8 @@
 type Prompt struct {
 	Model comfreyworks.Model
 	Parts []comfreyworks.PromptPart
-	// Tokens is the length of the whole prompt, AnswerTokens the most that the
-	// answer may have.
-	Tokens, AnswerTokens int
+	// Tokens is the length of the whole prompt.
+	Tokens int
 }
 
 // Sink takes an answer.
@@ -120,7 +118,6 @@
 	Exchanger comfreyworks.Exchanger
 	Clock     comfreyworks.Clock
 	Logger    *zap.Logger
-	Meter     *meter.Meter
 	// RetryLimit is this process's share of the budget for repeats.
 	RetryLimit func() retrybudget.Limit
 }
--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -19,7 +19,6 @@
 	"comfreyworks/internal/coordination/placement"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/holdings"
-	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/retrybudget"
 )
 
@@ -120,7 +119,7 @@
 			Catalog: f.catalog, Holdings: holdings.New(), Clock: f.clock,
 			Placer: placement.Comfrey{RecomputeWeight: placement.DefaultRecomputeWeight},
 		}),
-		Exchanger: f.upstreams, Clock: f.clock, Logger: zap.NewNop(), Meter: meter.New(),
+		Exchanger: f.upstreams, Clock: f.clock, Logger: zap.NewNop(),
 		RetryLimit: func() retrybudget.Limit {
 			return retrybudget.Limit{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}
 		},
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -7,7 +7,6 @@
 	"errors"
 	"io"
 	"strconv"
-	"strings"
 
 	"comfreyworks"
 )
@@ -100,9 +99,9 @@
 
 // eventID returns the identifier of an event, or nothing.
 func eventID(event []byte) string {
-	for line := range strings.Lines(string(event)) {
-		if value, ok := strings.CutPrefix(line, "id:"); ok {
-			return strings.TrimSpace(value)
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(value))
 		}
 	}
 	return ""
--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -165,7 +165,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	askedAt := p.options.Clock.Now()
-	news, err := link.Sync(ctx, p.state())
+	news, err := link.Sync(ctx, p.state(p.options.Catalog.Proofs()))
 	if err != nil {
 		return err
 	}
@@ -184,7 +184,7 @@
 	if news.Declaration != nil {
 		declaration = *news.Declaration
 	}
-	if position, _ := p.options.Catalog.Positions(); declaration.Next > position && news.Declaration == nil {
+	if known, _ := p.options.Catalog.Proofs(); declaration.Next > known.Position && news.Declaration == nil {
 		return
 	}
 	change := p.options.Catalog.ApplyDeclaration(declaration, provenAt)
@@ -196,7 +196,7 @@
 	if news.Upstreams != nil {
 		changes = *news.Upstreams
 	}
-	if _, position := p.options.Catalog.Positions(); changes.Next > position && news.Upstreams == nil {
+	if _, known := p.options.Catalog.Proofs(); changes.Next > known.Position && news.Upstreams == nil {
 		return
 	}
 	change := p.options.Catalog.ApplyUpstreams(changes, provenAt)
@@ -204,40 +204,44 @@
 }
 
 func (p *Peering) log(change *catalog.Change, news *comfreyworks.GatewayNews, provenAt time.Time) {
-	if change.Empty() {
-		return
-	}
-	p.options.Logger.Info("belief changed", append(change.Fields(),
-		zap.String("peer", string(news.State.Self.ID)), zap.Duration("age", p.options.Clock.Since(provenAt)))...)
+	change.Log(p.options.Logger,
+		zap.String("peer", string(news.State.Self.ID)), zap.Duration("age", p.options.Clock.Since(provenAt)))
 }
 
 // Answer takes in a peer's state and tells ours.
 func (p *Peering) Answer(state comfreyworks.GatewayState) comfreyworks.GatewayNews {
 	p.heard(state, state.Self.Address)
-	news := comfreyworks.GatewayNews{State: p.state(), DeclaredAge: -1, ListedAge: -1}
-	snapshot := p.options.Catalog.Snapshot()
-	news.State.Declared, news.State.Listed = snapshot.Declaration.Next, snapshot.Upstreams.Next
-	now := p.options.Clock.Now()
-	if !snapshot.DeclaredAt.IsZero() {
-		news.DeclaredAge = now.Sub(snapshot.DeclaredAt)
+	declared, listed := p.options.Catalog.Proofs()
+	news := comfreyworks.GatewayNews{
+		State: p.state(declared, listed), DeclaredAge: p.age(declared), ListedAge: p.age(listed),
 	}
-	if !snapshot.ListedAt.IsZero() {
-		news.ListedAge = now.Sub(snapshot.ListedAt)
+	if state.Declared >= declared.Position && state.Listed >= listed.Position {
+		return news
 	}
-	if state.Declared < snapshot.Declaration.Next {
+	// What is newer than the proofs by now is told with their age, which is
+	// older.
+	snapshot := p.options.Catalog.Snapshot()
+	if state.Declared < declared.Position {
 		news.Declaration = &snapshot.Declaration
 	}
-	if state.Listed < snapshot.Upstreams.Next {
+	if state.Listed < listed.Position {
 		news.Upstreams = &snapshot.Upstreams
 	}
 	return news
 }
 
-func (p *Peering) state() comfreyworks.GatewayState {
-	declared, listed := p.options.Catalog.Positions()
+// age returns how long ago a source was asked; negative means never.
+func (p *Peering) age(proof catalog.Proof) time.Duration {
+	if proof.At.IsZero() {
+		return -1
+	}
+	return p.options.Clock.Since(proof.At)
+}
+
+func (p *Peering) state(declared, listed catalog.Proof) comfreyworks.GatewayState {
 	now := p.options.Clock.Now()
 	state := comfreyworks.GatewayState{
-		Self: p.options.Self, Loads: p.options.Balancer.Loads(), Declared: declared, Listed: listed,
+		Self: p.options.Self, Loads: p.options.Balancer.Loads(), Declared: declared.Position, Listed: listed.Position,
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -61,14 +61,10 @@
 	group, ctx := errgroup.WithContext(ctx)
 	following := make(map[Target]context.CancelFunc)
 	group.Go(func() error {
-		ticker := w.options.Clock.NewTicker(reconcileInterval)
-		defer ticker.Stop()
 		for {
 			w.reconcile(ctx, group, following)
-			select {
-			case <-ctx.Done():
+			if !comfreyworks.Pause(ctx, w.options.Clock, reconcileInterval) {
 				return nil
-			case <-ticker.Chan():
 			}
 		}
 	})
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -15,7 +15,6 @@
 package catalog
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -95,9 +94,11 @@
 	return c.Routing == nil && len(c.Weights) == 0 && len(c.Joined) == 0 && len(c.Left) == 0 && len(c.Lapsed) == 0
 }
 
-// Fields describes the change for a log line.
-func (c *Change) Fields() []zap.Field {
-	var fields []zap.Field
+// Log writes a line about the change, with further fields, if there is one.
+func (c *Change) Log(logger *zap.Logger, fields ...zap.Field) {
+	if c.Empty() {
+		return
+	}
 	if c.Routing != nil {
 		fields = append(fields, zap.Uint64("routing", uint64(c.Routing.Version())))
 	}
@@ -109,15 +110,13 @@
 			fields = append(fields, zap.Any(name, ids))
 		}
 	}
-	return fields
+	logger.Info("belief changed", fields...)
 }
 
-// Snapshot is everything that a catalog holds, with its age.
+// Snapshot is everything that a catalog holds.
 type Snapshot struct {
 	Declaration comfreyworks.Declaration
-	DeclaredAt  time.Time
 	Upstreams   comfreyworks.UpstreamChanges
-	ListedAt    time.Time
 }
 
 // Snapshot returns everything in force.
@@ -127,11 +126,9 @@
 	s := Snapshot{
 		Declaration: comfreyworks.Declaration{
 			Weights: make(map[comfreyworks.Model]comfreyworks.WeightsRevision, len(c.weights)),
-			Next:    c.declared.position,
+			Next:    c.declared.Position,
 		},
-		DeclaredAt: c.declared.at,
-		Upstreams:  comfreyworks.UpstreamChanges{Whole: true, Next: c.listed.position},
-		ListedAt:   c.listed.at,
+		Upstreams: comfreyworks.UpstreamChanges{Whole: true, Next: c.listed.Position},
 	}
 	if table := c.table.Load(); table != nil {
 		s.Declaration.Routing = table.Declared()
@@ -150,22 +147,18 @@
 	clock comfreyworks.Clock
 	table atomic.Pointer[routing.Table]
 	pools atomic.Pointer[map[comfreyworks.Pool][]comfreyworks.Upstream]
+	// stores are those of the routing in force.
+	stores atomic.Pointer[[]Store]
 
 	mu       sync.Mutex
-	declared proof
-	listed   proof
+	declared Proof
+	listed   Proof
 	weights  map[comfreyworks.Model]NamedWeights
 	entries  map[comfreyworks.InstanceID]entry
 	// lapseUntil is until when missing entries are kept.
 	lapseUntil time.Time
 }
 
-// proof tells how current a belief is.
-type proof struct {
-	at       time.Time
-	position comfreyworks.Position
-}
-
 // entry is an upstream with the end of its grace, when its entry is missing.
 type entry struct {
 	upstream  comfreyworks.Upstream
@@ -189,7 +182,7 @@
 	table := c.table.Load()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return table, c.declared.at
+	return table, c.declared.At
 }
 
 // Upstreams returns the upstreams of a pool, sorted by ID. The caller must not
@@ -211,7 +204,7 @@
 func (c *Catalog) UpstreamsProven() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.listed.at
+	return c.listed.At
 }
 
 // Store is a store of kept KV cache under an ID of its own.
@@ -223,14 +216,18 @@
 	Readers int
 }
 
-// Stores returns the stores of kept KV cache that are declared.
+// Stores returns the stores of kept KV cache that are declared. The caller must
+// not change the slice.
 func (c *Catalog) Stores() []Store {
-	table := c.table.Load()
-	if table == nil {
-		return nil
+	if stores := c.stores.Load(); stores != nil {
+		return *stores
 	}
+	return nil
+}
+
+func storesOf(pools []comfreyworks.UpstreamPool) []Store {
 	var stores []Store
-	for _, pool := range table.Declared().Pools {
+	for _, pool := range pools {
 		if pool.Store != nil {
 			id := comfreyworks.InstanceID("store/" + string(pool.Name))
 			stores = append(stores, Store{ID: id, CacheStore: *pool.Store, Readers: pool.CacheReaders})
@@ -246,18 +243,19 @@
 	return c.weights[model]
 }
 
-// AllWeights returns the revisions of all models.
-func (c *Catalog) AllWeights() map[comfreyworks.Model]NamedWeights {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return maps.Clone(c.weights)
+// Proof tells how current a belief is.
+type Proof struct {
+	// At is the time of the question that proved it; zero means never.
+	At time.Time
+	// Position is up to where the source was read.
+	Position comfreyworks.Position
 }
 
-// Positions returns up to where both sources were read.
-func (c *Catalog) Positions() (declared, listed comfreyworks.Position) {
+// Proofs returns how current the declarations and the list of upstreams are.
+func (c *Catalog) Proofs() (declared, listed Proof) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.declared.position, c.listed.position
+	return c.declared, c.listed
 }
 
 // ApplyDeclaration takes in an answer to a question asked at a time.
@@ -265,17 +263,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var change Change
-	if d.Next < c.declared.position {
+	if d.Next < c.declared.Position {
 		return change
 	}
-	earlier := c.declared.position == 0
-	c.declared.position = d.Next
-	if askedAt.After(c.declared.at) {
-		c.declared.at = askedAt
+	earlier := c.declared.Position == 0
+	c.declared.Position = d.Next
+	if askedAt.After(c.declared.At) {
+		c.declared.At = askedAt
 	}
 	current := c.table.Load()
 	if d.Routing != nil && (current == nil || d.Routing.Version > current.Version()) {
 		change.Routing = routing.New(*d.Routing)
+		stores := storesOf(d.Routing.Pools)
+		c.stores.Store(&stores)
 		c.table.Store(change.Routing)
 	}
 	for model, revision := range d.Weights {
@@ -297,16 +297,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var change Change
-	if changes.Next < c.listed.position {
+	if changes.Next < c.listed.Position {
 		return change
 	}
 	now := c.clock.Now()
-	if !c.listed.at.IsZero() && askedAt.Sub(c.listed.at) > outageAge {
+	if !c.listed.At.IsZero() && askedAt.Sub(c.listed.At) > outageAge {
 		c.lapseUntil = now.Add(lapseGrace)
 	}
-	c.listed.position = changes.Next
-	if askedAt.After(c.listed.at) {
-		c.listed.at = askedAt
+	c.listed.Position = changes.Next
+	if askedAt.After(c.listed.At) {
+		c.listed.At = askedAt
 	}
 	for _, upstream := range changes.Present {
 		c.present(upstream, &change)
--- a/internal/state/holdings/holdings.go
+++ b/internal/state/holdings/holdings.go
@@ -98,13 +98,6 @@
 	}
 }
 
-// Remove records that an engine holds nothing of a part any more.
-func (x *Index) Remove(engine comfreyworks.InstanceID, part Part) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.remove(engine, key{part.Salt, part.Model, part.ID})
-}
-
 func (x *Index) remove(engine comfreyworks.InstanceID, k key) {
 	if parts := x.held[engine]; parts != nil {
 		parts.Remove(k)
--- a/internal/transport/admin/admin.go
+++ b/internal/transport/admin/admin.go
@@ -75,23 +75,34 @@
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
 	}).Methods(http.MethodGet)
-	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if reason := options.Ready(); reason != "" {
-			http.Error(w, reason, http.StatusServiceUnavailable)
-			return
-		}
-		_, _ = w.Write([]byte("ready\n"))
-	}).Methods(http.MethodGet)
+	router.Handle("/readyz", ReadyHandler(options.Ready)).Methods(http.MethodGet)
 	router.HandleFunc(revisionPath, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(revisionPage{Revision: options.Revision()})
 	}).Methods(http.MethodGet)
-	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+	router.Handle("/metrics", MetricsHandler(options.Meter, options.Logger)).Methods(http.MethodGet)
+}
+
+// ReadyHandler answers with what keeps a process from new work, or that it is
+// ready.
+func ReadyHandler(notReady func() string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if reason := notReady(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+}
+
+// MetricsHandler shows the metrics.
+func MetricsHandler(m *meter.Meter, logger *zap.Logger) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		if err := options.Meter.Write(w); err != nil {
-			options.Logger.Debug("metrics not written", zap.Error(err))
+		if err := m.Write(w); err != nil {
+			logger.Debug("metrics not written", zap.Error(err))
 		}
-	}).Methods(http.MethodGet)
+	})
 }
 
 // Serve serves the pages alone until ctx ends.
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -145,7 +145,7 @@
 	})
 	g.forwarder = forward.New(forward.Options{
 		Catalog: g.catalog, Balancer: g.balancer, Exchanger: g.client, Clock: options.Clock,
-		Logger: options.Logger, Meter: options.Meter, RetryLimit: g.retryLimit,
+		Logger: options.Logger, RetryLimit: g.retryLimit,
 	})
 	g.follower = follow.New(follow.Options{
 		Declarations: options.Declarations, Upstreams: options.Upstreams, Catalog: g.catalog,
@@ -346,14 +346,8 @@
 
 // tidy forgets upstreams that are long gone.
 func (g *Gateway) tidy(ctx context.Context) error {
-	ticker := g.options.Clock.NewTicker(forgetAfter)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-			g.balancer.Forget(forgetAfter)
-		}
+	for comfreyworks.Pause(ctx, g.options.Clock, forgetAfter) {
+		g.balancer.Forget(forgetAfter)
 	}
+	return nil
 }
--- a/internal/transport/gateway/ready.go
+++ b/internal/transport/gateway/ready.go
@@ -3,19 +3,13 @@
 import (
 	"net/http"
 
-	"go.uber.org/zap"
+	"comfreyworks/internal/transport/admin"
 )
 
 // readyHandler answers the balancer.
 func (g *Gateway) readyHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+g.options.Settings.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if reason := g.notReady(); reason != "" {
-			http.Error(w, reason, http.StatusServiceUnavailable)
-			return
-		}
-		_, _ = w.Write([]byte("ready\n"))
-	})
+	mux.Handle("GET "+g.options.Settings.ReadyPath, admin.ReadyHandler(g.notReady))
 	return mux
 }
 
@@ -39,11 +33,6 @@
 // metricsHandler shows the metrics.
 func (g *Gateway) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		if err := g.options.Meter.Write(w); err != nil {
-			g.options.Logger.Debug("metrics not written", zap.Error(err))
-		}
-	})
+	mux.Handle("GET /metrics", admin.MetricsHandler(g.options.Meter, g.options.Logger))
 	return mux
 }
--- a/internal/transport/gateway/request.go
+++ b/internal/transport/gateway/request.go
@@ -165,9 +165,8 @@
 // end the list: prefixes behind them cannot be shared.
 func prompt(header http.Header, names *comfreyworks.HeaderNames) forward.Prompt {
 	p := forward.Prompt{Model: comfreyworks.Model(header.Get(names.Model))}
-	in, out, _ := strings.Cut(header.Get(names.Tokens), ",")
-	p.Tokens, _ = strconv.Atoi(strings.TrimSpace(in))
-	p.AnswerTokens, _ = strconv.Atoi(strings.TrimSpace(out))
+	tokens, _, _ := strings.Cut(header.Get(names.Tokens), ",")
+	p.Tokens, _ = strconv.Atoi(strings.TrimSpace(tokens))
 	for entry := range strings.SplitSeq(header.Get(names.Prefix), ",") {
 		id, length, ok := strings.Cut(strings.TrimSpace(entry), ":")
 		tokens, err := strconv.Atoi(length)
--- a/settings.go
+++ b/settings.go
@@ -10,18 +10,16 @@
 	ID   InstanceID
 	Zone Zone
 	// Listen takes requests, ReadyListen the balancer's questions, PeerListen
-	// calls of other gateways, MetricsListen questions for metrics.
-	Listen        netip.AddrPort
-	ReadyListen   netip.AddrPort
-	PeerListen    netip.AddrPort
-	MetricsListen netip.AddrPort
+	// calls of other gateways.
+	Listen      netip.AddrPort
+	ReadyListen netip.AddrPort
+	PeerListen  netip.AddrPort
 	// ReadyPath is asked by the balancer.
 	ReadyPath string
 	// Peers are addresses where other gateways may be found; some may be stale.
 	Peers []netip.AddrPort
-	// MemoryBytes and Connections bound the process; zero means no bound.
+	// MemoryBytes bounds the process; zero means no bound.
 	MemoryBytes int64
-	Connections int
 	Bounds      GatewayBounds
 	Headers     HeaderNames
 }
@@ -30,10 +28,6 @@
 type GatewayBounds struct {
 	// KeyRevocation is how long a withdrawn key may still be used.
 	KeyRevocation time.Duration
-	// RoutingApply is how long a superseded routing may still be used.
-	RoutingApply time.Duration
-	// Drain is how long a leaving upstream may still get requests.
-	Drain time.Duration
 	// StopGrace is the time between the signal to stop and the end.
 	StopGrace time.Duration
 	// RetryRatio and RetrySlack bound what all gateways together send again
