Leave a silent connection to the calls that wait on it

Cause: TestThousandStreams, six copies at once on six cores, ends with answers that "could not be continued". Traced by printing each failed attempt: one sidecar is starved for 2 s, the connection to it is closed, the hundreds of calls on it fail at the same moment, and trying them all again uses up the budget of 50. Six attempts in silence also ended a request long before its deadline.

Ruled out: the bound of five extensions of a call. With none at all the test fails as before.

Change: a connection that has been silent takes no new calls, but those on it keep waiting for their own time. Silence does not use up the attempts of a request; its deadline and the retry budget bound them.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -55,7 +55,9 @@
 func (e *RefusedError) Error() string { return string(e.Refusal.Reason) }
 
 const (
-	// maxAttempts bounds the upstreams that are tried for one request.
+	// maxAttempts bounds the upstreams that refuse or fail one request. Those
+	// that say nothing do not count: on a starved machine all are silent at
+	// once, and the caller would do no better than to ask again.
 	maxAttempts = 6
 	// maxReadFailures bounds the reads of one stream that fail in a row.
 	maxReadFailures = 2
@@ -130,6 +132,10 @@
 	excluded     []comfreyworks.InstanceID
 	refusal      comfreyworks.Refusal
 	result       Result
+	// answered counts the attempts and waits that did not end in silence.
+	answered int
+	// silent means that the last upstream did not say whether it took the work.
+	silent bool
 	// given means that some sidecar took the work or may have taken it, so that
 	// "not run" would no longer be true.
 	given bool
@@ -150,7 +156,7 @@
 	budget := budgetKey{workspace: job.Workspace, pool: job.Pool.Name}
 	d.budgets.earn(budget)
 	pauses := d.newPauses()
-	for state.result.Attempts < maxAttempts {
+	for state.answered < maxAttempts && ctx.Err() == nil {
 		if !d.mayTry(state, budget) {
 			break
 		}
@@ -160,14 +166,20 @@
 				break
 			}
 			state.excluded = nil
-			state.result.Attempts++
+			if !state.silent {
+				state.answered++
+			}
 			continue
 		}
 		state.result.Attempts++
+		state.silent = false
 		err := d.attempt(ctx, state, instance)
 		if state.finished {
 			return state.result, err
 		}
+		if !state.silent {
+			state.answered++
+		}
 		state.excluded = append(state.excluded, instance.ID)
 	}
 	return state.result, state.failure(ctx)
@@ -253,6 +265,7 @@
 	if err != nil {
 		if !errors.Is(err, comfreyworks.ErrNotSent) {
 			state.given = true
+			state.silent = true
 			d.cancel(ctx, gate, work.Stream)
 		}
 		if ctx.Err() == nil {
--- a/internal/protocol/peer/client.go
+++ b/internal/protocol/peer/client.go
@@ -193,6 +193,8 @@
 	if err != nil {
 		return none, err
 	}
+	l.enter()
+	defer l.leave()
 	reply := new(R)
 	p := patience{timer: timer, timeout: timeout, link: l, heard: l.heard.Load()}
 	pending := l.rpc.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
@@ -205,7 +207,7 @@
 				continue
 			}
 			if p.silent() && l.quietFor(c.options.Clock.Now(), timeout) >= callTimeout {
-				c.drop(l)
+				c.retire(l)
 			}
 			return none, &Error{Op: method, Kind: KindNoAnswer, Err: context.DeadlineExceeded}
 		case <-ctx.Done():
@@ -302,6 +304,17 @@
 	return conn.SetDeadline(time.Time{})
 }
 
+// retire stops using a connection if it is still the current one, and leaves it
+// to the calls that wait on it.
+func (c *Client) retire(l *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open == l {
+		c.open = nil
+		l.retire()
+	}
+}
+
 // drop closes a connection if it is still the current one; nil means any.
 func (c *Client) drop(l *link) {
 	c.mu.Lock()
--- a/internal/protocol/peer/link.go
+++ b/internal/protocol/peer/link.go
@@ -48,6 +48,41 @@
 	// have waited in vain.
 	quietAt    int64
 	quietSince time.Time
+	// calls counts the calls that wait for an answer. A retired link takes no
+	// new ones and closes with the last.
+	calls   int
+	retired bool
+}
+
+// enter counts a call that is about to be sent.
+func (l *link) enter() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+}
+
+// leave counts a call that no longer waits.
+func (l *link) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls--
+	l.closeIfDone()
+}
+
+// retire closes the link once no call waits on it. The peer may be starved
+// instead of lost: it still answers what it has read.
+func (l *link) retire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retired = true
+	l.closeIfDone()
+}
+
+// closeIfDone must be called with the mutex held.
+func (l *link) closeIfDone() {
+	if l.retired && l.calls == 0 {
+		_ = l.rpc.Close()
+	}
 }
 
 // quietFor is told of a call that waited in vain and returns for how long calls
--- a/internal/protocol/peer/peer_test.go
+++ b/internal/protocol/peer/peer_test.go
@@ -177,6 +177,38 @@
 	}
 }
 
+func TestSilenceSparesOtherCalls(t *testing.T) {
+	address, receiver := serve(t)
+	receiver.hold = make(chan struct{})
+	clock := clockwork.NewFakeClock()
+	clients := NewClients(ClientOptions{Secret: secret, Clock: clock})
+	defer clients.Close()
+	client := clients.To(address)
+	hold := func(wait time.Duration) *errgroup.Group {
+		group := new(errgroup.Group)
+		group.Go(func() error {
+			_, err := client.Read(context.Background(), "held", 0, wait)
+			return err
+		})
+		return group
+	}
+	patient, hasty := hold(callTimeout), hold(0)
+	assert.NilError(t, clock.BlockUntilContext(context.Background(), 2))
+	for receiver.reads.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	before, _ := client.current()
+	clock.Advance(callTimeout)
+	expectKind(t, hasty.Wait(), KindNoAnswer)
+
+	_, err := read(client, "s1")
+	assert.NilError(t, err)
+	after, _ := client.current()
+	assert.Assert(t, before != after)
+	close(receiver.hold)
+	assert.NilError(t, patient.Wait())
+}
+
 func TestSlowCall(t *testing.T) {
 	address, receiver := serve(t)
 	receiver.hold = make(chan struct{})
