Keep every session in its store, and let every gateway know all caches

Of 24 gateways 9 followed each engine and each store, the others knew only what they had sent themselves.

Change: each session has its store by rendezvous hashing, and whatever is read that is not there yet is saved. Every gateway follows every engine and store; where that makes more questions than may wait there, each waits 200 ms and pauses in proportion to the number of gateways. A cache that does not answer twice counts as empty, and tells all again when it is back. The line of an attempt tells the wait that was expected.

Tests: TestStores, TestSchedule, a target that is down. In TestStore an engine's copy no longer keeps parts from the store: engines send only what they read, so what is offered twice is not sent twice, and an engine's copy may be about to go. TestFollowers now holds every gateway to all engines, and the bound on waiting questions moved to TestSchedule, for 3 to 340 gateways.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -210,7 +210,7 @@
 		pick.ImportFrom, pick.Importable = source.address, source.held
 	}
 	if chosen.weights == named.Revision {
-		pick.SaveTo = b.store(query.Parts, max(chosen.held, chosen.importable))
+		pick.SaveTo = b.store(&query, chosen.weights)
 	}
 	return pick
 }
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -148,11 +148,11 @@
 	f.catalog.ApplyDeclaration(comfreyworks.Declaration{Next: f.position, Routing: &comfreyworks.Routing{
 		Version: 1, Pools: []comfreyworks.UpstreamPool{{Name: "keep", Store: &comfreyworks.CacheStore{Address: address}}},
 	}}, f.clock.Now())
-	t.Run("what nobody holds is saved", func(t *testing.T) {
+	t.Run("what the store lacks is saved", func(t *testing.T) {
 		assert.Equal(t, f.run(t, prompt("guide", "site")).SaveTo, address)
 	})
-	t.Run("what an engine holds is not", func(t *testing.T) {
-		assert.Assert(t, !f.run(t, prompt("guide", "site")).SaveTo.IsValid())
+	t.Run("also when an engine holds it, which may be about to drop it", func(t *testing.T) {
+		assert.Equal(t, f.run(t, prompt("guide", "site")).SaveTo, address)
 	})
 	t.Run("what only the store holds comes from there", func(t *testing.T) {
 		salt := holdings.Salt("shared", 1)
@@ -172,6 +172,35 @@
 	})
 }
 
+// TestStores is the load of more sessions than one store can keep: each has its
+// store, the same one in the eyes of every process.
+func TestStores(t *testing.T) {
+	const sessions = 300
+	f, g := newFixture(3), newFixture(3)
+	routing := &comfreyworks.Routing{Version: 1}
+	for i := range 3 {
+		address := netip.AddrPortFrom(netip.MustParseAddr("10.9.9.9"), uint16(80+i))
+		routing.Pools = append(routing.Pools, comfreyworks.UpstreamPool{
+			Name: comfreyworks.Pool(fmt.Sprintf("keep%d", i)), Store: &comfreyworks.CacheStore{Address: address},
+		})
+	}
+	for _, fixture := range []*fixture{f, g} {
+		fixture.position++
+		fixture.catalog.ApplyDeclaration(comfreyworks.Declaration{Next: fixture.position, Routing: routing}, fixture.clock.Now())
+	}
+	kept := make(map[netip.AddrPort]int)
+	for i := range sessions {
+		session := prompt("guide", fmt.Sprintf("site%d", i))
+		at := f.run(t, session).SaveTo
+		assert.Equal(t, g.run(t, session).SaveTo, at)
+		kept[at]++
+	}
+	assert.Equal(t, len(kept), 3)
+	for address, n := range kept {
+		assert.Assert(t, n > sessions/4, "%d at %s", n, address)
+	}
+}
+
 // pickOn picks a certain engine.
 func (f *fixture) pickOn(t *testing.T, id comfreyworks.InstanceID) *Pick {
 	t.Helper()
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -1,12 +1,15 @@
 package balance
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/rendezvous"
 )
@@ -164,20 +167,27 @@
 	return best
 }
 
-// store returns the store of kept cache if enough of a prompt is held by nobody
-// to be worth keeping beyond the memory of one engine.
-func (b *Balancer) store(parts []comfreyworks.PromptPart, known int) netip.AddrPort {
-	shared := 0
-	for _, part := range parts[:max(len(parts)-1, 0)] {
-		shared += part.Tokens
-	}
-	if shared-known < leastSave {
+// store returns where the shared parts of a prompt are kept beyond the memory of
+// one engine, if much of them is not there yet. Each session has its store, so
+// that together they hold as much as they can.
+func (b *Balancer) store(query *Query, weights comfreyworks.WeightsRevision) netip.AddrPort {
+	stores := b.options.Catalog.Stores()
+	if len(stores) == 0 || len(query.Parts) < 2 {
 		return netip.AddrPort{}
 	}
-	if stores := b.options.Catalog.Stores(); len(stores) > 0 {
-		return stores[0].Address
+	shared := query.Parts[:len(query.Parts)-1]
+	key := xxhash.Sum64String(query.Wall + "/" + shared[len(shared)-1].ID)
+	kept := slices.MaxFunc(stores, func(a, b catalog.Store) int {
+		return cmp.Compare(rendezvous.Score(rendezvous.Seed(string(a.ID)), key), rendezvous.Score(rendezvous.Seed(string(b.ID)), key))
+	})
+	missing := -b.options.Holdings.Prefix(holdings.Salt(query.Wall, weights), query.Model, shared)[kept.ID]
+	for _, part := range shared {
+		missing += part.Tokens
+	}
+	if missing < leastSave {
+		return netip.AddrPort{}
 	}
-	return netip.AddrPort{}
+	return kept.Address
 }
 
 func (b *Balancer) endpointAvoided(id comfreyworks.InstanceID, now time.Time) bool {
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -194,7 +194,7 @@
 		zap.Int("candidates", a.pick.Candidates),
 		zap.Uint64("weights", uint64(a.pick.Weights)),
 		zap.Int("shared", a.request.Prompt.shared()), zap.Int("held", a.pick.Held),
-		zap.Int("importable", a.pick.Importable), zap.Stringer("import-from", a.pick.ImportFrom),
+		zap.Duration("wait", a.pick.Wait), zap.Int("importable", a.pick.Importable), zap.Stringer("import-from", a.pick.ImportFrom),
 		zap.Duration("list-age", a.options.Clock.Since(a.options.Catalog.UpstreamsProven())),
 		zap.Duration("took", a.options.Clock.Since(a.startedAt)),
 		zap.String("outcome", string(a.result.Outcome)),
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -1,5 +1,9 @@
 // Package watch follows what engines and stores of kept KV cache hold.
 //
+// Each of them bears a number of waiting questions only. Where there are more
+// followers, each asks with a pause that grows with their number: together they
+// stay within the bound, and all of them know everything, if a little later.
+//
 // # Usage
 //
 //	w := watch.New(watch.Options{Source: source, Index: index, Targets: targets, Clock: clock, Logger: logger})
@@ -24,6 +28,14 @@
 	// eventWait is how long a question waits for news. Engines charge for
 	// questions that wait less than 200 ms.
 	eventWait = time.Second
+	// sharedWait is the wait where there are more followers than may wait.
+	sharedWait = 200 * time.Millisecond
+	// followerShare is the part of the questions that may wait at a target that
+	// followers make up; the rest is for chance and for followers that restart.
+	followerShare = 0.75
+	// forgetAfter is how many questions in a row may go without an answer before
+	// the target counts as down.
+	forgetAfter = 2
 	// answerTimeout bounds a question beyond its wait.
 	answerTimeout = 500 * time.Millisecond
 	// firstPause and maxPause are the pauses after questions without an answer.
@@ -38,6 +50,9 @@
 type Target struct {
 	ID      comfreyworks.InstanceID
 	Address netip.AddrPort
+	// Readers is how many questions may wait at the target at once; zero means
+	// any number.
+	Readers int
 }
 
 // Options configures a Watcher.
@@ -46,8 +61,11 @@
 	Index  *holdings.Index
 	// Targets returns what shall be followed now.
 	Targets func() []Target
-	Clock   comfreyworks.Clock
-	Logger  *zap.Logger
+	// Followers returns how many processes follow the same targets, this one
+	// included.
+	Followers func() int
+	Clock     comfreyworks.Clock
+	Logger    *zap.Logger
 }
 
 // Watcher follows a changing set of targets.
@@ -94,30 +112,64 @@
 	}
 }
 
-// follow asks one target until ctx ends.
+// follow asks one target again and again.
 func (w *Watcher) follow(ctx context.Context, target Target) {
 	defer w.options.Index.Forget(target.ID)
-	var after, life uint64
-	pause := firstPause
+	known := knowledge{target: target.ID}
 	for ctx.Err() == nil {
-		question, cancel := context.WithTimeout(ctx, eventWait+answerTimeout)
-		changes, err := w.options.Source.CacheChanges(question, target.Address, after, eventWait)
+		wait, pause := schedule(target.Readers, w.options.Followers())
+		question, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+		changes, err := w.options.Source.CacheChanges(question, target.Address, known.after, wait)
 		cancel()
 		if err != nil {
 			w.options.Logger.Debug("cache events missed", zap.String("engine", string(target.ID)), zap.Error(err))
-			comfreyworks.Pause(ctx, w.options.Clock, pause)
-			pause = min(2*pause, maxPause)
-			continue
-		}
-		pause = firstPause
-		if changes.Lost || (life != 0 && changes.Life != life) {
-			w.options.Logger.Info("cache unknown", zap.String("engine", string(target.ID)),
-				zap.Bool("restarted", changes.Life != life), zap.Uint64("after", after))
-			w.options.Index.Forget(target.ID)
-		}
-		life, after = changes.Life, changes.Next
-		for _, change := range changes.Changes {
-			w.options.Index.Add(target.ID, holdings.Part{Salt: change.Salt, Model: change.Model, ID: change.ID, Tokens: change.Tokens})
+			pause = min(firstPause<<known.failures, maxPause)
+			w.missed(&known)
+		} else {
+			w.learn(&known, &changes)
 		}
+		comfreyworks.Pause(ctx, w.options.Clock, pause)
+	}
+}
+
+// schedule returns how long a question waits for news and the pause before the
+// next one, so that all followers together have no more questions waiting than
+// their share.
+func schedule(readers, followers int) (wait, pause time.Duration) {
+	share := max(followerShare*float64(readers), 1)
+	if readers == 0 || float64(followers) <= share {
+		return eventWait, 0
+	}
+	return sharedWait, time.Duration((float64(followers)/share - 1) * float64(sharedWait))
+}
+
+// knowledge is up to where a target's changes are known.
+type knowledge struct {
+	target      comfreyworks.InstanceID
+	after, life uint64
+	failures    int
+}
+
+// missed counts a question without an answer. What a target that is down held
+// cannot be imported; if it comes back with it, it tells it again.
+func (w *Watcher) missed(known *knowledge) {
+	known.failures++
+	if known.failures == forgetAfter {
+		w.options.Logger.Info("cache out of reach", zap.String("engine", string(known.target)))
+		w.options.Index.Forget(known.target)
+		known.after, known.life = 0, 0
+	}
+}
+
+func (w *Watcher) learn(known *knowledge, changes *comfreyworks.CacheChanges) {
+	known.failures = 0
+	if changes.Lost || (known.life != 0 && changes.Life != known.life) {
+		w.options.Logger.Info("cache unknown", zap.String("engine", string(known.target)),
+			zap.Bool("restarted", changes.Life != known.life), zap.Uint64("after", known.after))
+		w.options.Index.Forget(known.target)
+	}
+	known.life, known.after = changes.Life, changes.Next
+	for _, change := range changes.Changes {
+		w.options.Index.Add(known.target, holdings.Part{Salt: change.Salt, Model: change.Model, ID: change.ID, Tokens: change.Tokens})
 	}
 }
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
@@ -40,6 +41,8 @@
 	}
 }
 
+func alone() int { return 1 }
+
 func held(id string, tokens int) []comfreyworks.CacheChange {
 	return []comfreyworks.CacheChange{{Salt: "s", Model: "oak", ID: id, Tokens: tokens}}
 }
@@ -50,7 +53,7 @@
 	t.Helper()
 	engine := &fakeEngine{answers: make(chan any)}
 	index := holdings.New()
-	w := New(Options{Source: engine, Index: index, Clock: clockwork.NewRealClock(), Logger: zap.NewNop()})
+	w := New(Options{Source: engine, Index: index, Followers: alone, Clock: clockwork.NewRealClock(), Logger: zap.NewNop()})
 	ctx, stop := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error {
@@ -113,6 +116,34 @@
 		assert.Equal(t, a, 100)
 		assert.DeepEqual(t, asked, []uint64{0, 4, 4})
 	})
+
+	t.Run("a target that is down holds nothing and tells all when it is back", func(t *testing.T) {
+		a, b, asked := follow(t,
+			comfreyworks.CacheChanges{Life: 1, Next: 4, Changes: held("a", 100)},
+			errors.New("no answer"), errors.New("no answer"),
+			comfreyworks.CacheChanges{Life: 1, Next: 9, Changes: held("b", 100)})
+		assert.Equal(t, a, 0)
+		assert.Equal(t, b, 100)
+		assert.DeepEqual(t, asked, []uint64{0, 4, 4, 0, 9})
+	})
+}
+
+// TestSchedule is the load of many gateways on few engines.
+func TestSchedule(t *testing.T) {
+	tests := []struct{ readers, followers int }{{12, 4}, {12, 9}, {12, 24}, {8, 24}, {8, 28}, {12, 340}, {1, 3}}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%d followers of a target that bears %d", test.followers, test.readers), func(t *testing.T) {
+			wait, pause := schedule(test.readers, test.followers)
+			waiting := float64(test.followers) * float64(wait) / float64(wait+pause)
+			assert.Assert(t, waiting <= float64(test.readers), "%.1f wait at once", waiting)
+			assert.Assert(t, wait >= sharedWait)
+		})
+	}
+	t.Run("no bound", func(t *testing.T) {
+		wait, pause := schedule(0, 1000)
+		assert.Equal(t, wait, eventWait)
+		assert.Equal(t, pause, time.Duration(0))
+	})
 }
 
 func TestReconcile(t *testing.T) {
@@ -120,7 +151,7 @@
 	targets := []Target{{ID: "a"}, {ID: "b"}}
 	w := New(Options{
 		Source: engine, Index: holdings.New(), Clock: clockwork.NewRealClock(), Logger: zap.NewNop(),
-		Targets: func() []Target { return targets },
+		Targets: func() []Target { return targets }, Followers: alone,
 	})
 	following := make(map[Target]context.CancelFunc)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -67,9 +67,6 @@
 	// watch the lease closely, so that the loss of one is not felt.
 	readers    = 2
 	candidates = 3
-	// watchShare is the part of an engine's followers that gateways make up; the
-	// rest is for questions that still wait there when gateways change.
-	watchShare = 0.75
 	// unseenGateways is for how many gateways more than were ever seen the retry
 	// budget is divided, and leastRetryShares the least number it is divided by.
 	unseenGateways   = 2
@@ -161,8 +158,9 @@
 	})
 	if options.Caches != nil {
 		g.watcher = watch.New(watch.Options{
-			Source: options.Caches, Index: g.holdings, Targets: g.engines,
-			Clock: options.Clock, Logger: options.Logger,
+			Source: options.Caches, Index: g.holdings, Targets: g.caches,
+			Followers: func() int { return len(g.peering.Live()) },
+			Clock:     options.Clock, Logger: options.Logger,
 		})
 	}
 	if options.Leases != nil && options.Loader != nil {
@@ -176,10 +174,8 @@
 	return g
 }
 
-// engines are the live engines and the stores whose caches this gateway follows.
-// An engine bears a number of followers only; where there are more gateways,
-// each engine is followed by some, and the others know what they sent there.
-func (g *Gateway) engines() []watch.Target {
+// caches are the live engines and the stores whose caches this gateway follows.
+func (g *Gateway) caches() []watch.Target {
 	table, _ := g.catalog.Routing()
 	if table == nil {
 		return nil
@@ -190,27 +186,17 @@
 			continue
 		}
 		for _, upstream := range g.catalog.Upstreams(pool.Name) {
-			if upstream.State == comfreyworks.InstanceLive && g.follows(upstream.ID, pool.CacheReaders) {
-				targets = append(targets, watch.Target{ID: upstream.ID, Address: upstream.Address})
+			if upstream.State == comfreyworks.InstanceLive {
+				targets = append(targets, watch.Target{ID: upstream.ID, Address: upstream.Address, Readers: pool.CacheReaders})
 			}
 		}
 	}
 	for _, store := range g.catalog.Stores() {
-		if g.follows(store.ID, store.Readers) {
-			targets = append(targets, watch.Target{ID: store.ID, Address: store.Address})
-		}
+		targets = append(targets, watch.Target{ID: store.ID, Address: store.Address, Readers: store.Readers})
 	}
 	return targets
 }
 
-// follows reports whether this gateway is among those that follow an engine.
-func (g *Gateway) follows(id comfreyworks.InstanceID, readers int) bool {
-	if readers == 0 {
-		return true
-	}
-	return g.peering.Chosen("watch/"+string(id), max(int(watchShare*float64(readers)), 1))
-}
-
 // retryLimit is this gateway's share of the retry budget. The slack grows from
 // nothing over the first window: the process that was here before may just have
 // spent it.
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -31,8 +31,9 @@
 	}
 }
 
-// TestFollowers is the load of many gateways on few engines: no engine gets more
-// followers than it bears, and each has some.
+// TestFollowers is the load of many gateways on few engines: each gateway follows
+// all of them, and knows with how many others it shares the questions that an
+// engine bears.
 func TestFollowers(t *testing.T) {
 	const gateways, readers = 30, 12
 	f := newFixture(t)
@@ -50,13 +51,15 @@
 				Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(j+1)),
 			}})
 		}
-		for _, target := range g.engines() {
+		assert.Equal(t, len(g.peering.Live()), gateways)
+		for _, target := range g.caches() {
 			followers[target.ID]++
+			assert.Equal(t, target.Readers, readers)
 		}
 	}
 	assert.Equal(t, len(followers), len(f.engines))
 	for id, n := range followers {
-		assert.Equal(t, n, 9, "%s", id)
+		assert.Equal(t, n, gateways, "%s", id)
 	}
 }
 
