Refuse at once what would begin too late, and keep sessions to few engines

Two things made it worse. The 24 gateways know what the others sent half a second late and all send to the engine that was idlest then. And the wait counted prompts that are less urgent.

Change: a prompt whose engine has more to read than 0.7 of the route's objective is refused at once; the caller comes back after twice that wait, at least 0.6 s, and may then wait longer, unless a tenth of all is being refused. Among many gateways a session keeps to three engines by rendezvous hashing, to more while these are busy. Unread prompts are counted by priority, and only those that go first are a wait.

--- /dev/null
+++ b/backlog.go
@@ -0,0 +1,33 @@
+package comfreyworks
+
+// Priorities is the number of priorities that engines tell apart; 0 is the most
+// urgent.
+const Priorities = 10
+
+// DefaultPriority is the priority of a request that has none.
+const DefaultPriority = 5
+
+// Backlog is the number of prompt tokens that an engine has yet to read, by
+// priority.
+type Backlog [Priorities]int
+
+// Ahead returns the tokens that are read before a new request of a priority.
+func (b *Backlog) Ahead(priority int) int {
+	tokens := 0
+	for _, n := range b[:clampPriority(priority)+1] {
+		tokens += n
+	}
+	return tokens
+}
+
+// Change adds tokens, or takes away tokens if negative, at a priority.
+func (b *Backlog) Change(priority, tokens int) { b[clampPriority(priority)] += tokens }
+
+// Add adds another backlog.
+func (b *Backlog) Add(other *Backlog) {
+	for i, n := range other {
+		b[i] += n
+	}
+}
+
+func clampPriority(priority int) int { return min(max(priority, 0), Priorities-1) }
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -81,6 +81,8 @@
 	// Parts are the declared parts of the prompt, Tokens its whole length.
 	Parts  []comfreyworks.PromptPart
 	Tokens int
+	// Priority is the rank at the engine; 0 goes first.
+	Priority int
 	// Exclude lists upstreams that have been tried.
 	Exclude []comfreyworks.InstanceID
 }
@@ -136,8 +138,8 @@
 	seed     uint64
 	started  time.Time
 	requests int
-	// unread is the number of prompt tokens that the upstream has yet to read.
-	unread   int
+	// unread is what the upstream has yet to read of prompts.
+	unread   comfreyworks.Backlog
 	latency  time.Duration
 	failures int
 	// unreachable means that the last request could not be sent.
@@ -165,7 +167,7 @@
 	Weights comfreyworks.WeightsRevision
 	// Candidates is the number of upstreams that were considered.
 	Candidates int
-	// Wait is how long the engine takes to read what waits there.
+	// Wait is how long the engine takes to read what goes before the prompt.
 	Wait time.Duration
 	// Held is how many tokens of the prompt the engine is believed to hold.
 	Held int
@@ -203,6 +205,7 @@
 		return b.take(&tier[chooseIdle(tier)], query, len(candidates), 0)
 	}
 	sources := b.weigh(tier, &query, now)
+	tier = b.homes(tier)
 	best := b.options.Placer.Place(query.Tokens, placerCandidates(tier))
 	chosen := &tier[best]
 	pick := b.take(chosen, query, len(candidates), max(query.Tokens-max(chosen.held, chosen.importable), 0))
@@ -218,10 +221,10 @@
 // take counts a request at a candidate.
 func (b *Balancer) take(c *candidate, query Query, candidates, unread int) *Pick {
 	c.endpoint.requests++
-	c.endpoint.unread += unread
+	c.endpoint.unread.Change(query.Priority, unread)
 	return &Pick{
 		Upstream: *c.upstream, Weights: c.weights, Candidates: candidates, Held: c.held,
-		Wait:     time.Duration(c.unread) * prefillTime,
+		Wait:     c.wait(),
 		balancer: b, endpoint: c.endpoint, query: query, unread: unread,
 	}
 }
@@ -234,10 +237,11 @@
 	others := b.others(upstream.ID, now)
 	c := candidate{
 		upstream: upstream, endpoint: e, latency: e.latency,
-		requests: e.requests + others.Requests, unread: e.unread + others.Unread,
-		near:    upstream.Zone == b.options.Zone,
-		avoided: now.Before(e.avoidUntil),
-		full:    now.Before(e.fullUntil) || now.Before(e.loadingUntil),
+		requests: e.requests + others.Requests,
+		unread:   e.unread.Ahead(query.Priority) + others.Unread.Ahead(query.Priority),
+		near:     upstream.Zone == b.options.Zone,
+		avoided:  now.Before(e.avoidUntil),
+		full:     now.Before(e.fullUntil) || now.Before(e.loadingUntil),
 	}
 	if c.avoided && e.unreachable {
 		return candidate{}, false
@@ -280,7 +284,7 @@
 	for _, peer := range b.peers {
 		if load, ok := peer.loads[id]; ok && now.Before(peer.until) {
 			sum.Requests += load.Requests
-			sum.Unread += load.Unread
+			sum.Unread.Add(&load.Unread)
 		}
 	}
 	return sum
@@ -374,7 +378,7 @@
 // prompt and holds it.
 func (p *Pick) Begun() {
 	p.balancer.mu.Lock()
-	p.endpoint.unread -= p.unread
+	p.endpoint.unread.Change(p.query.Priority, -p.unread)
 	p.unread = 0
 	p.balancer.mu.Unlock()
 	if p.query.Model == "" {
@@ -395,7 +399,7 @@
 	defer p.balancer.mu.Unlock()
 	e := p.endpoint
 	e.requests--
-	e.unread -= p.unread
+	e.unread.Change(p.query.Priority, -p.unread)
 	if result.Weights != 0 && p.query.Model != "" {
 		e.weights[p.query.Model] = max(e.weights[p.query.Model], result.Weights)
 	}
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -123,7 +123,7 @@
 func TestImport(t *testing.T) {
 	f := newFixture(3)
 	home := f.run(t, prompt("guide", "site")).Upstream
-	f.PeerLoads("other", []comfreyworks.UpstreamLoad{{ID: home.ID, Requests: 20, Unread: 200_000}}, f.clock.Now().Add(time.Second))
+	f.PeerLoads("other", []comfreyworks.UpstreamLoad{{ID: home.ID, Requests: 20, Unread: comfreyworks.Backlog{200_000}}}, f.clock.Now().Add(time.Second))
 	pick := f.Pick(prompt("guide", "site"))
 	assert.Assert(t, pick.Upstream.ID != home.ID)
 	assert.Equal(t, pick.ImportFrom, home.Address)
@@ -274,7 +274,7 @@
 		f.name(2)
 		f.clock.Advance(5 * time.Second)
 		assert.Assert(t, f.Pick(prompt("guide", "site")) != nil)
-		f.PeerLoads("other", []comfreyworks.UpstreamLoad{{ID: "lm/0", Unread: 80_000}}, f.clock.Now().Add(time.Second))
+		f.PeerLoads("other", []comfreyworks.UpstreamLoad{{ID: "lm/0", Unread: comfreyworks.Backlog{80_000}}}, f.clock.Now().Add(time.Second))
 		f.expectNone(t, prompt("guide", "site"))
 	})
 	t.Run("an engine that loads gets nothing while another does not", func(t *testing.T) {
@@ -389,9 +389,62 @@
 	}
 	assert.Equal(t, len(f.Loads()), 0)
 	for id, e := range f.endpoints {
-		assert.Equal(t, e.unread, 0, "%s", id)
+		assert.Equal(t, e.unread, comfreyworks.Backlog{}, "%s", id)
 	}
 	f.clock.Advance(time.Minute)
 	f.Forget(time.Second)
 	assert.Equal(t, len(f.endpoints), 0)
 }
+
+// TestLateNews is the load of many processes that hear of each other's requests
+// late: an engine that was idle when they last heard must not get all of them.
+func TestLateNews(t *testing.T) {
+	const processes, each = 24, 4
+	sent := make(map[comfreyworks.InstanceID]int)
+	for i := range processes {
+		f := newFixture(44)
+		var loads []comfreyworks.UpstreamLoad
+		for _, engine := range f.catalog.Upstreams(engines)[1:] {
+			loads = append(loads, comfreyworks.UpstreamLoad{ID: engine.ID, Requests: 1, Unread: comfreyworks.Backlog{8000}})
+		}
+		for j := range processes - 1 {
+			f.PeerLoads(comfreyworks.InstanceID(fmt.Sprint("peer-", j)), nil, f.clock.Now().Add(time.Second))
+		}
+		f.PeerLoads("peer-0", loads, f.clock.Now().Add(time.Second))
+		f.hold(f.catalog.Upstreams(engines)[1].ID, "guide")
+		for j := range each {
+			session := fmt.Sprintf("site-%d-%d", i, j)
+			f.hold(f.catalog.Upstreams(engines)[1].ID, "guide", session)
+			sent[f.Pick(prompt("guide", session)).Upstream.ID]++
+		}
+	}
+	idle := newFixture(44).catalog.Upstreams(engines)[0].ID
+	assert.Assert(t, sent[idle] <= processes*each/4, "%d of %d", sent[idle], processes*each)
+}
+
+// hold records that an engine holds a guide and a site.
+func (f *fixture) hold(id comfreyworks.InstanceID, held ...string) {
+	for i, tokens := range []int{2500, 3800}[:len(held)] {
+		f.holdings.Add(id, holdings.Part{Salt: holdings.Salt("shared", 1), Model: model, ID: held[i], Tokens: tokens})
+	}
+}
+
+// TestHotSession is the load of one session with much of the traffic, seen by one
+// of many processes: it spreads once its own engines are busy.
+func TestHotSession(t *testing.T) {
+	f := newFixture(44)
+	for j := range 2 * freshPeers {
+		f.PeerLoads(comfreyworks.InstanceID(fmt.Sprint("peer-", j)), nil, f.clock.Now().Add(time.Second))
+	}
+	count := make(map[comfreyworks.InstanceID]int)
+	for i := range 200 {
+		count[f.Pick(prompt("guide", "hot")).Upstream.ID]++
+		if i == leastHomes {
+			assert.Assert(t, len(count) <= leastHomes)
+		}
+	}
+	assert.Assert(t, len(count) > 2*leastHomes, "%d engines", len(count))
+	for id, n := range count {
+		assert.Assert(t, n < 50, "%s has %d", id, n)
+	}
+}
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -30,6 +30,15 @@
 	importShare = 0.03
 	// leastImport is the number of tokens from which on an import pays.
 	leastImport = 64
+	// freshPeers is the number of other processes up to which each is heard of so
+	// often that the idlest engine is known.
+	freshPeers = 8
+	// leastHomes is the number of engines that serve a session: two would do to
+	// spread what is known late, the third is for one that fails or loads.
+	leastHomes = 3
+	// idleWait is the wait up to which a session keeps to its engines: a prompt
+	// that is read elsewhere takes longer to read and the memory of one more.
+	idleWait = 500 * time.Millisecond
 	// leastSave is the number of tokens from which on a store is used.
 	leastSave = 512
 )
@@ -41,10 +50,11 @@
 	// score ranks the candidates for a session.
 	score    uint64
 	requests int
-	unread   int
-	latency  time.Duration
-	weights  comfreyworks.WeightsRevision
-	near     bool
+	// unread is the number of prompt tokens that are read before this request's.
+	unread  int
+	latency time.Duration
+	weights comfreyworks.WeightsRevision
+	near    bool
 	// held is what the engine holds of the prompt, importable the most that
 	// another one with the same weights does.
 	held, importable int
@@ -85,6 +95,40 @@
 	return least
 }
 
+// homes returns the candidates that serve a session: a few by rendezvous hashing,
+// more while all of these are busy, and those that hold most of the prompt or
+// are to read what nobody holds. Where there are many processes, what one sends
+// is known to the others only later: if each looked for the idlest engine of
+// all, all would find the same one. A session on few engines also takes less of
+// their memory.
+func (b *Balancer) homes(candidates []candidate) []candidate {
+	if len(b.peers) <= freshPeers {
+		return candidates
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
+	n := leastHomes
+	for n < len(candidates) && !slices.ContainsFunc(candidates[:n], candidate.idle) {
+		n *= 2
+	}
+	if n >= len(candidates) {
+		return candidates
+	}
+	most := slices.MaxFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.held, b.held) }).held
+	kept := slices.Clone(candidates[:n])
+	for _, c := range candidates[n:] {
+		if c.expected > 0 || (c.held == most && most > kept[0].held) {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// wait is how long a new prompt waits before it is read.
+func (c *candidate) wait() time.Duration { return time.Duration(c.unread) * prefillTime }
+
+// idle reports whether the candidate begins with a new prompt soon.
+func (c candidate) idle() bool { return c.wait() < idleWait }
+
 // source is where a prefix can be imported from.
 type source struct {
 	address netip.AddrPort
@@ -206,7 +250,7 @@
 		}
 		placed[i] = comfreyworks.Candidate{
 			Instance: c.upstream.ID, Score: c.score, CachedTokens: cached + c.expected,
-			Wait:    time.Duration(c.unread)*prefillTime + time.Duration(c.requests)*slotTime,
+			Wait:    c.wait() + time.Duration(c.requests)*slotTime,
 			Running: c.requests, PrefillTime: prefillTime,
 		}
 		if !c.near {
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -89,14 +89,6 @@
 	return instructions
 }
 
-// priority is the workspace's, else the route's.
-func (a *attempt) priority() int {
-	if a.request.Workspace != nil && a.request.Workspace.Priority >= 0 {
-		return a.request.Workspace.Priority
-	}
-	return a.request.Route.Priority
-}
-
 // failed sorts the error of an exchange.
 func (a *attempt) failed(ctx context.Context, err error) step {
 	a.cause = err
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -126,25 +127,31 @@
 type Forwarder struct {
 	options Options
 	mu      sync.Mutex
-	budgets map[comfreyworks.Pool]*retrybudget.Budget
+	pools   map[comfreyworks.Pool]*poolState
+}
+
+// poolState is what the requests to one pool share.
+type poolState struct {
+	budget    *retrybudget.Budget
+	admission admission
 }
 
 // New returns a forwarder.
 func New(options Options) *Forwarder {
-	return &Forwarder{options: options, budgets: make(map[comfreyworks.Pool]*retrybudget.Budget)}
+	return &Forwarder{options: options, pools: make(map[comfreyworks.Pool]*poolState)}
 }
 
-func (f *Forwarder) budget(pool comfreyworks.Pool) *retrybudget.Budget {
+func (f *Forwarder) pool(name comfreyworks.Pool) *poolState {
 	limit := f.options.RetryLimit()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	budget, ok := f.budgets[pool]
+	pool, ok := f.pools[name]
 	if !ok {
-		budget = retrybudget.New(f.options.Clock, limit)
-		f.budgets[pool] = budget
+		pool = &poolState{budget: retrybudget.New(f.options.Clock, limit)}
+		f.pools[name] = pool
 	}
-	budget.SetLimit(limit)
-	return budget
+	pool.budget.SetLimit(limit)
+	return pool
 }
 
 // Forward sends a request until it has an answer or none can be had.
@@ -152,7 +159,7 @@
 	ctx, cancel := context.WithTimeoutCause(ctx, f.options.Clock.Until(request.Deadline), errDeadline)
 	defer cancel()
 	j := &journey{
-		Forwarder: f, request: request, sink: sink, budget: f.budget(request.Pool),
+		Forwarder: f, request: request, sink: sink, poolState: f.pool(request.Pool),
 		lastEvent: request.LastEventID,
 	}
 	j.budget.Earn()
@@ -165,9 +172,9 @@
 // journey is one request on its way.
 type journey struct {
 	*Forwarder
+	*poolState
 	request *Request
 	sink    Sink
-	budget  *retrybudget.Budget
 	tried   []comfreyworks.InstanceID
 	sends   int
 	runs    int
@@ -273,6 +280,11 @@
 		}
 		return Outcome{Verdict: Refused, RetryAfter: retryAfterNone}, stepDone
 	}
+	if j.overloaded(pick) {
+		pick.Done(balance.Result{Outcome: balance.Withdrawn})
+		j.reason = fmt.Sprintf("overload, would wait %s", pick.Wait.Round(time.Millisecond))
+		return Outcome{Verdict: Refused, RetryAfter: max(drainFactor*pick.Wait, leastRetryAfter)}, stepDone
+	}
 	j.sends++
 	j.tried = append(j.tried, pick.Upstream.ID)
 	a := &attempt{journey: j, pick: pick, startedAt: j.options.Clock.Now()}
@@ -286,6 +298,14 @@
 		Pool: j.request.Pool, Model: j.request.Prompt.Model,
 		Wall: wall(j.request.Workspace), Affinity: affinity(j.request),
 		Parts: j.request.Prompt.Parts, Tokens: j.request.Prompt.Tokens,
-		Exclude: j.tried,
+		Priority: j.priority(), Exclude: j.tried,
+	}
+}
+
+// priority is the workspace's, else the route's.
+func (j *journey) priority() int {
+	if j.request.Workspace != nil && j.request.Workspace.Priority >= 0 {
+		return j.request.Workspace.Priority
 	}
+	return j.request.Route.Priority
 }
--- a/peering.go
+++ b/peering.go
@@ -10,8 +10,8 @@
 type UpstreamLoad struct {
 	ID       InstanceID
 	Requests int
-	// Unread is the number of prompt tokens that the upstream has yet to read.
-	Unread int
+	// Unread is what the upstream has yet to read of prompts.
+	Unread Backlog
 }
 
 // LoadNotice tells that an engine is about to load weights, or has done so.
