Soak gateways as processes against stand-ins, with every promise checked

Cause: nothing of ours ran the real programs under signals, broken links and a store that misbehaves at the same time, and looked at what callers and replicas see.

Change: cmd/soak, a module of its own. A run starts gateways as processes against the stand-ins of the store and of replicas, with a proxy on every link to them that slows, resets, silences or cuts one way. Callers keep their connections; fourteen promises are checked from what they and the replicas saw.

--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,14 @@
 # The front door: make demo, make test.
 
-PROGRAMS := entry sidecar gateway comfreyctl bench
+PROGRAMS := entry sidecar gateway comfreyctl bench soak
 MODULES := . $(addprefix cmd/,$(PROGRAMS))
 GOFUMPT := mvdan.cc/gofumpt@v0.12.0
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 FUZZ_TIME ?= 20s
 SEEDS ?= 1
+SOAK_FLAGS ?= --seeds 2 --jobs 2 --length 6s
 
-.PHONY: all build deploy demo demo-serve demo-processes test lint tidy format fuzz bench capacity clean standalone
+.PHONY: all build deploy demo demo-serve demo-processes test lint tidy format fuzz bench capacity soak soak-mutants clean standalone
 
 all: build
 
@@ -59,6 +60,17 @@
 		done; \
 	done
 
+# Runs gateways as processes, disturbs them by seed and checks every promise. The
+# seeds that ever failed run first.
+soak: build
+	./bin/soak --program bin/gateway --regressions cmd/soak/regressions.txt --jobs 2
+	./bin/soak --program bin/gateway $(SOAK_FLAGS)
+
+# Shows that the soak notices gateways that are broken on purpose.
+soak-mutants:
+	cd cmd/soak && go build -o ../../bin/soak .
+	./bin/soak --mutants --seeds 12 --jobs 4
+
 # Measures the decision alone, then all policies on the same traces: read the
 # rows of one run against each other.
 bench: build
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -60,10 +60,18 @@
 	Target string
 	Header http.Header
 	Body   string
+	// At is when it began.
+	At time.Time
 	// Cancelled means that the caller left before the end.
 	Cancelled bool
 }
 
+// Arrival is a request that reached a replica, whether it ran or not.
+type Arrival struct {
+	ID comfreyworks.RequestID
+	At time.Time
+}
+
 // Replica is safe for concurrent use.
 type Replica struct {
 	options Options
@@ -72,6 +80,7 @@
 	faults  []Fault
 	failIf  func() Fault
 	runs    []*Run
+	arrived []Arrival
 }
 
 // New returns a replica that serves weights 1.
@@ -104,6 +113,19 @@
 	return runs
 }
 
+// Arrivals returns what has reached the replica.
+func (p *Replica) Arrivals() []Arrival {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]Arrival(nil), p.arrived...)
+}
+
+func (p *Replica) arrive(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.arrived = append(p.arrived, Arrival{comfreyworks.RequestID(id), time.Now()})
+}
+
 // FailIf asks a function for the fault of each further request; no fault means
 // that it goes well.
 func (p *Replica) FailIf(next func() Fault) {
@@ -129,6 +151,7 @@
 // ServeHTTP implements http.Handler.
 func (p *Replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	names := &p.options.Headers
+	p.arrive(r.Header.Get(names.RequestID))
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -186,7 +209,7 @@
 func (p *Replica) begin(r *http.Request, body string) *Run {
 	run := &Run{
 		ID: comfreyworks.RequestID(r.Header.Get(p.options.Headers.RequestID)), Method: r.Method,
-		Target: r.RequestURI, Header: r.Header.Clone(), Body: body,
+		Target: r.RequestURI, Header: r.Header.Clone(), Body: body, At: time.Now(),
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
