Tell peers of load twice as often, of each other once a second

Change: a peer is told of the others once a second; a backlog travels as pairs of priority and tokens; up to a hundred calls a second. Two refusals are chance, and the share of refusals is taken over two seconds.

--- /dev/null
+++ b/backlog_test.go
@@ -0,0 +1,38 @@
+package comfreyworks
+
+import (
+	"bytes"
+	"encoding/gob"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestBacklog(t *testing.T) {
+	var b Backlog
+	b.Change(3, 1000)
+	b.Change(-1, 20)
+	b.Change(99, 5)
+	t.Run("ahead are the more urgent ones and one's own", func(t *testing.T) {
+		for priority, want := range map[int]int{0: 20, 2: 20, 3: 1020, 8: 1020, 9: 1025, 40: 1025} {
+			assert.Equal(t, b.Ahead(priority), want, "%d", priority)
+		}
+	})
+	t.Run("sums", func(t *testing.T) {
+		sum := b
+		sum.Add(&b)
+		assert.Equal(t, sum.Ahead(9), 2050)
+	})
+	t.Run("travels", func(t *testing.T) {
+		var wire bytes.Buffer
+		assert.NilError(t, gob.NewEncoder(&wire).Encode(UpstreamLoad{ID: "e", Unread: b}))
+		var got UpstreamLoad
+		assert.NilError(t, gob.NewDecoder(&wire).Decode(&got))
+		assert.DeepEqual(t, got, UpstreamLoad{ID: "e", Unread: b})
+	})
+	t.Run("refuses what cannot be read", func(t *testing.T) {
+		for _, encoded := range [][]byte{{0}, {Priorities, 2}, {1, 0x80}} {
+			assert.ErrorContains(t, new(Backlog).GobDecode(encoded), "cannot be read")
+		}
+	})
+}
--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -19,10 +19,12 @@
 	returnedWait  = 0.5
 	// overloadShare is the share of refusals from which on nobody is let in
 	// beyond the objective: what is let in late makes others late.
+	// Fewer than overloadLeast are chance.
 	overloadShare = 0.1
+	overloadLeast = 2
 	// overloadHalfLife is how fast past refusals lose their weight: about the time
-	// in which the waiting prompts of an engine are read.
-	overloadHalfLife = time.Second
+	// in which the waiting prompts of an engine are read and answered.
+	overloadHalfLife = 2 * time.Second
 	// leastRetryAfter lets the work that waits at an engine end, and drainFactor
 	// stretches the expected wait for what others send meanwhile.
 	leastRetryAfter = 600 * time.Millisecond
@@ -47,7 +49,7 @@
 	fade := math.Exp2(-float64(now.Sub(a.at)) / float64(overloadHalfLife))
 	a.asked, a.refused, a.at = a.asked*fade+1, a.refused*fade, now
 	limit := worth
-	if a.refused < overloadShare*a.asked {
+	if a.refused < overloadShare*a.asked+overloadLeast {
 		limit = max(worth, late)
 	}
 	if wait <= limit {
--- a/internal/coordination/forward/admit_test.go
+++ b/internal/coordination/forward/admit_test.go
@@ -74,7 +74,9 @@
 	})
 	t.Run("but not while many are refused", func(t *testing.T) {
 		f := busyFixture(3)
-		f.send(f.prompt(whole))
+		for range 2 * overloadLeast {
+			f.send(f.prompt(whole))
+		}
 		assert.Equal(t, f.send(f.prompt(back)).Verdict, Refused)
 		f.clock.Advance(20 * overloadHalfLife)
 		assert.Equal(t, f.send(f.prompt(back)).Verdict, Delivered)
--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -37,8 +37,8 @@
 	// learn each other's load from one.
 	syncInterval = 150 * time.Millisecond
 	// perPeerPause stretches that pause where there are many peers, so that a
-	// gateway makes at most fifty calls a second.
-	perPeerPause = 20 * time.Millisecond
+	// gateway makes at most a hundred calls a second.
+	perPeerPause = 10 * time.Millisecond
 	// callTimeout bounds a question; peers are a few milliseconds away.
 	callTimeout = 400 * time.Millisecond
 	// silentPause is the pause after a question without an answer.
@@ -51,6 +51,9 @@
 	// lonelyInterval the same while no peer answers.
 	registryInterval = 10 * time.Second
 	lonelyInterval   = 2 * time.Second
+	// introductionInterval is the pause between two times that one peer is told of
+	// all others: each is in touch with each, and who is new or gone is not urgent.
+	introductionInterval = time.Second
 	// reconcileInterval is the pause between two looks at whom to ask.
 	reconcileInterval = 100 * time.Millisecond
 )
@@ -85,6 +88,8 @@
 	seed    bool
 	asking  context.CancelFunc
 	lost    bool
+	// introducedAt is when it was last told of the others.
+	introducedAt time.Time
 }
 
 // New returns a peering that knows only its seeds.
@@ -165,7 +170,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	askedAt := p.options.Clock.Now()
-	news, err := link.Sync(ctx, p.state(p.options.Catalog.Proofs()))
+	declared, listed := p.options.Catalog.Proofs()
+	news, err := link.Sync(ctx, p.state(address, declared, listed))
 	if err != nil {
 		return err
 	}
@@ -213,7 +219,7 @@
 	p.heard(state, state.Self.Address)
 	declared, listed := p.options.Catalog.Proofs()
 	news := comfreyworks.GatewayNews{
-		State: p.state(declared, listed), DeclaredAge: p.age(declared), ListedAge: p.age(listed),
+		State: p.state(state.Self.Address, declared, listed), DeclaredAge: p.age(declared), ListedAge: p.age(listed),
 	}
 	if state.Declared >= declared.Position && state.Listed >= listed.Position {
 		return news
@@ -238,13 +244,20 @@
 	return p.options.Clock.Since(proof.At)
 }
 
-func (p *Peering) state(declared, listed catalog.Proof) comfreyworks.GatewayState {
+// state is what this gateway tells one peer.
+func (p *Peering) state(to netip.AddrPort, declared, listed catalog.Proof) comfreyworks.GatewayState {
 	now := p.options.Clock.Now()
 	state := comfreyworks.GatewayState{
 		Self: p.options.Self, Loads: p.options.Balancer.Loads(), Declared: declared.Position, Listed: listed.Position,
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if peer := p.peers[to]; peer != nil {
+		if now.Sub(peer.introducedAt) < introductionInterval {
+			return state
+		}
+		peer.introducedAt = now
+	}
 	for address, known := range p.peers {
 		if known.id != "" && now.Sub(known.heardAt) <= forgottenAfter {
 			state.Peers = append(state.Peers, comfreyworks.GatewayPeer{
