Keep the pause of a follower long when a cache stays away

Cause: found by reading. The pause doubled by a shift that overflows after 36 questions without an answer, a minute or so, and then the follower asks without any pause.

Change: the pause stops at its longest. The store of a session is chosen with what the choice of the engine has looked up already, and a constant that nobody used is gone.

Test: TestLongOutage failed after 36 failures.

--- a/backlog.go
+++ b/backlog.go
@@ -9,9 +9,6 @@
 // urgent.
 const Priorities = 10
 
-// DefaultPriority is the priority of a request that has none.
-const DefaultPriority = 5
-
 // Backlog is the number of prompt tokens that an engine has yet to read, by
 // priority.
 type Backlog [Priorities]int
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -213,7 +213,7 @@
 		pick.ImportFrom, pick.Importable = source.address, source.held
 	}
 	if chosen.weights == named.Revision {
-		pick.SaveTo = b.store(&query, chosen.weights)
+		pick.SaveTo = b.store(&query, sources[chosen.weights].holders)
 	}
 	return pick
 }
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -133,6 +133,8 @@
 type source struct {
 	address netip.AddrPort
 	held    int
+	// holders is how much each engine and store holds.
+	holders map[comfreyworks.InstanceID]int
 }
 
 // weigh fills in what the candidates hold, and returns the best source for each
@@ -145,6 +147,7 @@
 		if _, ok := held[c.weights]; !ok {
 			held[c.weights] = b.options.Holdings.Prefix(holdings.Salt(query.Wall, c.weights), query.Model, query.Parts)
 			if s := b.source(query.Pool, held[c.weights], now); s.held > 0 {
+				s.holders = held[c.weights]
 				sources[c.weights] = s
 			}
 		}
@@ -199,13 +202,13 @@
 		if n == 0 || n < best.held || (n == best.held && near) || b.endpointAvoided(upstream.ID, now) {
 			continue
 		}
-		best = source{upstream.Address, n}
+		best = source{address: upstream.Address, held: n}
 		near = upstream.Zone == b.options.Zone
 	}
 	for _, store := range b.options.Catalog.Stores() {
 		// An engine's link is faster than a store's, which all engines share.
 		if n := held[store.ID]; n > best.held+leastSave {
-			best = source{store.Address, n}
+			best = source{address: store.Address, held: n}
 		}
 	}
 	return best
@@ -214,7 +217,7 @@
 // store returns where the shared parts of a prompt are kept beyond the memory of
 // one engine, if much of them is not there yet. Each session has its store, so
 // that together they hold as much as they can.
-func (b *Balancer) store(query *Query, weights comfreyworks.WeightsRevision) netip.AddrPort {
+func (b *Balancer) store(query *Query, holders map[comfreyworks.InstanceID]int) netip.AddrPort {
 	stores := b.options.Catalog.Stores()
 	if len(stores) == 0 || len(query.Parts) < 2 {
 		return netip.AddrPort{}
@@ -224,7 +227,7 @@
 	kept := slices.MaxFunc(stores, func(a, b catalog.Store) int {
 		return cmp.Compare(rendezvous.Score(rendezvous.Seed(string(a.ID)), key), rendezvous.Score(rendezvous.Seed(string(b.ID)), key))
 	})
-	missing := -b.options.Holdings.Prefix(holdings.Salt(query.Wall, weights), query.Model, shared)[kept.ID]
+	missing := -holders[kept.ID]
 	for _, part := range shared {
 		missing += part.Tokens
 	}
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -123,7 +123,7 @@
 		cancel()
 		if err != nil {
 			w.options.Logger.Debug("cache events missed", zap.String("engine", string(target.ID)), zap.Error(err))
-			pause = min(firstPause<<known.failures, maxPause)
+			pause = pauseAfter(known.failures)
 			w.missed(&known)
 		} else {
 			w.learn(&known, &changes)
@@ -143,6 +143,17 @@
 	return sharedWait, time.Duration((float64(followers)/share - 1) * float64(sharedWait))
 }
 
+// pauseAfter returns the pause after a number of further questions without an
+// answer.
+func pauseAfter(failures int) time.Duration {
+	for pause := firstPause; ; pause *= 2 {
+		if failures == 0 || pause >= maxPause {
+			return min(pause, maxPause)
+		}
+		failures--
+	}
+}
+
 // knowledge is up to where a target's changes are known.
 type knowledge struct {
 	target      comfreyworks.InstanceID
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -146,6 +146,17 @@
 	})
 }
 
+// TestLongOutage is a target that stays down: the pause must not shrink again.
+func TestLongOutage(t *testing.T) {
+	pause := time.Duration(0)
+	for failures := range 200 {
+		next := pauseAfter(failures)
+		assert.Assert(t, next >= pause && next <= maxPause, "%s after %d failures", next, failures)
+		pause = next
+	}
+	assert.Equal(t, pause, maxPause)
+}
+
 func TestReconcile(t *testing.T) {
 	engine := &fakeEngine{answers: make(chan any)}
 	targets := []Target{{ID: "a"}, {ID: "b"}}
