Look up once what was looked up twice, and call what was there

A reading of the change found:

- The store of a session was found by a second hash of what Query.Affinity is already, and each comparison hashed the stores' names anew.
It now ranks by the affinity and by seeds that the catalog keeps.
The test's queries name their session by a hash, as real ones do.
- Every question to a cache counted and sorted all live gateways, more than a hundred times a second on a grown site.
The watcher counts them at each look at its targets.
- Written again: the wait of a candidate, the shared parts of a prompt, the least priority, a whole stream of the stand-in, exit codes, an answer that nobody reads.
Dead: Table.Pool with its map, a field of the soak's plan, a lock that one goroutine took.
The comment of the soak's check of holders claimed more than it checks.

No bound, check or expectation changed. Left: dispatch's retry budget beside state/retrybudget; other kinds of routes are still read as may-run-once in platform/, as its test expects.

Ruled out as twins: the pairs of the duplicate search that are heads of files, options and constants; the stand-ins of both logs, which speak different protocols; the checkers of the bench and of the soak.

--- a/Makefile
+++ b/Makefile
@@ -67,8 +67,7 @@
 	./bin/soak --program bin/gateway $(SOAK_FLAGS)
 
 # Shows that the soak notices gateways that are broken on purpose.
-soak-mutants:
-	cd cmd/soak && go build -o ../../bin/soak .
+soak-mutants: build
 	./bin/soak --mutants --seeds 12 --jobs 4
 
 # Measures the decision alone, then all policies on the same traces: read the
--- a/cmd/soak/internal/caller/caller.go
+++ b/cmd/soak/internal/caller/caller.go
@@ -18,7 +18,6 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"sync"
 	"time"
 
 	"comfreyworks/cmd/soak/internal/fleet"
@@ -87,13 +86,13 @@
 	Keys []string
 }
 
-// Caller is one caller with one connection to one gateway at a time.
+// Caller is one caller with one connection to one gateway at a time. It is used by
+// one goroutine after the other.
 type Caller struct {
 	options Options
 	rng     *rand.Rand
 	client  *http.Client
 	gateway int
-	mu      sync.Mutex
 	records []Record
 }
 
@@ -109,11 +108,7 @@
 }
 
 // Records returns what has been sent so far.
-func (c *Caller) Records() []Record {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return append([]Record(nil), c.records...)
-}
+func (c *Caller) Records() []Record { return c.records }
 
 // Run sends one request after the other until ctx ends. The last one is waited
 // for.
@@ -136,8 +131,6 @@
 func (c *Caller) One(n int) Record {
 	record := c.draw(n)
 	c.send(&record)
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.records = append(c.records, record)
 	return record
 }
--- a/cmd/soak/internal/check/check.go
+++ b/cmd/soak/internal/check/check.go
@@ -197,7 +197,7 @@
 	want := "answer to " + record.ID
 	rule := Genuine
 	if record.Kind.Pool() == fleet.EnginePool {
-		want, rule = stream(), Order
+		want, rule = replica.Stream(fleet.Events), Order
 	}
 	got := string(record.Answer)
 	if record.Complete && got != want || !strings.HasPrefix(want, got) {
@@ -205,15 +205,6 @@
 	}
 }
 
-// stream is the whole of every stream.
-func stream() string {
-	var all strings.Builder
-	for i := range fleet.Events {
-		all.WriteString(replica.Event(i + 1))
-	}
-	return all.String()
-}
-
 // budget counts the arrivals beyond the first of each request in every window.
 func (c *checker) budget(pool string) {
 	var requests, repeats []time.Time
@@ -248,14 +239,12 @@
 	return n
 }
 
-// holder checks the orders of one engine: no two holders with one token, and no
-// turns within the lease.
+// holder checks the orders of one engine: none has another holder's token, or an
+// older one.
 func (c *checker) holder(engine string, orders []standin.Order) {
 	for i, order := range orders {
 		for _, earlier := range orders[:i] {
-			switch {
-			case earlier.Holder == order.Holder:
-			case earlier.Token >= order.Token:
+			if earlier.Holder != order.Holder && earlier.Token >= order.Token {
 				c.fail(Holder, "%s had token %d of %s after %d of %s", engine, order.Token, order.Holder, earlier.Token, earlier.Holder)
 			}
 		}
--- a/cmd/soak/internal/check/check_test.go
+++ b/cmd/soak/internal/check/check_test.go
@@ -28,7 +28,7 @@
 	record.Header.Set(names.RequestID, "r")
 	record.Header.Set(names.Proof, "digest-u")
 	if kind.Pool() == fleet.EnginePool {
-		record.Answer = []byte(stream())
+		record.Answer = []byte(replica.Stream(fleet.Events))
 	}
 	return &Facts{Records: []caller.Record{record}, Runs: []Run{ran(kind, "u")}}
 }
--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -95,17 +95,13 @@
 }
 
 // Plan is a series of troubles.
-type Plan struct {
-	Events []Event
-	// Length is when the last trouble begins at the latest.
-	Length time.Duration
-}
+type Plan struct{ Events []Event }
 
 // Draw draws a plan. The guest's key is taken away in each, in every second one
 // while all gateways are cut off from the store.
 func Draw(seed uint64, length time.Duration, gateways, replicas int) *Plan {
 	rng := rand.New(rand.NewPCG(seed, 0))
-	plan := &Plan{Length: length}
+	plan := &Plan{}
 	for at := time.Duration(0); at < length; at += time.Duration(rng.Int64N(int64(2 * gap))) {
 		plan.Events = append(plan.Events, draw(rng, at, gateways, replicas))
 	}
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -30,6 +30,7 @@
 
 	"comfreyworks/cmd/soak/internal/mutant"
 	"comfreyworks/cmd/soak/internal/series"
+	"comfreyworks/internal/transport/program"
 )
 
 type options struct {
@@ -46,21 +47,15 @@
 	Root        string        `long:"root" default:"." description:"the source tree, for --mutants" value-name:"PATH"`
 }
 
-const (
-	exitOK     = 0
-	exitBroken = 1
-	exitUsage  = 2
-)
-
 func main() { os.Exit(run()) }
 
 func run() int {
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
 		if flags.WroteHelp(err) {
-			return exitOK
+			return program.ExitOK
 		}
-		return exitUsage
+		return program.ExitUsage
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
@@ -84,15 +79,15 @@
 		return fail(err)
 	case broken > 0:
 		fmt.Printf("%d of %d seeds broke a promise; logs in %s\n", broken, len(seeds), o.Dir)
-		return exitBroken
+		return program.ExitFailure
 	}
 	fmt.Printf("%d seeds, no promise broken\n", len(seeds))
-	return exitOK
+	return program.ExitOK
 }
 
 func fail(err error) int {
 	fmt.Fprintln(os.Stderr, "soak:", err)
-	return exitUsage
+	return program.ExitUsage
 }
 
 // seeds are those of the regression file, or those of the command line.
@@ -124,7 +119,7 @@
 }
 
 // series runs seeds and returns how many broke a promise.
-func (o *options) series(ctx context.Context, program, dir string, seeds []uint64) (broken int, err error) {
+func (o *options) series(ctx context.Context, binary, dir string, seeds []uint64) (broken int, err error) {
 	var mu sync.Mutex
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(max(o.Jobs, 1))
@@ -134,7 +129,7 @@
 				return ctx.Err()
 			}
 			result, err := series.Run(ctx, series.Options{
-				Program: program, Dir: filepath.Join(dir, strconv.FormatUint(seed, 10)), Seed: seed,
+				Program: binary, Dir: filepath.Join(dir, strconv.FormatUint(seed, 10)), Seed: seed,
 				Gateways: o.Gateways, Callers: o.Callers, Length: o.Length,
 			})
 			if err != nil {
@@ -181,9 +176,9 @@
 		}
 	}
 	if unnoticed > 0 {
-		return exitBroken
+		return program.ExitFailure
 	}
-	return exitOK
+	return program.ExitOK
 }
 
 func (o *options) notice(ctx context.Context, m *mutant.Mutant, dir string) (bool, error) {
@@ -194,7 +189,7 @@
 	if err != nil {
 		return false, err
 	}
-	program, err := m.Build(ctx, root, dir)
+	binary, err := m.Build(ctx, root, dir)
 	if err != nil {
 		return false, err
 	}
@@ -203,7 +198,7 @@
 		for seed := first; seed < min(first+uint64(o.Jobs), o.Seed+o.Seeds); seed++ {
 			seeds = append(seeds, seed)
 		}
-		broken, err := o.series(ctx, program, dir, seeds)
+		broken, err := o.series(ctx, binary, dir, seeds)
 		if err != nil || broken > 0 {
 			return broken > 0, err
 		}
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -76,7 +76,8 @@
 	Model comfreyworks.Model
 	// Wall names whose cached parts may be used.
 	Wall string
-	// Affinity ranks engines that are as good otherwise.
+	// Affinity names the session: it ranks engines that are as good otherwise, and
+	// the stores of kept cache.
 	Affinity uint64
 	// Parts are the declared parts of the prompt, Tokens its whole length.
 	Parts  []comfreyworks.PromptPart
@@ -87,6 +88,10 @@
 	Exclude []comfreyworks.InstanceID
 }
 
+// shared returns the parts that others may ask for too; the last one is the
+// request's own.
+func (q *Query) shared() []comfreyworks.PromptPart { return q.Parts[:max(len(q.Parts)-1, 0)] }
+
 // Outcome tells what became of a request at an upstream.
 type Outcome string
 
@@ -256,7 +261,7 @@
 		return c, true
 	}
 	age := now.Sub(successor.At)
-	limit := b.options.WeightsBound - weightsMargin - time.Duration(c.unread)*prefillTime
+	limit := b.options.WeightsBound - weightsMargin - c.wait()
 	if successor.Earlier {
 		limit = min(limit, unknownAgeLimit)
 	}
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
@@ -69,7 +70,7 @@
 // prompt asks for an engine for a prompt of a guide, a site and an own part.
 func prompt(guide, site string) Query {
 	return Query{
-		Pool: engines, Model: model, Wall: "shared", Affinity: uint64(len(site)),
+		Pool: engines, Model: model, Wall: "shared", Affinity: xxhash.Sum64String(site),
 		Parts:  []comfreyworks.PromptPart{{ID: guide, Tokens: 2500}, {ID: site, Tokens: 3800}, {ID: "own", Tokens: 2900}},
 		Tokens: 9200,
 	}
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -164,10 +164,9 @@
 // that nobody holds, so that no two engines read them at the same time. The last
 // part is the request's own and has no home.
 func expect(candidates []candidate, query *Query, weights comfreyworks.WeightsRevision, known int) {
-	shared := query.Parts[:max(len(query.Parts)-1, 0)]
 	start, missing := 0, 0
 	var key uint64
-	for _, part := range shared {
+	for _, part := range query.shared() {
 		if start+part.Tokens > known {
 			if missing == 0 {
 				key = xxhash.Sum64String(query.Wall + "/" + part.ID)
@@ -219,16 +218,14 @@
 // that together they hold as much as they can.
 func (b *Balancer) store(query *Query, holders map[comfreyworks.InstanceID]int) netip.AddrPort {
 	stores := b.options.Catalog.Stores()
-	if len(stores) == 0 || len(query.Parts) < 2 {
+	if len(stores) == 0 {
 		return netip.AddrPort{}
 	}
-	shared := query.Parts[:len(query.Parts)-1]
-	key := xxhash.Sum64String(query.Wall + "/" + shared[len(shared)-1].ID)
 	kept := slices.MaxFunc(stores, func(a, b catalog.Store) int {
-		return cmp.Compare(rendezvous.Score(rendezvous.Seed(string(a.ID)), key), rendezvous.Score(rendezvous.Seed(string(b.ID)), key))
+		return cmp.Compare(rendezvous.Score(a.Seed, query.Affinity), rendezvous.Score(b.Seed, query.Affinity))
 	})
 	missing := -holders[kept.ID]
-	for _, part := range shared {
+	for _, part := range query.shared() {
 		missing += part.Tokens
 	}
 	if missing < leastSave {
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -69,7 +70,11 @@
 }
 
 // Watcher follows a changing set of targets.
-type Watcher struct{ options Options }
+type Watcher struct {
+	options Options
+	// followers is what Followers said at the last look.
+	followers atomic.Int64
+}
 
 // New returns a watcher.
 func New(options Options) *Watcher { return &Watcher{options: options} }
@@ -91,6 +96,7 @@
 
 // reconcile starts and stops followers until they fit the targets.
 func (w *Watcher) reconcile(ctx context.Context, group *errgroup.Group, following map[Target]context.CancelFunc) {
+	w.followers.Store(int64(w.options.Followers()))
 	wanted := make(map[Target]bool)
 	for _, target := range w.options.Targets() {
 		wanted[target] = true
@@ -117,7 +123,7 @@
 	defer w.options.Index.Forget(target.ID)
 	known := knowledge{target: target.ID}
 	for ctx.Err() == nil {
-		wait, pause := schedule(target.Readers, w.options.Followers())
+		wait, pause := schedule(target.Readers, int(w.followers.Load()))
 		question, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 		changes, err := w.options.Source.CacheChanges(question, target.Address, known.after, wait)
 		cancel()
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -40,8 +40,6 @@
 	keptFor = 12 * time.Second
 	// maxHeaderBytes bounds the header of an answer.
 	maxHeaderBytes = 64 << 10
-	// maxPriority is the least urgent priority on the wire.
-	maxPriority = 9
 )
 
 // Options configures a Client.
@@ -192,7 +190,7 @@
 		header.Set(names.SaveTo, instructions.SaveTo.String())
 	}
 	if instructions.Priority >= 0 {
-		header.Set(names.Priority, strconv.Itoa(min(instructions.Priority, maxPriority)))
+		header.Set(names.Priority, strconv.Itoa(min(instructions.Priority, comfreyworks.Priorities-1)))
 	}
 	if instructions.LastEventID != "" {
 		header.Set(names.LastEventID, instructions.LastEventID)
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -15,6 +15,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -256,5 +257,14 @@
 	}
 }
 
+// Stream returns a whole stream of n events.
+func Stream(n int) string {
+	var all strings.Builder
+	for i := range n {
+		all.WriteString(Event(i + 1))
+	}
+	return all.String()
+}
+
 // Event returns one event of a stream.
 func Event(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/rendezvous"
 	"comfreyworks/internal/state/routing"
 )
 
@@ -211,6 +212,8 @@
 type Store struct {
 	ID comfreyworks.InstanceID
 	comfreyworks.CacheStore
+	// Seed ranks the stores for a session.
+	Seed uint64
 	// Readers is how many processes may follow it at once; zero means any
 	// number.
 	Readers int
@@ -230,7 +233,7 @@
 	for _, pool := range pools {
 		if pool.Store != nil {
 			id := comfreyworks.InstanceID("store/" + string(pool.Name))
-			stores = append(stores, Store{ID: id, CacheStore: *pool.Store, Readers: pool.CacheReaders})
+			stores = append(stores, Store{ID: id, CacheStore: *pool.Store, Seed: rendezvous.Seed(string(id)), Readers: pool.CacheReaders})
 		}
 	}
 	return stores
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -27,7 +27,6 @@
 	byHost map[string][]*comfreyworks.Route
 	// byKey holds digests, so that a look-up takes as long for any wrong key.
 	byKey map[[sha256.Size]byte]*comfreyworks.WorkspaceKeys
-	pools map[comfreyworks.Pool]*comfreyworks.UpstreamPool
 }
 
 // New arranges a routing. The routing must not be changed afterwards.
@@ -36,10 +35,12 @@
 		declared: declared,
 		byHost:   make(map[string][]*comfreyworks.Route),
 		byKey:    make(map[[sha256.Size]byte]*comfreyworks.WorkspaceKeys),
-		pools:    make(map[comfreyworks.Pool]*comfreyworks.UpstreamPool),
 	}
 	for i := range declared.Routes {
 		route := &declared.Routes[i]
+		if route.MaxAttempts < 1 {
+			route.MaxAttempts = 1
+		}
 		host := strings.ToLower(route.Host)
 		t.byHost[host] = append(t.byHost[host], route)
 	}
@@ -54,9 +55,6 @@
 			t.byKey[sha256.Sum256([]byte(key))] = workspace
 		}
 	}
-	for i := range declared.Pools {
-		t.pools[declared.Pools[i].Name] = &declared.Pools[i]
-	}
 	return t
 }
 
@@ -97,9 +95,6 @@
 	return t.byKey[sha256.Sum256([]byte(key))]
 }
 
-// Pool returns the settings of a pool, or nil.
-func (t *Table) Pool(name comfreyworks.Pool) *comfreyworks.UpstreamPool { return t.pools[name] }
-
 // Choose picks one of a route's pools by weight, for a draw between 0 and 1.
 func Choose(route *comfreyworks.Route, draw float64) comfreyworks.Pool {
 	total := 0
--- a/internal/state/routing/routing_test.go
+++ b/internal/state/routing/routing_test.go
@@ -24,6 +24,14 @@
 	})
 }
 
+func TestAttempts(t *testing.T) {
+	declared := comfreyworks.Routing{Routes: []comfreyworks.Route{
+		{Host: "a", PathPrefix: "/none/"}, {Host: "a", PathPrefix: "/two/", MaxAttempts: 2},
+	}}
+	assert.Equal(t, New(declared).Route("a", "/none/").MaxAttempts, 1)
+	assert.Equal(t, New(declared).Route("a", "/two/").MaxAttempts, 2)
+}
+
 func TestRoute(t *testing.T) {
 	cases := map[string]struct{ host, path, want string }{
 		"longest prefix":          {"api.example", "/orders/new/7", "new"},
--- a/internal/transport/gateway/fixture_test.go
+++ b/internal/transport/gateway/fixture_test.go
@@ -194,13 +194,7 @@
 	return runs
 }
 
-func wholeStream() string {
-	var all strings.Builder
-	for i := 1; i <= events; i++ {
-		all.WriteString(replica.Event(i))
-	}
-	return all.String()
-}
+func wholeStream() string { return replica.Stream(events) }
 
 // failFirst makes the first n requests fail, whichever replica gets them.
 func (f *fixture) failFirst(replicas []*replica.Replica, fault replica.Fault, n int) {
--- a/routing.go
+++ b/routing.go
@@ -42,7 +42,8 @@
 	MaxEventGap time.Duration
 	// Priority orders requests; zero is the most urgent.
 	Priority int
-	// MaxAttempts bounds the upstreams that one request may run on.
+	// MaxAttempts bounds the upstreams that one request may run on; none means
+	// one.
 	MaxAttempts int
 	// Public requests need no key.
 	Public bool
