--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -8,6 +8,9 @@
 // engine by rendezvous hashing, so that all gateways send the first requests for
 // them to the same engine.
 //
+// In a large fleet no gateway knows what engines have cached. There each session
+// has a few homes among the engines, on which all gateways agree.
+//
 // # Usage
 //
 //	b := balance.New(balance.Options{Catalog: c, Holdings: index, Policy: policy, Clock: clock, Zone: zone})
@@ -139,15 +142,9 @@
 
 	mu        sync.Mutex
 	endpoints map[comfreyworks.InstanceID]*endpoint
-	// peers holds the loads that each peer reported.
-	peers map[comfreyworks.InstanceID]peerLoads
-}
-
-// peerLoads holds the loads that one peer has put on upstreams. They count until
-// the given time.
-type peerLoads struct {
-	loads map[comfreyworks.InstanceID]comfreyworks.UpstreamLoad
-	until time.Time
+	peers     peerLoads
+	// gateways is the number of gateways, including this one.
+	gateways int
 }
 
 // endpoint holds what this gateway has observed of one upstream itself.
@@ -170,7 +167,9 @@
 	// upstream counts as avoided, full or loading.
 	avoidUntil, fullUntil, loadingUntil time.Time
 	weights                             map[comfreyworks.Model]comfreyworks.WeightsRevision
-	seenAt                              time.Time
+	// noticeSequence is the sequence number of the last notice about the upstream.
+	noticeSequence uint64
+	seenAt         time.Time
 }
 
 // New returns a balancer without any observations.
@@ -178,7 +177,8 @@
 	return &Balancer{
 		options:   options,
 		endpoints: make(map[comfreyworks.InstanceID]*endpoint),
-		peers:     make(map[comfreyworks.InstanceID]peerLoads),
+		peers:     newPeerLoads(),
+		gateways:  1,
 	}
 }
 
@@ -214,10 +214,13 @@
 // there is no suitable upstream.
 func (b *Balancer) Pick(query Query) *Pick {
 	declared := b.options.Catalog.Weights(query.Model)
-	upstreams := b.options.Catalog.Upstreams(query.Pool)
 	now := b.options.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if query.Model != "" && !b.usesCacheNews() {
+		return b.pickHome(query, declared, now)
+	}
+	upstreams := b.options.Catalog.Upstreams(query.Pool)
 	candidates := make([]candidate, 0, len(upstreams))
 	for i := range upstreams {
 		if c, ok := b.newCandidate(&upstreams[i], &query, declared, now); ok {
@@ -264,7 +267,7 @@
 		return candidate{}, false
 	}
 	e := b.endpoint(upstream, now)
-	peerLoad := b.peerLoad(upstream.ID, now)
+	peerLoad := b.peers.load(upstream.ID, now)
 	c := candidate{
 		upstream: upstream, endpoint: e, latency: e.latency,
 		requests:    e.requests + peerLoad.Requests,
@@ -309,57 +312,13 @@
 	return e
 }
 
-// peerLoad returns the total load that peers have put on an upstream.
-func (b *Balancer) peerLoad(id comfreyworks.InstanceID, now time.Time) comfreyworks.UpstreamLoad {
-	var sum comfreyworks.UpstreamLoad
-	for _, peer := range b.peers {
-		if load, ok := peer.loads[id]; ok && now.Before(peer.until) {
-			sum.Requests += load.Requests
-			sum.Unread.Add(&load.Unread)
-		}
-	}
-	return sum
-}
-
-// SetPeerLoads sets the loads that a peer reports. They count until the given
-// time.
-func (b *Balancer) SetPeerLoads(peer comfreyworks.InstanceID, loads []comfreyworks.UpstreamLoad, until time.Time) {
-	entry := peerLoads{loads: make(map[comfreyworks.InstanceID]comfreyworks.UpstreamLoad, len(loads)), until: until}
-	for _, load := range loads {
-		entry.loads[load.ID] = load
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.peers[peer] = entry
-}
-
-// RemovePeer removes the loads that a peer reported.
-func (b *Balancer) RemovePeer(peer comfreyworks.InstanceID) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.peers, peer)
-}
-
-// LocalLoads returns the load that this gateway has put on each upstream.
-func (b *Balancer) LocalLoads() []comfreyworks.UpstreamLoad {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var loads []comfreyworks.UpstreamLoad
-	for id, e := range b.endpoints {
-		if e.requests > 0 {
-			loads = append(loads, comfreyworks.UpstreamLoad{ID: id, Requests: e.requests, Unread: e.backlog})
-		}
-	}
-	return loads
-}
-
 // Requests returns the number of requests in progress at an upstream, from all
 // gateways.
 func (b *Balancer) Requests(id comfreyworks.InstanceID) int {
 	now := b.options.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	n := b.peerLoad(id, now).Requests
+	n := b.peers.load(id, now).Requests
 	if e, ok := b.endpoints[id]; ok {
 		n += e.requests
 	}
@@ -367,22 +326,28 @@
 }
 
 // ApplyLoadNotice applies a notice that an engine is about to load weights or has
-// loaded them.
-func (b *Balancer) ApplyLoadNotice(notice comfreyworks.WeightsLoadNotice) {
+// loaded them. It returns false if the notice is not newer than the last one about
+// the engine, or if the engine is not listed.
+func (b *Balancer) ApplyLoadNotice(notice comfreyworks.WeightsLoadNotice) bool {
 	now := b.options.Clock.Now()
 	engine, ok := b.options.Catalog.Upstream(notice.Engine)
 	if !ok {
-		return
+		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.endpoint(&engine, now)
+	if notice.Sequence <= e.noticeSequence {
+		return false
+	}
+	e.noticeSequence = notice.Sequence
 	e.loadingUntil = now.Add(notice.For)
 	if notice.Done && notice.Weights > e.weights[notice.Model] {
 		// Loading weights clears the engine's cache.
 		b.options.Holdings.RemoveEngine(notice.Engine)
 		e.weights[notice.Model] = notice.Weights
 	}
+	return true
 }
 
 // Weights returns the newest revision that an upstream is known to serve.
@@ -416,7 +381,7 @@
 	p.endpoint.backlog.AddTokens(p.query.Priority, -p.prefillTokens)
 	p.prefillTokens = 0
 	p.balancer.mu.Unlock()
-	if p.query.Model == "" {
+	if p.query.Model == "" || !p.balancer.UsesCacheNews() {
 		return
 	}
 	salt := holdings.Salt(p.query.CacheScope, p.Weights)
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"comfreyworks"
-	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/rendezvous"
 )
@@ -53,8 +52,10 @@
 type candidate struct {
 	upstream *comfreyworks.Upstream
 	endpoint *endpoint
-	// score ranks the candidates for a session.
+	// score ranks the candidates for a session. rank is the position among the homes
+	// of a session, starting at zero.
 	score    uint64
+	rank     int
 	requests int
 	// tokensAhead is the number of prompt tokens that are prefilled before this
 	// request.
@@ -111,7 +112,7 @@
 // gateway chose the least loaded of all engines, all of them would choose the
 // same one. A session on few engines also occupies less cache memory.
 func (b *Balancer) sessionSubset(candidates []candidate) []candidate {
-	if len(b.peers) <= maxPeersWithoutSubset {
+	if b.gateways-1 <= maxPeersWithoutSubset {
 		return candidates
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
@@ -227,16 +228,12 @@
 
 // chooseStore returns the cache store to which the shared parts of a prompt are
 // to be copied, or an invalid address if the store lacks fewer than minSaveTokens
-// of their tokens. Each session uses one store, so that the stores together hold
-// as much as possible.
+// of their tokens.
 func (b *Balancer) chooseStore(query *Query, cachedBy map[comfreyworks.InstanceID]int) netip.AddrPort {
-	stores := b.options.Catalog.Stores()
-	if len(stores) == 0 {
+	store := b.sessionStore(query.AffinityKey)
+	if store == nil {
 		return netip.AddrPort{}
 	}
-	store := slices.MaxFunc(stores, func(a, b catalog.Store) int {
-		return cmp.Compare(rendezvous.Score(a.Seed, query.AffinityKey), rendezvous.Score(b.Seed, query.AffinityKey))
-	})
 	missing := -cachedBy[store.ID]
 	for _, part := range query.sharedParts() {
 		missing += part.Tokens
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -32,6 +32,7 @@
 	// fallbackAge is the age of the last confirmation at which a gateway that
 	// relies on others reads the source itself. It is longer than declarationWait
 	// or upstreamInterval plus the time to pass the result on to peers.
+	// It is extended by Options.FallbackDelay.
 	fallbackAge = 1800 * time.Millisecond
 	// standbyInterval is the interval at which a gateway that relies on others
 	// checks whether it still may.
@@ -52,18 +53,24 @@
 	// receive the results from readers and read the sources themselves if no
 	// results arrive. Nil means that this gateway is a reader.
 	IsReader func() bool
-	Clock    comfreyworks.Clock
-	Logger   *zap.Logger
-	Meter    *meter.Meter
+	// FallbackDelay returns how much longer than fallbackAge this gateway waits for
+	// results of readers; nil means no longer.
+	FallbackDelay func() time.Duration
+	Clock         comfreyworks.Clock
+	Logger        *zap.Logger
+	Meter         *meter.Meter
 }
 
 // Follower keeps one catalog up to date.
 type Follower struct {
-	options Options
+	options   Options
+	startedAt time.Time
 }
 
 // New returns a follower.
-func New(options Options) *Follower { return &Follower{options: options} }
+func New(options Options) *Follower {
+	return &Follower{options: options, startedAt: options.Clock.Now()}
+}
 
 // Run reads both sources until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
@@ -100,7 +107,15 @@
 	if f.options.IsReader == nil || f.options.IsReader() {
 		return false
 	}
-	return f.options.Clock.Since(p.confirmedAt()) < fallbackAge
+	limit := fallbackAge
+	if f.options.FallbackDelay != nil {
+		limit += f.options.FallbackDelay()
+	}
+	confirmedAt := p.confirmedAt()
+	if confirmedAt.IsZero() {
+		confirmedAt = f.startedAt
+	}
+	return f.options.Clock.Since(confirmedAt) < limit
 }
 
 // ReadOnce reads both sources once.
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -50,8 +50,9 @@
 	// pollShare is the share of the duration between two reads of the log by a
 	// process that does not hold the lease.
 	pollShare = 0.25
-	// standbyPollShare replaces pollShare in a process that is not a candidate.
-	standbyPollShare = 0.6
+	// standbyShare is the share of the duration after which a process that is not a
+	// candidate checks whether it has become one.
+	standbyShare = 0.3
 )
 
 // Options configures a Lease.
@@ -63,7 +64,7 @@
 	// records before they take over the lease.
 	Duration time.Duration
 	// Candidate reports whether this process should take over the lease as soon as
-	// it is free; other processes check it less often. Nil means always.
+	// it is free; other processes do not read the log. Nil means always.
 	Candidate func() bool
 	Clock     comfreyworks.Clock
 }
@@ -112,8 +113,8 @@
 	return l.token, true
 }
 
-// Step renews the lease if it is held, and otherwise tries to acquire it. It
-// returns the time to wait before the next step.
+// Step renews the lease if it is held, and otherwise tries to acquire it if this
+// process is a candidate. It returns the time to wait before the next step.
 func (l *Lease) Step(ctx context.Context) (time.Duration, error) {
 	l.mu.Lock()
 	token, logEnd, unconfirmed := l.token, l.logEnd, l.appendUnconfirmed
@@ -121,6 +122,9 @@
 	if token != 0 && !unconfirmed {
 		return l.interval(renewShare), l.appendRecord(ctx, logEnd, record{Token: token})
 	}
+	if token == 0 && l.options.Candidate != nil && !l.options.Candidate() {
+		return l.interval(standbyShare), nil
+	}
 	return l.tryAcquire(ctx)
 }
 
@@ -165,9 +169,6 @@
 	case data == nil || own || unchangedFor >= l.options.Duration:
 		return l.interval(renewShare), l.appendRecord(ctx, logEnd, record{Token: uint64(logEnd) + 1})
 	default:
-		if l.options.Candidate != nil && !l.options.Candidate() {
-			return l.interval(standbyPollShare), nil
-		}
 		return min(l.interval(pollShare), l.options.Duration-unchangedFor), nil
 	}
 }
--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -1,6 +1,18 @@
 // Package peering exchanges state between gateways: which gateways exist, the
-// load that each of them has put on each upstream, which engines load weights,
-// and the newest declaration and list of upstreams.
+// load that they have put on each upstream, which engines load weights, and the
+// newest declaration and list of upstreams.
+//
+// In each availability zone a few gateways are relays. Relays exchange state with
+// all other relays; every other gateway is a leaf and exchanges state with one
+// relay of its zone. A gateway therefore has as many partners as there are relays,
+// or one, however many gateways there are. A relay that does not answer is
+// replaced by the next gateway in an order that all gateways compute alike. In a
+// small fleet every gateway is a relay.
+//
+// Loads are summed on the way: a leaf sends its own, a relay sends other relays
+// the sum of its own and those of its leaves, and sends its leaves the sum of all.
+// No gateway passes on a sum that it received from a relay to another relay, so
+// that gateways that disagree about who is a relay cannot count a load in a circle.
 //
 // A gateway uses what a peer has read from a source as if it had read the source
 // itself. The age of that data is the age that the peer reports plus the time
@@ -13,7 +25,8 @@
 //	p := peering.New(peering.Options{Self: self, Seeds: seeds, NewClient: newClient, Catalog: c, Balancer: b, ...})
 //	group.Go(func() error { return p.Run(ctx) })
 //	update := p.HandleSync(state) // for the Sync call of a peer
-//	p.Announce(ctx, notice)       // to all peers
+//	p.HandleNotify(notices)       // for the Notify call of a peer
+//	p.Announce(notice)            // to all gateways
 package peering
 
 import (
@@ -35,34 +48,46 @@
 )
 
 const (
-	// syncInterval is the pause between two Sync calls to one peer. One call gives
-	// both sides the load of the other.
-	syncInterval = 150 * time.Millisecond
-	// syncIntervalPerPeer times the number of peers is the minimum pause. It limits
-	// a gateway to 100 calls per second.
-	syncIntervalPerPeer = 10 * time.Millisecond
+	// relayInterval is the pause between two Sync calls of a relay to another one.
+	// One call gives both sides the load of the other. relayIntervalPerPartner times
+	// the number of partners is the minimum pause, which bounds the calls of a
+	// relay.
+	relayInterval           = 150 * time.Millisecond
+	relayIntervalPerPartner = 20 * time.Millisecond
+	// leafInterval is the pause between two Sync calls of a leaf to its relay.
+	leafInterval = 250 * time.Millisecond
+	// contactInterval is the pause between two calls of a relay to a seed that is not
+	// its partner.
+	contactInterval = time.Second
+	// attachedListInterval is the minimum interval at which a relay tells another
+	// one which leaves call it.
+	attachedListInterval = 2 * time.Second
 	// callTimeout limits one call to a peer, which is a few milliseconds away, or
 	// to the registry.
 	callTimeout = 400 * time.Millisecond
 	// retryDelay is the pause after a failed call.
 	retryDelay = 500 * time.Millisecond
-	// peerExpiry is how long a peer that sends nothing is still called and reported
-	// to other peers.
-	peerExpiry = 8 * time.Second
-	// loadExpiry is how long the load that a peer reported is used.
+	// loadExpiry is how long the load that a peer reported is used, and how long a
+	// partner that is silent counts as live.
 	loadExpiry = 1200 * time.Millisecond
-	// registryInterval is the pause between two reads of the registry, and
-	// isolatedRegistryInterval the pause while no peer is reachable or this
-	// gateway is not registered.
-	registryInterval         = 10 * time.Second
-	isolatedRegistryInterval = 2 * time.Second
-	// peerListInterval is the minimum interval at which the list of peers is sent
-	// to the same peer. Every gateway calls every other one, so changes to the list
-	// are not urgent.
-	peerListInterval = time.Second
-	// reconcileInterval is the pause between two updates of the set of peers that
-	// are called.
-	reconcileInterval = 100 * time.Millisecond
+	// reconcileInterval is the pause between two updates of the set of partners,
+	// unless a partner fails earlier.
+	reconcileInterval = 250 * time.Millisecond
+	// joinTimeout is how long a starting gateway that is no seed waits for a seed or
+	// registered gateway to answer before it acts as if it were alone. Gateways
+	// that start together wait for up to joinSpread longer, each for another time.
+	joinTimeout = 700 * time.Millisecond
+	joinSpread  = 900 * time.Millisecond
+	// settleTime is how long a starting gateway takes to find out who the relays
+	// are. Until then it calls its seeds as often as a relay and is not selected for
+	// tasks.
+	settleTime = 600 * time.Millisecond
+	// leafFallbackDelay and leafFallbackSpread are how much later than a relay a
+	// leaf turns to the sources itself. The state of a leaf is older by two calls,
+	// and leaves that lose their relays at the same time must not all read the
+	// sources at once.
+	leafFallbackDelay  = 500 * time.Millisecond
+	leafFallbackSpread = 800 * time.Millisecond
 )
 
 // Options configures a Peering.
@@ -74,45 +99,60 @@
 	Registry comfreyworks.GatewayRegistry
 	// NewClient returns a client for the gateway at an address.
 	NewClient func(address netip.AddrPort) comfreyworks.GatewayClient
-	Catalog   *catalog.Catalog
-	Balancer  *balance.Balancer
-	Clock     comfreyworks.Clock
-	Logger    *zap.Logger
+	// RetainClients closes the clients of all other addresses; it may be nil.
+	RetainClients func(addresses map[netip.AddrPort]bool)
+	Catalog       *catalog.Catalog
+	Balancer      *balance.Balancer
+	Clock         comfreyworks.Clock
+	Logger        *zap.Logger
 }
 
 // Peering exchanges state with the other gateways. It is safe for concurrent use.
 type Peering struct {
-	options Options
+	options   Options
+	startedAt time.Time
+	// spread is between 0 and 1 and differs between gateways. It spreads what many
+	// gateways would otherwise do at the same time.
+	spread float64
+	// wake makes Run update the set of partners at once.
+	wake   chan struct{}
+	outbox outbox
+
 	mu      sync.Mutex
-	// peers holds the other gateways by address.
-	peers map[netip.AddrPort]*peer
+	members memberList
+	// contacts are addresses at which there may be gateways that are not known yet,
+	// with the time until which they are called; zero means always.
+	contacts map[netip.AddrPort]time.Time
+	// relay means that this gateway is a relay. partners are the gateways that it
+	// calls.
+	relay    bool
+	partners map[netip.AddrPort]bool
+	// heardAt is when a peer first called or answered this process; zero means
+	// never.
+	heardAt time.Time
 	// maxSeen is the highest number of gateways known at the same time.
 	maxSeen int
 }
 
-// peer is another gateway, or an address at which there may be one.
-type peer struct {
-	// id is empty until the gateway has been heard of.
-	id comfreyworks.InstanceID
-	// heardAt is when the peer last called or answered any gateway.
-	heardAt time.Time
-	// seed means that the address is configured and never expires.
-	seed bool
-	// stopPolling is nil until the peer is polled.
-	stopPolling context.CancelFunc
-	// unreachable means that a call to the peer has failed since it last called or
-	// answered this gateway.
-	unreachable bool
-	// peerListSentAt is when the list of peers was last sent to this peer.
-	peerListSentAt time.Time
-}
-
 // New returns a Peering that knows only its seeds.
 func New(options Options) *Peering {
-	p := &Peering{options: options, peers: make(map[netip.AddrPort]*peer)}
+	now := options.Clock.Now()
+	p := &Peering{
+		options: options, startedAt: now,
+		spread:   float64(xxhash.Sum64String(string(options.Self.ID))>>11) / (1 << 53),
+		wake:     make(chan struct{}, 1),
+		outbox:   newOutbox(),
+		members:  newMemberList(options.Self, uint64(now.UnixNano())),
+		contacts: make(map[netip.AddrPort]time.Time),
+		partners: make(map[netip.AddrPort]bool),
+		relay:    true,
+	}
 	for _, seed := range options.Seeds {
 		if seed != options.Self.Address {
-			p.peers[seed] = &peer{seed: true}
+			p.contacts[seed] = time.Time{}
+		} else {
+			// Other gateways wait for this one.
+			p.heardAt = now.Add(-settleTime)
 		}
 	}
 	return p
@@ -124,48 +164,168 @@
 	if p.options.Registry != nil {
 		group.Go(func() error { return p.pollRegistry(ctx) })
 	}
+	group.Go(func() error { return p.sendNotices(ctx) })
 	group.Go(func() error {
-		for {
-			p.reconcile(ctx, group)
-			if !comfreyworks.Sleep(ctx, p.options.Clock, reconcileInterval) {
-				return nil
-			}
+		polls := make(map[netip.AddrPort]context.CancelFunc)
+		for ctx.Err() == nil {
+			p.reconcile(ctx, group, polls)
+			p.awaitChange(ctx)
 		}
+		return nil
 	})
 	return group.Wait()
 }
 
-// reconcile starts to poll new peers and removes expired ones.
-func (p *Peering) reconcile(ctx context.Context, group *errgroup.Group) {
+// awaitChange waits for reconcileInterval or until the set of partners must
+// change.
+func (p *Peering) awaitChange(ctx context.Context) {
+	timer := p.options.Clock.NewTimer(reconcileInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-p.wake:
+	case <-ctx.Done():
+	}
+}
+
+// reconcile updates the role and the partners of this gateway, and starts and
+// stops the polls of partners accordingly.
+func (p *Peering) reconcile(ctx context.Context, group *errgroup.Group, polls map[netip.AddrPort]context.CancelFunc) {
+	partners := p.updatePartners()
+	for address := range partners {
+		if polls[address] != nil {
+			continue
+		}
+		pollCtx, stop := context.WithCancel(ctx)
+		polls[address] = stop
+		group.Go(func() error {
+			p.poll(pollCtx, address)
+			return nil
+		})
+	}
+	for address, stop := range polls {
+		if !partners[address] {
+			stop()
+			delete(polls, address)
+		}
+	}
+	if p.options.RetainClients != nil {
+		p.options.RetainClients(p.connected(partners))
+	}
+}
+
+// updatePartners removes expired gateways, decides whether this gateway is a
+// relay and returns the addresses that it calls.
+func (p *Peering) updatePartners() map[netip.AddrPort]bool {
 	now := p.options.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, known := range p.peers {
-		if !known.seed && now.Sub(known.heardAt) > peerExpiry {
-			if known.stopPolling != nil {
-				known.stopPolling()
+	for _, m := range p.members.expire(now) {
+		p.options.Balancer.RemovePeer(m.ID)
+		p.options.Logger.Info("peer gone", zap.String("peer", string(m.ID)))
+	}
+	present := p.members.present()
+	p.maxSeen = max(p.maxSeen, len(present)+1)
+	p.options.Balancer.SetGateways(len(present) + 1)
+	relays := p.members.relays(now)
+	own := relays[p.options.Self.Zone]
+	relay := slices.ContainsFunc(own, func(r zoneRelay) bool { return r.address == p.options.Self.Address })
+	becameLeaf := p.relay && !relay
+	if relay != p.relay {
+		p.relay = relay
+		p.options.Logger.Info("role among gateways changed", zap.Bool("relay", relay), zap.Int("gateways", len(present)+1))
+	}
+	partners := make(map[netip.AddrPort]bool)
+	if relay {
+		for _, zone := range relays {
+			for _, r := range zone {
+				partners[r.address] = true
 			}
-			delete(p.peers, address)
-			p.options.Balancer.RemovePeer(known.id)
+		}
+		delete(partners, p.options.Self.Address)
+	} else {
+		primary := p.primaryRelay(own)
+		partners[primary] = true
+		if m := p.members.members[primary]; becameLeaf || !p.partners[primary] {
+			// From now on, this relay's list is the one that counts.
+			m.known = comfreyworks.PeerListVersion{}
+		}
+	}
+	p.removeFormerPartners(partners)
+	p.partners = partners
+	if relay {
+		return p.withContacts(partners, now)
+	}
+	return partners
+}
+
+// primaryRelay returns the relay that this leaf calls. The leaves of a zone are
+// divided among its relays.
+func (p *Peering) primaryRelay(relays []zoneRelay) netip.AddrPort {
+	return relays[int(p.spread*float64(len(relays)))].address
+}
+
+// removeFormerPartners removes the loads that gateways reported as partners
+// and that now arrive in the sum of another one.
+func (p *Peering) removeFormerPartners(partners map[netip.AddrPort]bool) {
+	for address := range p.partners {
+		if m := p.members.members[address]; m != nil && !partners[address] {
+			p.options.Balancer.RemovePeer(m.ID)
+		}
+	}
+}
+
+// withContacts returns the partners and the addresses at which there may be
+// further gateways. A relay goes on calling its seeds, through which relays that
+// do not know each other find each other.
+func (p *Peering) withContacts(partners map[netip.AddrPort]bool, now time.Time) map[netip.AddrPort]bool {
+	addresses := make(map[netip.AddrPort]bool, len(partners)+len(p.contacts))
+	for address := range partners {
+		addresses[address] = true
+	}
+	for address, until := range p.contacts {
+		m := p.members.members[address]
+		if !until.IsZero() && (!now.Before(until) || (m != nil && !m.Gone)) {
+			delete(p.contacts, address)
 			continue
 		}
-		if known.stopPolling == nil {
-			pollCtx, stop := context.WithCancel(ctx)
-			known.stopPolling = stop
-			group.Go(func() error {
-				p.poll(pollCtx, address)
-				return nil
-			})
+		addresses[address] = true
+	}
+	return addresses
+}
+
+// neighbours returns the addresses to which this gateway passes on notices: its
+// partners and, if it is a relay, the leaves that call it.
+func (p *Peering) neighbours() map[netip.AddrPort]bool {
+	now := p.options.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	neighbours := maps.Clone(p.partners)
+	if p.relay {
+		for _, m := range p.members.present() {
+			if now.Sub(m.attachedAt) <= loadExpiry {
+				neighbours[m.Address] = true
+			}
 		}
 	}
+	return neighbours
+}
+
+// connected returns the addresses to which connections are kept open.
+func (p *Peering) connected(polled map[netip.AddrPort]bool) map[netip.AddrPort]bool {
+	connected := p.neighbours()
+	for address := range polled {
+		connected[address] = true
+	}
+	return connected
 }
 
 // poll calls one peer repeatedly until ctx ends.
 func (p *Peering) poll(ctx context.Context, address netip.AddrPort) {
 	client := p.options.NewClient(address)
 	for ctx.Err() == nil {
-		pause := p.currentSyncInterval()
-		if err := p.sync(ctx, client, address); err != nil {
+		pause := p.syncInterval(address)
+		if err := p.sync(ctx, client, address); err != nil && ctx.Err() == nil {
 			pause = retryDelay
 			p.recordFailure(address, err)
 		}
@@ -175,11 +335,18 @@
 	}
 }
 
-// currentSyncInterval returns the pause between two calls to one peer.
-func (p *Peering) currentSyncInterval() time.Duration {
+// syncInterval returns the pause between two calls to a peer.
+func (p *Peering) syncInterval(address netip.AddrPort) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(syncInterval, time.Duration(len(p.peers))*syncIntervalPerPeer)
+	switch {
+	case !p.relay:
+		return leafInterval
+	case !p.partners[address] && p.options.Clock.Since(p.startedAt) > 2*settleTime:
+		return contactInterval
+	default:
+		return max(relayInterval, time.Duration(len(p.partners))*relayIntervalPerPartner)
+	}
 }
 
 // sync exchanges state with a peer once. The age of what the peer reports counts
@@ -188,12 +355,13 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sentAt := p.options.Clock.Now()
-	declared, listed := p.options.Catalog.SourceStates()
-	update, err := client.Sync(ctx, p.state(address, declared, listed))
+	request := p.request(address)
+	update, err := client.Sync(ctx, request)
 	if err != nil {
 		return err
 	}
-	p.recordState(update.State, address)
+	update.State.Self.Address = address
+	p.recordReply(&update.State, request.Role)
 	if update.DeclaredAge >= 0 {
 		p.applyDeclaration(&update, sentAt.Add(-update.DeclaredAge))
 	}
@@ -203,160 +371,235 @@
 	return nil
 }
 
-// applyDeclaration applies a declaration that a peer has read. It does nothing if
-// the peer is ahead of this gateway but did not send its declaration.
-func (p *Peering) applyDeclaration(update *comfreyworks.GatewayUpdate, readAt time.Time) {
-	declaration := comfreyworks.Declaration{Next: update.State.Declared}
-	if update.Declaration != nil {
-		declaration = *update.Declaration
+// request returns the state that this gateway sends to a peer.
+func (p *Peering) request(to netip.AddrPort) comfreyworks.GatewayState {
+	declared, listed := p.options.Catalog.SourceStates()
+	state := comfreyworks.GatewayState{Self: p.options.Self, Role: comfreyworks.PeerLeaf, Declared: declared.Position, Listed: listed.Position}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members.members[to]
+	if m != nil {
+		state.Known = m.known
 	}
-	if known, _ := p.options.Catalog.SourceStates(); declaration.Next > known.Position && update.Declaration == nil {
-		return
+	if !p.relay {
+		state.Loads = p.options.Balancer.LocalLoads()
+		return state
 	}
-	change := p.options.Catalog.ApplyDeclaration(declaration, readAt)
-	p.logChange(&change, update, readAt)
+	state.Role = comfreyworks.PeerRelay
+	state.Loads = p.options.Balancer.SumLoads(p.attached())
+	state.Peers = p.attachedList(m)
+	return state
 }
 
-// applyUpstreams applies a list of upstreams that a peer has read, like
-// applyDeclaration.
-func (p *Peering) applyUpstreams(update *comfreyworks.GatewayUpdate, readAt time.Time) {
-	changes := comfreyworks.UpstreamChanges{Next: update.State.Listed}
-	if update.Upstreams != nil {
-		changes = *update.Upstreams
-	}
-	if _, known := p.options.Catalog.SourceStates(); changes.Next > known.Position && update.Upstreams == nil {
-		return
+// attached returns the leaves that have called this gateway recently. The mutex
+// must be held.
+func (p *Peering) attached() map[comfreyworks.InstanceID]bool {
+	now := p.options.Clock.Now()
+	attached := make(map[comfreyworks.InstanceID]bool)
+	for _, m := range p.members.members {
+		if now.Sub(m.attachedAt) <= loadExpiry {
+			attached[m.ID] = true
+		}
 	}
-	change := p.options.Catalog.ApplyUpstreams(changes, readAt)
-	p.logChange(&change, update, readAt)
+	return attached
 }
 
-func (p *Peering) logChange(change *catalog.Change, update *comfreyworks.GatewayUpdate, readAt time.Time) {
-	change.Log(p.options.Logger,
-		zap.String("peer", string(update.State.Self.ID)), zap.Duration("age", p.options.Clock.Since(readAt)))
+// attachedList returns the gateways that call this one, to be sent to another
+// relay, or nil if it has received them within attachedListInterval. The mutex
+// must be held.
+func (p *Peering) attachedList(to *member) []comfreyworks.GatewayPeer {
+	now := p.options.Clock.Now()
+	if to == nil || now.Sub(to.listSentAt) < attachedListInterval {
+		return nil
+	}
+	to.listSentAt = now
+	var list []comfreyworks.GatewayPeer
+	for _, m := range p.members.members {
+		if now.Sub(m.attachedAt) <= attachedListInterval {
+			list = append(list, m.report(now))
+		}
+	}
+	return list
 }
 
 // HandleSync stores the state that a peer sent and returns the update for it.
 func (p *Peering) HandleSync(state comfreyworks.GatewayState) comfreyworks.GatewayUpdate {
-	p.recordState(state, state.Self.Address)
+	p.recordRequest(&state)
 	declared, listed := p.options.Catalog.SourceStates()
 	update := comfreyworks.GatewayUpdate{
-		State: p.state(state.Self.Address, declared, listed), DeclaredAge: p.sinceRead(declared), ListedAge: p.sinceRead(listed),
+		State: p.reply(&state, declared, listed), DeclaredAge: p.sinceRead(declared), ListedAge: p.sinceRead(listed),
 	}
-	if state.Declared >= declared.Position && state.Listed >= listed.Position {
-		return update
-	}
-	// The snapshot may be newer than the positions above. It is sent with their
-	// age, which is then too high but never too low.
-	snapshot := p.options.Catalog.Snapshot()
+	// The changes may reach beyond the positions above. They are sent with the age
+	// of these positions, which is then too high but never too low.
 	if state.Declared < declared.Position {
-		update.Declaration = &snapshot.Declaration
+		update.Declaration = p.options.Catalog.DeclarationAfter(state.Declared)
 	}
 	if state.Listed < listed.Position {
-		update.Upstreams = &snapshot.Upstreams
+		update.Upstreams = p.options.Catalog.UpstreamsAfter(state.Listed)
 	}
 	return update
 }
 
-// sinceRead returns how long ago the latest read of a source started; negative
-// means never.
-func (p *Peering) sinceRead(source catalog.SourceState) time.Duration {
-	if source.ConfirmedAt.IsZero() {
-		return -1
+// reply returns the state that this gateway sends in reply to a peer's request.
+func (p *Peering) reply(to *comfreyworks.GatewayState, declared, listed catalog.SourceState) comfreyworks.GatewayState {
+	state := comfreyworks.GatewayState{Self: p.options.Self, Role: comfreyworks.PeerLeaf, Declared: declared.Position, Listed: listed.Position}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.relay {
+		state.Role = comfreyworks.PeerRelay
 	}
-	return p.options.Clock.Since(source.ConfirmedAt)
+	if to.Role == comfreyworks.PeerLeaf {
+		state.Loads = p.options.Balancer.AllLoadsExcept(to.Self.ID)
+	} else {
+		state.Loads = p.options.Balancer.SumLoads(p.attached())
+	}
+	state.Peers = p.members.changesAfter(to.Known, p.options.Clock.Now())
+	state.PeerList = p.members.version
+	return state
 }
 
-// state returns the state that this gateway sends to one peer.
-func (p *Peering) state(to netip.AddrPort, declared, listed catalog.SourceState) comfreyworks.GatewayState {
+// recordRequest stores what a peer that calls this gateway reports.
+func (p *Peering) recordRequest(state *comfreyworks.GatewayState) {
 	now := p.options.Clock.Now()
-	state := comfreyworks.GatewayState{
-		Self: p.options.Self, Loads: p.options.Balancer.LocalLoads(), Declared: declared.Position, Listed: listed.Position,
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if peer := p.peers[to]; peer != nil {
-		if now.Sub(peer.peerListSentAt) < peerListInterval {
-			return state
-		}
-		peer.peerListSentAt = now
+	m := p.recordDirect(state.Self, now)
+	if m == nil {
+		return
 	}
-	for address, known := range p.peers {
-		if known.id != "" && now.Sub(known.heardAt) <= peerExpiry {
-			state.Peers = append(state.Peers, comfreyworks.GatewayPeer{
-				ID: known.id, Address: address, HeardAgo: now.Sub(known.heardAt),
-			})
-		}
+	m.attachedAt = time.Time{}
+	if state.Role == comfreyworks.PeerLeaf {
+		m.attachedAt = now
+	}
+	if p.relay {
+		p.options.Balancer.SetPeerLoads(m.ID, state.Loads, now.Add(loadExpiry))
+	}
+	for _, other := range state.Peers {
+		p.members.record(other, now.Add(-other.HeardAgo), now)
 	}
-	return state
 }
 
-// recordState stores what a peer reported about itself and about other gateways.
-func (p *Peering) recordState(state comfreyworks.GatewayState, address netip.AddrPort) {
+// recordReply stores what a peer reports in reply to a call that this gateway made
+// in the given role.
+func (p *Peering) recordReply(state *comfreyworks.GatewayState, role comfreyworks.PeerRole) {
 	now := p.options.Clock.Now()
-	p.options.Balancer.SetPeerLoads(state.Self.ID, state.Loads, now.Add(loadExpiry))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.recordPeer(address, state.Self.ID, now)
-	if known := p.peers[address]; known != nil && known.unreachable {
-		known.unreachable = false
-		p.options.Logger.Info("peer reachable again", zap.String("peer", string(state.Self.ID)))
+	m := p.recordDirect(state.Self, now)
+	if m == nil {
+		return
+	}
+	if p.partners[m.Address] && role == p.role() {
+		p.options.Balancer.SetPeerLoads(m.ID, state.Loads, now.Add(loadExpiry))
 	}
 	for _, other := range state.Peers {
-		p.recordPeer(other.Address, other.ID, now.Add(-other.HeardAgo))
+		p.recordReported(other, m.Address, now)
+	}
+	if role == comfreyworks.PeerLeaf {
+		p.members.confirm(m.Address, now)
+	}
+	m.known = state.PeerList
+}
+
+// role returns the role of this gateway. The mutex must be held.
+func (p *Peering) role() comfreyworks.PeerRole {
+	if p.relay {
+		return comfreyworks.PeerRelay
+	}
+	return comfreyworks.PeerLeaf
+}
+
+// recordDirect records that a peer has called or answered this gateway.
+func (p *Peering) recordDirect(peer comfreyworks.GatewayPeer, now time.Time) *member {
+	known := p.members.members[peer.Address]
+	isNew := known == nil || known.Gone
+	m := p.members.record(peer, now, now)
+	if m == nil {
+		return nil
+	}
+	if isNew {
+		p.options.Logger.Info("peer discovered", zap.String("peer", string(peer.ID)), zap.Stringer("address", peer.Address))
 	}
+	if !m.unreachableUntil.IsZero() {
+		p.options.Logger.Info("peer reachable again", zap.String("peer", string(m.ID)))
+	}
+	if isNew || !m.unreachableUntil.IsZero() {
+		p.requestUpdate()
+	}
+	m.directAt, m.unreachableUntil = now, time.Time{}
+	if p.heardAt.IsZero() {
+		p.heardAt = now
+	}
+	return m
 }
 
-// recordPeer adds a gateway or updates when it was last heard of. It ignores this
-// gateway and expired ones.
-func (p *Peering) recordPeer(address netip.AddrPort, id comfreyworks.InstanceID, heardAt time.Time) {
-	if address == p.options.Self.Address || !address.IsValid() || p.options.Clock.Since(heardAt) > peerExpiry {
+// recordReported records what a peer reports about another gateway.
+func (p *Peering) recordReported(other comfreyworks.GatewayPeer, reporter netip.AddrPort, now time.Time) {
+	if !other.Gone {
+		if m := p.members.record(other, now.Add(-other.HeardAgo), now); m != nil && !p.relay && p.partners[reporter] {
+			m.listedBy = reporter
+		}
 		return
 	}
-	known := p.peers[address]
-	if known == nil {
-		known = &peer{}
-		p.peers[address] = known
-		p.options.Logger.Info("peer discovered", zap.String("peer", string(id)), zap.Stringer("address", address))
+	if m := p.members.members[other.Address]; m != nil && !m.Gone && now.Sub(m.directAt) > memberExpiry {
+		m.heardAt, m.listedBy = now.Add(-memberExpiry-time.Millisecond), netip.AddrPort{}
 	}
-	if heardAt.After(known.heardAt) {
-		known.id, known.heardAt = id, heardAt
+}
+
+// requestUpdate makes Run update the set of partners at once.
+func (p *Peering) requestUpdate() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
 	}
-	p.maxSeen = max(p.maxSeen, len(p.peers)+1)
 }
 
 // recordFailure marks a peer as unreachable and logs the first failure.
 func (p *Peering) recordFailure(address netip.AddrPort, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if known := p.peers[address]; known != nil && !known.unreachable && known.id != "" {
-		known.unreachable = true
-		p.options.Logger.Warn("peer unreachable", zap.String("peer", string(known.id)), zap.Error(err))
+	m := p.members.members[address]
+	if m == nil || m.Gone {
+		return
+	}
+	if m.unreachableUntil.IsZero() {
+		p.options.Logger.Warn("peer unreachable", zap.String("peer", string(m.ID)), zap.Error(err))
 	}
+	m.unreachableUntil = p.options.Clock.Now().Add(unreachablePause)
+	p.requestUpdate()
 }
 
-// reachablePeers returns the peers that were heard of within loadExpiry.
-func (p *Peering) reachablePeers() map[netip.AddrPort]comfreyworks.InstanceID {
+// Live returns the relays that were heard of recently, including this gateway if
+// it is one, sorted by ID.
+func (p *Peering) Live() []comfreyworks.InstanceID {
 	now := p.options.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	reachable := make(map[netip.AddrPort]comfreyworks.InstanceID)
-	for address, known := range p.peers {
-		if known.id != "" && now.Sub(known.heardAt) <= loadExpiry {
-			reachable[address] = known.id
+	var live []comfreyworks.InstanceID
+	if p.relay {
+		live = append(live, p.options.Self.ID)
+	}
+	for address := range p.partners {
+		if m := p.members.members[address]; m != nil && now.Sub(m.directAt) <= loadExpiry {
+			live = append(live, m.ID)
 		}
 	}
-	return reachable
-}
-
-// Live returns the gateways that were heard of recently, including this one,
-// sorted by ID.
-func (p *Peering) Live() []comfreyworks.InstanceID {
-	live := append(slices.Collect(maps.Values(p.reachablePeers())), p.options.Self.ID)
 	slices.Sort(live)
 	return live
 }
 
+// isolated reports whether no partner was heard of recently.
+func (p *Peering) isolated() bool {
+	return !slices.ContainsFunc(p.Live(), func(id comfreyworks.InstanceID) bool { return id != p.options.Self.ID })
+}
+
+// Gateways returns the number of gateways known now, including this one.
+func (p *Peering) Gateways() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.members.present()) + 1
+}
+
 // MaxGateways returns the highest number of gateways known at the same time,
 // including this one. Gateways that are unreachable from here may still be
 // running.
@@ -367,26 +610,83 @@
 }
 
 // IsSelected reports whether this gateway is among the n gateways that are
-// selected for a task by rendezvous hashing. Gateways that see the same peers
-// agree on the selection, and another gateway takes over when a selected one
-// disappears.
+// selected for a task by rendezvous hashing. Only relays are selected. Relays that
+// see the same peers agree on the selection, and another one takes over when a
+// selected one disappears. A starting gateway that waits for its first peer is not
+// selected.
 func (p *Peering) IsSelected(task string, n int) bool {
+	if !p.joined() {
+		return false
+	}
 	return slices.Contains(rendezvous.Top(p.Live(), xxhash.Sum64String(task), n), p.options.Self.ID)
 }
 
-// Announce notifies all reachable peers that an engine loads weights. It returns
-// when all have answered or the timeout has passed.
-func (p *Peering) Announce(ctx context.Context, notice comfreyworks.WeightsLoadNotice) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var group errgroup.Group
-	for address := range p.reachablePeers() {
-		group.Go(func() error {
-			if err := p.options.NewClient(address).Notify(ctx, notice); err != nil {
-				p.options.Logger.Debug("failed to notify peer of weights load", zap.Stringer("address", address), zap.Error(err))
-			}
-			return nil
-		})
+// joined reports whether this gateway knows the relays or has waited long enough
+// for a peer.
+func (p *Peering) joined() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.heardAt.IsZero() {
+		return p.options.Clock.Since(p.heardAt) >= settleTime
 	}
-	_ = group.Wait()
+	return len(p.contacts) == 0 && p.options.Registry == nil ||
+		p.options.Clock.Since(p.startedAt) >= joinTimeout+p.spreadOver(joinSpread)
+}
+
+// FallbackDelay returns how much later than a relay this gateway turns to the
+// sources itself when it gets no state from its peers.
+func (p *Peering) FallbackDelay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.relay && !p.heardAt.IsZero() {
+		return 0
+	}
+	return leafFallbackDelay + p.spreadOver(leafFallbackSpread)
+}
+
+// spreadOver returns a part of d that differs between gateways.
+func (p *Peering) spreadOver(d time.Duration) time.Duration {
+	return time.Duration(p.spread * float64(d))
+}
+
+// sinceRead returns how long ago the latest read of a source started; negative
+// means never.
+func (p *Peering) sinceRead(source catalog.SourceState) time.Duration {
+	if source.ConfirmedAt.IsZero() {
+		return -1
+	}
+	return p.options.Clock.Since(source.ConfirmedAt)
+}
+
+// applyDeclaration applies a declaration that a peer has read. It does nothing if
+// the peer is ahead of this gateway but did not send its declaration.
+func (p *Peering) applyDeclaration(update *comfreyworks.GatewayUpdate, readAt time.Time) {
+	declaration := comfreyworks.Declaration{Next: update.State.Declared}
+	if update.Declaration != nil {
+		declaration = *update.Declaration
+	}
+	if known, _ := p.options.Catalog.SourceStates(); declaration.Next > known.Position && update.Declaration == nil {
+		return
+	}
+	change := p.options.Catalog.ApplyDeclaration(declaration, readAt)
+	p.logChange(&change, update, readAt)
+}
+
+// applyUpstreams applies a list of upstreams that a peer has read, like
+// applyDeclaration.
+func (p *Peering) applyUpstreams(update *comfreyworks.GatewayUpdate, readAt time.Time) {
+	changes := comfreyworks.UpstreamChanges{Next: update.State.Listed}
+	if update.Upstreams != nil {
+		changes = *update.Upstreams
+	}
+	if _, known := p.options.Catalog.SourceStates(); changes.Next > known.Position && update.Upstreams == nil {
+		return
+	}
+	change := p.options.Catalog.ApplyUpstreams(changes, readAt)
+	p.logChange(&change, update, readAt)
+}
+
+func (p *Peering) logChange(change *catalog.Change, update *comfreyworks.GatewayUpdate, readAt time.Time) {
+	change.Log(p.options.Logger,
+		zap.String("peer", string(update.State.Self.ID)), zap.Duration("age", p.options.Clock.Since(readAt)))
 }
--- a/internal/coordination/peering/registry.go
+++ b/internal/coordination/peering/registry.go
@@ -1,30 +1,58 @@
 package peering
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/rendezvous"
 )
 
-// pollRegistry registers this gateway and looks for new peers until ctx ends.
+const (
+	// registryInterval is the pause between two reads of the registry by a relay,
+	// and isolatedRegistryInterval the pause while no peer is reachable.
+	registryInterval         = 10 * time.Second
+	isolatedRegistryInterval = 2 * time.Second
+	// registryCheckInterval is the pause between two checks whether a read is due.
+	registryCheckInterval = 250 * time.Millisecond
+	// seedTimeout is how long a starting gateway waits for its seeds before it reads
+	// the registry.
+	seedTimeout = 300 * time.Millisecond
+	// contactTimeout is how long a registered gateway that is not known is called.
+	// It may no longer exist.
+	contactTimeout = time.Second
+	// maxContacts limits the registered gateways that are called at the same time.
+	// Each one that answers names all others.
+	maxContacts = 4
+)
+
+// pollRegistry registers this gateway while it is a relay and looks for gateways
+// that it does not know, until ctx ends. Leaves learn of other gateways from their
+// relay and use the registry only while no peer is reachable.
 func (p *Peering) pollRegistry(ctx context.Context) error {
 	registered := false
-	for {
-		if !registered {
+	nextRead := p.startedAt.Add(seedTimeout + p.spreadOver(joinSpread))
+	for comfreyworks.Sleep(ctx, p.options.Clock, registryCheckInterval) {
+		p.mu.Lock()
+		relay := p.relay
+		p.mu.Unlock()
+		if relay && !registered && p.joined() {
 			registered = p.register(ctx)
 		}
-		p.readRegistry(ctx)
-		pause := registryInterval
-		if !registered || len(p.reachablePeers()) == 0 {
-			pause = isolatedRegistryInterval
-		}
-		if !comfreyworks.Sleep(ctx, p.options.Clock, pause) {
-			return nil
+		isolated := p.isolated()
+		if now := p.options.Clock.Now(); (relay || isolated) && !now.Before(nextRead) {
+			p.readRegistry(ctx)
+			nextRead = now.Add(registryInterval)
+			if isolated {
+				nextRead = now.Add(isolatedRegistryInterval)
+			}
 		}
 	}
+	return nil
 }
 
 // register reports whether this gateway could be registered.
@@ -38,7 +66,8 @@
 	return true
 }
 
-// readRegistry adds the registered gateways that are not yet known.
+// readRegistry adds registered gateways that are not yet known to the addresses to
+// call, each gateway other ones first.
 func (p *Peering) readRegistry(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -47,15 +76,23 @@
 		p.options.Logger.Debug("failed to read gateway registry", zap.Error(err))
 		return
 	}
-	now := p.options.Clock.Now()
+	key := rendezvous.Seed(string(p.options.Self.ID))
+	slices.SortFunc(registered, func(a, b comfreyworks.GatewayPeer) int {
+		return cmp.Compare(rendezvous.Score(rendezvous.Seed(string(a.ID)), key), rendezvous.Score(rendezvous.Seed(string(b.ID)), key))
+	})
+	until := p.options.Clock.Now().Add(contactTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	added := 0
 	for _, other := range registered {
-		if other.Address == p.options.Self.Address || p.peers[other.Address] != nil {
+		m := p.members.members[other.Address]
+		if other.Address == p.options.Self.Address || (m != nil && !m.Gone) || added == maxContacts {
 			continue
 		}
-		// The gateway may no longer exist. It expires after one second unless it
-		// answers.
-		p.peers[other.Address] = &peer{heardAt: now.Add(-peerExpiry + time.Second)}
+		if _, seed := p.contacts[other.Address]; !seed {
+			p.contacts[other.Address] = until
+			added++
+		}
 	}
+	p.requestUpdate()
 }
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -27,8 +27,10 @@
 const (
 	// leaseStream is the log stream of the lease.
 	leaseStream = "rollout"
-	// checkInterval is the pause between two checks for engines to update.
-	checkInterval = 40 * time.Millisecond
+	// checkInterval is the pause between two checks for engines to update, and
+	// standbyInterval the pause between two checks whether the lease is held.
+	checkInterval   = 40 * time.Millisecond
+	standbyInterval = 250 * time.Millisecond
 	// logTimeout limits one call to the log, which is slow at times.
 	logTimeout = 800 * time.Millisecond
 	// engineTimeout limits one call to an engine; engines answer immediately. An
@@ -48,10 +50,15 @@
 	// loadTimeout is the time after which a load counts as failed if the engine
 	// does not serve the weights.
 	loadTimeout = 2500 * time.Millisecond
+	// noticeDelay is the time in which a notice reaches the other gateways.
+	noticeDelay = 50 * time.Millisecond
 	// drainTimeout is how long an engine may take to finish its requests before it
 	// receives an order. drainPollInterval is the pause between two checks.
 	drainTimeout      = 250 * time.Millisecond
 	drainPollInterval = 30 * time.Millisecond
+	// noticesPerToken is the number of notices that one holder of the lease can
+	// number. The numbers of the next holder are higher.
+	noticesPerToken = 1 << 24
 	// retryDelay is the pause after a failed load before the engine is tried again.
 	retryDelay = 300 * time.Millisecond
 )
@@ -66,8 +73,9 @@
 	// Candidate reports whether this gateway should try to take over the lease as
 	// soon as it is free; other gateways check it less often. Nil means always.
 	Candidate func() bool
-	// Announce sends a notice to the other gateways; nil means that there are none.
-	Announce func(ctx context.Context, notice comfreyworks.WeightsLoadNotice)
+	// Announce sends a notice to the other gateways without waiting for them; nil
+	// means that there are none.
+	Announce func(notice comfreyworks.WeightsLoadNotice)
 	Log      comfreyworks.LeaseLog
 	Loader   comfreyworks.WeightsLoader
 	Clock    comfreyworks.Clock
@@ -80,6 +88,8 @@
 	options Options
 	lease   *lease.Lease
 	loads   loadTracker
+	// notices counts the notices that this process has given.
+	notices atomic.Uint64
 	// lastOrderAt is when the last order was sent; nil means never.
 	lastOrderAt atomic.Pointer[time.Time]
 }
@@ -102,9 +112,11 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return r.maintainLease(ctx, stopping) })
 	group.Go(func() error {
-		for comfreyworks.Sleep(ctx, r.options.Clock, checkInterval) {
+		for pause := standbyInterval; comfreyworks.Sleep(ctx, r.options.Clock, pause); {
+			pause = standbyInterval
 			if token, ok := r.lease.Held(); ok && stopping.Err() == nil {
 				r.startLoads(ctx, group, token)
+				pause = checkInterval
 			}
 		}
 		return nil
@@ -195,7 +207,7 @@
 // until the engine serves the weights. All gateways are notified before and
 // after.
 func (r *Rollout) loadWeights(ctx context.Context, order comfreyworks.WeightsLoadOrder) {
-	r.announce(ctx, comfreyworks.WeightsLoadNotice{Engine: order.Upstream.ID, Model: order.Model, For: drainTimeout + loadTimeout})
+	r.announce(order.FencingToken, comfreyworks.WeightsLoadNotice{Engine: order.Upstream.ID, Model: order.Model, For: drainTimeout + loadTimeout})
 	r.drain(ctx, order.Upstream.ID)
 	startedAt := r.options.Clock.Now()
 	result, err := r.giveOrder(ctx, order)
@@ -211,7 +223,7 @@
 		retryAt = r.options.Clock.Now().Add(retryDelay)
 	}
 	r.loads.finish(order.Upstream.ID, retryAt)
-	r.announce(ctx, notice)
+	r.announce(order.FencingToken, notice)
 	r.options.Logger.Info("weights load ended",
 		zap.String("upstream", string(order.Upstream.ID)), zap.String("model", string(order.Model)),
 		zap.Uint64("weights", uint64(order.Weights)), zap.Uint64("token", order.FencingToken),
@@ -220,10 +232,11 @@
 }
 
 // announce notifies this gateway's balancer and the other gateways of a load.
-func (r *Rollout) announce(ctx context.Context, notice comfreyworks.WeightsLoadNotice) {
+func (r *Rollout) announce(token uint64, notice comfreyworks.WeightsLoadNotice) {
+	notice.Sequence = token*noticesPerToken + r.notices.Add(1)
 	r.options.Balancer.ApplyLoadNotice(notice)
 	if r.options.Announce != nil {
-		r.options.Announce(ctx, notice)
+		r.options.Announce(notice)
 	}
 }
 
@@ -232,6 +245,9 @@
 // the new weights, so their answers are lost.
 func (r *Rollout) drain(ctx context.Context, engine comfreyworks.InstanceID) {
 	deadline := r.options.Clock.Now().Add(drainTimeout)
+	if r.options.Announce != nil {
+		comfreyworks.Sleep(ctx, r.options.Clock, noticeDelay)
+	}
 	for r.options.Balancer.Requests(engine) > 0 && r.options.Clock.Now().Before(deadline) {
 		if !comfreyworks.Sleep(ctx, r.options.Clock, drainPollInterval) {
 			return
--- a/internal/protocol/peer/client.go
+++ b/internal/protocol/peer/client.go
@@ -183,8 +183,8 @@
 }
 
 // Notify implements comfreyworks.GatewayClient.
-func (c *Client) Notify(ctx context.Context, notice comfreyworks.WeightsLoadNotice) error {
-	_, err := call[Empty](ctx, c, "Notify", notice, callTimeout)
+func (c *Client) Notify(ctx context.Context, notices comfreyworks.WeightsLoadNotices) error {
+	_, err := call[Empty](ctx, c, "Notify", notices, callTimeout)
 	return err
 }
 
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -15,6 +15,7 @@
 package catalog
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -39,8 +40,12 @@
 	lapsedGracePeriod = 1800 * time.Millisecond
 )
 
-// maxRevisionHistory is the number of revisions remembered for each model.
-const maxRevisionHistory = 32
+const (
+	// maxRevisionHistory is the number of revisions remembered for each model.
+	maxRevisionHistory = 32
+	// maxRemovals is the number of removed upstreams remembered for UpstreamsAfter.
+	maxRemovals = 4096
+)
 
 // DeclaredWeights holds the declared weights revision of a model and the revisions
 // declared before it.
@@ -122,43 +127,12 @@
 	logger.Info("routing, weights or list of upstreams changed", fields...)
 }
 
-// Snapshot holds the whole content of a catalog in the form in which gateways
-// exchange it.
-type Snapshot struct {
-	Declaration comfreyworks.Declaration
-	Upstreams   comfreyworks.UpstreamChanges
-}
-
-// Snapshot returns the current content. The declaration has the latest weights
-// revisions only.
-func (c *Catalog) Snapshot() Snapshot {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := Snapshot{
-		Declaration: comfreyworks.Declaration{
-			Weights: make(map[comfreyworks.Model]comfreyworks.WeightsRevision, len(c.weights)),
-			Next:    c.declared.Position,
-		},
-		Upstreams: comfreyworks.UpstreamChanges{Whole: true, Next: c.listed.Position},
-	}
-	if table := c.table.Load(); table != nil {
-		s.Declaration.Routing = table.Declared()
-	}
-	for model, weights := range c.weights {
-		s.Declaration.Weights[model] = weights.Revision
-	}
-	for _, e := range c.entries {
-		s.Upstreams.Present = append(s.Upstreams.Present, e.upstream)
-	}
-	return s
-}
-
 // Catalog holds the declared routing and weights and the list of upstreams. It
 // is safe for concurrent use.
 type Catalog struct {
 	clock comfreyworks.Clock
 	table atomic.Pointer[routing.Table]
-	pools atomic.Pointer[map[comfreyworks.Pool][]comfreyworks.Upstream]
+	pools atomic.Pointer[map[comfreyworks.Pool]*PoolView]
 	// stores holds the cache stores of the current routing.
 	stores atomic.Pointer[[]Store]
 
@@ -167,14 +141,38 @@
 	listed   SourceState
 	weights  map[comfreyworks.Model]DeclaredWeights
 	entries  map[comfreyworks.InstanceID]entry
+	// routingChangedAt is the position up to which the declarations were read when
+	// the routing last changed.
+	routingChangedAt comfreyworks.Position
+	// removals lists the removed upstreams, the latest last. Removals up to
+	// removalsFrom are no longer listed.
+	removals     []removal
+	removalsFrom comfreyworks.Position
 	// graceEnd is the time until which live upstreams are kept although their
 	// entries are missing.
 	graceEnd time.Time
 }
 
+// PoolView holds the upstreams of a pool, sorted by ID. Seeds holds the seed of
+// each for rendezvous hashing. The slices are never modified.
+type PoolView struct {
+	Upstreams []comfreyworks.Upstream
+	Seeds     []uint64
+}
+
+// removal is an upstream that was removed, with the position up to which the list
+// had been read.
+type removal struct {
+	id comfreyworks.InstanceID
+	at comfreyworks.Position
+}
+
 // entry is an upstream with its grace period.
 type entry struct {
 	upstream comfreyworks.Upstream
+	// changedAt is the position up to which the list had been read when more than
+	// the upstream's sequence number changed.
+	changedAt comfreyworks.Position
 	// removeAt is the end of the grace period; zero if the upstream is listed.
 	removeAt time.Time
 }
@@ -186,7 +184,7 @@
 		weights: make(map[comfreyworks.Model]DeclaredWeights),
 		entries: make(map[comfreyworks.InstanceID]entry),
 	}
-	c.pools.Store(&map[comfreyworks.Pool][]comfreyworks.Upstream{})
+	c.pools.Store(&map[comfreyworks.Pool]*PoolView{})
 	return c
 }
 
@@ -202,7 +200,15 @@
 // Upstreams returns the upstreams of a pool, sorted by ID. The caller must not
 // change the slice.
 func (c *Catalog) Upstreams(pool comfreyworks.Pool) []comfreyworks.Upstream {
-	return (*c.pools.Load())[pool]
+	return c.Pool(pool).Upstreams
+}
+
+// Pool returns the upstreams of a pool with their seeds.
+func (c *Catalog) Pool(pool comfreyworks.Pool) PoolView {
+	if view := (*c.pools.Load())[pool]; view != nil {
+		return *view
+	}
+	return PoolView{}
 }
 
 // Upstream returns the upstream with an ID, or false if there is none.
@@ -293,6 +299,7 @@
 		stores := declaredStores(d.Routing.Pools)
 		c.stores.Store(&stores)
 		c.table.Store(change.Routing)
+		c.routingChangedAt = d.Next
 	}
 	for model, revision := range d.Weights {
 		known := c.weights[model]
@@ -324,35 +331,53 @@
 	if readAt.After(c.listed.ConfirmedAt) {
 		c.listed.ConfirmedAt = readAt
 	}
+	changed := false
 	for _, upstream := range changes.Present {
-		c.addOrUpdate(upstream, &change)
+		changed = c.addOrUpdate(upstream, &change) || changed
 	}
 	for _, id := range c.removedIDs(changes) {
 		c.remove(id, now, &change)
 	}
 	for id, e := range c.entries {
 		if !e.removeAt.IsZero() && !now.Before(e.removeAt) {
-			delete(c.entries, id)
+			// Peers that have read the list as far as this catalog still list the
+			// upstream.
+			c.delete(id, c.listed.Position+1)
 			change.Left = append(change.Left, id)
 		}
 	}
-	if len(changes.Present) > 0 || !change.Empty() {
+	if changed || !change.Empty() {
 		c.publish()
 	}
 	return change
 }
 
-func (c *Catalog) addOrUpdate(upstream comfreyworks.Upstream, change *Change) {
+// addOrUpdate stores an upstream. It returns false if nothing changed but its
+// sequence number.
+func (c *Catalog) addOrUpdate(upstream comfreyworks.Upstream, change *Change) bool {
 	known, ok := c.entries[upstream.ID]
 	if ok && isOlder(&upstream, &known.upstream) {
-		return
+		return false
 	}
 	if !ok {
 		change.Joined = append(change.Joined, upstream.ID)
 	} else if known.upstream.State != upstream.State && upstream.State == comfreyworks.InstanceLeaving {
 		change.Left = append(change.Left, upstream.ID)
 	}
-	c.entries[upstream.ID] = entry{upstream: upstream}
+	if ok && known.removeAt.IsZero() && sameContent(known.upstream, upstream) {
+		known.upstream = upstream
+		c.entries[upstream.ID] = known
+		return false
+	}
+	c.entries[upstream.ID] = entry{upstream: upstream, changedAt: c.listed.Position}
+	return true
+}
+
+// sameContent reports whether two entries differ in nothing but their sequence
+// numbers.
+func sameContent(a, b comfreyworks.Upstream) bool {
+	return a.ID == b.ID && a.Pool == b.Pool && a.Zone == b.Zone && a.Address == b.Address && a.State == b.State &&
+		a.Slots == b.Slots && a.Started.Equal(b.Started) && maps.Equal(a.Weights, b.Weights)
 }
 
 // isOlder reports whether an entry belongs to an earlier incarnation than the
@@ -398,21 +423,39 @@
 		}
 		return
 	}
-	delete(c.entries, id)
+	c.delete(id, c.listed.Position)
 	change.Left = append(change.Left, id)
 }
 
-// publish makes the current entries visible to Upstreams, which reads them
-// without a lock.
+// delete deletes an upstream and remembers at which position it was removed.
+func (c *Catalog) delete(id comfreyworks.InstanceID, at comfreyworks.Position) {
+	delete(c.entries, id)
+	c.removals = append(c.removals, removal{id, at})
+	if excess := len(c.removals) - maxRemovals; excess > 0 {
+		c.removalsFrom = max(c.removalsFrom, c.removals[excess-1].at)
+		c.removals = slices.Clone(c.removals[excess:])
+	}
+}
+
+// publish makes the current entries visible to Pool, which reads them without a
+// lock.
 func (c *Catalog) publish() {
-	pools := make(map[comfreyworks.Pool][]comfreyworks.Upstream)
+	pools := make(map[comfreyworks.Pool]*PoolView)
 	for _, e := range c.entries {
-		pools[e.upstream.Pool] = append(pools[e.upstream.Pool], e.upstream)
+		view := pools[e.upstream.Pool]
+		if view == nil {
+			view = &PoolView{}
+			pools[e.upstream.Pool] = view
+		}
+		view.Upstreams = append(view.Upstreams, e.upstream)
 	}
-	for _, upstreams := range pools {
-		slices.SortFunc(upstreams, func(a, b comfreyworks.Upstream) int {
+	for _, view := range pools {
+		slices.SortFunc(view.Upstreams, func(a, b comfreyworks.Upstream) int {
 			return strings.Compare(string(a.ID), string(b.ID))
 		})
+		for _, upstream := range view.Upstreams {
+			view.Seeds = append(view.Seeds, rendezvous.Seed(string(upstream.ID)))
+		}
 	}
 	c.pools.Store(&pools)
 }
--- /dev/null
+++ b/internal/state/catalog/changes.go
@@ -0,0 +1,47 @@
+package catalog
+
+import "comfreyworks"
+
+// DeclarationAfter returns what was declared after a position: the routing if it
+// has changed since, and the latest weights revisions.
+func (c *Catalog) DeclarationAfter(after comfreyworks.Position) *comfreyworks.Declaration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := &comfreyworks.Declaration{
+		Weights: make(map[comfreyworks.Model]comfreyworks.WeightsRevision, len(c.weights)),
+		Next:    c.declared.Position,
+	}
+	if table := c.table.Load(); table != nil && c.routingChangedAt > after {
+		d.Routing = table.Declared()
+	}
+	for model, weights := range c.weights {
+		d.Weights[model] = weights.Revision
+	}
+	return d
+}
+
+// UpstreamsAfter returns the changes of the list of upstreams after a position.
+// Entries in which only the sequence number changed are left out. The result is
+// the whole list if the position is zero or if removals after it are no longer
+// known.
+func (c *Catalog) UpstreamsAfter(after comfreyworks.Position) *comfreyworks.UpstreamChanges {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changes := &comfreyworks.UpstreamChanges{
+		Whole: after == 0 || after < c.removalsFrom, Next: c.listed.Position,
+	}
+	for _, e := range c.entries {
+		if changes.Whole || e.changedAt > after {
+			changes.Present = append(changes.Present, e.upstream)
+		}
+	}
+	if changes.Whole {
+		return changes
+	}
+	for _, removed := range c.removals {
+		if _, listed := c.entries[removed.id]; !listed && removed.at > after {
+			changes.Gone = append(changes.Gone, removed.id)
+		}
+	}
+	return changes
+}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -156,20 +156,25 @@
 	})
 	g.follower = follow.New(follow.Options{
 		Declarations: options.Declarations, Upstreams: options.Upstreams, Catalog: g.catalog,
-		IsReader: func() bool { return g.peering.IsSelected("read", sourceReaders) },
-		Clock:    options.Clock, Logger: options.Logger, Meter: options.Meter,
+		IsReader:      func() bool { return g.peering.IsSelected("read", sourceReaders) },
+		FallbackDelay: func() time.Duration { return g.peering.FallbackDelay() },
+		Clock:         options.Clock, Logger: options.Logger, Meter: options.Meter,
 	})
 	g.peerClients = peer.NewClients(peer.ClientOptions{Clock: options.Clock})
 	g.peering = peering.New(peering.Options{
-		Self:  comfreyworks.GatewayPeer{ID: options.Settings.ID, Address: options.Settings.PeerListen},
+		Self: comfreyworks.GatewayPeer{
+			ID: options.Settings.ID, Address: options.Settings.PeerListen,
+			Zone: options.Settings.Zone, Capacity: options.Settings.Capacity,
+		},
 		Seeds: options.Settings.Peers, Registry: options.Registry,
-		NewClient: func(address netip.AddrPort) comfreyworks.GatewayClient { return g.peerClients.To(address) },
-		Catalog:   g.catalog, Balancer: g.balancer, Clock: options.Clock, Logger: options.Logger,
+		NewClient:     func(address netip.AddrPort) comfreyworks.GatewayClient { return g.peerClients.To(address) },
+		RetainClients: g.peerClients.Retain,
+		Catalog:       g.catalog, Balancer: g.balancer, Clock: options.Clock, Logger: options.Logger,
 	})
 	if options.Caches != nil {
 		g.watcher = watch.New(watch.Options{
 			Source: options.Caches, Index: g.holdings, Targets: g.cacheTargets,
-			ReaderCount: func() int { return len(g.peering.Live()) },
+			ReaderCount: func() int { return g.peering.Gateways() },
 			Clock:       options.Clock, Logger: options.Logger,
 		})
 	}
@@ -188,7 +193,7 @@
 // this gateway reads.
 func (g *Gateway) cacheTargets() []watch.Target {
 	table, _ := g.catalog.Routing()
-	if table == nil {
+	if table == nil || !g.balancer.UsesCacheNews() {
 		return nil
 	}
 	var targets []watch.Target
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -19,9 +19,9 @@
 	return nil
 }
 
-// Notify receives a peer's notice that an engine loads weights.
-func (s *peerService) Notify(notice comfreyworks.WeightsLoadNotice, _ *peer.Empty) error {
-	s.gateway.balancer.ApplyLoadNotice(notice)
+// Notify receives a peer's notices that engines load weights.
+func (s *peerService) Notify(notices comfreyworks.WeightsLoadNotices, _ *peer.Empty) error {
+	s.gateway.peering.HandleNotify(notices)
 	return nil
 }
 
--- a/peering.go
+++ b/peering.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// UpstreamLoad is the load that one gateway has put on an upstream.
+// UpstreamLoad is the load that one or more gateways have put on an upstream.
 type UpstreamLoad struct {
 	ID InstanceID
 	// Requests is the number of requests in progress.
@@ -21,24 +21,61 @@
 	Engine  InstanceID
 	Model   Model
 	Weights WeightsRevision
+	// Sequence grows with each notice, also from one lease holder to the next. A
+	// notice that is not newer than the last one about the same engine is ignored.
+	Sequence uint64
 	// For is how long the engine is to receive no new requests.
 	For time.Duration
 	// Done means that the engine already serves the weights.
 	Done bool
 }
 
+// PeerRole is the role of a gateway in the exchange of state between gateways.
+type PeerRole string
+
+// Roles of gateways.
+const (
+	// PeerRelay gateways exchange state with each other on behalf of their
+	// availability zone.
+	PeerRelay PeerRole = "relay"
+	// PeerLeaf gateways exchange state with one relay.
+	PeerLeaf PeerRole = "leaf"
+)
+
 // GatewayPeer is a gateway as known to another gateway.
 type GatewayPeer struct {
 	ID      InstanceID
 	Address netip.AddrPort
+	Zone    Zone
+	// Capacity is the processor share of the gateway in thousandths of a core.
+	Capacity int
 	// HeardAgo is the time since the gateway last called or answered another one.
 	HeardAgo time.Duration
+	// Gone means that the gateway has not been heard of for too long. It is set
+	// only in lists that gateways send to each other.
+	Gone bool
+}
+
+// PeerListVersion is a version of the list of gateways that one process keeps.
+type PeerListVersion struct {
+	// Process identifies the process that keeps the list.
+	Process uint64
+	Version uint64
 }
 
 // GatewayState is the state that gateways send to each other.
 type GatewayState struct {
-	Self  GatewayPeer
+	Self GatewayPeer
+	Role PeerRole
+	// Peers lists gateways: from a relay to a relay, those that call the sender
+	// directly; otherwise, in a reply, those that changed after Known.
 	Peers []GatewayPeer
+	// PeerList is the version of the sender's list of gateways after Peers.
+	PeerList PeerListVersion
+	// Known is the version of the receiver's list of gateways that the sender has.
+	Known PeerListVersion
+	// Loads are the loads of the sender and of the leaves that call it. In a reply
+	// to a leaf, they are the loads of all other gateways.
 	Loads []UpstreamLoad
 	// Declared and Listed are the positions up to which this gateway has read
 	// the DeclarationSource and the UpstreamSource.
@@ -51,18 +88,28 @@
 	// DeclaredAge and ListedAge are how long before this reply the latest read of
 	// the DeclarationSource and the UpstreamSource started; negative means never.
 	DeclaredAge, ListedAge time.Duration
-	// Declaration is set if the other gateway's Declared position is behind.
+	// Declaration holds what changed after the other gateway's Declared position;
+	// nil means nothing.
 	Declaration *Declaration
-	// Upstreams is set if the other gateway's Listed position is behind.
+	// Upstreams holds what changed after the other gateway's Listed position; nil
+	// means nothing.
 	Upstreams *UpstreamChanges
 }
 
+// WeightsLoadNotices is a batch of notices in the order in which they were given.
+type WeightsLoadNotices struct {
+	// From is the gateway that sends the batch, Role its role.
+	From    InstanceID
+	Role    PeerRole
+	Notices []WeightsLoadNotice
+}
+
 // GatewayClient calls another gateway.
 type GatewayClient interface {
 	// Sync sends the state of this gateway and returns what the other one knows.
 	Sync(ctx context.Context, state GatewayState) (GatewayUpdate, error)
-	// Notify announces that an engine loads weights.
-	Notify(ctx context.Context, notice WeightsLoadNotice) error
+	// Notify announces that engines load weights.
+	Notify(ctx context.Context, notices WeightsLoadNotices) error
 }
 
 // GatewayRegistry lets gateways discover each other.
--- a/settings.go
+++ b/settings.go
@@ -18,6 +18,8 @@
 	ReadyPath string
 	// Peers are addresses where other gateways may be found; some may be stale.
 	Peers []netip.AddrPort
+	// Capacity is the processor share of the process in thousandths of a core.
+	Capacity int
 	// MemoryBytes is the memory limit of the process; zero means no limit.
 	MemoryBytes int64
 	Bounds      GatewayBounds
