Share saved sessions and unreachable engines; load weights in a pipeline; read the store less

Change: gateways tell each other which sessions are saved, so that each is copied once; the load reports name engines that could not be reached, and two reports are believed; sending elsewhere what was never sent takes no retry; leaving the first home costs what it prefills again; engines drain while others load.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -30,6 +30,7 @@
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/rendezvous"
+	"comfreyworks/internal/state/savedsessions"
 )
 
 const (
@@ -49,6 +50,11 @@
 	// refused a request while newer weights are declared, or because it serves
 	// weights that it did not name.
 	loadingDuration = 250 * time.Millisecond
+	// minUnreachableReports is the number of peers that could not reach an upstream
+	// from which it is avoided, unless it answered this gateway within
+	// reportedUnreachableAfter. One peer may itself be cut off.
+	minUnreachableReports    = 2
+	reportedUnreachableAfter = time.Second
 	// latencyWeight is the weight of the latest answer in the moving average of
 	// the latency.
 	latencyWeight = 0.1
@@ -71,6 +77,9 @@
 type Options struct {
 	Catalog  *catalog.Catalog
 	Holdings *holdings.Index
+	// Saved records the sessions that are in a cache store; it is used in large
+	// fleets.
+	Saved *savedsessions.Log
 	// Policy chooses among the engines that may receive a prompt.
 	Policy comfreyworks.PlacementPolicy
 	Clock  comfreyworks.Clock
@@ -166,7 +175,9 @@
 	// avoidUntil, fullUntil and loadingUntil are the times until which the
 	// upstream counts as avoided, full or loading.
 	avoidUntil, fullUntil, loadingUntil time.Time
-	weights                             map[comfreyworks.Model]comfreyworks.WeightsRevision
+	// answeredAt is the time of the latest answer.
+	answeredAt time.Time
+	weights    map[comfreyworks.Model]comfreyworks.WeightsRevision
 	// noticeSequence is the sequence number of the last notice about the upstream.
 	noticeSequence uint64
 	seenAt         time.Time
@@ -189,6 +200,9 @@
 	Weights comfreyworks.WeightsRevision
 	// Candidates is the number of upstreams that were considered.
 	Candidates int
+	// Home is the position of the upstream among the homes of the session, starting
+	// at zero.
+	Home int
 	// Wait is the estimated time until the engine starts to prefill the prompt.
 	Wait time.Duration
 	// CachedTokens is the estimated number of prompt tokens that the engine has
@@ -208,6 +222,9 @@
 	query    Query
 	// prefillTokens is this request's remaining contribution to the backlog.
 	prefillTokens int
+	// session is the key of the session in the record of saved sessions; zero if it
+	// is not used.
+	session uint32
 }
 
 // Pick chooses an upstream and adds the request to its load. It returns nil if
@@ -273,7 +290,7 @@
 		requests:    e.requests + peerLoad.Requests,
 		tokensAhead: e.backlog.Ahead(query.Priority) + peerLoad.Unread.Ahead(query.Priority),
 		sameZone:    upstream.Zone == b.options.Zone,
-		avoided:     now.Before(e.avoidUntil),
+		avoided:     now.Before(e.avoidUntil) || (peerLoad.Unreachable >= minUnreachableReports && now.Sub(e.answeredAt) > reportedUnreachableAfter),
 		full:        now.Before(e.fullUntil) || now.Before(e.loadingUntil),
 	}
 	if c.avoided && e.unreachable {
@@ -381,7 +398,13 @@
 	p.endpoint.backlog.AddTokens(p.query.Priority, -p.prefillTokens)
 	p.prefillTokens = 0
 	p.balancer.mu.Unlock()
-	if p.query.Model == "" || !p.balancer.UsesCacheNews() {
+	if p.query.Model == "" {
+		return
+	}
+	if p.session != 0 && p.SaveTo.IsValid() {
+		p.balancer.options.Saved.Add(p.session)
+	}
+	if !p.balancer.UsesCacheNews() {
 		return
 	}
 	salt := holdings.Salt(p.query.CacheScope, p.Weights)
@@ -408,6 +431,7 @@
 		e.failures = 0
 		e.unreachable = false
 		e.avoidUntil = time.Time{}
+		e.answeredAt = now
 		e.updateLatency(result.Elapsed)
 	case Failed:
 		e.recordFailure(now, minFailuresToAvoid)
--- a/internal/coordination/balance/homes.go
+++ b/internal/coordination/balance/homes.go
@@ -6,8 +6,11 @@
 	"slices"
 	"time"
 
+	"comfreyworks"
 	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/rendezvous"
+	"comfreyworks/internal/state/savedsessions"
 )
 
 const (
@@ -23,9 +26,15 @@
 	// homeIdleWait is the wait up to which an engine counts as idle. While all homes
 	// of a session are busier, the session gets twice as many.
 	homeIdleWait = 200 * time.Millisecond
-	// secondHomePenalty is added to the expected wait of all homes but the first,
-	// which has most of the session's prompts cached.
-	secondHomePenalty = 80 * time.Millisecond
+	// importPenalty is added to the expected wait of all homes but the first for a
+	// session whose prompts can be imported: importing takes little time, but the
+	// prompts then occupy the memory of two engines.
+	importPenalty = 50 * time.Millisecond
+	// recomputeWeight is the cost of prefilling a token that the first home has
+	// cached, relative to the time that it takes.
+	recomputeWeight = 2.5
+	// maxMovePenalty limits what leaving the first home costs.
+	maxMovePenalty = 400 * time.Millisecond
 	// stalePenalty is added to the expected wait of an engine whose answers lose
 	// value because newer weights are declared.
 	stalePenalty = 250 * time.Millisecond
@@ -58,19 +67,64 @@
 	if len(homes) == 0 {
 		return nil
 	}
+	session := b.newHomeSession(&query)
+	homes = bestHomes(homes)
 	best := slices.MinFunc(homes, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.homeTier(), b.homeTier()), cmp.Compare(a.homeCost(), b.homeCost()))
+		return cmp.Compare(a.homeCost(session, homes[0].rank), b.homeCost(session, homes[0].rank))
 	})
-	shared := 0
+	return b.newHomePick(&best, query, homes, session, declared)
+}
+
+// homeSession is the session of a request in a large fleet.
+type homeSession struct {
+	query *Query
+	saved *savedsessions.Log
+	// sharedTokens is the length of the parts that its prompts share.
+	sharedTokens int
+	// store is the cache store of the session, or nil if there is none or if the
+	// shared parts are too short to be saved.
+	store *catalog.Store
+}
+
+func (b *Balancer) newHomeSession(query *Query) *homeSession {
+	s := &homeSession{query: query, saved: b.options.Saved}
 	for _, part := range query.sharedParts() {
-		shared += part.Tokens
+		s.sharedTokens += part.Tokens
 	}
-	pick := b.newPick(&best, query, len(homes), max(query.Tokens-shared, 0))
-	pick.ImportFrom = b.chooseImport(&query, homes, &best)
-	if best.weights == declared.Revision {
-		if store := b.sessionStore(query.AffinityKey); store != nil {
-			pick.SaveTo = store.Address
-		}
+	if s.sharedTokens >= minSaveTokens {
+		s.store = b.sessionStore(query.AffinityKey)
+	}
+	return s
+}
+
+// key returns the key of the session in the record of saved sessions.
+func (s *homeSession) key(weights comfreyworks.WeightsRevision) uint32 {
+	parts := s.query.sharedParts()
+	return savedsessions.Key(holdings.Salt(s.query.CacheScope, weights), parts[len(parts)-1].ID)
+}
+
+// isSaved reports whether the shared parts, as computed with the given weights,
+// are in the store.
+func (s *homeSession) isSaved(weights comfreyworks.WeightsRevision) bool {
+	return s.store != nil && s.saved.Has(s.key(weights))
+}
+
+// newHomePick adds the request to the load of the chosen home and returns the
+// pick, with the address from which the home imports what it lacks and, if the
+// session has not been saved yet, the store to which it saves.
+func (b *Balancer) newHomePick(chosen *candidate, query Query, homes []candidate, s *homeSession, declared catalog.DeclaredWeights) *Pick {
+	saved := s.isSaved(chosen.weights)
+	cached := s.sharedTokens
+	if s.store != nil && !saved {
+		cached = 0
+	}
+	pick := b.newPick(chosen, query, len(homes), max(query.Tokens-cached, 0))
+	pick.CachedTokens, pick.Home = cached, chosen.rank
+	if s.sharedTokens >= minImportTokens {
+		pick.ImportFrom = s.importSource(homes, chosen)
+	}
+	if s.store != nil && !saved && chosen.weights == declared.Revision {
+		pick.SaveTo, pick.session = s.store.Address, s.key(chosen.weights)
 	}
 	return pick
 }
@@ -122,12 +176,18 @@
 	return fresh.tier()
 }
 
+// bestHomes returns the homes of the lowest tier, the first home first.
+func bestHomes(homes []candidate) []candidate {
+	lowest := slices.MinFunc(homes, func(a, b candidate) int { return cmp.Compare(a.homeTier(), b.homeTier()) })
+	return slices.DeleteFunc(homes, func(c candidate) bool { return c.homeTier() > lowest.homeTier() })
+}
+
 // homeCost is the expected wait of the request, with what it costs to leave the
-// first home, the zone and the newest weights.
-func (c *candidate) homeCost() time.Duration {
+// first available home, the zone and the newest weights.
+func (c *candidate) homeCost(s *homeSession, first int) time.Duration {
 	cost := c.wait() + time.Duration(c.requests)*runningRequestTime
-	if c.rank > 0 {
-		cost += secondHomePenalty
+	if c.rank != first {
+		cost += s.movePenalty(c.weights)
 	}
 	if c.stale {
 		cost += stalePenalty
@@ -138,20 +198,34 @@
 	return cost
 }
 
-// chooseImport returns the address from which the chosen home imports what it
-// lacks: the session's cache store or, if there is none, another home that serves
-// the same weights. The result is invalid if there is neither.
-func (b *Balancer) chooseImport(query *Query, homes []candidate, chosen *candidate) netip.AddrPort {
-	if store := b.sessionStore(query.AffinityKey); store != nil {
-		return store.Address
+// movePenalty is what it costs to leave the first home for one that serves the
+// given weights.
+func (s *homeSession) movePenalty(weights comfreyworks.WeightsRevision) time.Duration {
+	penalty := min(time.Duration(recomputeWeight*float64(s.sharedTokens))*prefillTime, maxMovePenalty)
+	if s.isSaved(weights) {
+		return min(penalty, importPenalty)
 	}
+	return penalty
+}
+
+// importSource returns the address from which the chosen home imports what it
+// lacks: the first home, unless it is the chosen one or serves other weights, or
+// the session's cache store. Links between engines are faster than those of a
+// store, which all engines share. The result is invalid if there is neither.
+func (s *homeSession) importSource(homes []candidate, chosen *candidate) netip.AddrPort {
 	for i := range homes {
 		c := &homes[i]
-		if c.upstream.ID != chosen.upstream.ID && c.weights == chosen.weights && !c.avoided {
+		if c.upstream.ID == chosen.upstream.ID || c.weights != chosen.weights {
+			continue
+		}
+		if s.store == nil || c.rank == 0 {
 			return c.upstream.Address
 		}
 	}
-	return netip.AddrPort{}
+	if s.store == nil {
+		return netip.AddrPort{}
+	}
+	return s.store.Address
 }
 
 // sessionStore returns the cache store of a session, or nil if no store is
--- a/internal/coordination/balance/loads.go
+++ b/internal/coordination/balance/loads.go
@@ -69,10 +69,11 @@
 	total := p.sum[load.ID]
 	total.ID = load.ID
 	total.Requests += sign * load.Requests
+	total.Unreachable += sign * load.Unreachable
 	for priority, tokens := range load.Unread {
 		total.Unread[priority] += sign * tokens
 	}
-	if total.Requests == 0 && total.Unread == (comfreyworks.PrefillBacklog{}) {
+	if total.Requests == 0 && total.Unreachable == 0 && total.Unread == (comfreyworks.PrefillBacklog{}) {
 		delete(p.sum, load.ID)
 		return
 	}
@@ -124,10 +125,15 @@
 }
 
 func (b *Balancer) localLoads() []comfreyworks.UpstreamLoad {
+	now := b.options.Clock.Now()
 	var loads []comfreyworks.UpstreamLoad
 	for id, e := range b.endpoints {
-		if e.requests > 0 {
-			loads = append(loads, comfreyworks.UpstreamLoad{ID: id, Requests: e.requests, Unread: e.backlog})
+		load := comfreyworks.UpstreamLoad{ID: id, Requests: e.requests, Unread: e.backlog}
+		if e.unreachable && now.Before(e.avoidUntil) {
+			load.Unreachable = 1
+		}
+		if load.Requests > 0 || load.Unreachable > 0 {
+			loads = append(loads, load)
 		}
 	}
 	return loads
@@ -179,7 +185,7 @@
 func (p *peerLoads) list(requests, tokens int) []comfreyworks.UpstreamLoad {
 	loads := make([]comfreyworks.UpstreamLoad, 0, len(p.sum))
 	for _, load := range p.sum {
-		if load.Requests > requests || load.Unread.Ahead(comfreyworks.NumPriorities-1) > tokens {
+		if load.Unreachable > 0 || load.Requests > requests || load.Unread.Ahead(comfreyworks.NumPriorities-1) > tokens {
 			loads = append(loads, load)
 		}
 	}
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -28,12 +28,14 @@
 	declarationWait = 1200 * time.Millisecond
 	// upstreamInterval is the pause between two reads of the upstreams. Engines
 	// stop no earlier than two seconds after they announced it.
-	upstreamInterval = 600 * time.Millisecond
-	// fallbackAge is the age of the last confirmation at which a gateway that
-	// relies on others reads the source itself. It is longer than declarationWait
-	// or upstreamInterval plus the time to pass the result on to peers.
-	// It is extended by Options.FallbackDelay.
-	fallbackAge = 1800 * time.Millisecond
+	upstreamInterval = 800 * time.Millisecond
+	// declarationFallbackAge and upstreamFallbackAge are the ages of the last
+	// confirmation at which a gateway that relies on others reads the source itself.
+	// A result is confirmed as of the start of its read, so it is as old as two
+	// reads when the next one arrives; the rest is the time to pass it on to peers.
+	// Options.FallbackDelay extends them.
+	declarationFallbackAge = 2*declarationWait + 400*time.Millisecond
+	upstreamFallbackAge    = 1800 * time.Millisecond
 	// standbyInterval is the interval at which a gateway that relies on others
 	// checks whether it still may.
 	standbyInterval = 100 * time.Millisecond
@@ -53,8 +55,8 @@
 	// receive the results from readers and read the sources themselves if no
 	// results arrive. Nil means that this gateway is a reader.
 	IsReader func() bool
-	// FallbackDelay returns how much longer than fallbackAge this gateway waits for
-	// results of readers; nil means no longer.
+	// FallbackDelay returns how much longer than a reader's results usually take
+	// this gateway waits for them; nil means no longer.
 	FallbackDelay func() time.Duration
 	Clock         comfreyworks.Clock
 	Logger        *zap.Logger
@@ -76,11 +78,15 @@
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		return f.pollSource(ctx, poll{source: "declarations", read: f.readDeclarations, confirmedAt: f.declarationsConfirmedAt})
+		return f.pollSource(ctx, poll{
+			source: "declarations", read: f.readDeclarations, confirmedAt: f.declarationsConfirmedAt,
+			fallbackAge: declarationFallbackAge,
+		})
 	})
 	group.Go(func() error {
 		return f.pollSource(ctx, poll{
-			source: "upstreams", read: f.readUpstreams, confirmedAt: f.options.Catalog.UpstreamsConfirmedAt, interval: upstreamInterval,
+			source: "upstreams", read: f.readUpstreams, confirmedAt: f.options.Catalog.UpstreamsConfirmedAt,
+			fallbackAge: upstreamFallbackAge, interval: upstreamInterval,
 		})
 	})
 	return group.Wait()
@@ -92,6 +98,9 @@
 	read   func(context.Context) error
 	// confirmedAt returns the time as of which the known state was last confirmed.
 	confirmedAt func() time.Time
+	// fallbackAge is the age of that state at which a gateway reads the source
+	// itself.
+	fallbackAge time.Duration
 	// interval is the pause after a successful read.
 	interval time.Duration
 }
@@ -107,7 +116,7 @@
 	if f.options.IsReader == nil || f.options.IsReader() {
 		return false
 	}
-	limit := fallbackAge
+	limit := p.fallbackAge
 	if f.options.FallbackDelay != nil {
 		limit += f.options.FallbackDelay()
 	}
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -116,7 +116,7 @@
 	case failure.Kind == comfreyworks.ExchangeNotSent:
 		a.runs--
 		a.result.Outcome = a.balanceOutcome(ctx, balance.Unreachable)
-		return attemptNotRun
+		return attemptNotSent
 	default:
 		a.result.Outcome = a.balanceOutcome(ctx, balance.Failed)
 		return attemptLost
@@ -203,7 +203,7 @@
 		zap.Int("candidates", a.pick.Candidates),
 		zap.Uint64("weights", uint64(a.pick.Weights)),
 		zap.Int("shared", a.request.Prompt.declaredTokens()), zap.Int("held", a.pick.CachedTokens),
-		zap.Duration("wait", a.pick.Wait), zap.Int("importable", a.pick.ImportableTokens), zap.Stringer("import-from", a.pick.ImportFrom),
+		zap.Int("home", a.pick.Home), zap.Duration("wait", a.pick.Wait), zap.Int("importable", a.pick.ImportableTokens), zap.Stringer("import-from", a.pick.ImportFrom),
 		zap.Duration("list-age", a.options.Clock.Since(a.options.Catalog.UpstreamsConfirmedAt())),
 		zap.Duration("took", a.options.Clock.Since(a.startedAt)),
 		zap.String("outcome", string(a.result.Outcome)),
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -207,6 +207,9 @@
 	attemptDone attemptResult = iota
 	// attemptNotRun means that the request did not run and may be retried.
 	attemptNotRun
+	// attemptNotSent means that no byte of the request reached an upstream. Sending
+	// it elsewhere adds no load to the pool, so it takes no retry from the budget.
+	attemptNotSent
 	// attemptLost means that the request may have run. It may be retried only if
 	// its route is repeatable.
 	attemptLost
@@ -243,7 +246,7 @@
 		r.reason += ", no run left"
 	case r.options.Clock.Until(r.request.Deadline) < minTimeLeft:
 		r.reason += ", no time left"
-	case !r.budget.TryRetry():
+	case after != attemptNotSent && !r.budget.TryRetry():
 		r.reason += ", retry budget spent"
 	default:
 		return true
@@ -256,7 +259,7 @@
 	switch {
 	case r.headerWritten:
 		return Outcome{Verdict: Broken}
-	case after == attemptNotRun && r.runs == 0:
+	case (after == attemptNotRun || after == attemptNotSent) && r.runs == 0:
 		return Outcome{Verdict: Refused, RetryAfter: retryAfterBusy}
 	default:
 		return Outcome{Verdict: Failed}
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -49,7 +49,7 @@
 	renewShare = 0.3
 	// pollShare is the share of the duration between two reads of the log by a
 	// process that does not hold the lease.
-	pollShare = 0.25
+	pollShare = 0.35
 	// standbyShare is the share of the duration after which a process that is not a
 	// candidate checks whether it has become one.
 	standbyShare = 0.3
--- a/internal/coordination/peering/members.go
+++ b/internal/coordination/peering/members.go
@@ -42,7 +42,11 @@
 	// listSentAt is when this gateway last sent it the list of its leaves.
 	listSentAt time.Time
 	// known is the version of the member's own list that this gateway has.
-	known comfreyworks.PeerListVersion
+	known comfreyworks.ListVersion
+	// savedKnown is the version of the member's list of saved sessions that this
+	// gateway has, savedSent the version of its own list that it has sent.
+	savedKnown comfreyworks.ListVersion
+	savedSent  uint64
 	// listedBy is the relay whose list contains the member, if this gateway is a leaf
 	// of that relay.
 	listedBy netip.AddrPort
@@ -54,7 +58,7 @@
 	self    comfreyworks.GatewayPeer
 	rank    relayRank
 	members map[netip.AddrPort]*member
-	version comfreyworks.PeerListVersion
+	version comfreyworks.ListVersion
 	// oldest is the lowest version from which changes can be listed.
 	oldest uint64
 }
@@ -62,7 +66,7 @@
 func newMemberList(self comfreyworks.GatewayPeer, process uint64) memberList {
 	return memberList{
 		self: self, rank: rankOf(self), members: make(map[netip.AddrPort]*member),
-		version: comfreyworks.PeerListVersion{Process: process, Version: 1},
+		version: comfreyworks.ListVersion{Process: process, Version: 1},
 	}
 }
 
@@ -111,7 +115,7 @@
 			expired = append(expired, m)
 			if relay := l.members[m.listedBy]; relay != nil {
 				// The relay still lists the member and would not report it again.
-				relay.known = comfreyworks.PeerListVersion{}
+				relay.known = comfreyworks.ListVersion{}
 			}
 		}
 	}
@@ -131,7 +135,7 @@
 
 // changesAfter returns the members that changed after a version of this list. If
 // the changes are not known, it returns all that are present.
-func (l *memberList) changesAfter(known comfreyworks.PeerListVersion, now time.Time) []comfreyworks.GatewayPeer {
+func (l *memberList) changesAfter(known comfreyworks.ListVersion, now time.Time) []comfreyworks.GatewayPeer {
 	whole := known.Process != l.version.Process || known.Version < l.oldest
 	var changes []comfreyworks.GatewayPeer
 	for _, m := range l.members {
--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -45,6 +45,7 @@
 	"comfreyworks/internal/coordination/balance"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/rendezvous"
+	"comfreyworks/internal/state/savedsessions"
 )
 
 const (
@@ -103,6 +104,7 @@
 	RetainClients func(addresses map[netip.AddrPort]bool)
 	Catalog       *catalog.Catalog
 	Balancer      *balance.Balancer
+	Saved         *savedsessions.Log
 	Clock         comfreyworks.Clock
 	Logger        *zap.Logger
 }
@@ -248,7 +250,7 @@
 		partners[primary] = true
 		if m := p.members.members[primary]; becameLeaf || !p.partners[primary] {
 			// From now on, this relay's list is the one that counts.
-			m.known = comfreyworks.PeerListVersion{}
+			m.known = comfreyworks.ListVersion{}
 		}
 	}
 	p.removeFormerPartners(partners)
@@ -361,7 +363,7 @@
 		return err
 	}
 	update.State.Self.Address = address
-	p.recordReply(&update.State, request.Role)
+	p.recordReply(&update.State, &request)
 	if update.DeclaredAge >= 0 {
 		p.applyDeclaration(&update, sentAt.Add(-update.DeclaredAge))
 	}
@@ -379,7 +381,8 @@
 	defer p.mu.Unlock()
 	m := p.members.members[to]
 	if m != nil {
-		state.Known = m.known
+		state.Known, state.SavedKnown = m.known, m.savedKnown
+		state.Saved, state.SavedList.Version = p.options.Saved.After(m.savedSent, savedsessions.Local)
 	}
 	if !p.relay {
 		state.Loads = p.options.Balancer.LocalLoads()
@@ -448,11 +451,19 @@
 	if p.relay {
 		state.Role = comfreyworks.PeerRelay
 	}
+	passedOn := savedsessions.Local
 	if to.Role == comfreyworks.PeerLeaf {
 		state.Loads = p.options.Balancer.AllLoadsExcept(to.Self.ID)
+		passedOn = savedsessions.Remote
 	} else {
 		state.Loads = p.options.Balancer.SumLoads(p.attached())
 	}
+	savedKnown := to.SavedKnown
+	if savedKnown.Process != p.members.version.Process {
+		savedKnown.Version = 0
+	}
+	state.Saved, state.SavedList.Version = p.options.Saved.After(savedKnown.Version, passedOn)
+	state.SavedList.Process = p.members.version.Process
 	state.Peers = p.members.changesAfter(to.Known, p.options.Clock.Now())
 	state.PeerList = p.members.version
 	return state
@@ -477,11 +488,21 @@
 	for _, other := range state.Peers {
 		p.members.record(other, now.Add(-other.HeardAgo), now)
 	}
+	p.options.Saved.Merge(state.Saved, savedOrigin(state.Role))
 }
 
-// recordReply stores what a peer reports in reply to a call that this gateway made
-// in the given role.
-func (p *Peering) recordReply(state *comfreyworks.GatewayState, role comfreyworks.PeerRole) {
+// savedOrigin returns the origin of saved sessions that a peer in the given role
+// reports. Relays tell all other relays of the sessions that they and their leaves
+// have saved, so only those of leaves are passed on to relays.
+func savedOrigin(role comfreyworks.PeerRole) savedsessions.Origin {
+	if role == comfreyworks.PeerRelay {
+		return savedsessions.Remote
+	}
+	return savedsessions.Local
+}
+
+// recordReply stores what a peer reports in reply to a request of this gateway.
+func (p *Peering) recordReply(state, request *comfreyworks.GatewayState) {
 	now := p.options.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -489,16 +510,22 @@
 	if m == nil {
 		return
 	}
-	if p.partners[m.Address] && role == p.role() {
+	if p.partners[m.Address] && request.Role == p.role() {
 		p.options.Balancer.SetPeerLoads(m.ID, state.Loads, now.Add(loadExpiry))
 	}
 	for _, other := range state.Peers {
 		p.recordReported(other, m.Address, now)
 	}
-	if role == comfreyworks.PeerLeaf {
+	if request.Role == comfreyworks.PeerLeaf {
 		p.members.confirm(m.Address, now)
 	}
-	m.known = state.PeerList
+	p.options.Saved.Merge(state.Saved, savedsessions.Remote)
+	m.savedSent = request.SavedList.Version
+	if m.savedKnown.Process != state.SavedList.Process {
+		// Another process answered than the one that got the earlier requests.
+		m.savedSent = 0
+	}
+	m.known, m.savedKnown = state.PeerList, state.SavedList
 }
 
 // role returns the role of this gateway. The mutex must be held.
--- a/internal/coordination/peering/registry.go
+++ b/internal/coordination/peering/registry.go
@@ -15,7 +15,7 @@
 const (
 	// registryInterval is the pause between two reads of the registry by a relay,
 	// and isolatedRegistryInterval the pause while no peer is reachable.
-	registryInterval         = 10 * time.Second
+	registryInterval         = 20 * time.Second
 	isolatedRegistryInterval = 2 * time.Second
 	// registryCheckInterval is the pause between two checks whether a read is due.
 	registryCheckInterval = 250 * time.Millisecond
--- a/internal/coordination/rollout/loadtracker.go
+++ b/internal/coordination/rollout/loadtracker.go
@@ -18,8 +18,10 @@
 // loadTracker records which engines are loading weights, which ones must not be
 // tried again yet, and how many orders each engine has accepted.
 type loadTracker struct {
-	mu      *sync.Mutex
-	loading map[comfreyworks.InstanceID]bool
+	mu *sync.Mutex
+	// draining holds the engines that finish their requests before they load.
+	draining map[comfreyworks.InstanceID]bool
+	loading  map[comfreyworks.InstanceID]bool
 	// retryAt is the earliest time of the next order to an engine whose last one
 	// failed.
 	retryAt map[comfreyworks.InstanceID]time.Time
@@ -41,25 +43,34 @@
 func newLoadTracker() loadTracker {
 	return loadTracker{
 		mu:       new(sync.Mutex),
+		draining: make(map[comfreyworks.InstanceID]bool),
 		loading:  make(map[comfreyworks.InstanceID]bool),
 		retryAt:  make(map[comfreyworks.InstanceID]time.Time),
 		accepted: make(map[incarnation]uint64),
 	}
 }
 
+// loadLimits limits the engines that take no requests because of new weights.
+type loadLimits struct {
+	// loading is the number of engines that may load at the same time, total the
+	// number of engines that may load or drain.
+	loading, total int
+}
+
 // selectEngines returns the engines to update now, those with the oldest weights
-// first. It stops when these and all engines that are already loading reach
-// limit.
-func (t *loadTracker) selectEngines(outdated []outdatedEngine, limit int, now time.Time) []comfreyworks.Upstream {
+// first. It stops when these and all engines that are already loading or draining
+// reach the limit.
+func (t *loadTracker) selectEngines(outdated []outdatedEngine, limits loadLimits, now time.Time) []comfreyworks.Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	slices.SortStableFunc(outdated, func(a, b outdatedEngine) int { return cmp.Compare(a.serving, b.serving) })
 	var chosen []comfreyworks.Upstream
 	for _, candidate := range outdated {
-		if len(t.loading)+len(chosen) >= limit {
+		if len(t.draining)+len(t.loading)+len(chosen) >= limits.total {
 			break
 		}
-		if t.loading[candidate.engine.ID] || now.Before(t.retryAt[candidate.engine.ID]) {
+		id := candidate.engine.ID
+		if t.draining[id] || t.loading[id] || now.Before(t.retryAt[candidate.engine.ID]) {
 			continue
 		}
 		chosen = append(chosen, candidate.engine)
@@ -67,18 +78,32 @@
 	return chosen
 }
 
-// start marks an engine as loading.
+// start marks an engine as draining.
 func (t *loadTracker) start(id comfreyworks.InstanceID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.draining[id] = true
+}
+
+// tryLoad marks a draining engine as loading, unless the limit of loading engines
+// is reached.
+func (t *loadTracker) tryLoad(id comfreyworks.InstanceID, limits loadLimits) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.loading) >= limits.loading {
+		return false
+	}
+	delete(t.draining, id)
 	t.loading[id] = true
+	return true
 }
 
-// finish marks an engine as no longer loading. It is not selected again before
+// finish marks an engine as no longer draining or loading. It is not selected again before
 // retryAt; the zero time means that it may be selected at once.
 func (t *loadTracker) finish(id comfreyworks.InstanceID, retryAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	delete(t.draining, id)
 	delete(t.loading, id)
 	delete(t.retryAt, id)
 	if !retryAt.IsZero() {
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -42,16 +42,22 @@
 	// same time. The limit is never below minLoadLimit.
 	loadingShare = 0.19
 	minLoadLimit = 2
+	// drainingShare is the number of engines that may drain while others load,
+	// relative to the number that may load. Draining takes less time than loading.
+	drainingShare = 0.75
 	// minLoadTime is the minimum duration of a load; the engine's status is not
 	// requested earlier.
-	minLoadTime = 300 * time.Millisecond
+	minLoadTime = 320 * time.Millisecond
 	// statusInterval is the pause between two status requests to a loading engine.
-	statusInterval = 120 * time.Millisecond
+	statusInterval = 60 * time.Millisecond
 	// loadTimeout is the time after which a load counts as failed if the engine
 	// does not serve the weights.
 	loadTimeout = 2500 * time.Millisecond
 	// noticeDelay is the time in which a notice reaches the other gateways.
 	noticeDelay = 50 * time.Millisecond
+	// maxNoticeTime is how long an engine gets no requests if no notice follows that
+	// its load has ended.
+	maxNoticeTime = 2 * time.Second
 	// drainTimeout is how long an engine may take to finish its requests before it
 	// receives an order. drainPollInterval is the pause between two checks.
 	drainTimeout      = 250 * time.Millisecond
@@ -197,18 +203,22 @@
 			outdated = append(outdated, outdatedEngine{engine: engines[i], serving: serving})
 		}
 	}
-	return r.loads.selectEngines(outdated, loadLimit(len(engines)), r.options.Clock.Now())
+	return r.loads.selectEngines(outdated, limitsOf(len(engines)), r.options.Clock.Now())
 }
 
-// loadLimit returns how many of a pool's engines may load at the same time.
-func loadLimit(engines int) int { return max(minLoadLimit, int(loadingShare*float64(engines))) }
+// limitsOf returns how many of a pool's engines may load or drain at the same time.
+func limitsOf(engines int) loadLimits {
+	loading := max(minLoadLimit, int(loadingShare*float64(engines)))
+	return loadLimits{loading: loading, total: loading + int(drainingShare*float64(loading))}
+}
 
 // loadWeights executes one load: it drains the engine, sends the order and waits
 // until the engine serves the weights. All gateways are notified before and
 // after.
 func (r *Rollout) loadWeights(ctx context.Context, order comfreyworks.WeightsLoadOrder) {
-	r.announce(order.FencingToken, comfreyworks.WeightsLoadNotice{Engine: order.Upstream.ID, Model: order.Model, For: drainTimeout + loadTimeout})
+	r.announce(order.FencingToken, comfreyworks.WeightsLoadNotice{Engine: order.Upstream.ID, Model: order.Model, For: maxNoticeTime})
 	r.drain(ctx, order.Upstream.ID)
+	r.awaitLoad(ctx, &order.Upstream)
 	startedAt := r.options.Clock.Now()
 	result, err := r.giveOrder(ctx, order)
 	done := result == comfreyworks.LoadDone
@@ -255,6 +265,16 @@
 	}
 }
 
+// awaitLoad waits until the engine may load without exceeding the limit of its
+// pool.
+func (r *Rollout) awaitLoad(ctx context.Context, engine *comfreyworks.Upstream) {
+	for !r.loads.tryLoad(engine.ID, limitsOf(len(r.options.Catalog.Upstreams(engine.Pool)))) {
+		if !comfreyworks.Sleep(ctx, r.options.Clock, drainPollInterval) {
+			return
+		}
+	}
+}
+
 // giveOrder sends an order and repeats it if there is no answer. All attempts
 // carry the same number of accepted orders, so the engine executes at most one
 // of them, even if some arrive late.
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -34,7 +34,7 @@
 const (
 	// dialTimeout is the maximum time to open a connection. Upstreams are a few
 	// milliseconds away, and one that is down may not respond at all.
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// maxIdlePerUpstream is the maximum number of idle connections to one
 	// upstream.
 	maxIdlePerUpstream = 64
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -39,6 +39,7 @@
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/retrybudget"
+	"comfreyworks/internal/state/savedsessions"
 )
 
 // Kind classifies the errors of this package.
@@ -140,8 +141,9 @@
 	g := &Gateway{options: options, startedAt: options.Clock.Now()}
 	g.catalog = catalog.New(options.Clock)
 	g.holdings = holdings.New()
+	saved := savedsessions.New(options.Clock)
 	g.balancer = balance.New(balance.Options{
-		Catalog: g.catalog, Holdings: g.holdings,
+		Catalog: g.catalog, Holdings: g.holdings, Saved: saved,
 		Policy: placement.Comfrey{RecomputeWeight: placement.DefaultRecomputeWeight},
 		Clock:  options.Clock, Zone: options.Settings.Zone,
 		SupersededWeights: options.Settings.Bounds.SupersededWeights,
@@ -169,7 +171,7 @@
 		Seeds: options.Settings.Peers, Registry: options.Registry,
 		NewClient:     func(address netip.AddrPort) comfreyworks.GatewayClient { return g.peerClients.To(address) },
 		RetainClients: g.peerClients.Retain,
-		Catalog:       g.catalog, Balancer: g.balancer, Clock: options.Clock, Logger: options.Logger,
+		Catalog:       g.catalog, Balancer: g.balancer, Saved: saved, Clock: options.Clock, Logger: options.Logger,
 	})
 	if options.Caches != nil {
 		g.watcher = watch.New(watch.Options{
--- a/peering.go
+++ b/peering.go
@@ -13,6 +13,9 @@
 	Requests int
 	// Unread counts the prompt tokens that the upstream has yet to prefill.
 	Unread PrefillBacklog
+	// Unreachable is the number of gateways that recently could not reach the
+	// upstream.
+	Unreachable int
 }
 
 // WeightsLoadNotice announces that an engine is about to load weights or has
@@ -56,8 +59,8 @@
 	Gone bool
 }
 
-// PeerListVersion is a version of the list of gateways that one process keeps.
-type PeerListVersion struct {
+// ListVersion is a version of a list that one process keeps.
+type ListVersion struct {
 	// Process identifies the process that keeps the list.
 	Process uint64
 	Version uint64
@@ -71,9 +74,15 @@
 	// directly; otherwise, in a reply, those that changed after Known.
 	Peers []GatewayPeer
 	// PeerList is the version of the sender's list of gateways after Peers.
-	PeerList PeerListVersion
+	PeerList ListVersion
 	// Known is the version of the receiver's list of gateways that the sender has.
-	Known PeerListVersion
+	Known ListVersion
+	// Saved lists the keys of sessions that were saved to cache stores, as far as
+	// the receiver does not know them yet. SavedList is the version of the sender's
+	// list after Saved, SavedKnown the version of the receiver's list that the
+	// sender has.
+	Saved                 []uint32
+	SavedList, SavedKnown ListVersion
 	// Loads are the loads of the sender and of the leaves that call it. In a reply
 	// to a leaf, they are the loads of all other gateways.
 	Loads []UpstreamLoad
