Start sooner when the seeds are late

Cause: after a power-off of all machines the gateways that were back before their seeds had no routing for 1.1 s: they called the seeds every 0.5 s, waited 0.7 to 1.6 s before they read the store, and those that found each other through the registry had nothing to tell. Nothing else was slow: the seeds had everything 38 ms after their start.

Change: a gateway without state calls its contacts every 0.1 s, reads the registry after 0.1 to 0.5 s and the sources after 0.2 to 1.4 s, so that the first ones supply the rest, and lets connections wait 0.45 s instead of refusing.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -58,9 +58,12 @@
 	// FallbackDelay returns how much longer than a reader's results usually take
 	// this gateway waits for them; nil means no longer.
 	FallbackDelay func() time.Duration
-	Clock         comfreyworks.Clock
-	Logger        *zap.Logger
-	Meter         *meter.Meter
+	// StartDelay returns how long after its start this gateway waits for the first
+	// results; nil means not at all.
+	StartDelay func() time.Duration
+	Clock      comfreyworks.Clock
+	Logger     *zap.Logger
+	Meter      *meter.Meter
 }
 
 // Follower keeps one catalog up to date.
@@ -116,14 +119,14 @@
 	if f.options.IsReader == nil || f.options.IsReader() {
 		return false
 	}
+	confirmedAt := p.confirmedAt()
+	if confirmedAt.IsZero() {
+		return f.options.StartDelay != nil && f.options.Clock.Since(f.startedAt) < f.options.StartDelay()
+	}
 	limit := p.fallbackAge
 	if f.options.FallbackDelay != nil {
 		limit += f.options.FallbackDelay()
 	}
-	confirmedAt := p.confirmedAt()
-	if confirmedAt.IsZero() {
-		confirmedAt = f.startedAt
-	}
 	return f.options.Clock.Since(confirmedAt) < limit
 }
 
--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -68,6 +68,15 @@
 	callTimeout = 400 * time.Millisecond
 	// retryDelay is the pause after a failed call.
 	retryDelay = 500 * time.Millisecond
+	// startInterval is the pause between two calls of a gateway that has no routing
+	// or no list of upstreams yet, and startCallTimeout limits such a call.
+	startInterval    = 100 * time.Millisecond
+	startCallTimeout = 200 * time.Millisecond
+	// startDelay is how long a starting gateway waits for state from its peers before
+	// it reads the sources itself. Gateways that start together wait for up to
+	// startSpread longer, so that the first ones can supply the others.
+	startDelay  = 200 * time.Millisecond
+	startSpread = 1200 * time.Millisecond
 	// loadExpiry is how long the load that a peer reported is used, and how long a
 	// partner that is silent counts as live.
 	loadExpiry = 1200 * time.Millisecond
@@ -326,22 +335,27 @@
 func (p *Peering) poll(ctx context.Context, address netip.AddrPort) {
 	client := p.options.NewClient(address)
 	for ctx.Err() == nil {
-		pause := p.syncInterval(address)
-		if err := p.sync(ctx, client, address); err != nil && ctx.Err() == nil {
-			pause = retryDelay
+		err := p.sync(ctx, client, address)
+		if err != nil && ctx.Err() == nil {
 			p.recordFailure(address, err)
 		}
+		pause := p.syncInterval(address, err)
 		if !comfreyworks.Sleep(ctx, p.options.Clock, pause) {
 			return
 		}
 	}
 }
 
-// syncInterval returns the pause between two calls to a peer.
-func (p *Peering) syncInterval(address netip.AddrPort) time.Duration {
+// syncInterval returns the pause after a call to a peer that ended with err.
+func (p *Peering) syncInterval(address netip.AddrPort, err error) time.Duration {
+	starting := p.starting()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
+	case starting:
+		return startInterval
+	case err != nil:
+		return retryDelay
 	case !p.relay:
 		return leafInterval
 	case !p.partners[address] && p.options.Clock.Since(p.startedAt) > 2*settleTime:
@@ -354,7 +368,11 @@
 // sync exchanges state with a peer once. The age of what the peer reports counts
 // from before the request was sent.
 func (p *Peering) sync(ctx context.Context, client comfreyworks.GatewayClient, address netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	timeout := callTimeout
+	if p.starting() {
+		timeout = startCallTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sentAt := p.options.Clock.Now()
 	request := p.request(address)
@@ -671,6 +689,16 @@
 	return leafFallbackDelay + p.spreadOver(leafFallbackSpread)
 }
 
+// StartDelay returns how long after its start this gateway turns to the sources
+// itself when it gets no state from its peers.
+func (p *Peering) StartDelay() time.Duration { return startDelay + p.spreadOver(startSpread) }
+
+// starting reports whether this gateway has no routing or no list of upstreams yet.
+func (p *Peering) starting() bool {
+	declared, listed := p.options.Catalog.SourceStates()
+	return declared.Position == 0 || listed.Position == 0
+}
+
 // spreadOver returns a part of d that differs between gateways.
 func (p *Peering) spreadOver(d time.Duration) time.Duration {
 	return time.Duration(p.spread * float64(d))
--- a/internal/coordination/peering/registry.go
+++ b/internal/coordination/peering/registry.go
@@ -18,10 +18,11 @@
 	registryInterval         = 20 * time.Second
 	isolatedRegistryInterval = 2 * time.Second
 	// registryCheckInterval is the pause between two checks whether a read is due.
-	registryCheckInterval = 250 * time.Millisecond
+	registryCheckInterval = 100 * time.Millisecond
 	// seedTimeout is how long a starting gateway waits for its seeds before it reads
-	// the registry.
-	seedTimeout = 300 * time.Millisecond
+	// the registry. Gateways that start together wait for up to seedSpread longer.
+	seedTimeout = 100 * time.Millisecond
+	seedSpread  = 400 * time.Millisecond
 	// contactTimeout is how long a registered gateway that is not known is called.
 	// It may no longer exist.
 	contactTimeout = time.Second
@@ -35,8 +36,11 @@
 // relay and use the registry only while no peer is reachable.
 func (p *Peering) pollRegistry(ctx context.Context) error {
 	registered := false
-	nextRead := p.startedAt.Add(seedTimeout + p.spreadOver(joinSpread))
-	for comfreyworks.Sleep(ctx, p.options.Clock, registryCheckInterval) {
+	nextRead := p.startedAt.Add(seedTimeout + p.spreadOver(seedSpread))
+	for pause := registryCheckInterval; comfreyworks.Sleep(ctx, p.options.Clock, pause); {
+		if !p.starting() {
+			pause = isolatedRegistryInterval / 2
+		}
 		p.mu.Lock()
 		relay := p.relay
 		p.mu.Unlock()
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -62,7 +62,7 @@
 	// startupWait is how long a new process waits for its first routing and list
 	// of upstreams before it accepts requests; a healthy store answers several
 	// times within it. startupPollInterval is the pause between two checks.
-	startupWait         = 250 * time.Millisecond
+	startupWait         = 450 * time.Millisecond
 	startupPollInterval = 5 * time.Millisecond
 	// upstreamRetention is how long the balancer keeps the record of an upstream
 	// that it no longer considers, usually because it is no longer listed. It is
@@ -160,6 +160,7 @@
 		Declarations: options.Declarations, Upstreams: options.Upstreams, Catalog: g.catalog,
 		IsReader:      func() bool { return g.peering.IsSelected("read", sourceReaders) },
 		FallbackDelay: func() time.Duration { return g.peering.FallbackDelay() },
+		StartDelay:    func() time.Duration { return g.peering.StartDelay() },
 		Clock:         options.Clock, Logger: options.Logger, Meter: options.Meter,
 	})
 	g.peerClients = peer.NewClients(peer.ClientOptions{Clock: options.Clock})
