Import saved sessions from their store; one store for an isolated workspace

Cause: a request that left its home imported from the home, which had often dropped the prompt, while the store still had it; and the sessions of one isolated workspace were spread over all stores, so that each first part was prefilled for each store.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -99,6 +99,10 @@
 	// engines if possible. It ranks engines of about equal cost and selects the
 	// cache store.
 	AffinityKey uint64
+	// StoreKey selects the cache store of the session in a large fleet. Sessions
+	// whose first parts are shared by few others have the same key, so that they
+	// find these parts in their store.
+	StoreKey uint64
 	// Parts are the declared parts of the prompt, Tokens is the length of the
 	// whole prompt.
 	Parts  []comfreyworks.PromptPart
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -74,7 +74,7 @@
 // own.
 func promptQuery(guide, site string) Query {
 	return Query{
-		Pool: engines, Model: model, CacheScope: "shared", AffinityKey: xxhash.Sum64String(site),
+		Pool: engines, Model: model, CacheScope: "shared", AffinityKey: xxhash.Sum64String(site), StoreKey: xxhash.Sum64String(site),
 		Parts:  []comfreyworks.PromptPart{{ID: guide, Tokens: 2500}, {ID: site, Tokens: 3800}, {ID: "own", Tokens: 2900}},
 		Tokens: 9200,
 	}
--- a/internal/coordination/balance/homes.go
+++ b/internal/coordination/balance/homes.go
@@ -92,7 +92,7 @@
 		s.sharedTokens += part.Tokens
 	}
 	if s.sharedTokens >= minSaveTokens {
-		s.store = b.sessionStore(query.AffinityKey)
+		s.store = b.sessionStore(query.StoreKey)
 	}
 	return s
 }
@@ -209,16 +209,17 @@
 }
 
 // importSource returns the address from which the chosen home imports what it
-// lacks: the first home, unless it is the chosen one or serves other weights, or
-// the session's cache store. Links between engines are faster than those of a
-// store, which all engines share. The result is invalid if there is neither.
+// lacks: the session's cache store if the session is saved there. Otherwise it is
+// the first home, which may have dropped the prompts since, or, if that is the
+// chosen one, the store, which may have the parts that other sessions share. The
+// result is invalid if there is neither.
 func (s *homeSession) importSource(homes []candidate, chosen *candidate) netip.AddrPort {
+	if s.isSaved(chosen.weights) {
+		return s.store.Address
+	}
 	for i := range homes {
 		c := &homes[i]
-		if c.upstream.ID == chosen.upstream.ID || c.weights != chosen.weights {
-			continue
-		}
-		if s.store == nil || c.rank == 0 {
+		if c.upstream.ID != chosen.upstream.ID && c.weights == chosen.weights && (s.store == nil || c.rank == 0) {
 			return c.upstream.Address
 		}
 	}
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -203,7 +204,7 @@
 		zap.Int("candidates", a.pick.Candidates),
 		zap.Uint64("weights", uint64(a.pick.Weights)),
 		zap.Int("shared", a.request.Prompt.declaredTokens()), zap.Int("held", a.pick.CachedTokens),
-		zap.Int("home", a.pick.Home), zap.Duration("wait", a.pick.Wait), zap.Int("importable", a.pick.ImportableTokens), zap.Stringer("import-from", a.pick.ImportFrom),
+		zap.String("session", strconv.FormatUint(affinityKey(a.request), 36)), zap.Int("home", a.pick.Home), zap.Duration("wait", a.pick.Wait), zap.Int("importable", a.pick.ImportableTokens), zap.Stringer("import-from", a.pick.ImportFrom),
 		zap.Duration("list-age", a.options.Clock.Since(a.options.Catalog.UpstreamsConfirmedAt())),
 		zap.Duration("took", a.options.Clock.Since(a.startedAt)),
 		zap.String("outcome", string(a.result.Outcome)),
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -323,7 +323,7 @@
 func (r *activeRequest) balanceQuery() balance.Query {
 	return balance.Query{
 		Pool: r.request.Pool, Model: r.request.Prompt.Model,
-		CacheScope: cacheScope(r.request.Workspace), AffinityKey: affinityKey(r.request),
+		CacheScope: cacheScope(r.request.Workspace), AffinityKey: affinityKey(r.request), StoreKey: storeKey(r.request),
 		Parts: r.request.Prompt.Parts, Tokens: r.request.Prompt.Tokens,
 		Priority: r.priority(), Exclude: r.tried,
 	}
--- a/internal/coordination/forward/prompt.go
+++ b/internal/coordination/forward/prompt.go
@@ -23,6 +23,16 @@
 	return xxhash.Sum64String(cacheScope(request.Workspace) + "/" + deepest.ID)
 }
 
+// storeKey returns the balance.Query.StoreKey of a request: the affinity key or, for
+// an isolated workspace, the hash of its cache scope. All other workspaces together
+// soon have the parts that many prompts begin with in every store.
+func storeKey(request *Request) uint64 {
+	if scope := cacheScope(request.Workspace); scope != sharedCacheScope {
+		return xxhash.Sum64String(scope)
+	}
+	return affinityKey(request)
+}
+
 // cacheScope names the group of workspaces whose cached parts a workspace may
 // use.
 func cacheScope(workspace *comfreyworks.WorkspaceKeys) string {
