Keep sessions at their homes while these are busy

Cause: with all homes of a session above 0.2 s of wait it spread over all engines, and leaving the first home cost little once the session was saved.

--- a/internal/coordination/balance/homes.go
+++ b/internal/coordination/balance/homes.go
@@ -25,16 +25,16 @@
 	minHomes = 3
 	// homeIdleWait is the wait up to which an engine counts as idle. While all homes
 	// of a session are busier, the session gets twice as many.
-	homeIdleWait = 200 * time.Millisecond
+	homeIdleWait = 500 * time.Millisecond
 	// importPenalty is added to the expected wait of all homes but the first for a
 	// session whose prompts can be imported: importing takes little time, but the
 	// prompts then occupy the memory of two engines.
-	importPenalty = 50 * time.Millisecond
+	importPenalty = 500 * time.Millisecond
 	// recomputeWeight is the cost of prefilling a token that the first home has
 	// cached, relative to the time that it takes.
 	recomputeWeight = 2.5
 	// maxMovePenalty limits what leaving the first home costs.
-	maxMovePenalty = 400 * time.Millisecond
+	maxMovePenalty = 600 * time.Millisecond
 	// stalePenalty is added to the expected wait of an engine whose answers lose
 	// value because newer weights are declared.
 	stalePenalty = 250 * time.Millisecond
