Tell a request that was never written from a lost one

Ruled out: counting on the order of the two errors.

Change: the connection counts writes; if there was none, it refuses all later ones, and the request is sent on another connection or reported as not sent.

--- a/internal/protocol/exchange/conn.go
+++ b/internal/protocol/exchange/conn.go
@@ -26,9 +26,14 @@
 	tcpUserTimeout = 2 * time.Second
 )
 
-// errExpired means that nothing was written to a connection because the upstream
-// may be about to close it.
-var errExpired = errors.New("idle connection has reached the upstream's idle timeout")
+var (
+	// errExpired means that nothing was written to a connection because the upstream
+	// may be about to close it.
+	errExpired = errors.New("idle connection has reached the upstream's idle timeout")
+	// errSealed means that nothing was written to a connection because the request
+	// is sent on another one.
+	errSealed = errors.New("request was withdrawn before it was written")
+)
 
 // keepAliveConn returns errExpired from Write if the connection was idle for
 // nearly as long as the upstream's idle timeout. As no byte of the request has
@@ -40,6 +45,10 @@
 	mu          sync.Mutex
 	lastUse     time.Time
 	idleTimeout time.Duration
+	// writes counts the calls of Write that reached the connection. After sealed is
+	// set, none does.
+	writes int
+	sealed bool
 }
 
 func newKeepAliveConn(conn net.Conn, clock comfreyworks.Clock) *keepAliveConn {
@@ -66,11 +75,8 @@
 
 // Write implements net.Conn.
 func (c *keepAliveConn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	expired := c.clock.Since(c.lastUse) > c.idleTimeout-min(idleMargin, c.idleTimeout/2)
-	c.mu.Unlock()
-	if expired {
-		return 0, errExpired
+	if err := c.beginWrite(); err != nil {
+		return 0, err
 	}
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
@@ -79,6 +85,40 @@
 	return n, err
 }
 
+// beginWrite counts a write, or returns the reason why there must be none.
+func (c *keepAliveConn) beginWrite() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.sealed:
+		return errSealed
+	case c.clock.Since(c.lastUse) > c.idleTimeout-min(idleMargin, c.idleTimeout/2):
+		return errExpired
+	}
+	c.writes++
+	return nil
+}
+
+// writeCount returns the number of writes so far.
+func (c *keepAliveConn) writeCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
+// sealUnsent reports whether nothing was written since writeCount returned the
+// given number. If so, nothing will be: the transport may return the error of its
+// read loop while its write loop has not started yet.
+func (c *keepAliveConn) sealUnsent(writes int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writes != writes {
+		return false
+	}
+	c.sealed = true
+	return true
+}
+
 // setTCPUserTimeout is a net.Dialer.Control function. It makes the kernel break
 // connections on which the peer no longer acknowledges data.
 func setTCPUserTimeout(_, _ string, conn syscall.RawConn) error {
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -38,6 +38,10 @@
 	// maxIdlePerUpstream is the maximum number of idle connections to one
 	// upstream.
 	maxIdlePerUpstream = 64
+	// maxConnections is the maximum number of connections on which a request is tried
+	// as long as nothing was written to any of them. An upstream that closed its idle
+	// connections has closed all of them.
+	maxConnections = maxIdlePerUpstream + 1
 	// maxIdleTime is the maximum time that an idle connection is kept open.
 	maxIdleTime = 12 * time.Second
 	// maxHeaderBytes is the maximum size of a response header. If the response says
@@ -96,21 +100,26 @@
 
 // Exchange implements comfreyworks.Exchanger.
 func (c *Client) Exchange(ctx context.Context, request *comfreyworks.ForwardedRequest, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
-	for {
+	for attempt := 1; ; attempt++ {
 		var conn *keepAliveConn
+		var writes int
 		traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-			GotConn: func(info httptrace.GotConnInfo) { conn, _ = info.Conn.(*keepAliveConn) },
+			GotConn: func(info httptrace.GotConnInfo) {
+				if conn, _ = info.Conn.(*keepAliveConn); conn != nil {
+					writes = conn.writeCount()
+				}
+			},
 		})
 		response, err := c.transport.RoundTrip(c.newRequest(traced, request, options))
-		if errors.Is(err, errExpired) {
-			continue
-		}
 		if err != nil {
-			kind := comfreyworks.ExchangeLost
-			if conn == nil {
-				kind = comfreyworks.ExchangeNotSent
+			unsent := conn == nil || conn.sealUnsent(writes)
+			switch {
+			case !unsent:
+				return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeLost, Err: err}
+			case conn == nil || ctx.Err() != nil || attempt == maxConnections:
+				return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeNotSent, Err: err}
 			}
-			return nil, &comfreyworks.ExchangeError{Kind: kind, Err: err}
+			continue
 		}
 		if conn != nil {
 			conn.setIdleTimeout(keepAliveTimeout(response.Header))
