Bound what malformed peer messages can do; measure the exchange between gateways

Cause: found by reading: a peer that claims to have heard of another one in the future would have kept it in the list for ever, and one with a negative capacity would have become a relay.

The threshold of the loads that leaves are told rises to a tenth of a second of prefill.

--- a/internal/coordination/balance/loads.go
+++ b/internal/coordination/balance/loads.go
@@ -8,10 +8,10 @@
 
 const (
 	// Loads of at most idleRequests requests and idleTokens tokens to prefill are
-	// left out of the sum for a leaf. They delay a request by a few milliseconds,
-	// which changes no choice.
-	idleRequests = 1
-	idleTokens   = 1024
+	// left out of the sum for a leaf. They delay a request by less than what it costs
+	// to leave the first home.
+	idleRequests = 2
+	idleTokens   = 4096
 )
 
 // peerLoads holds the loads that peers reported, and their sum, so that the load
--- a/internal/coordination/peering/members.go
+++ b/internal/coordination/peering/members.go
@@ -81,6 +81,9 @@
 		known = &member{}
 		l.members[peer.Address] = known
 	}
+	if heardAt.After(now) {
+		heardAt = now
+	}
 	changed := known.ID != peer.ID || known.Zone != peer.Zone || known.Capacity != peer.Capacity || known.Gone
 	if !heardAt.After(known.heardAt) {
 		return known
@@ -172,7 +175,7 @@
 func rankOf(gateway comfreyworks.GatewayPeer) relayRank {
 	key := xxhash.Sum64String("relay/" + string(gateway.Zone))
 	return relayRank{
-		size:  bits.Len(uint(gateway.Capacity)),
+		size:  bits.Len(uint(max(gateway.Capacity, 0))),
 		score: rendezvous.Score(rendezvous.Seed(string(gateway.ID)), key),
 	}
 }
--- /dev/null
+++ b/internal/coordination/peering/sync_bench_test.go
@@ -0,0 +1,86 @@
+package peering
+
+import (
+	"context"
+	"encoding/gob"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyworks"
+	"comfreyworks/internal/coordination/balance"
+	"comfreyworks/internal/state/rendezvous"
+)
+
+// fleetSizes are the sizes at which the cost of the exchange is measured: gateways,
+// engines and requests in progress at one gateway.
+var fleetSizes = []struct {
+	networkOptions
+	engines, requests int
+}{
+	{networkOptions{gateways: 30, zones: 5, seeds: 3, capacity: largeFleet.capacity}, 46, 5},
+	{largeFleet, engineCount, 5},
+	{networkOptions{gateways: 340, zones: 11, seeds: 3, capacity: largeFleet.capacity}, 1100, 12},
+}
+
+// byteCounter counts the bytes written to it.
+type byteCounter int
+
+// Write implements io.Writer.
+func (c *byteCounter) Write(p []byte) (int, error) {
+	*c += byteCounter(len(p))
+	return len(p), nil
+}
+
+// BenchmarkSync measures one call of a leaf to its relay and one of a relay to
+// another, both ends, in processor time and in bytes on the wire. Type descriptions,
+// which travel once for each connection, are not counted.
+func BenchmarkSync(b *testing.B) {
+	for _, size := range fleetSizes {
+		n := newNetworkWith(size.networkOptions)
+		n.run(4*time.Second, func() { listEngines(n, size.engines) })
+		for i, g := range n.sorted() {
+			for j := range size.requests {
+				key := rendezvous.Seed(fmt.Sprint("session-", i, "-", j))
+				g.balancer.Pick(balance.Query{Pool: pool, Model: "oak", AffinityKey: key, Tokens: 2900})
+			}
+		}
+		n.run(time.Second, nil)
+		relays := n.relays()
+		name := fmt.Sprintf("%d gateways, %d engines", size.gateways, size.engines)
+		b.Run(name+", leaf to relay", func(b *testing.B) { benchmarkSync(b, n, leaf(n), relays[0]) })
+		b.Run(name+", relay to relay", func(b *testing.B) { benchmarkSync(b, n, relays[1], relays[0]) })
+	}
+}
+
+// listEngines lets the selected readers read the routing and a list of engines.
+func listEngines(n *network, engines int) {
+	for _, g := range n.sorted() {
+		if g.IsSelected("read", 2) {
+			g.readSource(1, 1)
+			g.list(engines, 1, 1)
+		}
+	}
+}
+
+func benchmarkSync(b *testing.B, n *network, from, to *gateway) {
+	var sent byteCounter
+	encoder := gob.NewEncoder(&sent)
+	assert.NilError(b, encoder.Encode(comfreyworks.GatewayState{}))
+	assert.NilError(b, encoder.Encode(comfreyworks.GatewayUpdate{}))
+	client := networkClient{n, to.address}
+	sent = 0
+	for b.Loop() {
+		request := from.request(to.address)
+		update, err := client.Sync(context.Background(), request)
+		assert.NilError(b, err)
+		from.recordReply(&update.State, &request)
+		b.StopTimer()
+		assert.NilError(b, encoder.Encode(request))
+		assert.NilError(b, encoder.Encode(update))
+		b.StartTimer()
+	}
+	b.ReportMetric(float64(sent)/float64(b.N), "B/sync")
+}
