--- a/internal/coordination/balance/homes_test.go
+++ b/internal/coordination/balance/homes_test.go
@@ -11,6 +11,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/state/rendezvous"
+	"comfreyworks/internal/state/savedsessions"
 )
 
 const largeFleet = 103
@@ -139,6 +140,108 @@
 	assert.Assert(t, !pick.SaveTo.IsValid(), "a store keeps parts as first made, so old weights must not fill it")
 }
 
+// TestUnreachableReports guards against a quarter of the engines going dark while
+// each of many gateways finds that out by itself: two peers' reports suffice, those
+// of one do not, and what this gateway sees itself counts more.
+func TestUnreachableReports(t *testing.T) {
+	query := promptQuery("guide", "site")
+	home := newLargeFleet(160).serve(t, query).Upstream.ID
+	report := func(f *fixture, gateways int) {
+		f.SetPeerLoads("relay", []comfreyworks.UpstreamLoad{{ID: home, Unreachable: gateways}}, f.clock.Now().Add(time.Second))
+	}
+	t.Run("one gateway may be cut off itself", func(t *testing.T) {
+		f := newLargeFleet(160)
+		report(f, 1)
+		assert.Equal(t, f.Pick(query).Upstream.ID, home)
+	})
+	t.Run("two gateways are believed until their reports expire", func(t *testing.T) {
+		f := newLargeFleet(160)
+		report(f, 2)
+		assert.Assert(t, f.Pick(query).Upstream.ID != home)
+		f.clock.Advance(time.Second)
+		assert.Equal(t, f.Pick(query).Upstream.ID, home)
+	})
+	t.Run("not against an answer that this gateway just got", func(t *testing.T) {
+		f := newLargeFleet(160)
+		f.serve(t, query)
+		report(f, 2)
+		assert.Equal(t, f.Pick(query).Upstream.ID, home)
+	})
+	t.Run("this gateway reports what it cannot reach", func(t *testing.T) {
+		f := newLargeFleet(160)
+		f.Pick(query).Done(Result{Outcome: Unreachable})
+		loads := f.LocalLoads()
+		assert.Equal(t, len(loads), 1)
+		assert.Equal(t, loads[0].Unreachable, 1)
+		f.clock.Advance(maxAvoidTime)
+		assert.Equal(t, len(f.LocalLoads()), 0)
+	})
+}
+
+// TestSessionIsSavedOnce guards against copying every request's prompt to the cache
+// stores, which fills their links: a session is copied when its first request is
+// answered, by whichever gateway, and imported from there afterwards.
+func TestSessionIsSavedOnce(t *testing.T) {
+	f := newLargeFleet(160)
+	query := promptQuery("guide", "site")
+	first := f.Pick(query)
+	assert.Assert(t, first.SaveTo.IsValid())
+	assert.Equal(t, first.CachedTokens, 0)
+	assert.Assert(t, f.Pick(query).SaveTo.IsValid(), "the first request is not answered yet")
+	first.AnswerStarted()
+	next := f.Pick(query)
+	assert.Assert(t, !next.SaveTo.IsValid())
+	assert.Equal(t, next.ImportFrom, first.SaveTo)
+	assert.Equal(t, next.CachedTokens, 6300)
+	t.Run("also at a gateway that was told", func(t *testing.T) {
+		other := newLargeFleet(160)
+		keys, _ := f.options.Saved.After(0, savedsessions.Local)
+		other.options.Saved.Merge(keys, savedsessions.Remote)
+		assert.Assert(t, !other.Pick(query).SaveTo.IsValid())
+	})
+	t.Run("again under other weights", func(t *testing.T) {
+		f.declareWeights(2)
+		for _, engine := range f.catalog.Upstreams(engines) {
+			f.ApplyLoadNotice(comfreyworks.WeightsLoadNotice{Engine: engine.ID, Model: model, Weights: 2, Sequence: 1, Done: true})
+		}
+		assert.Assert(t, f.Pick(query).SaveTo.IsValid())
+	})
+	t.Run("an isolated workspace has one store", func(t *testing.T) {
+		stores := make(map[netip.AddrPort]bool)
+		for i := range 20 {
+			query := promptQuery("guide", fmt.Sprint("own-", i))
+			query.CacheScope, query.StoreKey = "workspace:a", 7
+			stores[f.Pick(query).SaveTo] = true
+		}
+		assert.Equal(t, len(stores), 1)
+	})
+}
+
+// TestBusyHomes guards against sessions that leave their homes near full load: each
+// move prefills a prompt again and takes cache memory on one more engine, which
+// adds to the load.
+func TestBusyHomes(t *testing.T) {
+	moved := 0
+	for i := range 100 {
+		session := promptQuery("guide", fmt.Sprint("site-", i))
+		f := newLargeFleet(160)
+		home := f.serve(t, session).Upstream.ID
+		var loads []comfreyworks.UpstreamLoad
+		for _, engine := range f.catalog.Upstreams(engines) {
+			busy := comfreyworks.PrefillBacklog{6_000}
+			if engine.ID == home {
+				busy = comfreyworks.PrefillBacklog{16_000}
+			}
+			loads = append(loads, comfreyworks.UpstreamLoad{ID: engine.ID, Requests: 3, Unread: busy})
+		}
+		f.SetPeerLoads("relay", loads, f.clock.Now().Add(time.Second))
+		if f.serve(t, session).Upstream.ID != home {
+			moved++
+		}
+	}
+	assert.Equal(t, moved, 0)
+}
+
 func TestHighestScores(t *testing.T) {
 	var seeds []uint64
 	for i := range 50 {
--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -213,6 +213,22 @@
 
 // TestStreams checks how the ends of a stream are handled, and that a resumable
 // stream continues on another upstream without lost or repeated events.
+// TestDarkEngines guards against a retry budget that is spent on upstreams which do
+// not accept connections: what was never sent adds no load to the pool, so it is
+// sent elsewhere however many such requests there are, and otherwise refused.
+func TestDarkEngines(t *testing.T) {
+	once := route(comfreyworks.RouteNonIdempotent, 1, false)
+	for range 50 {
+		f := newFixture(notSent, respondOK("x"))
+		f.forwarder.options.RetryLimit = func() retrybudget.Limit { return retrybudget.Limit{Window: time.Second} }
+		assert.Equal(t, f.forward(once).Verdict, Delivered)
+	}
+	f := newFixture(notSent)
+	outcome := f.forward(once)
+	assert.Equal(t, outcome.Verdict, Refused)
+	assert.Equal(t, outcome.Sends, len(f.catalog.Upstreams(pool)), "each upstream is tried once")
+}
+
 func TestStreams(t *testing.T) {
 	resumable := route(comfreyworks.RouteStream, 2, true)
 	once := route(comfreyworks.RouteStream, 2, false)
--- a/internal/coordination/peering/scale_test.go
+++ b/internal/coordination/peering/scale_test.go
@@ -188,3 +188,27 @@
 		n.clock.Advance(time.Millisecond)
 	}
 }
+
+// TestSavedSessionsReachAll checks that a session that any gateway has saved is
+// known to all within a second, and that nothing is sent again afterwards.
+func TestSavedSessionsReachAll(t *testing.T) {
+	n := settle(t)
+	keys := make(map[*gateway]uint32)
+	for i, from := range []*gateway{leaf(n), n.relays()[0], n.relays()[5]} {
+		keys[from] = uint32(100 + i)
+		from.options.Saved.Add(keys[from])
+	}
+	n.run(time.Second, nil)
+	for _, g := range n.sorted() {
+		for from, key := range keys {
+			assert.Assert(t, g.options.Saved.Has(key), "%s does not know what %s saved", g.options.Self.ID, from.options.Self.ID)
+		}
+	}
+	n.run(time.Second, nil)
+	clear(n.replies)
+	n.run(time.Second, func() {
+		for from, reply := range n.replies {
+			assert.Equal(t, len(reply.State.Saved), 0, "%s sent sessions again", from)
+		}
+	})
+}
