--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -42,8 +42,13 @@
 	// responseTimeout is the time that a read may take in addition to its wait. A
 	// slow store takes 0.4 s.
 	responseTimeout = 1200 * time.Millisecond
-	// retryInterval is the pause after a failed read.
-	retryInterval = 150 * time.Millisecond
+	// retryInterval is the pause after the first failed read. It doubles with each
+	// further failure up to maxReaderRetry or, for a gateway that relies on others,
+	// maxStandbyRetry: while the source is down, all gateways read it, and the
+	// readers tell the others when it is back.
+	retryInterval   = 150 * time.Millisecond
+	maxReaderRetry  = 600 * time.Millisecond
+	maxStandbyRetry = 2400 * time.Millisecond
 )
 
 // Options configures a Follower.
@@ -116,7 +121,7 @@
 // onStandby reports whether this gateway currently relies on others to read a
 // source.
 func (f *Follower) onStandby(p *poll) bool {
-	if f.options.IsReader == nil || f.options.IsReader() {
+	if f.isReader() {
 		return false
 	}
 	confirmedAt := p.confirmedAt()
@@ -135,11 +140,14 @@
 	return errors.Join(f.readDeclarations(ctx), f.readUpstreams(ctx))
 }
 
+func (f *Follower) isReader() bool { return f.options.IsReader == nil || f.options.IsReader() }
+
 // pollSource reads a source until ctx ends. It logs when the source becomes
 // unavailable and when it is available again.
 func (f *Follower) pollSource(ctx context.Context, p poll) error {
 	logger := f.options.Logger.With(zap.String("source", p.source))
 	var failedAt time.Time
+	failures := 0
 	for ctx.Err() == nil {
 		if f.onStandby(&p) {
 			comfreyworks.Sleep(ctx, f.options.Clock, standbyInterval)
@@ -151,7 +159,8 @@
 		case ctx.Err() != nil:
 			return nil
 		case err != nil:
-			wait = retryInterval
+			wait = f.retryPause(failures)
+			failures++
 			f.options.Meter.Add("comfrey_source_errors_total", meter.Labels{}, 1)
 			if failedAt.IsZero() {
 				failedAt = f.options.Clock.Now()
@@ -159,7 +168,7 @@
 			}
 		case !failedAt.IsZero():
 			logger.Info("source available again", zap.Duration("after", f.options.Clock.Since(failedAt)))
-			failedAt = time.Time{}
+			failedAt, failures = time.Time{}, 0
 		}
 		if wait > 0 {
 			comfreyworks.Sleep(ctx, f.options.Clock, wait)
@@ -168,6 +177,20 @@
 	return nil
 }
 
+// retryPause returns the pause after a failed read that follows the given number of
+// consecutive failures.
+func (f *Follower) retryPause(failures int) time.Duration {
+	limit := maxStandbyRetry
+	if f.isReader() {
+		limit = maxReaderRetry
+	}
+	pause := retryInterval
+	for ; failures > 0 && pause < limit; failures-- {
+		pause *= 2
+	}
+	return min(pause, limit)
+}
+
 func (f *Follower) readDeclarations(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, declarationWait+responseTimeout)
 	defer cancel()
