--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"comfreyworks"
@@ -27,6 +28,9 @@
 	startedAt time.Time
 	result    balance.Result
 	cause     error
+	// silence cancels the attempt if the upstream is silent for too long; nil means
+	// that there is no limit.
+	silence clockwork.Timer
 }
 
 // run sends the request and cancels it if the upstream does not answer within the
@@ -36,11 +40,26 @@
 	defer cancel(nil)
 	timeout := a.responseTimeout()
 	if timeout > 0 {
-		timer := a.options.Clock.AfterFunc(timeout, func() { cancel(errUpstreamSilent) })
-		defer timer.Stop()
-		return a.exchange(ctx, func() { timer.Reset(a.eventTimeout()) })
+		a.silence = a.options.Clock.AfterFunc(timeout, func() { cancel(errUpstreamSilent) })
+		defer a.silence.Stop()
+	}
+	return a.exchange(ctx)
+}
+
+// eventReceived restarts the time in which the next event must arrive.
+func (a *attempt) eventReceived() {
+	if a.silence != nil {
+		a.silence.Reset(a.eventTimeout())
+	}
+}
+
+// answerPassedOn ends the time limit on the upstream's silence: once a part of the
+// answer was passed on, the request cannot be sent to another upstream, so that
+// cutting off a slow answer would help nobody.
+func (a *attempt) answerPassedOn() {
+	if a.silence != nil {
+		a.silence.Stop()
 	}
-	return a.exchange(ctx, func() {})
 }
 
 // responseTimeout returns how long to wait for the complete answer, or the first
@@ -60,9 +79,8 @@
 	return max(responseTimeoutFactor*a.request.Route.MaxEventGap, minResponseTimeout)
 }
 
-// exchange sends the request and relays the answer. It calls onEvent for each
-// event of a stream.
-func (a *attempt) exchange(ctx context.Context, onEvent func()) (Outcome, attemptResult) {
+// exchange sends the request and relays the answer.
+func (a *attempt) exchange(ctx context.Context) (Outcome, attemptResult) {
 	defer func() { a.pick.Done(a.result) }()
 	a.runs++
 	response, err := a.options.Exchanger.Exchange(ctx, a.request.Message, a.attemptOptions())
@@ -72,7 +90,7 @@
 	defer func() { _ = response.Body.Close() }()
 	a.result.Weights = response.Weights
 	if a.request.Route.Kind == comfreyworks.RouteStream && response.Status == http.StatusOK && response.HasDigest {
-		return a.relayEvents(ctx, response, onEvent)
+		return a.relayEvents(ctx, response)
 	}
 	return a.relayBody(ctx, response)
 }
@@ -109,6 +127,11 @@
 	a.result.Weights = failure.Weights
 	a.reason = string(failure.Kind)
 	switch {
+	case failure.Kind == comfreyworks.ExchangeNotRun && failure.Reason == comfreyworks.NotRunRejected:
+		a.runs--
+		a.reason += " " + string(failure.Reason)
+		a.result.Outcome = balance.Withdrawn
+		return attemptRejected
 	case failure.Kind == comfreyworks.ExchangeNotRun:
 		a.runs--
 		a.reason += " " + string(failure.Reason)
@@ -175,6 +198,7 @@
 		return Outcome{Verdict: Abandoned, Reason: "caller left"}, attemptDone
 	}
 	if !complete {
+		a.answerPassedOn()
 		if _, err := io.Copy(a.sink, response.Body); err != nil {
 			return Outcome{Verdict: Broken, Reason: "answer cut off"}, attemptDone
 		}
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -210,6 +210,9 @@
 	// attemptNotSent means that no byte of the request reached an upstream. Sending
 	// it elsewhere adds no load to the pool, so it takes no retry from the budget.
 	attemptNotSent
+	// attemptRejected means that the request did not run because it is invalid, which
+	// it is for every upstream.
+	attemptRejected
 	// attemptLost means that the request may have run. It may be retried only if
 	// its route is repeatable.
 	attemptLost
@@ -238,6 +241,8 @@
 // retry from the budget. Otherwise it adds the cause to the reason.
 func (r *activeRequest) takeRetry(after attemptResult) bool {
 	switch {
+	case after == attemptRejected:
+		r.reason += ", not sent again"
 	case r.sends >= maxSends:
 		r.reason += ", sent too often"
 	case after == attemptLost && !r.request.Route.Repeatable():
@@ -259,6 +264,8 @@
 	switch {
 	case r.headerWritten:
 		return Outcome{Verdict: Broken}
+	case after == attemptRejected && r.runs == 0:
+		return Outcome{Verdict: Refused}
 	case (after == attemptNotRun || after == attemptNotSent) && r.runs == 0:
 		return Outcome{Verdict: Refused, RetryAfter: retryAfterBusy}
 	default:
--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -213,6 +213,49 @@
 
 // TestStreams checks how the ends of a stream are handled, and that a resumable
 // stream continues on another upstream without lost or repeated events.
+// TestSlowLargeAnswer guards against cutting a sound answer that is too large to be
+// buffered and arrives slowly: once a part of it was passed on, the request cannot
+// be sent elsewhere.
+func TestSlowLargeAnswer(t *testing.T) {
+	var f *fixture
+	f = newFixture(func(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+		body := strings.Repeat("x", maxBufferedBytes)
+		return respond(http.StatusOK, true, func() io.Reader {
+			return io.MultiReader(strings.NewReader(body), &slowReader{ctx: ctx, clock: f.clock, rest: strings.NewReader("the rest")})
+		})(ctx, options)
+	})
+	outcome := f.forward(route(comfreyworks.RouteIdempotent, 2, false))
+	assert.Equal(t, outcome.Verdict, Delivered)
+	assert.Equal(t, f.sink.body.Len(), maxBufferedBytes+len("the rest"))
+}
+
+// slowReader waits for longer than the response timeout before the first byte, unless
+// its context ends.
+type slowReader struct {
+	ctx   context.Context
+	clock *clockwork.FakeClock
+	rest  io.Reader
+}
+
+// Read implements io.Reader.
+func (r *slowReader) Read(p []byte) (int, error) {
+	r.clock.Advance(10 * time.Second)
+	if err := r.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return r.rest.Read(p)
+}
+
+// TestRejectedByUpstream guards against sending a request that an upstream rejects as
+// invalid to all others, and against taking that upstream for a full one.
+func TestRejectedByUpstream(t *testing.T) {
+	f := newFixture(failWith(comfreyworks.ExchangeNotRun, comfreyworks.NotRunRejected))
+	outcome := f.forward(route(comfreyworks.RouteIdempotent, 2, false))
+	assert.Equal(t, outcome.Verdict, Refused)
+	assert.Equal(t, outcome.RetryAfter, time.Duration(0))
+	assert.Equal(t, outcome.Sends, 1)
+}
+
 // TestDarkEngines guards against a retry budget that is spent on upstreams which do
 // not accept connections: what was never sent adds no load to the pool, so it is
 // sent elsewhere however many such requests there are, and otherwise refused.
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -19,7 +19,7 @@
 
 // relayEvents passes a stream on event by event. A stream that breaks has thus
 // been delivered up to the end of an event and can be resumed after it.
-func (a *attempt) relayEvents(ctx context.Context, response *comfreyworks.UpstreamResponse, onEvent func()) (Outcome, attemptResult) {
+func (a *attempt) relayEvents(ctx context.Context, response *comfreyworks.UpstreamResponse) (Outcome, attemptResult) {
 	events := bufio.NewScanner(response.Body)
 	events.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
 	events.Split(splitEvent)
@@ -34,7 +34,7 @@
 			a.recordAnswer(response.Status)
 			first = false
 		}
-		onEvent()
+		a.eventReceived()
 		if !a.headerWritten {
 			a.headerWritten = true
 			a.sink.Begin(response.Status, response.Header, response.ContentLength)
