--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -156,7 +156,8 @@
 	mu        sync.Mutex
 	endpoints map[comfreyworks.InstanceID]*endpoint
 	peers     peerLoads
-	// gateways is the number of gateways, including this one.
+	// gateways is the number of gateways, including this one; zero means that it is
+	// not known yet.
 	gateways int
 }
 
@@ -238,7 +239,7 @@
 	now := b.options.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if query.Model != "" && !b.usesCacheNews() {
+	if query.Model != "" && !b.usesCacheNews(query.Pool) {
 		return b.pickHome(query, declared, now)
 	}
 	upstreams := b.options.Catalog.Upstreams(query.Pool)
@@ -408,7 +409,7 @@
 	if p.session != 0 && p.SaveTo.IsValid() {
 		p.balancer.options.Saved.Add(p.session)
 	}
-	if !p.balancer.UsesCacheNews() {
+	if !p.balancer.UsesCacheNews(p.query.Pool) {
 		return
 	}
 	salt := holdings.Salt(p.query.CacheScope, p.Weights)
--- a/internal/coordination/balance/homes.go
+++ b/internal/coordination/balance/homes.go
@@ -19,6 +19,9 @@
 	// they save: engines serve only a few readers, and the news arrives after newer
 	// weights have emptied the caches.
 	maxGatewaysWithCacheNews = 12
+	// maxEnginesWithCacheNews is the number of engines of a pool up to which gateways
+	// read their cache changes. Each engine takes a connection and a poll a second.
+	maxEnginesWithCacheNews = 64
 	// minHomes is the number of engines among which a request of a session chooses.
 	// The second takes over while the first fails or loads weights, the third while
 	// both do.
@@ -40,15 +43,19 @@
 	stalePenalty = 250 * time.Millisecond
 )
 
-// UsesCacheNews reports whether the balancer needs to know what engines have
-// cached. In a large fleet, sessions have fixed homes instead.
-func (b *Balancer) UsesCacheNews() bool {
+// UsesCacheNews reports whether the balancer needs to know what the engines of a pool
+// have cached. In a large fleet, and as long as the number of gateways is not known,
+// sessions have fixed homes instead.
+func (b *Balancer) UsesCacheNews(pool comfreyworks.Pool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.usesCacheNews()
+	return b.usesCacheNews(pool)
 }
 
-func (b *Balancer) usesCacheNews() bool { return b.gateways <= maxGatewaysWithCacheNews }
+func (b *Balancer) usesCacheNews(pool comfreyworks.Pool) bool {
+	return b.gateways != 0 && b.gateways <= maxGatewaysWithCacheNews &&
+		len(b.options.Catalog.Upstreams(pool)) <= maxEnginesWithCacheNews
+}
 
 // pickHome chooses among the homes of the request's session: the engines with the
 // highest rendezvous scores for it. All gateways agree on them without news of the
--- a/internal/coordination/balance/homes_test.go
+++ b/internal/coordination/balance/homes_test.go
@@ -242,6 +242,24 @@
 	assert.Equal(t, moved, 0)
 }
 
+// TestCacheNews checks in which fleets gateways follow the caches of engines.
+func TestCacheNews(t *testing.T) {
+	for _, c := range []struct {
+		gateways, engines int
+		want              bool
+	}{
+		{0, 9, false},
+		{1, 9, true},
+		{maxGatewaysWithCacheNews, maxEnginesWithCacheNews, true},
+		{maxGatewaysWithCacheNews + 1, 9, false},
+		{4, maxEnginesWithCacheNews + 1, false},
+	} {
+		f := newFixture(c.engines)
+		f.SetGateways(c.gateways)
+		assert.Equal(t, f.UsesCacheNews(engines), c.want, "%d gateways, %d engines", c.gateways, c.engines)
+	}
+}
+
 func TestHighestScores(t *testing.T) {
 	var seeds []uint64
 	for i := range 50 {
--- a/internal/coordination/balance/loads.go
+++ b/internal/coordination/balance/loads.go
@@ -95,7 +95,8 @@
 	}
 }
 
-// SetGateways sets the number of gateways, including this one.
+// SetGateways sets the number of gateways, including this one; zero means that it is
+// not known.
 func (b *Balancer) SetGateways(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -237,7 +237,9 @@
 	}
 	present := p.members.present()
 	p.maxSeen = max(p.maxSeen, len(present)+1)
-	p.options.Balancer.SetGateways(len(present) + 1)
+	if p.hasJoined(now) {
+		p.options.Balancer.SetGateways(len(present) + 1)
+	}
 	relays := p.members.relays(now)
 	own := relays[p.options.Self.Zone]
 	relay := slices.ContainsFunc(own, func(r zoneRelay) bool { return r.address == p.options.Self.Address })
@@ -671,11 +673,15 @@
 func (p *Peering) joined() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.hasJoined(p.options.Clock.Now())
+}
+
+func (p *Peering) hasJoined(now time.Time) bool {
 	if !p.heardAt.IsZero() {
-		return p.options.Clock.Since(p.heardAt) >= settleTime
+		return now.Sub(p.heardAt) >= settleTime
 	}
 	return len(p.contacts) == 0 && p.options.Registry == nil ||
-		p.options.Clock.Since(p.startedAt) >= joinTimeout+p.spreadOver(joinSpread)
+		now.Sub(p.startedAt) >= joinTimeout+p.spreadOver(joinSpread)
 }
 
 // FallbackDelay returns how much later than a relay this gateway turns to the
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -196,12 +196,12 @@
 // this gateway reads.
 func (g *Gateway) cacheTargets() []watch.Target {
 	table, _ := g.catalog.Routing()
-	if table == nil || !g.balancer.UsesCacheNews() {
+	if table == nil {
 		return nil
 	}
 	var targets []watch.Target
 	for _, pool := range table.Declared().Pools {
-		if len(pool.Models) == 0 {
+		if len(pool.Models) == 0 || !g.balancer.UsesCacheNews(pool.Name) {
 			continue
 		}
 		for _, upstream := range g.catalog.Upstreams(pool.Name) {
@@ -210,6 +210,9 @@
 			}
 		}
 	}
+	if len(targets) == 0 {
+		return nil
+	}
 	for _, store := range g.catalog.Stores() {
 		targets = append(targets, watch.Target{ID: store.ID, Address: store.Address, MaxReaders: store.MaxReaders})
 	}
@@ -250,7 +253,9 @@
 	}
 	group.Go(func() error { return g.follower.Run(workCtx) })
 	group.Go(func() error { return g.removeUnseenUpstreams(workCtx) })
+	g.balancer.SetGateways(1)
 	if listeners.Peers != nil {
+		g.balancer.SetGateways(0)
 		if err := g.servePeers(workCtx, group, listeners.Peers); err != nil {
 			return err
 		}
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -32,7 +32,9 @@
 
 // TestCacheReaders guards against overloading engines with reads of their cache
 // changes: in a small fleet each gateway reads the changes of every engine and
-// knows how many readers an engine allows, in a large one no gateway does.
+// knows how many readers an engine allows, in a large one no gateway does. A gateway
+// that starts in a large fleet must not open a connection to each of 3,000 engines
+// before it has heard of the others.
 func TestCacheReaders(t *testing.T) {
 	const readers = 12
 	f := newFixture(t)
@@ -46,6 +48,10 @@
 			assert.Equal(t, target.MaxReaders, readers)
 		}
 	})
+	t.Run("before the size of the fleet is known", func(t *testing.T) {
+		f.gateway.balancer.SetGateways(0)
+		assert.Equal(t, len(f.gateway.cacheTargets()), 0)
+	})
 	t.Run("in a large fleet", func(t *testing.T) {
 		f.gateway.balancer.SetGateways(103)
 		assert.Equal(t, len(f.gateway.cacheTargets()), 0)
