--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -253,8 +253,8 @@
 	}
 	group.Go(func() error { return g.follower.Run(workCtx) })
 	group.Go(func() error { return g.removeUnseenUpstreams(workCtx) })
-	g.balancer.SetGateways(1)
 	if listeners.Peers != nil {
+		// Not known until peers answer.
 		g.balancer.SetGateways(0)
 		if err := g.servePeers(workCtx, group, listeners.Peers); err != nil {
 			return err
