Send the whole list of upstreams only to partners, and few at a time

Change: a contact answers with the list of gateways only; a leaf gets the state from its relay, a relay from other relays or, after 0.15 s, from the seeds; a gateway sends at most four whole lists in 0.1 s.

--- a/internal/coordination/peering/fixture_test.go
+++ b/internal/coordination/peering/fixture_test.go
@@ -41,7 +41,9 @@
 	// syncs and notifications count the calls that the gateway received, callers
 	// the gateways that called it.
 	syncs, notifications int
-	callers              map[netip.AddrPort]bool
+	// wholeLists counts the whole lists of upstreams that the gateway sent.
+	wholeLists int
+	callers    map[netip.AddrPort]bool
 	// called are the addresses that the gateway calls, and nextCall is when it next
 	// calls each of them. nextUpdate is when it next updates its partners.
 	called     map[netip.AddrPort]bool
@@ -68,6 +70,9 @@
 	to.callers[state.Self.Address] = true
 	update := to.HandleSync(state)
 	c.network.replies[c.to] = update
+	if update.Upstreams != nil && update.Upstreams.Whole {
+		to.wholeLists++
+	}
 	c.advance()
 	return update, nil
 }
@@ -106,6 +111,14 @@
 	return newNetworkWith(networkOptions{gateways: n, zones: 1, seeds: 1})
 }
 
+// newFullNetwork returns a network of gateways that are the relays of zones of their
+// own and know each other.
+func newFullNetwork(n int) *network {
+	net := newNetworkWith(networkOptions{gateways: n, zones: n, seeds: 1})
+	net.run(time.Second, nil)
+	return net
+}
+
 func newNetworkWith(options networkOptions) *network {
 	n := &network{
 		clock: clockwork.NewFakeClock(), gateways: make(map[netip.AddrPort]*gateway),
--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -69,14 +69,25 @@
 	// retryDelay is the pause after a failed call.
 	retryDelay = 500 * time.Millisecond
 	// startInterval is the pause between two calls of a gateway that has no routing
-	// or no list of upstreams yet, and startCallTimeout limits such a call.
-	startInterval    = 100 * time.Millisecond
-	startCallTimeout = 200 * time.Millisecond
+	// or no list of upstreams yet. startCallTimeout limits such a call to a contact,
+	// startStateTimeout one that may return the whole list.
+	startInterval     = 100 * time.Millisecond
+	startCallTimeout  = 200 * time.Millisecond
+	startStateTimeout = 1200 * time.Millisecond
 	// startDelay is how long a starting gateway waits for state from its peers before
 	// it reads the sources itself. Gateways that start together wait for up to
 	// startSpread longer, so that the first ones can supply the others.
 	startDelay  = 200 * time.Millisecond
 	startSpread = 1200 * time.Millisecond
+	// seedStateDelay is how long after its first peer answered a starting relay asks
+	// its seeds for their state. By then it knows the other relays, and gateways that
+	// are leaves know that they are: the seeds of a large fleet cannot send the whole
+	// list of upstreams to everyone.
+	seedStateDelay = 150 * time.Millisecond
+	// wholeListsPerInterval limits the whole lists of upstreams that a gateway sends
+	// in one wholeListInterval. Who gets none asks again.
+	wholeListsPerInterval = 4
+	wholeListInterval     = 100 * time.Millisecond
 	// loadExpiry is how long the load that a peer reported is used, and how long a
 	// partner that is silent counts as live.
 	loadExpiry = 1200 * time.Millisecond
@@ -143,6 +154,9 @@
 	heardAt time.Time
 	// maxSeen is the highest number of gateways known at the same time.
 	maxSeen int
+	// wholeLists counts the whole lists asked for since wholeListsSince.
+	wholeLists      int
+	wholeListsSince time.Time
 }
 
 // New returns a Peering that knows only its seeds.
@@ -370,14 +384,17 @@
 // sync exchanges state with a peer once. The age of what the peer reports counts
 // from before the request was sent.
 func (p *Peering) sync(ctx context.Context, client comfreyworks.GatewayClient, address netip.AddrPort) error {
+	sentAt := p.options.Clock.Now()
+	request := p.request(address)
 	timeout := callTimeout
 	if p.starting() {
 		timeout = startCallTimeout
+		if request.WantsState {
+			timeout = startStateTimeout
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	sentAt := p.options.Clock.Now()
-	request := p.request(address)
 	update, err := client.Sync(ctx, request)
 	if err != nil {
 		return err
@@ -396,9 +413,12 @@
 // request returns the state that this gateway sends to a peer.
 func (p *Peering) request(to netip.AddrPort) comfreyworks.GatewayState {
 	declared, listed := p.options.Catalog.SourceStates()
+	starting := p.starting()
 	state := comfreyworks.GatewayState{Self: p.options.Self, Role: comfreyworks.PeerLeaf, Declared: declared.Position, Listed: listed.Position}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	state.WantsState = p.partners[to] ||
+		(starting && p.relay && !p.heardAt.IsZero() && p.options.Clock.Since(p.heardAt) >= seedStateDelay)
 	m := p.members.members[to]
 	if m != nil {
 		state.Known, state.SavedKnown = m.known, m.savedKnown
@@ -452,6 +472,9 @@
 	update := comfreyworks.GatewayUpdate{
 		State: p.reply(&state, declared, listed), DeclaredAge: p.sinceRead(declared), ListedAge: p.sinceRead(listed),
 	}
+	if !state.WantsState {
+		return update
+	}
 	// The changes may reach beyond the positions above. They are sent with the age
 	// of these positions, which is then too high but never too low.
 	if state.Declared < declared.Position {
@@ -459,10 +482,25 @@
 	}
 	if state.Listed < listed.Position {
 		update.Upstreams = p.options.Catalog.UpstreamsAfter(state.Listed)
+		if update.Upstreams.Whole && !p.takeWholeList() {
+			update.Upstreams = nil
+		}
 	}
 	return update
 }
 
+// takeWholeList reports whether this gateway may send a whole list of upstreams now.
+func (p *Peering) takeWholeList() bool {
+	now := p.options.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.wholeListsSince) >= wholeListInterval {
+		p.wholeListsSince, p.wholeLists = now, 0
+	}
+	p.wholeLists++
+	return p.wholeLists <= wholeListsPerInterval
+}
+
 // reply returns the state that this gateway sends in reply to a peer's request.
 func (p *Peering) reply(to *comfreyworks.GatewayState, declared, listed catalog.SourceState) comfreyworks.GatewayState {
 	state := comfreyworks.GatewayState{Self: p.options.Self, Role: comfreyworks.PeerLeaf, Declared: declared.Position, Listed: listed.Position}
--- a/internal/coordination/peering/peering_test.go
+++ b/internal/coordination/peering/peering_test.go
@@ -13,7 +13,7 @@
 
 func TestSync(t *testing.T) {
 	t.Run("a gateway that is behind gets everything", func(t *testing.T) {
-		n := newNetwork(2)
+		n := newFullNetwork(2)
 		n.readSource(0, 5, 7)
 		n.gateway(0).catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{
 			Whole: true, Present: []comfreyworks.Upstream{{ID: "u", Pool: pool}}, Next: 9,
@@ -23,7 +23,7 @@
 		assert.Equal(t, len(n.gateway(1).catalog.Upstreams(pool)), 1)
 	})
 	t.Run("the age includes the latency and the reported age", func(t *testing.T) {
-		n := newNetwork(2)
+		n := newFullNetwork(2)
 		n.readSource(0, 5, 7)
 		n.clock.Advance(2 * time.Second)
 		n.latency = 300 * time.Millisecond
@@ -33,7 +33,7 @@
 		n.assertRouting(t, 1, 7, 2900*time.Millisecond)
 	})
 	t.Run("a peer without changes lowers the age", func(t *testing.T) {
-		n := newNetwork(2)
+		n := newFullNetwork(2)
 		n.readSource(0, 5, 7)
 		n.readSource(1, 5, 7)
 		n.clock.Advance(4 * time.Second)
@@ -42,7 +42,7 @@
 		n.assertRouting(t, 1, 7, 0)
 	})
 	t.Run("a peer that is behind does not lower the age", func(t *testing.T) {
-		n := newNetwork(2)
+		n := newFullNetwork(2)
 		n.readSource(1, 6, 8)
 		n.clock.Advance(time.Second)
 		n.readSource(0, 5, 7)
@@ -50,14 +50,14 @@
 		n.assertRouting(t, 1, 8, time.Second)
 	})
 	t.Run("the called gateway learns nothing from the call", func(t *testing.T) {
-		n := newNetwork(2)
+		n := newFullNetwork(2)
 		n.readSource(0, 5, 7)
 		assert.NilError(t, n.sync(0, 1))
 		table, _ := n.gateway(1).catalog.Routing()
 		assert.Assert(t, table == nil)
 	})
 	t.Run("a peer that has read nothing does not lower the age", func(t *testing.T) {
-		n := newNetwork(2)
+		n := newFullNetwork(2)
 		assert.NilError(t, n.sync(1, 0))
 		assert.Assert(t, n.gateway(1).catalog.UpstreamsConfirmedAt().IsZero())
 	})
@@ -66,7 +66,7 @@
 // TestSourceUnreachable checks that a gateway that cannot read the source gets
 // every declaration from its peers, with an age that counts from their last read.
 func TestSourceUnreachable(t *testing.T) {
-	n := newNetwork(3)
+	n := newFullNetwork(3)
 	for second := range 30 {
 		n.readSource(0, comfreyworks.Position(second+1), comfreyworks.ConfigRevision(second+1))
 		n.clock.Advance(500 * time.Millisecond)
--- a/internal/coordination/peering/scale_test.go
+++ b/internal/coordination/peering/scale_test.go
@@ -116,6 +116,25 @@
 	})
 }
 
+// TestWholeListsAtStart guards against a fleet whose gateways all ask the seeds for the
+// whole list of upstreams until they have it: with 3,000 engines that fills the links
+// of the seeds for a minute.
+func TestWholeListsAtStart(t *testing.T) {
+	fleet := largeFleet
+	fleet.gateways = 300
+	n := newNetworkWith(fleet)
+	n.run(3*time.Second, func() { recordReaders(n, map[comfreyworks.InstanceID]bool{}) })
+	total := 0
+	for i, g := range n.sorted() {
+		assert.Equal(t, len(g.catalog.Upstreams(pool)), engineCount, "%s", g.options.Self.ID)
+		total += g.wholeLists
+		if i < fleet.seeds {
+			assert.Assert(t, g.wholeLists <= fleet.gateways/4, "seed %s sent %d", g.options.Self.ID, g.wholeLists)
+		}
+	}
+	assert.Assert(t, total <= 2*fleet.gateways, "%d whole lists", total)
+}
+
 // recordReaders lets the gateways read the source that are selected as readers or
 // have waited long enough for their peers.
 func recordReaders(n *network, readers map[comfreyworks.InstanceID]bool) {
@@ -144,6 +163,7 @@
 func TestHeartbeats(t *testing.T) {
 	n := settle(t)
 	reader := n.relays()[0]
+	clear(n.replies)
 	for beat := range 10 {
 		reader.list(engineCount, comfreyworks.Position(beat+2), uint64(beat+2))
 		n.run(500*time.Millisecond, func() {
--- a/peering.go
+++ b/peering.go
@@ -89,6 +89,8 @@
 	// Declared and Listed are the positions up to which this gateway has read
 	// the DeclarationSource and the UpstreamSource.
 	Declared, Listed Position
+	// WantsState asks for what changed after these positions.
+	WantsState bool
 }
 
 // GatewayUpdate is a gateway's reply to the state of another gateway.
@@ -98,10 +100,11 @@
 	// the DeclarationSource and the UpstreamSource started; negative means never.
 	DeclaredAge, ListedAge time.Duration
 	// Declaration holds what changed after the other gateway's Declared position;
-	// nil means nothing.
+	// nil means nothing, or that it was not asked for.
 	Declaration *Declaration
 	// Upstreams holds what changed after the other gateway's Listed position; nil
-	// means nothing.
+	// means nothing, that it was not asked for, or that the whole list must be asked
+	// for again later.
 	Upstreams *UpstreamChanges
 }
 
