--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 1
 SOAK_FLAGS ?= --seeds 2 --jobs 2 --length 6s
 
-.PHONY: all build deploy demo demo-serve demo-processes test lint tidy format fuzz bench capacity soak soak-mutants clean standalone
+.PHONY: all build deploy demo demo-serve demo-processes test lint tidy format fuzz bench capacity soak soak-mutants regressions clean standalone
 
 all: build
 
@@ -66,6 +66,11 @@
 	./bin/soak --program bin/gateway --regressions cmd/soak/regressions.txt --jobs 2
 	./bin/soak --program bin/gateway $(SOAK_FLAGS)
 
+# Compares the light days of the users' deployments with the recorded ones, given
+# BENCH, the users' bench, and SITES, the directory of their site files.
+regressions:
+	BENCH="$(BENCH)" SITES="$(SITES)" ./scripts/regressions.sh
+
 # Checks that the soak test detects deliberately broken gateways.
 soak-mutants: build
 	./bin/soak --mutants --seeds 12 --jobs 4
