--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -264,7 +264,7 @@
 	if source, ok := sources[chosen.weights]; ok && chosen.importableTokens >= chosen.cachedTokens+minImportTokens {
 		pick.ImportFrom, pick.ImportableTokens = source.address, source.cachedTokens
 	}
-	if chosen.weights == declared.Revision {
+	if chosen.weights >= declared.Revision {
 		pick.SaveTo = b.chooseStore(&query, sources[chosen.weights].cachedBy)
 	}
 	return pick
--- a/internal/coordination/balance/homes.go
+++ b/internal/coordination/balance/homes.go
@@ -130,7 +130,7 @@
 	if s.sharedTokens >= minImportTokens {
 		pick.ImportFrom = s.importSource(homes, chosen)
 	}
-	if s.store != nil && !saved && chosen.weights == declared.Revision {
+	if s.store != nil && !saved && chosen.weights >= declared.Revision {
 		pick.SaveTo, pick.session = s.store.Address, s.key(chosen.weights)
 	}
 	return pick
--- a/internal/coordination/balance/homes_test.go
+++ b/internal/coordination/balance/homes_test.go
@@ -206,6 +206,12 @@
 		}
 		assert.Assert(t, f.Pick(query).SaveTo.IsValid())
 	})
+	t.Run("also while no weights are declared", func(t *testing.T) {
+		f := newLargeFleet(160)
+		undeclared := promptQuery("guide", "site")
+		undeclared.Model = "elm"
+		assert.Assert(t, f.Pick(undeclared).SaveTo.IsValid())
+	})
 	t.Run("an isolated workspace has one store", func(t *testing.T) {
 		stores := make(map[netip.AddrPort]bool)
 		for i := range 20 {
