--- a/internal/coordination/balance/homes_test.go
+++ b/internal/coordination/balance/homes_test.go
@@ -208,6 +208,9 @@
 	})
 	t.Run("also while no weights are declared", func(t *testing.T) {
 		f := newLargeFleet(160)
+		engine := newUpstream(engines, 0)
+		engine.Weights = map[comfreyworks.Model]comfreyworks.WeightsRevision{"elm": 1}
+		f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Whole: true, Present: []comfreyworks.Upstream{engine}, Next: 2}, f.clock.Now())
 		undeclared := promptQuery("guide", "site")
 		undeclared.Model = "elm"
 		assert.Assert(t, f.Pick(undeclared).SaveTo.IsValid())
