--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -123,9 +123,10 @@
 	RetainClients func(addresses map[netip.AddrPort]bool)
 	Catalog       *catalog.Catalog
 	Balancer      *balance.Balancer
-	Saved         *savedsessions.Log
-	Clock         comfreyworks.Clock
-	Logger        *zap.Logger
+	// Saved records the sessions that are in a cache store; gateways exchange it.
+	Saved  *savedsessions.Log
+	Clock  comfreyworks.Clock
+	Logger *zap.Logger
 }
 
 // Peering exchanges state with the other gateways. It is safe for concurrent use.
