Count the age of superseded weights from when newer ones may have been declared

Cause: a gateway took weights for as new as its knowledge of them. edge-atl-b-1 was frozen for about 3 s when weights 4 were named, learned of them at 67.7 s, and would have used weights 3 until 72.9 s. The same happens at a gateway whose first peer was behind: what it learns second counted from then, although it may have been declared before the gateway started. The class of fault: the time of learning is taken for the time of the event.

Evidence: the users' record (both prompts were sent by the gateway that had not answered its readiness checks, 3.0 s after it was back; no process ended; they waited 0.04 and 0.39 s at the engines, so neither a restart nor a queue explains them).

Change: a revision carries the last time at which the declarations were known not to contain it, and the time at which it was learned. Its age counts from the first; whatever that is, superseded weights may be used for 1.5 s after newer ones were learned, so that engines can load. That is the old rule for a start, which thereby needs no case of its own.

TestSuperseded compares both times now instead of one and a flag.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -67,9 +67,10 @@
 	// engine, the delay with which declarations arrive and the requests that peers
 	// send in the meantime.
 	supersededWeightsMargin = 800 * time.Millisecond
-	// unknownAgeLimit is how long a gateway uses weights that were superseded at
-	// an unknown time before it started. It is long enough to load new weights
-	// after all gateways have failed.
+	// unknownAgeLimit is how long a gateway uses superseded weights after it learned
+	// of newer ones, whenever these were declared. It is long enough to load new
+	// weights after all gateways have failed, and ends before a gateway that was cut
+	// off or frozen counts as working again.
 	unknownAgeLimit = 1500 * time.Millisecond
 )
 
@@ -310,13 +311,19 @@
 	if !superseded {
 		return c, true
 	}
-	age := now.Sub(successor.At)
-	limit := b.options.SupersededWeights - supersededWeightsMargin - c.wait()
-	if successor.BeforeStart {
-		limit = min(limit, unknownAgeLimit)
+	c.stale = successor.NotBefore.IsZero() || now.Sub(successor.LearnedAt) > staleWeightsAfter
+	return c, b.mayUseSuperseded(&c, successor, now)
+}
+
+// mayUseSuperseded reports whether the superseded weights of a candidate may still
+// generate an answer. Their age counts from the earliest time at which newer ones
+// may have been declared: a gateway that was frozen or cut off learns of them late.
+func (b *Balancer) mayUseSuperseded(c *candidate, successor catalog.Supersession, now time.Time) bool {
+	if b.options.SupersededWeights == 0 {
+		return true
 	}
-	c.stale = successor.BeforeStart || age > staleWeightsAfter
-	return c, b.options.SupersededWeights == 0 || age <= limit
+	limit := b.options.SupersededWeights - supersededWeightsMargin - c.wait()
+	return now.Sub(successor.NotBefore) <= limit || now.Sub(successor.LearnedAt) <= min(limit, unknownAgeLimit)
 }
 
 // endpoint returns the observations of an upstream. A restarted upstream gets an
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -56,22 +56,20 @@
 	history []declaredRevision
 }
 
-// declaredRevision records when this process learned of a revision.
+// declaredRevision bounds the time at which a revision was declared.
 type declaredRevision struct {
-	revision  comfreyworks.WeightsRevision
-	learnedAt time.Time
-	// beforeStart means that the revision was part of the first declaration that
-	// this process read, so that the time at which it was declared is unknown.
-	beforeStart bool
+	revision comfreyworks.WeightsRevision
+	Supersession
 }
 
-// Supersession tells when a revision was superseded.
+// Supersession bounds the time at which a revision was superseded.
 type Supersession struct {
-	// At is when this process learned of the newer revision.
-	At time.Time
-	// BeforeStart means that the newer revision was declared at an unknown time
-	// before At, before this process first read the declarations.
-	BeforeStart bool
+	// NotBefore is when the declarations were last known not to contain the newer
+	// revision. It is zero if the newer revision was part of the first declaration
+	// that this process read.
+	NotBefore time.Time
+	// LearnedAt is when this process learned of the newer revision.
+	LearnedAt time.Time
 }
 
 // Superseded returns when a revision was superseded by the first newer one, or
@@ -79,7 +77,7 @@
 func (w DeclaredWeights) Superseded(revision comfreyworks.WeightsRevision) (Supersession, bool) {
 	for _, declared := range w.history {
 		if declared.revision > revision {
-			return Supersession{At: declared.learnedAt, BeforeStart: declared.beforeStart}, true
+			return declared.Supersession, true
 		}
 	}
 	return Supersession{}, false
@@ -288,7 +286,7 @@
 	if d.Next < c.declared.Position {
 		return change
 	}
-	beforeStart := c.declared.Position == 0
+	learned := Supersession{NotBefore: c.declared.ConfirmedAt, LearnedAt: c.clock.Now()}
 	c.declared.Position = d.Next
 	if readAt.After(c.declared.ConfirmedAt) {
 		c.declared.ConfirmedAt = readAt
@@ -306,7 +304,7 @@
 		if revision <= known.Revision {
 			continue
 		}
-		c.weights[model] = known.withRevision(declaredRevision{revision, c.clock.Now(), beforeStart})
+		c.weights[model] = known.withRevision(declaredRevision{revision, learned})
 		if change.Weights == nil {
 			change.Weights = make(map[comfreyworks.Model]comfreyworks.WeightsRevision)
 		}
--- a/internal/state/catalog/catalog_test.go
+++ b/internal/state/catalog/catalog_test.go
@@ -105,6 +105,7 @@
 	t.Run("a revision is superseded by the first newer one", func(t *testing.T) {
 		f := newFixture()
 		declareWeights(f, 1, 1)
+		first := f.clock.Now()
 		f.clock.Advance(time.Second)
 		declareWeights(f, 2, 2)
 		second := f.clock.Now()
@@ -112,7 +113,7 @@
 		declareWeights(f, 3, 3)
 		got, ok := f.Weights("oak").Superseded(1)
 		assert.Assert(t, ok)
-		assert.Equal(t, got, Supersession{At: second})
+		assert.Equal(t, got, Supersession{NotBefore: first, LearnedAt: second})
 	})
 	t.Run("the newest revision is not superseded", func(t *testing.T) {
 		f := newFixture()
@@ -124,7 +125,7 @@
 		f := newFixture()
 		declareWeights(f, 4, 3)
 		got, _ := f.Weights("oak").Superseded(2)
-		assert.Assert(t, got.BeforeStart)
+		assert.Equal(t, got, Supersession{LearnedAt: f.clock.Now()})
 	})
 	t.Run("an older revision is ignored", func(t *testing.T) {
 		f := newFixture()
