Count the queue of an engine against the time after newer weights were learned

What callers would see: a prompt that begins on superseded weights after the bound, at a gateway that learned of newer ones late, because it waits in the engine's queue.

Cause: the 1.5 s for which superseded weights are used after newer ones were learned did not take the expected wait into account, other than the limit by age.

Change: the wait is subtracted from both limits. The new subtest of TestWeightsLearnedLate fails without it (the engine is picked).

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -322,8 +322,9 @@
 	if b.options.SupersededWeights == 0 {
 		return true
 	}
-	limit := b.options.SupersededWeights - supersededWeightsMargin - c.wait()
-	return now.Sub(successor.NotBefore) <= limit || now.Sub(successor.LearnedAt) <= min(limit, unknownAgeLimit)
+	limit := b.options.SupersededWeights - supersededWeightsMargin
+	return now.Sub(successor.NotBefore) <= limit-c.wait() ||
+		now.Sub(successor.LearnedAt) <= min(limit, unknownAgeLimit)-c.wait()
 }
 
 // endpoint returns the observations of an upstream. A restarted upstream gets an
--- a/internal/coordination/balance/weightsage_test.go
+++ b/internal/coordination/balance/weightsage_test.go
@@ -41,6 +41,13 @@
 		f.clock.Advance(unknownAgeLimit)
 		assert.Assert(t, f.Pick(query) != nil)
 	})
+	t.Run("unless they would have to wait in the queue of an engine for longer", func(t *testing.T) {
+		f := newFixture(1)
+		f.clock.Advance(time.Minute)
+		f.declareWeights(2)
+		f.SetPeerLoads("other", []comfreyworks.UpstreamLoad{{ID: "lm/0", Unread: comfreyworks.PrefillBacklog{80_000}}}, f.clock.Now().Add(time.Second))
+		f.expectNoUpstream(t, query)
+	})
 	t.Run("a gateway that reads regularly uses them almost as long as allowed", func(t *testing.T) {
 		f := newFixture(1)
 		for range 5 {
