Date newer weights by reads that waited in vain

What callers would see: a gateway that learns of newer weights as usual, a moment after they were declared, takes them for up to 2.4 s older than they are, since all it knows is that the read before began without them. In a fleet of 103 gateways, where a roll-out takes four seconds, engines that have not loaded them yet would be left unused too early.

Change: a read that waited for changes as long as it was allowed to and found none has shown that there were none until the end of its wait. That time is kept beside the start of the read, travels between gateways like it, and dates weights. The age of the routing, and with it that of keys and the fall-back of gateways that rely on others, still counts from the start of the read: if the store ended a wait early and this process were frozen before it reads the answer, the end of the wait would be too late a time for keys.

Evidence: TestWaitInVain fails without the change in follow (0 s instead of 1.2 s).

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -200,6 +200,9 @@
 	if err != nil {
 		return err
 	}
+	if declaration.Next == declared.Position && f.options.Clock.Since(requestedAt) >= declarationWait {
+		declaration.WaitedInVain = declarationWait
+	}
 	change := f.options.Catalog.ApplyDeclaration(declaration, requestedAt)
 	f.log(&change, declaration.Next, requestedAt)
 	return nil
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -174,3 +174,43 @@
 	f.poll(t, 1, upstreamInterval)
 	assert.Assert(t, !f.catalog.UpstreamsConfirmedAt().IsZero())
 }
+
+// slowSource takes some time for each read of the declarations.
+type slowSource struct {
+	fakeSource
+	clock *clockwork.FakeClock
+	takes time.Duration
+	next  comfreyworks.Position
+}
+
+// Declarations implements comfreyworks.DeclarationSource.
+func (s *slowSource) Declarations(context.Context, comfreyworks.Position, time.Duration) (comfreyworks.Declaration, error) {
+	s.clock.Advance(s.takes)
+	return comfreyworks.Declaration{Next: s.next}, nil
+}
+
+// TestWaitInVain guards against newer declarations that count as older than they are:
+// a read that waited for changes as long as it was allowed to and found none has shown
+// that there were none until then.
+func TestWaitInVain(t *testing.T) {
+	for name, test := range map[string]struct {
+		takes        time.Duration
+		next         comfreyworks.Position
+		wantComplete time.Duration
+	}{
+		"a read that waited in vain shows it until the end of its wait": {declarationWait + 5*time.Millisecond, 7, declarationWait},
+		"one that did not wait that long only until its start":          {declarationWait - 5*time.Millisecond, 7, 0},
+		"so does one that brought changes, however long it took":        {declarationWait + 5*time.Millisecond, 8, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.catalog.ApplyDeclaration(comfreyworks.Declaration{Next: 7}, f.clock.Now())
+			f.follower.options.Declarations = &slowSource{clock: f.clock, takes: test.takes, next: test.next}
+			startedAt := f.clock.Now()
+			assert.NilError(t, f.follower.readDeclarations(context.Background()))
+			declared, _ := f.catalog.SourceStates()
+			assert.Equal(t, declared.CompleteAt.Sub(startedAt), test.wantComplete)
+			assert.Equal(t, declared.ConfirmedAt, startedAt)
+		})
+	}
+}
--- a/internal/coordination/peering/exchange.go
+++ b/internal/coordination/peering/exchange.go
@@ -102,6 +102,7 @@
 	declared, listed := p.options.Catalog.SourceStates()
 	update := comfreyworks.GatewayUpdate{
 		State: p.reply(&state, declared, listed), DeclaredAge: p.sinceRead(declared), ListedAge: p.sinceRead(listed),
+		DeclaredWait: declared.CompleteAt.Sub(declared.ConfirmedAt),
 	}
 	if !state.WantsState {
 		return update
@@ -270,6 +271,7 @@
 	if update.Declaration != nil {
 		declaration = *update.Declaration
 	}
+	declaration.WaitedInVain = update.DeclaredWait
 	if known, _ := p.options.Catalog.SourceStates(); declaration.Next > known.Position && update.Declaration == nil {
 		return
 	}
--- a/internal/coordination/peering/peering_test.go
+++ b/internal/coordination/peering/peering_test.go
@@ -41,6 +41,18 @@
 		assert.NilError(t, n.sync(1, 0))
 		n.assertRouting(t, 1, 7, 0)
 	})
+	t.Run("what a peer's read waited for in vain is known not to have been declared", func(t *testing.T) {
+		n := newFullNetwork(2)
+		n.readSource(0, 5, 7)
+		readAt := n.clock.Now()
+		n.clock.Advance(2 * time.Second)
+		n.gateway(0).catalog.ApplyDeclaration(comfreyworks.Declaration{Next: 5, WaitedInVain: 1200 * time.Millisecond}, readAt)
+		n.latency = 100 * time.Millisecond
+		assert.NilError(t, n.sync(1, 0))
+		declared, _ := n.gateway(1).catalog.SourceStates()
+		assert.Equal(t, declared.ConfirmedAt.Sub(readAt), -n.latency)
+		assert.Equal(t, declared.CompleteAt.Sub(readAt), 1200*time.Millisecond-n.latency)
+	})
 	t.Run("a peer that is behind does not lower the age", func(t *testing.T) {
 		n := newFullNetwork(2)
 		n.readSource(1, 6, 8)
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -267,6 +267,9 @@
 	// ConfirmedAt is the start time of the latest read that confirmed the data; zero
 	// means that there was none.
 	ConfirmedAt time.Time
+	// CompleteAt is the latest time as of which the data is known to have contained
+	// everything: ConfirmedAt or, if a read waited in vain, a later time.
+	CompleteAt time.Time
 	// Position is the position up to which the source was read.
 	Position comfreyworks.Position
 }
@@ -286,11 +289,13 @@
 	if d.Next < c.declared.Position {
 		return change
 	}
-	learned := Supersession{NotBefore: c.declared.ConfirmedAt, LearnedAt: c.clock.Now()}
+	now := c.clock.Now()
+	learned := Supersession{NotBefore: c.declared.CompleteAt, LearnedAt: now}
 	c.declared.Position = d.Next
 	if readAt.After(c.declared.ConfirmedAt) {
 		c.declared.ConfirmedAt = readAt
 	}
+	c.declared.CompleteAt = latest(c.declared.CompleteAt, earliest(now, readAt.Add(max(d.WaitedInVain, 0))))
 	current := c.table.Load()
 	if d.Routing != nil && (current == nil || d.Routing.Version > current.Version()) {
 		change.Routing = routing.New(*d.Routing)
@@ -313,6 +318,20 @@
 	return change
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // ApplyUpstreams applies the result of a read that started at readAt.
 func (c *Catalog) ApplyUpstreams(changes comfreyworks.UpstreamChanges, readAt time.Time) Change {
 	c.mu.Lock()
--- a/internal/state/catalog/catalog_test.go
+++ b/internal/state/catalog/catalog_test.go
@@ -127,6 +127,20 @@
 		got, _ := f.Weights("oak").Superseded(2)
 		assert.Equal(t, got, Supersession{LearnedAt: f.clock.Now()})
 	})
+	t.Run("a read that waited in vain shows when a revision was not declared yet", func(t *testing.T) {
+		for waited, want := range map[time.Duration]time.Duration{
+			time.Second: time.Second, -time.Hour: 0, time.Hour: 2 * time.Second,
+		} {
+			f := newFixture()
+			declareWeights(f, 1, 1)
+			readAt := f.clock.Now()
+			f.clock.Advance(2 * time.Second)
+			f.ApplyDeclaration(comfreyworks.Declaration{Next: 1, WaitedInVain: waited}, readAt)
+			declareWeights(f, 2, 2)
+			got, _ := f.Weights("oak").Superseded(1)
+			assert.Equal(t, got.NotBefore.Sub(readAt), want)
+		}
+	})
 	t.Run("an older revision is ignored", func(t *testing.T) {
 		f := newFixture()
 		declareWeights(f, 1, 3)
--- a/peering.go
+++ b/peering.go
@@ -99,6 +99,9 @@
 	// DeclaredAge and ListedAge are how long before this reply the latest read of
 	// the DeclarationSource and the UpstreamSource started; negative means never.
 	DeclaredAge, ListedAge time.Duration
+	// DeclaredWait is how long after the start of that read of the DeclarationSource
+	// the declarations are still known to have been complete.
+	DeclaredWait time.Duration
 	// Declaration holds what changed after the other gateway's Declared position;
 	// nil means nothing, or that it was not asked for.
 	Declaration *Declaration
