Return the routing and its age from the same moment

What callers could see: a revoked key that is accepted at a gateway which was cut off for longer than the bound, by a request that arrives while the new routing is being stored.

Cause: Catalog.Routing loaded the table before and its confirmation after taking the lock, so an old table could be returned with the confirmation of a new one.

--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -189,10 +189,9 @@
 // Routing returns the current routing, or nil before the first declaration, and
 // the start time of the latest read that confirmed it.
 func (c *Catalog) Routing() (*routing.Table, time.Time) {
-	table := c.table.Load()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return table, c.declared.ConfirmedAt
+	return c.table.Load(), c.declared.ConfirmedAt
 }
 
 // Upstreams returns the upstreams of a pool, sorted by ID. The caller must not
--- a/internal/state/catalog/catalog_test.go
+++ b/internal/state/catalog/catalog_test.go
@@ -1,10 +1,12 @@
 package catalog
 
 import (
+	"errors"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -96,6 +98,30 @@
 	})
 }
 
+// TestRoutingWithItsAge guards against a routing that is returned with the confirmation
+// of a newer one: revoked keys would be accepted.
+func TestRoutingWithItsAge(t *testing.T) {
+	const rounds, readers, reads = 2000, 4, 40
+	for range rounds {
+		f := newFixture()
+		f.declare(1, 1)
+		confirmedAt := f.clock.Now().Add(time.Second)
+		var group errgroup.Group
+		for range readers {
+			group.Go(func() error {
+				for range reads {
+					if table, at := f.Routing(); table.Version() == 1 && at.Equal(confirmedAt) {
+						return errors.New("old routing with a new confirmation")
+					}
+				}
+				return nil
+			})
+		}
+		f.ApplyDeclaration(comfreyworks.Declaration{Routing: &comfreyworks.Routing{Version: 2}, Next: 2}, confirmedAt)
+		assert.NilError(t, group.Wait())
+	}
+}
+
 func TestSuperseded(t *testing.T) {
 	declareWeights := func(f fixture, position comfreyworks.Position, revision comfreyworks.WeightsRevision) {
 		f.ApplyDeclaration(comfreyworks.Declaration{
