Name the incarnation of the engine in notices of weights loads

What callers would see: every prompt that is sent to an engine is rejected with "other weights", until the engine restarts once more; the lease holder skips it as up to date.

Cause: a notice that an engine has loaded weights named only its ID. If sender or relay was frozen and the engine restarted meanwhile, the late notice was taken for one about the new incarnation.

Change: the notice names the start time of the engine; one about another incarnation is ignored. A gateway of an older build names none, and its notices count as before.

Evidence: the new subtest of TestWeights failed before (the notice was applied).

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -357,11 +357,11 @@
 
 // ApplyLoadNotice applies a notice that an engine is about to load weights or has
 // loaded them. It returns false if the notice is not newer than the last one about
-// the engine, or if the engine is not listed.
+// the engine, or if that incarnation of the engine is not listed.
 func (b *Balancer) ApplyLoadNotice(notice comfreyworks.WeightsLoadNotice) bool {
 	now := b.options.Clock.Now()
 	engine, ok := b.options.Catalog.Upstream(notice.Engine)
-	if !ok {
+	if !ok || (!notice.Started.IsZero() && !notice.Started.Equal(engine.Started)) {
 		return false
 	}
 	b.mu.Lock()
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -291,6 +291,22 @@
 		f.ApplyLoadNotice(comfreyworks.WeightsLoadNotice{Engine: engine, Model: model, Sequence: 1, For: time.Second})
 		assert.Assert(t, f.serve(t, promptQuery("guide", "site")).Upstream.ID != engine)
 	})
+	// A notice that is late must not be taken for one about the engine as it is now:
+	// it would be sent every prompt and reject it.
+	t.Run("a notice about an earlier incarnation says nothing", func(t *testing.T) {
+		f := newFixture(0)
+		engine := newUpstream(engines, 0)
+		earlier := engine.Started
+		engine.Started = earlier.Add(time.Hour)
+		f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Present: []comfreyworks.Upstream{engine}, Next: 2}, f.clock.Now())
+		f.declareWeights(2)
+		notice := comfreyworks.WeightsLoadNotice{Engine: engine.ID, Started: earlier.Add(time.Minute), Model: model, Weights: 2, Sequence: 1, Done: true}
+		assert.Assert(t, !f.ApplyLoadNotice(notice))
+		assert.Equal(t, f.Weights(&engine, model), comfreyworks.WeightsRevision(1))
+		notice.Started = engine.Started
+		assert.Assert(t, f.ApplyLoadNotice(notice))
+		assert.Equal(t, f.Weights(&engine, model), comfreyworks.WeightsRevision(2))
+	})
 	t.Run("loading weights clears the engine's cache", func(t *testing.T) {
 		f := newFixture(1)
 		f.serve(t, promptQuery("guide", "site"))
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -216,7 +216,9 @@
 // until the engine serves the weights. All gateways are notified before and
 // after.
 func (r *Rollout) loadWeights(ctx context.Context, order comfreyworks.WeightsLoadOrder) {
-	r.announce(order.FencingToken, comfreyworks.WeightsLoadNotice{Engine: order.Upstream.ID, Model: order.Model, For: maxNoticeTime})
+	r.announce(order.FencingToken, comfreyworks.WeightsLoadNotice{
+		Engine: order.Upstream.ID, Started: order.Upstream.Started, Model: order.Model, For: maxNoticeTime,
+	})
 	r.drain(ctx, order.Upstream.ID)
 	r.awaitLoad(ctx, &order.Upstream)
 	startedAt := r.options.Clock.Now()
@@ -225,7 +227,7 @@
 	if err == nil && result == comfreyworks.LoadStarted {
 		done = r.waitForWeights(ctx, order, startedAt)
 	}
-	notice := comfreyworks.WeightsLoadNotice{Engine: order.Upstream.ID, Model: order.Model}
+	notice := comfreyworks.WeightsLoadNotice{Engine: order.Upstream.ID, Started: order.Upstream.Started, Model: order.Model}
 	var retryAt time.Time
 	if done {
 		notice.Weights, notice.Done = order.Weights, true
--- a/peering.go
+++ b/peering.go
@@ -21,7 +21,9 @@
 // WeightsLoadNotice announces that an engine is about to load weights or has
 // loaded them.
 type WeightsLoadNotice struct {
-	Engine  InstanceID
+	Engine InstanceID
+	// Started is the start time of the incarnation that loads; zero if unknown.
+	Started time.Time
 	Model   Model
 	Weights WeightsRevision
 	// Sequence grows with each notice, also from one lease holder to the next. A
