Separate the log that gateways exchange from saved sessions

The origins of streams are to be exchanged in the same way. state/sharedlog takes over the mechanism: entries with a value, a lifetime and a bound, of which the last one of a key counts. An entry that is replaced before it was passed on keeps that it is local. savedsessions remains as a user of it.

Change of behaviour: After leaves out expired entries at once, and a merge that exceeds the bound is cut at once and not by the next one.

The bound of savedsessions was checked on fields that are gone; the test now checks that exactly the newest keys are passed on and known.

--- a/internal/state/savedsessions/savedsessions.go
+++ b/internal/state/savedsessions/savedsessions.go
@@ -16,12 +16,12 @@
 package savedsessions
 
 import (
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/sharedlog"
 )
 
 const (
@@ -33,36 +33,26 @@
 )
 
 // Origin tells from where an entry came, and thus to whom it is passed on.
-type Origin int
+type Origin = sharedlog.Origin
 
 const (
 	// Local entries were added by this gateway or by a gateway that relies on it.
-	Local Origin = iota
+	Local = sharedlog.Local
 	// Remote entries were passed on by a gateway that other gateways reach as well.
-	Remote
+	Remote = sharedlog.Remote
 )
 
-// entry is one entry of the log.
-type entry struct {
-	key    uint32
-	at     time.Time
-	origin Origin
-}
+// saved is the value of every key of the log.
+type saved struct{}
 
 // Log is the log of one process. It is safe for concurrent use.
 type Log struct {
-	clock comfreyworks.Clock
-	mu    sync.Mutex
-	// entries holds the log from version first on.
-	entries []entry
-	first   uint64
-	// savedAt holds the latest entry of each key.
-	savedAt map[uint32]time.Time
+	log *sharedlog.Log[saved]
 }
 
 // New returns an empty log.
 func New(clock comfreyworks.Clock) *Log {
-	return &Log{clock: clock, savedAt: make(map[uint32]time.Time)}
+	return &Log{log: sharedlog.New[saved](sharedlog.Options{Clock: clock, Lifetime: lifetime, MaxEntries: maxEntries})}
 }
 
 // Key returns the key of a session: the hash of the cache salt, which contains the
@@ -75,51 +65,25 @@
 // Merge records keys. Those that are known are not recorded, and so not passed
 // on, again.
 func (l *Log) Merge(keys []uint32, origin Origin) {
-	now := l.clock.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.removeExpired(now)
-	for _, key := range keys {
-		if _, known := l.savedAt[key]; !known {
-			l.savedAt[key] = now
-			l.entries = append(l.entries, entry{key, now, origin})
+	items := func(yield func(uint32, saved) bool) {
+		for _, key := range keys {
+			if !yield(key, saved{}) {
+				return
+			}
 		}
 	}
-}
-
-// removeExpired removes entries that no longer count or exceed the limit.
-func (l *Log) removeExpired(now time.Time) {
-	n := 0
-	for n < len(l.entries) && (len(l.entries)-n > maxEntries || now.Sub(l.entries[n].at) > lifetime) {
-		delete(l.savedAt, l.entries[n].key)
-		n++
-	}
-	l.entries = l.entries[n:]
-	l.first += uint64(n)
+	l.log.Merge(items, origin, func(known, _ saved) saved { return known })
 }
 
 // Has reports whether a session has been saved within the lifetime of entries.
 func (l *Log) Has(key uint32) bool {
-	now := l.clock.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	at, ok := l.savedAt[key]
-	return ok && now.Sub(at) <= lifetime
+	_, ok := l.log.Lookup(key)
+	return ok
 }
 
 // After returns the keys that were recorded after a version of the log, and the
 // current version. With origin Local it leaves out remote entries.
 func (l *Log) After(version uint64, origin Origin) (keys []uint32, current uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	current = l.first + uint64(len(l.entries))
-	if version >= current {
-		return nil, current
-	}
-	for _, e := range l.entries[max(version, l.first)-l.first:] {
-		if origin == Remote || e.origin == Local {
-			keys = append(keys, e.key)
-		}
-	}
+	current = l.log.After(version, origin, func(key uint32, _ saved) { keys = append(keys, key) })
 	return keys, current
 }
--- a/internal/state/savedsessions/savedsessions_test.go
+++ b/internal/state/savedsessions/savedsessions_test.go
@@ -1,6 +1,7 @@
 package savedsessions
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -43,7 +44,10 @@
 		}
 		l.Merge(keys, Remote)
 		l.Merge(nil, Remote)
-		assert.Equal(t, len(l.entries), maxEntries)
-		assert.Equal(t, len(l.savedAt), maxEntries)
+		kept, _ := l.After(0, Remote)
+		assert.Assert(t, slices.Equal(kept, keys[maxEntries:]))
+		for i, key := range keys {
+			assert.Equal(t, l.Has(key), i >= maxEntries, "key %d", key)
+		}
 	})
 }
--- /dev/null
+++ b/internal/state/sharedlog/sharedlog.go
@@ -0,0 +1,142 @@
+// Package sharedlog is a log of keys and values that gateways exchange
+// incrementally: each sends what was recorded in its log since the last exchange.
+//
+// An entry counts for a limited time, and the number of entries is bounded.
+//
+// # Usage
+//
+//	log := sharedlog.New[uint32](sharedlog.Options{Clock: clock, Lifetime: time.Minute, MaxEntries: 1000})
+//	log.Merge(maps.All(values), sharedlog.Local, resolve)
+//	value, ok := log.Lookup(key)
+//	next := log.After(version, sharedlog.Local, func(key, value uint32) { ... })
+package sharedlog
+
+import (
+	"iter"
+	"sync"
+	"time"
+
+	"comfreyworks"
+)
+
+// Origin tells from where an entry came, and thus to whom it is passed on.
+type Origin int
+
+const (
+	// Local entries were added by this gateway or by a gateway that relies on it.
+	Local Origin = iota
+	// Remote entries were passed on by a gateway that other gateways reach as well.
+	Remote
+)
+
+// Options configures a Log.
+type Options struct {
+	Clock comfreyworks.Clock
+	// Lifetime is how long an entry counts after it was recorded.
+	Lifetime time.Duration
+	// MaxEntries limits the log; beyond it the oldest entries are dropped.
+	MaxEntries int
+	// Promote records a remote entry again when it arrives as a local one, so that it
+	// is passed on.
+	Promote bool
+}
+
+// entry is one entry of the log. The last one of a key replaces the earlier ones.
+type entry[V comparable] struct {
+	key    uint32
+	value  V
+	at     time.Time
+	origin Origin
+}
+
+// Log is the log of one process. It is safe for concurrent use.
+type Log[V comparable] struct {
+	options Options
+	mu      sync.Mutex
+	// entries holds the log from version first on.
+	entries []entry[V]
+	first   uint64
+	// latest holds the version before the last entry of each key.
+	latest map[uint32]uint64
+}
+
+// New returns an empty log.
+func New[V comparable](options Options) *Log[V] {
+	return &Log[V]{options: options, latest: make(map[uint32]uint64)}
+}
+
+// Merge records keys and values. For a known key, resolve returns the new value
+// from the known and the given one. Entries that change nothing are not recorded,
+// and so not passed on, again.
+func (l *Log[V]) Merge(items iter.Seq2[uint32, V], origin Origin, resolve func(known, given V) V) {
+	now := l.options.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.removeExpired(now)
+	for key, value := range items {
+		e := entry[V]{key, value, now, origin}
+		if known := l.last(key); known != nil {
+			e.value = resolve(known.value, value)
+			if e.value == known.value && !(l.options.Promote && origin < known.origin) {
+				continue
+			}
+			// The replaced entry may not have been passed on yet.
+			e.origin = min(origin, known.origin)
+		}
+		l.latest[key] = l.first + uint64(len(l.entries))
+		l.entries = append(l.entries, e)
+	}
+	l.removeExpired(now)
+}
+
+// last returns the last entry of a key, or nil. The mutex must be held.
+func (l *Log[V]) last(key uint32) *entry[V] {
+	version, ok := l.latest[key]
+	if !ok {
+		return nil
+	}
+	return &l.entries[version-l.first]
+}
+
+// removeExpired removes entries that no longer count or exceed the limit.
+func (l *Log[V]) removeExpired(now time.Time) {
+	n := 0
+	for n < len(l.entries) && (len(l.entries)-n > l.options.MaxEntries || now.Sub(l.entries[n].at) > l.options.Lifetime) {
+		if key := l.entries[n].key; l.latest[key] == l.first+uint64(n) {
+			delete(l.latest, key)
+		}
+		n++
+	}
+	l.entries = l.entries[n:]
+	l.first += uint64(n)
+}
+
+// Lookup returns the value of a key that was recorded within the lifetime of
+// entries.
+func (l *Log[V]) Lookup(key uint32) (value V, ok bool) {
+	now := l.options.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.last(key); e != nil && now.Sub(e.at) <= l.options.Lifetime {
+		return e.value, true
+	}
+	return value, false
+}
+
+// After calls visit with the keys and values that were recorded after a version of
+// the log, without those that were replaced since, and returns the current version.
+// With origin Local it leaves out remote entries. visit must not call the log.
+func (l *Log[V]) After(version uint64, origin Origin, visit func(key uint32, value V)) (current uint64) {
+	now := l.options.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.removeExpired(now)
+	current = l.first + uint64(len(l.entries))
+	for v := max(version, l.first); v < current; v++ {
+		e := &l.entries[v-l.first]
+		if e.origin <= origin && l.latest[e.key] == v {
+			visit(e.key, e.value)
+		}
+	}
+	return current
+}
