Record which release of an upstream's software began each stream

Different releases learned from other gateways make the origin unknown, and that is passed on as release zero, so that no gateway takes one of them for certain.

--- a/peering.go
+++ b/peering.go
@@ -66,6 +66,15 @@
 	Version uint64
 }
 
+// StreamOrigin tells which release of an upstream's software began a stream.
+type StreamOrigin struct {
+	// Stream is the hash of the ID of the request that began the stream.
+	Stream uint32
+	// Release is the hash of the pool and the release. Zero means that gateways
+	// disagree about it.
+	Release uint32
+}
+
 // GatewayState is the state that gateways send to each other.
 type GatewayState struct {
 	Self GatewayPeer
