Read the release of upstreams and log it with each attempt

`attempt finished` now names the upstream's release and the event after which the attempt resumes a stream. No decision uses the release yet.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -31,6 +31,9 @@
 	// silence cancels the attempt if the upstream is silent for too long; nil means
 	// that there is no limit.
 	silence clockwork.Timer
+	// resumesAfter is the event after which the attempt continues a stream; empty
+	// means from the start.
+	resumesAfter string
 }
 
 // run sends the request and cancels it if the upstream does not answer within the
@@ -223,7 +226,8 @@
 	a.options.Logger.Info("attempt finished",
 		zap.String("request", string(a.request.Message.ID)),
 		zap.String("route", a.request.Route.Name),
-		zap.String("upstream", string(a.pick.Upstream.ID)),
+		zap.String("upstream", string(a.pick.Upstream.ID)), zap.String("release", a.pick.Upstream.Release),
+		zap.String("resumes-after", a.resumesAfter),
 		zap.Int("send", a.sends),
 		zap.Int("candidates", a.pick.Candidates),
 		zap.Uint64("weights", uint64(a.pick.Weights)),
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -320,7 +320,7 @@
 	}
 	r.sends++
 	r.tried = append(r.tried, pick.Upstream.ID)
-	a := &attempt{activeRequest: r, pick: pick, startedAt: r.options.Clock.Now()}
+	a := &attempt{activeRequest: r, pick: pick, startedAt: r.options.Clock.Now(), resumesAfter: r.lastEventID}
 	outcome, result := a.run(ctx)
 	a.log()
 	return outcome, result
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -375,7 +375,7 @@
 // numbers.
 func sameContent(a, b comfreyworks.Upstream) bool {
 	return a.ID == b.ID && a.Pool == b.Pool && a.Zone == b.Zone && a.Address == b.Address && a.State == b.State &&
-		a.Slots == b.Slots && a.Started.Equal(b.Started) && maps.Equal(a.Weights, b.Weights)
+		a.Slots == b.Slots && a.Release == b.Release && a.Started.Equal(b.Started) && maps.Equal(a.Weights, b.Weights)
 }
 
 // isOlder reports whether an entry belongs to an earlier incarnation than the
--- a/routing.go
+++ b/routing.go
@@ -137,6 +137,9 @@
 	Started time.Time
 	// Sequence grows with each entry of one incarnation.
 	Sequence uint64
+	// Release is the version of its software; empty if unknown. Streams of different
+	// releases do not fit together.
+	Release string
 	// Weights are the revisions that an engine serves.
 	Weights map[Model]WeightsRevision
 }
