Add a failing test: streams continued by another software release

What callers saw: streams whose first events came from one release of the engines' software and the others from another one.

The test fails on this code in four of five subtests: within one answer (v1 v2), when only other releases are left, when a caller takes its stream up, and for a stream of which the gateway knows nothing.

--- /dev/null
+++ b/internal/transport/gateway/release_test.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyworks/internal/standin/replica"
+)
+
+// resumesHeader names the request that brought the first event of a stream.
+const resumesHeader = "Comfrey-Resumes"
+
+// releaseTestPause is long enough for new releases to be used for streams.
+const releaseTestPause = 5 * time.Second
+
+// releaseFixture is a gateway in front of two engines of release v1 and two of v2.
+type releaseFixture struct{ *fixture }
+
+func newReleaseFixture(t *testing.T) releaseFixture {
+	t.Helper()
+	f := newFixture(t)
+	for i := 2; i < 4; i++ {
+		f.engines = append(f.engines, f.addReplica(t, "lm", i, eventsPerStream))
+	}
+	f.source.change(func(s *memorySource) {
+		release := "v1"
+		for i := range s.upstreams {
+			if s.upstreams[i].ID == "lm-2" {
+				release = "v2"
+			}
+			s.upstreams[i].Release = release
+		}
+	})
+	f.refresh(t)
+	f.clock.Advance(releaseTestPause)
+	f.refresh(t)
+	return releaseFixture{f}
+}
+
+// ranAt returns the releases of the engines that ran a request.
+func (f releaseFixture) ranAt(id string) string {
+	var releases []string
+	for i, engine := range f.engines {
+		for _, run := range engine.Runs() {
+			if string(run.ID) == id {
+				releases = append(releases, fmt.Sprint("v", 1+i/2))
+			}
+		}
+	}
+	return strings.Join(releases, " ")
+}
+
+// takeUp takes up a stream after its third event.
+func (f releaseFixture) takeUp(t *testing.T, id, resumes string) response {
+	t.Helper()
+	r := f.request(t, http.MethodPost, "/note/1", "text")
+	r.Header.Set(f.names.RequestID, id)
+	r.Header.Set(f.names.LastEventID, "3")
+	r.Header.Set(resumesHeader, resumes)
+	return f.do(t, r)
+}
+
+// begin begins a stream that breaks off.
+func (f releaseFixture) begin(t *testing.T, id string) {
+	t.Helper()
+	f.failFirst(f.engines, replica.FaultTruncatedResponse, 2)
+	r := f.request(t, http.MethodPost, "/note/1", "text")
+	r.Header.Set(f.names.RequestID, id)
+	assert.Assert(t, f.do(t, r).cut)
+}
+
+// TestStreamsOfOneRelease guards against streams that begin at one release of the
+// upstreams' software and continue at another: their texts do not fit together.
+func TestStreamsOfOneRelease(t *testing.T) {
+	t.Run("a stream that breaks off is continued by the same release", func(t *testing.T) {
+		f := newReleaseFixture(t)
+		for i := range 20 {
+			f.failFirst(f.engines, replica.FaultTruncatedResponse, 1)
+			id := fmt.Sprint("r", i)
+			r := f.request(t, http.MethodPost, "/note/1", "text")
+			r.Header.Set(f.names.RequestID, id)
+			r.Header.Set(f.names.Prefix, fmt.Sprintf("5c1e:800,91b%d:410,e440:250", i))
+			assert.Equal(t, f.do(t, r).body, fullStream())
+			ran := f.ranAt(id)
+			assert.Assert(t, ran == "v1 v1" || ran == "v2 v2", ran)
+		}
+	})
+	t.Run("it ends if no other upstream of the release is left", func(t *testing.T) {
+		f := newReleaseFixture(t)
+		f.source.change(func(s *memorySource) {
+			for i := range s.upstreams {
+				s.upstreams[i].Release = string(s.upstreams[i].ID)
+			}
+		})
+		f.refresh(t)
+		f.failFirst(f.engines, replica.FaultTruncatedResponse, 1)
+		assert.Assert(t, f.call(t, "/note/1").cut)
+		assert.Equal(t, len(f.runs(f.engines)), 1)
+	})
+	t.Run("a stream that the caller takes up is continued by the release that began it", func(t *testing.T) {
+		f := newReleaseFixture(t)
+		for i := range 20 {
+			id := fmt.Sprint("r", i)
+			f.begin(t, id)
+			began, _, _ := strings.Cut(f.ranAt(id), " ")
+			again := fmt.Sprint("again-", i)
+			assert.Equal(t, f.takeUp(t, again, id).StatusCode, http.StatusOK)
+			assert.Equal(t, f.ranAt(again), began)
+		}
+	})
+	t.Run("one whose beginning nobody knows is refused", func(t *testing.T) {
+		f := newReleaseFixture(t)
+		resp := f.takeUp(t, "again", "elsewhere")
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		assert.Assert(t, resp.Header.Get("Retry-After") != "")
+		assert.Equal(t, f.ranAt("again"), "")
+	})
+	t.Run("while there is one release, any stream is continued", func(t *testing.T) {
+		f := newFixture(t)
+		assert.Equal(t, releaseFixture{f}.takeUp(t, "again", "elsewhere").StatusCode, http.StatusOK)
+	})
+}
