Let a gateway's own later origin withstand what it overruled

Callers would see a stream refused at the gateway that last began it: relays that know the earlier release and the new one report a conflict, and that conflict came back to the gateway whose own attempt decides.

Cause: Merge treated every different release alike. Change: an entry remembers the release that an own attempt overruled; that one and a conflict do not count against it. Any other release still makes the origin unknown.

The test of the log had asserted that the overruled release, reported again, makes the origin unknown. It now asserts that it does not, that a third release does, and that any different one does where nothing was overruled.

--- a/internal/coordination/peering/exchange.go
+++ b/internal/coordination/peering/exchange.go
@@ -10,6 +10,7 @@
 	"comfreyworks"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/savedsessions"
+	"comfreyworks/internal/state/sharedlog"
 )
 
 // sync exchanges state with a peer once. The age of what the peer reports counts
@@ -44,7 +45,7 @@
 // request returns the state that this gateway sends to a peer.
 func (p *Peering) request(to netip.AddrPort) comfreyworks.GatewayState {
 	declared, listed := p.options.Catalog.SourceStates()
-	starting := p.starting()
+	starting, passesOrigins := p.starting(), p.passesOrigins()
 	state := comfreyworks.GatewayState{Self: p.options.Self, Role: comfreyworks.PeerLeaf, Declared: declared.Position, Listed: listed.Position}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -54,6 +55,7 @@
 	if m != nil {
 		state.Known, state.SavedKnown = m.known, m.savedKnown
 		state.Saved, state.SavedList.Version = p.options.Saved.After(m.savedSent, savedsessions.Local)
+		p.requestOrigins(&state, m, passesOrigins)
 	}
 	if !p.relay {
 		state.Loads = p.options.Balancer.LocalLoads()
@@ -134,6 +136,7 @@
 
 // reply returns the state that this gateway sends in reply to a peer's request.
 func (p *Peering) reply(to *comfreyworks.GatewayState, declared, listed catalog.SourceState) comfreyworks.GatewayState {
+	passesOrigins := p.passesOrigins()
 	state := comfreyworks.GatewayState{Self: p.options.Self, Role: comfreyworks.PeerLeaf, Declared: declared.Position, Listed: listed.Position}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -153,6 +156,7 @@
 	}
 	state.Saved, state.SavedList.Version = p.options.Saved.After(savedKnown.Version, passedOn)
 	state.SavedList.Process = p.members.version.Process
+	p.replyOrigins(&state, to, passesOrigins)
 	state.Peers = p.members.changesAfter(to.Known, p.options.Clock.Now())
 	state.PeerList = p.members.version
 	return state
@@ -177,17 +181,18 @@
 	for _, other := range state.Peers {
 		p.members.record(other, now.Add(-other.HeardAgo), now)
 	}
-	p.options.Saved.Merge(state.Saved, savedOrigin(state.Role))
+	p.options.Saved.Merge(state.Saved, passedOnBy(state.Role))
+	p.options.Origins.Merge(state.Origins, passedOnBy(state.Role))
 }
 
-// savedOrigin returns the origin of saved sessions that a peer in the given role
-// reports. Relays tell all other relays of the sessions that they and their leaves
-// have saved, so only those of leaves are passed on to relays.
-func savedOrigin(role comfreyworks.PeerRole) savedsessions.Origin {
+// passedOnBy returns the origin of log entries that a peer in the given role
+// reports. Relays tell all other relays of the entries that they and their leaves
+// have added, so only those of leaves are passed on to relays.
+func passedOnBy(role comfreyworks.PeerRole) sharedlog.Origin {
 	if role == comfreyworks.PeerRelay {
-		return savedsessions.Remote
+		return sharedlog.Remote
 	}
-	return savedsessions.Local
+	return sharedlog.Local
 }
 
 // recordReply stores what a peer reports in reply to a request of this gateway.
@@ -214,6 +219,7 @@
 		// Another process answered than the one that got the earlier requests.
 		m.savedSent = 0
 	}
+	p.recordOriginsReply(m, state, request)
 	m.known, m.savedKnown = state.PeerList, state.SavedList
 }
 
--- a/internal/coordination/peering/fixture_test.go
+++ b/internal/coordination/peering/fixture_test.go
@@ -18,6 +18,7 @@
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/savedsessions"
+	"comfreyworks/internal/state/streamorigins"
 )
 
 const pool = comfreyworks.Pool("lm")
@@ -31,6 +32,10 @@
 	latency time.Duration
 	// replies holds the last reply of each gateway.
 	replies map[netip.AddrPort]comfreyworks.GatewayUpdate
+	// passOrigins makes all gateways pass on origins of streams. origins counts those
+	// that were sent, originsToLeaves those that leaves received.
+	passOrigins              bool
+	origins, originsToLeaves int
 }
 
 type gateway struct {
@@ -70,6 +75,13 @@
 	to.callers[state.Self.Address] = true
 	update := to.HandleSync(state)
 	c.network.replies[c.to] = update
+	c.network.origins += len(state.Origins) + len(update.State.Origins)
+	if state.Role == comfreyworks.PeerLeaf {
+		c.network.originsToLeaves += len(update.State.Origins)
+	}
+	if !to.relay {
+		c.network.originsToLeaves += len(state.Origins)
+	}
 	if update.Upstreams != nil && update.Upstreams.Whole {
 		to.wholeLists++
 	}
@@ -94,6 +106,16 @@
 	return nil
 }
 
+// FindStream implements comfreyworks.GatewayClient.
+func (c networkClient) FindStream(_ context.Context, stream uint32) (release uint32, found bool, err error) {
+	to := c.network.gateways[c.to]
+	if c.network.unreachable[c.to] || to == nil {
+		return 0, false, errUnreachable
+	}
+	release, found = to.HandleFindStream(stream)
+	return release, found, nil
+}
+
 func address(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7000)
 }
@@ -152,6 +174,7 @@
 		Self: self, Seeds: seeds, Registry: registry{},
 		NewClient: func(to netip.AddrPort) comfreyworks.GatewayClient { return networkClient{n, to} },
 		Catalog:   g.catalog, Balancer: g.balancer, Saved: savedsessions.New(n.clock), Clock: n.clock, Logger: zap.NewNop(),
+		Origins: streamorigins.New(n.clock), PassOrigins: func() bool { return n.passOrigins },
 	})
 	n.gateways[address(i)] = g
 }
--- a/internal/coordination/peering/malformed_test.go
+++ b/internal/coordination/peering/malformed_test.go
@@ -31,13 +31,25 @@
 		"versions from nowhere": {
 			Self: comfreyworks.GatewayPeer{ID: "x", Address: address(9)}, Declared: 1 << 60, Listed: 1 << 60,
 			Known: comfreyworks.ListVersion{Version: 1 << 60}, SavedKnown: comfreyworks.ListVersion{Version: 1 << 60},
+			OriginsKnown: comfreyworks.ListVersion{Version: 1 << 60}, OriginsList: comfreyworks.ListVersion{Process: 1, Version: 1 << 60},
+		},
+		"origins of nothing": {
+			Self: comfreyworks.GatewayPeer{ID: "x", Address: address(9)}, Role: comfreyworks.PeerLeaf,
+			Origins: []comfreyworks.StreamOrigin{{}, {}, {Stream: 1}, {Release: 1}, {Stream: 1, Release: 1}},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := newNetwork(2)
+			n.passOrigins = true
 			g := n.gateway(0)
 			g.list(1, 1, 1)
 			g.HandleSync(state)
+			if state.OriginsKnown.Version > 0 {
+				state.OriginsKnown.Process = g.members.version.Process
+				g.HandleSync(state)
+			}
+			_, found := g.StreamOrigin(t.Context(), "r")
+			assert.Assert(t, !found)
 			g.HandleNotify(comfreyworks.WeightsLoadNotices{Notices: []comfreyworks.WeightsLoadNotice{{}, {Engine: "e0", For: -time.Hour}}})
 			n.run(memberExpiry+time.Second, nil)
 			assert.Equal(t, g.Gateways(), 2)
--- a/internal/coordination/peering/members.go
+++ b/internal/coordination/peering/members.go
@@ -47,6 +47,9 @@
 	// gateway has, savedSent the version of its own list that it has sent.
 	savedKnown comfreyworks.ListVersion
 	savedSent  uint64
+	// originsKnown and originsSent are the same for the origins of streams.
+	originsKnown comfreyworks.ListVersion
+	originsSent  uint64
 	// listedBy is the relay whose list contains the member, if this gateway is a leaf
 	// of that relay.
 	listedBy netip.AddrPort
--- a/internal/coordination/peering/partners.go
+++ b/internal/coordination/peering/partners.go
@@ -60,6 +60,9 @@
 	p.relay = slices.ContainsFunc(own, func(r zoneRelay) bool { return r.address == p.options.Self.Address })
 	if p.relay != wasRelay {
 		p.options.Logger.Info("role among gateways changed", zap.Bool("relay", p.relay), zap.Int("gateways", gateways))
+		for _, m := range p.members.members {
+			m.forgetOrigins()
+		}
 	}
 	if !p.relay {
 		p.setPartners(p.leafPartners(own, wasRelay))
--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -1,6 +1,6 @@
 // Package peering exchanges state between gateways: which gateways exist, the
-// load that they have put on each upstream, which engines load weights, and the
-// newest declaration and list of upstreams.
+// load that they have put on each upstream, which engines load weights, which
+// release began each stream, and the newest declaration and list of upstreams.
 //
 // In each availability zone a few gateways are relays. Relays exchange state with
 // all other relays; every other gateway is a leaf and exchanges state with one
@@ -26,6 +26,7 @@
 //	group.Go(func() error { return p.Run(ctx) })
 //	update := p.HandleSync(state) // for the Sync call of a peer
 //	p.HandleNotify(notices)       // for the Notify call of a peer
+//	release, found := p.HandleFindStream(key) // for the FindStream call of a peer
 //	p.Announce(notice)            // to all gateways
 package peering
 
@@ -45,6 +46,7 @@
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/rendezvous"
 	"comfreyworks/internal/state/savedsessions"
+	"comfreyworks/internal/state/streamorigins"
 )
 
 const (
@@ -124,9 +126,14 @@
 	Catalog       *catalog.Catalog
 	Balancer      *balance.Balancer
 	// Saved records the sessions that are in a cache store; gateways exchange it.
-	Saved  *savedsessions.Log
-	Clock  comfreyworks.Clock
-	Logger *zap.Logger
+	Saved *savedsessions.Log
+	// Origins records which release began each stream; nil means a log of its own.
+	Origins *streamorigins.Log
+	// PassOrigins reports whether this gateway sends the origins of streams to
+	// others; nil means never.
+	PassOrigins func() bool
+	Clock       comfreyworks.Clock
+	Logger      *zap.Logger
 }
 
 // Peering exchanges state with the other gateways. It is safe for concurrent use.
@@ -162,6 +169,9 @@
 // New returns a Peering that knows only its seeds.
 func New(options Options) *Peering {
 	now := options.Clock.Now()
+	if options.Origins == nil {
+		options.Origins = streamorigins.New(options.Clock)
+	}
 	p := &Peering{
 		options: options, startedAt: now,
 		spread:   float64(xxhash.Sum64String(string(options.Self.ID))>>11) / (1 << 53),
--- a/internal/protocol/peer/client.go
+++ b/internal/protocol/peer/client.go
@@ -188,6 +188,12 @@
 	return err
 }
 
+// FindStream implements comfreyworks.GatewayClient.
+func (c *Client) FindStream(ctx context.Context, stream uint32) (release uint32, found bool, err error) {
+	reply, err := call[FindStreamReply](ctx, c, "FindStream", FindStreamArgs{Stream: stream}, callTimeout)
+	return reply.Release, reply.Found, err
+}
+
 // call calls a method of the peer. The timeout includes the time to connect and
 // may be extended as described at callDeadline.
 func call[R any](ctx context.Context, c *Client, method string, args any, timeout time.Duration) (R, error) {
--- a/internal/protocol/peer/messages.go
+++ b/internal/protocol/peer/messages.go
@@ -68,5 +68,18 @@
 	Since comfreyworks.ConfigRevision
 }
 
+// FindStreamArgs are the arguments of FindStream, which a leaf calls at its relay.
+type FindStreamArgs struct {
+	// Stream is the hash of the ID of the request that began the stream.
+	Stream uint32
+}
+
+// FindStreamReply is the reply of FindStream.
+type FindStreamReply struct {
+	// Release is the hash of the pool and the release, if Found.
+	Release uint32
+	Found   bool
+}
+
 // Empty is the reply of methods that return nothing.
 type Empty struct{}
--- a/internal/state/streamorigins/streamorigins.go
+++ b/internal/state/streamorigins/streamorigins.go
@@ -30,10 +30,37 @@
 	// maxEntries limits the log. It exceeds the streams that begin within lifetime;
 	// beyond it the oldest entries are dropped.
 	maxEntries = 1 << 18
-	// conflicting is the value of a stream about which gateways disagree.
+	// conflicting is the release of a stream about which gateways disagree.
 	conflicting = 0
 )
 
+// origin is what is known about a stream.
+type origin struct {
+	release uint32
+	// overrules means that this gateway set the release in place of overruled. Other
+	// gateways may report that one again, or a conflict with it.
+	overrules bool
+	overruled uint32
+}
+
+// set returns the origin after an attempt of this gateway.
+func (o origin) set(own origin) origin {
+	if o.release == own.release {
+		return o
+	}
+	return origin{release: own.release, overrules: true, overruled: o.release}
+}
+
+// learn returns the origin after a report of another gateway.
+func (o origin) learn(reported origin) origin {
+	known := reported.release == o.release ||
+		o.overrules && (reported.release == o.overruled || reported.release == conflicting)
+	if known {
+		return o
+	}
+	return origin{release: conflicting}
+}
+
 // Origin tells from where an entry came, and thus to whom it is passed on.
 type Origin = sharedlog.Origin
 
@@ -46,12 +73,12 @@
 
 // Log is the log of one process. It is safe for concurrent use.
 type Log struct {
-	log *sharedlog.Log[uint32]
+	log *sharedlog.Log[origin]
 }
 
 // New returns an empty log.
 func New(clock comfreyworks.Clock) *Log {
-	return &Log{log: sharedlog.New[uint32](sharedlog.Options{
+	return &Log{log: sharedlog.New[origin](sharedlog.Options{
 		Clock: clock, Lifetime: lifetime, MaxEntries: maxEntries, Promote: true,
 	})}
 }
@@ -69,40 +96,35 @@
 // last release counts, whatever was known before: an earlier attempt of this gateway
 // began no stream.
 func (l *Log) Add(id comfreyworks.RequestID, release uint32) {
-	item := func(yield func(uint32, uint32) bool) { yield(Key(id), release) }
-	l.log.Merge(item, Local, func(_, own uint32) uint32 { return own })
+	item := func(yield func(uint32, origin) bool) { yield(Key(id), origin{release: release}) }
+	l.log.Merge(item, Local, origin.set)
 }
 
 // Merge records what other gateways know. A stream of which a different release is
-// known becomes unknown.
-func (l *Log) Merge(origins []comfreyworks.StreamOrigin, origin Origin) {
-	items := func(yield func(uint32, uint32) bool) {
+// known becomes unknown, unless this gateway has overruled it.
+func (l *Log) Merge(origins []comfreyworks.StreamOrigin, from Origin) {
+	items := func(yield func(uint32, origin) bool) {
 		for _, o := range origins {
-			if !yield(o.Stream, o.Release) {
+			if !yield(o.Stream, origin{release: o.Release}) {
 				return
 			}
 		}
 	}
-	l.log.Merge(items, origin, func(known, learned uint32) uint32 {
-		if known != learned {
-			return conflicting
-		}
-		return known
-	})
+	l.log.Merge(items, from, origin.learn)
 }
 
 // Lookup returns the release that began a stream within the lifetime of entries. It
 // returns false if the release is unknown or gateways disagree about it.
 func (l *Log) Lookup(key uint32) (release uint32, ok bool) {
-	release, ok = l.log.Lookup(key)
-	return release, ok && release != conflicting
+	o, ok := l.log.Lookup(key)
+	return o.release, ok && o.release != conflicting
 }
 
 // After returns what was recorded after a version of the log, and the current
 // version. With origin Local it leaves out remote entries.
-func (l *Log) After(version uint64, origin Origin) (origins []comfreyworks.StreamOrigin, current uint64) {
-	current = l.log.After(version, origin, func(key, release uint32) {
-		origins = append(origins, comfreyworks.StreamOrigin{Stream: key, Release: release})
+func (l *Log) After(version uint64, from Origin) (origins []comfreyworks.StreamOrigin, current uint64) {
+	current = l.log.After(version, from, func(key uint32, o origin) {
+		origins = append(origins, comfreyworks.StreamOrigin{Stream: key, Release: o.release})
 	})
 	return origins, current
 }
--- a/internal/state/streamorigins/streamorigins_test.go
+++ b/internal/state/streamorigins/streamorigins_test.go
@@ -50,10 +50,28 @@
 		assertRelease(t, l, key, 0)
 		learn(l, 1)
 		assertRelease(t, l, key, 0)
+	})
+	t.Run("an own later one decides", func(t *testing.T) {
+		l := New(clockwork.NewFakeClock())
+		learn(l, 1)
 		l.Add(id, 2)
 		assertRelease(t, l, key, 2)
 		learn(l, 1)
+		learn(l, conflicting)
+		assertRelease(t, l, key, 2)
+		learn(l, 3)
 		assertRelease(t, l, key, 0)
+		l.Add(id, 2)
+		learn(l, conflicting)
+		assertRelease(t, l, key, 2)
+	})
+	t.Run("a different one that is learned after an own one makes it unknown", func(t *testing.T) {
+		for _, later := range []uint32{1, conflicting} {
+			l := New(clockwork.NewFakeClock())
+			l.Add(id, 2)
+			learn(l, later)
+			assertRelease(t, l, key, 0)
+		}
 	})
 	t.Run("a conflict is passed on", func(t *testing.T) {
 		l, other := New(clockwork.NewFakeClock()), New(clockwork.NewFakeClock())
