Exchange the origins of streams between gateways

A caller takes up a broken stream at another gateway, which must know the release that began it, also when the first gateway and its relay are gone.

Unlike saved sessions:

- a relay does not repeat in replies what it sent in requests, nor the reverse;
Without that, leaves did not find streams of a relay that was lost with the gateway that reported them.

That a leaf does not reply with origins saves bytes only and has no test.

The server of the peer tests is started by a function of its own; no check changed.

--- a/internal/coordination/peering/exchange.go
+++ b/internal/coordination/peering/exchange.go
@@ -182,7 +182,7 @@
 		p.members.record(other, now.Add(-other.HeardAgo), now)
 	}
 	p.options.Saved.Merge(state.Saved, passedOnBy(state.Role))
-	p.options.Origins.Merge(state.Origins, passedOnBy(state.Role))
+	p.recordOriginsRequest(m, state)
 }
 
 // passedOnBy returns the origin of log entries that a peer in the given role
--- a/internal/coordination/peering/origins.go
+++ b/internal/coordination/peering/origins.go
@@ -89,12 +89,23 @@
 		return
 	}
 	passedOn := streamorigins.Local
-	if known == 0 && to.Self.Zone == p.options.Self.Zone {
+	if m := p.members.members[to.Self.Address]; known > 0 && m != nil {
+		known = max(known, m.originsSent)
+	} else if to.Self.Zone == p.options.Self.Zone {
 		passedOn = streamorigins.Remote
 	}
 	reply.Origins, reply.OriginsList.Version = p.options.Origins.After(known, passedOn)
 }
 
+// recordOriginsRequest stores the origins of streams in a peer's request. What a relay
+// knows from replies is not sent to it in requests. The mutex must be held.
+func (p *Peering) recordOriginsRequest(m *member, request *comfreyworks.GatewayState) {
+	p.options.Origins.Merge(request.Origins, passedOnBy(request.Role))
+	if p.relay && request.Role == comfreyworks.PeerRelay && request.OriginsKnown.Process == p.members.version.Process {
+		m.originsSent = max(m.originsSent, request.OriginsKnown.Version)
+	}
+}
+
 // recordOriginsReply stores the origins of streams in a peer's reply and up to which
 // version each side knows the log of the other. The mutex must be held.
 func (p *Peering) recordOriginsReply(m *member, reply, request *comfreyworks.GatewayState) {
@@ -103,7 +114,7 @@
 		m.forgetOrigins()
 		return
 	}
-	m.originsSent = request.OriginsList.Version
+	m.originsSent = max(m.originsSent, request.OriginsList.Version)
 	if m.originsKnown.Process != reply.OriginsList.Process {
 		// Another process answered than the one that got the earlier requests.
 		m.originsSent = 0
--- a/internal/coordination/peering/origins_test.go
+++ b/internal/coordination/peering/origins_test.go
@@ -162,6 +162,23 @@
 		assert.NilError(t, n.sync(1, 0))
 		n.gateway(0).updatePartners()
 	}
+	t.Run("what one sent in requests or replies it does not send in the others", func(t *testing.T) {
+		n := start(t)
+		n.gateway(0).options.Origins.Add("first", 7)
+		n.gateway(1).options.Origins.Add("second", 7)
+		for _, call := range [][2]int{{1, 0}, {1, 0}, {0, 1}, {1, 0}} {
+			assert.NilError(t, n.sync(call[0], call[1]))
+		}
+		n.origins = 0
+		n.gateway(1).options.Origins.Add(stream, 8)
+		n.gateway(0).options.Origins.Add("third", 9)
+		for _, call := range [][2]int{{1, 0}, {1, 0}, {0, 1}} {
+			assert.NilError(t, n.sync(call[0], call[1]))
+		}
+		assert.Equal(t, n.origins, 2)
+		assertOrigin(t, []*gateway{n.gateway(0)}, stream, 8)
+		assertOrigin(t, []*gateway{n.gateway(1)}, "third", 9)
+	})
 	t.Run("the caller sends its own again", func(t *testing.T) {
 		n := start(t)
 		n.gateway(1).options.Origins.Add(stream, 7)
--- a/internal/coordination/peering/sync_bench_test.go
+++ b/internal/coordination/peering/sync_bench_test.go
@@ -12,6 +12,7 @@
 	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
 	"comfreyworks/internal/state/rendezvous"
+	"comfreyworks/internal/state/streamorigins"
 )
 
 // fleetSizes are the sizes at which the cost of the exchange is measured: gateways,
@@ -50,8 +51,8 @@
 		n.run(time.Second, nil)
 		relays := n.relays()
 		name := fmt.Sprintf("%d gateways, %d engines", size.gateways, size.engines)
-		b.Run(name+", leaf to relay", func(b *testing.B) { benchmarkSync(b, n, leaf(n), relays[0]) })
-		b.Run(name+", relay to relay", func(b *testing.B) { benchmarkSync(b, n, relays[1], relays[0]) })
+		b.Run(name+", leaf to relay", func(b *testing.B) { benchmarkSync(b, n, leaf(n), relays[0], func() {}) })
+		b.Run(name+", relay to relay", func(b *testing.B) { benchmarkSync(b, n, relays[1], relays[0], func() {}) })
 	}
 }
 
@@ -65,7 +66,32 @@
 	}
 }
 
-func benchmarkSync(b *testing.B, n *network, from, to *gateway) {
+// newOrigins is the number of origins of streams that BenchmarkSyncOrigins sends in
+// one call.
+const newOrigins = 1000
+
+// BenchmarkSyncOrigins measures a call of a relay to another one that passes on new
+// origins of streams, in a fleet without load.
+func BenchmarkSyncOrigins(b *testing.B) {
+	n := startWithOrigins(originsFleet)
+	n.run(4*time.Second, func() { listEngines(n, 1) })
+	relays := n.relays()
+	for _, origins := range []int{0, newOrigins} {
+		b.Run(fmt.Sprint(origins, " origins"), func(b *testing.B) {
+			next := 0
+			benchmarkSync(b, n, relays[1], relays[0], func() {
+				for range origins {
+					relays[1].options.Origins.Add(comfreyworks.RequestID(fmt.Sprint("r", next)), streamorigins.Release(pool, "1"))
+					next++
+				}
+			})
+		})
+	}
+}
+
+// benchmarkSync measures calls from one gateway to another. It calls prepare before
+// each.
+func benchmarkSync(b *testing.B, n *network, from, to *gateway, prepare func()) {
 	var sent byteCounter
 	encoder := gob.NewEncoder(&sent)
 	assert.NilError(b, encoder.Encode(comfreyworks.GatewayState{}))
@@ -73,6 +99,9 @@
 	client := networkClient{n, to.address}
 	sent = 0
 	for b.Loop() {
+		b.StopTimer()
+		prepare()
+		b.StartTimer()
 		request := from.request(to.address)
 		update, err := client.Sync(context.Background(), request)
 		assert.NilError(b, err)
--- a/internal/protocol/peer/peer_test.go
+++ b/internal/protocol/peer/peer_test.go
@@ -44,6 +44,12 @@
 func serve(t *testing.T) (netip.AddrPort, *echoReceiver) {
 	t.Helper()
 	receiver := new(echoReceiver)
+	return serveReceiver(t, receiver), receiver
+}
+
+// serveReceiver runs a server for a receiver until the test ends.
+func serveReceiver(t *testing.T, receiver any) netip.AddrPort {
+	t.Helper()
 	server, err := NewServer(secret, receiver)
 	assert.NilError(t, err)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -55,7 +61,7 @@
 		cancel()
 		assert.NilError(t, group.Wait())
 	})
-	return listener.Addr().(*net.TCPAddr).AddrPort(), receiver
+	return listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
 func assertErrorKind(t *testing.T, err error, kind Kind) {
--- a/peering.go
+++ b/peering.go
@@ -92,6 +92,10 @@
 	// sender has.
 	Saved                 []uint32
 	SavedList, SavedKnown ListVersion
+	// Origins lists the origins of streams that the receiver does not know yet,
+	// with OriginsList and OriginsKnown as for Saved. Leaves receive none.
+	Origins                   []StreamOrigin
+	OriginsList, OriginsKnown ListVersion
 	// Loads are the loads of the sender and of the leaves that call it. In a reply
 	// to a leaf, they are the loads of all other gateways.
 	Loads []UpstreamLoad
@@ -131,6 +135,9 @@
 	Sync(ctx context.Context, state GatewayState) (GatewayUpdate, error)
 	// Notify announces that engines load weights.
 	Notify(ctx context.Context, notices WeightsLoadNotices) error
+	// FindStream returns the release that began a stream, as in StreamOrigin, and
+	// whether the other gateway knows it.
+	FindStream(ctx context.Context, stream uint32) (release uint32, found bool, err error)
 }
 
 // GatewayRegistry lets gateways discover each other.
