--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -322,8 +322,9 @@
 	if b.options.SupersededWeights == 0 {
 		return true
 	}
-	limit := b.options.SupersededWeights - supersededWeightsMargin - c.wait()
-	return now.Sub(successor.NotBefore) <= limit || now.Sub(successor.LearnedAt) <= min(limit, unknownAgeLimit)
+	limit := b.options.SupersededWeights - supersededWeightsMargin
+	return now.Sub(successor.NotBefore) <= limit-c.wait() ||
+		now.Sub(successor.LearnedAt) <= min(limit, unknownAgeLimit)-c.wait()
 }
 
 // endpoint returns the observations of an upstream. A restarted upstream gets an
@@ -356,11 +357,11 @@
 
 // ApplyLoadNotice applies a notice that an engine is about to load weights or has
 // loaded them. It returns false if the notice is not newer than the last one about
-// the engine, or if the engine is not listed.
+// the engine, or if that incarnation of the engine is not listed.
 func (b *Balancer) ApplyLoadNotice(notice comfreyworks.WeightsLoadNotice) bool {
 	now := b.options.Clock.Now()
 	engine, ok := b.options.Catalog.Upstream(notice.Engine)
-	if !ok {
+	if !ok || (!notice.Started.IsZero() && !notice.Started.Equal(engine.Started)) {
 		return false
 	}
 	b.mu.Lock()
--- a/peering.go
+++ b/peering.go
@@ -21,7 +21,9 @@
 // WeightsLoadNotice announces that an engine is about to load weights or has
 // loaded them.
 type WeightsLoadNotice struct {
-	Engine  InstanceID
+	Engine InstanceID
+	// Started is the start time of the incarnation that loads; zero if unknown.
+	Started time.Time
 	Model   Model
 	Weights WeightsRevision
 	// Sequence grows with each notice, also from one lease holder to the next. A
@@ -112,6 +114,9 @@
 	// DeclaredAge and ListedAge are how long before this reply the latest read of
 	// the DeclarationSource and the UpstreamSource started; negative means never.
 	DeclaredAge, ListedAge time.Duration
+	// DeclaredWait is how long after the start of that read of the DeclarationSource
+	// the declarations are still known to have been complete.
+	DeclaredWait time.Duration
 	// Declaration holds what changed after the other gateway's Declared position;
 	// nil means nothing, or that it was not asked for.
 	Declaration *Declaration
