Continue a stream only at the software release that began it

Cause: no gateway knew of releases. A stream that broke off was continued by any engine, and so was one that a caller took up at another gateway, which had no way to know where it had begun. The class of fault: a decision that depends on what another process did was taken without asking.

Evidence: TestStreamsOfOneRelease failed before in four of five subtests.

Change: the release that delivered a stream's first event serves the rest of the answer. The release to which a stream's first request is sent is recorded before the first event can arrive; gateways exchange the records while a pool has, or had within 30 s, several releases. Whoever gets a stream taken up looks for the record of the request named in `Resumes`, waits 0.2 s for news at most, and otherwise refuses: not run. A new release gets no streams for 1.5 s unless there is no other, so that no gateway takes the pool for one of a single release any more.

--- a/exchange.go
+++ b/exchange.go
@@ -26,6 +26,9 @@
 	Prefix string
 	// LastEventID holds the last event that the caller received of a stream.
 	LastEventID string
+	// Resumes holds the ID of the request that brought the first event of a stream
+	// that the caller takes up.
+	Resumes string
 	// Digest holds the upstream's digest of its response.
 	Digest string
 	// NotRun marks a response that guarantees that the request has not run.
@@ -54,7 +57,7 @@
 	return HeaderNames{
 		RequestID: "Comfrey-Request-Id", Deadline: "Comfrey-Deadline-Ms", APIKey: "Comfrey-Key",
 		Workspace: "Comfrey-Workspace", Model: "Comfrey-Model", Tokens: "Comfrey-Tokens",
-		Prefix: "Comfrey-Prefix", LastEventID: "Last-Event-Id", Digest: "Comfrey-Digest",
+		Prefix: "Comfrey-Prefix", LastEventID: "Last-Event-Id", Resumes: "Comfrey-Resumes", Digest: "Comfrey-Digest",
 		NotRun: "Comfrey-Not-Run", Target: "Comfrey-Target", Instance: "Comfrey-Instance",
 		ExpectedWeights: "Comfrey-Expected-Weights", Weights: "Comfrey-Weights",
 		CacheSalt: "Comfrey-Cache-Salt", ImportFrom: "Comfrey-Import-From", SaveTo: "Comfrey-Save-To", Priority: "Comfrey-Priority",
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -31,6 +31,7 @@
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/rendezvous"
 	"comfreyworks/internal/state/savedsessions"
+	"comfreyworks/internal/state/streamorigins"
 )
 
 const (
@@ -110,10 +111,22 @@
 	Tokens int
 	// Priority is the priority in the engine's queue; 0 is the most urgent.
 	Priority int
+	// Release is the only release that may serve the request, as a value of
+	// streamorigins.Release; zero means any.
+	Release uint32
+	// BeginsStream means that the request begins a stream that other gateways may
+	// have to continue.
+	BeginsStream bool
 	// Exclude lists the upstreams that have already been tried.
 	Exclude []comfreyworks.InstanceID
 }
 
+// allows reports whether the request may be sent to an upstream.
+func (q *Query) allows(upstream *comfreyworks.Upstream) bool {
+	return upstream.State == comfreyworks.InstanceLive && !slices.Contains(q.Exclude, upstream.ID) &&
+		(q.Release == 0 || q.Release == streamorigins.Release(upstream.Pool, upstream.Release))
+}
+
 // sharedParts returns the parts that other requests may have in common with this
 // one. The last part is specific to the request.
 func (q *Query) sharedParts() []comfreyworks.PromptPart { return q.Parts[:max(len(q.Parts)-1, 0)] }
@@ -286,7 +299,7 @@
 // newCandidate returns the candidate for an upstream, or false if the upstream
 // must not receive the request.
 func (b *Balancer) newCandidate(upstream *comfreyworks.Upstream, query *Query, declared catalog.DeclaredWeights, now time.Time) (candidate, bool) {
-	if upstream.State != comfreyworks.InstanceLive || slices.Contains(query.Exclude, upstream.ID) {
+	if !query.allows(upstream) {
 		return candidate{}, false
 	}
 	e := b.endpoint(upstream, now)
@@ -299,6 +312,9 @@
 		avoided:     now.Before(e.avoidUntil) || (peerLoad.Unreachable >= minUnreachableReports && now.Sub(e.answeredAt) > reportedUnreachableAfter),
 		full:        now.Before(e.fullUntil) || now.Before(e.loadingUntil),
 	}
+	if query.BeginsStream {
+		c.settling = now.Before(b.options.Catalog.Pool(query.Pool).Settling[upstream.Release])
+	}
 	if c.avoided && e.unreachable {
 		return candidate{}, false
 	}
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -72,8 +72,9 @@
 	// requests for them here.
 	expectedTokens int
 	// avoided candidates have failed, full ones have no free capacity, stale ones
-	// serve weights whose answers lose value.
-	avoided, full, stale bool
+	// serve weights whose answers lose value. settling ones run a release that other
+	// gateways may not know yet.
+	avoided, full, stale, settling bool
 }
 
 // tier ranks the state of the candidate; lower is better.
@@ -88,6 +89,9 @@
 	if c.avoided {
 		tier += 4
 	}
+	if c.settling {
+		tier += 8
+	}
 	return tier
 }
 
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -102,8 +102,9 @@
 	Received, Deadline time.Time
 	Prompt             Prompt
 	// LastEventID is the event after which a stream resumes; empty means from the
-	// start.
+	// start. Resumes is the request that brought the first event of that stream.
 	LastEventID string
+	Resumes     comfreyworks.RequestID
 }
 
 // Prompt holds what the caller declares about a prompt. The zero value means
@@ -131,6 +132,9 @@
 	Exchanger comfreyworks.Exchanger
 	Clock     comfreyworks.Clock
 	Logger    *zap.Logger
+	// Origins knows the releases that began streams. If it is nil, a stream is
+	// continued only if its pool has had one release.
+	Origins comfreyworks.StreamOrigins
 	// RetryLimit returns this gateway's share of the retry budget.
 	RetryLimit func() retrybudget.Limit
 }
@@ -173,9 +177,16 @@
 func (f *Forwarder) Forward(ctx context.Context, request *Request, sink Sink) Outcome {
 	ctx, cancel := context.WithTimeoutCause(ctx, f.options.Clock.Until(request.Deadline), errDeadline)
 	defer cancel()
+	var release uint32
+	if request.LastEventID != "" {
+		var ok bool
+		if release, request.Pool, ok = f.findOrigin(ctx, request); !ok {
+			return Outcome{Verdict: Refused, Reason: "origin of the stream unknown", RetryAfter: retryAfterUnknownOrigin}
+		}
+	}
 	r := &activeRequest{
 		Forwarder: f, request: request, sink: sink, poolState: f.pool(request.Pool),
-		lastEventID: request.LastEventID,
+		lastEventID: request.LastEventID, release: release,
 	}
 	r.budget.AddRequest()
 	return r.run(ctx)
@@ -196,7 +207,9 @@
 	// headerWritten means that the sink has received the header of an answer.
 	headerWritten bool
 	lastEventID   string
-	reason        string
+	// release is the release that began the stream; zero as long as none has.
+	release uint32
+	reason  string
 }
 
 // attemptResult tells whether a request may be retried after an attempt.
@@ -332,7 +345,7 @@
 		Pool: r.request.Pool, Model: r.request.Prompt.Model,
 		CacheScope: cacheScope(r.request.Workspace), AffinityKey: affinityKey(r.request), StoreKey: storeKey(r.request),
 		Parts: r.request.Prompt.Parts, Tokens: r.request.Prompt.Tokens,
-		Priority: r.priority(), Exclude: r.tried,
+		Priority: r.priority(), Exclude: r.tried, Release: r.release, BeginsStream: r.beginsStream(),
 	}
 }
 
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -37,6 +37,7 @@
 		a.eventReceived()
 		if !a.headerWritten {
 			a.headerWritten = true
+			a.release = a.upstreamRelease()
 			a.sink.Begin(response.Status, response.Header, response.ContentLength)
 		}
 		if _, err := a.sink.Write(event); err != nil {
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -139,6 +139,8 @@
 	listed   SourceState
 	weights  map[comfreyworks.Model]DeclaredWeights
 	entries  map[comfreyworks.InstanceID]entry
+	// releases holds the releases that upstreams of each pool run or ran recently.
+	releases map[comfreyworks.Pool]map[string]releaseSpan
 	// routingChangedAt is the position up to which the declarations were read when
 	// the routing last changed.
 	routingChangedAt comfreyworks.Position
@@ -152,10 +154,13 @@
 }
 
 // PoolView holds the upstreams of a pool, sorted by ID. Seeds holds the seed of
-// each for rendezvous hashing. The slices are never modified.
+// each for rendezvous hashing. Slices and maps are never modified.
 type PoolView struct {
 	Upstreams []comfreyworks.Upstream
 	Seeds     []uint64
+	// Settling holds the new releases at which no stream is to begin yet, with the
+	// time until then.
+	Settling map[string]time.Time
 }
 
 // removal is an upstream that was removed, with the position up to which the list
@@ -178,9 +183,10 @@
 // New returns an empty catalog.
 func New(clock comfreyworks.Clock) *Catalog {
 	c := &Catalog{
-		clock:   clock,
-		weights: make(map[comfreyworks.Model]DeclaredWeights),
-		entries: make(map[comfreyworks.InstanceID]entry),
+		clock:    clock,
+		weights:  make(map[comfreyworks.Model]DeclaredWeights),
+		entries:  make(map[comfreyworks.InstanceID]entry),
+		releases: make(map[comfreyworks.Pool]map[string]releaseSpan),
 	}
 	c.pools.Store(&map[comfreyworks.Pool]*PoolView{})
 	return c
@@ -456,6 +462,8 @@
 // publish makes the current entries visible to Pool, which reads them without a
 // lock.
 func (c *Catalog) publish() {
+	now := c.clock.Now()
+	c.updateReleases(now)
 	pools := make(map[comfreyworks.Pool]*PoolView)
 	for _, e := range c.entries {
 		view := pools[e.upstream.Pool]
@@ -465,7 +473,8 @@
 		}
 		view.Upstreams = append(view.Upstreams, e.upstream)
 	}
-	for _, view := range pools {
+	for pool, view := range pools {
+		view.Settling = c.settling(pool, now)
 		slices.SortFunc(view.Upstreams, func(a, b comfreyworks.Upstream) int {
 			return strings.Compare(string(a.ID), string(b.ID))
 		})
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -40,6 +40,7 @@
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/retrybudget"
 	"comfreyworks/internal/state/savedsessions"
+	"comfreyworks/internal/state/streamorigins"
 )
 
 // Kind classifies the errors of this package.
@@ -142,6 +143,7 @@
 	g.catalog = catalog.New(options.Clock)
 	g.holdings = holdings.New()
 	saved := savedsessions.New(options.Clock)
+	origins := &streamOrigins{log: streamorigins.New(options.Clock)}
 	g.balancer = balance.New(balance.Options{
 		Catalog: g.catalog, Holdings: g.holdings, Saved: saved,
 		Policy: placement.Comfrey{RecomputeWeight: placement.DefaultRecomputeWeight},
@@ -154,7 +156,7 @@
 	})
 	g.forwarder = forward.New(forward.Options{
 		Catalog: g.catalog, Balancer: g.balancer, Exchanger: g.upstreamClient, Clock: options.Clock,
-		Logger: options.Logger, RetryLimit: g.retryLimit,
+		Origins: origins, Logger: options.Logger, RetryLimit: g.retryLimit,
 	})
 	g.follower = follow.New(follow.Options{
 		Declarations: options.Declarations, Upstreams: options.Upstreams, Catalog: g.catalog,
@@ -173,7 +175,9 @@
 		NewClient:     func(address netip.AddrPort) comfreyworks.GatewayClient { return g.peerClients.To(address) },
 		RetainClients: g.peerClients.Retain,
 		Catalog:       g.catalog, Balancer: g.balancer, Saved: saved, Clock: options.Clock, Logger: options.Logger,
+		Origins: origins.log, PassOrigins: g.passesOrigins,
 	})
+	origins.peering = g.peering
 	if options.Caches != nil {
 		g.watcher = watch.New(watch.Options{
 			Source: options.Caches, Index: g.holdings, Targets: g.cacheTargets,
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -25,6 +25,12 @@
 	return nil
 }
 
+// FindStream tells a peer which release began a stream.
+func (s *peerService) FindStream(args peer.FindStreamArgs, reply *peer.FindStreamReply) error {
+	reply.Release, reply.Found = s.gateway.peering.HandleFindStream(args.Stream)
+	return nil
+}
+
 // servePeers starts the RPC server for other gateways and the exchange of state
 // with them.
 func (g *Gateway) servePeers(ctx context.Context, group *errgroup.Group, listener net.Listener) error {
--- a/internal/transport/gateway/release_test.go
+++ b/internal/transport/gateway/release_test.go
@@ -1,20 +1,19 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"comfreyworks/internal/standin/replica"
 )
 
-// resumesHeader names the request that brought the first event of a stream.
-const resumesHeader = "Comfrey-Resumes"
-
 // releaseTestPause is long enough for new releases to be used for streams.
 const releaseTestPause = 5 * time.Second
 
@@ -61,10 +60,28 @@
 	r := f.request(t, http.MethodPost, "/note/1", "text")
 	r.Header.Set(f.names.RequestID, id)
 	r.Header.Set(f.names.LastEventID, "3")
-	r.Header.Set(resumesHeader, resumes)
+	r.Header.Set(f.names.Resumes, resumes)
 	return f.do(t, r)
 }
 
+// advanceContinuously advances the clock whenever something waits for it, until stop is
+// called.
+func (f releaseFixture) advanceContinuously(t *testing.T) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		for f.clock.BlockUntilContext(ctx, 1) == nil {
+			f.clock.Advance(50 * time.Millisecond)
+		}
+		return nil
+	})
+	return func() {
+		cancel()
+		assert.NilError(t, group.Wait())
+	}
+}
+
 // begin begins a stream that breaks off.
 func (f releaseFixture) begin(t *testing.T, id string) {
 	t.Helper()
@@ -98,9 +115,15 @@
 			}
 		})
 		f.refresh(t)
-		f.failFirst(f.engines, replica.FaultTruncatedResponse, 1)
+		f.failFirst(f.engines, replica.FaultTruncatedResponse, 9)
 		assert.Assert(t, f.call(t, "/note/1").cut)
-		assert.Equal(t, len(f.runs(f.engines)), 1)
+		used := 0
+		for _, engine := range f.engines {
+			if len(engine.Runs()) > 0 {
+				used++
+			}
+		}
+		assert.Equal(t, used, 1)
 	})
 	t.Run("a stream that the caller takes up is continued by the release that began it", func(t *testing.T) {
 		f := newReleaseFixture(t)
@@ -115,6 +138,9 @@
 	})
 	t.Run("one whose beginning nobody knows is refused", func(t *testing.T) {
 		f := newReleaseFixture(t)
+		// Ends the wait for news of the stream's origin.
+		stop := f.advanceContinuously(t)
+		defer stop()
 		resp := f.takeUp(t, "again", "elsewhere")
 		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 		assert.Assert(t, resp.Header.Get("Retry-After") != "")
--- a/internal/transport/gateway/request.go
+++ b/internal/transport/gateway/request.go
@@ -94,6 +94,7 @@
 	}
 	if route.Kind == comfreyworks.RouteStream {
 		request.LastEventID = r.Header.Get(names.LastEventID)
+		request.Resumes = comfreyworks.RequestID(r.Header.Get(names.Resumes))
 	}
 	return request, nil
 }
@@ -152,7 +153,7 @@
 // Connection header lists it as hop-by-hop.
 func (g *Gateway) isEndToEnd(name string) bool {
 	names := &g.options.Settings.Headers
-	for _, endToEnd := range []string{names.RequestID, names.Model, names.Tokens, names.Prefix, names.LastEventID} {
+	for _, endToEnd := range []string{names.RequestID, names.Model, names.Tokens, names.Prefix, names.LastEventID, names.Resumes} {
 		if strings.EqualFold(name, endToEnd) {
 			return true
 		}
