Let no gateway know fewer releases than those at which streams begin

What callers could see: a stream of a new release that is taken up at a gateway which takes the old one for the only one, and continues it there.

Cause: streams began at a new release 1.5 s after it was listed, while a list of up to 2.5 s counted as complete; a gateway that had just started settled nothing, and knew of no release that had left a moment ago; a release that returned after 30 s counted as known; and a second attempt before the first event could go to another release, of which other gateways might not learn.

Change: one time, 2 s, bounds both the age of a trusted list and how long no stream begins at a new release; a gateway that learns of a release goes on trusting the old one until then, so that streams whose origin nobody recorded are not refused. Peers tell former releases along with the list. Second attempts prefer the release of the first. The wait for news of an origin is measured, not counted.

Subtests of TestOnlyRelease, TestSettling and TestOriginIsRecorded cover the rest; the bounds in the first two follow the new time.

Left: when all gateways start at once, none knows which releases left just before.

--- a/declaration.go
+++ b/declaration.go
@@ -40,10 +40,21 @@
 	Present []Upstream
 	// Gone lists the upstreams whose entries were removed.
 	Gone []InstanceID
+	// Former lists releases that no listed upstream runs any more.
+	Former []FormerRelease
 	// Next is the position to pass as after in the next call.
 	Next Position
 }
 
+// FormerRelease is a software release of a pool's upstreams whose streams callers may
+// still take up.
+type FormerRelease struct {
+	Pool    Pool
+	Release string
+	// LeftAgo is the time since its last upstream was removed.
+	LeftAgo time.Duration
+}
+
 // UpstreamSource provides the list of upstreams that a gateway reaches
 // directly.
 type UpstreamSource interface {
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -209,7 +209,10 @@
 	lastEventID   string
 	// release is the release that began the stream; zero as long as none has.
 	release uint32
-	reason  string
+	// sentTo is the release to which the last attempt to begin the stream was sent;
+	// zero if there was none.
+	sentTo uint32
+	reason string
 }
 
 // attemptResult tells whether a request may be retried after an attempt.
@@ -313,12 +316,7 @@
 // attempt sends the request to one upstream, unless there is none or admission
 // control refuses the request.
 func (r *activeRequest) attempt(ctx context.Context) (Outcome, attemptResult) {
-	pick := r.options.Balancer.Pick(r.balanceQuery())
-	if pick == nil && len(r.tried) > 0 && r.sends < maxSends {
-		// Every upstream has been tried. One that was busy may have capacity again.
-		r.tried = nil
-		pick = r.options.Balancer.Pick(r.balanceQuery())
-	}
+	pick := r.pick()
 	if pick == nil {
 		r.reason = "no upstream"
 		if r.runs > 0 || r.headerWritten {
@@ -339,6 +337,26 @@
 	return outcome, result
 }
 
+// pick chooses an upstream, or returns nil if there is none.
+func (r *activeRequest) pick() *balance.Pick {
+	query := r.balanceQuery()
+	if r.sentTo != 0 && r.beginsStream() {
+		// Other gateways may know of the last attempt and not of this one.
+		query.Release = r.sentTo
+		if pick := r.options.Balancer.Pick(query); pick != nil {
+			return pick
+		}
+		query.Release = 0
+	}
+	pick := r.options.Balancer.Pick(query)
+	if pick == nil && len(r.tried) > 0 && r.sends < maxSends {
+		// Every upstream has been tried. One that was busy may have capacity again.
+		r.tried = nil
+		pick = r.options.Balancer.Pick(r.balanceQuery())
+	}
+	return pick
+}
+
 // balanceQuery describes the request to the balancer.
 func (r *activeRequest) balanceQuery() balance.Query {
 	return balance.Query{
--- a/internal/coordination/forward/resume.go
+++ b/internal/coordination/forward/resume.go
@@ -23,14 +23,15 @@
 // pool to which it belongs. It returns false if the release is unknown: what two
 // releases write does not fit together.
 func (f *Forwarder) findOrigin(ctx context.Context, request *Request) (release uint32, pool comfreyworks.Pool, ok bool) {
-	for waited := time.Duration(0); ; waited += originPollInterval {
+	deadline := f.options.Clock.Now().Add(maxOriginWait)
+	for {
 		if release, ok := f.lookUpOrigin(ctx, request.Resumes); ok {
 			return release, f.poolOf(release, request), true
 		}
 		if only, ok := f.options.Catalog.OnlyRelease(request.Pool); ok {
 			return streamorigins.Release(request.Pool, only), request.Pool, true
 		}
-		if waited >= maxOriginWait || !comfreyworks.Sleep(ctx, f.options.Clock, originPollInterval) {
+		if !f.options.Clock.Now().Before(deadline) || !comfreyworks.Sleep(ctx, f.options.Clock, originPollInterval) {
 			return 0, request.Pool, false
 		}
 	}
@@ -67,7 +68,8 @@
 // before the stream's first event, so that it is known elsewhere if this process ends.
 func (a *attempt) recordOrigin() {
 	if a.options.Origins != nil && a.beginsStream() {
-		a.options.Origins.Add(a.request.Message.ID, a.upstreamRelease())
+		a.sentTo = a.upstreamRelease()
+		a.options.Origins.Add(a.request.Message.ID, a.sentTo)
 	}
 }
 
--- a/internal/coordination/forward/resume_test.go
+++ b/internal/coordination/forward/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
@@ -44,6 +45,9 @@
 		present = append(present, u)
 	}
 	f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Whole: true, Present: present, Next: 2}, f.clock.Now())
+	// The releases are no longer new.
+	f.clock.Advance(time.Minute)
+	f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Next: 2}, f.clock.Now())
 	f.forwarder.options.Origins = origins
 	return f
 }
@@ -131,6 +135,20 @@
 			assert.Equal(t, len(origins.added), test.want)
 		})
 	}
+	t.Run("a second attempt goes to the same release if it can", func(t *testing.T) {
+		origins := &fakeOrigins{}
+		f := newReleaseFixture(origins, lost, respondOK(events))
+		var present []comfreyworks.Upstream
+		for i := range 6 {
+			present = append(present, comfreyworks.Upstream{
+				ID: comfreyworks.InstanceID(rune('a' + i)), Pool: pool, State: comfreyworks.InstanceLive, Release: []string{"v1", "v2"}[i%2], Sequence: 2,
+			})
+		}
+		f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Present: present, Next: 3}, f.clock.Now())
+		f.forward(route(comfreyworks.RouteStream, 2, true))
+		assert.Equal(t, len(origins.added), 2)
+		assert.Equal(t, origins.added[0], origins.added[1])
+	})
 	t.Run("not for the rest of a stream", func(t *testing.T) {
 		origins := &fakeOrigins{}
 		f := newReleaseFixture(origins, respond(200, true, truncatedBody(events)), respondOK("id: 2\ndata: b\n\n"))
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -349,6 +349,7 @@
 	if !c.listed.ConfirmedAt.IsZero() && readAt.Sub(c.listed.ConfirmedAt) > outageThreshold {
 		c.graceEnd = now.Add(lapsedGracePeriod)
 	}
+	lastConfirmedAt := c.listed.ConfirmedAt
 	c.listed.Position = changes.Next
 	if readAt.After(c.listed.ConfirmedAt) {
 		c.listed.ConfirmedAt = readAt
@@ -369,8 +370,10 @@
 		}
 	}
 	if changed || !change.Empty() {
-		c.publish()
+		c.updateReleases(lastConfirmedAt, now)
+		c.publish(now)
 	}
+	c.addFormerReleases(changes.Former, now)
 	return change
 }
 
@@ -461,9 +464,7 @@
 
 // publish makes the current entries visible to Pool, which reads them without a
 // lock.
-func (c *Catalog) publish() {
-	now := c.clock.Now()
-	c.updateReleases(now)
+func (c *Catalog) publish(now time.Time) {
 	pools := make(map[comfreyworks.Pool]*PoolView)
 	for _, e := range c.entries {
 		view := pools[e.upstream.Pool]
--- a/internal/state/catalog/changes.go
+++ b/internal/state/catalog/changes.go
@@ -29,6 +29,7 @@
 	defer c.mu.Unlock()
 	changes := &comfreyworks.UpstreamChanges{
 		Whole: after == 0 || after < c.removalsFrom, Next: c.listed.Position,
+		Former: c.formerReleases(c.clock.Now()),
 	}
 	for _, e := range c.entries {
 		if changes.Whole || e.changedAt > after {
--- a/internal/state/catalog/releases_test.go
+++ b/internal/state/catalog/releases_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"comfreyworks"
 )
@@ -31,14 +33,19 @@
 		f.assertOnlyRelease(t, "v1", true)
 	})
 	t.Run("not while the list is old: there may be another one", func(t *testing.T) {
-		f.clock.Advance(maxReleaseListAge + 1)
+		f.clock.Advance(releaseSettleTime - 1)
+		f.assertOnlyRelease(t, "v1", true)
+		f.clock.Advance(1)
 		f.assertOnlyRelease(t, "", false)
+		f.clock.Advance(outageThreshold)
 		f.applyList(2, false, nil)
 		f.assertOnlyRelease(t, "v1", true)
 		f.clock.Advance(lapsedGracePeriod)
 	})
 	t.Run("not while upstreams of several releases are listed", func(t *testing.T) {
 		f.applyList(3, false, []comfreyworks.Upstream{upstreamOf("c", "v2")})
+		f.clock.Advance(releaseSettleTime)
+		f.applyList(3, false, nil)
 		f.assertOnlyRelease(t, "", false)
 	})
 	t.Run("not while streams of a former release may be taken up", func(t *testing.T) {
@@ -51,8 +58,67 @@
 	})
 	t.Run("an upstream that restarts with another release", func(t *testing.T) {
 		f.applyList(6, false, []comfreyworks.Upstream{upstreamOf("c", "v3")})
+		f.clock.Advance(releaseSettleTime - 2)
+		f.applyList(7, false, nil)
+		f.assertOnlyRelease(t, "v2", true)
+		f.clock.Advance(1)
 		f.assertOnlyRelease(t, "", false)
 	})
+	t.Run("a gateway that starts learns of former releases from its peers", func(t *testing.T) {
+		starting := fixture{clock: f.clock, Catalog: New(f.clock)}
+		starting.ApplyUpstreams(*f.UpstreamsAfter(0), f.clock.Now())
+		starting.assertOnlyRelease(t, "", false)
+		f.clock.Advance(releaseMemory)
+		starting.applyList(8, false, nil)
+		starting.assertOnlyRelease(t, "v3", true)
+	})
+	t.Run("former releases that make no sense are ignored", func(t *testing.T) {
+		f.ApplyUpstreams(comfreyworks.UpstreamChanges{Next: 9, Former: []comfreyworks.FormerRelease{
+			{}, {Pool: "none", Release: "v1"}, {Pool: pool, Release: "v3"}, {Pool: pool, Release: "v0", LeftAgo: time.Hour},
+		}}, f.clock.Now())
+		f.assertOnlyRelease(t, "v3", true)
+		f.ApplyUpstreams(comfreyworks.UpstreamChanges{Next: 9, Former: []comfreyworks.FormerRelease{{Pool: pool, Release: "v2", LeftAgo: -time.Hour}}}, f.clock.Now())
+		f.assertOnlyRelease(t, "", false)
+	})
+}
+
+// TestNewRelease guards against a gateway that takes a release for the only one while
+// another gateway already lets streams begin at a new one, whichever reads the list
+// when and how often.
+func TestNewRelease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		const step = 50 * time.Millisecond
+		listedAt := clock.Now().Add(3 * time.Second)
+		gateways := make([]fixture, 3)
+		for i := range gateways {
+			gateways[i] = fixture{clock: clock, Catalog: New(clock)}
+		}
+		list := func(f fixture, position comfreyworks.Position) {
+			present := []comfreyworks.Upstream{upstreamOf("a", "v1")}
+			if !clock.Now().Before(listedAt) {
+				present = append(present, upstreamOf("b", "v2"))
+			}
+			f.applyList(position, true, present)
+		}
+		for n := comfreyworks.Position(1); clock.Now().Before(listedAt.Add(6 * time.Second)); n++ {
+			var begins, only bool
+			for i, f := range gateways {
+				if n == 1 || rapid.IntRange(0, 20).Draw(t, "reads") == i {
+					list(f, n)
+				}
+				settling, known := f.Pool(pool).Settling["v2"]
+				_, listed := f.Upstream("b")
+				begins = begins || listed && (!known || !clock.Now().Before(settling))
+				release, ok := f.OnlyRelease(pool)
+				only = only || ok && release == "v1"
+			}
+			if begins && only {
+				t.Fatalf("streams begin at v2 while a gateway knows only v1, %s after v2 was listed", clock.Now().Sub(listedAt))
+			}
+			clock.Advance(step)
+		}
+	})
 }
 
 // TestSettling guards against streams that begin at a release which other gateways do
@@ -73,9 +139,24 @@
 		f.applyList(4, false, nil, "d")
 		assert.Equal(t, len(f.Pool(pool).Settling), 0)
 	})
-	t.Run("one that returns is known", func(t *testing.T) {
+	t.Run("one that soon returns is known", func(t *testing.T) {
 		f.applyList(5, false, nil, "c")
+		f.clock.Advance(releaseMemory / 2)
 		f.applyList(6, false, []comfreyworks.Upstream{upstreamOf("c", "v3")})
 		assert.Equal(t, len(f.Pool(pool).Settling), 0)
 	})
+	t.Run("one that returns later may have been forgotten", func(t *testing.T) {
+		f.clock.Advance(lapsedGracePeriod)
+		f.applyList(7, false, nil, "c")
+		f.clock.Advance(releaseMemory/2 + 1)
+		f.applyList(8, false, []comfreyworks.Upstream{upstreamOf("c", "v3")})
+		assert.Equal(t, len(f.Pool(pool).Settling), 1)
+	})
+	t.Run("so does one that was new when this gateway started", func(t *testing.T) {
+		starting := fixture{clock: f.clock, Catalog: New(f.clock)}
+		old, young := upstreamOf("a", "v1"), upstreamOf("b", "v2")
+		old.Started, young.Started = f.clock.Now().Add(-startupTime), f.clock.Now().Add(1-startupTime)
+		starting.applyList(1, true, []comfreyworks.Upstream{old, young})
+		assert.DeepEqual(t, starting.Pool(pool).Settling, map[string]time.Time{"v2": f.clock.Now().Add(releaseSettleTime)})
+	})
 }
--- a/internal/transport/gateway/origins.go
+++ b/internal/transport/gateway/origins.go
@@ -28,8 +28,8 @@
 }
 
 // passesOrigins reports whether other gateways need the origins of this gateway's
-// streams: whether a pool with streams that callers may take up has had several
-// releases, or may have.
+// streams: whether a pool with streams that callers may take up has, or had recently,
+// several releases.
 func (g *Gateway) passesOrigins() bool {
 	table, _ := g.catalog.Routing()
 	if table == nil {
@@ -40,7 +40,7 @@
 			continue
 		}
 		for _, split := range route.Pools {
-			if _, ok := g.catalog.OnlyRelease(split.Pool); !ok {
+			if g.catalog.NeedsOrigins(split.Pool) {
 				return true
 			}
 		}
