Order load notices by token and number

A notice was numbered with the token of the lease holder times 2^24. Tokens that have a count in their high bits overflow that product, and the notices of a later holder are then ignored by all gateways: they go on sending requests to engines that load. Notices now carry the token and a number of their own and are compared by the token first.

Run: go test -race on rollout, balance and peering.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -183,9 +183,9 @@
 	// answeredAt is the time of the latest answer.
 	answeredAt time.Time
 	weights    map[comfreyworks.Model]comfreyworks.WeightsRevision
-	// noticeSequence is the sequence number of the last notice about the upstream.
-	noticeSequence uint64
-	seenAt         time.Time
+	// noticeToken and noticeSequence number the last notice about the upstream.
+	noticeToken, noticeSequence uint64
+	seenAt                      time.Time
 }
 
 // New returns a balancer without any observations.
@@ -359,10 +359,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.endpoint(&engine, now)
-	if notice.Sequence <= e.noticeSequence {
+	if notice.Token < e.noticeToken || (notice.Token == e.noticeToken && notice.Sequence <= e.noticeSequence) {
 		return false
 	}
-	e.noticeSequence = notice.Sequence
+	e.noticeToken, e.noticeSequence = notice.Token, notice.Sequence
 	e.loadingUntil = now.Add(notice.For)
 	if notice.Done && notice.Weights > e.weights[notice.Model] {
 		// Loading weights clears the engine's cache.
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -62,9 +62,6 @@
 	// receives an order. drainPollInterval is the pause between two checks.
 	drainTimeout      = 250 * time.Millisecond
 	drainPollInterval = 30 * time.Millisecond
-	// noticesPerToken is the number of notices that one holder of the lease can
-	// number. The numbers of the next holder are higher.
-	noticesPerToken = 1 << 24
 	// retryDelay is the pause after a failed load before the engine is tried again.
 	retryDelay = 300 * time.Millisecond
 )
@@ -243,7 +240,7 @@
 
 // announce notifies this gateway's balancer and the other gateways of a load.
 func (r *Rollout) announce(token uint64, notice comfreyworks.WeightsLoadNotice) {
-	notice.Sequence = token*noticesPerToken + r.notices.Add(1)
+	notice.Token, notice.Sequence = token, r.notices.Add(1)
 	r.options.Balancer.ApplyLoadNotice(notice)
 	if r.options.Announce != nil {
 		r.options.Announce(notice)
--- a/peering.go
+++ b/peering.go
@@ -24,9 +24,10 @@
 	Engine  InstanceID
 	Model   Model
 	Weights WeightsRevision
-	// Sequence grows with each notice, also from one lease holder to the next. A
-	// notice that is not newer than the last one about the same engine is ignored.
-	Sequence uint64
+	// Token is the fencing token of the lease holder that gave the notice, and
+	// Sequence grows with each notice of this holder. A notice that is not newer than
+	// the last one about the same engine is ignored.
+	Token, Sequence uint64
 	// For is how long the engine is to receive no new requests.
 	For time.Duration
 	// Done means that the engine already serves the weights.
