--- a/declaration.go
+++ b/declaration.go
@@ -6,7 +6,8 @@
 )
 
 // Position is a point in the sequence of changes of a DeclarationSource or an
-// UpstreamSource. Zero precedes every change.
+// UpstreamSource. Zero precedes every change. Positions only grow, also when a
+// source is restored from an earlier copy.
 type Position uint64
 
 // Declaration holds the routing and the model weights that operators declared
@@ -33,6 +34,10 @@
 type UpstreamChanges struct {
 	// Whole means that Present is the complete list.
 	Whole bool
+	// Restored means that Whole is set because the source was restored from an
+	// earlier copy. Entries may be missing until their upstreams renew them, and
+	// entries of upstreams that are gone may be back.
+	Restored bool
 	// Present lists the upstreams that were added or changed.
 	Present []Upstream
 	// Gone lists the upstreams whose entries were removed.
@@ -53,10 +58,13 @@
 // other record has been appended in the meantime.
 type LeaseLog interface {
 	// Tail returns the newest record and the offset that the next append will
-	// get. The record is nil if there is none or if it was dropped.
+	// get. The record is nil if there is none or if it was dropped. Offsets only
+	// grow, also when the log is restored from an earlier copy; then the newest
+	// record may have been followed by others that are lost.
 	Tail(ctx context.Context, stream string) ([]byte, Offset, error)
 	// AppendAt appends a record if its offset would be at, and otherwise
 	// returns false. After an error the record may or may not have been
-	// appended.
+	// appended. If the log has been restored since at was returned, it returns
+	// false, but the record may have been appended at another offset.
 	AppendAt(ctx context.Context, stream string, at Offset, record []byte) (bool, error)
 }
