Don't trust lease records from before a restore of the log

The lease took a missing record, a release and a record of its own as free at once. After the log is restored from a copy each of them may be older than the acquisition of another process that still acts: two holders at a time. And a renewal that was executed after the restore, while its answer was lost, kept the old token in use.

Records now say at which offset they were appended, which includes the era of the log. One that is found elsewhere is from before a restore, or was appended by accident: it never shortens the wait, and no token outlives it. The holder itself, and only it, continues at once while its last renewal excludes any other holder, with a new and higher token: the record is written again by the one whose it is. The first acquisition on an empty log that was restored before waits for one lease duration.

Run: go test -race on lease and rollout.

--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -7,6 +7,11 @@
 // The token of an acquisition is the offset of its record plus one, so it is
 // higher than all earlier tokens.
 //
+// A log that is restored from an earlier copy may have lost records, and with them
+// the latest holder. A record that was written before the restore therefore says
+// nothing about who holds the lease: everyone but the latest holder waits for as
+// long as an unknown holder might use the lease.
+//
 // # Usage
 //
 //	l := lease.New(lease.Options{Log: log, Stream: "rollout", Self: id, Duration: 3 * time.Second, Clock: clock})
@@ -71,9 +76,12 @@
 
 // record is one lease record in the log.
 type record struct {
-	Holder   comfreyworks.InstanceID `json:"holder"`
-	Token    uint64                  `json:"token"`
-	Released bool                    `json:"released,omitempty"`
+	Holder comfreyworks.InstanceID `json:"holder"`
+	Token  uint64                  `json:"token"`
+	// At is the offset at which the record was to be appended. If it is at another
+	// one, the log was restored from a copy since.
+	At       comfreyworks.Offset `json:"at"`
+	Released bool                `json:"released,omitempty"`
 	// IdleMS is the time between the holder's last action and the release, in
 	// milliseconds.
 	IdleMS int64 `json:"idle-ms,omitempty"`
@@ -87,7 +95,8 @@
 	mu sync.Mutex
 	// token is the fencing token, or 0 if the lease is not held.
 	token uint64
-	// renewedAt is when the last successful append was sent.
+	// renewedAt is when the last successful append was sent; zero means never, or
+	// that the lease was released.
 	renewedAt time.Time
 	// logEnd is the last known end of the log, and logEndSeenAt is when this
 	// process first saw it there.
@@ -106,13 +115,18 @@
 func (l *Lease) Held() (uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	heldFor := time.Duration(heldShare * float64(l.options.Duration))
-	if l.token == 0 || l.options.Clock.Since(l.renewedAt) >= heldFor {
+	if l.token == 0 || !l.isOwner(l.options.Clock.Now()) {
 		return 0, false
 	}
 	return l.token, true
 }
 
+// isOwner reports whether the last renewal is so recent that no other process can
+// hold the lease, also if the log was restored since. The mutex must be held.
+func (l *Lease) isOwner(now time.Time) bool {
+	return !l.renewedAt.IsZero() && now.Sub(l.renewedAt) < l.interval(heldShare)
+}
+
 // Step renews the lease if it is held, and otherwise tries to acquire it if this
 // process is a candidate. It returns the time to wait before the next step.
 func (l *Lease) Step(ctx context.Context) (time.Duration, error) {
@@ -120,7 +134,11 @@
 	token, logEnd, unconfirmed := l.token, l.logEnd, l.appendUnconfirmed
 	l.mu.Unlock()
 	if token != 0 && !unconfirmed {
-		return l.interval(renewShare), l.appendRecord(ctx, logEnd, record{Token: token})
+		renewed, err := l.appendRecord(ctx, logEnd, record{Token: token})
+		if !renewed && err == nil {
+			return 0, nil
+		}
+		return l.interval(renewShare), err
 	}
 	if token == 0 && l.options.Candidate != nil && !l.options.Candidate() {
 		return l.interval(standbyShare), nil
@@ -134,8 +152,9 @@
 }
 
 // tryAcquire reads the newest record and acquires the lease if it is free: if
-// there is no record, if the record is from this process before a restart, or if
-// it is older than the lease duration. If the record shows that this process
+// there has never been a record, if the record is from this process before a
+// restart, if the log was restored while this process held the lease, or if the
+// record is older than the lease duration. If the record shows that this process
 // still holds the lease, the next step renews it at once.
 func (l *Lease) tryAcquire(ctx context.Context) (time.Duration, error) {
 	data, logEnd, err := l.options.Log.Tail(ctx, l.options.Stream)
@@ -153,33 +172,38 @@
 	if !l.logEndKnown || logEnd != l.logEnd {
 		l.logEndKnown, l.logEnd, l.logEndSeenAt = true, logEnd, now
 	}
-	own := newest.Holder == l.options.Self
+	// valid means that no record was lost after the newest one.
+	valid := logEnd == 0 || (data != nil && newest.At+1 == logEnd)
+	own := valid && newest.Holder == l.options.Self
 	if l.token != 0 && (!own || newest.Token != l.token || newest.Released) {
 		l.token = 0
 	}
 	l.appendUnconfirmed = false
 	token, unchangedFor := l.token, now.Sub(l.logEndSeenAt)
-	if newest.Released {
+	if valid && newest.Released {
 		unchangedFor += time.Duration(newest.IdleMS) * time.Millisecond
 	}
+	free := logEnd == 0 || own || (!valid && l.isOwner(now)) || unchangedFor >= l.options.Duration
 	l.mu.Unlock()
 	switch {
 	case token != 0:
 		return 0, nil
-	case data == nil || own || unchangedFor >= l.options.Duration:
-		return l.interval(renewShare), l.appendRecord(ctx, logEnd, record{Token: uint64(logEnd) + 1})
+	case free:
+		_, err := l.appendRecord(ctx, logEnd, record{Token: uint64(logEnd) + 1})
+		return l.interval(renewShare), err
 	default:
 		return min(l.interval(pollShare), l.options.Duration-unchangedFor), nil
 	}
 }
 
-// appendRecord appends a record if the log still ends at the given offset. If
-// another record has been appended there, the lease is lost.
-func (l *Lease) appendRecord(ctx context.Context, at comfreyworks.Offset, entry record) error {
-	entry.Holder = l.options.Self
+// appendRecord appends a record if the log still ends at the given offset, and
+// reports whether it did. If another record has been appended there, or if the log
+// was restored, the lease is lost.
+func (l *Lease) appendRecord(ctx context.Context, at comfreyworks.Offset, entry record) (bool, error) {
+	entry.Holder, entry.At = l.options.Self, at
 	data, err := json.Marshal(entry)
 	if err != nil {
-		return &Error{Op: "append lease record", Kind: KindRecord, Err: err}
+		return false, &Error{Op: "append lease record", Kind: KindRecord, Err: err}
 	}
 	sentAt := l.options.Clock.Now()
 	appended, err := l.options.Log.AppendAt(ctx, l.options.Stream, at, data)
@@ -188,14 +212,14 @@
 	switch {
 	case err != nil:
 		l.appendUnconfirmed = true
-		return &Error{Op: "append lease record", Kind: KindLog, Err: err}
+		return false, &Error{Op: "append lease record", Kind: KindLog, Err: err}
 	case !appended:
 		l.token, l.appendUnconfirmed = 0, false
-		return nil
+		return false, nil
 	}
 	l.token, l.renewedAt, l.appendUnconfirmed = entry.Token, sentAt, false
 	l.logEnd, l.logEndSeenAt, l.logEndKnown = at+1, l.options.Clock.Now(), true
-	return nil
+	return true, nil
 }
 
 // Release releases the lease if it is held. sinceLastAction is the time since the
@@ -209,9 +233,9 @@
 	if token == 0 {
 		return nil
 	}
-	err := l.appendRecord(ctx, logEnd, record{Token: token, Released: true, IdleMS: sinceLastAction.Milliseconds()})
+	_, err := l.appendRecord(ctx, logEnd, record{Token: token, Released: true, IdleMS: sinceLastAction.Milliseconds()})
 	l.mu.Lock()
-	l.token = 0
+	l.token, l.renewedAt = 0, time.Time{}
 	l.mu.Unlock()
 	return err
 }
--- a/internal/coordination/lease/lease_test.go
+++ b/internal/coordination/lease/lease_test.go
@@ -16,11 +16,13 @@
 
 const duration = 3 * time.Second
 
-// fakeLog is an in-memory log that can be unavailable, lose answers and delay
-// appends.
+// fakeLog is an in-memory log that can be unavailable, lose answers, delay appends
+// and be restored from a copy.
 type fakeLog struct {
 	records [][]byte
-	down    bool
+	// era counts the restores; it is in the high bits of offsets.
+	era  uint64
+	down bool
 	// loseAnswer makes the next append succeed without an answer. delayAppend
 	// stores the next append in delayed, for the test to run later.
 	loseAnswer, delayAppend bool
@@ -29,25 +31,39 @@
 
 var errNoAnswer = errors.New("no answer")
 
+const eraShift = 32
+
+// end returns the offset that the next append will get.
+func (l *fakeLog) end() comfreyworks.Offset {
+	return comfreyworks.Offset(l.era<<eraShift | uint64(len(l.records)))
+}
+
+// restore restores the log from a copy that lacks the last records.
+func (l *fakeLog) restore(lost int) {
+	l.records = l.records[:max(len(l.records)-lost, 0)]
+	l.era++
+}
+
 // Tail implements comfreyworks.LeaseLog.
 func (l *fakeLog) Tail(context.Context, string) ([]byte, comfreyworks.Offset, error) {
 	if l.down {
 		return nil, 0, errNoAnswer
 	}
 	if len(l.records) == 0 {
-		return nil, 0, nil
+		return nil, l.end(), nil
 	}
-	return l.records[len(l.records)-1], comfreyworks.Offset(len(l.records)), nil
+	return l.records[len(l.records)-1], l.end(), nil
 }
 
 // AppendAt implements comfreyworks.LeaseLog.
 func (l *fakeLog) AppendAt(_ context.Context, _ string, at comfreyworks.Offset, record []byte) (bool, error) {
 	appendNow := func() bool {
-		if int(at) != len(l.records) {
+		if at%(1<<eraShift) != l.end()%(1<<eraShift) {
 			return false
 		}
+		sameEra := at == l.end()
 		l.records = append(l.records, record)
-		return true
+		return sameEra
 	}
 	switch {
 	case l.down:
@@ -221,7 +237,7 @@
 }
 
 // TestMutualExclusion runs processes that pause, lose answers and have appends
-// executed late. At most one of them may hold the lease at any time, and a new
+// executed late, on a log that is restored from copies. At most one of them may hold the lease at any time, and a new
 // holder must have a higher token than all earlier ones.
 func TestMutualExclusion(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -235,6 +251,9 @@
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			f.clock.Advance(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
 			f.log.down = rapid.IntRange(0, 9).Draw(t, "down") == 0
+			if rapid.IntRange(0, 24).Draw(t, "restore") == 0 {
+				f.log.restore(rapid.IntRange(0, 6).Draw(t, "lost"))
+			}
 			f.log.loseAnswer = rapid.IntRange(0, 5).Draw(t, "lose") == 0
 			f.log.delayAppend = rapid.IntRange(0, 7).Draw(t, "late") == 0
 			step(leases[rapid.IntRange(0, 2).Draw(t, "process")])
