Keep upstreams and registrations that a restored store has lost

A store that is restored from a copy some seconds old lists upstreams of then: it lacks those that joined since, until they write again, and lists some that are gone. Gateways would have dropped the former at once, and used the latter. A gateway that learned of the new list from a peer as a list of changes would have kept upstreams that only it had seen, as no removal of them is known.

The first whole list after a restore now starts the grace period that follows an outage; entries that are no newer than a known removal are dropped. The list carries the first position since the restore, so that each gateway crosses it once, whichever of the readers supplies it, logs it once, and gets the whole list from a peer if its own position is from before. Upstreams in their grace period at the peer are not in it: the receiver starts its own.

Gateways registered once and never again.

Run: go test -race on peering, follow, catalog, platform and gateway.

--- a/declaration.go
+++ b/declaration.go
@@ -34,10 +34,10 @@
 type UpstreamChanges struct {
 	// Whole means that Present is the complete list.
 	Whole bool
-	// Restored means that Whole is set because the source was restored from an
-	// earlier copy. Entries may be missing until their upstreams renew them, and
-	// entries of upstreams that are gone may be back.
-	Restored bool
+	// Restored is set in whole lists of a source that was restored from an earlier
+	// copy: it is the first position since. Entries may be missing until their
+	// upstreams renew them, and entries of upstreams that are gone may be back.
+	Restored Position
 	// Present lists the upstreams that were added or changed.
 	Present []Upstream
 	// Gone lists the upstreams whose entries were removed.
--- a/internal/coordination/peering/fixture_test.go
+++ b/internal/coordination/peering/fixture_test.go
@@ -254,13 +254,19 @@
 
 // list makes a gateway read a whole list of n engines from the source now.
 func (g *gateway) list(n int, position comfreyworks.Position, sequence uint64) {
-	changes := comfreyworks.UpstreamChanges{Whole: true, Next: position}
+	changes := comfreyworks.UpstreamChanges{Whole: true, Next: position, Present: engines(n, sequence)}
+	g.catalog.ApplyUpstreams(changes, g.options.Clock.Now())
+}
+
+// engines returns n live engines.
+func engines(n int, sequence uint64) []comfreyworks.Upstream {
+	var list []comfreyworks.Upstream
 	for i := range n {
-		changes.Present = append(changes.Present, comfreyworks.Upstream{
+		list = append(list, comfreyworks.Upstream{
 			ID: comfreyworks.InstanceID(fmt.Sprint("e", i)), Pool: pool, State: comfreyworks.InstanceLive, Sequence: sequence,
 		})
 	}
-	g.catalog.ApplyUpstreams(changes, g.options.Clock.Now())
+	return list
 }
 
 func (n *network) assertRouting(t *testing.T, i int, version comfreyworks.ConfigRevision, age time.Duration) {
--- a/internal/coordination/peering/registry.go
+++ b/internal/coordination/peering/registry.go
@@ -32,7 +32,8 @@
 )
 
 // pollRegistry registers this gateway while it is a relay and looks for gateways
-// that it does not know, until ctx ends. Leaves learn of other gateways from their
+// that it does not know, until ctx ends. It registers again if it is no longer
+// listed, because the registry was restored from an earlier copy. Leaves learn of other gateways from their
 // relay and use the registry only while no peer is reachable.
 func (p *Peering) pollRegistry(ctx context.Context) error {
 	registered := false
@@ -49,7 +50,7 @@
 		}
 		isolated := p.isolated()
 		if now := p.options.Clock.Now(); (relay || isolated) && !now.Before(nextRead) {
-			p.readRegistry(ctx)
+			registered = p.readRegistry(ctx) && registered
 			nextRead = now.Add(registryInterval)
 			if isolated {
 				nextRead = now.Add(isolatedRegistryInterval)
@@ -71,14 +72,15 @@
 }
 
 // readRegistry adds registered gateways that are not yet known to the addresses to
-// call, each gateway other ones first.
-func (p *Peering) readRegistry(ctx context.Context) {
+// call, each gateway other ones first. It returns false if this gateway is known
+// not to be registered.
+func (p *Peering) readRegistry(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	registered, err := p.options.Registry.Registered(ctx)
 	if err != nil {
 		p.options.Logger.Debug("failed to read gateway registry", zap.Error(err))
-		return
+		return true
 	}
 	key := rendezvous.Seed(string(p.options.Self.ID))
 	slices.SortFunc(registered, func(a, b comfreyworks.GatewayPeer) int {
@@ -87,8 +89,9 @@
 	until := p.options.Clock.Now().Add(contactTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	added := 0
+	added, listed := 0, false
 	for _, other := range registered {
+		listed = listed || other.Address == p.options.Self.Address
 		m := p.members.members[other.Address]
 		if other.Address == p.options.Self.Address || (m != nil && !m.Gone) || added == maxContacts {
 			continue
@@ -99,4 +102,5 @@
 		}
 	}
 	p.requestUpdate()
+	return listed
 }
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -101,11 +101,14 @@
 	// are now leaving. Lapsed lists those whose entries are missing after an
 	// outage and that are kept for a grace period.
 	Joined, Left, Lapsed []comfreyworks.InstanceID
+	// Restored means that the source was restored from an earlier copy since the
+	// list of upstreams was last read.
+	Restored bool
 }
 
 // Empty reports whether nothing changed.
 func (c *Change) Empty() bool {
-	return c.Routing == nil && len(c.Weights) == 0 && len(c.Joined) == 0 && len(c.Left) == 0 && len(c.Lapsed) == 0
+	return c.Routing == nil && len(c.Weights) == 0 && len(c.Joined) == 0 && len(c.Left) == 0 && len(c.Lapsed) == 0 && !c.Restored
 }
 
 // Log logs the change with the given fields, unless it is empty.
@@ -113,6 +116,9 @@
 	if c.Empty() {
 		return
 	}
+	if c.Restored {
+		logger.Warn("source was restored from an earlier copy", fields...)
+	}
 	if c.Routing != nil {
 		fields = append(fields, zap.Uint64("routing", uint64(c.Routing.Version())))
 	}
@@ -148,6 +154,9 @@
 	// removalsFrom are no longer listed.
 	removals     []removal
 	removalsFrom comfreyworks.Position
+	// restoredAt is the first position since the list was restored from an earlier
+	// copy, or zero.
+	restoredAt comfreyworks.Position
 	// graceEnd is the time until which live upstreams are kept although their
 	// entries are missing.
 	graceEnd time.Time
@@ -165,6 +174,9 @@
 type removal struct {
 	id comfreyworks.InstanceID
 	at comfreyworks.Position
+	// started and sequence are those of the last entry.
+	started  time.Time
+	sequence uint64
 }
 
 // entry is an upstream with its grace period.
@@ -327,6 +339,7 @@
 	if !c.listed.ConfirmedAt.IsZero() && readAt.Sub(c.listed.ConfirmedAt) > outageThreshold {
 		c.graceEnd = now.Add(lapsedGracePeriod)
 	}
+	c.crossRestore(&changes, now, &change)
 	c.listed.Position = changes.Next
 	if readAt.After(c.listed.ConfirmedAt) {
 		c.listed.ConfirmedAt = readAt
@@ -429,8 +442,9 @@
 
 // delete deletes an upstream and remembers at which position it was removed.
 func (c *Catalog) delete(id comfreyworks.InstanceID, at comfreyworks.Position) {
+	last := c.entries[id].upstream
 	delete(c.entries, id)
-	c.removals = append(c.removals, removal{id, at})
+	c.removals = append(c.removals, removal{id, at, last.Started, last.Sequence})
 	if excess := len(c.removals) - maxRemovals; excess > 0 {
 		c.removalsFrom = max(c.removalsFrom, c.removals[excess-1].at)
 		c.removals = slices.Clone(c.removals[excess:])
--- a/internal/state/catalog/changes.go
+++ b/internal/state/catalog/changes.go
@@ -22,15 +22,21 @@
 
 // UpstreamsAfter returns the changes of the list of upstreams after a position.
 // Entries in which only the sequence number changed are left out. The result is
-// the whole list if the position is zero or if removals after it are no longer
-// known.
+// the whole list if the position is zero, if the list was restored since, or if
+// removals after it are no longer known. Upstreams in their grace period are left
+// out for a receiver that has yet to start one.
 func (c *Catalog) UpstreamsAfter(after comfreyworks.Position) *comfreyworks.UpstreamChanges {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changes := &comfreyworks.UpstreamChanges{
-		Whole: after == 0 || after < c.removalsFrom, Next: c.listed.Position,
+	changes := &comfreyworks.UpstreamChanges{Next: c.listed.Position}
+	restored := after < c.restoredAt
+	if after == 0 || after < c.removalsFrom || restored {
+		changes.Whole, changes.Restored = true, c.restoredAt
 	}
 	for _, e := range c.entries {
+		if restored && after > 0 && !e.removeAt.IsZero() {
+			continue
+		}
 		if changes.Whole || e.changedAt > after {
 			changes.Present = append(changes.Present, e.upstream)
 		}
