Restore the store from copies in the soak

Operators declare the newest configuration and weights again at once, replicas renew their entries at their heartbeat.

--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -80,8 +80,10 @@
 	Gateways []*Gateway
 	Replicas []*Replica
 
-	mu          sync.Mutex
-	deployment  standin.Deployment
+	mu         sync.Mutex
+	deployment standin.Deployment
+	// weights is the newest declared version of the model's weights.
+	weights     uint64
 	group       errgroup.Group
 	stopping    chan struct{}
 	storeServer *http.Server
@@ -106,8 +108,7 @@
 	f := &Fleet{Store: standin.NewStore(), stopping: make(chan struct{})}
 	f.deployment = deployment()
 	f.putConfig()
-	key, record := standin.Weights(Model, 1)
-	f.Store.Put(standin.OperatorTopic, key, record)
+	f.DeclareWeights(1)
 	server, storeAddress, err := f.serveOnLoopback(f.Store)
 	if err != nil {
 		return nil, err
@@ -172,10 +173,27 @@
 
 // DeclareWeights declares a version of the model's weights.
 func (f *Fleet) DeclareWeights(version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.weights = max(f.weights, version)
+	f.putWeights(version)
+}
+
+func (f *Fleet) putWeights(version uint64) {
 	key, record := standin.Weights(Model, version)
 	f.Store.Put(standin.OperatorTopic, key, record)
 }
 
+// RestoreStore restores the store from a copy. Operators declare the current
+// deployment and weights again; replicas renew their entries at the next heartbeat.
+func (f *Fleet) RestoreStore(saved standin.Copy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Store.Restore(saved)
+	f.putConfig()
+	f.putWeights(f.weights)
+}
+
 // serveOnLoopback starts an HTTP server on a free loopback port.
 func (f *Fleet) serveOnLoopback(handler http.Handler) (*http.Server, netip.AddrPort, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -53,6 +53,9 @@
 	StoreResponseLoss Kind = "store-loses-answers"
 	// StoreCompaction drops superseded records from the store's topics.
 	StoreCompaction Kind = "store-compacts"
+	// StoreRestored restores the store at the end of the event from a copy made at its
+	// start.
+	StoreRestored Kind = "store-restored"
 	// ReplicaUnlisted removes a replica from the list of upstreams.
 	ReplicaUnlisted Kind = "entry-lapses"
 	// ReplicaDraining lists a replica as draining.
@@ -121,7 +124,8 @@
 
 // NewPlan generates a plan that starts events for the given length of time. Every
 // plan revokes the key of workspace guest; for even seeds all gateways are cut off
-// from the store at that time.
+// from the store at that time. Every plan restores the store from a copy once, for
+// some seeds again soon afterwards.
 func NewPlan(seed uint64, length time.Duration, gateways, replicas int) *Plan {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	plan := &Plan{}
@@ -134,18 +138,28 @@
 		revocation.Start += 2 * minDuration
 	}
 	plan.Events = append(plan.Events, revocation)
+	restore := Event{Kind: StoreRestored, Start: time.Duration(rng.Int64N(int64(length))), Duration: randomDuration(rng)}
+	plan.Events = append(plan.Events, restore)
+	if seed%3 == 0 {
+		restore.Start += restore.Duration / 2
+		plan.Events = append(plan.Events, restore)
+	}
 	return plan
 }
 
 func randomEvent(rng *rand.Rand, at time.Duration, gateways, replicas int) Event {
 	return Event{
-		Kind: kinds[rng.IntN(len(kinds))], Start: at, Duration: minDuration + time.Duration(rng.Int64N(int64(maxDuration-minDuration))),
+		Kind: kinds[rng.IntN(len(kinds))], Start: at, Duration: randomDuration(rng),
 		Gateway: rng.IntN(gateways), Replica: rng.IntN(replicas),
 		Link:  proxy.Fault{Kind: linkFaults[rng.IntN(len(linkFaults))], Delay: time.Duration(rng.Int64N(int64(500 * time.Millisecond)))},
 		Fault: replicaFaults[rng.IntN(len(replicaFaults))], FailureRate: 0.1 + 0.6*rng.Float64(), Seed: rng.Uint64(),
 	}
 }
 
+func randomDuration(rng *rand.Rand) time.Duration {
+	return minDuration + time.Duration(rng.Int64N(int64(maxDuration-minDuration)))
+}
+
 // Execute injects the events at their times and returns after the last one has
 // ended, with the time at which the guest's key was revoked.
 func (p *Plan) Execute(f *fleet.Fleet) (revokedAt time.Time) {
@@ -246,6 +260,9 @@
 	case StoreSlow:
 		f.Store.SetFault(standin.Fault{Delay: e.Link.Delay})
 		return removeFault
+	case StoreRestored:
+		saved := f.Store.Copy()
+		return func() { f.RestoreStore(saved) }
 	case StoreResponseLoss:
 		f.Store.SetFault(standin.Fault{DropResponses: true})
 		return removeFault
