Lose declarations when the soak restores the store

With the few records that replicas rewrite within a second, a gateway that ignores the restore went unnoticed: its position was soon valid again. During the event operators now declare the deployment three times, so more of their records are lost than they write again.

--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -54,7 +54,8 @@
 	// StoreCompaction drops superseded records from the store's topics.
 	StoreCompaction Kind = "store-compacts"
 	// StoreRestored restores the store at the end of the event from a copy made at its
-	// start.
+	// start. Operators declare the deployment several times meanwhile, so that more of
+	// their records are lost than they write again.
 	StoreRestored Kind = "store-restored"
 	// ReplicaUnlisted removes a replica from the list of upstreams.
 	ReplicaUnlisted Kind = "entry-lapses"
@@ -84,6 +85,9 @@
 	// minDuration and maxDuration bound the duration of an event: from less than
 	// any timeout to more than the duration of the lease.
 	minDuration, maxDuration = 200 * time.Millisecond, 4 * time.Second
+	// lostDeclarations is the number of declarations that are lost when the store is
+	// restored.
+	lostDeclarations = 3
 	// partitionDuration is how long all gateways are cut off from the store when
 	// the guest's key is revoked: longer than the key may still be accepted.
 	partitionDuration = fleet.KeyRevocationBound + 2*time.Second
@@ -262,6 +266,9 @@
 		return removeFault
 	case StoreRestored:
 		saved := f.Store.Copy()
+		for range lostDeclarations {
+			f.RewriteConfig()
+		}
 		return func() { f.RestoreStore(saved) }
 	case StoreResponseLoss:
 		f.Store.SetFault(standin.Fault{DropResponses: true})
