Send nothing more to an upstream that says in an answer that it is leaving

What callers would see: requests sent to an upstream that has told a gateway that it is about to stop, and answers lost with it, until the list of upstreams says so too. While the store is unreachable that takes as long as the outage.

Cause: only the list was read. The header in answers was copied to the caller and otherwise ignored, by the exchange as well as by the client for orders, status and cache changes.

Change: HeaderNames.Advice reads the header from any answer: success, failure, stream, not run, an answer to another request. An answer of another upstream at the same address is left out. Exchanger, WeightsLoader and CacheSource pass it to the receiver in the context, so that errors carry it as well and no signature changes. The balancer keeps it for the incarnation (ID and start time) apart from its other observations: a later entry that shows the incarnation as live does not undo it, a later incarnation is not bound. From then on the upstream gets no request, retry, resumed stream, order or poll and is no import source. A pool that has no other upstream refuses at once; using it until the bound was left out, because requests on the way could then arrive after it. Gateways send the listed incarnations that leave with their state; one report is enough. A peer's report about an incarnation that is not listed is ignored, which bounds the memory and ends the exchange of a report once the entry is gone.

Tests: with the header ignored and nothing recorded, as before, TestLeaving, TestLeavingReported, TestLeavingReplica, TestLeavingInCacheChanges, TestLeavingInAnswers (both), TestLeavingEngine and TestLeavingReachesAll fail, for example "5 != 1" requests at a replica in nine kinds of answer, 4 orders to an engine, "g0" not knowing of e0. With the change they pass, TestLeaving* of the gateway five times in a row. Run with -race: the root package, balance, rollout, watch, forward, exchange, peering, gateway, platform and the stand-ins, and make lint.

--- a/exchange.go
+++ b/exchange.go
@@ -45,6 +45,8 @@
 	ImportFrom string
 	SaveTo     string
 	Priority   string
+	// Leaving is 1 in all answers of an upstream that is about to stop.
+	Leaving string
 	// Reserved lists further headers that callers may not set.
 	Reserved []string
 }
@@ -58,6 +60,7 @@
 		NotRun: "Comfrey-Not-Run", Target: "Comfrey-Target", Instance: "Comfrey-Instance",
 		ExpectedWeights: "Comfrey-Expected-Weights", Weights: "Comfrey-Weights",
 		CacheSalt: "Comfrey-Cache-Salt", ImportFrom: "Comfrey-Import-From", SaveTo: "Comfrey-Save-To", Priority: "Comfrey-Priority",
+		Leaving: "Comfrey-Leaving",
 	}
 }
 
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -26,6 +26,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"comfreyworks"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/holdings"
@@ -84,6 +86,8 @@
 	Policy comfreyworks.PlacementPolicy
 	Clock  comfreyworks.Clock
 	Zone   comfreyworks.Zone
+	// Logger logs what upstreams say about themselves; it may be nil.
+	Logger *zap.Logger
 	// SupersededWeights is how long superseded weights may generate answers; zero
 	// means without limit.
 	SupersededWeights time.Duration
@@ -159,6 +163,7 @@
 	// gateways is the number of gateways, including this one; zero means that it is
 	// not known yet.
 	gateways int
+	leaving  departures
 }
 
 // endpoint holds what this gateway has observed of one upstream itself.
@@ -190,11 +195,15 @@
 
 // New returns a balancer without any observations.
 func New(options Options) *Balancer {
+	if options.Logger == nil {
+		options.Logger = zap.NewNop()
+	}
 	return &Balancer{
 		options:   options,
 		endpoints: make(map[comfreyworks.InstanceID]*endpoint),
 		peers:     newPeerLoads(),
 		gateways:  1,
+		leaving:   make(departures),
 	}
 }
 
@@ -285,7 +294,7 @@
 // newCandidate returns the candidate for an upstream, or false if the upstream
 // must not receive the request.
 func (b *Balancer) newCandidate(upstream *comfreyworks.Upstream, query *Query, declared catalog.DeclaredWeights, now time.Time) (candidate, bool) {
-	if upstream.State != comfreyworks.InstanceLive || slices.Contains(query.Exclude, upstream.ID) {
+	if upstream.State != comfreyworks.InstanceLive || b.leaving.has(upstream) || slices.Contains(query.Exclude, upstream.ID) {
 		return candidate{}, false
 	}
 	e := b.endpoint(upstream, now)
@@ -394,6 +403,7 @@
 			delete(b.endpoints, id)
 		}
 	}
+	b.leaving.prune(b.options.Catalog, now)
 }
 
 // AnswerStarted records that the answer has started, which means that the engine
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -210,7 +210,7 @@
 	bestSameZone := false
 	for _, upstream := range b.options.Catalog.Upstreams(pool) {
 		n := cached[upstream.ID]
-		if n == 0 || n < best.cachedTokens || (n == best.cachedTokens && bestSameZone) || b.isAvoided(upstream.ID, now) {
+		if n == 0 || n < best.cachedTokens || (n == best.cachedTokens && bestSameZone) || b.isAvoided(upstream.ID, now) || b.leaving.has(&upstream) {
 			continue
 		}
 		best = importSource{address: upstream.Address, cachedTokens: n}
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -83,7 +83,7 @@
 func (a *attempt) exchange(ctx context.Context) (Outcome, attemptResult) {
 	defer func() { a.pick.Done(a.result) }()
 	a.runs++
-	response, err := a.options.Exchanger.Exchange(ctx, a.request.Message, a.attemptOptions())
+	response, err := a.options.Exchanger.Exchange(comfreyworks.WithAdvice(ctx, a.pick.Advise), a.request.Message, a.attemptOptions())
 	if err != nil {
 		return Outcome{}, a.classifyError(ctx, err)
 	}
--- a/internal/coordination/peering/exchange.go
+++ b/internal/coordination/peering/exchange.go
@@ -45,7 +45,10 @@
 func (p *Peering) request(to netip.AddrPort) comfreyworks.GatewayState {
 	declared, listed := p.options.Catalog.SourceStates()
 	starting := p.starting()
-	state := comfreyworks.GatewayState{Self: p.options.Self, Role: comfreyworks.PeerLeaf, Declared: declared.Position, Listed: listed.Position}
+	state := comfreyworks.GatewayState{
+		Self: p.options.Self, Role: comfreyworks.PeerLeaf, Declared: declared.Position, Listed: listed.Position,
+		Leaving: p.options.Balancer.Leaving(),
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	state.WantsState = p.partners[to] ||
@@ -134,7 +137,10 @@
 
 // reply returns the state that this gateway sends in reply to a peer's request.
 func (p *Peering) reply(to *comfreyworks.GatewayState, declared, listed catalog.SourceState) comfreyworks.GatewayState {
-	state := comfreyworks.GatewayState{Self: p.options.Self, Role: comfreyworks.PeerLeaf, Declared: declared.Position, Listed: listed.Position}
+	state := comfreyworks.GatewayState{
+		Self: p.options.Self, Role: comfreyworks.PeerLeaf, Declared: declared.Position, Listed: listed.Position,
+		Leaving: p.options.Balancer.Leaving(),
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.relay {
@@ -178,6 +184,7 @@
 		p.members.record(other, now.Add(-other.HeardAgo), now)
 	}
 	p.options.Saved.Merge(state.Saved, savedOrigin(state.Role))
+	p.options.Balancer.AddLeaving(m.ID, state.Leaving)
 }
 
 // savedOrigin returns the origin of saved sessions that a peer in the given role
@@ -209,6 +216,7 @@
 		p.members.confirm(m.Address, now)
 	}
 	p.options.Saved.Merge(state.Saved, savedsessions.Remote)
+	p.options.Balancer.AddLeaving(m.ID, state.Leaving)
 	m.savedSent = request.SavedList.Version
 	if m.savedKnown.Process != state.SavedList.Process {
 		// Another process answered than the one that got the earlier requests.
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +70,9 @@
 	retryDelay = 300 * time.Millisecond
 )
 
+// errLeaving means that a call was not made because the engine is leaving.
+var errLeaving = errors.New("engine is leaving")
+
 // Options configures a Rollout.
 type Options struct {
 	Self comfreyworks.InstanceID
@@ -196,7 +200,7 @@
 	engines := r.options.Catalog.Upstreams(pool)
 	var outdated []outdatedEngine
 	for i := range engines {
-		if engines[i].State != comfreyworks.InstanceLive {
+		if engines[i].State != comfreyworks.InstanceLive || r.options.Balancer.IsLeaving(&engines[i]) {
 			continue
 		}
 		if serving := r.options.Balancer.Weights(&engines[i], model); serving < revision {
@@ -216,6 +220,7 @@
 // until the engine serves the weights. All gateways are notified before and
 // after.
 func (r *Rollout) loadWeights(ctx context.Context, order comfreyworks.WeightsLoadOrder) {
+	ctx = comfreyworks.WithAdvice(ctx, func(advice comfreyworks.UpstreamAdvice) { r.options.Balancer.Advise(&order.Upstream, advice) })
 	r.announce(order.FencingToken, comfreyworks.WeightsLoadNotice{Engine: order.Upstream.ID, Model: order.Model, For: maxNoticeTime})
 	r.drain(ctx, order.Upstream.ID)
 	r.awaitLoad(ctx, &order.Upstream)
@@ -311,6 +316,9 @@
 	if token, ok := r.lease.Held(); !ok || token != order.FencingToken {
 		return comfreyworks.LoadFenced, nil
 	}
+	if r.options.Balancer.IsLeaving(&order.Upstream) {
+		return "", errLeaving
+	}
 	r.options.Meter.Add("comfrey_load_orders_total", meter.Labels{}, 1)
 	now := r.options.Clock.Now()
 	r.lastOrderAt.Store(&now)
@@ -320,6 +328,9 @@
 }
 
 func (r *Rollout) status(ctx context.Context, engine comfreyworks.Upstream) (comfreyworks.EngineStatus, error) {
+	if r.options.Balancer.IsLeaving(&engine) {
+		return comfreyworks.EngineStatus{}, errLeaving
+	}
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	return r.options.Loader.Status(ctx, engine)
@@ -335,7 +346,10 @@
 			return true
 		}
 		status, err := r.status(ctx, order.Upstream)
-		if err == nil && status.Weights[order.Model] >= order.Weights {
+		switch {
+		case errors.Is(err, errLeaving):
+			return false
+		case err == nil && status.Weights[order.Model] >= order.Weights:
 			return true
 		}
 	}
--- a/internal/coordination/rollout/rollout_test.go
+++ b/internal/coordination/rollout/rollout_test.go
@@ -39,12 +39,15 @@
 	// they are appended to delayed.
 	loseAnswers, delayOrders int
 	delayed                  []comfreyworks.WeightsLoadOrder
+	// statusAdvice and orderAdvice are in the answers to status requests and orders.
+	statusAdvice, orderAdvice comfreyworks.UpstreamAdvice
 }
 
 var errNoAnswer = errors.New("no answer")
 
 // Load implements comfreyworks.WeightsLoader.
-func (e *fakeEngines) Load(_ context.Context, order comfreyworks.WeightsLoadOrder) (comfreyworks.WeightsLoadResult, error) {
+func (e *fakeEngines) Load(ctx context.Context, order comfreyworks.WeightsLoadOrder) (comfreyworks.WeightsLoadResult, error) {
+	comfreyworks.ReportAdvice(ctx, e.orderAdvice)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders = append(e.orders, order)
@@ -78,7 +81,8 @@
 }
 
 // Status implements comfreyworks.WeightsLoader.
-func (e *fakeEngines) Status(_ context.Context, engine comfreyworks.Upstream) (comfreyworks.EngineStatus, error) {
+func (e *fakeEngines) Status(ctx context.Context, engine comfreyworks.Upstream) (comfreyworks.EngineStatus, error) {
+	comfreyworks.ReportAdvice(ctx, e.statusAdvice)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return comfreyworks.EngineStatus{
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -69,8 +69,11 @@
 	// ReaderCount returns the number of gateways that read the same targets,
 	// including this one.
 	ReaderCount func() int
-	Clock       comfreyworks.Clock
-	Logger      *zap.Logger
+	// Advise returns the receiver of advice from a target, or nil. It is called
+	// before each poll; nil means that advice is ignored.
+	Advise func(Target) func(comfreyworks.UpstreamAdvice)
+	Clock  comfreyworks.Clock
+	Logger *zap.Logger
 }
 
 // Watcher reads the cache changes of a changing set of targets.
@@ -128,7 +131,7 @@
 	state := pollState{target: target.ID}
 	for ctx.Err() == nil {
 		wait, pause := pollSchedule(target.MaxReaders, int(w.readers.Load()))
-		pollCtx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
+		pollCtx, cancel := context.WithTimeout(w.withAdvice(ctx, target), wait+responseTimeout)
 		changes, err := w.options.Source.CacheChanges(pollCtx, target.Address, state.after, wait)
 		cancel()
 		if err != nil {
@@ -142,6 +145,17 @@
 	}
 }
 
+// withAdvice returns a context that passes on the advice of a target.
+func (w *Watcher) withAdvice(ctx context.Context, target Target) context.Context {
+	if w.options.Advise == nil {
+		return ctx
+	}
+	if receive := w.options.Advise(target); receive != nil {
+		return comfreyworks.WithAdvice(ctx, receive)
+	}
+	return ctx
+}
+
 // pollSchedule returns how long a poll waits for changes and the pause before the
 // next poll, so that the polls of all gateways together stay within the usable
 // share of the target's limit.
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -124,6 +124,7 @@
 		if conn != nil {
 			conn.setIdleTimeout(keepAliveTimeout(response.Header))
 		}
+		comfreyworks.ReportAdvice(ctx, c.options.Headers.Advice(response.StatusCode, response.Header))
 		return c.classify(request, response)
 	}
 }
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -84,7 +84,9 @@
 	options Options
 	mu      sync.Mutex
 	// weights is the version that an engine serves.
-	weights   uint64
+	weights uint64
+	// leaving is sent in all answers.
+	leaving   bool
 	faults    []Fault
 	faultFunc func() Fault
 	runs      []*Run
@@ -101,6 +103,22 @@
 	rep.weights = version
 }
 
+// SetLeaving sets whether the replica says in all answers that it is leaving.
+func (rep *Replica) SetLeaving(leaving bool) {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	rep.leaving = leaving
+}
+
+// setAdviceHeader adds to an answer what the replica says about itself.
+func (rep *Replica) setAdviceHeader(header http.Header) {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	if rep.leaving {
+		header.Set(rep.options.Headers.Leaving, "1")
+	}
+}
+
 // InjectFault injects a fault into each of the next n requests.
 func (rep *Replica) InjectFault(fault Fault, n int) {
 	rep.mu.Lock()
@@ -166,6 +184,7 @@
 		return
 	}
 	w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+	rep.setAdviceHeader(w.Header())
 	if status := rep.checkAddressing(w, r); status != 0 {
 		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(status)
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -145,7 +145,7 @@
 	g.balancer = balance.New(balance.Options{
 		Catalog: g.catalog, Holdings: g.holdings, Saved: saved,
 		Policy: placement.Comfrey{RecomputeWeight: placement.DefaultRecomputeWeight},
-		Clock:  options.Clock, Zone: options.Settings.Zone,
+		Clock:  options.Clock, Zone: options.Settings.Zone, Logger: options.Logger,
 		SupersededWeights: options.Settings.Bounds.SupersededWeights,
 	})
 	g.upstreamClient = exchange.NewClient(exchange.Options{
@@ -178,6 +178,7 @@
 		g.watcher = watch.New(watch.Options{
 			Source: options.Caches, Index: g.holdings, Targets: g.cacheTargets,
 			ReaderCount: func() int { return g.peering.Gateways() },
+			Advise:      g.adviceFrom,
 			Clock:       options.Clock, Logger: options.Logger,
 		})
 	}
@@ -205,7 +206,7 @@
 			continue
 		}
 		for _, upstream := range g.catalog.Upstreams(pool.Name) {
-			if upstream.State == comfreyworks.InstanceLive {
+			if upstream.State == comfreyworks.InstanceLive && !g.balancer.IsLeaving(&upstream) {
 				targets = append(targets, watch.Target{ID: upstream.ID, Address: upstream.Address, MaxReaders: pool.CacheReaders})
 			}
 		}
@@ -219,6 +220,16 @@
 	return targets
 }
 
+// adviceFrom returns the receiver of advice from an engine, or nil for a cache store
+// and for an engine that is no longer listed.
+func (g *Gateway) adviceFrom(target watch.Target) func(comfreyworks.UpstreamAdvice) {
+	upstream, ok := g.catalog.Upstream(target.ID)
+	if !ok || upstream.Address != target.Address {
+		return nil
+	}
+	return func(advice comfreyworks.UpstreamAdvice) { g.balancer.Advise(&upstream, advice) }
+}
+
 // retryLimit returns this gateway's share of the retry budget. The slack grows
 // from zero during the first window, because the process that this one replaces
 // may just have spent its share.
--- a/peering.go
+++ b/peering.go
@@ -86,6 +86,9 @@
 	// Loads are the loads of the sender and of the leaves that call it. In a reply
 	// to a leaf, they are the loads of all other gateways.
 	Loads []UpstreamLoad
+	// Leaving lists the listed upstreams that have said in an answer, to any
+	// gateway, that they are leaving.
+	Leaving []UpstreamIncarnation
 	// Declared and Listed are the positions up to which this gateway has read
 	// the DeclarationSource and the UpstreamSource.
 	Declared, Listed Position
