Send nothing to an upstream for the time that its 503 asks for

What callers would see: a replica that answers 503 with Retry-After goes on getting requests, as soon as 60 ms later; its answers count as failures, so that it is avoided beyond the time that it asked for. Callers of a pool whose replicas all ask for it are told to come back after 0.2 or 0.5 s, whatever the time is.

Cause: Retry-After of an upstream was never read.

Change: the advice in an answer with status 503 contains the time, at most 30 s; negative and unreadable values close nothing. Callers' requests, retries, resumed streams and imports go elsewhere until the latest end of all such answers; orders, status requests and polls of cache changes are not made either. It counts as closed: no failure, no avoidance, and what the engine has cached is not forgotten. Only this gateway is bound, so nothing is passed on, and a later incarnation is free. If all live upstreams of a pool are closed, the caller is refused at once with the time until the first one opens, rounded up to a millisecond. After the end one request at a time is sent until one is answered, then two, and so on up to 16, then any number; a 503 in between starts over. The observations of an endpoint moved to a file of their own.

Tests: with the header not read and nothing recorded, as before, TestRetryAfter, TestClosed, TestClosedEnds, TestOpensIn, TestClosedReplicas, TestClosedCacheTarget, TestClosedEngine, TestClosedTarget and the cases with 503 of TestAdviceInAnswers fail, for example "6 != 1" requests at a replica, 6 failures counted, 4 orders to an engine. With the change they pass. Run with -race: the root package, balance, rollout, watch, forward, exchange, gateway, platform; make lint.

TestLeavingInAnswers of the platform is now TestAdviceInAnswers and checks more.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -190,6 +190,7 @@
 	weights    map[comfreyworks.Model]comfreyworks.WeightsRevision
 	// noticeSequence is the sequence number of the last notice about the upstream.
 	noticeSequence uint64
+	closure        closure
 	seenAt         time.Time
 }
 
@@ -239,6 +240,9 @@
 	// session is the key of the session in the record of saved sessions; zero if it
 	// is not used.
 	session uint32
+	// trial means that the request is one of those that the closure counts.
+	// turnedAway means that the upstream closed itself in its answer.
+	trial, turnedAway bool
 }
 
 // Pick chooses an upstream and adds the request to its load. It returns nil if
@@ -288,6 +292,7 @@
 		Upstream: *c.upstream, Weights: c.weights, Candidates: candidates, CachedTokens: c.cachedTokens,
 		Wait:     c.wait(),
 		balancer: b, endpoint: c.endpoint, query: query, prefillTokens: prefillTokens,
+		trial: c.endpoint.closure.start(),
 	}
 }
 
@@ -307,7 +312,7 @@
 		avoided:     now.Before(e.avoidUntil) || (peerLoad.Unreachable >= minUnreachableReports && now.Sub(e.answeredAt) > reportedUnreachableAfter),
 		full:        now.Before(e.fullUntil) || now.Before(e.loadingUntil),
 	}
-	if c.avoided && e.unreachable {
+	if !e.closure.admits(now) || (c.avoided && e.unreachable) {
 		return candidate{}, false
 	}
 	c.score = rendezvous.Score(e.seed, query.AffinityKey)
@@ -412,6 +417,7 @@
 	p.balancer.mu.Lock()
 	p.endpoint.backlog.AddTokens(p.query.Priority, -p.prefillTokens)
 	p.prefillTokens = 0
+	p.endTrial(p.balancer.options.Clock.Now(), true)
 	p.balancer.mu.Unlock()
 	if p.query.Model == "" {
 		return
@@ -441,6 +447,10 @@
 	if result.Weights != 0 && p.query.Model != "" {
 		e.weights[p.query.Model] = max(e.weights[p.query.Model], result.Weights)
 	}
+	p.endTrial(now, result.Outcome == Answered)
+	if p.turnedAway {
+		return
+	}
 	switch result.Outcome {
 	case Answered:
 		e.failures = 0
@@ -469,28 +479,3 @@
 	case Withdrawn:
 	}
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-func (e *endpoint) updateLatency(elapsed time.Duration) {
-	if e.latency == 0 {
-		e.latency = elapsed
-		return
-	}
-	e.latency += time.Duration(latencyWeight * float64(elapsed-e.latency))
-}
-
-// recordFailure counts a failure. Once there are threshold consecutive failures,
-// the upstream is avoided.
-func (e *endpoint) recordFailure(now time.Time, threshold int) {
-	e.failures++
-	if e.failures < threshold {
-		return
-	}
-	e.avoidUntil = now.Add(min(baseAvoidTime<<min(e.failures-threshold, 10), maxAvoidTime))
-}
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -244,9 +244,11 @@
 	return store.Address
 }
 
+// isAvoided reports whether nothing is to be imported from an upstream because it
+// has failed or is closed.
 func (b *Balancer) isAvoided(id comfreyworks.InstanceID, now time.Time) bool {
 	e, ok := b.endpoints[id]
-	return ok && now.Before(e.avoidUntil)
+	return ok && (now.Before(e.avoidUntil) || e.closure.closed(now))
 }
 
 // policyCandidates converts the candidates for the placement policy.
--- a/internal/coordination/balance/leaving.go
+++ b/internal/coordination/balance/leaving.go
@@ -53,19 +53,6 @@
 	}
 }
 
-// Advise applies the advice of an incarnation of an upstream.
-func (b *Balancer) Advise(upstream *comfreyworks.Upstream, advice comfreyworks.UpstreamAdvice) {
-	now := b.options.Clock.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if advice.Leaving && b.leaving.add(upstream.Incarnation(), now) {
-		b.options.Logger.Info("upstream says that it is leaving", zap.String("upstream", string(upstream.ID)), zap.Time("started", upstream.Started))
-	}
-}
-
-// Advise applies the advice in an answer of the chosen upstream.
-func (p *Pick) Advise(advice comfreyworks.UpstreamAdvice) { p.balancer.Advise(&p.Upstream, advice) }
-
 // IsLeaving reports whether an incarnation of an upstream has said, to this or
 // another gateway, that it is leaving.
 func (b *Balancer) IsLeaving(upstream *comfreyworks.Upstream) bool {
--- a/internal/coordination/balance/leaving_test.go
+++ b/internal/coordination/balance/leaving_test.go
@@ -25,6 +25,15 @@
 	f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Whole: true, Present: present, Next: position}, f.clock.Now())
 }
 
+// giveAddresses lists the upstreams anew with an address for each.
+func (f *fixture) giveAddresses() {
+	port := uint16(0)
+	f.changeListed(2, func(u *comfreyworks.Upstream) {
+		port++
+		u.Address = netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port)
+	})
+}
+
 // leave lets the upstream with an ID say in an answer that it is leaving.
 func (f *fixture) leave(t *testing.T, id comfreyworks.InstanceID) {
 	t.Helper()
@@ -54,11 +63,7 @@
 	})
 	t.Run("an engine gets no further prompts and is no import source", func(t *testing.T) {
 		f := newFixture(3)
-		port := uint16(0)
-		f.changeListed(2, func(u *comfreyworks.Upstream) {
-			port++
-			u.Address = netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port)
-		})
+		f.giveAddresses()
 		engine := f.serve(t, promptQuery("guide", "site")).Upstream
 		f.leave(t, engine.ID)
 		f.expectNever(t, engine.ID, promptQuery("guide", "site"))
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -267,12 +267,21 @@
 	case after == attemptRejected && r.runs == 0:
 		return Outcome{Verdict: Refused}
 	case (after == attemptNotRun || after == attemptNotSent) && r.runs == 0:
-		return Outcome{Verdict: Refused, RetryAfter: retryAfterBusy}
+		return Outcome{Verdict: Refused, RetryAfter: r.retryAfter(retryAfterBusy)}
 	default:
 		return Outcome{Verdict: Failed}
 	}
 }
 
+// retryAfter returns when the first upstream of the pool opens again if all are
+// closed, and otherwise the given time.
+func (r *activeRequest) retryAfter(otherwise time.Duration) time.Duration {
+	if opens, ok := r.options.Balancer.OpensIn(r.request.Pool); ok {
+		return opens
+	}
+	return otherwise
+}
+
 // outcomeOnCancel returns the outcome if the caller disconnected or the deadline
 // has passed.
 func (r *activeRequest) outcomeOnCancel(cause error) Outcome {
@@ -311,7 +320,7 @@
 		if r.runs > 0 || r.headerWritten {
 			return r.outcomeWithoutRetry(attemptLost), attemptDone
 		}
-		return Outcome{Verdict: Refused, RetryAfter: retryAfterNoUpstream}, attemptDone
+		return Outcome{Verdict: Refused, RetryAfter: r.retryAfter(retryAfterNoUpstream)}, attemptDone
 	}
 	if r.refusedByAdmission(pick) {
 		pick.Done(balance.Result{Outcome: balance.Withdrawn})
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -70,8 +70,11 @@
 	retryDelay = 300 * time.Millisecond
 )
 
-// errLeaving means that a call was not made because the engine is leaving.
-var errLeaving = errors.New("engine is leaving")
+// Reasons for which a call to an engine is not made.
+var (
+	errLeaving = errors.New("engine is leaving")
+	errClosed  = errors.New("engine wants no requests for some time")
+)
 
 // Options configures a Rollout.
 type Options struct {
@@ -200,7 +203,7 @@
 	engines := r.options.Catalog.Upstreams(pool)
 	var outdated []outdatedEngine
 	for i := range engines {
-		if engines[i].State != comfreyworks.InstanceLive || r.options.Balancer.IsLeaving(&engines[i]) {
+		if engines[i].State != comfreyworks.InstanceLive || r.availability(&engines[i]) != nil {
 			continue
 		}
 		if serving := r.options.Balancer.Weights(&engines[i], model); serving < revision {
@@ -310,14 +313,26 @@
 	return result, err
 }
 
+// availability returns errLeaving or errClosed if no calls may be made to an engine.
+func (r *Rollout) availability(engine *comfreyworks.Upstream) error {
+	switch {
+	case r.options.Balancer.IsLeaving(engine):
+		return errLeaving
+	case r.options.Balancer.ClosedFor(engine) > 0:
+		return errClosed
+	default:
+		return nil
+	}
+}
+
 // sendOrder sends an order once, unless this gateway no longer holds the lease
 // under which the order was created.
 func (r *Rollout) sendOrder(ctx context.Context, order comfreyworks.WeightsLoadOrder) (comfreyworks.WeightsLoadResult, error) {
 	if token, ok := r.lease.Held(); !ok || token != order.FencingToken {
 		return comfreyworks.LoadFenced, nil
 	}
-	if r.options.Balancer.IsLeaving(&order.Upstream) {
-		return "", errLeaving
+	if err := r.availability(&order.Upstream); err != nil {
+		return "", err
 	}
 	r.options.Meter.Add("comfrey_load_orders_total", meter.Labels{}, 1)
 	now := r.options.Clock.Now()
@@ -328,8 +343,8 @@
 }
 
 func (r *Rollout) status(ctx context.Context, engine comfreyworks.Upstream) (comfreyworks.EngineStatus, error) {
-	if r.options.Balancer.IsLeaving(&engine) {
-		return comfreyworks.EngineStatus{}, errLeaving
+	if err := r.availability(&engine); err != nil {
+		return comfreyworks.EngineStatus{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
--- a/internal/coordination/rollout/rollout_test.go
+++ b/internal/coordination/rollout/rollout_test.go
@@ -41,6 +41,7 @@
 	delayed                  []comfreyworks.WeightsLoadOrder
 	// statusAdvice and orderAdvice are in the answers to status requests and orders.
 	statusAdvice, orderAdvice comfreyworks.UpstreamAdvice
+	statusRequests            int
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -85,6 +86,7 @@
 	comfreyworks.ReportAdvice(ctx, e.statusAdvice)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.statusRequests++
 	return comfreyworks.EngineStatus{
 		Weights:        map[comfreyworks.Model]comfreyworks.WeightsRevision{model: e.weights[engine.ID]},
 		AcceptedOrders: e.accepted[engine.ID],
--- a/internal/coordination/watch/advice_test.go
+++ b/internal/coordination/watch/advice_test.go
@@ -59,3 +59,45 @@
 		})
 	}
 }
+
+// TestClosedTarget guards against polls of an engine or a cache store that wants no
+// requests for some time, and against taking it for one that is down.
+func TestClosedTarget(t *testing.T) {
+	const closedFor = 4 * time.Second
+	clock := clockwork.NewFakeClock()
+	engine := &advisingEngine{
+		advice: comfreyworks.UpstreamAdvice{ClosedFor: closedFor}, err: context.DeadlineExceeded, polled: make(chan struct{}),
+	}
+	index := holdings.New()
+	index.Add("store/keep", holdings.Part{Salt: "s", Model: "oak", ID: "a", Tokens: 800})
+	otherClosed := time.Duration(0)
+	w := New(Options{
+		Source: engine, Index: index, ReaderCount: oneReader, Clock: clock, Logger: zap.NewNop(),
+		ClosedFor: func(Target) time.Duration { return otherClosed },
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		w.poll(ctx, Target{ID: "store/keep"})
+		return nil
+	})
+	for range 2 * maxFailures {
+		<-engine.polled
+		assert.NilError(t, clock.BlockUntilContext(ctx, 1))
+		clock.Advance(closedFor - time.Millisecond)
+		select {
+		case <-engine.polled:
+			t.Fatal("polled while it was closed")
+		case <-time.After(20 * time.Millisecond):
+		}
+		assert.Equal(t, index.PrefixTokens("s", "oak", []comfreyworks.PromptPart{{ID: "a", Tokens: 800}})["store/keep"], 800)
+		clock.Advance(time.Millisecond)
+	}
+	<-engine.polled
+	stop()
+	assert.NilError(t, group.Wait())
+	t.Run("closed because of another call", func(t *testing.T) {
+		otherClosed = time.Second
+		assert.Equal(t, w.closedFor(Target{ID: "e0"}, &pollState{}), otherClosed)
+	})
+}
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -72,8 +72,11 @@
 	// Advise returns the receiver of advice from a target, or nil. It is called
 	// before each poll; nil means that advice is ignored.
 	Advise func(Target) func(comfreyworks.UpstreamAdvice)
-	Clock  comfreyworks.Clock
-	Logger *zap.Logger
+	// ClosedFor returns how much longer a target wants no requests from this gateway,
+	// as far as other calls have shown. Nil means that there are no other calls.
+	ClosedFor func(Target) time.Duration
+	Clock     comfreyworks.Clock
+	Logger    *zap.Logger
 }
 
 // Watcher reads the cache changes of a changing set of targets.
@@ -130,32 +133,28 @@
 	defer w.options.Index.RemoveEngine(target.ID)
 	state := pollState{target: target.ID}
 	for ctx.Err() == nil {
+		if closed := w.closedFor(target, &state); closed > 0 {
+			comfreyworks.Sleep(ctx, w.options.Clock, closed)
+			continue
+		}
 		wait, pause := pollSchedule(target.MaxReaders, int(w.readers.Load()))
-		pollCtx, cancel := context.WithTimeout(w.withAdvice(ctx, target), wait+responseTimeout)
+		pollCtx, cancel := context.WithTimeout(w.withAdvice(ctx, target, &state), wait+responseTimeout)
 		changes, err := w.options.Source.CacheChanges(pollCtx, target.Address, state.after, wait)
 		cancel()
-		if err != nil {
+		switch {
+		case err != nil && w.closedFor(target, &state) > 0:
+			continue
+		case err != nil:
 			w.options.Logger.Debug("failed to read cache changes", zap.String("engine", string(target.ID)), zap.Error(err))
 			pause = backoff(state.failures)
 			w.recordFailure(&state)
-		} else {
+		default:
 			w.apply(&state, &changes)
 		}
 		comfreyworks.Sleep(ctx, w.options.Clock, pause)
 	}
 }
 
-// withAdvice returns a context that passes on the advice of a target.
-func (w *Watcher) withAdvice(ctx context.Context, target Target) context.Context {
-	if w.options.Advise == nil {
-		return ctx
-	}
-	if receive := w.options.Advise(target); receive != nil {
-		return comfreyworks.WithAdvice(ctx, receive)
-	}
-	return ctx
-}
-
 // pollSchedule returns how long a poll waits for changes and the pause before the
 // next poll, so that the polls of all gateways together stay within the usable
 // share of the target's limit.
@@ -184,6 +183,8 @@
 	target             comfreyworks.InstanceID
 	after, incarnation uint64
 	failures           int
+	// closedUntil is the time until which the target wants no polls.
+	closedUntil time.Time
 }
 
 // recordFailure counts a failed poll. The cache of a target that is down cannot be
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -30,6 +30,8 @@
 const (
 	// FaultBusy rejects the request with status 503, marked as not run.
 	FaultBusy Fault = "busy"
+	// FaultUnavailable runs the request and responds with status 503.
+	FaultUnavailable Fault = "unavailable"
 	// FaultError responds with status 500.
 	FaultError Fault = "error"
 	// FaultReset aborts the connection before the header of the response.
@@ -86,11 +88,13 @@
 	// weights is the version that an engine serves.
 	weights uint64
 	// leaving is sent in all answers.
-	leaving   bool
-	faults    []Fault
-	faultFunc func() Fault
-	runs      []*Run
-	arrivals  []Arrival
+	leaving bool
+	// retryAfter is sent in answers with status 503 unless it is empty.
+	retryAfter string
+	faults     []Fault
+	faultFunc  func() Fault
+	runs       []*Run
+	arrivals   []Arrival
 }
 
 // New returns a replica that serves version 1 of the weights.
@@ -119,6 +123,22 @@
 	}
 }
 
+// SetRetryAfter sets the Retry-After header of answers with status 503; empty means
+// none.
+func (rep *Replica) SetRetryAfter(text string) {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	rep.retryAfter = text
+}
+
+func (rep *Replica) setRetryAfter(header http.Header) {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	if rep.retryAfter != "" {
+		header.Set("Retry-After", rep.retryAfter)
+	}
+}
+
 // InjectFault injects a fault into each of the next n requests.
 func (rep *Replica) InjectFault(fault Fault, n int) {
 	rep.mu.Lock()
@@ -192,6 +212,7 @@
 	}
 	fault := rep.nextFault()
 	if fault == FaultBusy {
+		rep.setRetryAfter(w.Header())
 		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -201,6 +222,9 @@
 		w.Header().Set(names.Digest, "digest-"+string(rep.options.ID))
 	}
 	switch fault {
+	case FaultUnavailable:
+		rep.setRetryAfter(w.Header())
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
 	case FaultError:
 		http.Error(w, "failed", http.StatusInternalServerError)
 	case FaultReset:
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -178,8 +178,8 @@
 		g.watcher = watch.New(watch.Options{
 			Source: options.Caches, Index: g.holdings, Targets: g.cacheTargets,
 			ReaderCount: func() int { return g.peering.Gateways() },
-			Advise:      g.adviceFrom,
-			Clock:       options.Clock, Logger: options.Logger,
+			Advise:      g.adviceFrom, ClosedFor: g.closedFor,
+			Clock: options.Clock, Logger: options.Logger,
 		})
 	}
 	if options.Leases != nil && options.Loader != nil {
@@ -230,6 +230,15 @@
 	return func(advice comfreyworks.UpstreamAdvice) { g.balancer.Advise(&upstream, advice) }
 }
 
+// closedFor returns how much longer an engine wants no requests from this gateway.
+func (g *Gateway) closedFor(target watch.Target) time.Duration {
+	upstream, ok := g.catalog.Upstream(target.ID)
+	if !ok {
+		return 0
+	}
+	return g.balancer.ClosedFor(&upstream)
+}
+
 // retryLimit returns this gateway's share of the retry budget. The slack grows
 // from zero during the first window, because the process that this one replaces
 // may just have spent its share.
