Let replicas of the soak leave and close, and check that gateways respect it

A replica says in all answers that it is leaving, while it is listed as ready, and is then restarted at the same address; or it turns all requests away with 503 and Retry-After. Engines answer status requests, orders and reads of cache events likewise. The events are drawn from the seed apart from the others, so that the plans of earlier seeds keep theirs.

Checked: after a gateway has passed on that a replica is leaving, no request that a caller sends more than 2 s later reaches that incarnation from it; between 0.5 s after a request was turned away and the time that the replica named, at most two requests reach it from that gateway. Stopped and paused gateways and disturbed links are excused. Calls of gateways of their own are not attributed to a gateway and not checked.

Two mutants were added.

--- a/cmd/soak/internal/check/check.go
+++ b/cmd/soak/internal/check/check.go
@@ -55,6 +55,12 @@
 	// GracefulStop: a process that is told to stop completes the requests that it
 	// has forwarded.
 	GracefulStop Rule = "stop"
+	// Departure: a gateway that has passed on an answer in which a replica says that it
+	// is leaving sends it no requests after the bound.
+	Departure Rule = "departure"
+	// Closure: a gateway that a replica has turned away sends it nothing until the time
+	// that the replica named.
+	Closure Rule = "closure"
 	// ProcessHealth: processes neither exit by themselves nor panic.
 	ProcessHealth Rule = "process"
 	// Recovery: after the last fault has ended, every gateway serves again.
@@ -103,6 +109,9 @@
 	// RevokedAt is when the guest's key was revoked; zero means never.
 	RevokedAt   time.Time
 	StopWindows []StopWindow
+	// Replicas holds what replicas have said about themselves.
+	Replicas     []Replica
+	Disturbances []Disturbance
 }
 
 // Violations returns every violation found in the observations.
@@ -127,6 +136,9 @@
 	for _, window := range observed.StopWindows {
 		c.checkStop(window)
 	}
+	for i := range observed.Replicas {
+		c.checkAdvice(i)
+	}
 	return c.violations
 }
 
--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -49,6 +49,9 @@
 	// LeaseDuration is how long the lease for sending orders to engines lasts
 	// unless its holder renews it.
 	LeaseDuration = 3 * time.Second
+	// DepartureBound is how long a gateway may send requests to a replica after it has
+	// passed on an answer in which the replica says that it is leaving.
+	DepartureBound = 2 * time.Second
 
 	// supersededWeightsBound is how long superseded weights may still generate
 	// answers.
@@ -99,6 +102,8 @@
 	entry    standin.Entry
 	unlisted bool
 	server   *http.Server
+	// starts are the times at which the incarnations of the replica started.
+	starts []time.Time
 }
 
 // Start starts the store, the replicas and the gateways.
@@ -200,7 +205,7 @@
 	r.Replica = replica.New(options)
 	var handler http.Handler = r.Replica
 	if r.Pool == EnginePool {
-		r.Engine = &standin.Engine{Requests: r.Replica, OnLoad: r.SetWeights, Model: Model}
+		r.Engine = &standin.Engine{Requests: r.Replica, OnLoad: r.SetWeights, Model: Model, SetHeader: r.SetAdviceHeader, ClosedFor: r.ClosedFor}
 		handler = r.Engine
 	}
 	server, address, err := f.serveOnLoopback(handler)
@@ -214,6 +219,7 @@
 	r.entry = standin.Entry{
 		Service: r.Pool, Zone: fmt.Sprint("z", i%2), Address: r.Link.Address(), Started: time.Now(), Version: 1,
 	}
+	r.starts = []time.Time{r.entry.Started}
 	if r.Pool == EnginePool {
 		r.entry.Model = Model
 	}
@@ -246,6 +252,25 @@
 	f.putEntry(r)
 }
 
+// Restart replaces a replica by a new incarnation at the same address, which is not
+// leaving. What the replica serves and has recorded stays.
+func (f *Fleet) Restart(r *Replica) {
+	r.SetLeaving(false)
+	r.mu.Lock()
+	r.entry.Started, r.entry.Sequence = time.Now(), 0
+	r.starts = append(r.starts, r.entry.Started)
+	r.mu.Unlock()
+	f.putEntry(r)
+}
+
+// Starts returns the times at which the incarnations of the replica started, the
+// first one first.
+func (r *Replica) Starts() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.starts...)
+}
+
 // SetUnlisted removes a replica's entry from the list of upstreams or adds it
 // again.
 func (f *Fleet) SetUnlisted(r *Replica, unlisted bool) {
--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -45,6 +45,14 @@
 		"restarts broken streams from the first event", "internal/coordination/forward/stream.go",
 		"a.lastEventID = id", "_ = id",
 	},
+	{
+		"sends requests to upstreams that say that they are leaving", "internal/coordination/balance/leaving.go",
+		"return ok && known.started.Equal(upstream.Started)", "return ok && known.started.After(upstream.Started)",
+	},
+	{
+		"sends requests to upstreams that want none for some time", "internal/coordination/balance/closed.go",
+		"return now.Before(c.until)", "return now.IsZero()",
+	},
 }
 
 // Build builds the mutant from the source tree at root and returns the path of the
--- a/cmd/soak/internal/series/series.go
+++ b/cmd/soak/internal/series/series.go
@@ -106,6 +106,7 @@
 		})
 	}
 	plan := trouble.NewPlan(s.options.Seed, s.options.Length, len(s.fleet.Gateways), len(s.fleet.Replicas))
+	startedAt := time.Now()
 	revokedAt := plan.Execute(s.fleet)
 	if err := s.fleet.Restore(); err != nil {
 		return nil, err
@@ -114,7 +115,7 @@
 	stopWindow := s.stopOneGateway()
 	stop()
 	_ = group.Wait()
-	return s.evaluate(plan, revokedAt, notServing, stopWindow), nil
+	return s.evaluate(plan, startedAt, revokedAt, notServing, stopWindow), nil
 }
 
 // stopOneGateway tells one gateway to stop while no faults are injected and the
@@ -151,8 +152,11 @@
 	return ""
 }
 
-func (s *soak) evaluate(plan *trouble.Plan, revokedAt time.Time, notServing string, stopWindow check.StopWindow) *Result {
-	observed := &check.Observations{RevokedAt: revokedAt, StopWindows: []check.StopWindow{stopWindow}, Orders: make(map[string][]standin.Order), Arrivals: make(map[string][]time.Time)}
+func (s *soak) evaluate(plan *trouble.Plan, startedAt, revokedAt time.Time, notServing string, stopWindow check.StopWindow) *Result {
+	observed := &check.Observations{
+		RevokedAt: revokedAt, StopWindows: []check.StopWindow{stopWindow}, Disturbances: plan.Disturbances(startedAt),
+		Orders: make(map[string][]standin.Order), Arrivals: make(map[string][]time.Time),
+	}
 	for _, c := range append(s.callers, s.probes...) {
 		observed.Records = append(observed.Records, c.Records()...)
 	}
@@ -160,6 +164,7 @@
 		for _, run := range r.Runs() {
 			observed.Runs = append(observed.Runs, check.Run{Run: run, Replica: string(r.ID), Pool: r.Pool})
 		}
+		observed.Replicas = append(observed.Replicas, check.Replica{ID: string(r.ID), Arrivals: r.Arrivals(), TurnedAway: r.TurnedAway(), Starts: r.Starts()})
 		for _, arrival := range r.Arrivals() {
 			observed.Arrivals[string(arrival.ID)] = append(observed.Arrivals[string(arrival.ID)], arrival.At)
 		}
--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -59,6 +59,11 @@
 	ReplicaDraining Kind = "replica-drains"
 	// ReplicaFaulty makes a replica fail some of its requests.
 	ReplicaFaulty Kind = "replica-faulty"
+	// ReplicaLeaves makes a replica say in all answers that it is leaving, while it is
+	// still listed as ready. At the end of the event it is restarted.
+	ReplicaLeaves Kind = "replica-says-it-leaves"
+	// ReplicaCloses makes a replica turn all requests away and say until when.
+	ReplicaCloses Kind = "replica-closes"
 	// RewriteConfig declares the same configuration as a new version.
 	RewriteConfig Kind = "redeclare"
 	// DeclareWeights declares newer weights of the model.
@@ -128,6 +133,7 @@
 	for at := time.Duration(0); at < length; at += time.Duration(rng.Int64N(int64(2 * meanInterval))) {
 		plan.Events = append(plan.Events, randomEvent(rng, at, gateways, replicas))
 	}
+	plan.addAdvice(seed, length, gateways, replicas)
 	revocation := Event{Kind: RevokeKey, Start: time.Duration(rng.Int64N(int64(length / 2)))}
 	if seed%2 == 0 {
 		plan.Events = append(plan.Events, Event{Kind: StorePartition, Start: revocation.Start, Duration: partitionDuration})
@@ -216,6 +222,12 @@
 	case ReplicaFaulty:
 		r.SetFaultFunc(e.newFaultSource())
 		return func() { r.SetFaultFunc(nil) }
+	case ReplicaLeaves:
+		r.SetLeaving(true)
+		return func() { f.Restart(r) }
+	case ReplicaCloses:
+		r.Close(time.Now().Add(e.Duration))
+		return noop
 	case RewriteConfig:
 		f.RewriteConfig()
 		return noop
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -95,6 +95,9 @@
 	faultFunc  func() Fault
 	runs       []*Run
 	arrivals   []Arrival
+	// closedUntil is the time until which the replica turns requests away.
+	closedUntil time.Time
+	turnedAway  []TurnedAway
 }
 
 // New returns a replica that serves version 1 of the weights.
@@ -107,38 +110,6 @@
 	rep.weights = version
 }
 
-// SetLeaving sets whether the replica says in all answers that it is leaving.
-func (rep *Replica) SetLeaving(leaving bool) {
-	rep.mu.Lock()
-	defer rep.mu.Unlock()
-	rep.leaving = leaving
-}
-
-// setAdviceHeader adds to an answer what the replica says about itself.
-func (rep *Replica) setAdviceHeader(header http.Header) {
-	rep.mu.Lock()
-	defer rep.mu.Unlock()
-	if rep.leaving {
-		header.Set(rep.options.Headers.Leaving, "1")
-	}
-}
-
-// SetRetryAfter sets the Retry-After header of answers with status 503; empty means
-// none.
-func (rep *Replica) SetRetryAfter(text string) {
-	rep.mu.Lock()
-	defer rep.mu.Unlock()
-	rep.retryAfter = text
-}
-
-func (rep *Replica) setRetryAfter(header http.Header) {
-	rep.mu.Lock()
-	defer rep.mu.Unlock()
-	if rep.retryAfter != "" {
-		header.Set("Retry-After", rep.retryAfter)
-	}
-}
-
 // InjectFault injects a fault into each of the next n requests.
 func (rep *Replica) InjectFault(fault Fault, n int) {
 	rep.mu.Lock()
@@ -204,7 +175,10 @@
 		return
 	}
 	w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
-	rep.setAdviceHeader(w.Header())
+	rep.SetAdviceHeader(w.Header())
+	if rep.turnsAway(w, r) {
+		return
+	}
 	if status := rep.checkAddressing(w, r); status != 0 {
 		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(status)
