Let requests return to an upstream also while its first answers are slow

What callers would see: after an upstream's closure has ended, all but one are refused until its first answer arrives, which takes seconds if an engine has long prompts to prefill, or the whole timeout if that one request hangs.

Cause: only an answer raised the number of requests that may be without one.

Change: the number doubles every 250 ms as well, so that any number is sent after 1.25 s. An upstream that wants no requests says so at once; that it has not is enough.

--- a/internal/coordination/balance/closed.go
+++ b/internal/coordination/balance/closed.go
@@ -8,10 +8,15 @@
 	"comfreyworks"
 )
 
-// maxTrials is the number of requests without an answer from which an upstream that
-// was closed takes requests without limit again. It starts with one, and each answer
-// doubles it.
-const maxTrials = 16
+const (
+	// maxTrials is the number of requests without an answer above which an upstream
+	// that was closed takes requests without limit again. It starts with one, and each
+	// answer doubles it.
+	maxTrials = 16
+	// returnInterval is the time after which the number doubles without an answer too.
+	// Upstreams turn requests away at once, while answers may take seconds.
+	returnInterval = 250 * time.Millisecond
+)
 
 // closure keeps the requests of this gateway from an upstream that wants none for
 // some time, and lets them return by degrees. The zero value lets all pass. It is
@@ -19,7 +24,7 @@
 type closure struct {
 	until time.Time
 	// limit is the number of requests that may be without an answer at the same time
-	// after the end; zero means any. trials counts them.
+	// right after the end; zero means any. trials counts them.
 	limit, trials int
 }
 
@@ -28,7 +33,21 @@
 
 // admits reports whether a request may be sent.
 func (c *closure) admits(now time.Time) bool {
-	return !c.closed(now) && (c.limit == 0 || c.trials < c.limit)
+	limit := c.currentLimit(now)
+	return !c.closed(now) && (limit == 0 || c.trials < limit)
+}
+
+// currentLimit returns the number of requests that may be without an answer at a time
+// after the end; zero means any.
+func (c *closure) currentLimit(now time.Time) int {
+	limit := c.limit
+	for after := now.Sub(c.until); limit > 0 && limit <= maxTrials && after >= returnInterval; after -= returnInterval {
+		limit *= 2
+	}
+	if limit > maxTrials {
+		return 0
+	}
+	return limit
 }
 
 // extend closes the upstream for a time from now on, unless it is closed longer.
@@ -48,13 +67,16 @@
 }
 
 // end ends a request that start has counted. It returns true if the number of
-// requests is no longer limited because of its answer.
+// requests is no longer limited from now on.
 func (c *closure) end(now time.Time, answered bool) bool {
 	c.trials--
-	if !answered || c.closed(now) || c.limit == 0 {
+	if c.limit == 0 || c.closed(now) {
 		return false
 	}
-	if c.limit *= 2; c.limit <= maxTrials {
+	if answered {
+		c.limit *= 2
+	}
+	if c.currentLimit(now) != 0 {
 		return false
 	}
 	c.limit = 0
--- a/internal/coordination/balance/closed_test.go
+++ b/internal/coordination/balance/closed_test.go
@@ -149,6 +149,16 @@
 			}
 		}
 	})
+	t.Run("slow answers hold up few requests", func(t *testing.T) {
+		f := newClosed(t)
+		assert.Equal(t, len(f.pickAll(query)), 1)
+		for _, more := range []int{1, 2, 4, 8} {
+			f.clock.Advance(returnInterval)
+			assert.Equal(t, len(f.pickAll(query)), more)
+		}
+		f.clock.Advance(returnInterval)
+		assert.Equal(t, len(f.pickAll(query)), 100)
+	})
 	t.Run("it closes again", func(t *testing.T) {
 		f := newClosed(t)
 		answer(f.pickAll(query))
