--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -26,6 +26,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"comfreyworks"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/holdings"
@@ -86,6 +88,8 @@
 	Policy comfreyworks.PlacementPolicy
 	Clock  comfreyworks.Clock
 	Zone   comfreyworks.Zone
+	// Logger logs what upstreams say about themselves; it may be nil.
+	Logger *zap.Logger
 	// SupersededWeights is how long superseded weights may generate answers; zero
 	// means without limit.
 	SupersededWeights time.Duration
@@ -173,6 +177,7 @@
 	// gateways is the number of gateways, including this one; zero means that it is
 	// not known yet.
 	gateways int
+	leaving  departures
 }
 
 // endpoint holds what this gateway has observed of one upstream itself.
@@ -199,16 +204,21 @@
 	weights    map[comfreyworks.Model]comfreyworks.WeightsRevision
 	// noticeToken and noticeSequence number the last notice about the upstream.
 	noticeToken, noticeSequence uint64
+	closure                     closure
 	seenAt                      time.Time
 }
 
 // New returns a balancer without any observations.
 func New(options Options) *Balancer {
+	if options.Logger == nil {
+		options.Logger = zap.NewNop()
+	}
 	return &Balancer{
 		options:   options,
 		endpoints: make(map[comfreyworks.InstanceID]*endpoint),
 		peers:     newPeerLoads(),
 		gateways:  1,
+		leaving:   make(departures),
 	}
 }
 
@@ -244,6 +254,9 @@
 	// session is the key of the session in the record of saved sessions; zero if it
 	// is not used.
 	session uint32
+	// trial means that the request is one of those that the closure counts.
+	// turnedAway means that the upstream closed itself in its answer.
+	trial, turnedAway bool
 }
 
 // Pick chooses an upstream and adds the request to its load. It returns nil if
@@ -293,13 +306,14 @@
 		Upstream: *c.upstream, Weights: c.weights, Candidates: candidates, CachedTokens: c.cachedTokens,
 		Wait:     c.wait(),
 		balancer: b, endpoint: c.endpoint, query: query, prefillTokens: prefillTokens,
+		trial: c.endpoint.closure.start(),
 	}
 }
 
 // newCandidate returns the candidate for an upstream, or false if the upstream
 // must not receive the request.
 func (b *Balancer) newCandidate(upstream *comfreyworks.Upstream, query *Query, declared catalog.DeclaredWeights, now time.Time) (candidate, bool) {
-	if !query.allows(upstream) {
+	if !query.allows(upstream) || b.leaving.has(upstream) {
 		return candidate{}, false
 	}
 	e := b.endpoint(upstream, now)
@@ -315,7 +329,7 @@
 	if query.BeginsStream {
 		c.settling = now.Before(b.options.Catalog.Pool(query.Pool).Settling[upstream.Release])
 	}
-	if c.avoided && e.unreachable {
+	if !e.closure.admits(now) || (c.avoided && e.unreachable) {
 		return candidate{}, false
 	}
 	c.score = rendezvous.Score(e.seed, query.AffinityKey)
@@ -418,6 +432,7 @@
 			delete(b.endpoints, id)
 		}
 	}
+	b.leaving.prune(b.options.Catalog, now)
 }
 
 // AnswerStarted records that the answer has started, which means that the engine
@@ -426,6 +441,7 @@
 	p.balancer.mu.Lock()
 	p.endpoint.backlog.AddTokens(p.query.Priority, -p.prefillTokens)
 	p.prefillTokens = 0
+	p.endTrial(p.balancer.options.Clock.Now(), true)
 	p.balancer.mu.Unlock()
 	if p.query.Model == "" {
 		return
@@ -455,6 +471,10 @@
 	if result.Weights != 0 && p.query.Model != "" {
 		e.weights[p.query.Model] = max(e.weights[p.query.Model], result.Weights)
 	}
+	p.endTrial(now, result.Outcome == Answered)
+	if p.turnedAway {
+		return
+	}
 	switch result.Outcome {
 	case Answered:
 		e.failures = 0
@@ -483,28 +503,3 @@
 	case Withdrawn:
 	}
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-func (e *endpoint) updateLatency(elapsed time.Duration) {
-	if e.latency == 0 {
-		e.latency = elapsed
-		return
-	}
-	e.latency += time.Duration(latencyWeight * float64(elapsed-e.latency))
-}
-
-// recordFailure counts a failure. Once there are threshold consecutive failures,
-// the upstream is avoided.
-func (e *endpoint) recordFailure(now time.Time, threshold int) {
-	e.failures++
-	if e.failures < threshold {
-		return
-	}
-	e.avoidUntil = now.Add(min(baseAvoidTime<<min(e.failures-threshold, 10), maxAvoidTime))
-}
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -214,7 +214,7 @@
 	bestSameZone := false
 	for _, upstream := range b.options.Catalog.Upstreams(pool) {
 		n := cached[upstream.ID]
-		if n == 0 || n < best.cachedTokens || (n == best.cachedTokens && bestSameZone) || b.isAvoided(upstream.ID, now) {
+		if n == 0 || n < best.cachedTokens || (n == best.cachedTokens && bestSameZone) || b.isAvoided(upstream.ID, now) || b.leaving.has(&upstream) {
 			continue
 		}
 		best = importSource{address: upstream.Address, cachedTokens: n}
@@ -248,9 +248,11 @@
 	return store.Address
 }
 
+// isAvoided reports whether nothing is to be imported from an upstream because it
+// has failed or is closed.
 func (b *Balancer) isAvoided(id comfreyworks.InstanceID, now time.Time) bool {
 	e, ok := b.endpoints[id]
-	return ok && now.Before(e.avoidUntil)
+	return ok && (now.Before(e.avoidUntil) || e.closure.closed(now))
 }
 
 // policyCandidates converts the candidates for the placement policy.
--- a/internal/coordination/peering/exchange.go
+++ b/internal/coordination/peering/exchange.go
@@ -46,7 +46,10 @@
 func (p *Peering) request(to netip.AddrPort) comfreyworks.GatewayState {
 	declared, listed := p.options.Catalog.SourceStates()
 	starting, passesOrigins := p.starting(), p.passesOrigins()
-	state := comfreyworks.GatewayState{Self: p.options.Self, Role: comfreyworks.PeerLeaf, Declared: declared.Position, Listed: listed.Position}
+	state := comfreyworks.GatewayState{
+		Self: p.options.Self, Role: comfreyworks.PeerLeaf, Declared: declared.Position, Listed: listed.Position,
+		Leaving: p.options.Balancer.Leaving(),
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	state.WantsState = p.partners[to] ||
@@ -138,7 +141,10 @@
 // reply returns the state that this gateway sends in reply to a peer's request.
 func (p *Peering) reply(to *comfreyworks.GatewayState, declared, listed catalog.SourceState) comfreyworks.GatewayState {
 	passesOrigins := p.passesOrigins()
-	state := comfreyworks.GatewayState{Self: p.options.Self, Role: comfreyworks.PeerLeaf, Declared: declared.Position, Listed: listed.Position}
+	state := comfreyworks.GatewayState{
+		Self: p.options.Self, Role: comfreyworks.PeerLeaf, Declared: declared.Position, Listed: listed.Position,
+		Leaving: p.options.Balancer.Leaving(),
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.relay {
@@ -184,6 +190,7 @@
 	}
 	p.options.Saved.Merge(state.Saved, passedOnBy(state.Role))
 	p.recordOriginsRequest(m, state)
+	p.options.Balancer.AddLeaving(m.ID, state.Leaving)
 }
 
 // passedOnBy returns the origin of log entries that a peer in the given role
@@ -215,6 +222,7 @@
 		p.members.confirm(m.Address, now)
 	}
 	p.options.Saved.Merge(state.Saved, savedsessions.Remote)
+	p.options.Balancer.AddLeaving(m.ID, state.Leaving)
 	m.savedSent = request.SavedList.Version
 	if m.savedKnown.Process != state.SavedList.Process {
 		// Another process answered than the one that got the earlier requests.
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,12 @@
 	retryDelay = 300 * time.Millisecond
 )
 
+// Reasons for which a call to an engine is not made.
+var (
+	errLeaving = errors.New("engine is leaving")
+	errClosed  = errors.New("engine wants no requests for some time")
+)
+
 // Options configures a Rollout.
 type Options struct {
 	Self comfreyworks.InstanceID
@@ -193,7 +200,7 @@
 	engines := r.options.Catalog.Upstreams(pool)
 	var outdated []outdatedEngine
 	for i := range engines {
-		if engines[i].State != comfreyworks.InstanceLive {
+		if engines[i].State != comfreyworks.InstanceLive || r.availability(&engines[i]) != nil {
 			continue
 		}
 		if serving := r.options.Balancer.Weights(&engines[i], model); serving < revision {
@@ -213,6 +220,7 @@
 // until the engine serves the weights. All gateways are notified before and
 // after.
 func (r *Rollout) loadWeights(ctx context.Context, order comfreyworks.WeightsLoadOrder) {
+	ctx = comfreyworks.WithAdvice(ctx, func(advice comfreyworks.UpstreamAdvice) { r.options.Balancer.Advise(&order.Upstream, advice) })
 	r.announce(order.FencingToken, comfreyworks.WeightsLoadNotice{
 		Engine: order.Upstream.ID, Started: order.Upstream.Started, Model: order.Model, For: maxNoticeTime,
 	})
@@ -304,12 +312,27 @@
 	return result, err
 }
 
+// availability returns errLeaving or errClosed if no calls may be made to an engine.
+func (r *Rollout) availability(engine *comfreyworks.Upstream) error {
+	switch {
+	case r.options.Balancer.IsLeaving(engine):
+		return errLeaving
+	case r.options.Balancer.ClosedFor(engine) > 0:
+		return errClosed
+	default:
+		return nil
+	}
+}
+
 // sendOrder sends an order once, unless this gateway no longer holds the lease
 // under which the order was created.
 func (r *Rollout) sendOrder(ctx context.Context, order comfreyworks.WeightsLoadOrder) (comfreyworks.WeightsLoadResult, error) {
 	if token, ok := r.lease.Held(); !ok || token != order.FencingToken {
 		return comfreyworks.LoadFenced, nil
 	}
+	if err := r.availability(&order.Upstream); err != nil {
+		return "", err
+	}
 	r.options.Meter.Add("comfrey_load_orders_total", meter.Labels{}, 1)
 	now := r.options.Clock.Now()
 	r.lastOrderAt.Store(&now)
@@ -319,6 +342,9 @@
 }
 
 func (r *Rollout) status(ctx context.Context, engine comfreyworks.Upstream) (comfreyworks.EngineStatus, error) {
+	if err := r.availability(&engine); err != nil {
+		return comfreyworks.EngineStatus{}, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	return r.options.Loader.Status(ctx, engine)
@@ -334,7 +360,10 @@
 			return true
 		}
 		status, err := r.status(ctx, order.Upstream)
-		if err == nil && status.Weights[order.Model] >= order.Weights {
+		switch {
+		case errors.Is(err, errLeaving):
+			return false
+		case err == nil && status.Weights[order.Model] >= order.Weights:
 			return true
 		}
 	}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -147,7 +147,7 @@
 	g.balancer = balance.New(balance.Options{
 		Catalog: g.catalog, Holdings: g.holdings, Saved: saved,
 		Policy: placement.Comfrey{RecomputeWeight: placement.DefaultRecomputeWeight},
-		Clock:  options.Clock, Zone: options.Settings.Zone,
+		Clock:  options.Clock, Zone: options.Settings.Zone, Logger: options.Logger,
 		SupersededWeights: options.Settings.Bounds.SupersededWeights,
 	})
 	g.upstreamClient = exchange.NewClient(exchange.Options{
@@ -182,7 +182,8 @@
 		g.watcher = watch.New(watch.Options{
 			Source: options.Caches, Index: g.holdings, Targets: g.cacheTargets,
 			ReaderCount: func() int { return g.peering.Gateways() },
-			Clock:       options.Clock, Logger: options.Logger,
+			Advise:      g.adviceFrom, ClosedFor: g.closedFor,
+			Clock: options.Clock, Logger: options.Logger,
 		})
 	}
 	if options.Leases != nil && options.Loader != nil {
@@ -209,7 +210,7 @@
 			continue
 		}
 		for _, upstream := range g.catalog.Upstreams(pool.Name) {
-			if upstream.State == comfreyworks.InstanceLive {
+			if upstream.State == comfreyworks.InstanceLive && !g.balancer.IsLeaving(&upstream) {
 				targets = append(targets, watch.Target{ID: upstream.ID, Address: upstream.Address, MaxReaders: pool.CacheReaders})
 			}
 		}
@@ -223,6 +224,25 @@
 	return targets
 }
 
+// adviceFrom returns the receiver of advice from an engine, or nil for a cache store
+// and for an engine that is no longer listed.
+func (g *Gateway) adviceFrom(target watch.Target) func(comfreyworks.UpstreamAdvice) {
+	upstream, ok := g.catalog.Upstream(target.ID)
+	if !ok || upstream.Address != target.Address {
+		return nil
+	}
+	return func(advice comfreyworks.UpstreamAdvice) { g.balancer.Advise(&upstream, advice) }
+}
+
+// closedFor returns how much longer an engine wants no requests from this gateway.
+func (g *Gateway) closedFor(target watch.Target) time.Duration {
+	upstream, ok := g.catalog.Upstream(target.ID)
+	if !ok {
+		return 0
+	}
+	return g.balancer.ClosedFor(&upstream)
+}
+
 // retryLimit returns this gateway's share of the retry budget. The slack grows
 // from zero during the first window, because the process that this one replaces
 // may just have spent its share.
