Give up streams and answers that go on without progress

A stream of comments, empty lines, repeated events or events without an ID was relayed until the deadline: each of them restarted the time in which the next event must arrive, and all of them reached the caller. An answer without a declared length was relayed without a bound, and up to 256 kB of an answer without a digest were read although its header already made it worthless; one that trickles kept its request until the deadline. A long event that arrives in small pieces was searched from its beginning for each of them: a megabyte of it cost minutes of processor time.

Progress is now an event with an ID newer than all before it in the same response. Without one, 1 MB ends the stream (64 kB if it holds no data), and only progress restarts the time for the next event. Blocks without data are held until the next event, so that they do not remain in a stream that is resumed elsewhere. An answer of unknown length ends at 64 MB, one without a digest at its header. The request then goes on as after any lost answer. Each cut is logged as "answer cut off" with the bound.

--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,14 @@
 package comfreyworks
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrCutOff means that reading stopped at a bound on bytes, or on time without
+// progress, because what was read may never end. The bound is part of the message of
+// the error that wraps it.
+var ErrCutOff = errors.New("cut off")
 
 // OpError is the generic error type of all packages. It holds the operation
 // that failed, the kind of failure and the cause. Each package declares its own
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -172,16 +173,18 @@
 
 // relayBody passes an answer on once it has arrived completely, or once it
 // exceeds maxBufferedBytes. An answer without the upstream's digest counts as
-// lost, and so does any answer after the sink has received a part of a stream.
+// lost, and so does any answer after the sink has received a part of a stream. Their
+// bodies are not read, because they may never end.
 func (a *attempt) relayBody(ctx context.Context, response *comfreyworks.UpstreamResponse) (Outcome, attemptResult) {
+	if !response.HasDigest || a.headerWritten {
+		return Outcome{}, a.classifyError(ctx, errors.New("answer without proof"))
+	}
 	var buffer bytes.Buffer
 	_, err := io.CopyN(&buffer, response.Body, maxBufferedBytes)
 	complete := errors.Is(err, io.EOF)
 	switch {
 	case err != nil && !complete:
 		return Outcome{}, a.classifyError(ctx, err)
-	case !response.HasDigest || a.headerWritten:
-		return Outcome{}, a.classifyError(ctx, errors.New("answer without proof"))
 	case response.Status >= http.StatusInternalServerError && a.request.Route.Repeatable() && a.takeRetry(attemptLost):
 		a.result.Outcome = balance.Failed
 		a.reason = "upstream failed"
@@ -199,13 +202,32 @@
 	}
 	if !complete {
 		a.answerPassedOn()
-		if _, err := io.Copy(a.sink, response.Body); err != nil {
+		if err := a.relayRest(response); err != nil {
+			a.cause = err
 			return Outcome{Verdict: Broken, Reason: "answer cut off"}, attemptDone
 		}
 	}
 	return Outcome{Verdict: Delivered, Status: response.Status}, attemptDone
 }
 
+// relayRest passes on what follows the first maxBufferedBytes of an answer, up to its
+// declared length or up to maxAnswerBytes in all.
+func (a *attempt) relayRest(response *comfreyworks.UpstreamResponse) error {
+	if response.ContentLength >= 0 {
+		_, err := io.Copy(a.sink, response.Body)
+		return err
+	}
+	_, err := io.CopyN(a.sink, response.Body, maxAnswerBytes-maxBufferedBytes)
+	switch {
+	case err == nil:
+		return fmt.Errorf("%w: %d bytes without a declared length", comfreyworks.ErrCutOff, maxAnswerBytes)
+	case errors.Is(err, io.EOF):
+		return nil
+	default:
+		return err
+	}
+}
+
 // recordAnswer tells the balancer that the answer has started, and records for
 // it the outcome and the time since the request was sent. For a stream it is
 // called at the first event and at the end.
@@ -218,8 +240,15 @@
 	}
 }
 
-// log writes one line about the attempt.
+// log writes one line about the attempt, and one more if its answer was cut off.
 func (a *attempt) log() {
+	if errors.Is(a.cause, comfreyworks.ErrCutOff) {
+		a.options.Logger.Warn("answer cut off",
+			zap.String("request", string(a.request.Message.ID)),
+			zap.String("upstream", string(a.pick.Upstream.ID)),
+			zap.Error(a.cause),
+		)
+	}
 	a.options.Logger.Info("attempt finished",
 		zap.String("request", string(a.request.Message.ID)),
 		zap.String("route", a.request.Route.Name),
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -22,24 +22,37 @@
 func (a *attempt) relayEvents(ctx context.Context, response *comfreyworks.UpstreamResponse) (Outcome, attemptResult) {
 	events := bufio.NewScanner(response.Body)
 	events.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
-	events.Split(splitEvent)
+	events.Split(new(eventSplitter).split)
 	first := true
+	var progress streamProgress
 	for events.Scan() {
 		event := events.Bytes()
 		id := eventID(event)
+		isNew, err := progress.add(event, id)
+		if err != nil {
+			return Outcome{}, a.classifyError(ctx, err)
+		}
 		if a.alreadyDelivered(id) {
 			continue
 		}
+		if id == "" && !hasData(event) {
+			if err := progress.hold(event); err != nil {
+				return Outcome{}, a.classifyError(ctx, err)
+			}
+			continue
+		}
 		if first {
 			a.recordAnswer(response.Status)
 			first = false
 		}
-		a.eventReceived()
+		if isNew {
+			a.eventReceived()
+		}
 		if !a.headerWritten {
 			a.headerWritten = true
 			a.sink.Begin(response.Status, response.Header, response.ContentLength)
 		}
-		if _, err := a.sink.Write(event); err != nil {
+		if _, err := a.sink.Write(progress.release(event)); err != nil {
 			return Outcome{Verdict: Abandoned, Reason: "caller left"}, attemptDone
 		}
 		if id != "" {
@@ -47,11 +60,16 @@
 		}
 	}
 	if err := events.Err(); err != nil {
-		return Outcome{}, a.classifyError(ctx, err)
+		return Outcome{}, a.classifyError(ctx, limitError(err))
 	}
 	if !a.headerWritten {
 		return Outcome{}, a.classifyError(ctx, io.ErrUnexpectedEOF)
 	}
+	if held := progress.release(nil); len(held) > 0 {
+		if _, err := a.sink.Write(held); err != nil {
+			return Outcome{Verdict: Abandoned, Reason: "caller left"}, attemptDone
+		}
+	}
 	a.recordAnswer(response.Status)
 	return Outcome{Verdict: Delivered, Status: response.Status}, attemptDone
 }
@@ -70,31 +88,47 @@
 	return err == nil && n <= last
 }
 
-// splitEvent is a bufio.SplitFunc that returns each event including the empty
-// line that ends it. A stream that ends in the middle of an event is an error.
-func splitEvent(data []byte, atEOF bool) (int, []byte, error) {
-	for from := 0; ; {
-		i := bytes.IndexByte(data[from:], '\n')
+// eventSplitter splits a stream into events.
+type eventSplitter struct {
+	// searched is how much of the data holds no end of an event. Without it, a long
+	// event that arrives in small pieces would be searched from its beginning for each
+	// of them.
+	searched int
+}
+
+// split is a bufio.SplitFunc that returns each event including the empty line that
+// ends it. A stream that ends in the middle of an event is an error.
+func (s *eventSplitter) split(data []byte, atEOF bool) (int, []byte, error) {
+	for {
+		i := bytes.IndexByte(data[s.searched:], '\n')
 		if i < 0 {
+			s.searched = len(data)
 			break
 		}
-		end := from + i + 1
+		end := s.searched + i + 1
 		rest := data[end:]
 		switch {
 		case bytes.HasPrefix(rest, []byte("\n")):
+			s.searched = 0
 			return end + 1, data[:end+1], nil
 		case bytes.HasPrefix(rest, []byte("\r\n")):
+			s.searched = 0
 			return end + 2, data[:end+2], nil
+		case len(rest) <= 1 && !atEOF:
+			// The next line may turn out to be empty.
+			s.searched = end - 1
+			return 0, nil, nil
 		}
-		from = end
+		s.searched = end
 	}
-	if atEOF && len(bytes.TrimSpace(data)) > 0 {
-		return 0, nil, errPartialEvent
+	if !atEOF {
+		return 0, nil, nil
 	}
-	if atEOF {
-		return len(data), nil, nil
+	s.searched = 0
+	if len(bytes.TrimSpace(data)) > 0 {
+		return 0, nil, errPartialEvent
 	}
-	return 0, nil, nil
+	return len(data), nil, nil
 }
 
 // eventID returns the ID of an event, or the empty string if it has none.
