Bound the time of a response header and of a refusal's body

A header that had begun but did not end kept its request until the deadline, and so did the body of an answer whose header already said that the request had not run: the request could have gone elsewhere at once. The header was bounded by 64 kB only.

From its first byte a header now has 2 s, and a request gets at most five informational responses; the wait before the first byte and after an informational response is not limited, as engines may think for long. The rest of a refusal is read for 0.1 s, which only serves to reuse the connection.

On the code before, "one that stops" and "in a trickle" end only at the deadline of a minute and fail; the other cases, a flood of header fields, of informational responses and of bytes that are no answer, pass there too: the library's bounds hold.

--- a/internal/protocol/exchange/conn.go
+++ b/internal/protocol/exchange/conn.go
@@ -49,6 +49,8 @@
 	// set, none does.
 	writes int
 	sealed bool
+	// head limits the response header of the current request; nil before the first.
+	head *headLimit
 }
 
 func newKeepAliveConn(conn net.Conn, clock comfreyworks.Clock) *keepAliveConn {
@@ -64,12 +66,23 @@
 	}
 }
 
+// setHeadLimit sets the limit on the response header of the next request.
+func (c *keepAliveConn) setHeadLimit(limit *headLimit) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = limit
+}
+
 // Read implements net.Conn.
 func (c *keepAliveConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	c.lastUse = c.clock.Now()
+	head := c.head
 	c.mu.Unlock()
+	if n > 0 && head != nil {
+		head.bytesRead()
+	}
 	return n, err
 }
 
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -103,15 +103,21 @@
 	for attempt := 1; ; attempt++ {
 		var conn *keepAliveConn
 		var writes int
-		traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		requestCtx, cancel := context.WithCancelCause(ctx)
+		limit := &headLimit{clock: c.options.Clock, cancel: cancel}
+		traced := httptrace.WithClientTrace(requestCtx, &httptrace.ClientTrace{
 			GotConn: func(info httptrace.GotConnInfo) {
 				if conn, _ = info.Conn.(*keepAliveConn); conn != nil {
 					writes = conn.writeCount()
+					conn.setHeadLimit(limit)
 				}
 			},
+			Got1xxResponse: limit.informationalRead,
 		})
 		response, err := c.transport.RoundTrip(c.newRequest(traced, request, options))
+		limit.stop()
 		if err != nil {
+			cancel(nil)
 			unsent := conn == nil || conn.sealUnsent(writes)
 			switch {
 			case !unsent:
@@ -124,6 +130,7 @@
 		if conn != nil {
 			conn.setIdleTimeout(keepAliveTimeout(response.Header))
 		}
+		response.Body = &cancelBody{ReadCloser: response.Body, cancel: cancel}
 		return c.classify(request, response)
 	}
 }
@@ -229,8 +236,7 @@
 	}
 	if response.Header.Get(names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
 		reason := notRunReason(response, names, weights)
-		_, _ = io.CopyN(io.Discard, response.Body, maxHeaderBytes)
-		_ = response.Body.Close()
+		c.drain(response.Body)
 		return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeNotRun, Reason: reason, Weights: weights}
 	}
 	return &comfreyworks.UpstreamResponse{
--- /dev/null
+++ b/internal/protocol/exchange/headlimit.go
@@ -0,0 +1,103 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/textproto"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"comfreyworks"
+)
+
+const (
+	// headTimeout is the maximum time from the first byte of a response header to its
+	// end. A sound upstream writes it at once.
+	headTimeout = 2 * time.Second
+	// maxInformational is the maximum number of informational responses to a request.
+	maxInformational = 5
+	// drainTimeout is the maximum time to read the body of a response whose header
+	// says that the request did not run. It is read only to reuse the connection.
+	drainTimeout = 100 * time.Millisecond
+)
+
+// headLimit cancels a request whose response header does not end. The time before the
+// first byte, and between an informational response and the next one, is not limited.
+type headLimit struct {
+	clock  comfreyworks.Clock
+	cancel context.CancelCauseFunc
+
+	mu            sync.Mutex
+	timer         clockwork.Timer
+	informational int
+	stopped       bool
+}
+
+// bytesRead starts the time limit unless it is running.
+func (l *headLimit) bytesRead() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopped || l.timer != nil {
+		return
+	}
+	l.timer = l.clock.AfterFunc(headTimeout, func() {
+		l.cancel(fmt.Errorf("%w: response header incomplete after %s", comfreyworks.ErrCutOff, headTimeout))
+	})
+}
+
+// informationalRead ends the time limit of an informational response. It implements
+// httptrace.ClientTrace.Got1xxResponse.
+func (l *headLimit) informationalRead(int, textproto.MIMEHeader) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopTimer()
+	if l.informational++; l.informational > maxInformational {
+		return fmt.Errorf("%w: more than %d informational responses", comfreyworks.ErrCutOff, maxInformational)
+	}
+	return nil
+}
+
+// stop ends the limit: the header is complete or the request has failed.
+func (l *headLimit) stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopped = true
+	l.stopTimer()
+}
+
+// stopTimer stops the timer. The mutex must be held.
+func (l *headLimit) stopTimer() {
+	if l.timer != nil {
+		l.timer.Stop()
+		l.timer = nil
+	}
+}
+
+// cancelBody is the body of a response whose request has a context of its own.
+type cancelBody struct {
+	io.ReadCloser
+	cancel context.CancelCauseFunc
+}
+
+// Close closes the body and releases the context.
+func (b *cancelBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel(nil)
+	return err
+}
+
+// drain reads what is left of a short body, so that its connection can be reused, and
+// closes it.
+func (c *Client) drain(body io.ReadCloser) {
+	if b, ok := body.(*cancelBody); ok {
+		timer := c.options.Clock.AfterFunc(drainTimeout, func() {
+			b.cancel(fmt.Errorf("%w: body of a refusal incomplete after %s", comfreyworks.ErrCutOff, drainTimeout))
+		})
+		defer timer.Stop()
+	}
+	_, _ = io.CopyN(io.Discard, body, maxHeaderBytes)
+	_ = body.Close()
+}
