--- a/internal/transport/program/program.go
+++ b/internal/transport/program/program.go
@@ -208,15 +208,18 @@
 	idleConnsPerHost = 256
 	idleConnTimeout  = 30 * time.Second
 	dialTimeout      = time.Second
+	// maxHeaderBytes is the maximum size of a response header.
+	maxHeaderBytes = 64 << 10
 )
 
 // NewHTTPClient returns a client for upstreams and the platform. It sets no
 // timeout for whole requests, because every request is bounded by its context.
 func NewHTTPClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: idleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    idleConnsPerHost,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
 	}}
 }
