Bound each message between peers in bytes and time

gob reads messages of up to 1 GB and any number of type definitions before one, and net/rpc passes over answers to calls that nobody made. A peer, or whoever answers at its address, could fill the memory of a gateway (134 MB), or keep a connection and the calls on it waiting with a trickle: each read extended them.

The codec of net/rpc is replaced by one with the same format that closes a connection on a message of more than 80 MB (between gateways 8 MB), one that is incomplete 10 s after its first byte (the sender's limit is 5 s), or an answer to no call.

On the code before, these fail: "one message, in pieces" and "answers to no call" leave the call waiting until its context ends after 20 s; the server reads a message of 256 MB and leaves a trickling one open. TestLargeMessage (16 MB) passes on both. go test -race ./internal/protocol/peer ./internal/transport/... ./internal/coordination/peering ./internal/coordination/configuration passes.

--- a/internal/protocol/peer/client.go
+++ b/internal/protocol/peer/client.go
@@ -66,6 +66,8 @@
 	Clock  comfreyworks.Clock
 	// Dial opens connections; nil means TCP.
 	Dial Dial
+	// Limits bounds the answers of peers.
+	Limits MessageLimits
 }
 
 // Clients holds one client for each address.
@@ -302,7 +304,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return newConnection(conn), nil
+	return newConnection(conn, c.options.Limits), nil
 }
 
 // authenticate runs the client's half of the handshake within handshakeTimeout.
--- /dev/null
+++ b/internal/protocol/peer/codec.go
@@ -0,0 +1,199 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/rpc"
+	"os"
+	"sync"
+	"time"
+
+	"comfreyworks"
+)
+
+const (
+	// defaultMaxMessageBytes is the maximum size of one message unless another one is
+	// set. It covers the longest answer of a service and a margin.
+	defaultMaxMessageBytes = 80 << 20
+	// defaultMessageTimeout is the maximum time from the first byte of a message to its
+	// last one. The sender itself gives up after writeTimeout.
+	defaultMessageTimeout = 2 * writeTimeout
+)
+
+// MessageLimits bounds each message that is read from a peer. Zero values stand for
+// defaults.
+type MessageLimits struct {
+	// Bytes is the maximum size of a message with its header.
+	Bytes int64
+	// Time is the maximum time from the first byte of a message to its last one.
+	Time time.Duration
+}
+
+func (l MessageLimits) withDefaults() MessageLimits {
+	if l.Bytes == 0 {
+		l.Bytes = defaultMaxMessageBytes
+	}
+	if l.Time == 0 {
+		l.Time = defaultMessageTimeout
+	}
+	return l
+}
+
+// messageReader reads from a connection and ends it with an error if a message exceeds
+// its limits. Without it, gob would read messages of up to 1 GB, and any number of type
+// definitions before a message.
+type messageReader struct {
+	conn   net.Conn
+	buffer *bufio.Reader
+	limits MessageLimits
+	// left is the number of bytes that the message may still have.
+	left int64
+	// err is the first error; no read succeeds after it.
+	err error
+}
+
+// begin waits for the first byte of a message.
+func (r *messageReader) begin() error {
+	if r.err != nil {
+		return r.err
+	}
+	r.left = r.limits.Bytes
+	if _, err := r.buffer.Peek(1); err != nil {
+		return r.fail(err)
+	}
+	return r.conn.SetReadDeadline(time.Now().Add(r.limits.Time))
+}
+
+// end ends the time limit of a message that was read completely.
+func (r *messageReader) end() error { return r.conn.SetReadDeadline(time.Time{}) }
+
+// Read implements io.Reader.
+func (r *messageReader) Read(p []byte) (int, error) {
+	switch {
+	case r.err != nil:
+		return 0, r.err
+	case r.left == 0:
+		return 0, r.fail(fmt.Errorf("%w: message of more than %d bytes", comfreyworks.ErrCutOff, r.limits.Bytes))
+	}
+	n, err := r.buffer.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	if err != nil {
+		err = r.fail(err)
+	}
+	return n, err
+}
+
+// ReadByte implements io.ByteReader. Without it, gob would add a buffer and read beyond
+// the end of a message.
+func (r *messageReader) ReadByte() (byte, error) {
+	var b [1]byte
+	_, err := io.ReadFull(r, b[:])
+	return b[0], err
+}
+
+// fail records an error and closes the connection, because net/rpc leaves it open while
+// no call waits.
+func (r *messageReader) fail(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = fmt.Errorf("%w: message incomplete after %s", comfreyworks.ErrCutOff, r.limits.Time)
+	}
+	r.err = err
+	_ = r.conn.Close()
+	return err
+}
+
+// codec encodes and decodes messages in the format of net/rpc, within limits.
+type codec struct {
+	reader  *messageReader
+	decoder *gob.Decoder
+	encoder *gob.Encoder
+	buffer  *bufio.Writer
+	close   func() error
+
+	mu sync.Mutex
+	// calls holds the sequence numbers of the calls that wait for an answer. It is used
+	// by clients only.
+	calls map[uint64]struct{}
+}
+
+var (
+	_ rpc.ClientCodec = (*codec)(nil)
+	_ rpc.ServerCodec = (*codec)(nil)
+)
+
+func newCodec(conn net.Conn, limits MessageLimits) *codec {
+	reader := &messageReader{conn: conn, buffer: bufio.NewReader(conn), limits: limits.withDefaults()}
+	buffer := bufio.NewWriter(conn)
+	return &codec{
+		reader: reader, decoder: gob.NewDecoder(reader), encoder: gob.NewEncoder(buffer), buffer: buffer,
+		close: sync.OnceValue(conn.Close), calls: make(map[uint64]struct{}),
+	}
+}
+
+// write encodes a header and a body.
+func (c *codec) write(header, body any) error {
+	err := c.encoder.Encode(header)
+	if err == nil {
+		err = c.encoder.Encode(body)
+	}
+	if err != nil {
+		// The connection holds a part of a message.
+		_ = c.close()
+		return err
+	}
+	return c.buffer.Flush()
+}
+
+func (c *codec) readHeader(header any) error {
+	if err := c.reader.begin(); err != nil {
+		return err
+	}
+	return c.decoder.Decode(header)
+}
+
+func (c *codec) readBody(body any) error {
+	return errors.Join(c.decoder.Decode(body), c.reader.end())
+}
+
+// WriteRequest implements rpc.ClientCodec.
+func (c *codec) WriteRequest(r *rpc.Request, body any) error {
+	c.mu.Lock()
+	c.calls[r.Seq] = struct{}{}
+	c.mu.Unlock()
+	return c.write(r, body)
+}
+
+// ReadResponseHeader implements rpc.ClientCodec. An answer to no call is an error,
+// because such answers may go on forever.
+func (c *codec) ReadResponseHeader(r *rpc.Response) error {
+	if err := c.readHeader(r); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	_, waiting := c.calls[r.Seq]
+	delete(c.calls, r.Seq)
+	c.mu.Unlock()
+	if !waiting {
+		return c.reader.fail(fmt.Errorf("%w: answer to no call", comfreyworks.ErrCutOff))
+	}
+	return nil
+}
+
+// ReadResponseBody implements rpc.ClientCodec.
+func (c *codec) ReadResponseBody(body any) error { return c.readBody(body) }
+
+// ReadRequestHeader implements rpc.ServerCodec.
+func (c *codec) ReadRequestHeader(r *rpc.Request) error { return c.readHeader(r) }
+
+// ReadRequestBody implements rpc.ServerCodec.
+func (c *codec) ReadRequestBody(body any) error { return c.readBody(body) }
+
+// WriteResponse implements rpc.ServerCodec.
+func (c *codec) WriteResponse(r *rpc.Response, body any) error { return c.write(r, body) }
+
+// Close closes the connection.
+func (c *codec) Close() error { return c.close() }
--- a/internal/protocol/peer/connection.go
+++ b/internal/protocol/peer/connection.go
@@ -105,9 +105,10 @@
 	return now.Sub(c.silentSince)
 }
 
-func newConnection(conn net.Conn) *connection {
+func newConnection(conn net.Conn, limits MessageLimits) *connection {
 	reads := new(atomic.Int64)
-	return &connection{rpc: rpc.NewClient(countingConn{Conn: writeTimeoutConn{conn}, reads: reads}), reads: reads}
+	counting := countingConn{Conn: writeTimeoutConn{conn}, reads: reads}
+	return &connection{rpc: rpc.NewClientWithCodec(newCodec(counting, limits)), reads: reads}
 }
 
 // countingConn counts the reads that returned data.
--- a/internal/protocol/peer/server.go
+++ b/internal/protocol/peer/server.go
@@ -13,6 +13,8 @@
 
 // Server serves the methods of one receiver to clients that know the secret.
 type Server struct {
+	// Limits bounds the requests of clients. It must be set before Serve is called.
+	Limits MessageLimits
 	secret string
 	rpc    *rpc.Server
 	group  errgroup.Group
@@ -70,7 +72,7 @@
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		return
 	}
-	s.rpc.ServeConn(writeTimeoutConn{conn})
+	s.rpc.ServeCodec(newCodec(writeTimeoutConn{conn}, s.Limits))
 }
 
 // track stores an open connection. It returns false if the server is closed.
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -163,7 +163,7 @@
 		StartDelay:    func() time.Duration { return g.peering.StartDelay() },
 		Clock:         options.Clock, Logger: options.Logger, Meter: options.Meter,
 	})
-	g.peerClients = peer.NewClients(peer.ClientOptions{Clock: options.Clock})
+	g.peerClients = peer.NewClients(peer.ClientOptions{Clock: options.Clock, Limits: peer.MessageLimits{Bytes: maxPeerMessageBytes}})
 	g.peering = peering.New(peering.Options{
 		Self: comfreyworks.GatewayPeer{
 			ID: options.Settings.ID, Address: options.Settings.PeerListen,
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -10,6 +10,10 @@
 	"comfreyworks/internal/protocol/peer"
 )
 
+// maxPeerMessageBytes is the maximum size of a message between gateways. The longest
+// ones hold the whole routing and the list of upstreams.
+const maxPeerMessageBytes = 8 << 20
+
 // peerService implements the RPC methods that other gateways call.
 type peerService struct{ gateway *Gateway }
 
@@ -32,6 +36,7 @@
 	if err != nil {
 		return &Error{Op: "serve peers", Kind: KindServe, Err: err}
 	}
+	server.Limits = peer.MessageLimits{Bytes: maxPeerMessageBytes}
 	group.Go(func() error { return server.Serve(ctx, listener) })
 	group.Go(func() error { return g.peering.Run(ctx) })
 	return nil
