--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -33,6 +33,7 @@
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/rendezvous"
 	"comfreyworks/internal/state/savedsessions"
+	"comfreyworks/internal/state/streamorigins"
 )
 
 const (
@@ -69,9 +70,10 @@
 	// engine, the delay with which declarations arrive and the requests that peers
 	// send in the meantime.
 	supersededWeightsMargin = 800 * time.Millisecond
-	// unknownAgeLimit is how long a gateway uses weights that were superseded at
-	// an unknown time before it started. It is long enough to load new weights
-	// after all gateways have failed.
+	// unknownAgeLimit is how long a gateway uses superseded weights after it learned
+	// of newer ones, whenever these were declared. It is long enough to load new
+	// weights after all gateways have failed, and ends before a gateway that was cut
+	// off or frozen counts as working again.
 	unknownAgeLimit = 1500 * time.Millisecond
 )
 
@@ -113,10 +115,22 @@
 	Tokens int
 	// Priority is the priority in the engine's queue; 0 is the most urgent.
 	Priority int
+	// Release is the only release that may serve the request, as a value of
+	// streamorigins.Release; zero means any.
+	Release uint32
+	// BeginsStream means that the request begins a stream that other gateways may
+	// have to continue.
+	BeginsStream bool
 	// Exclude lists the upstreams that have already been tried.
 	Exclude []comfreyworks.InstanceID
 }
 
+// allows reports whether the request may be sent to an upstream.
+func (q *Query) allows(upstream *comfreyworks.Upstream) bool {
+	return upstream.State == comfreyworks.InstanceLive && !slices.Contains(q.Exclude, upstream.ID) &&
+		(q.Release == 0 || q.Release == streamorigins.Release(upstream.Pool, upstream.Release))
+}
+
 // sharedParts returns the parts that other requests may have in common with this
 // one. The last part is specific to the request.
 func (q *Query) sharedParts() []comfreyworks.PromptPart { return q.Parts[:max(len(q.Parts)-1, 0)] }
@@ -299,7 +313,7 @@
 // newCandidate returns the candidate for an upstream, or false if the upstream
 // must not receive the request.
 func (b *Balancer) newCandidate(upstream *comfreyworks.Upstream, query *Query, declared catalog.DeclaredWeights, now time.Time) (candidate, bool) {
-	if upstream.State != comfreyworks.InstanceLive || b.leaving.has(upstream) || slices.Contains(query.Exclude, upstream.ID) {
+	if !query.allows(upstream) || b.leaving.has(upstream) {
 		return candidate{}, false
 	}
 	e := b.endpoint(upstream, now)
@@ -312,6 +326,9 @@
 		avoided:     now.Before(e.avoidUntil) || (peerLoad.Unreachable >= minUnreachableReports && now.Sub(e.answeredAt) > reportedUnreachableAfter),
 		full:        now.Before(e.fullUntil) || now.Before(e.loadingUntil),
 	}
+	if query.BeginsStream {
+		c.settling = now.Before(b.options.Catalog.Pool(query.Pool).Settling[upstream.Release])
+	}
 	if !e.closure.admits(now) || (c.avoided && e.unreachable) {
 		return candidate{}, false
 	}
@@ -324,28 +341,20 @@
 	if !superseded {
 		return c, true
 	}
-	age := now.Sub(successor.At)
-	limit := b.options.SupersededWeights - supersededWeightsMargin - c.wait()
-	if successor.BeforeStart {
-		limit = min(limit, unknownAgeLimit)
-	}
-	c.stale = successor.BeforeStart || age > staleWeightsAfter
-	return c, b.options.SupersededWeights == 0 || age <= limit
+	c.stale = successor.NotBefore.IsZero() || now.Sub(successor.LearnedAt) > staleWeightsAfter
+	return c, b.mayUseSuperseded(&c, successor, now)
 }
 
-// endpoint returns the observations of an upstream. A restarted upstream gets an
-// empty record.
-func (b *Balancer) endpoint(upstream *comfreyworks.Upstream, now time.Time) *endpoint {
-	e, ok := b.endpoints[upstream.ID]
-	if !ok || !e.started.Equal(upstream.Started) {
-		e = &endpoint{
-			seed: rendezvous.Seed(string(upstream.ID)), started: upstream.Started,
-			weights: make(map[comfreyworks.Model]comfreyworks.WeightsRevision),
-		}
-		b.endpoints[upstream.ID] = e
+// mayUseSuperseded reports whether the superseded weights of a candidate may still
+// generate an answer. Their age counts from the earliest time at which newer ones
+// may have been declared: a gateway that was frozen or cut off learns of them late.
+func (b *Balancer) mayUseSuperseded(c *candidate, successor catalog.Supersession, now time.Time) bool {
+	if b.options.SupersededWeights == 0 {
+		return true
 	}
-	e.seenAt = now
-	return e
+	limit := b.options.SupersededWeights - supersededWeightsMargin
+	return now.Sub(successor.NotBefore) <= limit-c.wait() ||
+		now.Sub(successor.LearnedAt) <= min(limit, unknownAgeLimit)-c.wait()
 }
 
 // Requests returns the number of requests in progress at an upstream, from all
@@ -363,11 +372,11 @@
 
 // ApplyLoadNotice applies a notice that an engine is about to load weights or has
 // loaded them. It returns false if the notice is not newer than the last one about
-// the engine, or if the engine is not listed.
+// the engine, or if that incarnation of the engine is not listed.
 func (b *Balancer) ApplyLoadNotice(notice comfreyworks.WeightsLoadNotice) bool {
 	now := b.options.Clock.Now()
 	engine, ok := b.options.Catalog.Upstream(notice.Engine)
-	if !ok {
+	if !ok || (!notice.Started.IsZero() && !notice.Started.Equal(engine.Started)) {
 		return false
 	}
 	b.mu.Lock()
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -56,22 +56,20 @@
 	history []declaredRevision
 }
 
-// declaredRevision records when this process learned of a revision.
+// declaredRevision bounds the time at which a revision was declared.
 type declaredRevision struct {
-	revision  comfreyworks.WeightsRevision
-	learnedAt time.Time
-	// beforeStart means that the revision was part of the first declaration that
-	// this process read, so that the time at which it was declared is unknown.
-	beforeStart bool
+	revision comfreyworks.WeightsRevision
+	Supersession
 }
 
-// Supersession tells when a revision was superseded.
+// Supersession bounds the time at which a revision was superseded.
 type Supersession struct {
-	// At is when this process learned of the newer revision.
-	At time.Time
-	// BeforeStart means that the newer revision was declared at an unknown time
-	// before At, before this process first read the declarations.
-	BeforeStart bool
+	// NotBefore is when the declarations were last known not to contain the newer
+	// revision. It is zero if the newer revision was part of the first declaration
+	// that this process read.
+	NotBefore time.Time
+	// LearnedAt is when this process learned of the newer revision.
+	LearnedAt time.Time
 }
 
 // Superseded returns when a revision was superseded by the first newer one, or
@@ -79,7 +77,7 @@
 func (w DeclaredWeights) Superseded(revision comfreyworks.WeightsRevision) (Supersession, bool) {
 	for _, declared := range w.history {
 		if declared.revision > revision {
-			return Supersession{At: declared.learnedAt, BeforeStart: declared.beforeStart}, true
+			return declared.Supersession, true
 		}
 	}
 	return Supersession{}, false
@@ -141,6 +139,8 @@
 	listed   SourceState
 	weights  map[comfreyworks.Model]DeclaredWeights
 	entries  map[comfreyworks.InstanceID]entry
+	// releases holds the releases that upstreams of each pool run or ran recently.
+	releases map[comfreyworks.Pool]map[string]releaseSpan
 	// routingChangedAt is the position up to which the declarations were read when
 	// the routing last changed.
 	routingChangedAt comfreyworks.Position
@@ -154,10 +154,13 @@
 }
 
 // PoolView holds the upstreams of a pool, sorted by ID. Seeds holds the seed of
-// each for rendezvous hashing. The slices are never modified.
+// each for rendezvous hashing. Slices and maps are never modified.
 type PoolView struct {
 	Upstreams []comfreyworks.Upstream
 	Seeds     []uint64
+	// Settling holds the new releases at which no stream is to begin yet, with the
+	// time until then.
+	Settling map[string]time.Time
 }
 
 // removal is an upstream that was removed, with the position up to which the list
@@ -180,9 +183,10 @@
 // New returns an empty catalog.
 func New(clock comfreyworks.Clock) *Catalog {
 	c := &Catalog{
-		clock:   clock,
-		weights: make(map[comfreyworks.Model]DeclaredWeights),
-		entries: make(map[comfreyworks.InstanceID]entry),
+		clock:    clock,
+		weights:  make(map[comfreyworks.Model]DeclaredWeights),
+		entries:  make(map[comfreyworks.InstanceID]entry),
+		releases: make(map[comfreyworks.Pool]map[string]releaseSpan),
 	}
 	c.pools.Store(&map[comfreyworks.Pool]*PoolView{})
 	return c
@@ -191,10 +195,9 @@
 // Routing returns the current routing, or nil before the first declaration, and
 // the start time of the latest read that confirmed it.
 func (c *Catalog) Routing() (*routing.Table, time.Time) {
-	table := c.table.Load()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return table, c.declared.ConfirmedAt
+	return c.table.Load(), c.declared.ConfirmedAt
 }
 
 // Upstreams returns the upstreams of a pool, sorted by ID. The caller must not
@@ -269,6 +272,9 @@
 	// ConfirmedAt is the start time of the latest read that confirmed the data; zero
 	// means that there was none.
 	ConfirmedAt time.Time
+	// CompleteAt is the latest time as of which the data is known to have contained
+	// everything: ConfirmedAt or, if a read waited in vain, a later time.
+	CompleteAt time.Time
 	// Position is the position up to which the source was read.
 	Position comfreyworks.Position
 }
@@ -288,11 +294,13 @@
 	if d.Next < c.declared.Position {
 		return change
 	}
-	beforeStart := c.declared.Position == 0
+	now := c.clock.Now()
+	learned := Supersession{NotBefore: c.declared.CompleteAt, LearnedAt: now}
 	c.declared.Position = d.Next
 	if readAt.After(c.declared.ConfirmedAt) {
 		c.declared.ConfirmedAt = readAt
 	}
+	c.declared.CompleteAt = latest(c.declared.CompleteAt, earliest(now, readAt.Add(max(d.WaitedInVain, 0))))
 	current := c.table.Load()
 	if d.Routing != nil && (current == nil || d.Routing.Version > current.Version()) {
 		change.Routing = routing.New(*d.Routing)
@@ -306,7 +314,7 @@
 		if revision <= known.Revision {
 			continue
 		}
-		c.weights[model] = known.withRevision(declaredRevision{revision, c.clock.Now(), beforeStart})
+		c.weights[model] = known.withRevision(declaredRevision{revision, learned})
 		if change.Weights == nil {
 			change.Weights = make(map[comfreyworks.Model]comfreyworks.WeightsRevision)
 		}
@@ -315,6 +323,20 @@
 	return change
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // ApplyUpstreams applies the result of a read that started at readAt.
 func (c *Catalog) ApplyUpstreams(changes comfreyworks.UpstreamChanges, readAt time.Time) Change {
 	c.mu.Lock()
@@ -377,7 +399,7 @@
 // numbers.
 func sameContent(a, b comfreyworks.Upstream) bool {
 	return a.ID == b.ID && a.Pool == b.Pool && a.Zone == b.Zone && a.Address == b.Address && a.State == b.State &&
-		a.Slots == b.Slots && a.Started.Equal(b.Started) && maps.Equal(a.Weights, b.Weights)
+		a.Slots == b.Slots && a.Release == b.Release && a.Started.Equal(b.Started) && maps.Equal(a.Weights, b.Weights)
 }
 
 // isOlder reports whether an entry belongs to an earlier incarnation than the
@@ -440,6 +462,8 @@
 // publish makes the current entries visible to Pool, which reads them without a
 // lock.
 func (c *Catalog) publish() {
+	now := c.clock.Now()
+	c.updateReleases(now)
 	pools := make(map[comfreyworks.Pool]*PoolView)
 	for _, e := range c.entries {
 		view := pools[e.upstream.Pool]
@@ -449,7 +473,8 @@
 		}
 		view.Upstreams = append(view.Upstreams, e.upstream)
 	}
-	for _, view := range pools {
+	for pool, view := range pools {
+		view.Settling = c.settling(pool, now)
 		slices.SortFunc(view.Upstreams, func(a, b comfreyworks.Upstream) int {
 			return strings.Compare(string(a.ID), string(b.ID))
 		})
--- a/peering.go
+++ b/peering.go
@@ -21,7 +21,9 @@
 // WeightsLoadNotice announces that an engine is about to load weights or has
 // loaded them.
 type WeightsLoadNotice struct {
-	Engine  InstanceID
+	Engine InstanceID
+	// Started is the start time of the incarnation that loads; zero if unknown.
+	Started time.Time
 	Model   Model
 	Weights WeightsRevision
 	// Sequence grows with each notice, also from one lease holder to the next. A
@@ -66,6 +68,15 @@
 	Version uint64
 }
 
+// StreamOrigin tells which release of an upstream's software began a stream.
+type StreamOrigin struct {
+	// Stream is the hash of the ID of the request that began the stream.
+	Stream uint32
+	// Release is the hash of the pool and the release. Zero means that gateways
+	// disagree about it.
+	Release uint32
+}
+
 // GatewayState is the state that gateways send to each other.
 type GatewayState struct {
 	Self GatewayPeer
@@ -83,6 +94,10 @@
 	// sender has.
 	Saved                 []uint32
 	SavedList, SavedKnown ListVersion
+	// Origins lists the origins of streams that the receiver does not know yet,
+	// with OriginsList and OriginsKnown as for Saved. Leaves receive none.
+	Origins                   []StreamOrigin
+	OriginsList, OriginsKnown ListVersion
 	// Loads are the loads of the sender and of the leaves that call it. In a reply
 	// to a leaf, they are the loads of all other gateways.
 	Loads []UpstreamLoad
@@ -102,6 +117,9 @@
 	// DeclaredAge and ListedAge are how long before this reply the latest read of
 	// the DeclarationSource and the UpstreamSource started; negative means never.
 	DeclaredAge, ListedAge time.Duration
+	// DeclaredWait is how long after the start of that read of the DeclarationSource
+	// the declarations are still known to have been complete.
+	DeclaredWait time.Duration
 	// Declaration holds what changed after the other gateway's Declared position;
 	// nil means nothing, or that it was not asked for.
 	Declaration *Declaration
@@ -125,6 +143,9 @@
 	Sync(ctx context.Context, state GatewayState) (GatewayUpdate, error)
 	// Notify announces that engines load weights.
 	Notify(ctx context.Context, notices WeightsLoadNotices) error
+	// FindStream returns the release that began a stream, as in StreamOrigin, and
+	// whether the other gateway knows it.
+	FindStream(ctx context.Context, stream uint32) (release uint32, found bool, err error)
 }
 
 // GatewayRegistry lets gateways discover each other.
