--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -357,21 +357,6 @@
 		now.Sub(successor.LearnedAt) <= min(limit, unknownAgeLimit)-c.wait()
 }
 
-// endpoint returns the observations of an upstream. A restarted upstream gets an
-// empty record.
-func (b *Balancer) endpoint(upstream *comfreyworks.Upstream, now time.Time) *endpoint {
-	e, ok := b.endpoints[upstream.ID]
-	if !ok || !e.started.Equal(upstream.Started) {
-		e = &endpoint{
-			seed: rendezvous.Seed(string(upstream.ID)), started: upstream.Started,
-			weights: make(map[comfreyworks.Model]comfreyworks.WeightsRevision),
-		}
-		b.endpoints[upstream.ID] = e
-	}
-	e.seenAt = now
-	return e
-}
-
 // Requests returns the number of requests in progress at an upstream, from all
 // gateways.
 func (b *Balancer) Requests(id comfreyworks.InstanceID) int {
--- a/internal/coordination/balance/endpoint.go
+++ b/internal/coordination/balance/endpoint.go
@@ -1,6 +1,26 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"comfreyworks"
+	"comfreyworks/internal/state/rendezvous"
+)
+
+// endpoint returns the observations of an upstream. A restarted upstream gets an
+// empty record.
+func (b *Balancer) endpoint(upstream *comfreyworks.Upstream, now time.Time) *endpoint {
+	e, ok := b.endpoints[upstream.ID]
+	if !ok || !e.started.Equal(upstream.Started) {
+		e = &endpoint{
+			seed: rendezvous.Seed(string(upstream.ID)), started: upstream.Started,
+			weights: make(map[comfreyworks.Model]comfreyworks.WeightsRevision),
+		}
+		b.endpoints[upstream.ID] = e
+	}
+	e.seenAt = now
+	return e
+}
 
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
