Bound what the sidecar and comfreyctl read without end

An answer of a service of more than 64 MB was returned as a complete one of 64 MB. A stream of comments or of usage counts kept the sidecar reading until the request's time was over. comfreyctl decoded the revision of an entry from a response of any length.

The answer of a service is now an error beyond 64 MB, a stream ends after 1 MB without a token, and the response with a revision has 4 kB.

--- a/internal/protocol/upstream/engine.go
+++ b/internal/protocol/upstream/engine.go
@@ -92,7 +92,8 @@
 // of KindBroken.
 func readStream(body io.Reader, emit func(comfreyworks.GeneratedToken) error) (comfreyworks.Usage, error) {
 	var usage comfreyworks.Usage
-	for event, err := range sse.Read(body, nil) {
+	reader := &progressReader{Reader: body}
+	for event, err := range sse.Read(reader, nil) {
 		if err != nil {
 			return usage, &Error{Op: "generate", Kind: KindBroken, Err: err}
 		}
@@ -107,6 +108,7 @@
 			usage = chunk.Usage.toUsage()
 			continue
 		}
+		reader.progress()
 		if err := emit(comfreyworks.GeneratedToken{Index: chunk.Index, Text: chunk.Text}); err != nil {
 			return usage, &Error{Op: "generate", Kind: KindStopped, Err: err}
 		}
--- a/internal/protocol/upstream/service.go
+++ b/internal/protocol/upstream/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/netip"
 
@@ -39,7 +38,7 @@
 		return comfreyworks.ServiceAnswer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := readAll(resp.Body)
 	if err != nil {
 		return comfreyworks.ServiceAnswer{}, &Error{Op: call.Method, Kind: KindBroken, Err: err}
 	}
--- a/internal/transport/admin/admin.go
+++ b/internal/transport/admin/admin.go
@@ -15,6 +15,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -40,6 +41,9 @@
 // readHeaderTimeout limits the time to read the header of a request.
 const readHeaderTimeout = 5 * time.Second
 
+// maxRevisionBytes is the maximum length of the response with a revision.
+const maxRevisionBytes = 4 << 10
+
 // revisionPath is the path of the endpoint that returns the configuration
 // revision in force.
 const revisionPath = "/revision"
@@ -62,7 +66,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var response revisionResponse
-	if err := json.NewDecoder(resp.Body).Decode(&response); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxRevisionBytes)).Decode(&response); err != nil {
 		return 0, &Error{Op: "ask", Kind: KindServe, Err: err}
 	}
 	return response.Revision, nil
