Show endless answers through a whole gateway

The stand-in of a replica can send header fields without end, and a body without end: of a plain service, or comments in the middle of a stream. TestEndlessAnswers checks what the caller gets, that the replica's connection is closed, and that the goroutines come back to where they were.

--- /dev/null
+++ b/internal/standin/replica/endless.go
@@ -0,0 +1,56 @@
+package replica
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Injected faults whose responses go on until the caller closes the connection.
+const (
+	// FaultEndlessHead sends header fields.
+	FaultEndlessHead Fault = "endless-head"
+	// FaultEndlessBody sends a body of unknown length: that of a plain service after its
+	// header, comments after half of the events of a stream.
+	FaultEndlessBody Fault = "endless-body"
+)
+
+// endlessPieceBytes is the size of each piece of an endless response.
+const endlessPieceBytes = 4 << 10
+
+// respondEndlessly writes until the caller closes the connection.
+func (rep *Replica) respondEndlessly(w http.ResponseWriter, run *Run, fault Fault) {
+	defer rep.markCancelled(run)
+	if fault == FaultEndlessHead {
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		rep.writeEndlessly(buffered.Writer, "HTTP/1.1 200 OK\r\n", "X-More: y\r\n", buffered.Flush)
+		return
+	}
+	start, text := "", "x"
+	if rep.options.Events > 0 {
+		w.Header().Set("Content-Type", "text/event-stream")
+		start, text = Stream(rep.options.Events/2), ": x\n\n"
+	}
+	rep.writeEndlessly(bufio.NewWriter(w), start, text, http.NewResponseController(w).Flush)
+}
+
+// writeEndlessly writes a start and then a text again and again until writing fails.
+func (rep *Replica) writeEndlessly(w *bufio.Writer, start, text string, flush func() error) {
+	piece := strings.Repeat(text, endlessPieceBytes/len(text))
+	_, err := io.WriteString(w, start)
+	for err == nil {
+		if _, err = io.WriteString(w, piece); err != nil {
+			return
+		}
+		if err = w.Flush(); err == nil {
+			err = flush()
+		}
+		time.Sleep(rep.options.EventPause)
+	}
+}
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -189,6 +189,8 @@
 	case FaultHang:
 		<-r.Context().Done()
 		rep.markCancelled(run)
+	case FaultEndlessHead, FaultEndlessBody:
+		rep.respondEndlessly(w, run, fault)
 	default:
 		rep.respond(w, r, run, fault)
 	}
--- /dev/null
+++ b/internal/transport/gateway/endless_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"runtime"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyworks/internal/standin/replica"
+)
+
+// TestEndlessAnswers guards against upstreams whose answers never end: each request must
+// get its final answer, and the connection and the goroutines of the answer must end.
+func TestEndlessAnswers(t *testing.T) {
+	cases := map[string]struct {
+		path   string
+		fault  replica.Fault
+		status int
+		runs   int
+		cut    bool
+		body   string
+	}{
+		"book: a header is an error":              {"/book/1", replica.FaultEndlessHead, 502, 1, false, ""},
+		"look: a header is retried elsewhere":     {"/look/1", replica.FaultEndlessHead, 200, 2, false, ""},
+		"review: a header is an error":            {"/review/1", replica.FaultEndlessHead, 502, 1, false, ""},
+		"note: a header is retried elsewhere":     {"/note/1", replica.FaultEndlessHead, 200, 2, false, fullStream()},
+		"book: a body looks cut off":              {"/book/1", replica.FaultEndlessBody, 200, 1, true, ""},
+		"review: comments look cut off":           {"/review/1", replica.FaultEndlessBody, 200, 1, true, replica.Stream(eventsPerStream / 2)},
+		"note: after comments, resumed elsewhere": {"/note/1", replica.FaultEndlessBody, 200, 2, false, fullStream()},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			replicas := append(append([]*replica.Replica{}, f.services...), f.engines...)
+			f.failFirst(replicas, c.fault, 1)
+			goroutines := runtime.NumGoroutine()
+			resp := f.call(t, c.path)
+			assert.Equal(t, resp.StatusCode, c.status, resp.body)
+			assert.Equal(t, resp.cut, c.cut)
+			assert.Equal(t, len(f.runs(replicas)), c.runs)
+			if c.body != "" {
+				assert.Equal(t, resp.body, c.body)
+			}
+			waitFor(t, func() bool { return f.runs(replicas)[0].Cancelled || f.runs(replicas)[c.runs-1].Cancelled })
+			f.server.CloseClientConnections()
+			f.gateway.upstreamClient.Close()
+			waitFor(t, func() bool { return runtime.NumGoroutine() <= goroutines })
+		})
+	}
+}
