Bound the body of a caller's request in time

A caller that trickles its body, or stops in the middle of it, held a connection and a handler for as long as it liked; without a declared limit its body had none.

The body is now read until the request's deadline and then answered with 408, since nothing was run, and has 64 MB if the routing declares no limit.

On the code before, TestEndlessCallerBody gets no answer within 20 s and fails. go test -race -count 2 ./internal/transport/gateway passes.

--- a/internal/transport/gateway/endless_test.go
+++ b/internal/transport/gateway/endless_test.go
@@ -1,8 +1,13 @@
 package gateway
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
 	"runtime"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -48,3 +53,21 @@
 		})
 	}
 }
+
+// TestEndlessCallerBody guards against a caller whose body never ends: it must be
+// answered at the deadline of its request, and be told that nothing was run.
+func TestEndlessCallerBody(t *testing.T) {
+	f := newFixture(t)
+	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+	_, err = io.WriteString(conn, "POST /book/1 HTTP/1.1\r\nHost: api.example\r\nContent-Length: 900\r\n"+
+		"Comfrey-Request-Id: r1\r\nComfrey-Key: key-office\r\nComfrey-Deadline-Ms: 50\r\n\r\nx")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusRequestTimeout)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, len(f.runs(f.services)), 0)
+}
--- a/internal/transport/gateway/request.go
+++ b/internal/transport/gateway/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +27,9 @@
 	// staleRetryAfter is the Retry-After of responses that are caused by a missing
 	// or stale routing.
 	staleRetryAfter = 300 * time.Millisecond
+	// defaultMaxBodyBytes is the maximum size of a request's body if the routing
+	// declares none.
+	defaultMaxBodyBytes = 64 << 20
 )
 
 // hopByHopHeaders are the headers that apply to a single connection and are not
@@ -77,7 +81,8 @@
 			return nil, missingRejection(stale, http.StatusUnauthorized, "no such key")
 		}
 	}
-	body, rejected := readBody(w, r, table.Limits().BodyBytes)
+	deadline := requestDeadline(r.Header.Get(names.Deadline), route, received)
+	body, rejected := readBody(w, r, table.Limits().BodyBytes, g.options.Clock.Until(deadline))
 	if rejected != nil {
 		return nil, rejected
 	}
@@ -87,7 +92,7 @@
 			Header: g.forwardableHeader(r.Header), Body: body,
 		},
 		Route: route, Pool: routing.ChoosePool(route, rand.Float64()), Workspace: workspace,
-		Received: received, Deadline: requestDeadline(r.Header.Get(names.Deadline), route, received),
+		Received: received, Deadline: deadline,
 	}
 	if route.Affinity {
 		request.Prompt = parsePrompt(r.Header, names)
@@ -107,19 +112,25 @@
 	return &rejection{status: status, reason: reason}
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *rejection) {
-	reader := r.Body
-	if limit > 0 {
-		reader = http.MaxBytesReader(w, r.Body, limit)
-	}
-	body, err := io.ReadAll(reader)
+// readBody reads the body of a request until its deadline; zero or less for the limit
+// means defaultMaxBodyBytes.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, remaining time.Duration) ([]byte, *rejection) {
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(remaining))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, &rejection{status: http.StatusRequestTimeout, reason: "body incomplete at the deadline"}
 	case errors.As(err, &tooLarge):
 		return nil, &rejection{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	case err != nil:
 		return nil, &rejection{status: http.StatusBadRequest, reason: "body cut off"}
 	}
+	_ = controller.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
