--- a/internal/protocol/exchange/endless_test.go
+++ b/internal/protocol/exchange/endless_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -152,3 +153,28 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestEndlessChunks guards against a body that ends but whose framing does not: bytes
+// that are no data must not keep a reader.
+func TestEndlessChunks(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nComfrey-Request-Id: r1\r\nComfrey-Digest: d\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct{ start, text string }{
+		"a chunk extension":     {head + "2;x=", "xxxx"},
+		"many chunk extensions": {head, "1;x=" + strings.Repeat("x", 1000) + "\r\ny\r\n"},
+		"a trailer field":       {head + "2\r\nok\r\n0\r\nX-Y: ", "zzzz"},
+		"trailer fields":        {head + "2\r\nok\r\n0\r\n", "X-Y: z\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			var ended atomic.Bool
+			u := serve(t, respondEndlessly(c.start, c.text, 0, func() { ended.Store(true) }))
+			response, err := f.exchange(u, newForwardedRequest(http.MethodPost, "text"))
+			assert.NilError(t, err)
+			n, err := io.Copy(io.Discard, response.Body)
+			assert.Assert(t, err != nil)
+			assert.Assert(t, n <= 100, "%d bytes were read", n)
+			assert.NilError(t, response.Body.Close())
+			waitFor(ended.Load)
+		})
+	}
+}
