--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -49,6 +49,9 @@
 	// LeaseDuration is how long the lease for sending orders to engines lasts
 	// unless its holder renews it.
 	LeaseDuration = 3 * time.Second
+	// DepartureBound is how long a gateway may send requests to a replica after it has
+	// passed on an answer in which the replica says that it is leaving.
+	DepartureBound = 2 * time.Second
 
 	// supersededWeightsBound is how long superseded weights may still generate
 	// answers.
@@ -80,8 +83,10 @@
 	Gateways []*Gateway
 	Replicas []*Replica
 
-	mu          sync.Mutex
-	deployment  standin.Deployment
+	mu         sync.Mutex
+	deployment standin.Deployment
+	// weights is the newest declared version of the model's weights.
+	weights     uint64
 	group       errgroup.Group
 	stopping    chan struct{}
 	storeServer *http.Server
@@ -99,6 +104,8 @@
 	entry    standin.Entry
 	unlisted bool
 	server   *http.Server
+	// starts are the times at which the incarnations of the replica started.
+	starts []time.Time
 }
 
 // Start starts the store, the replicas and the gateways.
@@ -106,8 +113,7 @@
 	f := &Fleet{Store: standin.NewStore(), stopping: make(chan struct{})}
 	f.deployment = deployment()
 	f.putConfig()
-	key, record := standin.Weights(Model, 1)
-	f.Store.Put(standin.OperatorTopic, key, record)
+	f.DeclareWeights(1)
 	server, storeAddress, err := f.serveOnLoopback(f.Store)
 	if err != nil {
 		return nil, err
@@ -172,10 +178,27 @@
 
 // DeclareWeights declares a version of the model's weights.
 func (f *Fleet) DeclareWeights(version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.weights = max(f.weights, version)
+	f.putWeights(version)
+}
+
+func (f *Fleet) putWeights(version uint64) {
 	key, record := standin.Weights(Model, version)
 	f.Store.Put(standin.OperatorTopic, key, record)
 }
 
+// RestoreStore restores the store from a copy. Operators declare the current
+// deployment and weights again; replicas renew their entries at the next heartbeat.
+func (f *Fleet) RestoreStore(saved standin.Copy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Store.Restore(saved)
+	f.putConfig()
+	f.putWeights(f.weights)
+}
+
 // serveOnLoopback starts an HTTP server on a free loopback port.
 func (f *Fleet) serveOnLoopback(handler http.Handler) (*http.Server, netip.AddrPort, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -200,7 +223,7 @@
 	r.Replica = replica.New(options)
 	var handler http.Handler = r.Replica
 	if r.Pool == EnginePool {
-		r.Engine = &standin.Engine{Requests: r.Replica, OnLoad: r.SetWeights, Model: Model}
+		r.Engine = &standin.Engine{Requests: r.Replica, OnLoad: r.SetWeights, Model: Model, SetHeader: r.SetAdviceHeader, ClosedFor: r.ClosedFor}
 		handler = r.Engine
 	}
 	server, address, err := f.serveOnLoopback(handler)
@@ -214,6 +237,7 @@
 	r.entry = standin.Entry{
 		Service: r.Pool, Zone: fmt.Sprint("z", i%2), Address: r.Link.Address(), Started: time.Now(), Version: 1,
 	}
+	r.starts = []time.Time{r.entry.Started}
 	if r.Pool == EnginePool {
 		r.entry.Model = Model
 	}
@@ -246,6 +270,25 @@
 	f.putEntry(r)
 }
 
+// Restart replaces a replica by a new incarnation at the same address, which is not
+// leaving. What the replica serves and has recorded stays.
+func (f *Fleet) Restart(r *Replica) {
+	r.SetLeaving(false)
+	r.mu.Lock()
+	r.entry.Started, r.entry.Sequence = time.Now(), 0
+	r.starts = append(r.starts, r.entry.Started)
+	r.mu.Unlock()
+	f.putEntry(r)
+}
+
+// Starts returns the times at which the incarnations of the replica started, the
+// first one first.
+func (r *Replica) Starts() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.starts...)
+}
+
 // SetUnlisted removes a replica's entry from the list of upstreams or adds it
 // again.
 func (f *Fleet) SetUnlisted(r *Replica, unlisted bool) {
--- /dev/null
+++ b/internal/coordination/balance/endpoint.go
@@ -0,0 +1,48 @@
+package balance
+
+import (
+	"time"
+
+	"comfreyworks"
+	"comfreyworks/internal/state/rendezvous"
+)
+
+// endpoint returns the observations of an upstream. A restarted upstream gets an
+// empty record.
+func (b *Balancer) endpoint(upstream *comfreyworks.Upstream, now time.Time) *endpoint {
+	e, ok := b.endpoints[upstream.ID]
+	if !ok || !e.started.Equal(upstream.Started) {
+		e = &endpoint{
+			seed: rendezvous.Seed(string(upstream.ID)), started: upstream.Started,
+			weights: make(map[comfreyworks.Model]comfreyworks.WeightsRevision),
+		}
+		b.endpoints[upstream.ID] = e
+	}
+	e.seenAt = now
+	return e
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (e *endpoint) updateLatency(elapsed time.Duration) {
+	if e.latency == 0 {
+		e.latency = elapsed
+		return
+	}
+	e.latency += time.Duration(latencyWeight * float64(elapsed-e.latency))
+}
+
+// recordFailure counts a failure. Once there are threshold consecutive failures,
+// the upstream is avoided.
+func (e *endpoint) recordFailure(now time.Time, threshold int) {
+	e.failures++
+	if e.failures < threshold {
+		return
+	}
+	e.avoidUntil = now.Add(min(baseAvoidTime<<min(e.failures-threshold, 10), maxAvoidTime))
+}
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -69,8 +69,14 @@
 	// ReaderCount returns the number of gateways that read the same targets,
 	// including this one.
 	ReaderCount func() int
-	Clock       comfreyworks.Clock
-	Logger      *zap.Logger
+	// Advise returns the receiver of advice from a target, or nil. It is called
+	// before each poll; nil means that advice is ignored.
+	Advise func(Target) func(comfreyworks.UpstreamAdvice)
+	// ClosedFor returns how much longer a target wants no requests from this gateway,
+	// as far as other calls have shown. Nil means that there are no other calls.
+	ClosedFor func(Target) time.Duration
+	Clock     comfreyworks.Clock
+	Logger    *zap.Logger
 }
 
 // Watcher reads the cache changes of a changing set of targets.
@@ -127,15 +133,22 @@
 	defer w.options.Index.RemoveEngine(target.ID)
 	state := pollState{target: target.ID}
 	for ctx.Err() == nil {
+		if closed := w.closedFor(target, &state); closed > 0 {
+			comfreyworks.Sleep(ctx, w.options.Clock, closed)
+			continue
+		}
 		wait, pause := pollSchedule(target.MaxReaders, int(w.readers.Load()))
-		pollCtx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
+		pollCtx, cancel := context.WithTimeout(w.withAdvice(ctx, target, &state), wait+responseTimeout)
 		changes, err := w.options.Source.CacheChanges(pollCtx, target.Address, state.after, wait)
 		cancel()
-		if err != nil {
+		switch {
+		case err != nil && w.closedFor(target, &state) > 0:
+			continue
+		case err != nil:
 			w.options.Logger.Debug("failed to read cache changes", zap.String("engine", string(target.ID)), zap.Error(err))
 			pause = backoff(state.failures)
 			w.recordFailure(&state)
-		} else {
+		default:
 			w.apply(&state, &changes)
 		}
 		comfreyworks.Sleep(ctx, w.options.Clock, pause)
@@ -170,6 +183,8 @@
 	target             comfreyworks.InstanceID
 	after, incarnation uint64
 	failures           int
+	// closedUntil is the time until which the target wants no polls.
+	closedUntil time.Time
 }
 
 // recordFailure counts a failed poll. The cache of a target that is down cannot be
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -30,6 +30,8 @@
 const (
 	// FaultBusy rejects the request with status 503, marked as not run.
 	FaultBusy Fault = "busy"
+	// FaultUnavailable runs the request and responds with status 503.
+	FaultUnavailable Fault = "unavailable"
 	// FaultError responds with status 500.
 	FaultError Fault = "error"
 	// FaultReset aborts the connection before the header of the response.
@@ -84,11 +86,18 @@
 	options Options
 	mu      sync.Mutex
 	// weights is the version that an engine serves.
-	weights   uint64
-	faults    []Fault
-	faultFunc func() Fault
-	runs      []*Run
-	arrivals  []Arrival
+	weights uint64
+	// leaving is sent in all answers.
+	leaving bool
+	// retryAfter is sent in answers with status 503 unless it is empty.
+	retryAfter string
+	faults     []Fault
+	faultFunc  func() Fault
+	runs       []*Run
+	arrivals   []Arrival
+	// closedUntil is the time until which the replica turns requests away.
+	closedUntil time.Time
+	turnedAway  []TurnedAway
 }
 
 // New returns a replica that serves version 1 of the weights.
@@ -166,6 +175,10 @@
 		return
 	}
 	w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+	rep.SetAdviceHeader(w.Header())
+	if rep.turnsAway(w, r) {
+		return
+	}
 	if status := rep.checkAddressing(w, r); status != 0 {
 		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(status)
@@ -173,6 +186,7 @@
 	}
 	fault := rep.nextFault()
 	if fault == FaultBusy {
+		rep.setRetryAfter(w.Header())
 		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -182,6 +196,9 @@
 		w.Header().Set(names.Digest, "digest-"+string(rep.options.ID))
 	}
 	switch fault {
+	case FaultUnavailable:
+		rep.setRetryAfter(w.Header())
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
 	case FaultError:
 		http.Error(w, "failed", http.StatusInternalServerError)
 	case FaultReset:
@@ -189,6 +206,8 @@
 	case FaultHang:
 		<-r.Context().Done()
 		rep.markCancelled(run)
+	case FaultEndlessHead, FaultEndlessBody:
+		rep.respondEndlessly(w, run, fault)
 	default:
 		rep.respond(w, r, run, fault)
 	}
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -40,54 +40,8 @@
 	lapsedGracePeriod = 1800 * time.Millisecond
 )
 
-const (
-	// maxRevisionHistory is the number of revisions remembered for each model.
-	maxRevisionHistory = 32
-	// maxRemovals is the number of removed upstreams remembered for UpstreamsAfter.
-	maxRemovals = 4096
-)
-
-// DeclaredWeights holds the declared weights revision of a model and the revisions
-// declared before it.
-type DeclaredWeights struct {
-	Revision comfreyworks.WeightsRevision
-	// history holds the latest revisions in increasing order. The slice is never
-	// modified.
-	history []declaredRevision
-}
-
-// declaredRevision bounds the time at which a revision was declared.
-type declaredRevision struct {
-	revision comfreyworks.WeightsRevision
-	Supersession
-}
-
-// Supersession bounds the time at which a revision was superseded.
-type Supersession struct {
-	// NotBefore is when the declarations were last known not to contain the newer
-	// revision. It is zero if the newer revision was part of the first declaration
-	// that this process read.
-	NotBefore time.Time
-	// LearnedAt is when this process learned of the newer revision.
-	LearnedAt time.Time
-}
-
-// Superseded returns when a revision was superseded by the first newer one, or
-// false if it was not.
-func (w DeclaredWeights) Superseded(revision comfreyworks.WeightsRevision) (Supersession, bool) {
-	for _, declared := range w.history {
-		if declared.revision > revision {
-			return declared.Supersession, true
-		}
-	}
-	return Supersession{}, false
-}
-
-// withRevision returns a copy to which a newer revision is added.
-func (w DeclaredWeights) withRevision(next declaredRevision) DeclaredWeights {
-	history := append(slices.Clone(w.history), next)
-	return DeclaredWeights{Revision: next.revision, history: history[max(len(history)-maxRevisionHistory, 0):]}
-}
+// maxRemovals is the number of removed upstreams remembered for UpstreamsAfter.
+const maxRemovals = 4096
 
 // Change reports what ApplyDeclaration or ApplyUpstreams changed.
 type Change struct {
@@ -99,11 +53,14 @@
 	// are now leaving. Lapsed lists those whose entries are missing after an
 	// outage and that are kept for a grace period.
 	Joined, Left, Lapsed []comfreyworks.InstanceID
+	// Restored means that the source was restored from an earlier copy since the
+	// list of upstreams was last read.
+	Restored bool
 }
 
 // Empty reports whether nothing changed.
 func (c *Change) Empty() bool {
-	return c.Routing == nil && len(c.Weights) == 0 && len(c.Joined) == 0 && len(c.Left) == 0 && len(c.Lapsed) == 0
+	return c.Routing == nil && len(c.Weights) == 0 && len(c.Joined) == 0 && len(c.Left) == 0 && len(c.Lapsed) == 0 && !c.Restored
 }
 
 // Log logs the change with the given fields, unless it is empty.
@@ -111,6 +68,9 @@
 	if c.Empty() {
 		return
 	}
+	if c.Restored {
+		logger.Warn("source was restored from an earlier copy", fields...)
+	}
 	if c.Routing != nil {
 		fields = append(fields, zap.Uint64("routing", uint64(c.Routing.Version())))
 	}
@@ -148,6 +108,9 @@
 	// removalsFrom are no longer listed.
 	removals     []removal
 	removalsFrom comfreyworks.Position
+	// restoredAt is the first position since the list was restored from an earlier
+	// copy, or zero.
+	restoredAt comfreyworks.Position
 	// graceEnd is the time until which live upstreams are kept although their
 	// entries are missing.
 	graceEnd time.Time
@@ -168,6 +131,9 @@
 type removal struct {
 	id comfreyworks.InstanceID
 	at comfreyworks.Position
+	// started and sequence are those of the last entry.
+	started  time.Time
+	sequence uint64
 }
 
 // entry is an upstream with its grace period.
@@ -349,6 +315,7 @@
 	if !c.listed.ConfirmedAt.IsZero() && readAt.Sub(c.listed.ConfirmedAt) > outageThreshold {
 		c.graceEnd = now.Add(lapsedGracePeriod)
 	}
+	c.crossRestore(&changes, now, &change)
 	lastConfirmedAt := c.listed.ConfirmedAt
 	c.listed.Position = changes.Next
 	if readAt.After(c.listed.ConfirmedAt) {
@@ -454,8 +421,9 @@
 
 // delete deletes an upstream and remembers at which position it was removed.
 func (c *Catalog) delete(id comfreyworks.InstanceID, at comfreyworks.Position) {
+	last := c.entries[id].upstream
 	delete(c.entries, id)
-	c.removals = append(c.removals, removal{id, at})
+	c.removals = append(c.removals, removal{id, at, last.Started, last.Sequence})
 	if excess := len(c.removals) - maxRemovals; excess > 0 {
 		c.removalsFrom = max(c.removalsFrom, c.removals[excess-1].at)
 		c.removals = slices.Clone(c.removals[excess:])
--- a/peering.go
+++ b/peering.go
@@ -26,9 +26,10 @@
 	Started time.Time
 	Model   Model
 	Weights WeightsRevision
-	// Sequence grows with each notice, also from one lease holder to the next. A
-	// notice that is not newer than the last one about the same engine is ignored.
-	Sequence uint64
+	// Token is the fencing token of the lease holder that gave the notice, and
+	// Sequence grows with each notice of this holder. A notice that is not newer than
+	// the last one about the same engine is ignored.
+	Token, Sequence uint64
 	// For is how long the engine is to receive no new requests.
 	For time.Duration
 	// Done means that the engine already serves the weights.
@@ -101,6 +102,9 @@
 	// Loads are the loads of the sender and of the leaves that call it. In a reply
 	// to a leaf, they are the loads of all other gateways.
 	Loads []UpstreamLoad
+	// Leaving lists the listed upstreams that have said in an answer, to any
+	// gateway, that they are leaving.
+	Leaving []UpstreamIncarnation
 	// Declared and Listed are the positions up to which this gateway has read
 	// the DeclarationSource and the UpstreamSource.
 	Declared, Listed Position
