--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -89,7 +89,7 @@
 // replicaFaults are the faults that a faulty replica may show.
 var replicaFaults = []replica.Fault{
 	replica.FaultBusy, replica.FaultError, replica.FaultReset, replica.FaultTruncatedResponse, replica.FaultTruncatedEvent, replica.FaultNoDigest,
-	replica.FaultHang,
+	replica.FaultHang, replica.FaultEndlessHead, replica.FaultEndlessBody,
 }
 
 // linkFaults are the network faults that links may show.
