Log a response header that exceeds its size as cut off

The library's error for a header of more than 64 kB is a text of its own, so that the line "answer cut off" was missing in the soak's logs although headers were cut off. Bytes of a header are counted now, and the error is marked.

On the code before, TestEndlessHead fails for "header fields" and "one header field". go test -race -count 8 ./internal/protocol/exchange passes, and ./internal/transport/gateway.

--- a/internal/protocol/exchange/conn.go
+++ b/internal/protocol/exchange/conn.go
@@ -81,7 +81,7 @@
 	head := c.head
 	c.mu.Unlock()
 	if n > 0 && head != nil {
-		head.bytesRead()
+		head.bytesRead(n)
 	}
 	return n, err
 }
--- a/internal/protocol/exchange/endless_test.go
+++ b/internal/protocol/exchange/endless_test.go
@@ -65,6 +65,7 @@
 				return err
 			})
 			expectKind(t, err, comfreyworks.ExchangeLost)
+			assert.ErrorIs(t, err, comfreyworks.ErrCutOff)
 			assert.NilError(t, ctx.Err(), "the request ended only at its deadline")
 			waitFor(ended.Load)
 			waitFor(func() bool { return runtime.NumGoroutine() <= goroutines })
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -121,7 +121,7 @@
 			unsent := conn == nil || conn.sealUnsent(writes)
 			switch {
 			case !unsent:
-				return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeLost, Err: err}
+				return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeLost, Err: limit.wrap(err)}
 			case conn == nil || ctx.Err() != nil || attempt == maxConnections:
 				return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeNotSent, Err: err}
 			}
--- a/internal/protocol/exchange/headlimit.go
+++ b/internal/protocol/exchange/headlimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/textproto"
@@ -33,13 +34,16 @@
 	mu            sync.Mutex
 	timer         clockwork.Timer
 	informational int
-	stopped       bool
+	// read is the number of bytes since the last informational response.
+	read    int
+	stopped bool
 }
 
-// bytesRead starts the time limit unless it is running.
-func (l *headLimit) bytesRead() {
+// bytesRead counts bytes and starts the time limit unless it is running.
+func (l *headLimit) bytesRead(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.read += n
 	if l.stopped || l.timer != nil {
 		return
 	}
@@ -54,12 +58,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stopTimer()
+	l.read = 0
 	if l.informational++; l.informational > maxInformational {
 		return fmt.Errorf("%w: more than %d informational responses", comfreyworks.ErrCutOff, maxInformational)
 	}
 	return nil
 }
 
+// wrap marks an error that ended a request as a cut if the transport's limit on the size
+// of the header was reached: its error cannot be told apart from others.
+func (l *headLimit) wrap(err error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.read < maxHeaderBytes || errors.Is(err, comfreyworks.ErrCutOff) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", comfreyworks.ErrCutOff, err)
+}
+
 // stop ends the limit: the header is complete or the request has failed.
 func (l *headLimit) stop() {
 	l.mu.Lock()
