--- a/clock.go
+++ b/clock.go
@@ -11,6 +11,14 @@
 // Programs pass the real clock; tests pass a fake one.
 type Clock = clockwork.Clock
 
+// Later returns the later of two times.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Sleep waits for d. It returns false if ctx ends first.
 func Sleep(ctx context.Context, clock Clock, d time.Duration) bool {
 	timer := clock.NewTimer(d)
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -476,11 +476,11 @@
 		e.fullUntil = now.Add(fullDuration)
 		if p.query.Model != "" && p.Weights < p.balancer.options.Catalog.Weights(p.query.Model).Revision {
 			// The engine probably refuses because it is loading newer weights.
-			e.loadingUntil = later(e.loadingUntil, now.Add(loadingDuration))
+			e.loadingUntil = comfreyworks.Later(e.loadingUntil, now.Add(loadingDuration))
 		}
 	case OtherWeights:
 		if result.Weights == 0 {
-			e.loadingUntil = later(e.loadingUntil, now.Add(loadingDuration))
+			e.loadingUntil = comfreyworks.Later(e.loadingUntil, now.Add(loadingDuration))
 		}
 	case OtherInstance:
 		e.unreachable = true
--- a/internal/coordination/balance/closed.go
+++ b/internal/coordination/balance/closed.go
@@ -52,7 +52,7 @@
 
 // extend closes the upstream for a time from now on, unless it is closed longer.
 func (c *closure) extend(now time.Time, closedFor time.Duration) {
-	c.until = later(c.until, now.Add(closedFor))
+	c.until = comfreyworks.Later(c.until, now.Add(closedFor))
 	c.limit = 1
 }
 
--- a/internal/coordination/balance/endpoint.go
+++ b/internal/coordination/balance/endpoint.go
@@ -22,13 +22,6 @@
 	return e
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func (e *endpoint) updateLatency(elapsed time.Duration) {
 	if e.latency == 0 {
 		e.latency = elapsed
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -266,7 +266,8 @@
 	if readAt.After(c.declared.ConfirmedAt) {
 		c.declared.ConfirmedAt = readAt
 	}
-	c.declared.CompleteAt = latest(c.declared.CompleteAt, earliest(now, readAt.Add(max(d.WaitedInVain, 0))))
+	waited := max(min(d.WaitedInVain, now.Sub(readAt)), 0)
+	c.declared.CompleteAt = comfreyworks.Later(c.declared.CompleteAt, readAt.Add(waited))
 	current := c.table.Load()
 	if d.Routing != nil && (current == nil || d.Routing.Version > current.Version()) {
 		change.Routing = routing.New(*d.Routing)
@@ -289,20 +290,6 @@
 	return change
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-func earliest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // ApplyUpstreams applies the result of a read that started at readAt.
 func (c *Catalog) ApplyUpstreams(changes comfreyworks.UpstreamChanges, readAt time.Time) Change {
 	c.mu.Lock()
