Let replica stand-ins run a release

Soaks need to tell which release of the software sent each event of a stream. The pause between events may depend on the request, so that long streams and short ones can run at the same stand-in. Without a release the text of events is as before.

--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -192,7 +192,7 @@
 
 func (f *Fleet) addReplica(i int) error {
 	r := &Replica{Pool: EnginePool, ID: comfreyworks.InstanceID(fmt.Sprint("lm-", i))}
-	options := replica.Options{ID: r.ID, Headers: platform.HeaderNames(), Events: StreamEvents, EventPause: eventInterval}
+	options := replica.Options{ID: r.ID, Headers: platform.HeaderNames(), Events: StreamEvents, EventPause: func(string) time.Duration { return eventInterval }}
 	if i >= engineCount {
 		r.Pool, r.ID = AppPool, comfreyworks.InstanceID(fmt.Sprint("app-", i))
 		options.ID, options.Events = r.ID, 0
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -54,8 +54,12 @@
 	// Events is the number of events in each stream; zero means that the replica
 	// is a plain service.
 	Events int
-	// EventPause is the time between two events of a stream.
-	EventPause time.Duration
+	// EventPause returns the time between two events of a stream, given the path and
+	// query of its request. Nil means no pause.
+	EventPause func(target string) time.Duration
+	// Release is the version of the replica's software. Unless it is empty, the events
+	// of streams contain it.
+	Release string
 }
 
 // Run is a request that a replica ran.
@@ -245,6 +249,10 @@
 	if err != nil {
 		lastEvent = 0
 	}
+	pause := time.Duration(0)
+	if rep.options.EventPause != nil {
+		pause = rep.options.EventPause(run.Target)
+	}
 	flusher := http.NewResponseController(w)
 	for i := lastEvent + 1; i <= rep.options.Events; i++ {
 		if i > rep.options.Events/2 && fault == FaultTruncatedResponse {
@@ -254,13 +262,13 @@
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
 			return
 		}
-		_, _ = io.WriteString(w, Event(i))
+		_, _ = io.WriteString(w, ReleaseEvent(i, rep.options.Release))
 		if err := flusher.Flush(); err != nil {
 			rep.markCancelled(run)
 			return
 		}
-		if rep.options.EventPause > 0 {
-			time.Sleep(rep.options.EventPause)
+		if pause > 0 {
+			time.Sleep(pause)
 		}
 	}
 }
@@ -274,5 +282,15 @@
 	return all.String()
 }
 
-// Event returns the text of event n of a stream, counted from one.
-func Event(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
+// Event returns the text of event n of a stream of a replica without a release. Events
+// are counted from one.
+func Event(n int) string { return ReleaseEvent(n, "") }
+
+// ReleaseEvent returns the text of event n of a stream of a replica that runs the given
+// release.
+func ReleaseEvent(n int, release string) string {
+	if release != "" {
+		release = " of " + release
+	}
+	return fmt.Sprintf("id: %d\ndata: token %d%s\n\n", n, n, release)
+}
