Replace engines by other releases in soaks, and take up broken streams

Change: the fault "release", zero to three a seed, starts engines of another release and then lets the old ones leave or crash in the middle of their streams, and one or all gateways are killed soon after. It may go back to an earlier release and overlaps with all other faults. Events contain their release. Callers whose connection breaks between two events send one request for the rest, at once, to another gateway; three callers of long streams were added for each other one. At the end of a seed two releases serve in each zone, and two gateways are killed while nothing else is disturbed.

The check: no stream has events of two releases, over both requests of its caller, and none is missing or doubled. Of 12 or more streams that are taken up while two engines of their release serve, at gateways without a fault for 3 s, at least half as large a share goes on as new streams begin. The body of a stream is now compared event by event; what counted as a wrong body before still does. In the tests of the check streams contain their release, as those of stand-ins do.

Probes now record the gateway that they were sent to; it was always the first.

--- a/cmd/soak/internal/caller/caller.go
+++ b/cmd/soak/internal/caller/caller.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"time"
 
@@ -31,6 +32,9 @@
 	clientTimeout   = 8 * time.Second
 	// maxThinkTime is the maximum pause between two requests of one caller.
 	maxThinkTime = 60 * time.Millisecond
+	// maxLongThinkTime replaces it for callers of long streams, so that those that a
+	// fault made start at the same time do not end at the same time for long.
+	maxLongThinkTime = 300 * time.Millisecond
 	// maxRetryDelay is the maximum pause after a response with Retry-After.
 	maxRetryDelay = 500 * time.Millisecond
 	// promptTokens is the length of a prompt. uniqueTokens is the length of the
@@ -75,7 +79,11 @@
 	Target string
 	Body   string
 	// Gateway is the index of the gateway that the request was sent to.
-	Gateway        int
+	Gateway int
+	// Resumes is the ID of the request that brought the first event of the stream that
+	// this request takes up after event LastEvent. Other requests have neither.
+	Resumes        string
+	LastEvent      int
 	SentAt         time.Time
 	EndedAt        time.Time
 	Status         int
@@ -94,6 +102,9 @@
 	Seed     uint64
 	// Keys are the keys to use. Each request uses a random one.
 	Keys []string
+	// LongStreams makes all requests long streams that can be resumed, each at a random
+	// gateway.
+	LongStreams bool
 }
 
 // Caller is one caller with one connection to one gateway at a time. It is not
@@ -121,12 +132,14 @@
 func (c *Caller) Records() []Record { return c.records }
 
 // Run sends one request after the other until ctx ends. It completes the last one
-// before it returns. After an error it changes to a random gateway.
+// before it returns. If a stream breaks off that can be resumed, it takes it up at
+// once, and once only, at another gateway. After other errors it changes to a random
+// gateway.
 func (c *Caller) Run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		record := c.Send(n)
-		pause := time.Duration(c.rng.Int64N(int64(maxThinkTime)))
-		if record.Err != nil {
+		record := c.sendAndTakeUp(n)
+		pause := time.Duration(c.rng.Int64N(int64(c.thinkTime())))
+		if record.Err != nil || c.options.LongStreams {
 			c.gateway = c.rng.IntN(len(c.options.Gateways))
 		}
 		if retryAfter, err := strconv.ParseFloat(record.ResponseHeader.Get("Retry-After"), 64); err == nil {
@@ -137,6 +150,14 @@
 	c.client.CloseIdleConnections()
 }
 
+// thinkTime returns the maximum pause between two requests.
+func (c *Caller) thinkTime() time.Duration {
+	if c.options.LongStreams {
+		return maxLongThinkTime
+	}
+	return maxThinkTime
+}
+
 // Send sends a random request with the given number, and records and returns it.
 func (c *Caller) Send(n int) Record {
 	record := c.randomRequest(n)
@@ -145,6 +166,42 @@
 	return record
 }
 
+// sendAndTakeUp is Send, followed by the request that takes up the stream if it breaks
+// off. It returns the last request.
+func (c *Caller) sendAndTakeUp(n int) Record {
+	record := c.Send(n)
+	if len(c.options.Gateways) > 1 && record.canBeTakenUp() {
+		return c.takeUp(&record)
+	}
+	return record
+}
+
+// canBeTakenUp reports whether the connection of a stream broke between two of its
+// events, so that its caller may send a request for the rest.
+func (r *Record) canBeTakenUp() bool {
+	if r.Kind != ResumableStream || r.Status != http.StatusOK || r.Err == nil || os.IsTimeout(r.Err) {
+		return false
+	}
+	return r.Events() > 0 && r.Events() < fleet.StreamEvents
+}
+
+// Events returns the number of complete events that the response contains.
+func (r *Record) Events() int { return bytes.Count(r.ResponseBody, []byte("\n\n")) }
+
+// takeUp sends a request for the rest of a stream to another gateway, and records and
+// returns it. The caller stays with that gateway.
+func (c *Caller) takeUp(broken *Record) Record {
+	n := len(c.options.Gateways)
+	c.gateway = (broken.Gateway + 1 + c.rng.IntN(n-1)) % n
+	record := Record{
+		ID: broken.ID + "-rest", Kind: broken.Kind, Gateway: c.gateway, Key: broken.Key, Method: broken.Method,
+		Target: broken.Target, Body: broken.Body, Resumes: broken.ID, LastEvent: broken.Events(),
+	}
+	c.roundTrip(&record)
+	c.records = append(c.records, record)
+	return record
+}
+
 // randomRequest returns a random request that has not been sent.
 func (c *Caller) randomRequest(n int) Record {
 	kind := []Kind{NonIdempotent, Idempotent, Stream, ResumableStream}[c.rng.IntN(4)]
@@ -153,7 +210,10 @@
 		Key: c.options.Keys[c.rng.IntN(len(c.options.Keys))], Method: http.MethodPost,
 		Target: fmt.Sprintf("/%s/%d?n=%d", kind, c.rng.IntN(100), n), Body: fmt.Sprint("body of ", c.options.Name, " ", n),
 	}
-	if kind == Idempotent {
+	if c.options.LongStreams {
+		record.Kind, record.Target = ResumableStream, fmt.Sprintf("%s%d?n=%d", fleet.LongStreamPath, c.rng.IntN(100), n)
+	}
+	if record.Kind == Idempotent {
 		record.Method, record.Body = http.MethodGet, ""
 	}
 	return record
@@ -180,6 +240,10 @@
 	if record.Kind.Pool() == fleet.EnginePool {
 		r.Header.Set(names.Model, fleet.Model)
 		r.Header.Set(names.Tokens, strconv.Itoa(promptTokens)+",20")
+		if record.Resumes != "" {
+			r.Header.Set(names.Resumes, record.Resumes)
+			r.Header.Set(names.LastEventID, strconv.Itoa(record.LastEvent))
+		}
 		r.Header.Set(names.Prefix, fmt.Sprintf("guide:%d,%s:%d", promptTokens-uniqueTokens, record.ID, uniqueTokens))
 	}
 	record.SentAt = time.Now()
--- a/cmd/soak/internal/check/check.go
+++ b/cmd/soak/internal/check/check.go
@@ -36,8 +36,13 @@
 	// request.
 	CorrectResponse Rule = "genuine"
 	// StreamOrder: a stream consists of the replica's events from the first one on,
-	// without gaps.
+	// or from the one after which its caller takes it up, without gaps.
 	StreamOrder Rule = "order"
+	// SingleRelease: all events of a stream, those that its caller receives after
+	// taking it up included, come from replicas of one release.
+	SingleRelease Rule = "release"
+	// TakeUp: streams that callers take up go on about as often as new ones begin.
+	TakeUp Rule = "take-up"
 	// UnchangedRequest: replicas receive what the caller sent, with the caller's
 	// workspace and without its key.
 	UnchangedRequest Rule = "unchanged"
@@ -103,14 +108,23 @@
 	// RevokedAt is when the guest's key was revoked; zero means never.
 	RevokedAt   time.Time
 	StopWindows []StopWindow
+	// Gateways holds, by gateway, when faults affected it.
+	Gateways [][]fleet.Span
+	Engines  []Engine
+}
+
+// Engine is the life of an engine.
+type Engine struct {
+	Release string
+	Started time.Time
+	// Disturbed holds when faults affected the engine, and the time since it began to
+	// leave.
+	Disturbed []fleet.Span
 }
 
 // Violations returns every violation found in the observations.
 func Violations(observed *Observations) []Violation {
-	c := &checker{observed: observed, runs: make(map[string][]*Run), records: make(map[string]*caller.Record)}
-	for i := range observed.Records {
-		c.records[observed.Records[i].ID] = &observed.Records[i]
-	}
+	c := newChecker(observed)
 	for i := range observed.Runs {
 		run := &observed.Runs[i]
 		c.runs[string(run.ID)] = append(c.runs[string(run.ID)], run)
@@ -127,6 +141,7 @@
 	for _, window := range observed.StopWindows {
 		c.checkStop(window)
 	}
+	c.checkTakeUps()
 	return c.violations
 }
 
@@ -137,6 +152,14 @@
 	violations []Violation
 }
 
+func newChecker(observed *Observations) *checker {
+	c := &checker{observed: observed, runs: make(map[string][]*Run), records: make(map[string]*caller.Record)}
+	for i := range observed.Records {
+		c.records[observed.Records[i].ID] = &observed.Records[i]
+	}
+	return c
+}
+
 func (c *checker) report(rule Rule, format string, args ...any) {
 	c.violations = append(c.violations, Violation{rule, fmt.Sprintf(format, args...)})
 }
@@ -203,14 +226,13 @@
 	}) {
 		c.report(CorrectResponse, "%s received a success with digest %q, which no replica that ran it sent", record.ID, record.ResponseHeader.Get(names.Digest))
 	}
-	want := "answer to " + record.ID
-	rule := CorrectResponse
 	if record.Kind.Pool() == fleet.EnginePool {
-		want, rule = replica.Stream(fleet.StreamEvents), StreamOrder
+		c.checkStream(record)
+		return
 	}
-	got := string(record.ResponseBody)
+	want, got := "answer to "+record.ID, string(record.ResponseBody)
 	if record.Complete && got != want || !strings.HasPrefix(want, got) {
-		c.report(rule, "%s received a wrong body (complete: %t): %q", record.ID, record.Complete, got)
+		c.report(CorrectResponse, "%s received a wrong body (complete: %t): %q", record.ID, record.Complete, got)
 	}
 }
 
--- a/cmd/soak/internal/check/check_test.go
+++ b/cmd/soak/internal/check/check_test.go
@@ -29,7 +29,7 @@
 	record.ResponseHeader.Set(names.RequestID, "r")
 	record.ResponseHeader.Set(names.Digest, "digest-u")
 	if kind.Pool() == fleet.EnginePool {
-		record.ResponseBody = []byte(replica.Stream(fleet.StreamEvents))
+		record.ResponseBody = events(1, fleet.StreamEvents, v1)
 	}
 	return &Observations{Records: []caller.Record{record}, Runs: []Run{runOn(kind, "u")}}
 }
@@ -81,8 +81,8 @@
 		"no digest":                 {caller.Idempotent, CorrectResponse, func(o *Observations) { o.Records[0].ResponseHeader.Del(names.Digest) }},
 		"wrong body":                {caller.Idempotent, CorrectResponse, func(o *Observations) { o.Records[0].ResponseBody = []byte("answer to s") }},
 		"half of an answer":         {caller.Idempotent, CorrectResponse, func(o *Observations) { o.Records[0].ResponseBody = []byte("answer") }},
-		"missing event":             {caller.ResumableStream, StreamOrder, func(o *Observations) { o.Records[0].ResponseBody = []byte(replica.Event(1) + replica.Event(3)) }},
-		"truncated stream":          {caller.Stream, StreamOrder, func(o *Observations) { o.Records[0].ResponseBody = []byte(replica.Event(1)) }},
+		"missing event":             {caller.ResumableStream, StreamOrder, func(o *Observations) { o.Records[0].ResponseBody = append(events(1, 1, v1), events(3, 3, v1)...) }},
+		"truncated stream":          {caller.Stream, StreamOrder, func(o *Observations) { o.Records[0].ResponseBody = events(1, 1, v1) }},
 		"request of no caller":      {caller.Idempotent, UnchangedRequest, func(o *Observations) { o.Runs = append(o.Runs, Run{Run: replica.Run{ID: "x"}}) }},
 		"another path":              {caller.Idempotent, UnchangedRequest, func(o *Observations) { o.Runs[0].Target = "/other" }},
 		"forwarded with its key":    {caller.Idempotent, UnchangedRequest, func(o *Observations) { o.Runs[0].Header.Set(names.APIKey, "key-office") }},
--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -21,10 +21,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"comfreyworks"
 	"comfreyworks/cmd/soak/internal/proxy"
-	"comfreyworks/internal/standin/replica"
-	"comfreyworks/platform"
 	"comfreyworks/platform/standin"
 )
 
@@ -37,6 +34,9 @@
 	Model      = "oak"
 	// StreamEvents is the number of events of every stream.
 	StreamEvents = 12
+	// LongStreamPath begins the paths of streams that pause longer between events, and
+	// that can be resumed.
+	LongStreamPath = "/brief/long/"
 	// KeyRevocationBound is how long a revoked key may still be accepted.
 	KeyRevocationBound = 5 * time.Second
 	// StopGrace is the maximum time between the stop signal and the end of a process.
@@ -53,12 +53,6 @@
 	// supersededWeightsBound is how long superseded weights may still generate
 	// answers.
 	supersededWeightsBound = 6 * time.Second
-	// heartbeatInterval is the time between two renewals of the replicas' entries.
-	heartbeatInterval = 1200 * time.Millisecond
-	// eventInterval is the time between two events of a stream.
-	eventInterval = 15 * time.Millisecond
-	engineCount   = 4
-	appCount      = 3
 	// firstPort is below the range of the ephemeral ports that the kernel assigns
 	// to outgoing connections.
 	firstPort = 7001
@@ -78,32 +72,23 @@
 type Fleet struct {
 	Store    *standin.Store
 	Gateways []*Gateway
-	Replicas []*Replica
 
-	mu          sync.Mutex
-	deployment  standin.Deployment
+	mu         sync.Mutex
+	deployment standin.Deployment
+	// slots holds the replicas that were started last in each of the places of the
+	// fleet, replicas those that were started ever.
+	slots, replicas []*Replica
+	// replicaIDs is the number of replica IDs that were assigned.
+	replicaIDs int
+
 	group       errgroup.Group
 	stopping    chan struct{}
 	storeServer *http.Server
 }
 
-// Replica is a test double of a replica. Gateways reach it through Link.
-type Replica struct {
-	*replica.Replica
-	ID     comfreyworks.InstanceID
-	Pool   string
-	Link   *proxy.Proxy
-	Engine *standin.Engine
-
-	mu       sync.Mutex
-	entry    standin.Entry
-	unlisted bool
-	server   *http.Server
-}
-
 // Start starts the store, the replicas and the gateways.
 func Start(options Options) (*Fleet, error) {
-	f := &Fleet{Store: standin.NewStore(), stopping: make(chan struct{})}
+	f := &Fleet{Store: standin.NewStore(), stopping: make(chan struct{}), slots: make([]*Replica, Slots)}
 	f.deployment = deployment()
 	f.putConfig()
 	key, record := standin.Weights(Model, 1)
@@ -113,8 +98,8 @@
 		return nil, err
 	}
 	f.storeServer = server
-	for i := range engineCount + appCount {
-		if err := f.addReplica(i); err != nil {
+	for i := range Slots {
+		if _, err := f.StartReplica(i, Releases[0]); err != nil {
 			return nil, err
 		}
 	}
@@ -190,88 +175,6 @@
 	return server, listener.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
-func (f *Fleet) addReplica(i int) error {
-	r := &Replica{Pool: EnginePool, ID: comfreyworks.InstanceID(fmt.Sprint("lm-", i))}
-	options := replica.Options{ID: r.ID, Headers: platform.HeaderNames(), Events: StreamEvents, EventPause: func(string) time.Duration { return eventInterval }}
-	if i >= engineCount {
-		r.Pool, r.ID = AppPool, comfreyworks.InstanceID(fmt.Sprint("app-", i))
-		options.ID, options.Events = r.ID, 0
-	}
-	r.Replica = replica.New(options)
-	var handler http.Handler = r.Replica
-	if r.Pool == EnginePool {
-		r.Engine = &standin.Engine{Requests: r.Replica, OnLoad: r.SetWeights, Model: Model}
-		handler = r.Engine
-	}
-	server, address, err := f.serveOnLoopback(handler)
-	if err != nil {
-		return err
-	}
-	r.server = server
-	if r.Link, err = proxy.New(address); err != nil {
-		return err
-	}
-	r.entry = standin.Entry{
-		Service: r.Pool, Zone: fmt.Sprint("z", i%2), Address: r.Link.Address(), Started: time.Now(), Version: 1,
-	}
-	if r.Pool == EnginePool {
-		r.entry.Model = Model
-	}
-	f.Replicas = append(f.Replicas, r)
-	f.putEntry(r)
-	return nil
-}
-
-// putEntry writes a replica's entry with the next sequence number to the list of
-// upstreams, or removes the entry if the replica is unlisted.
-func (f *Fleet) putEntry(r *Replica) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.unlisted {
-		f.Store.Put(standin.UpstreamTopic, string(r.ID), "")
-		return
-	}
-	r.entry.Sequence++
-	if r.Engine != nil {
-		r.entry.Version = max(r.Engine.Version(), 1)
-	}
-	f.Store.Put(standin.UpstreamTopic, string(r.ID), r.entry.Record())
-}
-
-// SetDraining lists a replica as draining or as ready.
-func (f *Fleet) SetDraining(r *Replica, draining bool) {
-	r.mu.Lock()
-	r.entry.Draining = draining
-	r.mu.Unlock()
-	f.putEntry(r)
-}
-
-// SetUnlisted removes a replica's entry from the list of upstreams or adds it
-// again.
-func (f *Fleet) SetUnlisted(r *Replica, unlisted bool) {
-	r.mu.Lock()
-	r.unlisted = unlisted
-	r.mu.Unlock()
-	f.putEntry(r)
-}
-
-// renewEntries writes the entries of all replicas at each heartbeatInterval until
-// the fleet is stopped.
-func (f *Fleet) renewEntries() error {
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-f.stopping:
-			return nil
-		case <-ticker.C:
-			for _, r := range f.Replicas {
-				f.putEntry(r)
-			}
-		}
-	}
-}
-
 func (f *Fleet) startGateways(options Options, storeAddress netip.AddrPort) error {
 	var peerSeeds []netip.AddrPort
 	for i := range options.Gateways {
@@ -317,7 +220,8 @@
 // resumes or restarts every gateway that is paused or has exited.
 func (f *Fleet) Restore() error {
 	f.Store.SetFault(standin.Fault{})
-	for _, r := range f.Replicas {
+	for i := range Slots {
+		r := f.Replica(i)
 		r.Link.Set(proxy.Fault{})
 		r.SetFaultFunc(nil)
 		r.mu.Lock()
@@ -342,7 +246,7 @@
 		g.StoreLink.Close()
 	}
 	close(f.stopping)
-	for _, r := range f.Replicas {
+	for _, r := range f.Replicas() {
 		_ = r.server.Close()
 		r.Link.Close()
 	}
--- a/cmd/soak/internal/fleet/gateway.go
+++ b/cmd/soak/internal/fleet/gateway.go
@@ -20,6 +20,7 @@
 // Gateway is a gateway that runs as a process and can be restarted. It is safe for
 // concurrent use.
 type Gateway struct {
+	Disturbances
 	StoreLink *proxy.Proxy
 
 	program, logPath, settingsPath string
--- a/cmd/soak/internal/series/series.go
+++ b/cmd/soak/internal/series/series.go
@@ -34,9 +34,15 @@
 	// counts as serving after requiredSuccesses successful probes in a row.
 	probeInterval     = 50 * time.Millisecond
 	requiredSuccesses = 5
-	// quietPeriod is the time without faults before a gateway is told to stop, so
-	// that only the stop can cut off requests.
+	// quietPeriod is the time without faults before a gateway is killed or told to
+	// stop while nothing else is disturbed, so that only this can cut off requests.
 	quietPeriod = 4 * time.Second
+	// streamCallers is the number of callers of long streams for each other caller.
+	// They outnumber the others so that a gateway that is killed breaks many streams.
+	streamCallers = 3
+	// brokenGateways is the number of gateways that are killed while nothing else is
+	// disturbed.
+	brokenGateways = 2
 )
 
 // Options configures a soak.
@@ -56,7 +62,8 @@
 	Violations []check.Violation
 	Requests   int
 	// Served is the number of requests with a complete response of status 200.
-	Served int
+	Served  int
+	Streams check.StreamCounts
 }
 
 // Run runs a soak. It returns an error if the soak could not be carried out;
@@ -81,7 +88,8 @@
 }
 
 // soak is a running soak. Each of its probes is a caller that sends requests to only
-// one gateway.
+// one gateway; those that awaitServing creates in one call are in the order of the
+// gateways.
 type soak struct {
 	options   Options
 	fleet     *fleet.Fleet
@@ -94,34 +102,78 @@
 	callerContext, stop := context.WithCancel(ctx)
 	defer stop()
 	var group errgroup.Group
-	for i := range s.options.Callers {
-		c := caller.New(caller.Options{
+	for i := range s.options.Callers * (1 + streamCallers) {
+		options := caller.Options{
 			Name: fmt.Sprintf("caller-%d", i), Gateways: s.addresses, Seed: s.options.Seed + uint64(i),
 			Keys: []string{"key-office", "key-lab", "key-guest"},
-		})
+		}
+		if i >= s.options.Callers {
+			options.Keys, options.LongStreams = options.Keys[:2], true
+		}
+		c := caller.New(options)
 		s.callers = append(s.callers, c)
 		group.Go(func() error {
 			c.Run(callerContext)
 			return nil
 		})
 	}
-	plan := trouble.NewPlan(s.options.Seed, s.options.Length, len(s.fleet.Gateways), len(s.fleet.Replicas))
-	revokedAt := plan.Execute(s.fleet)
+	plan := trouble.NewPlan(s.options.Seed, s.options.Length, len(s.fleet.Gateways), fleet.Slots)
+	revokedAt, err := plan.Execute(s.fleet)
+	if err != nil {
+		return nil, err
+	}
 	if err := s.fleet.Restore(); err != nil {
 		return nil, err
 	}
 	notServing := s.awaitServing(ctx, "recover", recoverTimeout)
+	if err := s.breakStreams(); err != nil {
+		return nil, err
+	}
 	stopWindow := s.stopOneGateway()
 	stop()
 	_ = group.Wait()
 	return s.evaluate(plan, revokedAt, notServing, stopWindow), nil
 }
 
+// breakStreams lets engines of two releases serve in each availability zone and kills
+// two gateways, one after the other, while nothing else is disturbed.
+func (s *soak) breakStreams() error {
+	var leaving errgroup.Group
+	for slot := range fleet.EngineSlots {
+		release := fleet.Releases[1+slot/2%2]
+		if s.fleet.Replica(slot).Release == release {
+			continue
+		}
+		replaced, err := s.fleet.StartReplica(slot, release)
+		if err != nil {
+			return err
+		}
+		leaving.Go(func() error {
+			s.fleet.Leave(replaced)
+			return nil
+		})
+	}
+	_ = leaving.Wait()
+	for i := range brokenGateways {
+		time.Sleep(quietPeriod)
+		g := s.fleet.Gateways[(int(s.options.Seed)+1+i)%len(s.fleet.Gateways)]
+		end := g.Disturb()
+		g.Kill()
+		err := g.Start()
+		end()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // stopOneGateway tells one gateway to stop while no faults are injected and the
 // callers continue to send requests.
 func (s *soak) stopOneGateway() check.StopWindow {
 	time.Sleep(quietPeriod)
 	window := check.StopWindow{Gateway: int(s.options.Seed) % len(s.fleet.Gateways), From: time.Now()}
+	s.fleet.Gateways[window.Gateway].Disturb()
 	s.fleet.Gateways[window.Gateway].Terminate()
 	window.To = time.Now()
 	return window
@@ -153,10 +205,22 @@
 
 func (s *soak) evaluate(plan *trouble.Plan, revokedAt time.Time, notServing string, stopWindow check.StopWindow) *Result {
 	observed := &check.Observations{RevokedAt: revokedAt, StopWindows: []check.StopWindow{stopWindow}, Orders: make(map[string][]standin.Order), Arrivals: make(map[string][]time.Time)}
-	for _, c := range append(s.callers, s.probes...) {
+	for _, c := range s.callers {
 		observed.Records = append(observed.Records, c.Records()...)
 	}
-	for _, r := range s.fleet.Replicas {
+	for i, probe := range s.probes {
+		for _, record := range probe.Records() {
+			record.Gateway = i % len(s.addresses)
+			observed.Records = append(observed.Records, record)
+		}
+	}
+	for _, g := range s.fleet.Gateways {
+		observed.Gateways = append(observed.Gateways, g.Disturbed())
+	}
+	for _, r := range s.fleet.Replicas() {
+		if r.Pool == fleet.EnginePool {
+			observed.Engines = append(observed.Engines, check.Engine{Release: r.Release, Started: r.Started, Disturbed: r.Disturbed()})
+		}
 		for _, run := range r.Runs() {
 			observed.Runs = append(observed.Runs, check.Run{Run: run, Replica: string(r.ID), Pool: r.Pool})
 		}
@@ -167,7 +231,7 @@
 			observed.Orders[string(r.ID)] = r.Engine.Orders()
 		}
 	}
-	result := &Result{Plan: plan, Violations: check.Violations(observed), Requests: len(observed.Records)}
+	result := &Result{Plan: plan, Violations: check.Violations(observed), Requests: len(observed.Records), Streams: check.CountStreams(observed)}
 	for i := range observed.Records {
 		if record := &observed.Records[i]; record.Status == http.StatusOK && record.Complete {
 			result.Served++
--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	plan := trouble.NewPlan(seed, length, gateways, replicas)
-//	revokedAt := plan.Execute(f)
+//	revokedAt, err := plan.Execute(f)
 package trouble
 
 import (
@@ -63,6 +63,10 @@
 	RewriteConfig Kind = "redeclare"
 	// DeclareWeights declares newer weights of the model.
 	DeclareWeights Kind = "new-weights"
+	// Release replaces engines by ones of another release of their software. The new
+	// ones start at the beginning of the event; the old ones leave or crash at its
+	// end.
+	Release Kind = "release"
 	// RevokeKey revokes the key of workspace guest.
 	RevokeKey Kind = "revoke"
 )
@@ -108,12 +112,14 @@
 	// FailureRate is the share of a faulty replica's requests that fail.
 	FailureRate float64
 	Seed        uint64
+	// Release is the release of the engines that replace others.
+	Release string
 }
 
 // String describes the event on one line.
 func (e *Event) String() string {
-	return fmt.Sprintf("%.1f s to %.1f s %s, gateway %d, replica %d %s %s",
-		e.Start.Seconds(), (e.Start + e.Duration).Seconds(), e.Kind, e.Gateway, e.Replica, e.Link.Kind, e.Fault)
+	return fmt.Sprintf("%.1f s to %.1f s %s, gateway %d, replica %d %s %s %s",
+		e.Start.Seconds(), (e.Start + e.Duration).Seconds(), e.Kind, e.Gateway, e.Replica, e.Link.Kind, e.Fault, e.Release)
 }
 
 // Plan is a schedule of events.
@@ -121,7 +127,7 @@
 
 // NewPlan generates a plan that starts events for the given length of time. Every
 // plan revokes the key of workspace guest; for even seeds all gateways are cut off
-// from the store at that time.
+// from the store at that time. Releases are drawn independently, with newReleases.
 func NewPlan(seed uint64, length time.Duration, gateways, replicas int) *Plan {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	plan := &Plan{}
@@ -134,6 +140,7 @@
 		revocation.Start += 2 * minDuration
 	}
 	plan.Events = append(plan.Events, revocation)
+	plan.Events = append(plan.Events, newReleases(seed, length, gateways)...)
 	return plan
 }
 
@@ -147,8 +154,9 @@
 }
 
 // Execute injects the events at their times and returns after the last one has
-// ended, with the time at which the guest's key was revoked.
-func (p *Plan) Execute(f *fleet.Fleet) (revokedAt time.Time) {
+// ended, with the time at which the guest's key was revoked. It returns an error if a
+// replica cannot be started.
+func (p *Plan) Execute(f *fleet.Fleet) (revokedAt time.Time, err error) {
 	start := time.Now()
 	var mu sync.Mutex
 	var group errgroup.Group
@@ -156,27 +164,57 @@
 		event := &p.Events[i]
 		group.Go(func() error {
 			time.Sleep(event.Start - time.Since(start))
-			if event.Kind == RevokeKey {
+			switch event.Kind {
+			case RevokeKey:
 				mu.Lock()
 				defer mu.Unlock()
 				revokedAt = f.RevokeGuestKey()
 				return nil
+			case Release:
+				return event.replaceEngines(f)
 			}
-			end := event.inject(f)
+			r := f.Replica(event.Replica)
+			undisturb := event.disturb(f, r)
+			end := event.inject(f, r)
 			time.Sleep(event.Duration)
 			end()
+			undisturb()
 			return nil
 		})
 	}
-	_ = group.Wait()
-	return revokedAt
+	err = group.Wait()
+	return revokedAt, err
+}
+
+// disturb records that the event affects gateways or a replica, and returns a function
+// that records its end. A gateway counts as affected by what is done to its process:
+// faults of the store are no reason to refuse streams.
+func (e *Event) disturb(f *fleet.Fleet, r *fleet.Replica) (end func()) {
+	switch e.Kind {
+	case Kill, Pause, Terminate, Hangup:
+		return f.Gateways[e.Gateway].Disturb()
+	case KillAll:
+		var ends []func()
+		for _, g := range f.Gateways {
+			ends = append(ends, g.Disturb())
+		}
+		return func() {
+			for _, end := range ends {
+				end()
+			}
+		}
+	case ReplicaLinkFault, ReplicaUnlisted, ReplicaDraining, ReplicaFaulty:
+		return r.Disturb()
+	default:
+		return func() {}
+	}
 }
 
 // inject starts the event and returns a function that ends it. Because events
 // overlap, starting a process that already runs and stopping one that has exited
 // do nothing.
-func (e *Event) inject(f *fleet.Fleet) (end func()) {
-	g, r := f.Gateways[e.Gateway], f.Replicas[e.Replica]
+func (e *Event) inject(f *fleet.Fleet, r *fleet.Replica) (end func()) {
+	g := f.Gateways[e.Gateway]
 	restart := func() { _ = g.Start() }
 	noop := func() {}
 	switch e.Kind {
--- /dev/null
+++ b/cmd/soak/internal/trouble/trouble_test.go
@@ -0,0 +1,45 @@
+package trouble
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyworks/cmd/soak/internal/fleet"
+)
+
+const (
+	length   = 12 * time.Second
+	gateways = 3
+)
+
+// TestPlanIsDeterminedBySeed guards against seeds whose failures cannot be repeated.
+func TestPlanIsDeterminedBySeed(t *testing.T) {
+	for seed := range uint64(20) {
+		assert.DeepEqual(t, NewPlan(seed, length, gateways, fleet.Slots), NewPlan(seed, length, gateways, fleet.Slots))
+	}
+}
+
+// TestReleases guards against releases that do not overlap with the loss of gateways.
+func TestReleases(t *testing.T) {
+	perSeed, kills, back := make(map[int]int), make(map[Kind]int), 0
+	for seed := range uint64(100) {
+		events := newReleases(seed, length, gateways)
+		perSeed[len(events)/2]++
+		previous := fleet.Releases[0]
+		for i := 0; i < len(events); i += 2 {
+			release, kill := events[i], events[i+1]
+			assert.Equal(t, release.Kind, Release)
+			assert.Assert(t, release.Release != previous)
+			assert.Assert(t, kill.Start >= release.Start && kill.Start <= release.Start+release.Duration+maxKillDelay)
+			kills[kill.Kind]++
+			if previous = release.Release; previous == fleet.Releases[0] {
+				back++
+			}
+		}
+	}
+	assert.Equal(t, len(perSeed), maxReleases+1)
+	assert.Assert(t, kills[Kill] > 0 && kills[KillAll] > 0 && len(kills) == 2)
+	assert.Assert(t, back > 0)
+}
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -43,7 +43,7 @@
 	Regressions string        `long:"regressions" description:"file with one seed per line, which replaces --seed and --seeds" value-name:"PATH"`
 	Jobs        int           `long:"jobs" default:"1" description:"number of seeds that run at the same time"`
 	Gateways    int           `long:"gateways" default:"3" description:"number of gateways in each run"`
-	Callers     int           `long:"callers" default:"12" description:"number of callers in each run"`
+	Callers     int           `long:"callers" default:"12" description:"number of callers in each run, besides three of long streams for each"`
 	Length      time.Duration `long:"length" default:"12s" description:"time during which faults are started"`
 	Mutants     bool          `long:"mutants" description:"build gateways with deliberate bugs and run seeds until each bug is detected"`
 	Root        string        `long:"root" default:"." description:"source tree that --mutants builds from" value-name:"PATH"`
@@ -154,8 +154,10 @@
 // printResult prints one line for a seed. If guarantees were broken, it also
 // prints the violations and the injected events.
 func printResult(seed uint64, result *series.Result) {
-	fmt.Printf("seed %d: %d requests, %d served, %d troubles, %d promises broken\n",
-		seed, result.Requests, result.Served, len(result.Plan.Events), len(result.Violations))
+	streams := &result.Streams
+	fmt.Printf("seed %d: %d requests, %d served, %d troubles, %d of %d streams begun, %d of %d taken up went on, %d promises broken\n",
+		seed, result.Requests, result.Served, len(result.Plan.Events), streams.Begun, streams.Started,
+		streams.Continued, streams.TakenUp, len(result.Violations))
 	if len(result.Violations) == 0 {
 		return
 	}
