Detect gateways that ignore or do not pass on releases

Two mutants: one continues streams at any release, one keeps the origins of its streams to itself. TestMutantsApply covers both.

--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -45,6 +45,15 @@
 		"restarts broken streams from the first event", "internal/coordination/forward/stream.go",
 		"a.lastEventID = id", "_ = id",
 	},
+	{
+		"ignores the releases of streams", "internal/coordination/balance/balance.go",
+		"(q.Release == 0 || q.Release == streamorigins.Release(upstream.Pool, upstream.Release))",
+		"(q.Release == 0 || streamorigins.Release(upstream.Pool, upstream.Release) != 0)",
+	},
+	{
+		"does not pass on the origins of streams", "internal/transport/gateway/origins.go",
+		"if _, ok := g.catalog.OnlyRelease(split.Pool); !ok {", "if _, ok := g.catalog.OnlyRelease(split.Pool); !ok && table == nil {",
+	},
 }
 
 // Build builds the mutant from the source tree at root and returns the path of the
