Keep gateways alive while all are cut off from the store in soaks

Releases whose kills would fall into that time are delayed, in even seeds only. TestReleasesSpareCut checks it.

--- a/cmd/soak/internal/trouble/release.go
+++ b/cmd/soak/internal/trouble/release.go
@@ -21,8 +21,10 @@
 )
 
 // newReleases generates events that replace engines by ones of another release, and
-// for each of them the kill of one or all gateways soon after its start or its end.
-func newReleases(seed uint64, length time.Duration, gateways int) []Event {
+// for each of them the kill of one or all gateways soon after its start or its end. Both
+// are delayed if the gateways would be killed or restarted during cut: a restarted one
+// has no keys whose age could be ignored.
+func newReleases(seed uint64, length time.Duration, gateways int, cut *Event) []Event {
 	rng := rand.New(rand.NewPCG(seed, releaseStream))
 	var events []Event
 	current := 0
@@ -40,11 +42,22 @@
 			kill.Start += release.Duration
 		}
 		kill.Start += time.Duration(rng.Int64N(int64(maxKillDelay)))
+		if kill.overlaps(cut) {
+			delay := cut.Start + cut.Duration - kill.Start
+			release.Start += delay
+			kill.Start += delay
+		}
 		events = append(events, release, kill)
 	}
 	return events
 }
 
+// overlaps reports whether two events happen at the same time. One without a duration
+// overlaps with none.
+func (e *Event) overlaps(other *Event) bool {
+	return other.Duration > 0 && e.Start < other.Start+other.Duration && other.Start < e.Start+e.Duration
+}
+
 func randomDuration(rng *rand.Rand) time.Duration {
 	return minDuration + time.Duration(rng.Int64N(int64(maxDuration-minDuration)))
 }
--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -135,12 +135,14 @@
 		plan.Events = append(plan.Events, randomEvent(rng, at, gateways, replicas))
 	}
 	revocation := Event{Kind: RevokeKey, Start: time.Duration(rng.Int64N(int64(length / 2)))}
+	var cut Event
 	if seed%2 == 0 {
-		plan.Events = append(plan.Events, Event{Kind: StorePartition, Start: revocation.Start, Duration: partitionDuration})
+		cut = Event{Kind: StorePartition, Start: revocation.Start, Duration: partitionDuration}
+		plan.Events = append(plan.Events, cut)
 		revocation.Start += 2 * minDuration
 	}
 	plan.Events = append(plan.Events, revocation)
-	plan.Events = append(plan.Events, newReleases(seed, length, gateways)...)
+	plan.Events = append(plan.Events, newReleases(seed, length, gateways, &cut)...)
 	return plan
 }
 
--- a/cmd/soak/internal/trouble/trouble_test.go
+++ b/cmd/soak/internal/trouble/trouble_test.go
@@ -25,7 +25,7 @@
 func TestReleases(t *testing.T) {
 	perSeed, kills, back := make(map[int]int), make(map[Kind]int), 0
 	for seed := range uint64(100) {
-		events := newReleases(seed, length, gateways)
+		events := newReleases(seed, length, gateways, &Event{})
 		perSeed[len(events)/2]++
 		previous := fleet.Releases[0]
 		for i := 0; i < len(events); i += 2 {
@@ -43,3 +43,14 @@
 	assert.Assert(t, kills[Kill] > 0 && kills[KillAll] > 0 && len(kills) == 2)
 	assert.Assert(t, back > 0)
 }
+
+// TestReleasesSpareCut guards against seeds that no longer detect gateways that accept
+// old keys, because none of them is left when the keys expire.
+func TestReleasesSpareCut(t *testing.T) {
+	cut := Event{Kind: StorePartition, Start: 3 * time.Second, Duration: partitionDuration}
+	for seed := range uint64(100) {
+		for _, event := range newReleases(seed, length, gateways, &cut) {
+			assert.Assert(t, event.Kind == Release || event.Start >= cut.Start+cut.Duration || event.Start+event.Duration <= cut.Start)
+		}
+	}
+}
