--- a/internal/standin/replica/endless.go
+++ b/internal/standin/replica/endless.go
@@ -29,19 +29,23 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
-		rep.writeEndlessly(buffered.Writer, "HTTP/1.1 200 OK\r\n", "X-More: y\r\n", buffered.Flush)
+		rep.writeEndlessly(buffered.Writer, "HTTP/1.1 200 OK\r\n", "X-More: y\r\n", rep.eventPause(run), buffered.Flush)
 		return
 	}
 	start, text := "", "x"
 	if rep.options.Events > 0 {
 		w.Header().Set("Content-Type", "text/event-stream")
-		start, text = Stream(rep.options.Events/2), ": x\n\n"
+		text = ": x\n\n"
+		for i := 1; i <= rep.options.Events/2; i++ {
+			start += ReleaseEvent(i, rep.options.Release)
+		}
 	}
-	rep.writeEndlessly(bufio.NewWriter(w), start, text, http.NewResponseController(w).Flush)
+	rep.writeEndlessly(bufio.NewWriter(w), start, text, rep.eventPause(run), http.NewResponseController(w).Flush)
 }
 
-// writeEndlessly writes a start and then a text again and again until writing fails.
-func (rep *Replica) writeEndlessly(w *bufio.Writer, start, text string, flush func() error) {
+// writeEndlessly writes a start and then a text again and again, with a pause after
+// each piece, until writing fails.
+func (rep *Replica) writeEndlessly(w *bufio.Writer, start, text string, pause time.Duration, flush func() error) {
 	piece := strings.Repeat(text, endlessPieceBytes/len(text))
 	_, err := io.WriteString(w, start)
 	for err == nil {
@@ -51,6 +55,6 @@
 		if err = w.Flush(); err == nil {
 			err = flush()
 		}
-		time.Sleep(rep.options.EventPause)
+		time.Sleep(pause)
 	}
 }
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -56,8 +56,12 @@
 	// Events is the number of events in each stream; zero means that the replica
 	// is a plain service.
 	Events int
-	// EventPause is the time between two events of a stream.
-	EventPause time.Duration
+	// EventPause returns the time between two events of a stream, given the path and
+	// query of its request. Nil means no pause.
+	EventPause func(target string) time.Duration
+	// Release is the version of the replica's software. Unless it is empty, the events
+	// of streams contain it.
+	Release string
 }
 
 // Run is a request that a replica ran.
@@ -209,7 +213,7 @@
 	case FaultEndlessHead, FaultEndlessBody:
 		rep.respondEndlessly(w, run, fault)
 	default:
-		rep.respond(w, r, run, fault)
+		rep.respond(w, run, fault)
 	}
 }
 
@@ -251,7 +255,7 @@
 	run.Cancelled = true
 }
 
-func (rep *Replica) respond(w http.ResponseWriter, r *http.Request, run *Run, fault Fault) {
+func (rep *Replica) respond(w http.ResponseWriter, run *Run, fault Fault) {
 	if rep.options.Events == 0 {
 		if fault == FaultTruncatedResponse {
 			w.Header().Set("Content-Length", "100")
@@ -260,12 +264,9 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	lastEvent, err := strconv.Atoi(r.Header.Get(rep.options.Headers.LastEventID))
-	if err != nil {
-		lastEvent = 0
-	}
+	pause := rep.eventPause(run)
 	flusher := http.NewResponseController(w)
-	for i := lastEvent + 1; i <= rep.options.Events; i++ {
+	for i := rep.lastEvent(run) + 1; i <= rep.options.Events; i++ {
 		if i > rep.options.Events/2 && fault == FaultTruncatedResponse {
 			panic(http.ErrAbortHandler)
 		}
@@ -273,17 +274,33 @@
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
 			return
 		}
-		_, _ = io.WriteString(w, Event(i))
+		_, _ = io.WriteString(w, ReleaseEvent(i, rep.options.Release))
 		if err := flusher.Flush(); err != nil {
 			rep.markCancelled(run)
 			return
 		}
-		if rep.options.EventPause > 0 {
-			time.Sleep(rep.options.EventPause)
+		if pause > 0 {
+			time.Sleep(pause)
 		}
 	}
 }
 
+// lastEvent returns the number of the event after which a stream is to begin.
+func (rep *Replica) lastEvent(run *Run) int {
+	n, err := strconv.Atoi(run.Header.Get(rep.options.Headers.LastEventID))
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func (rep *Replica) eventPause(run *Run) time.Duration {
+	if rep.options.EventPause == nil {
+		return 0
+	}
+	return rep.options.EventPause(run.Target)
+}
+
 // Stream returns the text of a complete stream of n events.
 func Stream(n int) string {
 	var all strings.Builder
@@ -293,5 +310,15 @@
 	return all.String()
 }
 
-// Event returns the text of event n of a stream, counted from one.
-func Event(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
+// Event returns the text of event n of a stream of a replica without a release. Events
+// are counted from one.
+func Event(n int) string { return ReleaseEvent(n, "") }
+
+// ReleaseEvent returns the text of event n of a stream of a replica that runs the given
+// release.
+func ReleaseEvent(n int, release string) string {
+	if release != "" {
+		release = " of " + release
+	}
+	return fmt.Sprintf("id: %d\ndata: token %d%s\n\n", n, n, release)
+}
