Mend a second mutant of the soak that could not be built

The test of answers without a digest moved from a case into an if, so that the mutant "forwards responses without a digest" no longer applied. TestMutantsApply failed with "0 (int) != 1 (int)" before and passes.

--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -39,7 +39,7 @@
 	},
 	{
 		"forwards responses without a digest", "internal/coordination/forward/attempt.go",
-		"case !response.HasDigest || a.headerWritten:", "case a.headerWritten:",
+		"if !response.HasDigest || a.headerWritten {", "if a.headerWritten {",
 	},
 	{
 		"restarts broken streams from the first event", "internal/coordination/forward/stream.go",
