Let endless streams of replica stand-ins begin after the caller's last event

A faulty replica that was to continue a stream began again with event 1, which no replica does, and the soak would have called it a fault of the gateway. TestEndlessBody fails on the code before for streams after event 1 and 3 ("got id: 1").

--- a/internal/standin/replica/endless.go
+++ b/internal/standin/replica/endless.go
@@ -36,7 +36,7 @@
 	if rep.options.Events > 0 {
 		w.Header().Set("Content-Type", "text/event-stream")
 		text = ": x\n\n"
-		for i := 1; i <= rep.options.Events/2; i++ {
+		for i := rep.lastEvent(run) + 1; i <= rep.options.Events/2; i++ {
 			start += ReleaseEvent(i, rep.options.Release)
 		}
 	}
