Let entries of stopped replicas expire in restored stores

A store that was restored from a copy listed replicas for good that a release had stopped since. They are removed again after the time in which entries expire. TestRemoveRestored fails if removed replicas are not remembered: the entry is still listed.

--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -174,12 +174,15 @@
 
 // RestoreStore restores the store from a copy. Operators declare the current
 // deployment and weights again; replicas renew their entries at the next heartbeat.
+// Entries of replicas that had been removed are removed again after expiryTime.
 func (f *Fleet) RestoreStore(saved standin.Copy) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.Store.Restore(saved)
 	f.putConfig()
 	f.putWeights(f.weights)
+	f.mu.Unlock()
+	time.Sleep(expiryTime)
+	f.removeRestored()
 }
 
 // serveOnLoopback starts an HTTP server on a free loopback port.
--- a/cmd/soak/internal/fleet/replica.go
+++ b/cmd/soak/internal/fleet/replica.go
@@ -58,7 +58,9 @@
 	// leaving means that the replica serves no new requests, left that it has been
 	// stopped. Neither changes back.
 	leaving, left bool
-	server        *http.Server
+	// removed means that the entry has been removed for good.
+	removed bool
+	server  *http.Server
 	// starts are the times at which the incarnations of the replica started.
 	starts []time.Time
 }
@@ -166,10 +168,23 @@
 func (f *Fleet) remove(r *Replica) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.left = true
+	r.left, r.removed = true, true
 	f.Store.Put(standin.UpstreamTopic, string(r.ID), "")
 }
 
+// removeRestored removes the entries that a restored store contains again of replicas
+// that had been removed.
+func (f *Fleet) removeRestored() {
+	for _, r := range f.Replicas() {
+		r.mu.Lock()
+		removed := r.removed
+		r.mu.Unlock()
+		if removed {
+			f.remove(r)
+		}
+	}
+}
+
 func (r *Replica) stop() {
 	r.Link.Close()
 	_ = r.server.Close()
--- a/cmd/soak/internal/fleet/replica_test.go
+++ b/cmd/soak/internal/fleet/replica_test.go
@@ -1,10 +1,6 @@
 package fleet
 
 import (
-	"encoding/json"
-	"net/http"
-	"net/http/httptest"
-	"net/url"
 	"strings"
 	"testing"
 
@@ -24,32 +20,7 @@
 
 // entry returns the entry of a replica as it is in the store, or the empty string if it
 // is not listed.
-func entry(t *testing.T, f *Fleet, r *Replica) string {
-	t.Helper()
-	after := ""
-	for {
-		w := httptest.NewRecorder()
-		query := url.Values{"topic": {standin.UpstreamTopic}, "after": {after}}
-		f.Store.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/log-newest?"+query.Encode(), http.NoBody))
-		var page struct {
-			Items []struct {
-				Key   string
-				Value []byte
-			}
-			More bool
-		}
-		assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &page))
-		for _, item := range page.Items {
-			after = item.Key
-			if item.Key == string(r.ID) {
-				return string(item.Value)
-			}
-		}
-		if !page.More {
-			return ""
-		}
-	}
-}
+func (f *Fleet) entry(r *Replica) string { return f.Store.Newest(standin.UpstreamTopic, string(r.ID)) }
 
 // TestRestart guards against restarts that change the release of a replica, and against
 // ones that list a replica again that has left.
@@ -61,15 +32,29 @@
 	f.Restart(r)
 	assert.Equal(t, len(r.Starts()), 2)
 	assert.Assert(t, r.Starts()[1].After(r.Started))
-	assert.Assert(t, strings.Contains(entry(t, f, r), `"version":"`+Releases[2]+`"`))
+	assert.Assert(t, strings.Contains(f.entry(r), `"version":"`+Releases[2]+`"`))
 
 	r.mu.Lock()
 	r.leaving = true
 	r.mu.Unlock()
 	f.Restart(r)
-	assert.Assert(t, strings.Contains(entry(t, f, r), `"draining"`))
+	assert.Assert(t, strings.Contains(f.entry(r), `"draining"`))
 	f.remove(r)
 	f.Restart(r)
 	assert.Equal(t, len(r.Starts()), 3)
-	assert.Equal(t, entry(t, f, r), "")
+	assert.Equal(t, f.entry(r), "")
+}
+
+// TestRemoveRestored guards against restored stores that list replicas for good that
+// were stopped after the copy was made.
+func TestRemoveRestored(t *testing.T) {
+	f := newFleet(t)
+	left, serving := f.Replica(0), f.Replica(1)
+	saved := f.Store.Copy()
+	f.remove(left)
+	f.Store.Restore(saved)
+	assert.Assert(t, f.entry(left) != "")
+	f.removeRestored()
+	assert.Equal(t, f.entry(left), "")
+	assert.Assert(t, f.entry(serving) != "")
 }
