--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -31,7 +31,7 @@
 	},
 	{
 		"reports requests that may have run as not run", "internal/coordination/forward/forward.go",
-		"case after == attemptNotRun && r.runs == 0:", "case true:",
+		"case (after == attemptNotRun || after == attemptNotSent) && r.runs == 0:", "case true:",
 	},
 	{
 		"accepts keys that were not confirmed in time", "internal/transport/gateway/request.go",
@@ -39,7 +39,7 @@
 	},
 	{
 		"forwards responses without a digest", "internal/coordination/forward/attempt.go",
-		"case !response.HasDigest || a.headerWritten:", "case a.headerWritten:",
+		"if !response.HasDigest || a.headerWritten {", "if a.headerWritten {",
 	},
 	{
 		"restarts broken streams from the first event", "internal/coordination/forward/stream.go",
@@ -53,6 +53,15 @@
 		"sends requests to upstreams that want none for some time", "internal/coordination/balance/closed.go",
 		"return now.Before(c.until)", "return now.IsZero()",
 	},
+	{
+		"ignores the releases of streams", "internal/coordination/balance/balance.go",
+		"(q.Release == 0 || q.Release == streamorigins.Release(upstream.Pool, upstream.Release))",
+		"(q.Release == 0 || streamorigins.Release(upstream.Pool, upstream.Release) != 0)",
+	},
+	{
+		"does not pass on the origins of streams", "internal/transport/gateway/origins.go",
+		"if g.catalog.NeedsOrigins(split.Pool) {", "if g.catalog.NeedsOrigins(split.Pool) && table == nil {",
+	},
 }
 
 // Build builds the mutant from the source tree at root and returns the path of the
--- a/cmd/soak/internal/trouble/advice.go
+++ b/cmd/soak/internal/trouble/advice.go
@@ -24,9 +24,10 @@
 	}
 }
 
-// Disturbances returns the times at which gateways did not run and at which their
-// links to replicas were disturbed, if the plan was started at a time. A gateway that
-// was told to stop may take the whole grace period until it is started again.
+// Disturbances returns the times at which gateways did not run, if the plan was started
+// at a time. A gateway that was told to stop may take the whole grace period until it is
+// started again. Replicas record themselves when their links were disturbed, because
+// releases change which replica a plan's event affects.
 func (p *Plan) Disturbances(startedAt time.Time) []check.Disturbance {
 	var disturbances []check.Disturbance
 	for i := range p.Events {
@@ -38,8 +39,6 @@
 			d.Gateway = -1
 		case Terminate:
 			d.To = d.To.Add(fleet.StopGrace)
-		case ReplicaLinkFault:
-			d.Gateway, d.Replica = -1, e.Replica
 		default:
 			continue
 		}
--- /dev/null
+++ b/cmd/soak/internal/trouble/trouble_test.go
@@ -0,0 +1,89 @@
+package trouble
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyworks/cmd/soak/internal/check"
+	"comfreyworks/cmd/soak/internal/fleet"
+)
+
+const (
+	length   = 12 * time.Second
+	gateways = 3
+)
+
+// TestPlanIsDeterminedBySeed guards against seeds whose failures cannot be repeated.
+func TestPlanIsDeterminedBySeed(t *testing.T) {
+	for seed := range uint64(20) {
+		assert.DeepEqual(t, NewPlan(seed, length, gateways, fleet.Slots), NewPlan(seed, length, gateways, fleet.Slots))
+	}
+}
+
+// TestReleases guards against releases that do not overlap with the loss of gateways.
+func TestReleases(t *testing.T) {
+	perSeed, kills, back := make(map[int]int), make(map[Kind]int), 0
+	for seed := range uint64(100) {
+		events := newReleases(seed, length, gateways, &Event{})
+		perSeed[len(events)/2]++
+		previous := fleet.Releases[0]
+		for i := 0; i < len(events); i += 2 {
+			release, kill := events[i], events[i+1]
+			assert.Equal(t, release.Kind, Release)
+			assert.Assert(t, release.Release != previous)
+			assert.Assert(t, kill.Start >= release.Start && kill.Start <= release.Start+release.Duration+maxKillDelay)
+			kills[kill.Kind]++
+			if previous = release.Release; previous == fleet.Releases[0] {
+				back++
+			}
+		}
+	}
+	assert.Equal(t, len(perSeed), maxReleases+1)
+	assert.Assert(t, kills[Kill] > 0 && kills[KillAll] > 0 && len(kills) == 2)
+	assert.Assert(t, back > 0)
+}
+
+// TestReleasesSpareCut guards against seeds that no longer detect gateways that accept
+// old keys, because none of them is left when the keys expire.
+func TestReleasesSpareCut(t *testing.T) {
+	cut := Event{Kind: StorePartition, Start: 3 * time.Second, Duration: partitionDuration}
+	for seed := range uint64(100) {
+		for _, event := range newReleases(seed, length, gateways, &cut) {
+			assert.Assert(t, event.Kind == Release || event.Start >= cut.Start+cut.Duration || event.Start+event.Duration <= cut.Start)
+		}
+	}
+}
+
+// TestEveryKindIsDrawn guards against kinds of events that no seed contains.
+func TestEveryKindIsDrawn(t *testing.T) {
+	drawn := make(map[Kind]bool)
+	for seed := range uint64(20) {
+		events := NewPlan(seed, length, gateways, fleet.Slots).Events
+		for i := range events {
+			drawn[events[i].Kind] = true
+		}
+	}
+	for _, kind := range append([]Kind{StoreRestored, ReplicaLeaves, ReplicaCloses, Release, RevokeKey}, kinds...) {
+		assert.Assert(t, drawn[kind], "%s", kind)
+	}
+}
+
+// TestDisturbances guards against disturbances of gateways that the checks of advice do
+// not know of.
+func TestDisturbances(t *testing.T) {
+	at := time.Unix(100, 0)
+	plan := Plan{Events: []Event{
+		{Kind: Kill, Start: time.Second, Duration: time.Second, Gateway: 1},
+		{Kind: KillAll, Start: time.Second, Duration: time.Second, Gateway: 1},
+		{Kind: Terminate, Start: time.Second, Duration: time.Second},
+		{Kind: ReplicaDraining, Start: time.Second, Duration: time.Second},
+	}}
+	from, to := at.Add(time.Second), at.Add(2*time.Second)
+	assert.DeepEqual(t, plan.Disturbances(at), []check.Disturbance{
+		{Gateway: 1, Replica: -1, From: from, To: to},
+		{Gateway: -1, Replica: -1, From: from, To: to},
+		{Gateway: 0, Replica: -1, From: from, To: to.Add(fleet.StopGrace)},
+	})
+}
