--- a/internal/coordination/peering/registry.go
+++ b/internal/coordination/peering/registry.go
@@ -33,8 +33,8 @@
 
 // pollRegistry registers this gateway while it is a relay and looks for gateways
 // that it does not know, until ctx ends. It registers again if it is no longer
-// listed, because the registry was restored from an earlier copy. Leaves learn of other gateways from their
-// relay and use the registry only while no peer is reachable.
+// listed, because the registry was restored from an earlier copy. Leaves learn of other
+// gateways from their relay and use the registry only while no peer is reachable.
 func (p *Peering) pollRegistry(ctx context.Context) error {
 	registered := false
 	nextRead := p.startedAt.Add(seedTimeout + p.spreadOver(seedSpread))
