Add a failing test: the answer of an upstream that is silent for a second and goes on

With no other upstream the request returns to the silent one and passes. TestDeadUpstreamIsLeft passes: it keeps the time after which a dead upstream is left.

--- /dev/null
+++ b/internal/coordination/forward/silence_test.go
@@ -0,0 +1,240 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"comfreyworks"
+	"comfreyworks/internal/state/retrybudget"
+)
+
+const (
+	wholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n"
+	// untilSecond is the length of the first two events of wholeStream.
+	untilSecond = len(wholeStream) / 2
+	// forwardAll advances the clock in steps of clockStep, by maxTestTime at most.
+	clockStep   = 50 * time.Millisecond
+	maxTestTime = 10 * time.Second
+)
+
+// pausingBody is a body that falls silent once and then goes on. The pause is over when
+// the clock has advanced by it, or when the context ends.
+type pausingBody struct {
+	ctx          context.Context
+	clock        *clockwork.FakeClock
+	pause        time.Duration
+	before, rest io.Reader
+	paused       bool
+}
+
+// Read implements io.Reader.
+func (b *pausingBody) Read(p []byte) (int, error) {
+	if n, err := b.before.Read(p); err == nil {
+		return n, nil
+	}
+	if !b.paused {
+		b.paused = true
+		select {
+		case <-b.clock.After(b.pause):
+		case <-b.ctx.Done():
+		}
+	}
+	if err := context.Cause(b.ctx); err != nil {
+		return 0, err
+	}
+	return b.rest.Read(p)
+}
+
+// pausing responds with a body that falls silent after the given number of bytes.
+func pausing(clock *clockwork.FakeClock, body string, after int, pause time.Duration) response {
+	return func(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+		return respond(http.StatusOK, true, func() io.Reader {
+			return &pausingBody{ctx: ctx, clock: clock, pause: pause, before: strings.NewReader(body[:after]), rest: strings.NewReader(body[after:])}
+		})(ctx, options)
+	}
+}
+
+// respondRest responds with the events of wholeStream after the last one that the
+// request names.
+func respondRest(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+	_, rest, found := strings.Cut(wholeStream, "id: "+options.LastEventID+"\n")
+	if !found {
+		return respondOK(wholeStream)(ctx, options)
+	}
+	return respondOK(rest[strings.Index(rest, "id:"):])(ctx, options)
+}
+
+// soundUpstreams answers the first attempt of each request with first and all others
+// with others. It is safe for concurrent use.
+type soundUpstreams struct {
+	clock         *clockwork.FakeClock
+	first, others response
+
+	mu   sync.Mutex
+	sent map[comfreyworks.RequestID][]sentAttempt
+}
+
+type sentAttempt struct {
+	at       time.Time
+	ctx      context.Context
+	upstream comfreyworks.InstanceID
+}
+
+// Exchange implements comfreyworks.Exchanger.
+func (u *soundUpstreams) Exchange(ctx context.Context, request *comfreyworks.ForwardedRequest, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+	u.mu.Lock()
+	u.sent[request.ID] = append(u.sent[request.ID], sentAttempt{u.clock.Now(), ctx, options.Upstream.ID})
+	isFirst := len(u.sent[request.ID]) == 1
+	u.mu.Unlock()
+	if isFirst {
+		return u.first(ctx, options)
+	}
+	return u.others(ctx, options)
+}
+
+// newSoundFixture returns a fixture with the given number of upstreams and retries.
+func newSoundFixture(upstreams int, retries float64) (*fixture, *soundUpstreams) {
+	f := newFixture()
+	present := f.catalog.Upstreams(pool)[:upstreams]
+	f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Whole: true, Present: present, Next: 2}, f.clock.Now())
+	f.forwarder.options.RetryLimit = func() retrybudget.Limit {
+		return retrybudget.Limit{Slack: retries, Window: 10 * time.Second}
+	}
+	sound := &soundUpstreams{clock: f.clock, sent: make(map[comfreyworks.RequestID][]sentAttempt)}
+	f.forwarder.options.Exchanger = sound
+	return f, sound
+}
+
+// forwardAll forwards n requests at the same time, advances the clock until they have
+// ended or maxTestTime is over, and returns their outcomes and bodies.
+func (f *fixture) forwardAll(t *testing.T, route *comfreyworks.Route, n int) ([]Outcome, []recordingSink) {
+	t.Helper()
+	outcomes, sinks := make([]Outcome, n), make([]recordingSink, n)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var requests errgroup.Group
+	var ended atomic.Int32
+	for i := range n {
+		request := f.request(route)
+		request.Message = &comfreyworks.ForwardedRequest{ID: comfreyworks.RequestID(fmt.Sprint("r", i)), Method: http.MethodPost}
+		requests.Go(func() error {
+			outcomes[i] = f.forwarder.Forward(ctx, request, &sinks[i])
+			ended.Add(1)
+			return nil
+		})
+	}
+	for until := f.clock.Now().Add(maxTestTime); int(ended.Load()) < n && f.clock.Now().Before(until); f.clock.Advance(clockStep) {
+		// Lets the goroutines that wait for the clock run.
+		time.Sleep(2 * time.Millisecond)
+	}
+	cancel()
+	assert.NilError(t, requests.Wait())
+	return outcomes, sinks
+}
+
+func assertComplete(t *testing.T, outcome Outcome, sink *recordingSink, body string) {
+	t.Helper()
+	assert.Equal(t, outcome.Verdict, Delivered, outcome.Reason)
+	assert.Equal(t, sink.body.String(), body)
+}
+
+// TestSoundUpstreamSilentForAWhile guards against ending the answer of an upstream that
+// falls silent for a second and goes on, although no other one can take its place.
+func TestSoundUpstreamSilentForAWhile(t *testing.T) {
+	stream, idempotent := route(comfreyworks.RouteStream, 2, true), route(comfreyworks.RouteIdempotent, 2, false)
+	answers := map[string]struct {
+		route *comfreyworks.Route
+		after int
+	}{
+		"stream in the midst":           {stream, untilSecond},
+		"stream before its first event": {stream, 0},
+		"idempotent":                    {idempotent, 0},
+	}
+	obstacles := map[string]struct {
+		upstreams int
+		retries   float64
+		others    response
+		// sequential means that the silent upstream of a request without a stream is
+		// left before this shows, so that its caller gets an error answer.
+		sequential bool
+	}{
+		"the retry budget is spent":   {3, 0, respondRest, false},
+		"there is no other upstream":  {1, 10, respondRest, false},
+		"the others are busy":         {3, 10, busy, true},
+		"the other one breaks off":    {3, 10, lost, true},
+		"the other one is not sent":   {3, 10, notSent, true},
+		"the other one answers 500":   {3, 10, respond(http.StatusInternalServerError, true, completeBody("e")), true},
+		"the other one never answers": {3, 10, neverRespond, true},
+	}
+	for name, answer := range answers {
+		for obstacleName, obstacle := range obstacles {
+			if obstacle.sequential && answer.route == idempotent {
+				continue
+			}
+			for _, pause := range []time.Duration{time.Second, 1500 * time.Millisecond} {
+				t.Run(fmt.Sprint(name, ", ", obstacleName, ", ", pause), func(t *testing.T) {
+					f, sound := newSoundFixture(obstacle.upstreams, obstacle.retries)
+					sound.first, sound.others = pausing(f.clock, wholeStream, answer.after, pause), obstacle.others
+					outcomes, sinks := f.forwardAll(t, answer.route, 1)
+					assertComplete(t, outcomes[0], &sinks[0], wholeStream)
+					assert.Assert(t, outcomes[0].Runs <= answer.route.MaxAttempts)
+				})
+			}
+		}
+	}
+	t.Run("fifty at once", func(t *testing.T) {
+		const requests, retries = 50, 5
+		for name, answer := range answers {
+			t.Run(name, func(t *testing.T) {
+				f, sound := newSoundFixture(3, retries)
+				sound.first, sound.others = pausing(f.clock, wholeStream, answer.after, 1500*time.Millisecond), respondRest
+				outcomes, sinks := f.forwardAll(t, answer.route, requests)
+				sends := 0
+				for i := range outcomes {
+					assertComplete(t, outcomes[i], &sinks[i], wholeStream)
+					sends += outcomes[i].Sends
+				}
+				assert.Assert(t, sends <= requests+retries, "%d", sends)
+			})
+		}
+	})
+}
+
+// TestDeadUpstreamIsLeft guards against waiting for an upstream that is silent for good
+// although another one can take its place.
+func TestDeadUpstreamIsLeft(t *testing.T) {
+	cases := map[string]struct {
+		route   *comfreyworks.Route
+		after   int
+		timeout time.Duration
+	}{
+		"stream in the midst":           {route(comfreyworks.RouteStream, 2, true), untilSecond, 800 * time.Millisecond},
+		"stream before its first event": {route(comfreyworks.RouteStream, 2, true), 0, 600 * time.Millisecond},
+		"idempotent":                    {route(comfreyworks.RouteIdempotent, 2, false), 0, 600 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f, sound := newSoundFixture(3, 10)
+			sound.first, sound.others = pausing(f.clock, wholeStream, c.after, time.Hour), respondRest
+			outcomes, sinks := f.forwardAll(t, c.route, 1)
+			assertComplete(t, outcomes[0], &sinks[0], wholeStream)
+			sent := sound.sent["r0"]
+			assert.Equal(t, len(sent), 2)
+			assert.Assert(t, sent[0].upstream != sent[1].upstream)
+			took := sent[1].at.Sub(sent[0].at)
+			assert.Assert(t, took >= c.timeout && took <= c.timeout+2*clockStep, took)
+			<-sent[0].ctx.Done()
+		})
+	}
+}
