Give up a silent upstream only for another one that can serve the request

Cause: an attempt on a repeatable route was cancelled after 2 times the objective (at least 0.4 s) without its first event or answer, or 2 times the event gap without the next event, before it was known whether the request could be sent elsewhere. With the retry budget spent, the others busy or unreachable, or the second upstream breaking off, a stream that had begun ended broken although the first upstream would have gone on. The class of fault: silence is taken for failure.

That this was the users' case is only suspected: their record names no second.

Change: when the limit passes, another upstream is chosen and a retry is taken; if that is not possible, the silent one is waited for and another one looked for again after the same time. A stream is kept open until the other upstream's answer begins; a new event until then withdraws the request there, and a refusal or failure there leaves the stream where it is. This holds only within one release, because what two releases write does not fit together. Requests without a stream, and streams that have not begun if only another release is left, are still given up first, but not before the retry is taken. The time that a caller takes to receive an event no longer counts as silence of the upstream.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"comfreyworks"
@@ -18,52 +17,61 @@
 	"comfreyworks/internal/state/holdings"
 )
 
-// errUpstreamSilent is the context's cause when an upstream did not answer in
-// time and the request is to be sent to another one.
-var errUpstreamSilent = errors.New("upstream silent")
-
 // attempt is one attempt to get the answer to a request from one upstream.
 type attempt struct {
 	*activeRequest
 	pick      *balance.Pick
 	startedAt time.Time
-	result    balance.Result
-	cause     error
-	// silence cancels the attempt if the upstream is silent for too long; nil means
-	// that there is no limit.
-	silence clockwork.Timer
+	// ctx is the context of the exchange with the upstream.
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	response *comfreyworks.UpstreamResponse
+	result   balance.Result
+	cause    error
+	// silenceLimit is the response timeout, and takeover replaces an upstream that
+	// exceeds it. Zero and nil mean that there is no limit.
+	silenceLimit time.Duration
+	takeover     *takeover
 	// resumesAfter is the event after which the attempt continues a stream; empty
 	// means from the start.
 	resumesAfter string
 }
 
-// run sends the request and cancels it if the upstream does not answer within the
-// response timeout.
-func (a *attempt) run(ctx context.Context) (Outcome, attemptResult) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timeout := a.responseTimeout()
-	if timeout > 0 {
-		a.silence = a.options.Clock.AfterFunc(timeout, func() { cancel(errUpstreamSilent) })
-		defer a.silence.Stop()
-	}
-	return a.exchange(ctx)
+// newAttempt returns an attempt at a chosen upstream. It must be ended.
+func (r *activeRequest) newAttempt(ctx context.Context, pick *balance.Pick) *attempt {
+	a := &attempt{activeRequest: r, pick: pick, startedAt: r.options.Clock.Now(), resumesAfter: r.lastEventID}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.silenceLimit = a.responseTimeout()
+	return a
 }
 
-// eventReceived restarts the time in which the next event must arrive.
-func (a *attempt) eventReceived() {
-	if a.silence != nil {
-		a.silence.Reset(a.eventTimeout())
-	}
+// countSend counts an attempt that is about to be sent.
+func (r *activeRequest) countSend(a *attempt) {
+	r.sends++
+	r.tried = append(r.tried, a.pick.Upstream.ID)
 }
 
-// answerPassedOn ends the time limit on the upstream's silence: once a part of the
-// answer was passed on, the request cannot be sent to another upstream, so that
-// cutting off a slow answer would help nobody.
-func (a *attempt) answerPassedOn() {
-	if a.silence != nil {
-		a.silence.Stop()
+// run sends the request, unless that has been done, and relays the answer. If the
+// upstream is silent for longer than the response timeout, another one takes over.
+func (a *attempt) run(ctx context.Context) (Outcome, attemptResult) {
+	defer a.end()
+	if a.response == nil {
+		a.countSend(a)
+		a.runs++
+		a.recordOrigin()
+	}
+	if a.silenceLimit > 0 {
+		a.watch(ctx, a.silenceLimit)
+		defer a.settle(false)
 	}
+	return a.exchange()
+}
+
+// end releases the attempt's resources and reports its result.
+func (a *attempt) end() {
+	a.cancel(nil)
+	a.pick.Done(a.result)
+	a.log()
 }
 
 // responseTimeout returns how long to wait for the complete answer, or the first
@@ -83,21 +91,33 @@
 	return max(responseTimeoutFactor*a.request.Route.MaxEventGap, minResponseTimeout)
 }
 
-// exchange sends the request and relays the answer.
-func (a *attempt) exchange(ctx context.Context) (Outcome, attemptResult) {
-	defer func() { a.pick.Done(a.result) }()
-	a.runs++
-	a.recordOrigin()
-	response, err := a.options.Exchanger.Exchange(comfreyworks.WithAdvice(ctx, a.pick.Advise), a.request.Message, a.attemptOptions())
-	if err != nil {
-		return Outcome{}, a.classifyError(ctx, err)
+// exchange sends the request, unless its response has begun, and relays the answer.
+func (a *attempt) exchange() (Outcome, attemptResult) {
+	response := a.response
+	if response == nil {
+		var err error
+		response, err = a.options.Exchanger.Exchange(comfreyworks.WithAdvice(a.ctx, a.pick.Advise), a.request.Message, a.attemptOptions())
+		if err != nil {
+			return a.lost(err)
+		}
 	}
 	defer func() { _ = response.Body.Close() }()
 	a.result.Weights = response.Weights
 	if a.request.Route.Kind == comfreyworks.RouteStream && response.Status == http.StatusOK && response.HasDigest {
-		return a.relayEvents(ctx, response)
+		return a.relayEvents(response)
 	}
-	return a.relayBody(ctx, response)
+	return a.relayBody(response)
+}
+
+// lost ends the attempt without an answer. An upstream that was asked to take over may
+// still answer the request.
+func (a *attempt) lost(err error) (Outcome, attemptResult) {
+	a.settle(true)
+	result := a.classifyError(a.ctx, err)
+	if a.next != nil {
+		result = attemptReplaced
+	}
+	return Outcome{}, result
 }
 
 // attemptOptions returns what is sent along with the request in this attempt.
@@ -179,17 +199,23 @@
 // exceeds maxBufferedBytes. An answer without the upstream's digest counts as
 // lost, and so does any answer after the sink has received a part of a stream. Their
 // bodies are not read, because they may never end.
-func (a *attempt) relayBody(ctx context.Context, response *comfreyworks.UpstreamResponse) (Outcome, attemptResult) {
+func (a *attempt) relayBody(response *comfreyworks.UpstreamResponse) (Outcome, attemptResult) {
 	if !response.HasDigest || a.headerWritten {
-		return Outcome{}, a.classifyError(ctx, errors.New("answer without proof"))
+		return a.lost(errors.New("answer without proof"))
 	}
 	var buffer bytes.Buffer
 	_, err := io.CopyN(&buffer, response.Body, maxBufferedBytes)
 	complete := errors.Is(err, io.EOF)
+	if err != nil && !complete {
+		return a.lost(err)
+	}
+	failed := response.Status >= http.StatusInternalServerError && a.request.Route.Repeatable()
+	a.settle(failed)
 	switch {
-	case err != nil && !complete:
-		return Outcome{}, a.classifyError(ctx, err)
-	case response.Status >= http.StatusInternalServerError && a.request.Route.Repeatable() && a.takeRetry(attemptLost):
+	case a.next != nil && (failed || !complete):
+		a.result.Outcome = balance.Failed
+		return Outcome{}, attemptReplaced
+	case failed && a.takeRetry(attemptLost):
 		a.result.Outcome = balance.Failed
 		a.reason = "upstream failed"
 		return Outcome{}, attemptRetryTaken
@@ -205,7 +231,6 @@
 		return Outcome{Verdict: Abandoned, Reason: "caller left"}, attemptDone
 	}
 	if !complete {
-		a.answerPassedOn()
 		if err := a.relayRest(response); err != nil {
 			a.cause = err
 			return Outcome{Verdict: Broken, Reason: "answer cut off"}, attemptDone
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -201,9 +201,12 @@
 	*poolState
 	request *Request
 	sink    Sink
-	tried   []comfreyworks.InstanceID
-	sends   int
-	runs    int
+
+	// mu protects the fields below while a takeover is in progress.
+	mu    sync.Mutex
+	tried []comfreyworks.InstanceID
+	sends int
+	runs  int
 	// headerWritten means that the sink has received the header of an answer.
 	headerWritten bool
 	lastEventID   string
@@ -213,6 +216,9 @@
 	// zero if there was none.
 	sentTo uint32
 	reason string
+	// next is the attempt that takes the place of the current one; nil if there is
+	// none.
+	next *attempt
 }
 
 // attemptResult tells whether a request may be retried after an attempt.
@@ -235,6 +241,8 @@
 	// attemptRetryTaken means that a retry has already been taken from the
 	// budget.
 	attemptRetryTaken
+	// attemptReplaced means that activeRequest.next takes its place.
+	attemptReplaced
 )
 
 // run makes attempts until the request has its final outcome.
@@ -247,7 +255,7 @@
 		if cause := context.Cause(ctx); cause != nil {
 			return r.finish(r.outcomeOnCancel(cause))
 		}
-		if result != attemptRetryTaken && !r.takeRetry(result) {
+		if result != attemptReplaced && result != attemptRetryTaken && !r.takeRetry(result) {
 			return r.finish(r.outcomeWithoutRetry(result))
 		}
 	}
@@ -256,23 +264,31 @@
 // takeRetry decides whether the request may be retried and, if so, takes the
 // retry from the budget. Otherwise it adds the cause to the reason.
 func (r *activeRequest) takeRetry(after attemptResult) bool {
+	obstacle := r.retryObstacle(after)
+	if obstacle == "" && after != attemptNotSent && !r.budget.TryRetry() {
+		obstacle = ", retry budget spent"
+	}
+	r.reason += obstacle
+	return obstacle == ""
+}
+
+// retryObstacle returns why the request may not be retried whatever the budget, or the
+// empty string if it may.
+func (r *activeRequest) retryObstacle(after attemptResult) string {
 	switch {
 	case after == attemptRejected:
-		r.reason += ", not sent again"
+		return ", not sent again"
 	case r.sends >= maxSends:
-		r.reason += ", sent too often"
+		return ", sent too often"
 	case after == attemptLost && !r.request.Route.Repeatable():
-		r.reason += ", may not run again"
+		return ", may not run again"
 	case r.runs >= r.request.Route.MaxAttempts:
-		r.reason += ", no run left"
+		return ", no run left"
 	case r.options.Clock.Until(r.request.Deadline) < minTimeLeft:
-		r.reason += ", no time left"
-	case after != attemptNotSent && !r.budget.TryRetry():
-		r.reason += ", retry budget spent"
+		return ", no time left"
 	default:
-		return true
+		return ""
 	}
-	return false
 }
 
 // outcomeWithoutRetry returns the outcome if no further attempt is made.
@@ -319,12 +335,24 @@
 		outcome.Reason = r.reason
 	}
 	outcome.Sends, outcome.Runs = r.sends, r.runs
+	if next := r.next; next != nil {
+		// It has lost against the answer that it was to replace, or against the deadline.
+		if next.response != nil {
+			_ = next.response.Body.Close()
+		}
+		next.cause, next.result.Outcome = errNotNeeded, balance.Withdrawn
+		next.end()
+	}
 	return outcome
 }
 
 // attempt sends the request to one upstream, unless there is none or admission
 // control refuses the request.
 func (r *activeRequest) attempt(ctx context.Context) (Outcome, attemptResult) {
+	if next := r.next; next != nil {
+		r.next = nil
+		return next.run(ctx)
+	}
 	pick := r.pick()
 	if pick == nil {
 		r.reason = "no upstream"
@@ -338,16 +366,12 @@
 		r.reason = fmt.Sprintf("overload, would wait %s", pick.Wait.Round(time.Millisecond))
 		return Outcome{Verdict: Refused, RetryAfter: max(retryAfterFactor*pick.Wait, minRetryAfter)}, attemptDone
 	}
-	r.sends++
-	r.tried = append(r.tried, pick.Upstream.ID)
-	a := &attempt{activeRequest: r, pick: pick, startedAt: r.options.Clock.Now(), resumesAfter: r.lastEventID}
-	outcome, result := a.run(ctx)
-	a.log()
-	return outcome, result
+	return r.newAttempt(ctx, pick).run(ctx)
 }
 
-// pick chooses an upstream, or returns nil if there is none.
-func (r *activeRequest) pick() *balance.Pick {
+// pick chooses an upstream, or returns nil if there is none. Those that were tried are
+// chosen again if there are no others, except for the given ones.
+func (r *activeRequest) pick(except ...comfreyworks.InstanceID) *balance.Pick {
 	query := r.balanceQuery()
 	if r.sentTo != 0 && r.beginsStream() {
 		// Other gateways may know of the last attempt and not of this one.
@@ -358,9 +382,9 @@
 		query.Release = 0
 	}
 	pick := r.options.Balancer.Pick(query)
-	if pick == nil && len(r.tried) > 0 && r.sends < maxSends {
+	if pick == nil && len(r.tried) > len(except) && r.sends < maxSends {
 		// Every upstream has been tried. One that was busy may have capacity again.
-		r.tried = nil
+		r.tried = except
 		pick = r.options.Balancer.Pick(r.balanceQuery())
 	}
 	return pick
--- a/internal/coordination/forward/silence_test.go
+++ b/internal/coordination/forward/silence_test.go
@@ -17,6 +17,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/state/retrybudget"
+	"comfreyworks/internal/state/streamorigins"
 )
 
 const (
@@ -189,6 +190,7 @@
 					outcomes, sinks := f.forwardAll(t, answer.route, 1)
 					assertComplete(t, outcomes[0], &sinks[0], wholeStream)
 					assert.Assert(t, outcomes[0].Runs <= answer.route.MaxAttempts)
+					assert.Assert(t, outcomes[0].Sends <= maxSends && (outcomes[0].Sends == 1 || obstacle.upstreams > 1))
 				})
 			}
 		}
@@ -238,3 +240,133 @@
 		})
 	}
 }
+
+// delayed waits on the clock before it responds, unless its context ends.
+func delayed(clock *clockwork.FakeClock, delay time.Duration, then response) response {
+	return func(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+		select {
+		case <-clock.After(delay):
+			return then(ctx, options)
+		case <-ctx.Done():
+			return neverRespond(ctx, options)
+		}
+	}
+}
+
+// inTurn responds to the first attempt with one response and then with the other.
+func inTurn(first, then response) response {
+	var asked atomic.Int32
+	return func(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+		if asked.Add(1) == 1 {
+			return first(ctx, options)
+		}
+		return then(ctx, options)
+	}
+}
+
+// TestTakeover checks which of two upstreams completes a stream.
+func TestTakeover(t *testing.T) {
+	second := time.Second
+	cases := map[string]struct {
+		attempts int
+		first    func(clock *clockwork.FakeClock) response
+		others   func(clock *clockwork.FakeClock) response
+		// causes are the reasons for which the attempts ended.
+		causes []error
+	}{
+		"the silent one goes on first": {
+			2, func(c *clockwork.FakeClock) response { return pausing(c, wholeStream, untilSecond, second) },
+			func(c *clockwork.FakeClock) response { return delayed(c, second, respondRest) },
+			[]error{context.Canceled, errNotNeeded},
+		},
+		"the other one answers first": {
+			2, func(c *clockwork.FakeClock) response { return pausing(c, wholeStream, untilSecond, 3*second) },
+			func(c *clockwork.FakeClock) response { return delayed(c, second, respondRest) },
+			[]error{errUpstreamSilent, context.Canceled},
+		},
+		"the silent one breaks off first": {
+			2, func(c *clockwork.FakeClock) response {
+				return pausing(c, wholeStream[:untilSecond+1], untilSecond, second)
+			},
+			func(c *clockwork.FakeClock) response { return delayed(c, second, respondRest) },
+			[]error{errUpstreamSilent, context.Canceled},
+		},
+		"a third one at once, as the second is busy": {
+			2, func(c *clockwork.FakeClock) response { return pausing(c, wholeStream, untilSecond, second) },
+			func(*clockwork.FakeClock) response { return inTurn(busy, respondRest) },
+			[]error{errUpstreamSilent, context.Canceled, context.Canceled},
+		},
+		"a third one, as the second is silent too": {
+			3, func(c *clockwork.FakeClock) response { return pausing(c, wholeStream, untilSecond, time.Hour) },
+			func(*clockwork.FakeClock) response { return inTurn(neverRespond, respondRest) },
+			[]error{errUpstreamSilent, errUpstreamSilent, context.Canceled},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f, sound := newSoundFixture(3, 10)
+			sound.first, sound.others = c.first(f.clock), c.others(f.clock)
+			outcomes, sinks := f.forwardAll(t, route(comfreyworks.RouteStream, c.attempts, true), 1)
+			assertComplete(t, outcomes[0], &sinks[0], wholeStream)
+			assert.Equal(t, outcomes[0].Sends, len(c.causes))
+			for i, sent := range sound.sent["r0"] {
+				assert.ErrorIs(t, context.Cause(sent.ctx), c.causes[i])
+			}
+			for _, upstream := range f.catalog.Upstreams(pool) {
+				assert.Equal(t, f.forwarder.options.Balancer.Requests(upstream.ID), 0, "all picks are released")
+			}
+		})
+	}
+}
+
+// TestTakeoverBeforeFirstEvent guards against two releases that work on the same stream:
+// whichever answers first, its release must be the one that is recorded.
+func TestTakeoverBeforeFirstEvent(t *testing.T) {
+	for name, release := range map[string]string{"same release": "v1", "another release": "v2"} {
+		t.Run(name, func(t *testing.T) {
+			f, sound := newSoundFixture(2, 10)
+			present := f.catalog.Upstreams(pool)
+			for i := range present {
+				present[i].Release, present[i].Sequence = []string{"v1", release}[i], 1
+			}
+			f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Whole: true, Present: present, Next: 3}, f.clock.Now())
+			origins := &fakeOrigins{}
+			f.forwarder.options.Origins = origins
+			sound.first, sound.others = pausing(f.clock, wholeStream, 0, time.Second), delayed(f.clock, time.Second, respondRest)
+			outcomes, sinks := f.forwardAll(t, route(comfreyworks.RouteStream, 2, true), 1)
+			assertComplete(t, outcomes[0], &sinks[0], wholeStream)
+			sent := sound.sent["r0"]
+			assert.Equal(t, len(sent), 2)
+			last := sent[0].upstream
+			if release == "v2" {
+				last = sent[1].upstream
+			}
+			upstream, _ := f.catalog.Upstream(last)
+			assert.Equal(t, origins.added[len(origins.added)-1], streamorigins.Release(pool, upstream.Release))
+		})
+	}
+}
+
+// slowSink takes longer than the event timeout to receive an event.
+type slowSink struct {
+	recordingSink
+	clock *clockwork.FakeClock
+}
+
+// Write implements Sink.
+func (s *slowSink) Write(p []byte) (int, error) {
+	s.clock.Advance(time.Second)
+	// Lets the timer's function run.
+	time.Sleep(5 * time.Millisecond)
+	return s.recordingSink.Write(p)
+}
+
+// TestSlowCaller guards against taking a caller that reads slowly for a silent upstream.
+func TestSlowCaller(t *testing.T) {
+	f, sound := newSoundFixture(3, 10)
+	sound.first, sound.others = pausing(f.clock, wholeStream, len(wholeStream), 0), respondRest
+	sink := &slowSink{clock: f.clock}
+	outcome := f.forwarder.Forward(context.Background(), f.request(route(comfreyworks.RouteStream, 2, true)), sink)
+	assertComplete(t, outcome, &sink.recordingSink, wholeStream)
+	assert.Equal(t, outcome.Sends, 1)
+}
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"strconv"
@@ -19,52 +18,54 @@
 
 // relayEvents passes a stream on event by event. A stream that breaks has thus
 // been delivered up to the end of an event and can be resumed after it.
-func (a *attempt) relayEvents(ctx context.Context, response *comfreyworks.UpstreamResponse) (Outcome, attemptResult) {
+func (a *attempt) relayEvents(response *comfreyworks.UpstreamResponse) (Outcome, attemptResult) {
 	events := bufio.NewScanner(response.Body)
 	events.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
 	events.Split(new(eventSplitter).split)
-	first := true
+	first, replaced := true, false
 	var progress streamProgress
 	for events.Scan() {
 		event := events.Bytes()
 		id := eventID(event)
 		isNew, err := progress.add(event, id)
 		if err != nil {
-			return Outcome{}, a.classifyError(ctx, err)
+			return a.lost(err)
 		}
 		if a.alreadyDelivered(id) {
 			continue
 		}
 		if id == "" && !hasData(event) {
 			if err := progress.hold(event); err != nil {
-				return Outcome{}, a.classifyError(ctx, err)
+				return a.lost(err)
 			}
 			continue
 		}
+		begins := !a.headerWritten
+		if replaced = !a.beginEvent(isNew); replaced {
+			// The other upstream sends this event too. The next read returns an error.
+			continue
+		}
 		if first {
 			a.recordAnswer(response.Status)
 			first = false
 		}
-		if isNew {
-			a.eventReceived()
-		}
-		if !a.headerWritten {
-			a.headerWritten = true
-			a.release = a.upstreamRelease()
+		if begins {
 			a.sink.Begin(response.Status, response.Header, response.ContentLength)
 		}
 		if _, err := a.sink.Write(progress.release(event)); err != nil {
 			return Outcome{Verdict: Abandoned, Reason: "caller left"}, attemptDone
 		}
-		if id != "" {
-			a.lastEventID = id
-		}
+		a.endEvent(id, isNew)
+	}
+	err := events.Err()
+	if replaced && err == nil {
+		err = errUpstreamSilent
 	}
-	if err := events.Err(); err != nil {
-		return Outcome{}, a.classifyError(ctx, limitError(err))
+	if err != nil {
+		return a.lost(limitError(err))
 	}
 	if !a.headerWritten {
-		return Outcome{}, a.classifyError(ctx, io.ErrUnexpectedEOF)
+		return a.lost(io.ErrUnexpectedEOF)
 	}
 	if held := progress.release(nil); len(held) > 0 {
 		if _, err := a.sink.Write(held); err != nil {
--- /dev/null
+++ b/internal/coordination/forward/takeover.go
@@ -0,0 +1,226 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"comfreyworks"
+	"comfreyworks/internal/coordination/balance"
+)
+
+var (
+	// errUpstreamSilent is the context's cause when an upstream did not answer in
+	// time and another one has taken its place.
+	errUpstreamSilent = errors.New("upstream silent")
+	// errNotNeeded is the context's cause when a silent upstream went on before
+	// another one had taken its place.
+	errNotNeeded = errors.New("silent upstream went on")
+)
+
+// takeover replaces the upstream of an attempt if it is silent for too long. A sound
+// upstream may be silent for a while, so that it is not given up before another one
+// can serve the request, and a stream not before the answer of that one has begun.
+// Until then, a new event of the silent upstream ends the takeover.
+//
+// Its fields, and those of the activeRequest that its goroutines use, are protected
+// by activeRequest.mu.
+type takeover struct {
+	silent *attempt
+	timer  clockwork.Timer
+	// limit is how long the upstream may be silent, heardAt when it was heard last.
+	limit   time.Duration
+	heardAt time.Time
+	// writing means that a new event is being passed on, so that the caller is waited for.
+	writing bool
+	// successor is the attempt that waits for the answer of another upstream.
+	successor *attempt
+	// lost means that the attempt has failed and that its successor is waited for;
+	// stopped means that the takeover has ended.
+	lost, stopped bool
+	group         errgroup.Group
+}
+
+// watch starts to watch for the silence of the attempt's upstream.
+func (a *attempt) watch(ctx context.Context, limit time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := &takeover{silent: a, limit: limit, heardAt: a.options.Clock.Now()}
+	t.timer = a.options.Clock.AfterFunc(limit, func() { t.expired(ctx) })
+	a.takeover = t
+}
+
+// expired looks for another upstream. If none can serve the request, it looks again
+// when the same time has passed once more.
+func (t *takeover) expired(ctx context.Context) {
+	r := t.silent.activeRequest
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t.stopped || (t.lost && t.successor == nil) {
+		return
+	}
+	t.timer.Reset(t.limit)
+	silentFor := r.options.Clock.Since(t.heardAt)
+	if t.writing || silentFor < t.limit {
+		return
+	}
+	pick := t.pick()
+	if pick == nil {
+		return
+	}
+	if t.successor != nil {
+		t.successor.cancel(errUpstreamSilent)
+		t.successor = nil
+	}
+	next := r.newAttempt(ctx, pick)
+	r.options.Logger.Info("upstream silent, asking another one",
+		zap.String("request", string(r.request.Message.ID)),
+		zap.String("upstream", string(t.silent.pick.Upstream.ID)), zap.String("successor", string(pick.Upstream.ID)),
+		zap.Duration("silent-for", silentFor), zap.String("resumes-after", r.lastEventID),
+	)
+	if r.request.Route.Kind != comfreyworks.RouteStream || next.upstreamRelease() != t.silent.upstreamRelease() {
+		// Only what upstreams of one release answer to a stream fits together.
+		t.finish(next)
+		return
+	}
+	r.countSend(next)
+	r.runs++
+	t.successor = next
+	options := next.attemptOptions()
+	t.group.Go(func() error {
+		t.await(next, options)
+		return nil
+	})
+}
+
+// pick chooses the upstream that takes over and takes a retry from the budget. It
+// returns nil if the request cannot be sent again now.
+func (t *takeover) pick() *balance.Pick {
+	r := t.silent.activeRequest
+	if r.retryObstacle(attemptLost) != "" {
+		return nil
+	}
+	keep := []comfreyworks.InstanceID{t.silent.pick.Upstream.ID}
+	if t.successor != nil {
+		keep = append(keep, t.successor.pick.Upstream.ID)
+	}
+	pick := r.pick(keep...)
+	if pick != nil && !r.budget.TryRetry() {
+		pick.Done(balance.Result{Outcome: balance.Withdrawn})
+		return nil
+	}
+	return pick
+}
+
+// finish ends the silent attempt in favor of the next one.
+func (t *takeover) finish(next *attempt) {
+	t.stopped = true
+	t.timer.Stop()
+	t.successor = nil
+	t.silent.next = next
+	t.silent.cancel(errUpstreamSilent)
+}
+
+// await waits for the answer of the attempt that is to take over.
+func (t *takeover) await(next *attempt, options comfreyworks.AttemptOptions) {
+	r := t.silent.activeRequest
+	response, err := r.options.Exchanger.Exchange(comfreyworks.WithAdvice(next.ctx, next.pick.Advise), r.request.Message, options)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		next.result.Weights = response.Weights
+		if err = context.Cause(next.ctx); err == nil && (response.Status != http.StatusOK || !response.HasDigest) {
+			err = fmt.Errorf("answer with status %d", response.Status)
+		}
+		if err == nil {
+			next.response = response
+			t.finish(next)
+			return
+		}
+		_ = response.Body.Close()
+	}
+	result := next.classifyError(next.ctx, err)
+	next.end()
+	if t.successor != next {
+		return
+	}
+	t.successor = nil
+	switch {
+	case t.lost:
+	case result == attemptRejected:
+		t.stopped = true
+	case result != attemptLost && next.pick.Candidates > 1:
+		t.timer.Reset(0)
+	}
+}
+
+// beginEvent prepares for passing an event on. If the event is new, that ends a
+// takeover that has not succeeded yet. It returns false if one has.
+func (a *attempt) beginEvent(isNew bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.next != nil {
+		return false
+	}
+	if !a.headerWritten {
+		a.headerWritten = true
+		a.release = a.upstreamRelease()
+	}
+	if t := a.takeover; t != nil && isNew {
+		t.writing = true
+		t.withdraw()
+	}
+	return true
+}
+
+// withdraw withdraws the request from the upstream that is about to take over.
+func (t *takeover) withdraw() {
+	if t.successor != nil {
+		t.successor.cancel(errNotNeeded)
+		t.successor = nil
+	}
+}
+
+// endEvent records an event that was passed on. A new one restarts the time in which
+// the next event must arrive.
+func (a *attempt) endEvent(id string, isNew bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if id != "" {
+		a.lastEventID = id
+	}
+	if t := a.takeover; t != nil && isNew {
+		t.writing = false
+		t.limit, t.heardAt = a.eventTimeout(), a.options.Clock.Now()
+		t.timer.Reset(t.limit)
+	}
+}
+
+// settle ends the takeover. If the attempt is lost, it waits for the answer of an
+// upstream that is about to take over; otherwise it withdraws the request there.
+// Afterwards no goroutine uses the request, and next is the attempt that has taken
+// over, if any.
+func (a *attempt) settle(lost bool) {
+	t := a.takeover
+	if t == nil {
+		return
+	}
+	a.mu.Lock()
+	t.lost = lost
+	if !lost {
+		t.stopped = true
+		t.withdraw()
+	}
+	a.mu.Unlock()
+	_ = t.group.Wait()
+	a.mu.Lock()
+	t.stopped = true
+	t.timer.Stop()
+	a.mu.Unlock()
+}
