Do not declare the length of a stream to the caller

What callers would see: a whole stream that looks cut off, or a stream that is cut off at the length that its first upstream declared. Nobody reported it, and whether any upstream declares the length of a stream is not known.

Cause: the Content-Length of the first upstream's stream was passed on, but repeated events are left out, comments that are held back end with their upstream, and another upstream may send other comments. The write beyond the declared length failed, which counted as a caller who left.

Change: streams are passed on without a length; their end is the end of the chunked body, which a broken stream lacks.

Before: TestStreamOfDeclaredLength failed in 3 of 3 subtests; after: it passes, as do the tests of the package and of transport/gateway with the race detector.

--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -50,7 +50,8 @@
 			first = false
 		}
 		if begins {
-			a.sink.Begin(response.Status, response.Header, response.ContentLength)
+			// A declared length does not apply to what another upstream continues.
+			a.sink.Begin(response.Status, response.Header, -1)
 		}
 		if _, err := a.sink.Write(progress.release(event)); err != nil {
 			return Outcome{Verdict: Abandoned, Reason: "caller left"}, attemptDone
