Let the mutant that restarts streams follow the moved line

TestMutantsApply failed since the record of the last event moved to takeover.go with the fix of silent upstreams: the mutant's text is found there.

--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -42,7 +42,7 @@
 		"if !response.HasDigest || a.headerWritten {", "if a.headerWritten {",
 	},
 	{
-		"restarts broken streams from the first event", "internal/coordination/forward/stream.go",
+		"restarts broken streams from the first event", "internal/coordination/forward/takeover.go",
 		"a.lastEventID = id", "_ = id",
 	},
 	{
