Log the declared parts of a prompt and how far its answer got

Of an engine that ended under requests of one kind, the collected logs told neither which parts their prompts had nor whether an answer had begun: only the text of the error and the verdict of the whole request did.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -29,6 +29,7 @@
 	startedAt time.Time
 	result    balance.Result
 	cause     error
+	answer    receivedAnswer
 	// silence cancels the attempt if the upstream is silent for too long; nil means
 	// that there is no limit.
 	silence clockwork.Timer
@@ -94,6 +95,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	a.result.Weights = response.Weights
+	a.answer.status = response.Status
 	if a.request.Route.Kind == comfreyworks.RouteStream && response.Status == http.StatusOK && response.HasDigest {
 		return a.relayEvents(ctx, response)
 	}
@@ -184,7 +186,7 @@
 		return Outcome{}, a.classifyError(ctx, errors.New("answer without proof"))
 	}
 	var buffer bytes.Buffer
-	_, err := io.CopyN(&buffer, response.Body, maxBufferedBytes)
+	_, err := io.CopyN(&buffer, &answerBody{response.Body, a.options.Clock, &a.answer}, maxBufferedBytes)
 	complete := errors.Is(err, io.EOF)
 	switch {
 	case err != nil && !complete:
@@ -266,6 +268,8 @@
 		zap.Duration("list-age", a.options.Clock.Since(a.options.Catalog.UpstreamsConfirmedAt())),
 		zap.Duration("took", a.options.Clock.Since(a.startedAt)),
 		zap.String("outcome", string(a.result.Outcome)),
+		zap.Strings("parts", a.request.Prompt.loggedParts()),
+		zap.Int("status", a.answer.status), zap.Int("events", a.answer.events), zap.Duration("answering", a.answer.age(a.options.Clock.Now())),
 		zap.Error(a.cause),
 	)
 }
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -32,10 +32,14 @@
 		if err != nil {
 			return Outcome{}, a.classifyError(ctx, err)
 		}
+		isEmpty := id == "" && !hasData(event)
+		if !isEmpty {
+			a.answer.addEvent(a.options.Clock.Now())
+		}
 		if a.alreadyDelivered(id) {
 			continue
 		}
-		if id == "" && !hasData(event) {
+		if isEmpty {
 			if err := progress.hold(event); err != nil {
 				return Outcome{}, a.classifyError(ctx, err)
 			}
