Add a failing test of parts of prompts that crash engines

Two gateways in front of four stand-in engines that crash as they begin to answer a prompt with one part, and are back under another ID. Requests with that part, no two alike, arrive at both; sound ones share workspace, first part and session with them.

The stand-in learns CrashOn, Restart and Run.Crashed.

--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -80,6 +80,8 @@
 	// Endless means that the body of the response consists of EndlessBody again and
 	// again, without end. It is set for plain services only.
 	Endless bool
+	// Crashed means that the replica crashed as CrashOn describes.
+	Crashed bool
 }
 
 // Arrival is a request that a replica received, whether it ran or not.
@@ -92,6 +94,7 @@
 type Replica struct {
 	options Options
 	mu      sync.Mutex
+	id      comfreyworks.InstanceID
 	// weights is the version that an engine serves.
 	weights uint64
 	// leaving is sent in all answers.
@@ -105,10 +108,12 @@
 	// closedUntil is the time until which the replica turns requests away.
 	closedUntil time.Time
 	turnedAway  []TurnedAway
+	crashPart   string
+	crash       func()
 }
 
 // New returns a replica that serves version 1 of the weights.
-func New(options Options) *Replica { return &Replica{options: options, weights: 1} }
+func New(options Options) *Replica { return &Replica{options: options, id: options.ID, weights: 1} }
 
 // SetWeights sets the version of the weights that the replica serves.
 func (rep *Replica) SetWeights(version uint64) {
@@ -200,8 +205,9 @@
 	}
 	run := rep.recordRun(r, string(body))
 	if fault != FaultNoDigest {
-		w.Header().Set(names.Digest, "digest-"+string(rep.options.ID))
+		w.Header().Set(names.Digest, "digest-"+string(rep.currentID()))
 	}
+	rep.crashIfPart(w, run)
 	switch fault {
 	case FaultUnavailable:
 		rep.setRetryAfter(w.Header())
@@ -224,8 +230,8 @@
 // another upstream or other weights, or zero if the request may run.
 func (rep *Replica) checkAddressing(w http.ResponseWriter, r *http.Request) int {
 	names := &rep.options.Headers
-	if target := r.Header.Get(names.Target); target != "" && target != string(rep.options.ID) {
-		w.Header().Set(names.Instance, string(rep.options.ID))
+	if target := r.Header.Get(names.Target); target != "" && target != string(rep.currentID()) {
+		w.Header().Set(names.Instance, string(rep.currentID()))
 		return http.StatusMisdirectedRequest
 	}
 	if rep.options.Events == 0 {
--- a/internal/transport/gateway/fixture_test.go
+++ b/internal/transport/gateway/fixture_test.go
@@ -74,16 +74,18 @@
 	source   *memorySource
 	engines  []*replica.Replica
 	services []*replica.Replica
-	gateway  *Gateway
-	server   *httptest.Server
-	names    comfreyworks.HeaderNames
+	// servers are those of engines and services.
+	servers map[*replica.Replica]*httptest.Server
+	gateway *Gateway
+	server  *httptest.Server
+	names   comfreyworks.HeaderNames
 }
 
 const eventsPerStream = 6
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{clock: clockwork.NewFakeClock(), source: &memorySource{position: 1}, names: comfreyworks.DefaultHeaderNames()}
+	f := &fixture{clock: clockwork.NewFakeClock(), source: &memorySource{position: 1}, names: comfreyworks.DefaultHeaderNames(), servers: make(map[*replica.Replica]*httptest.Server)}
 	f.names.Reserved = []string{"Comfrey-Hold"}
 	for i := range 2 {
 		f.engines = append(f.engines, f.addReplica(t, "lm", i, eventsPerStream))
@@ -134,6 +136,7 @@
 	r := replica.New(replica.Options{ID: id, Headers: f.names, Events: events})
 	server := httptest.NewServer(r)
 	t.Cleanup(server.Close)
+	f.servers[r] = server
 	f.source.upstreams = append(f.source.upstreams, comfreyworks.Upstream{
 		ID: id, Pool: pool, State: comfreyworks.InstanceLive,
 		Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
