Record which parts of prompts crash engines

What callers saw: a request with a certain part ended every engine that began to write an answer on it, and all other requests there broke with it (62 engines in a minute, four gateways and nine engines).

Cause: nothing remembers what an engine ran when it ended, so requests with the part go to the next engine.

Change: internal/state/crashes counts crashes per part, those that follow one another without an answer in between, and blames a part after three. Gateways can exchange what they know in any order. sharedlog tells the age of a value. Nothing uses the package yet.

--- /dev/null
+++ b/internal/state/crashes/crashes.go
@@ -0,0 +1,288 @@
+// Package crashes finds out which parts of prompts crash engines, so that requests
+// with such a part can be refused.
+//
+// An engine that ends takes many requests with it, and gives no reason. The log
+// counts crashes for each part of the requests that had just begun, but only those
+// that follow one another: a request counts a crash for its parts in addition to
+// those that its gateway knew of when the request was sent. Engines that end
+// together, whatever they ran, thus count once. An answer clears the parts of its
+// request.
+//
+// A part with several crashes is blamed, and put under quarantine. After that, each
+// gateway lets one request with the part through at a time: another crash blames it
+// again at all gateways, an answer clears it.
+//
+// Gateways exchange what was added to their logs since the last exchange. They may
+// learn of suspicions in any order and repeatedly.
+//
+// # Usage
+//
+//	log := crashes.New(crashes.Options{Clock: clock, Spread: rand.Float64()})
+//	keys := []uint32{crashes.Key(scope, partID)} // all parts but the last
+//	if key, blamed := log.Blamed(keys); blamed {
+//		return errQuarantined
+//	}
+//	request := log.Begin(keys)
+//	defer request.Done()
+//	request.Answered()    // the answer completed or went on for a while
+//	request.EngineEnded() // the engine ended before that
+//	suspicions, next := log.After(version, crashes.Local)
+//	log.Merge(suspicions, crashes.Remote)
+package crashes
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"comfreyworks"
+	"comfreyworks/internal/state/sharedlog"
+)
+
+const (
+	// blameAfter is the number of crashes after which a part is blamed.
+	blameAfter = 3
+	// minQuarantine is the quarantine of a part that is blamed for the first time. It
+	// doubles with each further crash up to maxQuarantine.
+	minQuarantine = 10 * time.Minute
+	maxQuarantine = time.Hour
+	// lifetime is how long a suspicion is kept after its last change. It exceeds all
+	// quarantines.
+	lifetime = 2 * time.Hour
+	// maxEntries limits the log; beyond it the oldest entries are dropped.
+	maxEntries = 1 << 14
+)
+
+// Origin tells from where an entry came, and thus to whom it is passed on.
+type Origin = sharedlog.Origin
+
+const (
+	// Local entries were added by this gateway or by a gateway that relies on it.
+	Local = sharedlog.Local
+	// Remote entries were passed on by a gateway that other gateways reach as well.
+	Remote = sharedlog.Remote
+)
+
+// Options configures a Log.
+type Options struct {
+	Clock comfreyworks.Clock
+	// Spread lengthens the quarantines of this gateway by a share from 0 to 1, so that
+	// not all gateways end one at the same time.
+	Spread float64
+}
+
+// Log is the log of one process. It is safe for concurrent use.
+type Log struct {
+	log        *sharedlog.Log[suspicion]
+	spread     float64
+	blameAfter uint16
+
+	mu sync.Mutex
+	// trials counts the requests in flight with each blamed part after its quarantine.
+	trials map[uint32]int
+}
+
+// New returns an empty log.
+func New(options Options) *Log {
+	return &Log{
+		log: sharedlog.New[suspicion](sharedlog.Options{
+			Clock: options.Clock, Lifetime: lifetime, MaxEntries: maxEntries,
+		}),
+		spread: options.Spread, blameAfter: blameAfter, trials: make(map[uint32]int),
+	}
+}
+
+// Key returns the key of a part: the hash of the cache scope of its workspace and of
+// its ID. It is never zero.
+func Key(scope, partID string) uint32 {
+	return max(1, uint32(xxhash.Sum64String(scope+"\x00"+partID)))
+}
+
+// Request is a request that was sent to an engine. Its first call of EngineEnded,
+// Answered or Done counts; later ones have no effect.
+type Request struct {
+	log   *Log
+	parts []snapshot
+	// trials lists the parts that the request tries after their quarantine.
+	trials []uint32
+	ended  bool
+}
+
+// snapshot is what was known of a part when a request with it was sent.
+type snapshot struct {
+	key   uint32
+	known suspicion
+}
+
+// Begin records that a request with the given parts is sent to an engine.
+func (l *Log) Begin(keys []uint32) *Request {
+	r := &Request{log: l, parts: make([]snapshot, len(keys))}
+	for i, key := range keys {
+		known, age, _ := l.log.LookupAge(key)
+		r.parts[i] = snapshot{key, known}
+		if l.suspects(known) && age > l.quarantine(known) {
+			r.trials = append(r.trials, key)
+		}
+	}
+	if len(r.trials) > 0 {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, key := range r.trials {
+			l.trials[key]++
+		}
+	}
+	return r
+}
+
+// end ends the request and its trials. It returns false if the request had ended.
+func (r *Request) end() bool {
+	r.log.mu.Lock()
+	defer r.log.mu.Unlock()
+	if r.ended {
+		return false
+	}
+	r.ended = true
+	for _, key := range r.trials {
+		if r.log.trials[key]--; r.log.trials[key] == 0 {
+			delete(r.log.trials, key)
+		}
+	}
+	return true
+}
+
+// Done ends the request without a result, for example when it was refused or
+// cancelled.
+func (r *Request) Done() { r.end() }
+
+// EngineEnded records that the engine ended under the request. It returns the
+// highest number of crashes of its parts. If a part of the request is already
+// blamed, the crash does not count for the others.
+func (r *Request) EngineEnded() (crashes int) {
+	if !r.end() {
+		return 0
+	}
+	cause := slices.DeleteFunc(slices.Clone(r.parts), func(s snapshot) bool {
+		known, _ := r.log.log.Lookup(s.key)
+		return !r.log.suspects(known) || known.cleared != s.known.cleared
+	})
+	if len(cause) == 0 {
+		cause = r.parts
+	}
+	r.log.log.Merge(func(yield func(uint32, suspicion) bool) {
+		for _, s := range cause {
+			if s.known.cleared < math.MaxUint16 && !yield(s.key, s.known.crash(r.others(s.key))) {
+				return
+			}
+		}
+	}, Local, suspicion.add)
+	for _, s := range r.parts {
+		if known, _ := r.log.log.Lookup(s.key); known.cleared == s.known.cleared {
+			crashes = max(crashes, int(known.crashes))
+		}
+	}
+	return crashes
+}
+
+// others returns the parts of the request other than key. If there are too many,
+// those with the most crashes are kept.
+func (r *Request) others(key uint32) partSet {
+	parts := slices.Clone(r.parts)
+	slices.SortStableFunc(parts, func(a, b snapshot) int { return int(b.known.crashes) - int(a.known.crashes) })
+	var keys []uint32
+	for _, s := range parts {
+		if s.key != key {
+			keys = append(keys, s.key)
+		}
+	}
+	return newPartSet(keys)
+}
+
+// Answered records that an engine answered the request, or is doing so for long
+// enough.
+func (r *Request) Answered() {
+	if !r.end() {
+		return
+	}
+	for _, s := range r.parts {
+		r.log.Lift(s.key)
+	}
+}
+
+// Lift clears a part.
+func (l *Log) Lift(key uint32) {
+	if known, _ := l.log.Lookup(key); known.crashes == 0 {
+		return
+	}
+	l.log.Merge(func(yield func(uint32, suspicion) bool) { yield(key, suspicion{}) }, Local,
+		func(known, _ suspicion) suspicion { return known.clear() })
+}
+
+// suspects reports whether a part is under quarantine or was and is not cleared.
+func (l *Log) suspects(s suspicion) bool { return s.crashes >= l.blameAfter }
+
+// quarantine returns how long a blamed part is under quarantine at this gateway.
+func (l *Log) quarantine(s suspicion) time.Duration {
+	quarantine := minQuarantine
+	for range s.crashes - l.blameAfter {
+		if quarantine *= 2; quarantine >= maxQuarantine {
+			quarantine = maxQuarantine
+			break
+		}
+	}
+	return quarantine + time.Duration(l.spread*float64(quarantine))
+}
+
+// Blamed reports whether a request with the given parts is to be refused, and
+// because of which of them. After the quarantine of a part, this is so while another
+// request with it is in flight. It is to be called right before Begin.
+//
+// Of parts that were in all crashed requests together, any may be the cause: a
+// request with only some of them is let through, which tells them apart.
+func (l *Log) Blamed(keys []uint32) (key uint32, blamed bool) {
+	for _, key := range keys {
+		known, age, _ := l.log.LookupAge(key)
+		if !l.suspects(known) || age > l.quarantine(known) && !l.trying(key) {
+			continue
+		}
+		elsewhere := func(other uint32) bool {
+			known, _ := l.log.Lookup(other)
+			return l.suspects(known) && !slices.Contains(keys, other)
+		}
+		if !slices.ContainsFunc(known.with.keys(), elsewhere) {
+			return key, true
+		}
+	}
+	return 0, false
+}
+
+// trying reports whether a request with a part is in flight after the quarantine.
+func (l *Log) trying(key uint32) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.trials[key] > 0
+}
+
+// Merge records what other gateways know.
+func (l *Log) Merge(suspicions []comfreyworks.CrashSuspicion, from Origin) {
+	l.log.Merge(func(yield func(uint32, suspicion) bool) {
+		for _, s := range suspicions {
+			if !yield(s.Part, suspicion{s.Cleared, s.Crashes, newPartSet(s.With)}) {
+				return
+			}
+		}
+	}, from, suspicion.join)
+}
+
+// After returns what was recorded after a version of the log, and the current
+// version. With origin Local it leaves out remote entries.
+func (l *Log) After(version uint64, from Origin) (suspicions []comfreyworks.CrashSuspicion, current uint64) {
+	current = l.log.After(version, from, func(key uint32, s suspicion) {
+		suspicions = append(suspicions, comfreyworks.CrashSuspicion{
+			Part: key, Cleared: s.cleared, Crashes: s.crashes, With: s.with.keys(),
+		})
+	})
+	return suspicions, current
+}
--- /dev/null
+++ b/internal/state/crashes/suspicion.go
@@ -0,0 +1,81 @@
+package crashes
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"comfreyworks"
+)
+
+// suspicion is what is known about a part, as in comfreyworks.CrashSuspicion.
+type suspicion struct {
+	cleared, crashes uint16
+	with             partSet
+}
+
+// crash returns the suspicion after a crash of a request with the given other parts
+// that was sent when s was known.
+func (s suspicion) crash(others partSet) suspicion {
+	return suspicion{s.cleared, min(s.crashes, math.MaxUint16-1) + 1, others}
+}
+
+// add returns the suspicion after a crash that was not known yet.
+func (s suspicion) add(crash suspicion) suspicion {
+	if s.cleared != crash.cleared || s.crashes == 0 {
+		return s.join(crash)
+	}
+	return suspicion{s.cleared, max(s.crashes, crash.crashes), s.with.intersect(crash.with)}
+}
+
+// clear returns the suspicion after an answer.
+func (s suspicion) clear() suspicion {
+	if s.crashes == 0 {
+		return s
+	}
+	return suspicion{cleared: min(s.cleared, math.MaxUint16-1) + 1}
+}
+
+// join returns what two gateways know together. It is commutative, associative and
+// idempotent.
+func (s suspicion) join(other suspicion) suspicion {
+	switch cmp.Or(cmp.Compare(s.cleared, other.cleared), cmp.Compare(s.crashes, other.crashes)) {
+	case -1:
+		return other
+	case 1:
+		return s
+	}
+	s.with = s.with.intersect(other.with)
+	return s
+}
+
+// partSet is a set of a few parts in ascending order, followed by zeros.
+type partSet [comfreyworks.MaxCrashSuspicionWith]uint32
+
+// newPartSet returns the set of the first keys that are not zero.
+func newPartSet(keys []uint32) (set partSet) {
+	n := 0
+	for _, key := range keys {
+		if n < len(set) && key != 0 && !slices.Contains(set[:n], key) {
+			set[n] = key
+			n++
+		}
+	}
+	slices.Sort(set[:n])
+	return set
+}
+
+// keys returns the members of the set, nil if there are none.
+func (p partSet) keys() (keys []uint32) {
+	for _, key := range p {
+		if key != 0 {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// intersect returns the parts that are in both sets.
+func (p partSet) intersect(other partSet) partSet {
+	return newPartSet(slices.DeleteFunc(p.keys(), func(key uint32) bool { return !slices.Contains(other[:], key) }))
+}
--- a/internal/state/sharedlog/sharedlog.go
+++ b/internal/state/sharedlog/sharedlog.go
@@ -114,13 +114,19 @@
 // Lookup returns the value of a key that was recorded within the lifetime of
 // entries.
 func (l *Log[V]) Lookup(key uint32) (value V, ok bool) {
+	value, _, ok = l.LookupAge(key)
+	return value, ok
+}
+
+// LookupAge is Lookup with the time since the value was recorded.
+func (l *Log[V]) LookupAge(key uint32) (value V, age time.Duration, ok bool) {
 	now := l.options.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e := l.last(key); e != nil && now.Sub(e.at) <= l.options.Lifetime {
-		return e.value, true
+		return e.value, now.Sub(e.at), true
 	}
-	return value, false
+	return value, 0, false
 }
 
 // After calls visit with the keys and values that were recorded after a version of
--- a/peering.go
+++ b/peering.go
@@ -78,6 +78,24 @@
 	Release uint32
 }
 
+// CrashSuspicion tells how often engines ended while they ran requests with a
+// prompt part, one crash after another, without an answer in between.
+type CrashSuspicion struct {
+	// Part is the hash of the cache scope and the ID of the part.
+	Part uint32
+	// Cleared counts how often the suspicion was dropped. A suspicion that was
+	// cleared more often replaces the others.
+	Cleared uint16
+	// Crashes counts the crashes since the suspicion was last cleared.
+	Crashes uint16
+	// With lists parts that were in all of these requests. It has at most
+	// MaxCrashSuspicionWith entries.
+	With []uint32
+}
+
+// MaxCrashSuspicionWith is the maximum length of CrashSuspicion.With.
+const MaxCrashSuspicionWith = 4
+
 // GatewayState is the state that gateways send to each other.
 type GatewayState struct {
 	Self GatewayPeer
