Refuse prompts with a part under which engines crash

Callers saw: requests of one kind got 502, and every stream and answer that was on the same engine broke with them; engines of the pool ended again and again, and most of the pool's requests were refused or cut off for half a minute at a time.

Cause: a failure that follows the request was taken for one of the engine, and retried. A request whose engine ended was sent to the next engine, and nothing connected it with the next request that had the same part.

Change: before each attempt the parts of a prompt (all but the last) are looked up in the log of crashes, and the request is refused with status 400, which callers do not repeat, if one is under quarantine. An engine has ended under a request if its connection broke before the answer had gone on for 500 ms; a cancelled, silent, endless, refused or unsent request does not count. An answer that completes or goes on for 500 ms clears its parts. A request with a part under which two engines have ended is not sent again, so that one request ends two engines at most. Requests that take up a stream are checked before its origin is looked for.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -15,6 +15,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
+	"comfreyworks/internal/state/crashes"
 	"comfreyworks/internal/state/holdings"
 )
 
@@ -30,6 +31,11 @@
 	result    balance.Result
 	cause     error
 	answer    receivedAnswer
+	trial     *crashes.Request
+	// engineEnded means that the engine ended under the request, crashes is how often
+	// that has happened to a part of its prompt, and cleared means that it can't any more.
+	engineEnded, cleared bool
+	crashes              int
 	// silence cancels the attempt if the upstream is silent for too long; nil means
 	// that there is no limit.
 	silence clockwork.Timer
@@ -149,6 +155,7 @@
 		a.result.Outcome = a.balanceOutcome(ctx, balance.Unreachable)
 		return attemptNotSent
 	default:
+		a.recordBreak(ctx, err)
 		a.result.Outcome = a.balanceOutcome(ctx, balance.Failed)
 		return attemptLost
 	}
@@ -210,6 +217,7 @@
 		a.answerPassedOn()
 		if err := a.relayRest(response); err != nil {
 			a.cause = err
+			a.recordBreak(ctx, err)
 			return Outcome{Verdict: Broken, Reason: "answer cut off"}, attemptDone
 		}
 	}
@@ -270,6 +278,7 @@
 		zap.String("outcome", string(a.result.Outcome)),
 		zap.Strings("parts", a.request.Prompt.loggedParts()),
 		zap.Int("status", a.answer.status), zap.Int("events", a.answer.events), zap.Duration("answering", a.answer.age(a.options.Clock.Now())),
+		zap.Int("crashes", a.crashes),
 		zap.Error(a.cause),
 	)
 }
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -30,6 +30,7 @@
 	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
 	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/crashes"
 	"comfreyworks/internal/state/retrybudget"
 )
 
@@ -74,6 +75,9 @@
 	// Broken means that the answer was cut off after the sink had received a part
 	// of it.
 	Broken Verdict = "broken"
+	// Quarantined means that the request has not run, because engines have crashed
+	// under a part of its prompt.
+	Quarantined Verdict = "quarantined"
 	// Abandoned means that the caller disconnected.
 	Abandoned Verdict = "abandoned"
 )
@@ -87,6 +91,9 @@
 	// RetryAfter is how long the caller should wait before a retry; set for
 	// Refused.
 	RetryAfter time.Duration
+	// Part is the ID of the part of the prompt because of which the request was not sent
+	// or not sent again; empty if there is none.
+	Part string
 	// Sends is the number of times that the request was sent, Runs the number of
 	// upstreams on which it may have run.
 	Sends, Runs int
@@ -135,6 +142,8 @@
 	// Origins knows the releases that began streams. If it is nil, a stream is
 	// continued only if its pool has had one release.
 	Origins comfreyworks.StreamOrigins
+	// Crashes knows the parts of prompts that crash engines; nil means a log of its own.
+	Crashes *crashes.Log
 	// RetryLimit returns this gateway's share of the retry budget.
 	RetryLimit func() retrybudget.Limit
 }
@@ -154,6 +163,9 @@
 
 // New returns a forwarder.
 func New(options Options) *Forwarder {
+	if options.Crashes == nil {
+		options.Crashes = crashes.New(crashes.Options{Clock: options.Clock})
+	}
 	return &Forwarder{options: options, pools: make(map[comfreyworks.Pool]*poolState)}
 }
 
@@ -177,17 +189,19 @@
 func (f *Forwarder) Forward(ctx context.Context, request *Request, sink Sink) Outcome {
 	ctx, cancel := context.WithTimeoutCause(ctx, f.options.Clock.Until(request.Deadline), errDeadline)
 	defer cancel()
-	var release uint32
+	r := &activeRequest{
+		Forwarder: f, request: request, sink: sink, lastEventID: request.LastEventID, suspects: suspects(request),
+	}
 	if request.LastEventID != "" {
+		if outcome, quarantined := r.quarantined(); quarantined {
+			return outcome
+		}
 		var ok bool
-		if release, request.Pool, ok = f.findOrigin(ctx, request); !ok {
+		if r.release, request.Pool, ok = f.findOrigin(ctx, request); !ok {
 			return Outcome{Verdict: Refused, Reason: "origin of the stream unknown", RetryAfter: retryAfterUnknownOrigin}
 		}
 	}
-	r := &activeRequest{
-		Forwarder: f, request: request, sink: sink, poolState: f.pool(request.Pool),
-		lastEventID: request.LastEventID, release: release,
-	}
+	r.poolState = f.pool(request.Pool)
 	r.budget.AddRequest()
 	return r.run(ctx)
 }
@@ -213,6 +227,10 @@
 	// zero if there was none.
 	sentTo uint32
 	reason string
+	// suspects are the keys of the parts of the prompt that may crash engines. suspected
+	// means that several have ended under one of them.
+	suspects  []uint32
+	suspected bool
 }
 
 // attemptResult tells whether a request may be retried after an attempt.
@@ -259,6 +277,8 @@
 	switch {
 	case after == attemptRejected:
 		r.reason += ", not sent again"
+	case r.suspected:
+		r.reason += ", engine ended, prompt suspected"
 	case r.sends >= maxSends:
 		r.reason += ", sent too often"
 	case after == attemptLost && !r.request.Route.Repeatable():
@@ -325,6 +345,9 @@
 // attempt sends the request to one upstream, unless there is none or admission
 // control refuses the request.
 func (r *activeRequest) attempt(ctx context.Context) (Outcome, attemptResult) {
+	if outcome, quarantined := r.quarantined(); quarantined {
+		return outcome, attemptDone
+	}
 	pick := r.pick()
 	if pick == nil {
 		r.reason = "no upstream"
@@ -341,7 +364,9 @@
 	r.sends++
 	r.tried = append(r.tried, pick.Upstream.ID)
 	a := &attempt{activeRequest: r, pick: pick, startedAt: r.options.Clock.Now(), resumesAfter: r.lastEventID}
+	a.trial = r.options.Crashes.Begin(r.suspects)
 	outcome, result := a.run(ctx)
+	a.concludeTrial(&outcome)
 	a.log()
 	return outcome, result
 }
--- /dev/null
+++ b/internal/coordination/forward/quarantine.go
@@ -0,0 +1,144 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"comfreyworks"
+	"comfreyworks/internal/state/crashes"
+)
+
+const (
+	// soundAnswerTime is how long an answer goes on after its first event when no part
+	// of its prompt counts as the cause if the engine ends.
+	soundAnswerTime = 500 * time.Millisecond
+	// maxCrashesToRetry is the number of crashes of a part of its prompt with which a
+	// request is still sent again.
+	maxCrashesToRetry = 1
+	// maxSuspects limits the parts of one prompt that are looked at.
+	maxSuspects = 64
+	// reasonQuarantine is the reason of requests that are not sent because of a part.
+	reasonQuarantine = "prompt part under quarantine"
+)
+
+// PartKey returns the key of a part of a workspace's prompts in the log of crashes.
+func PartKey(workspace *comfreyworks.WorkspaceKeys, part string) uint32 {
+	return crashes.Key(cacheScope(workspace), part)
+}
+
+// FormatPartKey returns a key as it is written in logs and lists.
+func FormatPartKey(key uint32) string { return fmt.Sprintf("%08x", key) }
+
+// suspects returns the keys of the parts of a prompt that may crash engines. The last
+// part is left out: it is specific to the request or to one conversation.
+func suspects(request *Request) []uint32 {
+	parts := request.Prompt.Parts
+	if len(parts) < 2 {
+		return nil
+	}
+	parts = parts[:min(len(parts)-1, maxSuspects)]
+	keys := make([]uint32, len(parts))
+	for i, part := range parts {
+		keys[i] = PartKey(request.Workspace, part.ID)
+	}
+	return keys
+}
+
+// partOf returns the ID of the part of a request with the given key.
+func partOf(request *Request, key uint32) string {
+	for _, part := range request.Prompt.Parts {
+		if PartKey(request.Workspace, part.ID) == key {
+			return part.ID
+		}
+	}
+	return ""
+}
+
+// quarantined returns the outcome of a request that must not be sent because of a part
+// of its prompt, and whether this is so.
+func (r *activeRequest) quarantined() (Outcome, bool) {
+	key, blamed := r.options.Crashes.Blamed(r.suspects)
+	if !blamed {
+		return Outcome{}, false
+	}
+	outcome := Outcome{Verdict: Quarantined, Reason: reasonQuarantine, Part: partOf(r.request, key)}
+	switch {
+	case r.headerWritten:
+		outcome.Verdict = Broken
+	case r.runs > 0:
+		outcome.Verdict = Failed
+	}
+	return outcome, true
+}
+
+// recordBreak records whether an exchange was lost because the engine ended under it.
+func (a *attempt) recordBreak(ctx context.Context, err error) {
+	a.engineEnded = context.Cause(ctx) == nil && isBrokenConnection(err) && a.answer.age(a.options.Clock.Now()) < soundAnswerTime
+}
+
+// isBrokenConnection reports whether an exchange failed because the other side closed
+// or reset the connection.
+func isBrokenConnection(err error) bool {
+	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, broken) {
+			return !errors.Is(err, comfreyworks.ErrCutOff)
+		}
+	}
+	return false
+}
+
+// eventArrived records an event, and clears the parts of the prompt once the answer has
+// gone on for soundAnswerTime.
+func (a *attempt) eventArrived() {
+	now := a.options.Clock.Now()
+	a.answer.addEvent(now)
+	if a.answer.age(now) >= soundAnswerTime {
+		a.clearParts()
+	}
+}
+
+// concludeTrial records what the attempt says about the parts of the prompt.
+func (a *attempt) concludeTrial(outcome *Outcome) {
+	switch {
+	case a.engineEnded:
+		a.blameParts()
+	case outcome.Verdict == Delivered && outcome.Status < 300:
+		a.clearParts()
+	}
+	a.trial.Done()
+}
+
+func (a *attempt) blameParts() {
+	a.crashes = a.trial.EngineEnded()
+	a.suspected = a.crashes > maxCrashesToRetry
+	if key, blamed := a.options.Crashes.Blamed(a.suspects); blamed {
+		a.options.Logger.Warn("prompt part put under quarantine", a.partFields(key)...)
+	}
+}
+
+func (a *attempt) clearParts() {
+	if a.cleared {
+		return
+	}
+	a.cleared = true
+	key, blamed := a.options.Crashes.Blamed(a.suspects)
+	a.trial.Answered()
+	if blamed {
+		a.options.Logger.Info("prompt part cleared", a.partFields(key)...)
+	}
+}
+
+// partFields returns the fields of a log line about a part of the prompt.
+func (a *attempt) partFields(key uint32) []zap.Field {
+	return []zap.Field{
+		zap.String("part", partOf(a.request, key)), zap.String("key", FormatPartKey(key)), zap.Int("crashes", a.crashes),
+		zap.String("request", string(a.request.Message.ID)),
+		zap.String("upstream", string(a.pick.Upstream.ID)),
+	}
+}
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"strconv"
 
 	"comfreyworks"
@@ -14,8 +13,12 @@
 // maxEventBytes is the maximum size of one event of a stream.
 const maxEventBytes = 1 << 20
 
-// errPartialEvent means that a stream ended in the middle of an event.
-var errPartialEvent = errors.New("stream ended within an event")
+var (
+	// errPartialEvent means that a stream ended in the middle of an event, errNoEvent
+	// that it ended before its first one. Neither broke its connection.
+	errPartialEvent = errors.New("stream ended within an event")
+	errNoEvent      = errors.New("stream ended without an event")
+)
 
 // relayEvents passes a stream on event by event. A stream that breaks has thus
 // been delivered up to the end of an event and can be resumed after it.
@@ -34,7 +37,7 @@
 		}
 		isEmpty := id == "" && !hasData(event)
 		if !isEmpty {
-			a.answer.addEvent(a.options.Clock.Now())
+			a.eventArrived()
 		}
 		if a.alreadyDelivered(id) {
 			continue
@@ -68,7 +71,7 @@
 		return Outcome{}, a.classifyError(ctx, limitError(err))
 	}
 	if !a.headerWritten {
-		return Outcome{}, a.classifyError(ctx, io.ErrUnexpectedEOF)
+		return Outcome{}, a.classifyError(ctx, errNoEvent)
 	}
 	if held := progress.release(nil); len(held) > 0 {
 		if _, err := a.sink.Write(held); err != nil {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"context"
 	"errors"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -36,6 +37,7 @@
 	"comfreyworks/internal/protocol/exchange"
 	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/crashes"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/retrybudget"
@@ -130,6 +132,7 @@
 	upstreamClient *exchange.Client
 	rollout        *rollout.Rollout
 	holdings       *holdings.Index
+	crashes        *crashes.Log
 	watcher        *watch.Watcher
 	peering        *peering.Peering
 	peerClients    *peer.Clients
@@ -142,6 +145,7 @@
 	g := &Gateway{options: options, startedAt: options.Clock.Now()}
 	g.catalog = catalog.New(options.Clock)
 	g.holdings = holdings.New()
+	g.crashes = crashes.New(crashes.Options{Clock: options.Clock, Spread: rand.Float64()})
 	saved := savedsessions.New(options.Clock)
 	origins := &streamOrigins{log: streamorigins.New(options.Clock)}
 	g.balancer = balance.New(balance.Options{
@@ -156,7 +160,7 @@
 	})
 	g.forwarder = forward.New(forward.Options{
 		Catalog: g.catalog, Balancer: g.balancer, Exchanger: g.upstreamClient, Clock: options.Clock,
-		Origins: origins, Logger: options.Logger, RetryLimit: g.retryLimit,
+		Origins: origins, Crashes: g.crashes, Logger: options.Logger, RetryLimit: g.retryLimit,
 	})
 	g.follower = follow.New(follow.Options{
 		Declarations: options.Declarations, Upstreams: options.Upstreams, Catalog: g.catalog,
--- a/internal/transport/gateway/quarantine_test.go
+++ b/internal/transport/gateway/quarantine_test.go
@@ -172,6 +172,7 @@
 				}
 				f.expectServed(t, path)
 			}
+			t.Logf("%d engines crashed after %d, %d requests of 12 were refused", f.crashes()-before, before, refused)
 			assert.Assert(t, f.crashes()-before <= 3, "%d engines crashed after %d", f.crashes()-before, before)
 			assert.Assert(t, refused >= 9, "%d of 12 were refused", refused)
 		})
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -42,6 +42,9 @@
 		panic(http.ErrAbortHandler)
 	case forward.Refused:
 		g.reject(w, r, &rejection{http.StatusServiceUnavailable, outcome.Reason, outcome.RetryAfter})
+	case forward.Quarantined:
+		// A status that callers do not repeat.
+		g.reject(w, r, &rejection{status: http.StatusBadRequest, reason: outcome.Reason})
 	case forward.TimedOut:
 		g.reject(w, r, &rejection{status: http.StatusGatewayTimeout, reason: outcome.Reason})
 	default:
@@ -93,6 +96,9 @@
 		zap.Duration("allowed", request.Deadline.Sub(request.Received)),
 		zap.Duration("took", elapsed),
 	)
+	if outcome.Part != "" {
+		g.recordQuarantine(request, outcome)
+	}
 	g.options.Meter.Add("comfrey_requests_"+string(outcome.Verdict)+"_total", labels, 1)
 	g.options.Meter.Observe("comfrey_request_seconds", labels, elapsed)
 }
