--- a/internal/transport/gateway/ready.go
+++ b/internal/transport/gateway/ready.go
@@ -31,9 +31,11 @@
 	}
 }
 
-// metricsHandler serves the metrics.
+// metricsHandler serves the metrics, and the parts of prompts under quarantine.
 func (g *Gateway) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", admin.MetricsHandler(g.options.Meter, g.options.Logger))
+	mux.HandleFunc("GET /quarantine", g.listSuspicions)
+	mux.HandleFunc("DELETE /quarantine", g.liftQuarantine)
 	return mux
 }
