--- a/internal/transport/gateway/quarantine_test.go
+++ b/internal/transport/gateway/quarantine_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,7 +30,7 @@
 	*fixture
 	addresses [2]string
 	gateways  [2]*Gateway
-	requests  int
+	requests  atomic.Int64
 }
 
 func newCrashFixture(t *testing.T) *crashFixture {
@@ -114,11 +115,11 @@
 func (f *crashFixture) send(t *testing.T, gateway int, path, part string) response {
 	t.Helper()
 	f.awaitUpstreams(t)
-	f.requests++
+	n := f.requests.Add(1)
 	r := f.request(t, http.MethodPost, path, "text")
 	r.URL.Host = f.addresses[gateway]
-	r.Header.Set(f.names.RequestID, fmt.Sprint("q", f.requests))
-	r.Header.Set(f.names.Prefix, fmt.Sprintf("5c1e:800,%s91bd:410,own%d:250", part, f.requests))
+	r.Header.Set(f.names.RequestID, fmt.Sprint("q", n))
+	r.Header.Set(f.names.Prefix, fmt.Sprintf("5c1e:800,%s91bd:410,own%d:250", part, n))
 	return f.do(t, r)
 }
 
@@ -178,3 +179,23 @@
 		})
 	}
 }
+
+// TestCrashingRequestsInFlight guards against requests that are sent again and again
+// because engines crashed under all of them at the same time: each must end two at most.
+func TestCrashingRequestsInFlight(t *testing.T) {
+	const requests = 6
+	f := newCrashFixture(t)
+	f.expectServed(t, "/note/1")
+	var group errgroup.Group
+	for i := range requests {
+		group.Go(func() error {
+			f.sendCrashing(t, i%2, "/note/1")
+			return nil
+		})
+	}
+	assert.NilError(t, group.Wait())
+	time.Sleep(exchangeTime)
+	t.Logf("%d engines crashed under %d requests", f.crashes(), requests)
+	assert.Assert(t, f.crashes() <= 2*requests)
+	f.expectServed(t, "/note/1")
+}
