Conclude the trial of a prompt's parts within the exchange

So that an attempt that is replaced, or ends in a panic, concludes it as well. No change of behaviour; go test -race ./internal/coordination/forward ./internal/transport/gateway passes.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -93,6 +93,8 @@
 // exchange sends the request and relays the answer.
 func (a *attempt) exchange(ctx context.Context) (Outcome, attemptResult) {
 	defer func() { a.pick.Done(a.result) }()
+	a.beginTrial()
+	defer a.endTrial()
 	a.runs++
 	a.recordOrigin()
 	response, err := a.options.Exchanger.Exchange(comfreyworks.WithAdvice(ctx, a.pick.Advise), a.request.Message, a.attemptOptions())
@@ -221,6 +223,7 @@
 			return Outcome{Verdict: Broken, Reason: "answer cut off"}, attemptDone
 		}
 	}
+	a.answerComplete(response.Status)
 	return Outcome{Verdict: Delivered, Status: response.Status}, attemptDone
 }
 
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -364,9 +364,7 @@
 	r.sends++
 	r.tried = append(r.tried, pick.Upstream.ID)
 	a := &attempt{activeRequest: r, pick: pick, startedAt: r.options.Clock.Now(), resumesAfter: r.lastEventID}
-	a.trial = r.options.Crashes.Begin(r.suspects)
 	outcome, result := a.run(ctx)
-	a.concludeTrial(&outcome)
 	a.log()
 	return outcome, result
 }
--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -103,14 +104,21 @@
 	}
 }
 
-// concludeTrial records what the attempt says about the parts of the prompt.
-func (a *attempt) concludeTrial(outcome *Outcome) {
-	switch {
-	case a.engineEnded:
-		a.blameParts()
-	case outcome.Verdict == Delivered && outcome.Status < 300:
+// answerComplete clears the parts of the prompt unless the answer is an error.
+func (a *attempt) answerComplete(status int) {
+	if status < http.StatusMultipleChoices {
 		a.clearParts()
 	}
+}
+
+// beginTrial records that a request with the parts of the prompt is sent.
+func (a *attempt) beginTrial() { a.trial = a.options.Crashes.Begin(a.suspects) }
+
+// endTrial records whether the engine ended under the parts of the prompt.
+func (a *attempt) endTrial() {
+	if a.engineEnded {
+		a.blameParts()
+	}
 	a.trial.Done()
 }
 
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -79,6 +79,7 @@
 		}
 	}
 	a.recordAnswer(response.Status)
+	a.answerComplete(response.Status)
 	return Outcome{Verdict: Delivered, Status: response.Status}, attemptDone
 }
 
