--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -14,6 +14,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
+	"comfreyworks/internal/state/crashes"
 	"comfreyworks/internal/state/holdings"
 )
 
@@ -32,6 +33,12 @@
 	// exceeds it. Zero and nil mean that there is no limit.
 	silenceLimit time.Duration
 	takeover     *takeover
+	answer       receivedAnswer
+	trial        *crashes.Request
+	// engineEnded means that the engine ended under the request, crashes is how often
+	// that has happened to a part of its prompt, and cleared means that it can't any more.
+	engineEnded, cleared bool
+	crashes              int
 	// resumesAfter is the event after which the attempt continues a stream; empty
 	// means from the start.
 	resumesAfter string
@@ -49,6 +56,7 @@
 func (r *activeRequest) countSend(a *attempt) {
 	r.sends++
 	r.tried = append(r.tried, a.pick.Upstream.ID)
+	a.beginTrial()
 }
 
 // run sends the request, unless that has been done, and relays the answer. If the
@@ -71,6 +79,7 @@
 func (a *attempt) end() {
 	a.cancel(nil)
 	a.pick.Done(a.result)
+	a.endTrial()
 	a.log()
 }
 
@@ -103,6 +112,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	a.result.Weights = response.Weights
+	a.answer.status = response.Status
 	if a.request.Route.Kind == comfreyworks.RouteStream && response.Status == http.StatusOK && response.HasDigest {
 		return a.relayEvents(response)
 	}
@@ -167,6 +177,7 @@
 		a.result.Outcome = a.balanceOutcome(ctx, balance.Unreachable)
 		return attemptNotSent
 	default:
+		a.recordBreak(ctx, err)
 		a.result.Outcome = a.balanceOutcome(ctx, balance.Failed)
 		return attemptLost
 	}
@@ -204,7 +215,7 @@
 		return a.lost(errors.New("answer without proof"))
 	}
 	var buffer bytes.Buffer
-	_, err := io.CopyN(&buffer, response.Body, maxBufferedBytes)
+	_, err := io.CopyN(&buffer, &answerBody{response.Body, a.options.Clock, &a.answer}, maxBufferedBytes)
 	complete := errors.Is(err, io.EOF)
 	if err != nil && !complete {
 		return a.lost(err)
@@ -233,9 +244,11 @@
 	if !complete {
 		if err := a.relayRest(response); err != nil {
 			a.cause = err
+			a.recordBreak(a.ctx, err)
 			return Outcome{Verdict: Broken, Reason: "answer cut off"}, attemptDone
 		}
 	}
+	a.answerComplete(response.Status)
 	return Outcome{Verdict: Delivered, Status: response.Status}, attemptDone
 }
 
@@ -291,6 +304,9 @@
 		zap.Duration("list-age", a.options.Clock.Since(a.options.Catalog.UpstreamsConfirmedAt())),
 		zap.Duration("took", a.options.Clock.Since(a.startedAt)),
 		zap.String("outcome", string(a.result.Outcome)),
+		zap.Strings("parts", a.request.Prompt.loggedParts()),
+		zap.Int("status", a.answer.status), zap.Int("events", a.answer.events), zap.Duration("answering", a.answer.age(a.options.Clock.Now())),
+		zap.Int("crashes", a.crashes),
 		zap.Error(a.cause),
 	)
 }
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"io"
 	"strconv"
 
 	"comfreyworks"
@@ -13,8 +12,12 @@
 // maxEventBytes is the maximum size of one event of a stream.
 const maxEventBytes = 1 << 20
 
-// errPartialEvent means that a stream ended in the middle of an event.
-var errPartialEvent = errors.New("stream ended within an event")
+var (
+	// errPartialEvent means that a stream ended in the middle of an event, errNoEvent
+	// that it ended before its first one. Neither broke its connection.
+	errPartialEvent = errors.New("stream ended within an event")
+	errNoEvent      = errors.New("stream ended without an event")
+)
 
 // relayEvents passes a stream on event by event. A stream that breaks has thus
 // been delivered up to the end of an event and can be resumed after it.
@@ -31,10 +34,14 @@
 		if err != nil {
 			return a.lost(err)
 		}
+		isEmpty := id == "" && !hasData(event)
+		if !isEmpty {
+			a.eventArrived()
+		}
 		if a.alreadyDelivered(id) {
 			continue
 		}
-		if id == "" && !hasData(event) {
+		if isEmpty {
 			if err := progress.hold(event); err != nil {
 				return a.lost(err)
 			}
@@ -66,7 +73,7 @@
 		return a.lost(limitError(err))
 	}
 	if !a.headerWritten {
-		return a.lost(io.ErrUnexpectedEOF)
+		return a.lost(errNoEvent)
 	}
 	if held := progress.release(nil); len(held) > 0 {
 		if _, err := a.sink.Write(held); err != nil {
@@ -74,6 +81,7 @@
 		}
 	}
 	a.recordAnswer(response.Status)
+	a.answerComplete(response.Status)
 	return Outcome{Verdict: Delivered, Status: response.Status}, attemptDone
 }
 
--- a/internal/coordination/forward/takeover.go
+++ b/internal/coordination/forward/takeover.go
@@ -103,7 +103,7 @@
 // returns nil if the request cannot be sent again now.
 func (t *takeover) pick() *balance.Pick {
 	r := t.silent.activeRequest
-	if r.retryObstacle(attemptLost) != "" {
+	if _, quarantined := r.quarantined(); quarantined || r.retryObstacle(attemptLost) != "" {
 		return nil
 	}
 	keep := []comfreyworks.InstanceID{t.silent.pick.Upstream.ID}
