Reset the connection of an HTTP/1.0 caller whose answer was cut off

What callers saw: an HTTP/1.0 caller gets an answer of unknown length, such as every stream, without chunks. When its engine broke off, the gateway closed the connection, as after a complete answer: the part looked like the whole.

Cause: http.ErrAbortHandler closes the connection, which shows only in chunks and in a declared length. HTTP/1.1 callers have one of them.

Change: the connection of an HTTP/1.0 caller is reset instead.

Evidence: TestUnframedAnswers sends answers with neither a length nor chunks through the gateway, 22 cases in 4 forms of the status line to callers of both versions. The rest held already: closed, an answer is complete, unless a stream ends within an event, which is resumed elsewhere if its route allows that; reset, it is not; and no connection is used again.

--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -38,8 +38,7 @@
 	switch outcome.Verdict {
 	case forward.Delivered:
 	case forward.Broken, forward.Abandoned:
-		// Closes the connection, so that the response does not look complete.
-		panic(http.ErrAbortHandler)
+		abort(w, r)
 	case forward.Refused:
 		g.reject(w, r, &rejection{http.StatusServiceUnavailable, outcome.Reason, outcome.RetryAfter})
 	case forward.TimedOut:
@@ -49,6 +48,21 @@
 	}
 }
 
+// abort closes the connection, so that the response does not look complete. To an
+// HTTP/1.0 caller, only a reset tells a response that was cut off from a complete one
+// without a length.
+func abort(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			if c, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+				_ = c.SetLinger(0)
+			}
+			_ = conn.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // reject writes an error response.
 func (g *Gateway) reject(w http.ResponseWriter, r *http.Request, rejected *rejection) {
 	names := &g.options.Settings.Headers
