Declare no length of a stream to its caller

What callers saw: a stream whose engine declared a length and broke off was resumed at another engine, but its caller got no more bytes than the first one had declared: if the rest was longer, for example because of a comment, the last event was missing and the answer cut off.

Cause: the Content-Length of the engine that began the stream was passed on, although only that engine's own bytes are known to have it.

Change: a stream's length is never declared; it ends with its last chunk.

--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -51,7 +51,8 @@
 		if !a.headerWritten {
 			a.headerWritten = true
 			a.release = a.upstreamRelease()
-			a.sink.Begin(response.Status, response.Header, response.ContentLength)
+			// Another upstream may write the rest of the stream with another length.
+			a.sink.Begin(response.Status, response.Header, -1)
 		}
 		if _, err := a.sink.Write(progress.release(event)); err != nil {
 			return Outcome{Verdict: Abandoned, Reason: "caller left"}, attemptDone
--- a/internal/transport/gateway/unframed_test.go
+++ b/internal/transport/gateway/unframed_test.go
@@ -19,15 +19,17 @@
 )
 
 // rawReplicas answer with bytes that the test chooses. The first request of all gets the
-// first answer, the others get the rest of a sound one.
+// first answer, the others get the rest of a sound one, up to the end of the connection.
 type rawReplicas struct {
 	f *fixture
-	// head is the status line with the header fields that concern the connection.
+	// head is the status line of the first answer with the fields that frame it.
 	head string
 	// body is sent in the first answer, after which the connection is reset or, for
 	// sending, closed.
 	body  string
 	reset bool
+	// before precedes the body of all other answers.
+	before string
 
 	requests, reused atomic.Int64
 }
@@ -73,9 +75,9 @@
 		return err
 	}
 	nth := r.requests.Add(1)
-	body := r.body
+	head, body := r.head, r.body
 	if nth > 1 {
-		body = soundBody(request)
+		head, body = "HTTP/1.1 200 OK", r.before+soundBody(request)
 	}
 	fields := fmt.Sprintf("%s: %s\r\n%s: d\r\n", r.f.names.RequestID, request.Header.Get(r.f.names.RequestID), r.f.names.Digest)
 	if r.f.source.upstreams[i].Pool == "lm" {
@@ -86,7 +88,7 @@
 	if err := tcp.SetWriteBuffer(4 << 10); err != nil {
 		return err
 	}
-	if _, err := io.WriteString(conn, r.head+"\r\n"+fields+"\r\n"+body); err != nil {
+	if _, err := io.WriteString(conn, head+"\r\n"+fields+"\r\n"+body); err != nil {
 		return err
 	}
 	if nth == 1 && r.reset {
@@ -175,6 +177,28 @@
 	}
 }
 
+// TestLengthOfResumedStream guards against declaring the length of one engine's stream to
+// the caller, although another engine may write the rest of it differently.
+func TestLengthOfResumedStream(t *testing.T) {
+	half := replica.Stream(eventsPerStream / 2)
+	for name, c := range map[string]struct{ before, want string }{
+		"as long":   {"", fullStream()},
+		"longer":    {": resumed\n\n", half + ": resumed\n\n" + strings.TrimPrefix(fullStream(), half)},
+		"repeating": {half, fullStream()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d", len(fullStream()))
+			replicas := &rawReplicas{f: f, head: head, body: half, before: c.before}
+			replicas.replace(t)
+			resp := f.callRaw(t, "HTTP/1.1", "/note/1")
+			assert.Equal(t, resp.body, c.want)
+			assert.Assert(t, !resp.cut)
+			assert.Equal(t, resp.ContentLength, int64(-1))
+		})
+	}
+}
+
 // callRaw sends a request in a version of HTTP on a connection of its own.
 func (f *fixture) callRaw(t *testing.T, version, path string) response {
 	t.Helper()
