Let a gateway that was cut off learn of all others again

What was seen: a leaf that was cut off for 16 s knew 3 of 29 other gateways 2 s after it was reachable again, its seeds, and went on as a relay. What it learned and told reached only those and their leaves, until a read of the registry or until its records of the others were removed, 30 s after they had expired.

Cause: for it all others had expired, but it still named the version of their lists that it had before, so that they sent only what had changed since.

Change: the version of a gateway's list is forgotten when the gateway expires. A gateway that is really gone sends nothing, so this costs nothing.

Evidence: a subtest of TestDiscovery; before, 4 of 30 gateways were known, after, 30, and the gateway is a leaf again.

--- a/internal/coordination/peering/members.go
+++ b/internal/coordination/peering/members.go
@@ -117,6 +117,8 @@
 			delete(l.members, address)
 		case silent > memberExpiry && !m.Gone:
 			m.Gone = true
+			// Its list may contain others that expired here while this gateway was cut off.
+			m.known = comfreyworks.ListVersion{}
 			l.touch(m)
 			expired = append(expired, m)
 			if relay := l.members[m.listedBy]; relay != nil {
--- a/internal/coordination/peering/peering_test.go
+++ b/internal/coordination/peering/peering_test.go
@@ -120,6 +120,20 @@
 			assert.Equal(t, g.Gateways(), 6, "%s", g.options.Self.ID)
 		}
 	})
+	// A gateway for which all others had expired went on as a relay that knew only its
+	// seeds: they did not name gateways again that they had named before.
+	t.Run("a gateway that was cut off knows all others and its role again", func(t *testing.T) {
+		n := newNetworkWith(originsFleet)
+		n.run(4*time.Second, nil)
+		g := n.gateway(originsFleet.gateways - 1)
+		assert.Assert(t, !g.relay)
+		n.unreachable[g.address] = true
+		n.run(2*memberExpiry, func() { n.callPartners(g) })
+		delete(n.unreachable, g.address)
+		n.run(2*time.Second, nil)
+		assert.Equal(t, g.Gateways(), originsFleet.gateways)
+		assert.Assert(t, !g.relay)
+	})
 	t.Run("the highest number of gateways is remembered", func(t *testing.T) {
 		n := newNetwork(3)
 		n.run(time.Second, nil)
