Pass on a suspicion that a leaf reports although it is known

A gateway that was cut off may call its relay as a relay first, because it knows no other gateways. What it reports then is not passed on to other relays, and when it reports the same as a leaf, nothing changes in the log. Such entries are now recorded again, as are those of streamorigins.

--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -89,7 +89,7 @@
 func New(options Options) *Log {
 	return &Log{
 		log: sharedlog.New[suspicion](sharedlog.Options{
-			Clock: options.Clock, Lifetime: lifetime, MaxEntries: maxEntries,
+			Clock: options.Clock, Lifetime: lifetime, MaxEntries: maxEntries, Promote: true,
 		}),
 		spread: options.Spread, blameAfter: blameAfter, trials: make(map[uint32]int),
 	}
--- a/internal/state/crashes/crashes_test.go
+++ b/internal/state/crashes/crashes_test.go
@@ -187,6 +187,17 @@
 		suspicions, _ = l.After(0, Remote)
 		assert.DeepEqual(t, suspicions[2].With, []uint32{6, 7, 8, 9})
 	})
+	t.Run("what a gateway reports that relies on this one is passed on, though it is known", func(t *testing.T) {
+		l, _ := newLog()
+		reported := []comfreyworks.CrashSuspicion{{Part: crasher, Crashes: 1}}
+		l.Merge(reported, Remote)
+		for range 2 {
+			l.Merge(reported, Local)
+		}
+		suspicions, version := l.After(0, Local)
+		assert.DeepEqual(t, suspicions, reported)
+		assert.Equal(t, version, uint64(2))
+	})
 }
 
 func TestQuarantine(t *testing.T) {
