Exchange between gateways which parts of prompts may crash engines

Each gateway sees some of the crashes; a part is blamed when three that follow one another are known. They travel as saved sessions do, in the calls that gateways make anyway: leaves and relays report what they and their leaves saw, relays tell their leaves everything.

Unlike saved sessions, a missing suspicion costs engines. Therefore - a relay that does not know the list of a peer's process yet gets all of it, not only what that peer and its leaves saw, because those who would report the rest may be gone; - both sides start over when the role of a gateway changes and when a call fails.

Gateways of earlier versions leave CrashesKnown.Process at zero and are sent nothing. From one message no more suspicions are taken than a log holds.

The gateway has a log and gives it to the exchange; nothing is refused yet.

--- a/internal/coordination/peering/exchange.go
+++ b/internal/coordination/peering/exchange.go
@@ -55,6 +55,7 @@
 	state.WantsState = p.partners[to] ||
 		(starting && p.relay && !p.heardAt.IsZero() && p.options.Clock.Since(p.heardAt) >= seedStateDelay)
 	m := p.members.members[to]
+	p.requestCrashes(&state, m)
 	if m != nil {
 		state.Known, state.SavedKnown = m.known, m.savedKnown
 		state.Saved, state.SavedList.Version = p.options.Saved.After(m.savedSent, savedsessions.Local)
@@ -164,6 +165,7 @@
 	state.Saved, state.SavedList.Version = p.options.Saved.After(savedKnown.Version, passedOn)
 	state.SavedList.Process = p.members.version.Process
 	p.replyOrigins(&state, to, passesOrigins)
+	p.replyCrashes(&state, to)
 	state.Peers = p.members.changesAfter(to.Known, p.options.Clock.Now())
 	state.PeerList = p.members.version
 	return state
@@ -190,6 +192,7 @@
 	}
 	p.options.Saved.Merge(state.Saved, passedOnBy(state.Role))
 	p.recordOriginsRequest(m, state)
+	p.mergeCrashes(state.Crashes, passedOnBy(state.Role))
 	p.options.Balancer.AddLeaving(m.ID, state.Leaving)
 }
 
@@ -224,11 +227,13 @@
 	p.options.Saved.Merge(state.Saved, savedsessions.Remote)
 	p.options.Balancer.AddLeaving(m.ID, state.Leaving)
 	m.savedSent = request.SavedList.Version
-	if m.savedKnown.Process != state.SavedList.Process {
-		// Another process answered than the one that got the earlier requests.
+	// Another process may have answered than the one that got the earlier requests.
+	restarted := m.savedKnown.Process != state.SavedList.Process
+	if restarted {
 		m.savedSent = 0
 	}
 	p.recordOriginsReply(m, state, request)
+	p.recordCrashesReply(m, state, request, restarted)
 	m.known, m.savedKnown = state.PeerList, state.SavedList
 }
 
--- a/internal/coordination/peering/fixture_test.go
+++ b/internal/coordination/peering/fixture_test.go
@@ -36,6 +36,10 @@
 	// that were sent, originsToLeaves those that leaves received.
 	passOrigins              bool
 	origins, originsToLeaves int
+	// crashes counts the suspicions that were sent.
+	crashes int
+	// old are gateways that do not know of suspicions.
+	old map[netip.AddrPort]bool
 }
 
 type gateway struct {
@@ -46,6 +50,8 @@
 	// syncs and notifications count the calls that the gateway received, callers
 	// the gateways that called it.
 	syncs, notifications int
+	// answered counts the calls of the gateway that were answered.
+	answered int
 	// wholeLists counts the whole lists of upstreams that the gateway sent.
 	wholeLists int
 	callers    map[netip.AddrPort]bool
@@ -73,7 +79,15 @@
 	c.advance()
 	to.syncs++
 	to.callers[state.Self.Address] = true
+	if c.network.old[c.to] || c.network.old[state.Self.Address] {
+		forgetCrashFields(&state)
+	}
 	update := to.HandleSync(state)
+	if c.network.old[c.to] {
+		forgetCrashFields(&update.State)
+	}
+	c.network.gateways[state.Self.Address].answered++
+	c.network.crashes += len(state.Crashes) + len(update.State.Crashes)
 	c.network.replies[c.to] = update
 	c.network.origins += len(state.Origins) + len(update.State.Origins)
 	if state.Role == comfreyworks.PeerLeaf {
@@ -89,6 +103,12 @@
 	return update, nil
 }
 
+// forgetCrashFields removes what a gateway that does not know of suspicions neither sends
+// nor reads.
+func forgetCrashFields(state *comfreyworks.GatewayState) {
+	state.Crashes, state.CrashesList, state.CrashesKnown = nil, comfreyworks.ListVersion{}, comfreyworks.ListVersion{}
+}
+
 func (c networkClient) advance() {
 	if c.network.latency > 0 {
 		c.network.clock.Advance(c.network.latency)
@@ -144,7 +164,7 @@
 func newNetworkWith(options networkOptions) *network {
 	n := &network{
 		clock: clockwork.NewFakeClock(), gateways: make(map[netip.AddrPort]*gateway),
-		unreachable: make(map[netip.AddrPort]bool), replies: make(map[netip.AddrPort]comfreyworks.GatewayUpdate),
+		unreachable: make(map[netip.AddrPort]bool), old: make(map[netip.AddrPort]bool), replies: make(map[netip.AddrPort]comfreyworks.GatewayUpdate),
 	}
 	for i := range options.gateways {
 		n.start(i, options)
--- a/internal/coordination/peering/members.go
+++ b/internal/coordination/peering/members.go
@@ -50,6 +50,9 @@
 	// originsKnown and originsSent are the same for the origins of streams.
 	originsKnown comfreyworks.ListVersion
 	originsSent  uint64
+	// crashesKnown and crashesSent are the same for suspicions.
+	crashesKnown comfreyworks.ListVersion
+	crashesSent  uint64
 	// listedBy is the relay whose list contains the member, if this gateway is a leaf
 	// of that relay.
 	listedBy netip.AddrPort
--- a/internal/coordination/peering/partners.go
+++ b/internal/coordination/peering/partners.go
@@ -62,6 +62,7 @@
 		p.options.Logger.Info("role among gateways changed", zap.Bool("relay", p.relay), zap.Int("gateways", gateways))
 		for _, m := range p.members.members {
 			m.forgetOrigins()
+			m.forgetCrashes()
 		}
 	}
 	if !p.relay {
--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -1,6 +1,7 @@
 // Package peering exchanges state between gateways: which gateways exist, the
 // load that they have put on each upstream, which engines load weights, which
-// release began each stream, and the newest declaration and list of upstreams.
+// release began each stream, which parts of prompts may crash engines, and the
+// newest declaration and list of upstreams.
 //
 // In each availability zone a few gateways are relays. Relays exchange state with
 // all other relays; every other gateway is a leaf and exchanges state with one
@@ -44,6 +45,7 @@
 	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
 	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/crashes"
 	"comfreyworks/internal/state/rendezvous"
 	"comfreyworks/internal/state/savedsessions"
 	"comfreyworks/internal/state/streamorigins"
@@ -132,16 +134,18 @@
 	// PassOrigins reports whether this gateway sends the origins of streams to
 	// others; nil means never.
 	PassOrigins func() bool
-	Clock       comfreyworks.Clock
-	Logger      *zap.Logger
+	// Crashes records which parts of prompts may crash engines; gateways exchange it.
+	// Nil means a log of its own.
+	Crashes *crashes.Log
+	Clock   comfreyworks.Clock
+	Logger  *zap.Logger
 }
 
 // Peering exchanges state with the other gateways. It is safe for concurrent use.
 type Peering struct {
 	options   Options
 	startedAt time.Time
-	// spread is between 0 and 1 and differs between gateways. It spreads what many
-	// gateways would otherwise do at the same time.
+	// spread is the result of Spread.
 	spread float64
 	// wake makes Run update the set of partners at once.
 	wake   chan struct{}
@@ -172,9 +176,12 @@
 	if options.Origins == nil {
 		options.Origins = streamorigins.New(options.Clock)
 	}
+	if options.Crashes == nil {
+		options.Crashes = crashes.New(crashes.Options{Clock: options.Clock})
+	}
 	p := &Peering{
 		options: options, startedAt: now,
-		spread:   float64(xxhash.Sum64String(string(options.Self.ID))>>11) / (1 << 53),
+		spread:   Spread(options.Self.ID),
 		wake:     make(chan struct{}, 1),
 		outbox:   newOutbox(),
 		members:  newMemberList(options.Self, uint64(now.UnixNano())),
@@ -193,6 +200,12 @@
 	return p
 }
 
+// Spread returns a number between 0 and 1 that differs between gateways. It spreads what
+// many gateways would otherwise do at the same time.
+func Spread(id comfreyworks.InstanceID) float64 {
+	return float64(xxhash.Sum64String(string(id))>>11) / (1 << 53)
+}
+
 // Run exchanges state with peers until ctx ends.
 func (p *Peering) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -270,7 +283,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.members.members[address]
-	if m == nil || m.Gone {
+	if m == nil {
+		return
+	}
+	m.forgetCrashes()
+	if m.Gone {
 		return
 	}
 	if m.unreachableUntil.IsZero() {
--- a/internal/coordination/peering/sync_bench_test.go
+++ b/internal/coordination/peering/sync_bench_test.go
@@ -11,6 +11,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
+	"comfreyworks/internal/state/crashes"
 	"comfreyworks/internal/state/rendezvous"
 	"comfreyworks/internal/state/streamorigins"
 )
@@ -89,6 +90,44 @@
 	}
 }
 
+// newCrashes is the number of suspicions that BenchmarkSyncCrashes sends in one call. Each
+// names two other parts.
+const newCrashes = 8
+
+// BenchmarkSyncCrashes measures calls in fleets without load when no suspicion was ever
+// there, when newCrashes are known to all, and when that many are new in each call.
+func BenchmarkSyncCrashes(b *testing.B) {
+	for _, size := range fleetSizes {
+		n := settleCrashes(size.networkOptions)
+		relays := n.relays()
+		for _, state := range []string{"none", "known", "new"} {
+			if state == "known" {
+				for i := range uint32(newCrashes) {
+					relays[2].crash(crashes.Key("shared", fmt.Sprint("known-", i)), 1)
+				}
+				n.run(3*time.Second, nil)
+			}
+			for _, from := range []*gateway{leaf(n), relays[1]} {
+				b.Run(fmt.Sprintf("%d gateways, %s to relay, %s", size.gateways, from.role(), state), func(b *testing.B) {
+					next := 0
+					// Receives what was measured before.
+					assert.NilError(b, from.sync(context.Background(), networkClient{n, relays[0].address}, relays[0].address))
+					benchmarkSync(b, n, from, relays[0], func() {
+						for range newCrashes {
+							if state != "new" {
+								return
+							}
+							key := func(i int) uint32 { return crashes.Key("shared", fmt.Sprint(i, next, from.options.Self.ID)) }
+							from.options.Crashes.Merge([]comfreyworks.CrashSuspicion{{Part: key(0), Crashes: 3, With: []uint32{key(1), key(2)}}}, crashes.Local)
+							next++
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
 // benchmarkSync measures calls from one gateway to another. It calls prepare before
 // each.
 func benchmarkSync(b *testing.B, n *network, from, to *gateway, prepare func()) {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"comfreyworks/internal/protocol/exchange"
 	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/crashes"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/retrybudget"
@@ -133,6 +134,7 @@
 	watcher        *watch.Watcher
 	peering        *peering.Peering
 	peerClients    *peer.Clients
+	crashes        *crashes.Log
 	leaving        atomic.Bool
 	startedAt      time.Time
 }
@@ -142,6 +144,7 @@
 	g := &Gateway{options: options, startedAt: options.Clock.Now()}
 	g.catalog = catalog.New(options.Clock)
 	g.holdings = holdings.New()
+	g.crashes = crashes.New(crashes.Options{Clock: options.Clock, Spread: peering.Spread(options.Settings.ID)})
 	saved := savedsessions.New(options.Clock)
 	origins := &streamOrigins{log: streamorigins.New(options.Clock)}
 	g.balancer = balance.New(balance.Options{
@@ -175,7 +178,7 @@
 		NewClient:     func(address netip.AddrPort) comfreyworks.GatewayClient { return g.peerClients.To(address) },
 		RetainClients: g.peerClients.Retain,
 		Catalog:       g.catalog, Balancer: g.balancer, Saved: saved, Clock: options.Clock, Logger: options.Logger,
-		Origins: origins.log, PassOrigins: g.passesOrigins,
+		Origins: origins.log, PassOrigins: g.passesOrigins, Crashes: g.crashes,
 	})
 	origins.peering = g.peering
 	if options.Caches != nil {
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/crashes"
 )
 
 // TestRetrySlackRampsUp guards against exceeding the retry budget during a
@@ -123,3 +126,24 @@
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	assert.Assert(t, resp.Close, "the response closes its connection")
 }
+
+// TestCrashesOfPeers checks that a gateway blames the parts of prompts that its peers
+// blame, and tells them of those that it blames.
+func TestCrashesOfPeers(t *testing.T) {
+	f := newFixture(t)
+	theirs, ours := crashes.Key("shared", "theirs"), crashes.Key("shared", "ours")
+	for range 3 {
+		f.gateway.crashes.Begin([]uint32{ours}).EngineEnded()
+	}
+	service := &peerService{f.gateway}
+	var reply comfreyworks.GatewayUpdate
+	assert.NilError(t, service.Sync(comfreyworks.GatewayState{
+		Self:    comfreyworks.GatewayPeer{ID: "g1", Address: netip.MustParseAddrPort("10.0.0.1:7000")},
+		Crashes: []comfreyworks.CrashSuspicion{{Part: theirs, Crashes: 3}}, CrashesKnown: comfreyworks.ListVersion{Process: 1},
+	}, &reply))
+	_, blamed := f.gateway.crashes.Blamed([]uint32{theirs})
+	assert.Assert(t, blamed)
+	assert.Assert(t, slices.ContainsFunc(reply.State.Crashes, func(s comfreyworks.CrashSuspicion) bool {
+		return s.Part == ours && s.Crashes == 3
+	}))
+}
--- a/peering.go
+++ b/peering.go
@@ -117,6 +117,11 @@
 	// with OriginsList and OriginsKnown as for Saved. Leaves receive none.
 	Origins                   []StreamOrigin
 	OriginsList, OriginsKnown ListVersion
+	// Crashes lists the suspicions that the receiver does not know yet, with
+	// CrashesList and CrashesKnown as for Saved. CrashesKnown.Process is zero only in
+	// the state of a gateway that does not exchange suspicions.
+	Crashes                   []CrashSuspicion
+	CrashesList, CrashesKnown ListVersion
 	// Loads are the loads of the sender and of the leaves that call it. In a reply
 	// to a leaf, they are the loads of all other gateways.
 	Loads []UpstreamLoad
