--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -57,7 +57,7 @@
 			first = false
 		}
 		if begins {
-			// A declared length does not apply to what another upstream continues.
+			// Another upstream may write the rest of the stream with another length.
 			a.sink.Begin(response.Status, response.Header, -1)
 		}
 		if _, err := a.sink.Write(progress.release(event)); err != nil {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -16,7 +16,6 @@
 	"context"
 	"errors"
 	"log"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -132,10 +131,10 @@
 	upstreamClient *exchange.Client
 	rollout        *rollout.Rollout
 	holdings       *holdings.Index
-	crashes        *crashes.Log
 	watcher        *watch.Watcher
 	peering        *peering.Peering
 	peerClients    *peer.Clients
+	crashes        *crashes.Log
 	leaving        atomic.Bool
 	startedAt      time.Time
 }
@@ -145,7 +144,7 @@
 	g := &Gateway{options: options, startedAt: options.Clock.Now()}
 	g.catalog = catalog.New(options.Clock)
 	g.holdings = holdings.New()
-	g.crashes = crashes.New(crashes.Options{Clock: options.Clock, Spread: rand.Float64()})
+	g.crashes = crashes.New(crashes.Options{Clock: options.Clock, Spread: peering.Spread(options.Settings.ID)})
 	saved := savedsessions.New(options.Clock)
 	origins := &streamOrigins{log: streamorigins.New(options.Clock)}
 	g.balancer = balance.New(balance.Options{
@@ -179,7 +178,7 @@
 		NewClient:     func(address netip.AddrPort) comfreyworks.GatewayClient { return g.peerClients.To(address) },
 		RetainClients: g.peerClients.Retain,
 		Catalog:       g.catalog, Balancer: g.balancer, Saved: saved, Clock: options.Clock, Logger: options.Logger,
-		Origins: origins.log, PassOrigins: g.passesOrigins,
+		Origins: origins.log, PassOrigins: g.passesOrigins, Crashes: g.crashes,
 	})
 	origins.peering = g.peering
 	if options.Caches != nil {
