--- a/internal/coordination/peering/sync_bench_test.go
+++ b/internal/coordination/peering/sync_bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/gob"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -128,6 +129,44 @@
 	}
 }
 
+// BenchmarkCrashesReachAll measures how long a suspicion takes from one gateway to all
+// others, and how often it is sent in the first two seconds.
+func BenchmarkCrashesReachAll(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprint(size.gateways, " gateways"), func(b *testing.B) {
+			n := settleCrashes(size.networkOptions)
+			gateways := n.sorted()
+			part, calls := uint32(0), 0
+			var total, longest time.Duration
+			for b.Loop() {
+				n.run(time.Duration(part%7)*stepInterval, nil)
+				part++
+				gateways[int(part)*7%len(gateways)].crash(part, 1)
+				start := n.clock.Now()
+				took := time.Duration(-1)
+				for _, g := range gateways {
+					calls -= g.syncs
+				}
+				n.run(2*time.Second, func() {
+					if took < 0 && !slices.ContainsFunc(gateways, func(g *gateway) bool { return g.crashesOf(part) == 0 }) {
+						took = n.clock.Since(start)
+					}
+				})
+				for _, g := range gateways {
+					calls += g.syncs
+				}
+				assert.Assert(b, took >= 0)
+				total, longest = total+took, max(longest, took)
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(float64(total.Milliseconds())/float64(b.N), "ms/suspicion")
+			b.ReportMetric(float64(longest.Milliseconds()), "ms-at-most")
+			b.ReportMetric(float64(n.crashes)/float64(b.N), "sent/suspicion")
+			b.ReportMetric(float64(calls)/float64(b.N)/2, "calls/s")
+		})
+	}
+}
+
 // benchmarkSync measures calls from one gateway to another. It calls prepare before
 // each.
 func benchmarkSync(b *testing.B, n *network, from, to *gateway, prepare func()) {
