Answer the requests that are still open at the end of the stop grace period

What callers would see: a whole request gets neither an answer nor a refusal when a gateway stops while the request waits for a replica that is silent or slow, and the route's timeout ends later than the grace period. That this was the users' case is not known.

Cause: at the end of the grace period the server was closed together with the connections of requests whose callers had received nothing.

Change: the requests are cancelled with a cause of their own 250 ms before the end of the period, as before, and those without an answer have 100 ms to be answered with 502, or with 503 if they have not run. Streams that have begun are cut off as before.

Before: TestAnsweredAtTheEndOfTheGracePeriod failed in 3 of 3 subtests, the connection was closed without a byte; after: it passes, also 3 times with the race detector, together with the tests of the package and of coordination/forward.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -192,6 +192,10 @@
 	return r.run(ctx)
 }
 
+// ErrStopping is the cause with which a caller of Forward cancels the context to have
+// requests answered before the process ends.
+var ErrStopping = errors.New("gateway stopping")
+
 // errDeadline is the context's cause when a request's deadline has passed.
 var errDeadline = errors.New("deadline passed")
 
@@ -314,18 +318,21 @@
 	return otherwise
 }
 
-// outcomeOnCancel returns the outcome if the caller disconnected or the deadline
-// has passed.
+// outcomeOnCancel returns the outcome if the caller disconnected, the deadline has
+// passed or the process is about to end.
 func (r *activeRequest) outcomeOnCancel(cause error) Outcome {
+	stopping := errors.Is(cause, ErrStopping)
 	switch {
-	case !errors.Is(cause, errDeadline):
+	case !stopping && !errors.Is(cause, errDeadline):
 		return Outcome{Verdict: Abandoned, Reason: "caller left"}
 	case r.headerWritten:
-		return Outcome{Verdict: Broken, Reason: "deadline passed"}
+		return Outcome{Verdict: Broken, Reason: cause.Error()}
 	case r.runs == 0:
-		return Outcome{Verdict: Refused, Reason: "deadline passed", RetryAfter: retryAfterBusy}
+		return Outcome{Verdict: Refused, Reason: cause.Error(), RetryAfter: retryAfterBusy}
+	case stopping:
+		return Outcome{Verdict: Failed, Reason: cause.Error()}
 	default:
-		return Outcome{Verdict: TimedOut, Reason: "deadline passed"}
+		return Outcome{Verdict: TimedOut, Reason: cause.Error()}
 	}
 }
 
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -60,6 +60,9 @@
 	// shutdownMargin is the part of the stop grace period that is reserved for
 	// ending the process after the open requests have finished or were cut off.
 	shutdownMargin = 250 * time.Millisecond
+	// lastAnswerTime is the part of shutdownMargin in which requests without an answer
+	// are told that there will be none.
+	lastAnswerTime = 100 * time.Millisecond
 	// startupWait is how long a new process waits for its first routing and list
 	// of upstreams before it accepts requests; a healthy store answers several
 	// times within it. startupPollInterval is the pause between two checks.
@@ -262,7 +265,10 @@
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, workCtx := errgroup.WithContext(workCtx)
+	requestCtx, endRequests := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer endRequests(nil)
 	requestServer := g.newServer(g.requestHandler())
+	requestServer.BaseContext = func(net.Listener) context.Context { return requestCtx }
 	readyServer := g.newServer(g.readyHandler())
 	group.Go(func() error {
 		g.awaitInitialState(workCtx)
@@ -295,7 +301,7 @@
 		defer stop()
 		select {
 		case <-ctx.Done():
-			g.drain(requestServer)
+			g.drain(requestServer, endRequests)
 		case <-workCtx.Done():
 			_ = requestServer.Close()
 		}
@@ -366,8 +372,9 @@
 }
 
 // drain reports not ready and keeps serving until the load balancer has
-// noticed, then lets open requests finish within the stop grace period.
-func (g *Gateway) drain(server *http.Server) {
+// noticed, then lets open requests finish within the stop grace period. At its end,
+// those without an answer are answered with an error.
+func (g *Gateway) drain(server *http.Server, endRequests context.CancelCauseFunc) {
 	startedAt := g.options.Clock.Now()
 	g.leaving.Store(true)
 	g.options.Logger.Info("shutdown started, reporting not ready")
@@ -377,6 +384,10 @@
 	defer cancel()
 	if err := server.Shutdown(graceCtx); err != nil {
 		g.options.Logger.Warn("open requests cut off at the end of the stop grace period", zap.Error(err))
+		endRequests(forward.ErrStopping)
+		answerCtx, cancel := context.WithTimeout(context.Background(), lastAnswerTime)
+		defer cancel()
+		_ = server.Shutdown(answerCtx)
 		_ = server.Close()
 	}
 }
