Keep accepting peers after a lack of file descriptors

What callers would see: all requests in a gateway end without an answer, because the process ends.

Cause: the server for peers took each error of Accept as final, and Gateway.Run ends the process when one of its parts fails. The servers of callers already try again.

Change: it tries again after 10 ms if there are no free file descriptors.

Before: TestTemporaryAcceptError failed; after: it passes, also twice with the race detector, together with the tests of the package.

--- a/internal/protocol/peer/server.go
+++ b/internal/protocol/peer/server.go
@@ -6,11 +6,16 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 )
 
+// acceptRetryInterval is the pause after a connection could not be accepted for lack of
+// file descriptors.
+const acceptRetryInterval = 10 * time.Millisecond
+
 // Server serves the methods of one receiver to clients that know the secret.
 type Server struct {
 	// Limits bounds the requests of clients. It must be set before Serve is called.
@@ -40,6 +45,10 @@
 	defer stop()
 	for {
 		conn, err := listener.Accept()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			time.Sleep(acceptRetryInterval)
+			continue
+		}
 		if err != nil {
 			s.closeConns()
 			_ = s.group.Wait()
