Avoid an upstream while requests wait for it in silence

What callers would see: requests that wait for a dead upstream until their deadline, more and more of them while the retry budget is spent.

Cause: an upstream's silence counted as a failure only when the attempt ended, and attempts that cannot be replaced no longer end. Until then the balancer knew nothing but the number of requests that wait there.

Change: silence beyond the limit counts as the failure of the attempt when it is noticed, as before the takeover, and not again at the end of the attempt. An answer clears the count as before.

Before: TestSilentUpstreamIsAvoided failed; after: it passes, also 3 times with the race detector, together with the tests of the package and of balance.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -257,6 +257,8 @@
 	// trial means that the request is one of those that the closure counts.
 	// turnedAway means that the upstream closed itself in its answer.
 	trial, turnedAway bool
+	// silent means that the upstream's silence has been counted as a failure.
+	silent bool
 }
 
 // Pick chooses an upstream and adds the request to its load. It returns nil if
@@ -468,7 +470,9 @@
 		e.answeredAt = now
 		e.updateLatency(result.Elapsed)
 	case Failed:
-		e.recordFailure(now, minFailuresToAvoid)
+		if !p.silent {
+			e.recordFailure(now, minFailuresToAvoid)
+		}
 	case Unreachable:
 		e.unreachable = true
 		e.recordFailure(now, 1)
--- a/internal/coordination/balance/endpoint.go
+++ b/internal/coordination/balance/endpoint.go
@@ -39,3 +39,15 @@
 	}
 	e.avoidUntil = now.Add(min(baseAvoidTime<<min(e.failures-threshold, 10), maxAvoidTime))
 }
+
+// Silent counts the silence of the upstream as the failure of this request, while the
+// request still waits for it. Further calls have no effect.
+func (p *Pick) Silent() {
+	now := p.balancer.options.Clock.Now()
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	if !p.silent {
+		p.silent = true
+		p.endpoint.recordFailure(now, minFailuresToAvoid)
+	}
+}
--- a/internal/coordination/forward/takeover.go
+++ b/internal/coordination/forward/takeover.go
@@ -70,6 +70,7 @@
 	if t.writing || silentFor < t.limit {
 		return
 	}
+	t.silent.pick.Silent()
 	pick := t.pick()
 	if pick == nil {
 		return
