Keep a silent upstream for 0.3 s after another one was asked, for all requests

What callers would see: requests without a stream, and streams that had not begun if only another release was left, were given up before the other upstream refused, and failed.

Cause: a stream's silent upstream was kept until the other one's answer, without limit; that of other requests was not kept at all.

Change: every silent upstream is kept until another one's answer begins, or for 0.3 s if that one has not refused by then. Engines refuse at once, so that one that has not is waited for. If the silent one goes on first, its release is recorded again.

Changed tests: TestSoundUpstreamSilentForAWhile also holds for requests without a stream when the other upstream refuses, breaks off, is not sent or answers 500 (left out before). Its case of a second upstream that never answers asked for the silent one to be kept for up to 0.9 s beside it, which the limit forbids; in its place TestTakeover has two silent upstreams of which the second answers at last, and TestTakeoverOverlap bounds the time. The fake of TestSilentUpstream has a mutex, because a second exchange begins beside the first.

Left: if the second upstream breaks off after 0.3 s or after its answer began, the first one is gone.

--- a/internal/coordination/forward/takeover.go
+++ b/internal/coordination/forward/takeover.go
@@ -15,6 +15,10 @@
 	"comfreyworks/internal/coordination/balance"
 )
 
+// takeoverOverlap is how long a silent upstream is kept after another one was asked. An
+// upstream that refuses does so sooner, and two must not work on one request for long.
+const takeoverOverlap = 300 * time.Millisecond
+
 var (
 	// errUpstreamSilent is the context's cause when an upstream did not answer in
 	// time and another one has taken its place.
@@ -25,9 +29,9 @@
 )
 
 // takeover replaces the upstream of an attempt if it is silent for too long. A sound
-// upstream may be silent for a while, so that it is not given up before another one
-// can serve the request, and a stream not before the answer of that one has begun.
-// Until then, a new event of the silent upstream ends the takeover.
+// upstream may be silent for a while, so that it is not given up before the answer of
+// another one has begun, or that one has not refused within takeoverOverlap. If the
+// silent upstream goes on before, that ends the takeover.
 //
 // Its fields, and those of the activeRequest that its goroutines use, are protected
 // by activeRequest.mu.
@@ -41,10 +45,11 @@
 	writing bool
 	// successor is the attempt that waits for the answer of another upstream.
 	successor *attempt
-	// lost means that the attempt has failed and that its successor is waited for;
-	// stopped means that the takeover has ended.
-	lost, stopped bool
-	group         errgroup.Group
+	// abandoned means that the upstream was given up for a successor that has not
+	// answered yet, lost that the attempt has failed and its successor is waited for,
+	// stopped that the takeover has ended.
+	abandoned, lost, stopped bool
+	group                    errgroup.Group
 }
 
 // watch starts to watch for the silence of the attempt's upstream.
@@ -85,13 +90,9 @@
 		zap.String("upstream", string(t.silent.pick.Upstream.ID)), zap.String("successor", string(pick.Upstream.ID)),
 		zap.Duration("silent-for", silentFor), zap.String("resumes-after", r.lastEventID),
 	)
-	if r.request.Route.Kind != comfreyworks.RouteStream || next.upstreamRelease() != t.silent.upstreamRelease() {
-		// Only what upstreams of one release answer to a stream fits together.
-		t.finish(next)
-		return
-	}
 	r.countSend(next)
 	r.runs++
+	next.recordOrigin()
 	t.successor = next
 	options := next.attemptOptions()
 	t.group.Go(func() error {
@@ -131,12 +132,14 @@
 // await waits for the answer of the attempt that is to take over.
 func (t *takeover) await(next *attempt, options comfreyworks.AttemptOptions) {
 	r := t.silent.activeRequest
+	overlap := r.options.Clock.AfterFunc(takeoverOverlap, func() { t.abandon(next) })
+	defer overlap.Stop()
 	response, err := r.options.Exchanger.Exchange(comfreyworks.WithAdvice(next.ctx, next.pick.Advise), r.request.Message, options)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil {
 		next.result.Weights = response.Weights
-		if err = context.Cause(next.ctx); err == nil && (response.Status != http.StatusOK || !response.HasDigest) {
+		if err = context.Cause(next.ctx); err == nil && !next.accepts(response) {
 			err = fmt.Errorf("answer with status %d", response.Status)
 		}
 		if err == nil {
@@ -161,19 +164,43 @@
 	}
 }
 
+// abandon gives the silent upstream up for a successor that has not refused.
+func (t *takeover) abandon(successor *attempt) {
+	t.silent.mu.Lock()
+	defer t.silent.mu.Unlock()
+	if t.successor == successor && !t.stopped {
+		t.abandoned = true
+		t.silent.cancel(errUpstreamSilent)
+	}
+}
+
+// accepts reports whether an answer of the upstream that is to take over is as good as
+// that of the silent one.
+func (a *attempt) accepts(response *comfreyworks.UpstreamResponse) bool {
+	if a.request.Route.Kind == comfreyworks.RouteStream {
+		return response.HasDigest && response.Status == http.StatusOK
+	}
+	return response.HasDigest && response.Status < http.StatusInternalServerError
+}
+
 // beginEvent prepares for passing an event on. If the event is new, that ends a
 // takeover that has not succeeded yet. It returns false if one has.
 func (a *attempt) beginEvent(isNew bool) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.next != nil {
+	t := a.takeover
+	if a.next != nil || (t != nil && t.abandoned) {
 		return false
 	}
 	if !a.headerWritten {
 		a.headerWritten = true
 		a.release = a.upstreamRelease()
+		if a.sentTo != a.release {
+			// The successor that was asked runs another release.
+			a.recordOrigin()
+		}
 	}
-	if t := a.takeover; t != nil && isNew {
+	if t != nil && isNew {
 		t.writing = true
 		t.withdraw()
 	}
