Test suspected parts before they are quarantined

Cause: three crashes in a row blame for good, and requests that would have told the parts apart were refused as well.

Change: a part is blamed after two crashes in a row, but requests that hold no other suspect still get through; a third crash decides, an answer clears. A part that this gateway has seen answered in the last minutes takes three more crashes, so that one that never was is found first. A crash of a request with a part that is certain does not count for the others.

--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -6,11 +6,13 @@
 // that follow one another: a request counts a crash for its parts in addition to
 // those that its gateway knew of when the request was sent. Engines that end
 // together, whatever they ran, thus count once. An answer clears the parts of its
-// request.
+// request, and it then takes more crashes to blame them.
 //
-// A part with several crashes is blamed, and put under quarantine. After that, each
-// gateway lets one request with the part through at a time: another crash blames it
-// again at all gateways, an answer clears it.
+// A part with several crashes is blamed. Requests with it are refused, except those
+// that tell whether another part of the crashed requests was the cause. If one more
+// crash makes it certain, the part is put under quarantine, after which each gateway
+// lets one such request through at a time: another crash blames the part again at all
+// gateways, an answer clears it.
 //
 // Gateways exchange what was added to their logs since the last exchange. They may
 // learn of suspicions in any order and repeatedly.
@@ -43,8 +45,13 @@
 )
 
 const (
-	// blameAfter is the number of crashes after which a part is blamed.
-	blameAfter = 3
+	// blameAfter is the number of crashes after which a part is blamed, certainAfter
+	// that after which no more requests are let through to test it.
+	blameAfter   = 2
+	certainAfter = 3
+	// answeredMargin is added to both for a part that was answered recently, so that
+	// one that crashes engines is blamed before the parts that come with it.
+	answeredMargin = 3
 	// minQuarantine is the quarantine of a part that is blamed for the first time. It
 	// doubles with each further crash up to maxQuarantine.
 	minQuarantine = 10 * time.Minute
@@ -77,21 +84,28 @@
 // Log is the log of one process. It is safe for concurrent use.
 type Log struct {
 	log        *sharedlog.Log[suspicion]
+	clock      comfreyworks.Clock
 	spread     float64
-	blameAfter uint16
+	thresholds thresholds
 
 	mu sync.Mutex
 	// trials counts the requests in flight with each blamed part after its quarantine.
 	trials map[uint32]int
+	// answered holds the parts that this gateway has seen answered.
+	answered recentParts
 }
 
+// thresholds are numbers of crashes.
+type thresholds struct{ blame, certain, answeredMargin uint16 }
+
 // New returns an empty log.
 func New(options Options) *Log {
 	return &Log{
 		log: sharedlog.New[suspicion](sharedlog.Options{
 			Clock: options.Clock, Lifetime: lifetime, MaxEntries: maxEntries,
 		}),
-		spread: options.Spread, blameAfter: blameAfter, trials: make(map[uint32]int),
+		clock: options.Clock, spread: options.Spread, trials: make(map[uint32]int),
+		thresholds: thresholds{blameAfter, certainAfter, answeredMargin},
 	}
 }
 
@@ -123,7 +137,7 @@
 	for i, key := range keys {
 		known, age, _ := l.log.LookupAge(key)
 		r.parts[i] = snapshot{key, known}
-		if l.suspects(known) && age > l.quarantine(known) {
+		if l.isBlamed(key, known) && age > l.quarantine(known) {
 			r.trials = append(r.trials, key)
 		}
 	}
@@ -159,14 +173,14 @@
 
 // EngineEnded records that the engine ended under the request. It returns the
 // highest number of crashes of its parts. If a part of the request is already
-// blamed, the crash does not count for the others.
+// blamed for certain, the crash does not count for the others.
 func (r *Request) EngineEnded() (crashes int) {
 	if !r.end() {
 		return 0
 	}
 	cause := slices.DeleteFunc(slices.Clone(r.parts), func(s snapshot) bool {
 		known, _ := r.log.log.Lookup(s.key)
-		return !r.log.suspects(known) || known.cleared != s.known.cleared
+		return !r.log.isCertain(s.key, known) || known.cleared != s.known.cleared
 	})
 	if len(cause) == 0 {
 		cause = r.parts
@@ -206,6 +220,12 @@
 	if !r.end() {
 		return
 	}
+	r.log.mu.Lock()
+	now := r.log.clock.Now()
+	for _, s := range r.parts {
+		r.log.answered.add(s.key, now)
+	}
+	r.log.mu.Unlock()
 	for _, s := range r.parts {
 		r.log.Lift(s.key)
 	}
@@ -220,13 +240,28 @@
 		func(known, _ suspicion) suspicion { return known.clear() })
 }
 
-// suspects reports whether a part is under quarantine or was and is not cleared.
-func (l *Log) suspects(s suspicion) bool { return s.crashes >= l.blameAfter }
+// isBlamed reports whether a part is under quarantine or was and is not cleared.
+func (l *Log) isBlamed(key uint32, s suspicion) bool { return l.reaches(l.thresholds.blame, key, s) }
+
+// isCertain reports whether a blamed part needs no further test.
+func (l *Log) isCertain(key uint32, s suspicion) bool { return l.reaches(l.thresholds.certain, key, s) }
+
+// reaches reports whether a part has a number of crashes, or more than that if it
+// was answered recently.
+func (l *Log) reaches(crashes uint16, key uint32, s suspicion) bool {
+	if s.crashes < crashes || s.crashes >= crashes+l.thresholds.answeredMargin {
+		return s.crashes >= crashes
+	}
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.answered.has(key, now)
+}
 
 // quarantine returns how long a blamed part is under quarantine at this gateway.
 func (l *Log) quarantine(s suspicion) time.Duration {
 	quarantine := minQuarantine
-	for range s.crashes - l.blameAfter {
+	for range int(s.crashes) - int(l.thresholds.certain) {
 		if quarantine *= 2; quarantine >= maxQuarantine {
 			quarantine = maxQuarantine
 			break
@@ -236,29 +271,37 @@
 }
 
 // Blamed reports whether a request with the given parts is to be refused, and
-// because of which of them. After the quarantine of a part, this is so while another
-// request with it is in flight. It is to be called right before Begin.
-//
-// Of parts that were in all crashed requests together, any may be the cause: a
-// request with only some of them is let through, which tells them apart.
+// because of which of them. It is to be called right before Begin.
 func (l *Log) Blamed(keys []uint32) (key uint32, blamed bool) {
 	for _, key := range keys {
 		known, age, _ := l.log.LookupAge(key)
-		if !l.suspects(known) || age > l.quarantine(known) && !l.trying(key) {
-			continue
-		}
-		elsewhere := func(other uint32) bool {
-			known, _ := l.log.Lookup(other)
-			return l.suspects(known) && !slices.Contains(keys, other)
-		}
-		if !slices.ContainsFunc(known.with.keys(), elsewhere) {
+		if l.isBlamed(key, known) && !l.tests(known, age, key, keys) {
 			return key, true
 		}
 	}
 	return 0, false
 }
 
-// trying reports whether a request with a part is in flight after the quarantine.
+// tests reports whether a request with the given parts is let through because it tells
+// whether the blamed part key crashes engines.
+func (l *Log) tests(known suspicion, age time.Duration, key uint32, keys []uint32) bool {
+	// It lacks a blamed part that was in all crashed requests with key.
+	for _, other := range known.with.keys() {
+		if s, _ := l.log.Lookup(other); l.isBlamed(other, s) && !slices.Contains(keys, other) {
+			return true
+		}
+	}
+	if l.isCertain(key, known) && (age <= l.quarantine(known) || l.trying(key)) {
+		return false
+	}
+	// It holds no other part that may have crashed engines in requests with key.
+	return !slices.ContainsFunc(keys, func(other uint32) bool {
+		s, _ := l.log.Lookup(other)
+		return other != key && s.crashes > 0 && !known.with.has(other)
+	})
+}
+
+// trying reports whether a request tries a part after its quarantine.
 func (l *Log) trying(key uint32) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/state/crashes/crashes_test.go
+++ b/internal/state/crashes/crashes_test.go
@@ -53,7 +53,7 @@
 func TestBlame(t *testing.T) {
 	t.Run("crashes that follow one another blame", func(t *testing.T) {
 		l, _ := newLog()
-		for i := range blameAfter {
+		for i := range certainAfter {
 			assertBlamed(t, l, 0, crasher)
 			assert.Equal(t, l.Begin([]uint32{sound, crasher}).EngineEnded(), i+1)
 			answer(l, sound)
@@ -73,18 +73,20 @@
 		}
 		assertBlamed(t, l, 0, sound, 100)
 	})
-	t.Run("an answer in between clears", func(t *testing.T) {
+	t.Run("an answer in between clears, and it takes more crashes then", func(t *testing.T) {
 		l, _ := newLog()
 		late := l.Begin([]uint32{sound})
-		crash(l, blameAfter-1, sound)
+		crash(l, certainAfter-1, sound)
 		answer(l, sound)
 		assert.Equal(t, late.EngineEnded(), 0)
-		crash(l, blameAfter-1, sound)
+		crash(l, certainAfter+answeredMargin-1, sound)
 		assertBlamed(t, l, 0, sound)
+		crash(l, 1, sound)
+		assertBlamed(t, l, sound, sound)
 	})
 	t.Run("only the first result of a request counts", func(t *testing.T) {
 		l, _ := newLog()
-		crash(l, blameAfter-1, sound)
+		crash(l, certainAfter-1, sound)
 		for _, first := range []func(*Request){(*Request).Answered, (*Request).Done} {
 			r := l.Begin([]uint32{sound})
 			first(r)
@@ -95,21 +97,35 @@
 	})
 	t.Run("a crash that a blamed part explains does not count for others", func(t *testing.T) {
 		l, _ := newLog()
-		crash(l, blameAfter-1, crasher, sound)
+		crash(l, certainAfter-1, crasher, sound)
 		late := l.Begin([]uint32{crasher, sound})
 		crash(l, 1, crasher)
-		assert.Equal(t, late.EngineEnded(), blameAfter)
+		assert.Equal(t, late.EngineEnded(), certainAfter)
 		assertBlamed(t, l, crasher, crasher, sound)
 		assertBlamed(t, l, 0, sound)
 	})
 }
 
+// TestSharedPart guards against the quarantine of a part that came with several parts
+// that crash engines.
+func TestSharedPart(t *testing.T) {
+	l, _ := newLog()
+	crash(l, 1, sound, crasher)
+	crash(l, 1, sound, other)
+	assertBlamed(t, l, sound, sound, crasher)
+	assertBlamed(t, l, 0, sound, 100)
+	answer(l, sound, 100)
+	crash(l, certainAfter, sound, crasher)
+	assertBlamed(t, l, crasher, sound, crasher)
+	assertBlamed(t, l, 0, sound, other)
+}
+
 // TestPartsThatComeTogether checks that of parts that were in the same crashed
 // requests, those that crash no engine are found out.
 func TestPartsThatComeTogether(t *testing.T) {
 	blamePair := func() *Log {
 		l, _ := newLog()
-		crash(l, blameAfter, crasher, sound)
+		crash(l, certainAfter, crasher, sound)
 		assertBlamed(t, l, sound, sound, crasher)
 		return l
 	}
@@ -131,10 +147,12 @@
 	t.Run("of many parts the most suspected are remembered", func(t *testing.T) {
 		l, _ := newLog()
 		crash(l, 1, crasher)
-		many := []uint32{sound, 11, 12, 13, 14, 15, crasher}
-		crash(l, blameAfter, many...)
-		crash(l, 1, crasher)
-		assertBlamed(t, l, 0, sound)
+		crash(l, 1, sound, 11, 12, 13, 14, 15, crasher)
+		suspicions, _ := l.After(0, Local)
+		for _, s := range suspicions[:6] {
+			assert.Equal(t, len(s.With), comfreyworks.MaxCrashSuspicionWith)
+			assert.Equal(t, s.With[0], crasher)
+		}
 	})
 }
 
@@ -142,7 +160,7 @@
 	t.Run("crashes at several gateways blame at all of them", func(t *testing.T) {
 		a, _ := newLog()
 		b, _ := newLog()
-		for range blameAfter {
+		for range certainAfter {
 			crash(a, 1, crasher)
 			exchange(a, b)
 			a, b = b, a
@@ -153,8 +171,8 @@
 	t.Run("crashes that gateways did not know of from each other count once", func(t *testing.T) {
 		a, _ := newLog()
 		b, _ := newLog()
-		crash(a, blameAfter-1, crasher)
-		crash(b, blameAfter-1, crasher)
+		crash(a, certainAfter-1, crasher)
+		crash(b, certainAfter-1, crasher)
 		exchange(a, b)
 		exchange(b, a)
 		assertBlamed(t, a, 0, crasher)
@@ -163,7 +181,7 @@
 	t.Run("a gateway that learns of a clearing late", func(t *testing.T) {
 		a, _ := newLog()
 		b, _ := newLog()
-		crash(a, blameAfter-1, sound)
+		crash(a, certainAfter-1, sound)
 		exchange(a, b)
 		answer(a, sound)
 		crash(b, 1, sound)
@@ -194,7 +212,7 @@
 	blame := func() (*Log, *clockwork.FakeClock) {
 		l, clock := newLog()
 		l.spread = spread
-		crash(l, blameAfter, crasher)
+		crash(l, certainAfter, crasher)
 		return l, clock
 	}
 	assertQuarantine := func(t *testing.T, l *Log, clock *clockwork.FakeClock, length time.Duration) {
@@ -219,7 +237,7 @@
 		assertBlamed(t, l, 0, sound)
 		trial.Done()
 		assertBlamed(t, l, 0, crasher)
-		assert.Equal(t, l.Begin([]uint32{crasher}).EngineEnded(), blameAfter+1)
+		assert.Equal(t, l.Begin([]uint32{crasher}).EngineEnded(), certainAfter+1)
 		assertBlamed(t, l, crasher, crasher)
 		assertQuarantine(t, l, clock, 2*minQuarantine)
 		answer(l, crasher)
@@ -245,14 +263,14 @@
 func TestLimits(t *testing.T) {
 	t.Run("a suspicion expires", func(t *testing.T) {
 		l, clock := newLog()
-		crash(l, blameAfter, crasher)
+		crash(l, certainAfter, crasher)
 		clock.Advance(lifetime + 1)
 		crash(l, 1, crasher)
 		assertBlamed(t, l, 0, crasher)
 	})
 	t.Run("the number of suspicions is limited", func(t *testing.T) {
 		l, _ := newLog()
-		crash(l, blameAfter, crasher)
+		crash(l, certainAfter, crasher)
 		for key := range uint32(maxEntries) {
 			crash(l, 1, 100+key)
 		}
@@ -270,7 +288,23 @@
 		l, _ := newLog()
 		l.Merge([]comfreyworks.CrashSuspicion{{Part: sound, Cleared: math.MaxUint16 - 1, Crashes: 1}}, Remote)
 		answer(l, sound)
-		crash(l, blameAfter, sound)
+		crash(l, certainAfter+answeredMargin, sound)
 		assertBlamed(t, l, 0, sound)
 	})
+	t.Run("recent parts are forgotten", func(t *testing.T) {
+		now := time.Unix(0, 0)
+		var r recentParts
+		assert.Assert(t, !r.has(sound, now))
+		r.add(sound, now)
+		assert.Assert(t, r.has(sound, now.Add(recently)))
+		r.add(other, now.Add(recently+1))
+		assert.Assert(t, r.has(sound, now.Add(2*recently)))
+		assert.Assert(t, !r.has(sound, now.Add(2*recently+2)))
+		assert.Assert(t, r.has(other, now.Add(2*recently+2)))
+		assert.Assert(t, !r.has(other, now.Add(time.Hour)))
+		for key := range uint32(3 * maxRecent) {
+			r.add(key, now.Add(time.Hour))
+		}
+		assert.Equal(t, len(r.current)+len(r.former), 2*maxRecent)
+	})
 }
--- a/internal/state/crashes/suspicion.go
+++ b/internal/state/crashes/suspicion.go
@@ -75,7 +75,9 @@
 	return keys
 }
 
+func (p partSet) has(key uint32) bool { return slices.Contains(p[:], key) }
+
 // intersect returns the parts that are in both sets.
 func (p partSet) intersect(other partSet) partSet {
-	return newPartSet(slices.DeleteFunc(p.keys(), func(key uint32) bool { return !slices.Contains(other[:], key) }))
+	return newPartSet(slices.DeleteFunc(p.keys(), func(key uint32) bool { return !other.has(key) }))
 }
