Add a failing test: requests given up because all sidecars were silent for a moment

What callers saw: "broke off and could not be continued" on a machine that is short of CPU time, although the sidecars answered again a moment later.

The dispatcher ends an attempt when a start gets no answer, and only then asks whether another attempt is possible. With a spent budget a single silence ends every request, also of streams that were accepted but have no token yet.

newDispatcher of the existing tests is split so that other fakes can be used with it; no check changed.

--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -106,10 +106,14 @@
 }
 
 func newDispatcher(sidecars fakeSidecars) *Dispatcher {
-	clock := instantClock{clockwork.NewRealClock()}
+	return newDispatcherFor(len(sidecars), sidecars, instantClock{clockwork.NewRealClock()})
+}
+
+// newDispatcherFor returns a dispatcher whose pool has n sidecars.
+func newDispatcherFor(n int, sidecars comfreyworks.SidecarClients, clock comfreyworks.Clock) *Dispatcher {
 	list := logservice.NewList(clock, 0)
 	var instances []comfreyworks.Instance
-	for i := range sidecars {
+	for i := range n {
 		instance := comfreyworks.Instance{
 			ID: comfreyworks.InstanceID(fmt.Sprintf("lm/%d", i)), Role: comfreyworks.RoleSidecar, Pool: "lm",
 			State: comfreyworks.InstanceLive, Address: address(i),
