Leave a silent sidecar only for another one

What callers saw: "broke off and could not be continued" on a machine that is short of CPU time, although the sidecars answered again a moment later.

Cause: a start without an answer in 2 s, or two silent reads, ended the attempt, and only then the retry budget was asked for another one. When all sidecars are silent at once, the first 50 requests of a workspace use up its budget and the others end.

Change: a silent sidecar is left when another one is not avoided, the deadline has not passed and a retry was taken from the budget. Otherwise the call is repeated. Start is repeated under the same stream ID, and generation starts a stream once, so that a late answer belongs to the same stream; nothing is cancelled that is still waited for. A repeated start counts as a read, because streams without a reader end after 15 s. Other failures are treated as before: refusals, connections that are refused, a dial that fails before anything was sent. A broken connection counts as silence until the next dial tells. Waiting ends at the deadline with KindGivenUp.

The retry taken for a request is kept while no upstream can be chosen; before, each wait for one took another retry.

To tell silence from an error that a sidecar answered with, peer wraps the new comfreyworks.ErrNoAnswer in errors of KindNoAnswer.

Calls to plain services are not affected: they are never repeated on silence alone, because their timeout is the deadline of the request.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -4,8 +4,10 @@
 // An attempt chooses an upstream, starts a stream at its sidecar and reads the
 // numbered frames. A read that fails is repeated from the same frame. If the
 // sidecar or its engine is lost, a new attempt at another upstream continues
-// after the tokens that were already delivered. The caller of this package
-// receives each token once and in order, and then the end.
+// after the tokens that were already delivered. A sidecar that is only silent is
+// left once another one can take over within the retry budget; until then its
+// stream is waited for. The caller of this package receives each token once and
+// in order, and then the end.
 //
 // # Usage
 //
@@ -62,7 +64,7 @@
 	// request could do nothing better than send it again.
 	maxAttempts = 6
 	// maxReadFailures is the number of consecutive failed reads after which a
-	// stream is given up.
+	// stream may be given up.
 	maxReadFailures = 2
 	// readWait is how long a sidecar waits for new frames before it answers a
 	// read. If there is no answer after that, the connection is lost.
@@ -129,7 +131,10 @@
 type requestState struct {
 	job       Job
 	emit      func(TokenBatch) error
-	delivered int
+	budgetKey retryBudgetKey
+	// retryTaken means that the next attempt's retry was taken from the budget.
+	retryTaken bool
+	delivered  int
 	// attemptOffset is the number of the last stream of a resumed request, zero
 	// for a new request.
 	attemptOffset int
@@ -155,18 +160,18 @@
 // passes the tokens to emit as they arrive.
 func (d *Dispatcher) Generate(ctx context.Context, job Job, emit func(TokenBatch) error) (Result, error) {
 	state := &requestState{
-		job:     job,
-		emit:    emit,
-		refusal: comfreyworks.Refusal{Reason: comfreyworks.RefusedUpstreamDown, RetryAfter: defaultRetryAfter},
+		job:       job,
+		emit:      emit,
+		budgetKey: retryBudgetKey{workspace: job.Workspace, pool: job.Pool.Name},
+		refusal:   comfreyworks.Refusal{Reason: comfreyworks.RefusedUpstreamDown, RetryAfter: defaultRetryAfter},
 	}
 	if err := d.resume(ctx, state); state.finished {
 		return state.result, err
 	}
-	budgetKey := retryBudgetKey{workspace: job.Workspace, pool: job.Pool.Name}
-	d.budgets.deposit(budgetKey)
+	d.budgets.deposit(state.budgetKey)
 	delays := d.newBackoff()
 	for state.countedTries < maxAttempts && ctx.Err() == nil {
-		if !d.mayAttempt(state, budgetKey) {
+		if !d.mayAttempt(state) {
 			break
 		}
 		instance, ok := d.chooseInstance(ctx, state)
@@ -181,6 +186,7 @@
 			continue
 		}
 		state.result.Attempts++
+		state.retryTaken = false
 		state.noAnswer = false
 		err := d.attempt(ctx, state, instance)
 		if state.finished {
@@ -194,11 +200,16 @@
 	return state.result, state.finalError(ctx)
 }
 
-// mayAttempt reports whether the retry budget allows another attempt. An answer
-// that was partly delivered is always continued, because the work done for it
-// would be wasted otherwise.
-func (d *Dispatcher) mayAttempt(state *requestState, budgetKey retryBudgetKey) bool {
-	return state.result.Attempts == 0 || state.delivered > 0 || d.budgets.withdraw(budgetKey)
+// mayAttempt reports whether the retry budget allows another attempt and, if so,
+// takes a retry from it unless that was done before. An answer that was partly
+// delivered is always continued, because the work done for it would be wasted
+// otherwise.
+func (d *Dispatcher) mayAttempt(state *requestState) bool {
+	if state.result.Attempts == 0 || state.delivered > 0 || state.retryTaken {
+		return true
+	}
+	state.retryTaken = d.budgets.withdraw(state.budgetKey)
+	return state.retryTaken
 }
 
 func (s *requestState) finalError(ctx context.Context) error {
@@ -275,15 +286,13 @@
 func (d *Dispatcher) attempt(ctx context.Context, state *requestState, instance comfreyworks.Instance) error {
 	sidecar := d.options.Sidecars.Sidecar(instance)
 	attempt := d.newAttempt(state)
-	refusal, err := sidecar.Start(ctx, attempt)
+	refusal, err := d.start(ctx, state, instance, attempt)
 	if err != nil {
-		if !errors.Is(err, comfreyworks.ErrNotSent) {
-			state.mayHaveStarted = true
-			state.noAnswer = true
+		if state.noAnswer {
 			d.cancel(ctx, sidecar, attempt.Stream)
 		}
-		if ctx.Err() == nil {
-			d.options.View.RecordFailure(instance.ID)
+		if state.noAnswer && d.remaining(state) <= 0 {
+			return d.fail(state, KindGivenUp, errDeadline)
 		}
 		return err
 	}
@@ -335,6 +344,7 @@
 	sidecar := d.options.Sidecars.Sidecar(instance)
 	from := state.delivered - state.origin.Start
 	failures := 0
+	delays := d.newBackoff()
 	for {
 		update, err := sidecar.Read(ctx, id, from, readWait)
 		switch {
@@ -343,11 +353,14 @@
 			return d.fail(state, KindGivenUp, context.Cause(ctx))
 		case err != nil:
 			failures++
-			if failures >= maxReadFailures {
-				d.options.View.RecordFailure(instance.ID)
-				return err
+			if failures < maxReadFailures || !d.leaveSidecar(ctx, state, instance, err, delays) {
+				continue
 			}
-			continue
+			if d.remaining(state) <= 0 {
+				d.cancel(ctx, sidecar, id)
+				return d.fail(state, KindGivenUp, errDeadline)
+			}
+			return err
 		case update.Unknown:
 			return nil
 		}
--- a/internal/coordination/generation/generation.go
+++ b/internal/coordination/generation/generation.go
@@ -97,11 +97,12 @@
 }
 
 // Start accepts an attempt or refuses it. Starting a stream again with the same
-// ID has no effect.
+// ID has no effect, except that it counts as a read: its entry is still there.
 func (m *Manager) Start(attempt comfreyworks.GenerateAttempt) *comfreyworks.Refusal {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.streams[attempt.Stream] != nil {
+	if g := m.streams[attempt.Stream]; g != nil {
+		g.lastRead = m.options.Clock.Now()
 		return nil
 	}
 	if refusal := m.refusalFor(attempt); refusal != nil {
--- a/internal/coordination/generation/generation_test.go
+++ b/internal/coordination/generation/generation_test.go
@@ -220,6 +220,18 @@
 		<-f.engine.stopped
 		assert.Equal(t, f.manager.StreamCount(), 0)
 	})
+	t.Run("a stream whose start is repeated is kept and runs once", func(t *testing.T) {
+		f := newFixture(t)
+		f.start(t, "s1")
+		<-f.engine.started
+		for range 3 {
+			f.clock.Advance(orphanTimeout)
+			f.start(t, "s1")
+			f.manager.Sweep()
+			assert.Equal(t, f.manager.StreamCount(), 1)
+		}
+		assert.Equal(t, len(f.engine.started)+len(f.engine.stopped), 0)
+	})
 	t.Run("a stream whose end was read is kept for repeated reads, then removed", func(t *testing.T) {
 		f := newFixture(t)
 		f.start(t, "s1")
--- a/internal/protocol/peer/client.go
+++ b/internal/protocol/peer/client.go
@@ -42,6 +42,11 @@
 	return &Error{Op: op, Kind: kind, Err: fmt.Errorf("%w: %w", comfreyworks.ErrNotSent, err)}
 }
 
+// noAnswer returns an error that wraps ErrNoAnswer and a cause.
+func noAnswer(op string, err error) error {
+	return &Error{Op: op, Kind: KindNoAnswer, Err: fmt.Errorf("%w: %w", comfreyworks.ErrNoAnswer, err)}
+}
+
 const (
 	// dialTimeout limits the opening of a TCP connection.
 	dialTimeout = 3 * time.Second
@@ -222,9 +227,9 @@
 			if deadline.noNewReads() && conn.silentFor(c.options.Clock.Now(), timeout) >= callTimeout {
 				c.retire(conn)
 			}
-			return zero, &Error{Op: method, Kind: KindNoAnswer, Err: context.DeadlineExceeded}
+			return zero, noAnswer(method, context.DeadlineExceeded)
 		case <-ctx.Done():
-			return zero, &Error{Op: method, Kind: KindNoAnswer, Err: context.Cause(ctx)}
+			return zero, noAnswer(method, context.Cause(ctx))
 		}
 	}
 }
@@ -244,7 +249,7 @@
 	if errors.Is(err, rpc.ErrShutdown) {
 		return notSent(method, KindNotSent, err)
 	}
-	return &Error{Op: method, Kind: KindNoAnswer, Err: err}
+	return noAnswer(method, err)
 }
 
 // connect returns the open connection or dials one. Concurrent callers share one
--- a/internal/protocol/peer/messages.go
+++ b/internal/protocol/peer/messages.go
@@ -15,7 +15,7 @@
 //	update, err := clients.Sidecar(instance).Read(ctx, id, 7, time.Second)
 //
 // Errors have the kinds listed at Kind. Those with KindNotSent and KindSecret
-// wrap comfreyworks.ErrNotSent.
+// wrap comfreyworks.ErrNotSent, those with KindNoAnswer comfreyworks.ErrNoAnswer.
 package peer
 
 import (
--- a/internal/protocol/peer/peer_test.go
+++ b/internal/protocol/peer/peer_test.go
@@ -70,6 +70,7 @@
 	assert.Assert(t, errors.As(err, &e), "got %v", err)
 	assert.Equal(t, e.Kind, kind, "%v", err)
 	assert.Equal(t, errors.Is(err, comfreyworks.ErrNotSent), kind == KindNotSent || kind == KindSecret)
+	assert.Equal(t, errors.Is(err, comfreyworks.ErrNoAnswer), kind == KindNoAnswer)
 }
 
 func read(c *Client, id comfreyworks.StreamID) (comfreyworks.StreamUpdate, error) {
--- a/sidecar.go
+++ b/sidecar.go
@@ -10,6 +10,10 @@
 // received the call.
 var ErrNotSent = errors.New("not sent")
 
+// ErrNoAnswer is wrapped by errors which mean that no answer arrived, so that the
+// receiver may or may not have received the call.
+var ErrNoAnswer = errors.New("no answer")
+
 // ServiceAttempt is one attempt to call a plain service.
 type ServiceAttempt struct {
 	Workspace Workspace
@@ -54,7 +58,8 @@
 
 // Sidecar is the interface that a sidecar offers to other processes. All methods
 // but Call are idempotent. An error that wraps ErrNotSent guarantees that the
-// sidecar has not received the call.
+// sidecar has not received the call, one that wraps ErrNoAnswer that the sidecar
+// has not refused it.
 type Sidecar interface {
 	// Start starts a stream. A refusal means that nothing was started.
 	Start(ctx context.Context, attempt GenerateAttempt) (*Refusal, error)
