Take no retry from the budget for a request that was not sent

What callers saw: "nothing was run: upstream-down" for requests whose sidecars could not be dialled for 2 s, although they could be a moment later.

Cause: the next attempt took a retry from the budget as if the last one had run. The budget limits what retries add to the load of a pool; a start or call that was not sent adds nothing, and package forward does not count it either.

Change: after ErrNotSent the next attempt needs no budget. A start that was not sent after an earlier one of the same stream got no answer still needs it, because that stream may run.

Calls without an answer and refused ones still need the budget.

--- a/internal/coordination/dispatch/call.go
+++ b/internal/coordination/dispatch/call.go
@@ -26,8 +26,9 @@
 	budgetKey := retryBudgetKey{workspace: attempt.Workspace, pool: pool.Name}
 	d.budgets.deposit(budgetKey)
 	delays := d.newBackoff()
-	for tries := range maxAttempts {
-		if tries > 0 && !d.budgets.withdraw(budgetKey) {
+	sent := false
+	for range maxAttempts {
+		if sent && !d.budgets.withdraw(budgetKey) {
 			return outcome
 		}
 		instance, ok := d.pickInstance(pool.Name, excluded)
@@ -38,7 +39,7 @@
 			excluded = nil
 			continue
 		}
-		outcome = d.callOnce(ctx, instance, attempt)
+		outcome, sent = d.callOnce(ctx, instance, attempt)
 		mayHaveRun = mayHaveRun || outcome.Run == comfreyworks.RunStateUnknown
 		if outcome.Run == comfreyworks.RunStateNotRun && mayHaveRun {
 			// This attempt did not run the call, but an earlier one may have.
@@ -70,20 +71,23 @@
 	return usable[rand.IntN(len(usable))], true
 }
 
-func (d *Dispatcher) callOnce(ctx context.Context, instance comfreyworks.Instance, attempt comfreyworks.ServiceAttempt) comfreyworks.ServiceOutcome {
+// callOnce sends a call to one instance and returns the outcome and whether the
+// call may have been sent. Another attempt at one that was not adds no load to the
+// pool and needs no retry from the budget.
+func (d *Dispatcher) callOnce(ctx context.Context, instance comfreyworks.Instance, attempt comfreyworks.ServiceAttempt) (outcome comfreyworks.ServiceOutcome, sent bool) {
 	outcome, err := d.options.Sidecars.Sidecar(instance).Call(ctx, attempt)
 	if err == nil {
 		d.updateView(instance, outcome)
-		return outcome
+		return outcome, true
 	}
 	if ctx.Err() == nil {
 		d.options.View.RecordFailure(instance.ID)
 	}
 	if errors.Is(err, comfreyworks.ErrNotSent) {
 		refusal := &comfreyworks.Refusal{Reason: comfreyworks.RefusedUpstreamDown, RetryAfter: defaultRetryAfter}
-		return comfreyworks.ServiceOutcome{Run: comfreyworks.RunStateNotRun, Refusal: refusal, Detail: err.Error()}
+		return comfreyworks.ServiceOutcome{Run: comfreyworks.RunStateNotRun, Refusal: refusal, Detail: err.Error()}, false
 	}
-	return comfreyworks.ServiceOutcome{Run: comfreyworks.RunStateUnknown, Detail: err.Error()}
+	return comfreyworks.ServiceOutcome{Run: comfreyworks.RunStateUnknown, Detail: err.Error()}, true
 }
 
 func (d *Dispatcher) updateView(instance comfreyworks.Instance, outcome comfreyworks.ServiceOutcome) {
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -149,6 +149,9 @@
 	// noAnswer means that the last start got no answer, so that the sidecar may
 	// have accepted the request.
 	noAnswer bool
+	// notSent means that no start of the last attempt was sent. Another attempt then
+	// adds no load to the pool and needs no retry from the budget.
+	notSent bool
 	// mayHaveStarted means that a sidecar accepted the request or may have
 	// accepted it, so that it can no longer be reported as not run.
 	mayHaveStarted bool
@@ -188,6 +191,7 @@
 		state.result.Attempts++
 		state.retryTaken = false
 		state.noAnswer = false
+		state.notSent = false
 		err := d.attempt(ctx, state, instance)
 		if state.finished {
 			return state.result, err
@@ -205,7 +209,7 @@
 // delivered is always continued, because the work done for it would be wasted
 // otherwise.
 func (d *Dispatcher) mayAttempt(state *requestState) bool {
-	if state.result.Attempts == 0 || state.delivered > 0 || state.retryTaken {
+	if state.result.Attempts == 0 || state.delivered > 0 || state.notSent || state.retryTaken {
 		return true
 	}
 	state.retryTaken = d.budgets.withdraw(state.budgetKey)
@@ -288,6 +292,7 @@
 	attempt := d.newAttempt(state)
 	refusal, err := d.start(ctx, state, instance, attempt)
 	if err != nil {
+		state.notSent = !state.noAnswer && errors.Is(err, comfreyworks.ErrNotSent)
 		if state.noAnswer {
 			d.cancel(ctx, sidecar, attempt.Stream)
 		}
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -360,6 +360,28 @@
 	}
 }
 
+func TestCallThatWasNotSentNeedsNoBudget(t *testing.T) {
+	tests := []struct {
+		name  string
+		first *fakeSidecar
+		run   comfreyworks.RunState
+	}{
+		{"not sent", &fakeSidecar{callErr: errNotSent}, comfreyworks.RunStateRan},
+		{"no answer", &fakeSidecar{callErr: errNoAnswer}, comfreyworks.RunStateUnknown},
+		{"refused", &fakeSidecar{outcome: comfreyworks.ServiceOutcome{Run: comfreyworks.RunStateNotRun}}, comfreyworks.RunStateNotRun},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			second := &fakeSidecar{outcome: comfreyworks.ServiceOutcome{Run: comfreyworks.RunStateRan}}
+			d := newDispatcher(fakeSidecars{test.first, second})
+			d.options.View.RecordFailure("lm/1")
+			d.budgets.balances[retryBudgetKey{pool: "lm"}] = 0
+			outcome := d.Call(context.Background(), &settings.Pool{Name: "lm"}, comfreyworks.ServiceAttempt{Repeatable: true})
+			assert.Equal(t, outcome.Run, test.run)
+		})
+	}
+}
+
 func TestCallThatMayHaveRunIsNeverReportedAsNotRun(t *testing.T) {
 	refusing := &fakeSidecar{outcome: comfreyworks.ServiceOutcome{
 		Run: comfreyworks.RunStateNotRun, Refusal: &comfreyworks.Refusal{Reason: comfreyworks.RefusedLeaving},
--- a/internal/coordination/dispatch/silence_test.go
+++ b/internal/coordination/dispatch/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,9 +29,8 @@
 type pausingSidecar struct {
 	fakeSidecar
 	pauseStart, pauseEnd time.Time
-	// unreachable means that a call that is repeated during the pause does not reach
-	// the sidecar.
-	unreachable bool
+	// maxReceived is how many starts of a stream reach the sidecar during the pause.
+	maxReceived int
 	mu          sync.Mutex
 	// starts counts the calls that started a stream.
 	starts map[comfreyworks.StreamID]int
@@ -41,14 +41,26 @@
 // newPausingSidecar returns a sidecar that pauses for a duration after a delay.
 func newPausingSidecar(delay, pause time.Duration) *pausingSidecar {
 	return &pausingSidecar{
-		pauseStart: time.Now().Add(delay), pauseEnd: time.Now().Add(delay + pause),
+		pauseStart: time.Now().Add(delay), pauseEnd: time.Now().Add(delay + pause), maxReceived: math.MaxInt,
 		starts: make(map[comfreyworks.StreamID]int), running: make(map[comfreyworks.StreamID]bool),
 	}
 }
 
+func (s *pausingSidecar) pausing() bool {
+	now := time.Now()
+	return !now.Before(s.pauseStart) && now.Before(s.pauseEnd)
+}
+
+// reachable reports whether a start of a stream reaches the sidecar during the pause.
+func (s *pausingSidecar) reachable(id comfreyworks.StreamID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.starts[id] < s.maxReceived
+}
+
 // answer returns errNoAnswer after the timeout if the sidecar is pausing.
 func (s *pausingSidecar) answer(timeout time.Duration) error {
-	if now := time.Now(); now.Before(s.pauseStart) || !now.Before(s.pauseEnd) {
+	if !s.pausing() {
 		return nil
 	}
 	time.Sleep(timeout)
@@ -56,16 +68,15 @@
 }
 
 func (s *pausingSidecar) Start(_ context.Context, attempt comfreyworks.GenerateAttempt) (*comfreyworks.Refusal, error) {
+	if s.pausing() && !s.reachable(attempt.Stream) {
+		time.Sleep(startTimeout)
+		return nil, errDialTimeout
+	}
 	s.mu.Lock()
-	repeated := s.running[attempt.Stream]
 	s.starts[attempt.Stream]++
 	s.running[attempt.Stream] = true
 	s.mu.Unlock()
-	err := s.answer(startTimeout)
-	if err != nil && repeated && s.unreachable {
-		return nil, errDialTimeout
-	}
-	return nil, err
+	return nil, s.answer(startTimeout)
 }
 
 func (s *pausingSidecar) Read(_ context.Context, id comfreyworks.StreamID, from int, wait time.Duration) (comfreyworks.StreamUpdate, error) {
@@ -158,13 +169,15 @@
 		delay, pause time.Duration
 		jobs         int
 		budget       float64
-		unreachable  bool
+		maxReceived  int
 	}{
-		{"more starts than retries get no answer", 0, startTimeout, 4 * retryBurst, retryBurst, false},
-		{"starts get no answer several times", 0, 4 * startTimeout, 4 * retryBurst, retryBurst, false},
-		{"starts get no answer and the budget is spent", 0, startTimeout, 4, 0, false},
-		{"starts get no answer, then cannot be sent, and the budget is spent", 0, 4 * startTimeout, 4, 0, true},
-		{"streams stop before their first token and the budget is spent", time.Millisecond, 10 * time.Second, 4, 0, false},
+		{"more starts than retries get no answer", 0, startTimeout, 4 * retryBurst, retryBurst, math.MaxInt},
+		{"starts get no answer several times", 0, 4 * startTimeout, 4 * retryBurst, retryBurst, math.MaxInt},
+		{"starts get no answer and the budget is spent", 0, startTimeout, 4, 0, math.MaxInt},
+		{"more starts than retries cannot be sent", 0, startTimeout, 4 * retryBurst, retryBurst, 0},
+		{"starts cannot be sent and the budget is spent", 0, startTimeout, 4, 0, 0},
+		{"starts get no answer, then cannot be sent, and the budget is spent", 0, 4 * startTimeout, 4, 0, 1},
+		{"streams stop before their first token and the budget is spent", time.Millisecond, 10 * time.Second, 4, 0, math.MaxInt},
 	}
 	for _, test := range pauses {
 		t.Run(test.name, func(t *testing.T) {
@@ -172,7 +185,7 @@
 				var sidecars pausingSidecars
 				for range 4 {
 					sidecar := newPausingSidecar(test.delay, test.pause)
-					sidecar.unreachable = test.unreachable
+					sidecar.maxReceived = test.maxReceived
 					sidecars = append(sidecars, sidecar)
 				}
 				d := newPausingDispatcher(sidecars)
