Tell the entry when a sidecar has not reached its engine

What callers saw: "broke off and could not be continued" for requests of which nothing was run.

Cause: a sidecar that could not connect to its engine within the dial timeout of 1 s ended the stream as incomplete, and the next attempt took a retry from the budget.

Change: the end of a stream states whether the engine has received the request. If it has not, the next attempt needs no budget, as after a start that was not sent. gob leaves the field out towards entries and sidecars of earlier releases, which then act as before. The request is still never reported as not run.

Tests: TestEngineNotReached and a subtest of TestStreams fail on the code before; go test -race on both packages passes, 20 of 20.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -149,8 +149,9 @@
 	// noAnswer means that the last start got no answer, so that the sidecar may
 	// have accepted the request.
 	noAnswer bool
-	// notSent means that no start of the last attempt was sent. Another attempt then
-	// adds no load to the pool and needs no retry from the budget.
+	// notSent means that the last attempt reached no sidecar or its engine was not
+	// reached. Another attempt then adds no load to the pool and needs no retry from
+	// the budget.
 	notSent bool
 	// mayHaveStarted means that a sidecar accepted the request or may have
 	// accepted it, so that it can no longer be reported as not run.
@@ -405,6 +406,7 @@
 		}
 		return nil
 	default:
+		state.notSent = end.NotSent
 		return nil
 	}
 }
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -321,6 +321,22 @@
 	})
 }
 
+// TestEngineNotReached guards against requests that are given up because a sidecar
+// could not connect to its engine and the retry budget was spent.
+func TestEngineNotReached(t *testing.T) {
+	for _, notSent := range []bool{true, false} {
+		t.Run(fmt.Sprintf("not sent: %v", notSent), func(t *testing.T) {
+			end := last("", comfreyworks.EndIncomplete)
+			end.update.End.NotSent = notSent
+			rest := &fakeSidecar{reads: []readResult{last("de", comfreyworks.EndComplete)}}
+			d := newDispatcher(inFallbackOrder(&fakeSidecar{reads: []readResult{end}}, rest))
+			d.budgets.balances[retryBudgetKey{pool: "lm"}] = 0
+			_, err := d.Generate(t.Context(), newJob(), func(TokenBatch) error { return nil })
+			assert.Equal(t, err == nil, notSent, "%v", err)
+		})
+	}
+}
+
 func TestCall(t *testing.T) {
 	ran := func() *fakeSidecar {
 		return &fakeSidecar{outcome: comfreyworks.ServiceOutcome{Run: comfreyworks.RunStateRan}}
--- a/internal/coordination/generation/generation.go
+++ b/internal/coordination/generation/generation.go
@@ -186,7 +186,10 @@
 		g.buffer.Close(comfreyworks.StreamEnd{Reason: comfreyworks.EndCancelled, Detail: err.Error()})
 	default:
 		m.options.Tracker.RequestRefresh()
-		g.buffer.Close(comfreyworks.StreamEnd{Reason: comfreyworks.EndIncomplete, Detail: err.Error()})
+		g.buffer.Close(comfreyworks.StreamEnd{
+			Reason: comfreyworks.EndIncomplete, Detail: err.Error(),
+			NotSent: errors.Is(err, comfreyworks.ErrNotSent),
+		})
 	}
 }
 
--- a/internal/coordination/generation/generation_test.go
+++ b/internal/coordination/generation/generation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -168,6 +169,18 @@
 		f.expectStream(t, "s1", "", comfreyworks.EndIncomplete)
 		f.start(t, "s2")
 	})
+	t.Run("the end tells whether the request was sent", func(t *testing.T) {
+		for _, err := range []error{errors.New("connection reset"), fmt.Errorf("dial: %w", comfreyworks.ErrNotSent)} {
+			f := newFixture(t)
+			f.engine.err = err
+			f.start(t, "s1")
+			close(f.engine.tokens)
+			f.expectStream(t, "s1", "", comfreyworks.EndIncomplete)
+			update, readErr := f.manager.Read(t.Context(), "s1", 0)
+			assert.NilError(t, readErr)
+			assert.Equal(t, update.End.NotSent, errors.Is(err, comfreyworks.ErrNotSent))
+		}
+	})
 	t.Run("a missing token ends the stream as incomplete", func(t *testing.T) {
 		f := newFixture(t)
 		f.start(t, "s1")
--- a/stream.go
+++ b/stream.go
@@ -21,6 +21,8 @@
 	Usage  Usage
 	// Detail explains any reason but EndComplete.
 	Detail string
+	// NotSent means that the engine has not received the request.
+	NotSent bool
 }
 
 // StreamUpdate is the result of one read of a stream. If it has neither frames
