Never report a call that was sent as not sent

What callers could see: a call to a plain service that may run only once runs twice.

Cause: peer took net/rpc's ErrShutdown as proof that nothing was sent. But net/rpc also fails calls that were sent and wait for their answer with it, if it reads io.EOF after this side began to close the connection. That needs a peer that closes the connection while another call is being written: the reader waits for the writer, the writer fails and closes the connection, and all calls that wait are reported as not sent. The dispatcher then sends them to another instance.

Change: the codec returns io.ErrUnexpectedEOF in place of io.EOF for answers, so that such calls get no answer, which is what is known of them.

--- a/internal/protocol/peer/client.go
+++ b/internal/protocol/peer/client.go
@@ -236,7 +236,7 @@
 
 // callError converts the error of a finished call and closes the connection
 // unless the peer answered. Only ErrShutdown guarantees that nothing was sent,
-// because net/rpc returns it before it writes anything.
+// because net/rpc returns it before it writes anything; see ReadResponseHeader.
 func (c *Client) callError(conn *connection, method string, err error) error {
 	if err == nil {
 		return nil
--- a/internal/protocol/peer/codec.go
+++ b/internal/protocol/peer/codec.go
@@ -168,9 +168,15 @@
 }
 
 // ReadResponseHeader implements rpc.ClientCodec. An answer to no call is an error,
-// because such answers may go on forever.
+// because such answers may go on forever. At io.EOF, net/rpc fails the calls that
+// wait with ErrShutdown if this side is closing the connection, which must only mean
+// that a call was not sent.
 func (c *codec) ReadResponseHeader(r *rpc.Response) error {
-	if err := c.readHeader(r); err != nil {
+	err := c.readHeader(r)
+	switch {
+	case errors.Is(err, io.EOF):
+		return io.ErrUnexpectedEOF
+	case err != nil:
 		return err
 	}
 	c.mu.Lock()
