Take no retry from the budget after a refusal for an engine that is down or starting

What callers saw: "nothing was run: upstream-down", although all engines answered again a moment later.

Cause: a sidecar counts its engine as down when one read of its load is silent for 2 s. It then refuses every start, and each refusal took a retry from the budget of the workspace.

Change: these refusals say that no engine was reached, so that another attempt adds no load to one, as after a start that was not sent. The number of attempts is limited to six as before, with the waits between them; busy engines and broken streams still need the budget. A pool that is down as a whole costs up to six refused starts a request, which no engine sees.

--- a/internal/coordination/dispatch/budget.go
+++ b/internal/coordination/dispatch/budget.go
@@ -22,9 +22,10 @@
 }
 
 // retryBudgets limits retries to a share of the requests. When a pool is
-// overloaded or down, every request fails. With six attempts each, the pool
+// overloaded or failing, every request fails. With six attempts each, the pool
 // would receive six times the load that it already could not handle. The budget
-// limits the additional load to a fifth.
+// limits the additional load to a fifth. Attempts that reached no engine are not
+// limited by it, because they were no load.
 type retryBudgets struct {
 	mu       sync.Mutex
 	balances map[retryBudgetKey]float64
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -149,9 +149,8 @@
 	// noAnswer means that the last start got no answer, so that the sidecar may
 	// have accepted the request.
 	noAnswer bool
-	// notSent means that the last attempt reached no sidecar or its engine was not
-	// reached. Another attempt then adds no load to the pool and needs no retry from
-	// the budget.
+	// notSent means that the last attempt reached no engine. Another attempt then
+	// adds no load to the pool and needs no retry from the budget.
 	notSent bool
 	// mayHaveStarted means that a sidecar accepted the request or may have
 	// accepted it, so that it can no longer be reported as not run.
@@ -340,6 +339,7 @@
 	case comfreyworks.RefusedLeaving:
 		d.options.View.RecordLeaving(instance.ID)
 	case comfreyworks.RefusedUpstreamDown, comfreyworks.RefusedStarting:
+		state.notSent = true
 		d.options.View.RecordFailure(instance.ID)
 	}
 }
