--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -90,7 +90,7 @@
 }
 
 var (
-	errNoAnswer   = errors.New("no answer")
+	errNoAnswer   = fmt.Errorf("start: %w", comfreyworks.ErrNoAnswer)
 	errNotSent    = fmt.Errorf("dial: %w", comfreyworks.ErrNotSent)
 	unknownStream = readResult{update: comfreyworks.StreamUpdate{Unknown: true}}
 	noAnswer      = readResult{err: errNoAnswer}
@@ -106,10 +106,14 @@
 }
 
 func newDispatcher(sidecars fakeSidecars) *Dispatcher {
-	clock := instantClock{clockwork.NewRealClock()}
+	return newDispatcherFor(len(sidecars), sidecars, instantClock{clockwork.NewRealClock()})
+}
+
+// newDispatcherFor returns a dispatcher whose pool has n sidecars.
+func newDispatcherFor(n int, sidecars comfreyworks.SidecarClients, clock comfreyworks.Clock) *Dispatcher {
 	list := logservice.NewList(clock, 0)
 	var instances []comfreyworks.Instance
-	for i := range sidecars {
+	for i := range n {
 		instance := comfreyworks.Instance{
 			ID: comfreyworks.InstanceID(fmt.Sprintf("lm/%d", i)), Role: comfreyworks.RoleSidecar, Pool: "lm",
 			State: comfreyworks.InstanceLive, Address: address(i),
@@ -234,16 +238,28 @@
 		sidecar *fakeSidecar
 	}{
 		{"a stream that fails before its first token", &fakeSidecar{reads: []readResult{last("", comfreyworks.EndIncomplete)}}},
-		{"a start without an answer", &fakeSidecar{startErr: errNoAnswer}},
+		{"a start without an answer", &fakeSidecar{unansweredStarts: 1, refusal: busy().refusal}},
+		{"a start without an answer at a sidecar that is gone", &fakeSidecar{unansweredStarts: 1, startErr: errNotSent}},
 	}
 	for _, test := range maybeStarted {
 		t.Run(test.name+" is never reported as not run", func(t *testing.T) {
 			expectFailure(t, fakeSidecars{test.sidecar}, KindIncomplete)
 		})
 	}
-	t.Run("a start that was not sent is reported as refused", func(t *testing.T) {
-		expectFailure(t, fakeSidecars{{startErr: errNotSent}}, KindRefused)
+	t.Run("a refusal after a start without an answer counts as an attempt", func(t *testing.T) {
+		sidecar := &fakeSidecar{unansweredStarts: 1, refusal: busy().refusal}
+		expectFailure(t, fakeSidecars{sidecar}, KindIncomplete)
+		assert.Equal(t, len(sidecar.started), 1+maxAttempts/2)
+		assert.Equal(t, sidecar.started[0].Stream, sidecar.started[1].Stream)
+		assert.Assert(t, sidecar.started[0].Remaining > sidecar.started[1].Remaining)
 	})
+	for _, err := range []error{errNotSent, errDialTimeout} {
+		t.Run("a start that was not sent is reported as refused: "+err.Error(), func(t *testing.T) {
+			sidecar := &fakeSidecar{startErr: err}
+			expectFailure(t, fakeSidecars{sidecar}, KindRefused)
+			assert.Assert(t, len(sidecar.started) <= maxAttempts)
+		})
+	}
 	t.Run("an answer that no upstream can continue is incomplete", func(t *testing.T) {
 		crashing := &fakeSidecar{reads: []readResult{partial("a"), last("", comfreyworks.EndIncomplete)}}
 		expectFailure(t, fakeSidecars{crashing}, KindIncomplete)
@@ -299,9 +315,44 @@
 		assert.Assert(t, d.budgets.withdraw(other))
 	})
 	t.Run("continuing a partial answer needs no budget", func(t *testing.T) {
-		state := &requestState{delivered: 1}
+		state := &requestState{delivered: 1, budgetKey: retryBudgetKey{pool: "lm"}}
 		state.result.Attempts = 1
-		assert.Assert(t, d.mayAttempt(state, retryBudgetKey{pool: "lm"}))
+		assert.Assert(t, d.mayAttempt(state))
+	})
+}
+
+// TestEngineNotReached guards against requests that are given up because sidecars could
+// not reach their engines for a moment and the retry budget was spent.
+func TestEngineNotReached(t *testing.T) {
+	broken, notSent := last("", comfreyworks.EndIncomplete), last("", comfreyworks.EndIncomplete)
+	notSent.update.End.NotSent = true
+	refusing := func(reason comfreyworks.RefusalReason) *fakeSidecar {
+		return &fakeSidecar{refusal: &comfreyworks.Refusal{Reason: reason}}
+	}
+	tests := []struct {
+		name        string
+		first       *fakeSidecar
+		needsBudget bool
+	}{
+		{"the engine could not be dialled", &fakeSidecar{reads: []readResult{notSent}}, false},
+		{"the engine broke off", &fakeSidecar{reads: []readResult{broken}}, true},
+		{"the engine does not answer its sidecar", refusing(comfreyworks.RefusedUpstreamDown), false},
+		{"the sidecar is starting", refusing(comfreyworks.RefusedStarting), false},
+		{"the engine is busy", refusing(comfreyworks.RefusedBusy), true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			rest := &fakeSidecar{reads: []readResult{last("de", comfreyworks.EndComplete)}}
+			d := newDispatcher(inFallbackOrder(test.first, rest))
+			d.budgets.balances[retryBudgetKey{pool: "lm"}] = 0
+			_, err := d.Generate(t.Context(), newJob(), func(TokenBatch) error { return nil })
+			assert.Equal(t, err != nil, test.needsBudget, "%v", err)
+		})
+	}
+	t.Run("the attempts are limited", func(t *testing.T) {
+		sidecars := fakeSidecars{refusing(comfreyworks.RefusedUpstreamDown), refusing(comfreyworks.RefusedUpstreamDown)}
+		expectFailure(t, sidecars, KindRefused)
+		assert.Assert(t, len(sidecars[0].started)+len(sidecars[1].started) <= maxAttempts)
 	})
 }
 
@@ -344,6 +395,28 @@
 	}
 }
 
+func TestCallThatWasNotSentNeedsNoBudget(t *testing.T) {
+	tests := []struct {
+		name  string
+		first *fakeSidecar
+		run   comfreyworks.RunState
+	}{
+		{"not sent", &fakeSidecar{callErr: errNotSent}, comfreyworks.RunStateRan},
+		{"no answer", &fakeSidecar{callErr: errNoAnswer}, comfreyworks.RunStateUnknown},
+		{"refused", &fakeSidecar{outcome: comfreyworks.ServiceOutcome{Run: comfreyworks.RunStateNotRun}}, comfreyworks.RunStateNotRun},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			second := &fakeSidecar{outcome: comfreyworks.ServiceOutcome{Run: comfreyworks.RunStateRan}}
+			d := newDispatcher(fakeSidecars{test.first, second})
+			d.options.View.RecordFailure("lm/1")
+			d.budgets.balances[retryBudgetKey{pool: "lm"}] = 0
+			outcome := d.Call(context.Background(), &settings.Pool{Name: "lm"}, comfreyworks.ServiceAttempt{Repeatable: true})
+			assert.Equal(t, outcome.Run, test.run)
+		})
+	}
+}
+
 func TestCallThatMayHaveRunIsNeverReportedAsNotRun(t *testing.T) {
 	refusing := &fakeSidecar{outcome: comfreyworks.ServiceOutcome{
 		Run: comfreyworks.RunStateNotRun, Refusal: &comfreyworks.Refusal{Reason: comfreyworks.RefusedLeaving},
--- a/internal/coordination/generation/generation.go
+++ b/internal/coordination/generation/generation.go
@@ -97,11 +97,12 @@
 }
 
 // Start accepts an attempt or refuses it. Starting a stream again with the same
-// ID has no effect.
+// ID has no effect, except that it counts as a read: its entry is still there.
 func (m *Manager) Start(attempt comfreyworks.GenerateAttempt) *comfreyworks.Refusal {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.streams[attempt.Stream] != nil {
+	if g := m.streams[attempt.Stream]; g != nil {
+		g.lastRead = m.options.Clock.Now()
 		return nil
 	}
 	if refusal := m.refusalFor(attempt); refusal != nil {
@@ -185,7 +186,10 @@
 		g.buffer.Close(comfreyworks.StreamEnd{Reason: comfreyworks.EndCancelled, Detail: err.Error()})
 	default:
 		m.options.Tracker.RequestRefresh()
-		g.buffer.Close(comfreyworks.StreamEnd{Reason: comfreyworks.EndIncomplete, Detail: err.Error()})
+		g.buffer.Close(comfreyworks.StreamEnd{
+			Reason: comfreyworks.EndIncomplete, Detail: err.Error(),
+			NotSent: errors.Is(err, comfreyworks.ErrNotSent),
+		})
 	}
 }
 
--- a/internal/coordination/peering/members.go
+++ b/internal/coordination/peering/members.go
@@ -50,6 +50,9 @@
 	// originsKnown and originsSent are the same for the origins of streams.
 	originsKnown comfreyworks.ListVersion
 	originsSent  uint64
+	// crashesKnown and crashesSent are the same for suspicions.
+	crashesKnown comfreyworks.ListVersion
+	crashesSent  uint64
 	// listedBy is the relay whose list contains the member, if this gateway is a leaf
 	// of that relay.
 	listedBy netip.AddrPort
@@ -117,6 +120,8 @@
 			delete(l.members, address)
 		case silent > memberExpiry && !m.Gone:
 			m.Gone = true
+			// Its list may contain others that expired here while this gateway was cut off.
+			m.known = comfreyworks.ListVersion{}
 			l.touch(m)
 			expired = append(expired, m)
 			if relay := l.members[m.listedBy]; relay != nil {
--- a/internal/coordination/peering/sync_bench_test.go
+++ b/internal/coordination/peering/sync_bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/gob"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
+	"comfreyworks/internal/state/crashes"
 	"comfreyworks/internal/state/rendezvous"
 	"comfreyworks/internal/state/streamorigins"
 )
@@ -89,6 +91,82 @@
 	}
 }
 
+// newCrashes is the number of suspicions that BenchmarkSyncCrashes sends in one call. Each
+// names two other parts.
+const newCrashes = 8
+
+// BenchmarkSyncCrashes measures calls in fleets without load when no suspicion was ever
+// there, when newCrashes are known to all, and when that many are new in each call.
+func BenchmarkSyncCrashes(b *testing.B) {
+	for _, size := range fleetSizes {
+		n := settleCrashes(size.networkOptions)
+		relays := n.relays()
+		for _, state := range []string{"none", "known", "new"} {
+			if state == "known" {
+				for i := range uint32(newCrashes) {
+					relays[2].crash(crashes.Key("shared", fmt.Sprint("known-", i)), 1)
+				}
+				n.run(3*time.Second, nil)
+			}
+			for _, from := range []*gateway{leaf(n), relays[1]} {
+				b.Run(fmt.Sprintf("%d gateways, %s to relay, %s", size.gateways, from.role(), state), func(b *testing.B) {
+					next := 0
+					// Receives what was measured before.
+					assert.NilError(b, from.sync(context.Background(), networkClient{n, relays[0].address}, relays[0].address))
+					benchmarkSync(b, n, from, relays[0], func() {
+						for range newCrashes {
+							if state != "new" {
+								return
+							}
+							key := func(i int) uint32 { return crashes.Key("shared", fmt.Sprint(i, next, from.options.Self.ID)) }
+							from.options.Crashes.Merge([]comfreyworks.CrashSuspicion{{Part: key(0), Crashes: 3, With: []uint32{key(1), key(2)}}}, crashes.Local)
+							next++
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// BenchmarkCrashesReachAll measures how long a suspicion takes from one gateway to all
+// others, and how often it is sent in the first two seconds.
+func BenchmarkCrashesReachAll(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprint(size.gateways, " gateways"), func(b *testing.B) {
+			n := settleCrashes(size.networkOptions)
+			gateways := n.sorted()
+			part, calls := uint32(0), 0
+			var total, longest time.Duration
+			for b.Loop() {
+				n.run(time.Duration(part%7)*stepInterval, nil)
+				part++
+				gateways[int(part)*7%len(gateways)].crash(part, 1)
+				start := n.clock.Now()
+				took := time.Duration(-1)
+				for _, g := range gateways {
+					calls -= g.syncs
+				}
+				n.run(2*time.Second, func() {
+					if took < 0 && !slices.ContainsFunc(gateways, func(g *gateway) bool { return g.crashesOf(part) == 0 }) {
+						took = n.clock.Since(start)
+					}
+				})
+				for _, g := range gateways {
+					calls += g.syncs
+				}
+				assert.Assert(b, took >= 0)
+				total, longest = total+took, max(longest, took)
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(float64(total.Milliseconds())/float64(b.N), "ms/suspicion")
+			b.ReportMetric(float64(longest.Milliseconds()), "ms-at-most")
+			b.ReportMetric(float64(n.crashes)/float64(b.N), "sent/suspicion")
+			b.ReportMetric(float64(calls)/float64(b.N)/2, "calls/s")
+		})
+	}
+}
+
 // benchmarkSync measures calls from one gateway to another. It calls prepare before
 // each.
 func benchmarkSync(b *testing.B, n *network, from, to *gateway, prepare func()) {
