--- a/internal/coordination/forward/quarantine_test.go
+++ b/internal/coordination/forward/quarantine_test.go
@@ -29,12 +29,12 @@
 // event returns an event of a stream.
 func event(n int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", n) }
 
-// breakAfter sends an event, waits, sends another one and breaks the connection.
-func (f *fixture) breakAfter(d time.Duration) response {
+// breakAfter sends an event, waits, sends a text and breaks the connection.
+func (f *fixture) breakAfter(d time.Duration, text string) response {
 	return func(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
 		return respond(http.StatusOK, true, func() io.Reader {
 			return io.MultiReader(
-				completeBody(event(1))(), waitingReader{func() { f.clock.Advance(d) }}, truncatedBody(event(2))(),
+				completeBody(event(1))(), waitingReader{func() { f.clock.Advance(d) }}, truncatedBody(text)(),
 			)
 		})(ctx, options)
 	}
@@ -51,9 +51,14 @@
 
 // prompt forwards a request with the given parts, followed by one of its own.
 func (f *fixture) prompt(ctx context.Context, route *comfreyworks.Route, ids ...string) Outcome {
+	return f.promptOf(ctx, route, append(ids, fmt.Sprint("own", len(f.upstreams.sent)))...)
+}
+
+// promptOf forwards a request with exactly the given parts.
+func (f *fixture) promptOf(ctx context.Context, route *comfreyworks.Route, ids ...string) Outcome {
 	request := f.request(route)
 	request.Prompt = Prompt{Model: model}
-	for _, id := range append(ids, fmt.Sprint("own", len(f.upstreams.sent))) {
+	for _, id := range ids {
 		request.Prompt.Parts = append(request.Prompt.Parts, comfreyworks.PromptPart{ID: id, Tokens: 100})
 	}
 	f.sink = &recordingSink{}
@@ -78,7 +83,9 @@
 		"closed after the header":             {stream, respond(200, true, truncatedBody("")), true},
 		"closed after the first event":        {stream, respond(200, true, truncatedBody(event(1))), true},
 		"closed in a plain answer":            {plain, respond(200, true, truncatedBody("x")), true},
-		"closed 500 ms after the first event": {stream, f.breakAfter(soundAnswerTime), false},
+		"closed 499 ms after the only event":  {stream, f.breakAfter(soundAnswerTime-1, ""), true},
+		"closed 500 ms after the only event":  {stream, f.breakAfter(soundAnswerTime, ""), false},
+		"closed 500 ms after the first event": {stream, f.breakAfter(soundAnswerTime, event(2)), false},
 		"not acknowledged":                    {stream, loseWith(os.NewSyscallError("read", syscall.ETIMEDOUT)), false},
 		"an unknown error":                    {stream, lost, false},
 		"an endless header":                   {stream, loseWith(fmt.Errorf("%w: %w", comfreyworks.ErrCutOff, io.EOF)), false},
@@ -145,21 +152,22 @@
 	})
 	t.Run("a stream that goes on clears them before it ends", func(t *testing.T) {
 		f := newFixture()
-		f.upstreams.script = []response{crash, crash, f.breakAfter(soundAnswerTime), crash, crash, ok}
+		f.upstreams.script = []response{crash, crash, f.breakAfter(soundAnswerTime, event(2)), crash, crash, ok}
 		for range 6 {
 			f.prompt(context.Background(), stream, "5c1e", "91bd")
 		}
 		assert.Equal(t, len(f.upstreams.sent), 6)
 	})
-	for name, parts := range map[string][]string{"the last part is never blamed": {}, "prompts without parts in common": nil} {
+	for name, parts := range map[string]func(i int) []string{
+		"the last part is never blamed":   func(i int) []string { return []string{fmt.Sprint("part", i), "91bd"} },
+		"nor is the only one":             func(int) []string { return []string{"91bd"} },
+		"prompts without parts in common": func(i int) []string { return []string{fmt.Sprint("part", i), fmt.Sprint("own", i)} },
+		"requests without a prompt":       func(int) []string { return nil },
+	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(crash)
 			for i := range 6 {
-				if parts == nil {
-					f.prompt(context.Background(), stream, fmt.Sprint("part", i))
-				} else {
-					f.prompt(context.Background(), stream)
-				}
+				f.promptOf(context.Background(), stream, parts(i)...)
 			}
 			assert.Equal(t, len(f.upstreams.sent), 6)
 		})
@@ -209,7 +217,7 @@
 	}{
 		"nothing ran":       {route(comfreyworks.RouteStream, 2, true), busy, Quarantined},
 		"it may have run":   {route(comfreyworks.RouteStream, 2, true), lost, Failed},
-		"it has an event":   {route(comfreyworks.RouteStream, 2, true), respond(200, true, truncatedBody(event(1))), Broken},
+		"it has an event":   {route(comfreyworks.RouteStream, 2, true), respondOK(event(1) + "id: 2\nda"), Broken},
 		"it may run once":   {route(comfreyworks.RouteNonIdempotent, 1, false), busy, Quarantined},
 		"it ran before now": {route(comfreyworks.RouteNonIdempotent, 1, false), lost, Failed},
 	} {
