--- a/internal/coordination/forward/quarantine_test.go
+++ b/internal/coordination/forward/quarantine_test.go
@@ -150,6 +150,13 @@
 		}
 		assert.Equal(t, len(f.upstreams.sent), 6)
 	})
+	t.Run("an error does not", func(t *testing.T) {
+		f := newFixture(crash, crash, respond(500, true, completeBody("e")), crash)
+		for range 6 {
+			f.prompt(context.Background(), stream, "5c1e", "91bd")
+		}
+		assert.Equal(t, len(f.upstreams.sent), 4)
+	})
 	t.Run("a stream that goes on clears them before it ends", func(t *testing.T) {
 		f := newFixture()
 		f.upstreams.script = []response{crash, crash, f.breakAfter(soundAnswerTime, event(2)), crash, crash, ok}
