Count the engines that end under one request, whatever clears its parts

A request whose parts other requests cleared between its attempts was sent again up to four times. It ends two engines at most now.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -227,9 +227,11 @@
 	// zero if there was none.
 	sentTo uint32
 	reason string
-	// suspects are the keys of the parts of the prompt that may crash engines. suspected
-	// means that several have ended under one of them.
+	// suspects are the keys of the parts of the prompt that may crash engines, and
+	// crashed is the number of engines that ended under this request. suspected means
+	// that several have ended under it or under one of the parts.
 	suspects  []uint32
+	crashed   int
 	suspected bool
 }
 
--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -19,8 +19,8 @@
 	// soundAnswerTime is how long an answer goes on after its first event when no part
 	// of its prompt counts as the cause if the engine ends.
 	soundAnswerTime = 500 * time.Millisecond
-	// maxCrashesToRetry is the number of crashes of a part of its prompt with which a
-	// request is still sent again.
+	// maxCrashesToRetry is the number of crashes of a part of its prompt, or of engines
+	// under it, with which a request is still sent again.
 	maxCrashesToRetry = 1
 	// maxSuspects limits the parts of one prompt that are looked at.
 	maxSuspects = 64
@@ -116,7 +116,7 @@
 
 // endTrial records whether the engine ended under the parts of the prompt.
 func (a *attempt) endTrial() {
-	if a.engineEnded {
+	if a.engineEnded && len(a.suspects) > 0 {
 		a.blameParts()
 	}
 	a.trial.Done()
@@ -124,7 +124,8 @@
 
 func (a *attempt) blameParts() {
 	a.crashes = a.trial.EngineEnded()
-	a.suspected = a.crashes > maxCrashesToRetry
+	a.crashed++
+	a.suspected = max(a.crashes, a.crashed) > maxCrashesToRetry
 	if key, blamed := a.options.Crashes.Blamed(a.suspects); blamed {
 		a.options.Logger.Warn("prompt part put under quarantine", a.partFields(key)...)
 	}
--- a/internal/coordination/forward/quarantine_test.go
+++ b/internal/coordination/forward/quarantine_test.go
@@ -214,6 +214,19 @@
 	}
 }
 
+// TestClearedBetweenCrashes guards against a request that ends one engine after another
+// because other requests clear its parts in between.
+func TestClearedBetweenCrashes(t *testing.T) {
+	f := newFixture()
+	f.upstreams.script = []response{func(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+		f.forwarder.options.Crashes.Lift(PartKey(nil, "5c1e"))
+		f.forwarder.options.Crashes.Lift(PartKey(nil, "91bd"))
+		return crash(ctx, options)
+	}}
+	outcome := f.prompt(context.Background(), route(comfreyworks.RouteStream, 4, true), "5c1e", "91bd")
+	assert.Equal(t, outcome.Sends, 2, outcome.Reason)
+}
+
 // TestQuarantineBetweenAttempts checks the verdict on requests with a part that is put
 // under quarantine while they are being forwarded.
 func TestQuarantineBetweenAttempts(t *testing.T) {
