Merge takeovers of silent upstreams and the exchange of suspicions into quarantines

Both sides count for the end of an attempt: one that was not sent concludes nothing, and the engines that ended under the request are counted.

go test -race of state/crashes and transport/gateway passes.

--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -116,6 +116,10 @@
 
 // endTrial records whether the engine ended under the parts of the prompt.
 func (a *attempt) endTrial() {
+	if a.trial == nil {
+		// The request was not sent.
+		return
+	}
 	if a.engineEnded && len(a.suspects) > 0 {
 		a.blameParts()
 	}
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"strconv"
 
@@ -22,18 +21,18 @@
 
 // relayEvents passes a stream on event by event. A stream that breaks has thus
 // been delivered up to the end of an event and can be resumed after it.
-func (a *attempt) relayEvents(ctx context.Context, response *comfreyworks.UpstreamResponse) (Outcome, attemptResult) {
+func (a *attempt) relayEvents(response *comfreyworks.UpstreamResponse) (Outcome, attemptResult) {
 	events := bufio.NewScanner(response.Body)
 	events.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
 	events.Split(new(eventSplitter).split)
-	first := true
+	first, replaced := true, false
 	var progress streamProgress
 	for events.Scan() {
 		event := events.Bytes()
 		id := eventID(event)
 		isNew, err := progress.add(event, id)
 		if err != nil {
-			return Outcome{}, a.classifyError(ctx, err)
+			return a.lost(err)
 		}
 		isEmpty := id == "" && !hasData(event)
 		if !isEmpty {
@@ -44,34 +43,37 @@
 		}
 		if isEmpty {
 			if err := progress.hold(event); err != nil {
-				return Outcome{}, a.classifyError(ctx, err)
+				return a.lost(err)
 			}
 			continue
 		}
+		begins := !a.headerWritten
+		if replaced = !a.beginEvent(isNew); replaced {
+			// The other upstream sends this event too. The next read returns an error.
+			continue
+		}
 		if first {
 			a.recordAnswer(response.Status)
 			first = false
 		}
-		if isNew {
-			a.eventReceived()
-		}
-		if !a.headerWritten {
-			a.headerWritten = true
-			a.release = a.upstreamRelease()
-			a.sink.Begin(response.Status, response.Header, response.ContentLength)
+		if begins {
+			// Another upstream may write the rest of the stream with another length.
+			a.sink.Begin(response.Status, response.Header, -1)
 		}
 		if _, err := a.sink.Write(progress.release(event)); err != nil {
 			return Outcome{Verdict: Abandoned, Reason: "caller left"}, attemptDone
 		}
-		if id != "" {
-			a.lastEventID = id
-		}
+		a.endEvent(id, isNew)
+	}
+	err := events.Err()
+	if replaced && err == nil {
+		err = errUpstreamSilent
 	}
-	if err := events.Err(); err != nil {
-		return Outcome{}, a.classifyError(ctx, limitError(err))
+	if err != nil {
+		return a.lost(limitError(err))
 	}
 	if !a.headerWritten {
-		return Outcome{}, a.classifyError(ctx, errNoEvent)
+		return a.lost(errNoEvent)
 	}
 	if held := progress.release(nil); len(held) > 0 {
 		if _, err := a.sink.Write(held); err != nil {
--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -102,7 +102,7 @@
 func New(options Options) *Log {
 	return &Log{
 		log: sharedlog.New[suspicion](sharedlog.Options{
-			Clock: options.Clock, Lifetime: lifetime, MaxEntries: maxEntries,
+			Clock: options.Clock, Lifetime: lifetime, MaxEntries: maxEntries, Promote: true,
 		}),
 		clock: options.Clock, spread: options.Spread, trials: make(map[uint32]int),
 		thresholds: thresholds{blameAfter, certainAfter, answeredMargin},
