Test that gateways share crashes, and the log of quarantines

TestGatewaysShareCrashes: a gateway that was sent none of the requests refuses the part, and hears of what an operator lifts. TestRequestAfterCrash, TestQuarantineLog.

--- a/internal/coordination/forward/quarantine_test.go
+++ b/internal/coordination/forward/quarantine_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
@@ -214,6 +216,37 @@
 	}
 }
 
+// TestRequestAfterCrash checks that a request is not sent again if an engine ended under
+// its part before.
+func TestRequestAfterCrash(t *testing.T) {
+	f := newFixture(crash)
+	f.prompt(context.Background(), route(comfreyworks.RouteStream, 1, false), "5c1e", "91bd")
+	assert.Equal(t, f.prompt(context.Background(), route(comfreyworks.RouteStream, 4, true), "5c1e", "91bd").Sends, 1)
+}
+
+// TestQuarantineLog checks that operators are told which part is put under quarantine
+// and when it is cleared.
+func TestQuarantineLog(t *testing.T) {
+	f := newFixture(crash, crash, crash, respondOK(event(1)))
+	core, logs := observer.New(zap.InfoLevel)
+	f.forwarder.options.Logger = zap.New(core)
+	expect := func(message string) {
+		t.Helper()
+		f.prompt(context.Background(), route(comfreyworks.RouteStream, 1, false), "5c1e", "91bd")
+		lines := logs.FilterMessage(message).TakeAll()
+		assert.Assert(t, len(lines) > 0, message)
+		fields := lines[len(lines)-1].ContextMap()
+		assert.Equal(t, fields["part"], "5c1e")
+		assert.Equal(t, fields["key"], FormatPartKey(PartKey(nil, "5c1e")))
+	}
+	for range 2 {
+		f.prompt(context.Background(), route(comfreyworks.RouteStream, 1, false), "5c1e", "91bd")
+	}
+	expect("prompt part put under quarantine")
+	f.clock.Advance(time.Hour)
+	expect("prompt part cleared")
+}
+
 // TestClearedBetweenCrashes guards against a request that ends one engine after another
 // because other requests clear its parts in between.
 func TestClearedBetweenCrashes(t *testing.T) {
--- a/internal/transport/gateway/quarantine_test.go
+++ b/internal/transport/gateway/quarantine_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
+	"comfreyworks/internal/coordination/forward"
 	"comfreyworks/internal/standin/replica"
 )
 
@@ -199,3 +200,22 @@
 	assert.Assert(t, f.crashes() <= 2*requests)
 	f.expectServed(t, "/note/1")
 }
+
+// TestGatewaysShareCrashes guards against gateways that each have to see engines crash
+// before they refuse a part.
+func TestGatewaysShareCrashes(t *testing.T) {
+	f := newCrashFixture(t)
+	for i := 0; i < 6 && f.sendCrashing(t, 0, "/review/1").StatusCode != http.StatusBadRequest; i++ {
+	}
+	crashed := f.crashes()
+	time.Sleep(exchangeTime)
+	assert.Equal(t, f.sendCrashing(t, 1, "/review/1").StatusCode, http.StatusBadRequest)
+	assert.Equal(t, f.crashes(), crashed)
+	f.expectServed(t, "/review/1")
+	t.Run("and what an operator lifts", func(t *testing.T) {
+		f.gateways[0].crashes.Lift(forward.PartKey(nil, crashPart))
+		time.Sleep(exchangeTime)
+		f.sendCrashing(t, 1, "/review/1")
+		assert.Equal(t, f.crashes(), crashed+1)
+	})
+}
