--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -237,9 +237,11 @@
 	// next is the attempt that takes the place of the current one; nil if there is
 	// none.
 	next *attempt
-	// suspects are the keys of the parts of the prompt that may crash engines. suspected
-	// means that several have ended under one of them.
+	// suspects are the keys of the parts of the prompt that may crash engines, and
+	// crashed is the number of engines that ended under this request. suspected means
+	// that several have ended under it or under one of the parts.
 	suspects  []uint32
+	crashed   int
 	suspected bool
 }
 
