--- a/internal/coordination/forward/endless_test.go
+++ b/internal/coordination/forward/endless_test.go
@@ -105,8 +105,9 @@
 						// Lets the timer's function run.
 						time.Sleep(time.Millisecond)
 					}
-					stopped = ctx.Err() != nil
-					return ctx.Err()
+					err := ctx.Err()
+					stopped = err != nil
+					return err
 				}}
 				return respondEndlessly(events, endless)(ctx, options)
 			}, respondOK("id: 3\ndata: c\n\n"))
