Ask callers to try again while a blamed part may still be cleared

What callers would see: a prompt that holds a sound part under which engines ended several times by chance is refused with 400, which callers do not repeat, although an answer that is under way clears the part a moment later.

Cause: the refusal was final as soon as a part was blamed.

Change: for 10 s after the last crash of the part, prompts with it are refused with 503 and a Retry-After of 1 s, then with 400.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -89,7 +89,7 @@
 	// Status is the upstream's HTTP status; set for Delivered.
 	Status int
 	// RetryAfter is how long the caller should wait before a retry; set for
-	// Refused.
+	// Refused, and for Quarantined if a retry may be answered.
 	RetryAfter time.Duration
 	// Part is the ID of the part of the prompt because of which the request was not sent
 	// or not sent again; empty if there is none.
--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -24,6 +24,9 @@
 	maxCrashesToRetry = 1
 	// maxSuspects limits the parts of one prompt that are looked at.
 	maxSuspects = 64
+	// retryAfterSuspected is the Retry-After time while a part under quarantine may still
+	// turn out to be sound: an answer that takes no longer clears it.
+	retryAfterSuspected = time.Second
 	// reasonQuarantine is the reason of requests that are not sent because of a part.
 	reasonQuarantine = "prompt part under quarantine"
 )
@@ -74,6 +77,8 @@
 		outcome.Verdict = Broken
 	case r.runs > 0:
 		outcome.Verdict = Failed
+	case r.options.Crashes.Provisional(key):
+		outcome.RetryAfter = retryAfterSuspected
 	}
 	return outcome, true
 }
--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -52,6 +52,9 @@
 	// answeredMargin is added to both for a part that was answered recently, so that
 	// one that crashes engines is blamed before the parts that come with it.
 	answeredMargin = 3
+	// provisionalTime is how long after its last crash a blamed part may still be cleared
+	// by answers to requests that were sent before.
+	provisionalTime = 10 * time.Second
 	// minQuarantine is the quarantine of a part that is blamed for the first time. It
 	// doubles with each further crash up to maxQuarantine.
 	minQuarantine = 10 * time.Minute
@@ -282,6 +285,13 @@
 	return 0, false
 }
 
+// Provisional reports whether answers to requests that were sent before a part was
+// blamed may still clear it.
+func (l *Log) Provisional(key uint32) bool {
+	_, age, known := l.log.LookupAge(key)
+	return known && age < provisionalTime
+}
+
 // tests reports whether a request with the given parts is let through because it tells
 // whether the blamed part key crashes engines.
 func (l *Log) tests(known suspicion, age time.Duration, key uint32, keys []uint32) bool {
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -42,8 +42,12 @@
 	case forward.Refused:
 		g.reject(w, r, &rejection{http.StatusServiceUnavailable, outcome.Reason, outcome.RetryAfter})
 	case forward.Quarantined:
-		// A status that callers do not repeat.
-		g.reject(w, r, &rejection{status: http.StatusBadRequest, reason: outcome.Reason})
+		status := http.StatusServiceUnavailable
+		if outcome.RetryAfter == 0 {
+			// A status that callers do not repeat.
+			status = http.StatusBadRequest
+		}
+		g.reject(w, r, &rejection{status, outcome.Reason, outcome.RetryAfter})
 	case forward.TimedOut:
 		g.reject(w, r, &rejection{status: http.StatusGatewayTimeout, reason: outcome.Reason})
 	default:
