Keep prompts from an engine until it reports whether it has accepted an order

A prompt may run while the weights beneath it are replaced, and one order more than needed is sent.

Cause: four attempts of an order without an answer, 0.8 s in all, counted as a failed load. The gateways were told so and sent prompts again. An engine that is silent for a second carries out the order that it has received when it goes on.

Silence from the status request on was harmless before, as no order is sent then.

Change: an engine that has answered none of the attempts is asked for its status, for up to 1.2 s plus one request of 0.5 s, and the gateways are told to keep away meanwhile. If it has accepted the order, its load is awaited; if it has not, as a report of 0.3 s after the first one confirms, the load has failed as before.

Changed tests: newFixture takes its clock from newFixtureAt; status has a timeout.

Left: an order that is carried out more than 2.1 s after it was sent, or by an engine that answers status requests meanwhile, still meets prompts.

--- a/internal/coordination/rollout/closed_test.go
+++ b/internal/coordination/rollout/closed_test.go
@@ -33,7 +33,7 @@
 			test.advise(f.engines)
 			f.loadOnce(t, f.newOrder(t, 2))
 			assert.Equal(t, len(f.engines.orders), test.orders)
-			_, err := f.status(context.Background(), f.catalog.Upstreams(pool)[0])
+			_, err := f.status(context.Background(), f.catalog.Upstreams(pool)[0], engineTimeout)
 			assert.ErrorIs(t, err, errClosed)
 		})
 	}
--- a/internal/coordination/rollout/leaving_test.go
+++ b/internal/coordination/rollout/leaving_test.go
@@ -35,7 +35,7 @@
 			advise(f.engines)
 			f.loadOnce(t, f.newOrder(t, 2))
 			assert.Assert(t, len(f.engines.orders) <= 1, "%d orders", len(f.engines.orders))
-			_, err := f.status(context.Background(), f.catalog.Upstreams(pool)[0])
+			_, err := f.status(context.Background(), f.catalog.Upstreams(pool)[0], engineTimeout)
 			assert.ErrorIs(t, err, errLeaving)
 		})
 	}
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -39,6 +39,12 @@
 	// to maxOrderAttempts times in all.
 	engineTimeout    = 200 * time.Millisecond
 	maxOrderAttempts = 4
+	// maxSilence is how long an engine that has answered none of them is asked whether
+	// it has accepted one. silentTimeout limits one such request, and reportDelay is
+	// how long a report may lag behind.
+	maxSilence    = 1200 * time.Millisecond
+	silentTimeout = 500 * time.Millisecond
+	reportDelay   = 300 * time.Millisecond
 	// loadingShare is the share of a pool's engines that may load weights at the
 	// same time. The limit is never below minLoadLimit.
 	loadingShare = 0.19
@@ -73,6 +79,9 @@
 	errClosed  = errors.New("engine wants no requests for some time")
 )
 
+// errNotAccepted means that an engine answers again and has not accepted the order.
+var errNotAccepted = errors.New("order not accepted")
+
 // Options configures a Rollout.
 type Options struct {
 	Self comfreyworks.InstanceID
@@ -230,7 +239,7 @@
 	result, err := r.giveOrder(ctx, order)
 	done := result == comfreyworks.LoadDone
 	if err == nil && result == comfreyworks.LoadStarted {
-		done = r.waitForWeights(ctx, order, startedAt)
+		done = r.waitForWeights(ctx, order)
 	}
 	notice := comfreyworks.WeightsLoadNotice{Engine: order.Upstream.ID, Started: order.Upstream.Started, Model: order.Model}
 	var retryAt time.Time
@@ -286,7 +295,7 @@
 // carry the same number of accepted orders, so the engine executes at most one
 // of them, even if some arrive late.
 func (r *Rollout) giveOrder(ctx context.Context, order comfreyworks.WeightsLoadOrder) (comfreyworks.WeightsLoadResult, error) {
-	status, err := r.status(ctx, order.Upstream)
+	status, err := r.status(ctx, order.Upstream, engineTimeout)
 	if err != nil {
 		return "", err
 	}
@@ -308,10 +317,45 @@
 		// accepted an attempt whose answer was lost. The load may be in progress.
 		r.loads.forgetAcceptedOrders(&order.Upstream)
 		return comfreyworks.LoadStarted, nil
+	case err != nil:
+		return r.awaitReport(ctx, order)
 	}
 	return result, err
 }
 
+// awaitReport waits for an engine that has answered no attempt of an order, and reports
+// whether it has accepted one. An engine that falls silent may execute the order when
+// it goes on, so it gets no requests until then.
+func (r *Rollout) awaitReport(ctx context.Context, order comfreyworks.WeightsLoadOrder) (comfreyworks.WeightsLoadResult, error) {
+	if err := r.availability(&order.Upstream); err != nil {
+		return "", err
+	}
+	r.announce(order.FencingToken, comfreyworks.WeightsLoadNotice{
+		Engine: order.Upstream.ID, Started: order.Upstream.Started, Model: order.Model, For: maxNoticeTime,
+	})
+	deadline := r.options.Clock.Now().Add(maxSilence)
+	for answered := false; ; {
+		status, err := r.status(ctx, order.Upstream, silentTimeout)
+		switch {
+		case errors.Is(err, errLeaving), errors.Is(err, errClosed):
+			return "", err
+		case err == nil && status.Weights[order.Model] >= order.Weights:
+			return comfreyworks.LoadDone, nil
+		case err == nil && (status.Loading || status.AcceptedOrders > order.AcceptedOrders):
+			return comfreyworks.LoadStarted, nil
+		case err == nil && answered:
+			return "", errNotAccepted
+		case err == nil:
+			answered = true
+		case !r.options.Clock.Now().Before(deadline):
+			return "", err
+		}
+		if !comfreyworks.Sleep(ctx, r.options.Clock, reportDelay) {
+			return "", ctx.Err()
+		}
+	}
+}
+
 // availability returns errLeaving or errClosed if no calls may be made to an engine.
 func (r *Rollout) availability(engine *comfreyworks.Upstream) error {
 	switch {
@@ -341,25 +385,25 @@
 	return r.options.Loader.Load(ctx, order)
 }
 
-func (r *Rollout) status(ctx context.Context, engine comfreyworks.Upstream) (comfreyworks.EngineStatus, error) {
+func (r *Rollout) status(ctx context.Context, engine comfreyworks.Upstream, timeout time.Duration) (comfreyworks.EngineStatus, error) {
 	if err := r.availability(&engine); err != nil {
 		return comfreyworks.EngineStatus{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return r.options.Loader.Status(ctx, engine)
 }
 
 // waitForWeights reports whether the engine serves the weights of the order
 // before loadTimeout.
-func (r *Rollout) waitForWeights(ctx context.Context, order comfreyworks.WeightsLoadOrder, startedAt time.Time) bool {
-	pause := minLoadTime
+func (r *Rollout) waitForWeights(ctx context.Context, order comfreyworks.WeightsLoadOrder) bool {
+	startedAt, pause := r.options.Clock.Now(), minLoadTime
 	for r.options.Clock.Since(startedAt) < loadTimeout && comfreyworks.Sleep(ctx, r.options.Clock, pause) {
 		pause = statusInterval
 		if r.options.Balancer.Weights(&order.Upstream, order.Model) >= order.Weights {
 			return true
 		}
-		status, err := r.status(ctx, order.Upstream)
+		status, err := r.status(ctx, order.Upstream, engineTimeout)
 		switch {
 		case errors.Is(err, errLeaving):
 			return false
--- a/internal/coordination/rollout/rollout_test.go
+++ b/internal/coordination/rollout/rollout_test.go
@@ -130,14 +130,23 @@
 // revision 1.
 func newFixture(t *testing.T, n int) *fixture {
 	t.Helper()
-	f := &fixture{clock: clockwork.NewFakeClock(), engines: &fakeEngines{
+	clock := clockwork.NewFakeClock()
+	f := newFixtureAt(t, n, clock)
+	f.clock = clock
+	return f
+}
+
+// newFixtureAt is newFixture with another clock.
+func newFixtureAt(t *testing.T, n int, clock comfreyworks.Clock) *fixture {
+	t.Helper()
+	f := &fixture{engines: &fakeEngines{
 		weights:      make(map[comfreyworks.InstanceID]comfreyworks.WeightsRevision),
 		accepted:     make(map[comfreyworks.InstanceID]uint64),
 		highestToken: make(map[comfreyworks.InstanceID]uint64),
 	}}
-	f.catalog = catalog.New(f.clock)
+	f.catalog = catalog.New(clock)
 	f.balancer = balance.New(balance.Options{
-		Catalog: f.catalog, Holdings: holdings.New(), Clock: f.clock,
+		Catalog: f.catalog, Holdings: holdings.New(), Clock: clock,
 		Policy: placement.Comfrey{RecomputeWeight: placement.DefaultRecomputeWeight},
 	})
 	var mu sync.Mutex
@@ -148,7 +157,7 @@
 			defer mu.Unlock()
 			f.notices = append(f.notices, notice)
 		},
-		Clock: f.clock, Logger: zap.NewNop(), Meter: meter.New(),
+		Clock: clock, Logger: zap.NewNop(), Meter: meter.New(),
 	})
 	var present []comfreyworks.Upstream
 	for i := range n {
@@ -159,7 +168,7 @@
 		f.engines.weights[engine.ID] = 1
 		present = append(present, engine)
 	}
-	f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Whole: true, Present: present, Next: 1}, f.clock.Now())
+	f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Whole: true, Present: present, Next: 1}, clock.Now())
 	_, err := f.lease.Step(context.Background())
 	assert.NilError(t, err)
 	return f
