Receive SIGHUP from the start of the gateway on

What callers saw: a gateway that received SIGHUP before it listened was gone.

Cause: the signal was installed after the listeners, and Go ends a process at a SIGHUP that nobody receives. The same held after the gateway had stopped serving, when the signal was given back.

Change: main installs the signal first and keeps it until the process ends. A SIGHUP that arrives before the gateway serves is handled when it does.

Left: the time from the start of the process until main runs.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -28,9 +28,16 @@
 	"comfreyworks/platform"
 )
 
-func main() { os.Exit(program.Run("gateway", os.Args[1:], run)) }
+func main() {
+	// A SIGHUP that arrives before Notify ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	os.Exit(program.Run("gateway", os.Args[1:], func(ctx context.Context, logger *zap.Logger, f program.RunFlags) error {
+		return run(ctx, logger, f, hangups)
+	}))
+}
 
-func run(ctx context.Context, logger *zap.Logger, f program.RunFlags) error {
+func run(ctx context.Context, logger *zap.Logger, f program.RunFlags, hangups <-chan os.Signal) error {
 	settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil || f.CheckConfig {
 		return err
@@ -57,7 +64,7 @@
 	client := program.NewHTTPClient()
 	upstreams := platform.NewReplicaClient(client)
 	store := platform.NewStoreClient(settings.StoreAddress, client, logger)
-	stop := checkSettingsOnHangup(ctx, logger)
+	stop := checkSettingsOnHangup(ctx, logger, hangups)
 	defer stop()
 	return gateway.New(gateway.Options{
 		Settings: settings.Gateway, Declarations: store, Upstreams: store, Leases: store, Registry: store,
@@ -71,9 +78,7 @@
 // checkSettingsOnHangup reads the settings file at each SIGHUP and logs whether
 // it is valid. The settings themselves are applied only at the start, so this
 // tells the operator whether a restart would succeed.
-func checkSettingsOnHangup(ctx context.Context, logger *zap.Logger) (stop func()) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func checkSettingsOnHangup(ctx context.Context, logger *zap.Logger, hangups <-chan os.Signal) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	var group errgroup.Group
 	group.Go(func() error {
@@ -88,7 +93,6 @@
 		}
 	})
 	return func() {
-		signal.Stop(hangups)
 		cancel()
 		_ = group.Wait()
 	}
