Measure the latency of services that others outpace anew

What callers saw: a service's replica that was silent or slow once got no more requests from a gateway, as long as the others were not loaded many times as much.

Cause: plain services are chosen by a moving average of their latency, which changes only with answers. After a silence of 1 s it is 0.1 s or more instead of 0.01 s.

Evidence: TestSilentUpstreamReturns plays three gateways, a pool of three upstreams, one of which is silent for 1 or 1.5 s, and requests that are taken over, that may run once, or for which there is no connection. Before, 11 of the 12 subtests of services with an end of the silence failed with "used again after" 8 s, the length of the play, and one with 2.7 s. TestProbes: 0 of 3600 requests in 30 s went to a service that was slow once.

Change: an upstream that has given no answer for 0.75 s and has no requests of this gateway counts as 1.5 times as slow as the fastest one, so that one request measures it anew. An answer that is twice as fast as the average replaces it; otherwise the interval doubles, up to 12 s.

Measured: 10 of the 12 are used again after 0.75 s. A service that stays 15 times as slow gets 4 to 8 of 3600 requests in 30 s, before none.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -190,7 +190,8 @@
 	// and that are not prefilled yet.
 	backlog comfreyworks.PrefillBacklog
 	// latency is a moving average; zero means that there was no answer yet.
-	latency time.Duration
+	// probeInterval is zero or the current interval of probes.
+	latency, probeInterval time.Duration
 	// failures counts consecutive failures.
 	failures int
 	// unreachable is set when a request could not be sent or when another
@@ -257,8 +258,9 @@
 	// trial means that the request is one of those that the closure counts.
 	// turnedAway means that the upstream closed itself in its answer.
 	trial, turnedAway bool
-	// silent means that the upstream's silence has been counted as a failure.
-	silent bool
+	// silent means that the upstream's silence has been counted as a failure, isProbe
+	// that the answer measures its latency anew.
+	silent, isProbe bool
 }
 
 // Pick chooses an upstream and adds the request to its load. It returns nil if
@@ -283,7 +285,7 @@
 		return nil
 	}
 	if query.Model == "" {
-		return b.newPick(&tier[chooseFastest(tier)], query, len(candidates), 0)
+		return b.newPick(&tier[chooseFastest(tier, now)], query, len(candidates), 0)
 	}
 	sources := b.addCacheState(tier, &query, now)
 	tier = b.sessionSubset(tier)
@@ -308,7 +310,7 @@
 		Upstream: *c.upstream, Weights: c.weights, Candidates: candidates, CachedTokens: c.cachedTokens,
 		Wait:     c.wait(),
 		balancer: b, endpoint: c.endpoint, query: query, prefillTokens: prefillTokens,
-		trial: c.endpoint.closure.start(),
+		trial: c.endpoint.closure.start(), isProbe: c.isProbe,
 	}
 }
 
@@ -468,7 +470,7 @@
 		e.unreachable = false
 		e.avoidUntil = time.Time{}
 		e.answeredAt = now
-		e.updateLatency(result.Elapsed)
+		e.updateLatency(result.Elapsed, p.isProbe)
 	case Failed:
 		if !p.silent {
 			e.recordFailure(now, minFailuresToAvoid)
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -61,8 +61,10 @@
 	// request.
 	tokensAhead int
 	latency     time.Duration
-	weights     comfreyworks.WeightsRevision
-	sameZone    bool
+	// isProbe means that the request is to measure the latency anew.
+	isProbe  bool
+	weights  comfreyworks.WeightsRevision
+	sameZone bool
 	// cachedTokens is the number of prompt tokens that the engine has cached.
 	// importableTokens is the largest number that an engine or cache store has
 	// cached for the same weights.
@@ -277,10 +279,19 @@
 }
 
 // chooseFastest returns the index of the candidate with the shortest expected
-// time.
-func chooseFastest(candidates []candidate) int {
+// time. A slow candidate whose latency may be measured anew counts as hardly slower
+// than the fastest one.
+func chooseFastest(candidates []candidate, now time.Time) int {
+	fastest := candidates[0].knownLatency()
+	for i := range candidates {
+		fastest = min(fastest, candidates[i].knownLatency())
+	}
+	limit := time.Duration(probeLatencyFactor * float64(fastest))
 	best := 0
 	for i := range candidates {
+		if c := &candidates[i]; c.latency > limit && c.endpoint.mayProbe(now) {
+			c.latency, c.isProbe = limit, true
+		}
 		if candidates[i].expectedTime() < candidates[best].expectedTime() {
 			best = i
 		}
@@ -291,13 +302,12 @@
 // expectedTime estimates the time until the candidate answers. It is accurate
 // enough only to compare candidates.
 func (c *candidate) expectedTime() time.Duration {
-	latency := c.latency
-	if latency == 0 {
-		latency = initialLatency
-	}
-	expected := latency * time.Duration(c.requests+1)
+	expected := c.knownLatency() * time.Duration(c.requests+1)
 	if !c.sameZone {
 		expected += crossZonePenalty
 	}
 	return expected
 }
+
+// knownLatency returns the latency, or initialLatency if it is unknown.
+func (c *candidate) knownLatency() time.Duration { return cmp.Or(c.latency, initialLatency) }
--- a/internal/coordination/balance/endpoint.go
+++ b/internal/coordination/balance/endpoint.go
@@ -7,6 +7,17 @@
 	"comfreyworks/internal/state/rendezvous"
 )
 
+const (
+	// minProbeInterval is how long after its last answer an upstream without requests,
+	// which others outpace, receives one to measure its latency anew. The interval
+	// doubles up to maxProbeInterval with each probe that is not twice as fast.
+	minProbeInterval = 750 * time.Millisecond
+	maxProbeInterval = 12 * time.Second
+	// probeLatencyFactor is the latency that such an upstream counts with, relative to
+	// the fastest one, so that only requests that would wait there probe it.
+	probeLatencyFactor = 1.5
+)
+
 // endpoint returns the observations of an upstream. A restarted upstream gets an
 // empty record.
 func (b *Balancer) endpoint(upstream *comfreyworks.Upstream, now time.Time) *endpoint {
@@ -22,10 +33,23 @@
 	return e
 }
 
-func (e *endpoint) updateLatency(elapsed time.Duration) {
-	if e.latency == 0 {
+// mayProbe reports whether the latency may be measured anew by one request.
+func (e *endpoint) mayProbe(now time.Time) bool {
+	return e.requests == 0 && now.Sub(e.answeredAt) >= max(e.probeInterval, minProbeInterval)
+}
+
+// updateLatency adds the latency of an answer to the moving average. That of a probe
+// replaces the average if it is twice as fast.
+func (e *endpoint) updateLatency(elapsed time.Duration, isProbe bool) {
+	switch {
+	case e.latency == 0:
 		e.latency = elapsed
 		return
+	case isProbe && elapsed <= e.latency/2:
+		e.latency, e.probeInterval = elapsed, 0
+		return
+	case isProbe:
+		e.probeInterval = min(2*max(e.probeInterval, minProbeInterval), maxProbeInterval)
 	}
 	e.latency += time.Duration(latencyWeight * float64(elapsed-e.latency))
 }
