Wait 0.1 s longer for the cache changes of an engine

Prompts are prefilled again.

Cause: if many gateways read a cache, a poll ends after 0.7 s, and the second one in a row that fails removes what is known of the cache, 1.46 s after a silence began at the earliest. A sound engine may be silent for 1.5 s.

Evidence: TestSilentTarget, with virtual time, silences of 1 and 1.5 s that begin at 34 points of a poll. Before, 4 of 34 silences of 1.5 s with 24 readers lost the cache (after 1.46 and 1.49 s); none with one reader, and none of 1 s. The package passes twice with the race detector.

Change: a poll may take 0.6 s in addition to its wait, before 0.5 s.

Measured: the cache of an engine that is silent for good is forgotten (before, after) 1.46 to 1.97 s, 1.66 to 2.17 s after the silence began with 24 readers, and 2.26 to 3.23 s, 2.45 to 3.42 s with one.

--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -42,7 +42,7 @@
 	// target counts as down.
 	maxFailures = 2
 	// responseTimeout is the time that a poll may take in addition to its wait.
-	responseTimeout = 500 * time.Millisecond
+	responseTimeout = 600 * time.Millisecond
 	// initialBackoff is the pause after the first failed poll. It doubles with
 	// each further failure up to maxBackoff.
 	initialBackoff = 250 * time.Millisecond
