Test that requests that may run once wait for a silent upstream

TestSilentUpstreamOfSingleRun sends 20 requests at once, without a stream and with one that cannot be resumed, to an upstream that is silent for 1 or 1.5 s before the answer or in it.

--- a/internal/coordination/forward/givenup_test.go
+++ b/internal/coordination/forward/givenup_test.go
@@ -1,9 +1,12 @@
 package forward
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"comfreyworks"
 )
 
@@ -27,3 +30,29 @@
 		}
 	}
 }
+
+// TestSilentUpstreamOfSingleRun guards against giving up a request that may run once
+// because its upstream is silent for a while.
+func TestSilentUpstreamOfSingleRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		route *comfreyworks.Route
+		after int
+	}{
+		"before the answer":             {route(comfreyworks.RouteNonIdempotent, 2, false), 0},
+		"in the answer":                 {route(comfreyworks.RouteNonIdempotent, 2, false), untilSecond},
+		"stream before its first event": {route(comfreyworks.RouteStream, 2, false), 0},
+		"stream between two events":     {route(comfreyworks.RouteStream, 2, false), untilSecond},
+	} {
+		for _, pause := range []time.Duration{time.Second, 1500 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, ", ", pause), func(t *testing.T) {
+				f, sound := newSoundFixture(3, 10)
+				sound.first, sound.others = pausing(f.clock, wholeStream, c.after, pause), respondRest
+				outcomes, sinks := f.forwardAll(t, c.route, 20)
+				for i := range outcomes {
+					assertComplete(t, outcomes[i], &sinks[i], wholeStream)
+					assert.Equal(t, outcomes[i].Sends, 1)
+				}
+			})
+		}
+	}
+}
