--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -190,15 +190,17 @@
 	// and that are not prefilled yet.
 	backlog comfreyworks.PrefillBacklog
 	// latency is a moving average; zero means that there was no answer yet.
-	latency time.Duration
+	// probeInterval is zero or the current interval of probes.
+	latency, probeInterval time.Duration
 	// failures counts consecutive failures.
 	failures int
 	// unreachable is set when a request could not be sent or when another
 	// upstream uses the address, and reset by an answer.
 	unreachable bool
 	// avoidUntil, fullUntil and loadingUntil are the times until which the
-	// upstream counts as avoided, full or loading.
-	avoidUntil, fullUntil, loadingUntil time.Time
+	// upstream counts as avoided, full or loading. Until retrialUntil one request tries
+	// whether it may be used again.
+	avoidUntil, fullUntil, loadingUntil, retrialUntil time.Time
 	// answeredAt is the time of the latest answer.
 	answeredAt time.Time
 	weights    map[comfreyworks.Model]comfreyworks.WeightsRevision
@@ -257,8 +259,9 @@
 	// trial means that the request is one of those that the closure counts.
 	// turnedAway means that the upstream closed itself in its answer.
 	trial, turnedAway bool
-	// silent means that the upstream's silence has been counted as a failure.
-	silent bool
+	// silent means that the upstream's silence has been counted as a failure, isProbe
+	// that the answer measures its latency anew, isRetrial that it ends retrialUntil.
+	silent, isProbe, isRetrial bool
 }
 
 // Pick chooses an upstream and adds the request to its load. It returns nil if
@@ -283,7 +286,7 @@
 		return nil
 	}
 	if query.Model == "" {
-		return b.newPick(&tier[chooseFastest(tier)], query, len(candidates), 0)
+		return b.newPick(&tier[chooseFastest(tier, now)], query, len(candidates), 0)
 	}
 	sources := b.addCacheState(tier, &query, now)
 	tier = b.sessionSubset(tier)
@@ -308,7 +311,7 @@
 		Upstream: *c.upstream, Weights: c.weights, Candidates: candidates, CachedTokens: c.cachedTokens,
 		Wait:     c.wait(),
 		balancer: b, endpoint: c.endpoint, query: query, prefillTokens: prefillTokens,
-		trial: c.endpoint.closure.start(),
+		trial: c.endpoint.closure.start(), isProbe: c.isProbe, isRetrial: c.endpoint.startRetrial(),
 	}
 }
 
@@ -334,6 +337,7 @@
 	if !e.closure.admits(now) || (c.avoided && e.unreachable) {
 		return candidate{}, false
 	}
+	c.avoided = c.avoided || now.Before(e.retrialUntil)
 	c.score = rendezvous.Score(e.seed, query.AffinityKey)
 	if query.Model == "" {
 		return c, true
@@ -468,7 +472,7 @@
 		e.unreachable = false
 		e.avoidUntil = time.Time{}
 		e.answeredAt = now
-		e.updateLatency(result.Elapsed)
+		e.updateLatency(result.Elapsed, p.isProbe)
 	case Failed:
 		if !p.silent {
 			e.recordFailure(now, minFailuresToAvoid)
