Let prompts with many shared parts test them after a while

Callers whose prompts have more than five shared parts in common got 400 for two hours after two engines had ended under them (TestManyPartsThatComeTogether).

Cause: of the parts that came with a blamed one only four are remembered, the others count as further suspects, and a request with other suspects never tests a part.

Change: 30 s (lengthened by the spread of the gateway) after the last crash of a part that is blamed, but not for certain, any request with it is let through, one at a time; one more crash makes it certain. A part under quarantine waits for a request without other suspects for as long again as its quarantine, and then does the same.

--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -56,6 +56,10 @@
 	// doubles with each further crash up to maxQuarantine.
 	minQuarantine = 10 * time.Minute
 	maxQuarantine = time.Hour
+	// maxTestWait is how long after the last crash a part that is blamed, but not for
+	// certain, waits for a request without other suspects. Then any request with it
+	// is let through, one at a time.
+	maxTestWait = 30 * time.Second
 	// lifetime is how long a suspicion is kept after its last change. It exceeds all
 	// quarantines.
 	lifetime = 2 * time.Hour
@@ -137,7 +141,7 @@
 	for i, key := range keys {
 		known, age, _ := l.log.LookupAge(key)
 		r.parts[i] = snapshot{key, known}
-		if l.isBlamed(key, known) && age > l.quarantine(known) {
+		if l.isBlamed(key, known) && age > l.restrictedFor(key, known) {
 			r.trials = append(r.trials, key)
 		}
 	}
@@ -267,7 +271,18 @@
 			break
 		}
 	}
-	return quarantine + time.Duration(l.spread*float64(quarantine))
+	return l.lengthen(quarantine)
+}
+
+// lengthen applies the spread of this gateway.
+func (l *Log) lengthen(d time.Duration) time.Duration { return d + time.Duration(l.spread*float64(d)) }
+
+// restrictedFor returns for how long not just any request with a blamed part is tried.
+func (l *Log) restrictedFor(key uint32, s suspicion) time.Duration {
+	if l.isCertain(key, s) {
+		return l.quarantine(s)
+	}
+	return l.lengthen(maxTestWait)
 }
 
 // Blamed reports whether a request with the given parts is to be refused, and
@@ -291,14 +306,22 @@
 			return true
 		}
 	}
-	if l.isCertain(key, known) && (age <= l.quarantine(known) || l.trying(key)) {
+	certain, wait := l.isCertain(key, known), l.restrictedFor(key, known)
+	if certain && (age <= wait || l.trying(key)) {
 		return false
 	}
 	// It holds no other part that may have crashed engines in requests with key.
-	return !slices.ContainsFunc(keys, func(other uint32) bool {
+	if !slices.ContainsFunc(keys, func(other uint32) bool {
 		s, _ := l.log.Lookup(other)
 		return other != key && s.crashes > 0 && !known.with.has(other)
-	})
+	}) {
+		return true
+	}
+	// No such request came for long.
+	if certain {
+		wait *= 2
+	}
+	return age > wait && !l.trying(key)
 }
 
 // trying reports whether a request tries a part after its quarantine.
