Add a failing test: sound prompts refused while engines end together again and again

Callers get 400 for sound prompts if half the engines end two or three times, 2 s apart, and their answers take 1 to 5 s to the first byte: in between no answer clears a shared first part, so that it has two crashes and each of its sessions in flight one. While the first part is blamed, requests with a suspected session are no test and are refused. After the third time it is under quarantine at the gateways that have not seen it answered.

--- a/internal/state/crashes/model_test.go
+++ b/internal/state/crashes/model_test.go
@@ -45,6 +45,11 @@
 	halfEnds, oneEndsEach bool
 	// answered means that the crashing parts were answered before.
 	answered bool
+	// halves is how often half the engines end, resets how often half the connections
+	// are reset, both every two seconds. slow means that answers have no events and
+	// take 1 to 5 s.
+	halves, resets int
+	slow           bool
 }
 
 var patterns = []pattern{
@@ -187,6 +192,16 @@
 			}
 		})
 	}
+	for i := range p.halves {
+		m.after(othersFrom+time.Duration(i)*2*time.Second, func() {
+			for engine := range f.engines / 2 {
+				m.end(2*engine + i%2)
+			}
+		})
+	}
+	for i := range p.resets {
+		m.after(othersFrom+time.Duration(i)*2*time.Second, m.reset)
+	}
 	if p.oneEndsEach {
 		for i := range 10 {
 			m.after(othersFrom+time.Duration(i)*time.Second, func() { m.end(m.random.IntN(f.engines)) })
@@ -327,6 +342,10 @@
 	}
 	length := m.between(100*time.Millisecond, 3*time.Second)
 	first := min(length, m.between(50*time.Millisecond, 400*time.Millisecond))
+	if m.slow {
+		length = m.between(time.Second, 5*time.Second)
+		first = length
+	}
 	running(first, func() {
 		r.began = true
 		if r.judged && r.attempts == 1 {
@@ -337,18 +356,41 @@
 	running(length, func() { delete(m.running[engine], r) })
 }
 
-// end ends an engine and all that it runs. Requests that had not begun are sent once
-// more, unless one of their parts is suspected.
+// end ends an engine and all that it runs.
 func (m *model) end(engine int) {
 	if m.back[engine].After(m.clock.now) {
 		return
 	}
 	m.back[engine] = m.clock.now.Add(m.between(3*time.Second, 6*time.Second))
-	runs := m.running[engine]
+	m.lose(m.running[engine])
 	m.running[engine] = make(map[*modelRequest]bool)
-	for _, r := range slices.SortedFunc(maps.Keys(runs), func(a, b *modelRequest) int {
+}
+
+// reset resets half the connections.
+func (m *model) reset() {
+	for _, running := range m.running {
+		lost := make(map[*modelRequest]bool)
+		for _, r := range sorted(running) {
+			if m.random.IntN(2) == 0 {
+				lost[r] = true
+				delete(running, r)
+			}
+		}
+		m.lose(lost)
+	}
+}
+
+// sorted returns requests in an order that does not depend on chance.
+func sorted(runs map[*modelRequest]bool) []*modelRequest {
+	return slices.SortedFunc(maps.Keys(runs), func(a, b *modelRequest) int {
 		return slices.Compare(a.keys, b.keys)
-	}) {
+	})
+}
+
+// lose breaks the connections of requests. Those that had not begun are sent once
+// more, unless one of their parts is suspected.
+func (m *model) lose(runs map[*modelRequest]bool) {
+	for _, r := range sorted(runs) {
 		crashes := r.run.EngineEnded()
 		if r.crashes == 0 {
 			m.cut++
