Add a failing test: a quarantine that other suspicions push out of the log

The log drops its oldest entries beyond 16,384, whatever they say. A crash adds one for each part of each request that it broke, and the answer that clears a part another one. Then engines crash again until the part is blamed anew.

--- a/internal/state/crashes/others_test.go
+++ b/internal/state/crashes/others_test.go
@@ -32,3 +32,24 @@
 		})
 	}
 }
+
+// TestQuarantineOutlivesOtherSuspicions guards against a quarantine that was forgotten
+// because engines ended under many other prompts.
+func TestQuarantineOutlivesOtherSuspicions(t *testing.T) {
+	l, clock := newLog()
+	crash(l, certainAfter, crasher)
+	for key := range uint32(2 * maxEntries) {
+		crash(l, 1, 100+key)
+	}
+	suspicions, _ := l.After(0, Remote)
+	assert.Equal(t, len(suspicions), maxEntries)
+	clock.Advance(minQuarantine)
+	assertBlamed(t, l, crasher, crasher, sound)
+	clock.Advance(lifetime - minQuarantine + 1)
+	assertBlamed(t, l, 0, crasher, sound)
+	for key := range uint32(maxEntries + 10) {
+		crash(l, certainAfter, 100+key)
+	}
+	suspicions, _ = l.After(0, Remote)
+	assert.Assert(t, len(suspicions) <= maxEntries)
+}
