Keep quarantines in the log when it is full

Engines that end under many prompts pushed quarantined parts out of the log, and these crashed engines again (TestQuarantineOutlivesOtherSuspicions).

Cause: beyond its limit the shared log dropped its oldest entries.

Change: the log drops entries of parts with three or more crashes only when no others are left; it records them again with their old time. An entry that no longer counts but is not at the beginning of the log is neither looked up nor passed on.

--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -63,7 +63,8 @@
 	// lifetime is how long a suspicion is kept after its last change. It exceeds all
 	// quarantines.
 	lifetime = 2 * time.Hour
-	// maxEntries limits the log; beyond it the oldest entries are dropped.
+	// maxEntries limits the log; beyond it the oldest entries are dropped, those of
+	// parts that may be under quarantine last.
 	maxEntries = 1 << 14
 )
 
@@ -105,8 +106,9 @@
 // New returns an empty log.
 func New(options Options) *Log {
 	return &Log{
-		log: sharedlog.New[suspicion](sharedlog.Options{
+		log: sharedlog.New(sharedlog.Options[suspicion]{
 			Clock: options.Clock, Lifetime: lifetime, MaxEntries: maxEntries, Promote: true,
+			Preserve: func(s suspicion) bool { return s.crashes >= certainAfter },
 		}),
 		clock: options.Clock, spread: options.Spread, trials: make(map[uint32]int),
 		thresholds: thresholds{blameAfter, certainAfter, answeredMargin},
--- a/internal/state/savedsessions/savedsessions.go
+++ b/internal/state/savedsessions/savedsessions.go
@@ -52,7 +52,7 @@
 
 // New returns an empty log.
 func New(clock comfreyworks.Clock) *Log {
-	return &Log{log: sharedlog.New[saved](sharedlog.Options{Clock: clock, Lifetime: lifetime, MaxEntries: maxEntries})}
+	return &Log{log: sharedlog.New(sharedlog.Options[saved]{Clock: clock, Lifetime: lifetime, MaxEntries: maxEntries})}
 }
 
 // Key returns the key of a session: the hash of the cache salt, which contains the
--- a/internal/state/sharedlog/sharedlog.go
+++ b/internal/state/sharedlog/sharedlog.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	log := sharedlog.New[uint32](sharedlog.Options{Clock: clock, Lifetime: time.Minute, MaxEntries: 1000})
+//	log := sharedlog.New(sharedlog.Options[uint32]{Clock: clock, Lifetime: time.Minute, MaxEntries: 1000})
 //	log.Merge(maps.All(values), sharedlog.Local, resolve)
 //	value, ok := log.Lookup(key)
 //	next := log.After(version, sharedlog.Local, func(key, value uint32) { ... })
@@ -30,7 +30,7 @@
 )
 
 // Options configures a Log.
-type Options struct {
+type Options[V comparable] struct {
 	Clock comfreyworks.Clock
 	// Lifetime is how long an entry counts after it was recorded.
 	Lifetime time.Duration
@@ -39,6 +39,9 @@
 	// Promote records a remote entry again when it arrives as a local one, so that it
 	// is passed on.
 	Promote bool
+	// Preserve reports whether an entry is dropped only when no others are left; nil
+	// means that none is.
+	Preserve func(value V) bool
 }
 
 // entry is one entry of the log. The last one of a key replaces the earlier ones.
@@ -51,7 +54,7 @@
 
 // Log is the log of one process. It is safe for concurrent use.
 type Log[V comparable] struct {
-	options Options
+	options Options[V]
 	mu      sync.Mutex
 	// entries holds the log from version first on.
 	entries []entry[V]
@@ -61,7 +64,7 @@
 }
 
 // New returns an empty log.
-func New[V comparable](options Options) *Log[V] {
+func New[V comparable](options Options[V]) *Log[V] {
 	return &Log[V]{options: options, latest: make(map[uint32]uint64)}
 }
 
@@ -75,7 +78,7 @@
 	l.removeExpired(now)
 	for key, value := range items {
 		e := entry[V]{key, value, now, origin}
-		if known := l.last(key); known != nil {
+		if known := l.last(key, now); known != nil {
 			e.value = resolve(known.value, value)
 			if e.value == known.value && !(l.options.Promote && origin < known.origin) {
 				continue
@@ -89,23 +92,44 @@
 	l.removeExpired(now)
 }
 
-// last returns the last entry of a key, or nil. The mutex must be held.
-func (l *Log[V]) last(key uint32) *entry[V] {
+// last returns the last entry of a key, or nil if there is none that counts. The mutex
+// must be held.
+func (l *Log[V]) last(key uint32, now time.Time) *entry[V] {
 	version, ok := l.latest[key]
 	if !ok {
 		return nil
 	}
-	return &l.entries[version-l.first]
+	if e := &l.entries[version-l.first]; !l.expired(e, now) {
+		return e
+	}
+	return nil
 }
 
+func (l *Log[V]) expired(e *entry[V], now time.Time) bool { return now.Sub(e.at) > l.options.Lifetime }
+
 // removeExpired removes entries that no longer count or exceed the limit.
 func (l *Log[V]) removeExpired(now time.Time) {
+	l.remove(now, l.options.Preserve)
+	l.remove(now, nil)
+}
+
+// remove removes the oldest entries, and records those to preserve again.
+func (l *Log[V]) remove(now time.Time, preserve func(V) bool) {
 	n := 0
-	for n < len(l.entries) && (len(l.entries)-n > l.options.MaxEntries || now.Sub(l.entries[n].at) > l.options.Lifetime) {
-		if key := l.entries[n].key; l.latest[key] == l.first+uint64(n) {
-			delete(l.latest, key)
+	for size := len(l.entries); n < size; n++ {
+		e := l.entries[n]
+		expired := l.expired(&e, now)
+		if !expired && len(l.entries)-n <= l.options.MaxEntries {
+			break
+		}
+		switch {
+		case l.latest[e.key] != l.first+uint64(n):
+		case !expired && preserve != nil && preserve(e.value):
+			l.latest[e.key] = l.first + uint64(len(l.entries))
+			l.entries = append(l.entries, e)
+		default:
+			delete(l.latest, e.key)
 		}
-		n++
 	}
 	l.entries = l.entries[n:]
 	l.first += uint64(n)
@@ -123,7 +147,7 @@
 	now := l.options.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e := l.last(key); e != nil && now.Sub(e.at) <= l.options.Lifetime {
+	if e := l.last(key, now); e != nil {
 		return e.value, now.Sub(e.at), true
 	}
 	return value, 0, false
@@ -140,7 +164,7 @@
 	current = l.first + uint64(len(l.entries))
 	for v := max(version, l.first); v < current; v++ {
 		e := &l.entries[v-l.first]
-		if e.origin <= origin && l.latest[e.key] == v {
+		if e.origin <= origin && l.latest[e.key] == v && !l.expired(e, now) {
 			visit(e.key, e.value)
 		}
 	}
--- a/internal/state/streamorigins/streamorigins.go
+++ b/internal/state/streamorigins/streamorigins.go
@@ -78,7 +78,7 @@
 
 // New returns an empty log.
 func New(clock comfreyworks.Clock) *Log {
-	return &Log{log: sharedlog.New[origin](sharedlog.Options{
+	return &Log{log: sharedlog.New(sharedlog.Options[origin]{
 		Clock: clock, Lifetime: lifetime, MaxEntries: maxEntries, Promote: true,
 	})}
 }
