Wait for the current engines in the tests of prompts that crash them

TestCrashingRequestsInFlight hung until its timeout, once in 10 runs under the race detector. Its requests wait until both gateways know the listed engines. One of them took the list, another one's engine restarted again before both gateways had read it, and the ID that it waited for was never listed again. The list is now read anew for each check.

Afterwards 10 of 10 runs pass, with the other tests of quarantines.

--- a/internal/transport/gateway/quarantine_test.go
+++ b/internal/transport/gateway/quarantine_test.go
@@ -97,17 +97,23 @@
 	server.CloseClientConnections()
 }
 
-// awaitUpstreams waits until the gateways know of all restarts.
+// awaitUpstreams waits until the gateways know of all restarts. An engine may restart
+// again before all of them do.
 func (f *crashFixture) awaitUpstreams(t *testing.T) {
 	t.Helper()
-	f.source.mu.Lock()
-	listed := f.source.upstreams
-	f.source.mu.Unlock()
-	for _, g := range f.gateways {
-		for _, upstream := range listed {
-			waitFor(t, func() bool { _, known := g.catalog.Upstream(upstream.ID); return known })
+	waitFor(t, func() bool {
+		f.source.mu.Lock()
+		listed := f.source.upstreams
+		f.source.mu.Unlock()
+		for _, g := range f.gateways {
+			for _, upstream := range listed {
+				if _, known := g.catalog.Upstream(upstream.ID); !known {
+					return false
+				}
+			}
 		}
-	}
+		return true
+	})
 }
 
 // send sends a prompt to a gateway. Prompts on one path have their first part and their
