Let the soak send prompts with a part that crashes every engine

No kind of event of the soak did that.

Change: an event in a stream of random numbers of its own, in which three callers send streams at random gateways whose prompts hold one more shared part. An engine that begins to answer one crashes and is replaced after 3 s. Rule quarantine: not more than three such requests reach engines later than 3 s after the fifth crash, at gateways that have run without a fault since, and no other request is refused with status 400.

--- a/cmd/soak/internal/caller/caller.go
+++ b/cmd/soak/internal/caller/caller.go
@@ -82,8 +82,10 @@
 	Gateway int
 	// Resumes is the ID of the request that brought the first event of the stream that
 	// this request takes up after event LastEvent. Other requests have neither.
-	Resumes        string
-	LastEvent      int
+	Resumes   string
+	LastEvent int
+	// CrashPart is the part of the prompt that crashes engines, if it has one.
+	CrashPart      string
 	SentAt         time.Time
 	EndedAt        time.Time
 	Status         int
@@ -105,6 +107,9 @@
 	// LongStreams makes all requests long streams that can be resumed, each at a random
 	// gateway.
 	LongStreams bool
+	// CrashPart, unless it is nil, makes all requests streams at random gateways whose
+	// prompts hold the part that it returns. None are sent while that is empty.
+	CrashPart func() string
 }
 
 // Caller is one caller with one connection to one gateway at a time. It is not
@@ -137,9 +142,13 @@
 // gateway.
 func (c *Caller) Run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
+		if c.options.CrashPart != nil && c.options.CrashPart() == "" {
+			time.Sleep(maxThinkTime)
+			continue
+		}
 		record := c.sendAndTakeUp(n)
 		pause := time.Duration(c.rng.Int64N(int64(c.thinkTime())))
-		if record.Err != nil || c.options.LongStreams {
+		if record.Err != nil || c.options.LongStreams || c.options.CrashPart != nil {
 			c.gateway = c.rng.IntN(len(c.options.Gateways))
 		}
 		if retryAfter, err := strconv.ParseFloat(record.ResponseHeader.Get("Retry-After"), 64); err == nil {
@@ -152,7 +161,7 @@
 
 // thinkTime returns the maximum pause between two requests.
 func (c *Caller) thinkTime() time.Duration {
-	if c.options.LongStreams {
+	if c.options.LongStreams || c.options.CrashPart != nil {
 		return maxLongThinkTime
 	}
 	return maxThinkTime
@@ -213,6 +222,10 @@
 	if c.options.LongStreams {
 		record.Kind, record.Target = ResumableStream, fmt.Sprintf("%s%d?n=%d", fleet.LongStreamPath, c.rng.IntN(100), n)
 	}
+	if c.options.CrashPart != nil {
+		record.Kind = []Kind{Stream, ResumableStream}[n%2]
+		record.Target, record.CrashPart = fmt.Sprintf("/%s/%d", record.Kind, n), c.options.CrashPart()
+	}
 	if record.Kind == Idempotent {
 		record.Method, record.Body = http.MethodGet, ""
 	}
@@ -244,7 +257,11 @@
 			r.Header.Set(names.Resumes, record.Resumes)
 			r.Header.Set(names.LastEventID, strconv.Itoa(record.LastEvent))
 		}
-		r.Header.Set(names.Prefix, fmt.Sprintf("guide:%d,%s:%d", promptTokens-uniqueTokens, record.ID, uniqueTokens))
+		parts := fmt.Sprintf("guide:%d,%s:%d", promptTokens-uniqueTokens, record.ID, uniqueTokens)
+		if record.CrashPart != "" {
+			parts = fmt.Sprintf("guide:%d,%s:%d,%s:%d", promptTokens-2*uniqueTokens, record.CrashPart, uniqueTokens, record.ID, uniqueTokens)
+		}
+		r.Header.Set(names.Prefix, parts)
 	}
 	record.SentAt = time.Now()
 	defer func() { record.EndedAt = time.Now() }()
--- a/cmd/soak/internal/check/check.go
+++ b/cmd/soak/internal/check/check.go
@@ -66,6 +66,9 @@
 	// Closure: a gateway that a replica has turned away sends it nothing until the time
 	// that the replica named.
 	Closure Rule = "closure"
+	// Quarantine: once a part of prompts has crashed several engines, requests with it no
+	// longer reach engines, and no other request is refused because of it.
+	Quarantine Rule = "quarantine"
 	// ProcessHealth: processes neither exit by themselves nor panic.
 	ProcessHealth Rule = "process"
 	// Recovery: after the last fault has ended, every gateway serves again.
@@ -154,6 +157,7 @@
 		c.checkAdvice(i)
 	}
 	c.checkTakeUps()
+	c.checkQuarantine()
 	return c.violations
 }
 
--- a/cmd/soak/internal/check/streams.go
+++ b/cmd/soak/internal/check/streams.go
@@ -137,10 +137,7 @@
 // isUndisturbed reports whether no fault affected the gateway of a request from
 // undisturbedTime before the request to its end.
 func (c *checker) isUndisturbed(record *caller.Record) bool {
-	if record.Gateway >= len(c.observed.Gateways) {
-		return false
-	}
-	return !overlapsAny(c.observed.Gateways[record.Gateway], record.SentAt.Add(-undisturbedTime), record.EndedAt)
+	return c.isQuiet(record.Gateway, record.SentAt.Add(-undisturbedTime), record.EndedAt)
 }
 
 // servingEngines returns the number of undisturbed engines of the release that began
--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -85,6 +85,10 @@
 	slots, replicas []*Replica
 	// replicaIDs is the number of replica IDs that were assigned.
 	replicaIDs int
+	// crashPart is the part of prompts that crashes engines, and crashed those that it
+	// did crash until others have replaced them.
+	crashPart string
+	crashed   errgroup.Group
 
 	group       errgroup.Group
 	stopping    chan struct{}
--- a/cmd/soak/internal/fleet/replica.go
+++ b/cmd/soak/internal/fleet/replica.go
@@ -52,6 +52,8 @@
 	LinkFaults Disturbances
 	Engine     *standin.Engine
 
+	slot int
+
 	mu       sync.Mutex
 	entry    standin.Entry
 	unlisted bool
@@ -60,6 +62,8 @@
 	leaving, left bool
 	// removed means that the entry has been removed for good.
 	removed bool
+	// crashed means that the replica was stopped by a prompt.
+	crashed bool
 	server  *http.Server
 	// starts are the times at which the incarnations of the replica started.
 	starts []time.Time
@@ -91,10 +95,12 @@
 		return nil, err
 	}
 	r.entry.Zone = fmt.Sprint("z", slot%2)
+	r.slot = slot
 	f.mu.Lock()
 	replaced, f.slots[slot] = f.slots[slot], r
 	f.replicas = append(f.replicas, r)
 	f.mu.Unlock()
+	f.setCrash(r)
 	f.putEntry(r)
 	return replaced, nil
 }
--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -62,6 +62,14 @@
 		"does not pass on the origins of streams", "internal/transport/gateway/origins.go",
 		"if g.catalog.NeedsOrigins(split.Pool) {", "if g.catalog.NeedsOrigins(split.Pool) && table == nil {",
 	},
+	{
+		"sends prompts that crash engines", "internal/state/crashes/crashes.go",
+		"if l.isBlamed(key, known) && !l.tests(known, age, key, keys) {", "if l.tests(known, age, key, keys) && !l.tests(known, age, key, keys) {",
+	},
+	{
+		"blames all parts of prompts at the first crash", "internal/state/crashes/crashes.go",
+		"if l.isBlamed(key, known) && !l.tests(known, age, key, keys) {", "if known.crashes > 0 && age >= 0 {",
+	},
 }
 
 // Build builds the mutant from the source tree at root and returns the path of the
--- a/cmd/soak/internal/series/series.go
+++ b/cmd/soak/internal/series/series.go
@@ -37,6 +37,8 @@
 	// quietPeriod is the time without faults before a gateway is killed or told to
 	// stop while nothing else is disturbed, so that only this can cut off requests.
 	quietPeriod = 4 * time.Second
+	// crashCallers is the number of callers whose prompts crash engines.
+	crashCallers = 3
 	// streamCallers is the number of callers of long streams for each other caller.
 	// They outnumber the others so that a gateway that is killed breaks many streams.
 	streamCallers = 3
@@ -102,12 +104,16 @@
 	callerContext, stop := context.WithCancel(ctx)
 	defer stop()
 	var group errgroup.Group
-	for i := range s.options.Callers * (1 + streamCallers) {
+	ordinary := s.options.Callers * (1 + streamCallers)
+	for i := range ordinary + crashCallers {
 		options := caller.Options{
 			Name: fmt.Sprintf("caller-%d", i), Gateways: s.addresses, Seed: s.options.Seed + uint64(i),
 			Keys: []string{"key-office", "key-lab", "key-guest"},
 		}
-		if i >= s.options.Callers {
+		switch {
+		case i >= ordinary:
+			options.Keys, options.CrashPart = options.Keys[:1], s.fleet.CrashPart
+		case i >= s.options.Callers:
 			options.Keys, options.LongStreams = options.Keys[:2], true
 		}
 		c := caller.New(options)
--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -76,6 +76,8 @@
 	// ones start at the beginning of the event; the old ones leave or crash at its
 	// end.
 	Release Kind = "release"
+	// CrashPart makes callers send prompts with a part that crashes all engines.
+	CrashPart Kind = "part-crashes-engines"
 	// RevokeKey revokes the key of workspace guest.
 	RevokeKey Kind = "revoke"
 )
@@ -148,6 +150,7 @@
 		plan.Events = append(plan.Events, randomEvent(rng, at, gateways, replicas))
 	}
 	plan.addAdvice(seed, length, gateways, replicas)
+	plan.addCrashPart(seed, length)
 	revocation := Event{Kind: RevokeKey, Start: time.Duration(rng.Int64N(int64(length / 2)))}
 	var cut Event
 	if seed%2 == 0 {
@@ -198,6 +201,8 @@
 				return nil
 			case Release:
 				return event.replaceEngines(f)
+			case CrashPart:
+				return f.CrashEngines(fmt.Sprint("crash-", event.Seed), event.Duration)
 			}
 			r := f.Replica(event.Replica)
 			undisturb := event.disturb(f, r)
