Let the soak check that every request is answered, beside silence and reloads

The soak stalled links of single replicas only, declared the configuration once at a time, and did not check that a request is answered at all.

Change: two kinds of events in streams of random numbers of their own. Rule answered: a gateway that is neither stopped nor paused answers or refuses every request, and cuts none off before its deadline unless a replica that ran it was disturbed. SIGHUP no longer excuses a gateway. The objective of the routes is 0.2 s in place of 0.5 s: twice the latter is the time of silence after which an upstream may be replaced, and one silence in a run lasted longer.

--- a/cmd/soak/internal/caller/caller.go
+++ b/cmd/soak/internal/caller/caller.go
@@ -25,11 +25,12 @@
 	"comfreyworks/platform"
 )
 
+// RequestDeadline is the deadline that requests declare.
+const RequestDeadline = 4 * time.Second
+
 const (
-	// requestDeadline is the deadline that requests declare. clientTimeout is how
-	// long callers actually wait for the whole response.
-	requestDeadline = 4 * time.Second
-	clientTimeout   = 8 * time.Second
+	// clientTimeout is how long callers actually wait for the whole response.
+	clientTimeout = 8 * time.Second
 	// maxThinkTime is the maximum pause between two requests of one caller.
 	maxThinkTime = 60 * time.Millisecond
 	// maxLongThinkTime replaces it for callers of long streams, so that those that a
@@ -246,7 +247,7 @@
 	r.GetBody = nil
 	r.Header.Set(names.RequestID, record.ID)
 	r.Header.Set(names.APIKey, record.Key)
-	r.Header.Set(names.Deadline, strconv.FormatInt(requestDeadline.Milliseconds(), 10))
+	r.Header.Set(names.Deadline, strconv.FormatInt(RequestDeadline.Milliseconds(), 10))
 	// Callers must not be able to set headers that only gateways may set.
 	r.Header.Set(names.Workspace, "forged")
 	r.Header.Set(names.CacheSalt, "forged")
--- a/cmd/soak/internal/check/advice.go
+++ b/cmd/soak/internal/check/advice.go
@@ -16,13 +16,15 @@
 	maxWhileClosed = 2
 )
 
-// Replica holds the requests that a replica received, those that it turned away, and
-// when its incarnations started.
+// Replica holds the requests that a replica received, those that it turned away,
+// and when its incarnations started.
 type Replica struct {
 	ID         string
 	Arrivals   []replica.Arrival
 	TurnedAway []replica.TurnedAway
 	Starts     []time.Time
+	// Disturbed holds when faults other than silence affected the replica.
+	Disturbed []fleet.Span
 }
 
 // Disturbance is a time at which a gateway did not run, or at which the links to a
--- a/cmd/soak/internal/check/check.go
+++ b/cmd/soak/internal/check/check.go
@@ -69,6 +69,9 @@
 	// Quarantine: once a part of prompts has crashed several engines, requests with it no
 	// longer reach engines, and no other request is refused because of it.
 	Quarantine Rule = "quarantine"
+	// Answered: every request gets an answer or a refusal, and a gateway does not cut off
+	// the answers of replicas that are only silent for a while.
+	Answered Rule = "answered"
 	// ProcessHealth: processes neither exit by themselves nor panic.
 	ProcessHealth Rule = "process"
 	// Recovery: after the last fault has ended, every gateway serves again.
@@ -184,7 +187,7 @@
 func (c *checker) checkRun(run *Run) {
 	record, ok := c.records[string(run.ID)]
 	if !ok {
-		c.report(UnchangedRequest, "%s ran request %q, which no caller sent", run.Replica, run.ID)
+		c.report(UnchangedRequest, "%s ran request %q, which no caller sent: %s %s", run.Replica, run.ID, run.Method, run.Target)
 		return
 	}
 	names := platform.HeaderNames()
@@ -217,6 +220,7 @@
 	if runs > maxAttempts {
 		c.report(AttemptLimit, "%s ran %d times, more than its route allows", record.ID, runs)
 	}
+	c.checkAnswered(record)
 	switch record.Status {
 	case 429, 503, 408, 421:
 		if record.Kind.AtMostOnce() && runs > 0 {
--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -53,6 +53,9 @@
 	// passed on an answer in which the replica says that it is leaving.
 	DepartureBound = 2 * time.Second
 
+	// latencyObjective is that of all routes, and that of the time between two events of
+	// a stream. Replicas that are silent for twice as long may be replaced.
+	latencyObjective = 200 * time.Millisecond
 	// supersededWeightsBound is how long superseded weights may still generate
 	// answers.
 	supersededWeightsBound = 6 * time.Second
@@ -119,7 +122,7 @@
 	route := func(name, kind, service string, resumable bool) standin.Route {
 		return standin.Route{
 			Name: name, Host: Host, Prefix: "/" + name + "/", Kind: kind, Service: service,
-			Timeout: 4 * time.Second, Objective: 500 * time.Millisecond, MaxAttempts: 2,
+			Timeout: 4 * time.Second, Objective: latencyObjective, MaxAttempts: 2,
 			Affinity: service == EnginePool, Resumable: resumable,
 		}
 	}
--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -62,6 +62,16 @@
 		"does not pass on the origins of streams", "internal/transport/gateway/origins.go",
 		"if g.catalog.NeedsOrigins(split.Pool) {", "if g.catalog.NeedsOrigins(split.Pool) && table == nil {",
 	},
+	{
+		"ends silent answers", "internal/coordination/forward/takeover.go",
+		"pick := t.pick()", "pick := t.pick()\n\tif pick == nil {\n\t\tt.silent.cancel(errUpstreamSilent)\n\t}",
+	},
+	{
+		"drops requests when the configuration changes", "internal/transport/gateway/serve.go",
+		"outcome := g.forwarder.Forward(r.Context(), request, s)",
+		"before, _ := g.catalog.Routing()\n\t\toutcome := g.forwarder.Forward(r.Context(), request, s)\n" +
+			"\t\tif after, _ := g.catalog.Routing(); after != before {\n\t\t\tabort(w, r)\n\t\t}",
+	},
 	{
 		"sends prompts that crash engines", "internal/state/crashes/crashes.go",
 		"if l.isBlamed(key, known) && !l.tests(known, age, key, keys) {", "if l.tests(known, age, key, keys) && !l.tests(known, age, key, keys) {",
--- a/cmd/soak/internal/series/series.go
+++ b/cmd/soak/internal/series/series.go
@@ -80,12 +80,17 @@
 	}
 	defer f.Stop()
 	s := &soak{options: options, fleet: f}
+	var started []func()
 	for _, g := range f.Gateways {
 		s.addresses = append(s.addresses, g.Address())
+		started = append(started, g.Disturb())
 	}
 	if notServing := s.awaitServing(ctx, "start", startTimeout); notServing != "" {
 		return nil, fmt.Errorf("start fleet: %s", notServing)
 	}
+	for _, end := range started {
+		end()
+	}
 	return s.run(ctx)
 }
 
@@ -232,12 +237,12 @@
 			observed.Disturbances = append(observed.Disturbances, check.Disturbance{Gateway: -1, Replica: i, From: span.From, To: span.To})
 		}
 		if r.Pool == fleet.EnginePool {
-			observed.Engines = append(observed.Engines, check.Engine{Release: r.Release, Started: r.Started, Disturbed: r.Disturbed()})
+			observed.Engines = append(observed.Engines, check.Engine{Release: r.Release, Started: r.Started, Disturbed: append(r.Disturbed(), r.LinkFaults.Disturbed()...)})
 		}
 		for _, run := range r.Runs() {
 			observed.Runs = append(observed.Runs, check.Run{Run: run, Replica: string(r.ID), Pool: r.Pool})
 		}
-		observed.Replicas = append(observed.Replicas, check.Replica{ID: string(r.ID), Arrivals: r.Arrivals(), TurnedAway: r.TurnedAway(), Starts: r.Starts()})
+		observed.Replicas = append(observed.Replicas, check.Replica{ID: string(r.ID), Arrivals: r.Arrivals(), TurnedAway: r.TurnedAway(), Starts: r.Starts(), Disturbed: r.Disturbed()})
 		for _, arrival := range r.Arrivals() {
 			observed.Arrivals[string(arrival.ID)] = append(observed.Arrivals[string(arrival.ID)], arrival.At)
 		}
--- a/cmd/soak/internal/trouble/advice.go
+++ b/cmd/soak/internal/trouble/advice.go
@@ -37,7 +37,7 @@
 		case Kill, Pause:
 		case KillAll:
 			d.Gateway = -1
-		case Terminate:
+		case Terminate, RewriteConfigs:
 			d.To = d.To.Add(fleet.StopGrace)
 		default:
 			continue
--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -68,8 +68,13 @@
 	ReplicaLeaves Kind = "replica-says-it-leaves"
 	// ReplicaCloses makes a replica turn all requests away and say until when.
 	ReplicaCloses Kind = "replica-closes"
+	// Silence makes several replicas send nothing for a while, after which they go on.
+	Silence Kind = "replicas-silent"
 	// RewriteConfig declares the same configuration as a new version.
 	RewriteConfig Kind = "redeclare"
+	// RewriteConfigs declares the same configuration again and again. Meanwhile random
+	// gateways get SIGHUP, and one is stopped gracefully and restarted.
+	RewriteConfigs Kind = "redeclare-in-series"
 	// DeclareWeights declares newer weights of the model.
 	DeclareWeights Kind = "new-weights"
 	// Release replaces engines by ones of another release of their software. The new
@@ -151,6 +156,8 @@
 	}
 	plan.addAdvice(seed, length, gateways, replicas)
 	plan.addCrashPart(seed, length)
+	plan.addSilences(seed, length)
+	plan.addRewrites(seed, length, gateways)
 	revocation := Event{Kind: RevokeKey, Start: time.Duration(rng.Int64N(int64(length / 2)))}
 	var cut Event
 	if seed%2 == 0 {
@@ -218,11 +225,11 @@
 }
 
 // disturb records that the event affects gateways or a replica, and returns a function
-// that records its end. A gateway counts as affected by what is done to its process:
-// faults of the store are no reason to refuse streams.
+// that records its end. A gateway counts as affected if its process is stopped or paused:
+// faults of the store and SIGHUP are no reason to refuse streams.
 func (e *Event) disturb(f *fleet.Fleet, r *fleet.Replica) (end func()) {
 	switch e.Kind {
-	case Kill, Pause, Terminate, Hangup:
+	case Kill, Pause, Terminate:
 		return f.Gateways[e.Gateway].Disturb()
 	case KillAll:
 		var ends []func()
@@ -295,6 +302,10 @@
 	case ReplicaCloses:
 		r.Close(time.Now().Add(e.Duration))
 		return noop
+	case RewriteConfigs:
+		return e.rewriteConfigs(f)
+	case Silence:
+		return e.silence(f)
 	case RewriteConfig:
 		f.RewriteConfig()
 		return noop
--- a/cmd/soak/internal/trouble/trouble_test.go
+++ b/cmd/soak/internal/trouble/trouble_test.go
@@ -65,7 +65,7 @@
 			drawn[events[i].Kind] = true
 		}
 	}
-	for _, kind := range append([]Kind{StoreRestored, ReplicaLeaves, ReplicaCloses, Release, RevokeKey, CrashPart}, kinds...) {
+	for _, kind := range append([]Kind{StoreRestored, ReplicaLeaves, ReplicaCloses, Release, RevokeKey, CrashPart, Silence, RewriteConfigs}, kinds...) {
 		assert.Assert(t, drawn[kind], "%s", kind)
 	}
 }
