Let the soak end answers with their connection

What callers saw: nothing known. An answer with neither a length nor chunks ends with its connection, and a reset that is taken for its end makes half of an answer look whole. No replica of the soak answered like that, and its proxy turned resets into ends.

Change: two faults of stand-in replicas, the whole answer and a close, half of it and a reset, drawn in pairs in a stream of random numbers of their own. The proxy passes resets on.

--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -72,6 +72,10 @@
 		"before, _ := g.catalog.Routing()\n\t\toutcome := g.forwarder.Forward(r.Context(), request, s)\n" +
 			"\t\tif after, _ := g.catalog.Routing(); after != before {\n\t\t\tabort(w, r)\n\t\t}",
 	},
+	{
+		"takes a reset for the end of an answer", "internal/coordination/forward/attempt.go",
+		"complete := errors.Is(err, io.EOF)", "complete := isBrokenConnection(err) && !errors.Is(err, io.ErrUnexpectedEOF)",
+	},
 	{
 		"sends prompts that crash engines", "internal/state/crashes/crashes.go",
 		"if l.isBlamed(key, known) && !l.tests(known, age, key, keys) {", "if l.tests(known, age, key, keys) && !l.tests(known, age, key, keys) {",
--- a/cmd/soak/internal/proxy/proxy.go
+++ b/cmd/soak/internal/proxy/proxy.go
@@ -10,6 +10,7 @@
 package proxy
 
 import (
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -168,7 +169,8 @@
 }
 
 // forward copies the data of one direction. At its end it closes only the write
-// side of to, because the client may still be waiting for the rest of a response.
+// side of to, because the client may still be waiting for the rest of a response. It
+// passes a reset on.
 // If responses is true, from is the upstream.
 func (p *Proxy) forward(to, from net.Conn, responses bool) error {
 	buffer := make([]byte, bufferSize)
@@ -181,8 +183,10 @@
 			}
 		}
 		if err != nil {
-			if tcp, ok := to.(*net.TCPConn); ok {
+			if tcp, ok := to.(*net.TCPConn); ok && err == io.EOF {
 				_ = tcp.CloseWrite()
+			} else {
+				reset(to)
 			}
 			return err
 		}
--- a/cmd/soak/internal/proxy/proxy_test.go
+++ b/cmd/soak/internal/proxy/proxy_test.go
@@ -92,3 +92,29 @@
 		assert.ErrorIs(t, err, syscall.ECONNRESET)
 	})
 }
+
+// TestEndOfConnection guards against resets of upstreams that look like the end of a
+// response.
+func TestEndOfConnection(t *testing.T) {
+	for want, end := range map[error]func(net.Conn) error{io.EOF: net.Conn.Close, syscall.ECONNRESET: func(conn net.Conn) error {
+		reset(conn)
+		return nil
+	}} {
+		t.Run(want.Error(), func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = listener.Close() }()
+			p, err := New(listener.Addr().(*net.TCPAddr).AddrPort())
+			assert.NilError(t, err)
+			defer p.Close()
+			conn, err := net.Dial("tcp", p.Address().String())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			upstream, err := listener.Accept()
+			assert.NilError(t, err)
+			assert.NilError(t, end(upstream))
+			_, err = conn.Read(make([]byte, 1))
+			assert.ErrorIs(t, err, want)
+		})
+	}
+}
--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -158,6 +158,7 @@
 	plan.addCrashPart(seed, length)
 	plan.addSilences(seed, length)
 	plan.addRewrites(seed, length, gateways)
+	plan.addUnframed(seed, length, gateways, replicas)
 	revocation := Event{Kind: RevokeKey, Start: time.Duration(rng.Int64N(int64(length / 2)))}
 	var cut Event
 	if seed%2 == 0 {
--- a/cmd/soak/internal/trouble/trouble_test.go
+++ b/cmd/soak/internal/trouble/trouble_test.go
@@ -1,6 +1,7 @@
 package trouble
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"comfreyworks/cmd/soak/internal/check"
 	"comfreyworks/cmd/soak/internal/fleet"
+	"comfreyworks/internal/standin/replica"
 )
 
 const (
@@ -58,16 +60,20 @@
 
 // TestEveryKindIsDrawn guards against kinds of events that no seed contains.
 func TestEveryKindIsDrawn(t *testing.T) {
-	drawn := make(map[Kind]bool)
+	drawn, faults := make(map[Kind]bool), make(map[replica.Fault]bool)
 	for seed := range uint64(20) {
 		events := NewPlan(seed, length, gateways, fleet.Slots).Events
 		for i := range events {
 			drawn[events[i].Kind] = true
+			faults[events[i].Fault] = true
 		}
 	}
 	for _, kind := range append([]Kind{StoreRestored, ReplicaLeaves, ReplicaCloses, Release, RevokeKey, CrashPart, Silence, RewriteConfigs}, kinds...) {
 		assert.Assert(t, drawn[kind], "%s", kind)
 	}
+	for _, fault := range slices.Concat(unframedFaults, replicaFaults) {
+		assert.Assert(t, faults[fault], "%s", fault)
+	}
 }
 
 // TestDisturbances guards against disturbances of gateways that the checks of advice do
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -221,6 +221,8 @@
 		rep.markCancelled(run)
 	case FaultEndlessHead, FaultEndlessBody:
 		rep.respondEndlessly(w, run, fault)
+	case FaultUnframed, FaultUnframedReset:
+		rep.respondUnframed(w, run, fault)
 	default:
 		rep.respond(w, run, fault)
 	}
@@ -269,7 +271,7 @@
 		if fault == FaultTruncatedResponse {
 			w.Header().Set("Content-Length", "100")
 		}
-		_, _ = fmt.Fprintf(w, "answer to %s", run.ID)
+		_, _ = io.WriteString(w, answerTo(run))
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -294,6 +296,9 @@
 	}
 }
 
+// answerTo returns the body of a plain service's response.
+func answerTo(run *Run) string { return "answer to " + string(run.ID) }
+
 // lastEvent returns the number of the event after which a stream is to begin.
 func (rep *Replica) lastEvent(run *Run) int {
 	n, err := strconv.Atoi(run.Header.Get(rep.options.Headers.LastEventID))
