--- a/cmd/soak/internal/series/series.go
+++ b/cmd/soak/internal/series/series.go
@@ -37,6 +37,8 @@
 	// quietPeriod is the time without faults before a gateway is killed or told to
 	// stop while nothing else is disturbed, so that only this can cut off requests.
 	quietPeriod = 4 * time.Second
+	// crashCallers is the number of callers whose prompts crash engines.
+	crashCallers = 3
 	// streamCallers is the number of callers of long streams for each other caller.
 	// They outnumber the others so that a gateway that is killed breaks many streams.
 	streamCallers = 3
@@ -78,12 +80,17 @@
 	}
 	defer f.Stop()
 	s := &soak{options: options, fleet: f}
+	var started []func()
 	for _, g := range f.Gateways {
 		s.addresses = append(s.addresses, g.Address())
+		started = append(started, g.Disturb())
 	}
 	if notServing := s.awaitServing(ctx, "start", startTimeout); notServing != "" {
 		return nil, fmt.Errorf("start fleet: %s", notServing)
 	}
+	for _, end := range started {
+		end()
+	}
 	return s.run(ctx)
 }
 
@@ -102,12 +109,16 @@
 	callerContext, stop := context.WithCancel(ctx)
 	defer stop()
 	var group errgroup.Group
-	for i := range s.options.Callers * (1 + streamCallers) {
+	ordinary := s.options.Callers * (1 + streamCallers)
+	for i := range ordinary + crashCallers {
 		options := caller.Options{
 			Name: fmt.Sprintf("caller-%d", i), Gateways: s.addresses, Seed: s.options.Seed + uint64(i),
 			Keys: []string{"key-office", "key-lab", "key-guest"},
 		}
-		if i >= s.options.Callers {
+		switch {
+		case i >= ordinary:
+			options.Keys, options.CrashPart = options.Keys[:1], s.fleet.CrashPart
+		case i >= s.options.Callers:
 			options.Keys, options.LongStreams = options.Keys[:2], true
 		}
 		c := caller.New(options)
@@ -226,12 +237,12 @@
 			observed.Disturbances = append(observed.Disturbances, check.Disturbance{Gateway: -1, Replica: i, From: span.From, To: span.To})
 		}
 		if r.Pool == fleet.EnginePool {
-			observed.Engines = append(observed.Engines, check.Engine{Release: r.Release, Started: r.Started, Disturbed: r.Disturbed()})
+			observed.Engines = append(observed.Engines, check.Engine{Release: r.Release, Started: r.Started, Disturbed: append(r.Disturbed(), r.LinkFaults.Disturbed()...)})
 		}
 		for _, run := range r.Runs() {
 			observed.Runs = append(observed.Runs, check.Run{Run: run, Replica: string(r.ID), Pool: r.Pool})
 		}
-		observed.Replicas = append(observed.Replicas, check.Replica{ID: string(r.ID), Arrivals: r.Arrivals(), TurnedAway: r.TurnedAway(), Starts: r.Starts()})
+		observed.Replicas = append(observed.Replicas, check.Replica{ID: string(r.ID), Arrivals: r.Arrivals(), TurnedAway: r.TurnedAway(), Starts: r.Starts(), Disturbed: r.Disturbed()})
 		for _, arrival := range r.Arrivals() {
 			observed.Arrivals[string(arrival.ID)] = append(observed.Arrivals[string(arrival.ID)], arrival.At)
 		}
