--- a/cmd/soak/internal/fleet/gateway.go
+++ b/cmd/soak/internal/fleet/gateway.go
@@ -36,7 +36,8 @@
 
 // process is one process of a gateway, from its start to its exit.
 type process struct {
-	command *exec.Cmd
+	startedAt time.Time
+	command   *exec.Cmd
 	// stopRequestedAt is when SIGTERM was sent; zero means that it was not.
 	stopRequestedAt time.Time
 	killed          bool
@@ -68,7 +69,7 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
-	p := &process{command: command, exited: make(chan struct{})}
+	p := &process{command: command, startedAt: time.Now(), exited: make(chan struct{})}
 	g.process = p
 	p.group.Go(func() error {
 		err := command.Wait()
@@ -107,14 +108,24 @@
 	return g.process
 }
 
+// programStartTime is the time that a program may take until its main function runs.
+const programStartTime = 200 * time.Millisecond
+
 // Pause suspends the process with SIGSTOP, which it cannot handle.
 func (g *Gateway) Pause() { g.signal(syscall.SIGSTOP, func(*process) {}) }
 
 // Resume continues a paused process.
 func (g *Gateway) Resume() { g.signal(syscall.SIGCONT, func(*process) {}) }
 
-// Hangup sends SIGHUP, at which the process checks its settings file again.
-func (g *Gateway) Hangup() { g.signal(syscall.SIGHUP, func(*process) {}) }
+// Hangup sends SIGHUP, at which the process checks its settings file again. A process
+// that has just started gets none: a Go program cannot receive it before main runs.
+func (g *Gateway) Hangup() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.process != nil && time.Since(g.process.startedAt) > programStartTime {
+		_ = g.process.command.Process.Signal(syscall.SIGHUP)
+	}
+}
 
 // Kill kills the process and waits until it has exited.
 func (g *Gateway) Kill() {
