--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -62,6 +62,28 @@
 		"does not pass on the origins of streams", "internal/transport/gateway/origins.go",
 		"if g.catalog.NeedsOrigins(split.Pool) {", "if g.catalog.NeedsOrigins(split.Pool) && table == nil {",
 	},
+	{
+		"ends silent answers", "internal/coordination/forward/takeover.go",
+		"pick := t.pick()", "pick := t.pick()\n\tif pick == nil {\n\t\tt.silent.cancel(errUpstreamSilent)\n\t}",
+	},
+	{
+		"drops requests when the configuration changes", "internal/transport/gateway/serve.go",
+		"outcome := g.forwarder.Forward(r.Context(), request, s)",
+		"before, _ := g.catalog.Routing()\n\t\toutcome := g.forwarder.Forward(r.Context(), request, s)\n" +
+			"\t\tif after, _ := g.catalog.Routing(); after != before {\n\t\t\tabort(w, r)\n\t\t}",
+	},
+	{
+		"takes a reset for the end of an answer", "internal/coordination/forward/attempt.go",
+		"complete := errors.Is(err, io.EOF)", "complete := isBrokenConnection(err) && !errors.Is(err, io.ErrUnexpectedEOF)",
+	},
+	{
+		"sends prompts that crash engines", "internal/state/crashes/crashes.go",
+		"if l.isBlamed(key, known) && !l.tests(known, age, key, keys) {", "if l.tests(known, age, key, keys) && !l.tests(known, age, key, keys) {",
+	},
+	{
+		"blames all parts of prompts at the first crash", "internal/state/crashes/crashes.go",
+		"if l.isBlamed(key, known) && !l.tests(known, age, key, keys) {", "if known.crashes > 0 && age >= 0 {",
+	},
 }
 
 // Build builds the mutant from the source tree at root and returns the path of the
