Try parts under quarantine early only if many prompts share them

What callers would see: each early trial of a part that does crash engines ends one more.

Change: a part is tried early only by a gateway that has refused ten requests, and a fifth of its prompts, because of it within 5 to 10 s. Parts that crash engines come with few of them.

It failed in TestQuarantinedRequest, whose lone gateway tried the part after 10 s. It passes with this change, with the tests of crashes, gateway and forward, with the race detector.

--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -61,10 +61,14 @@
 	minQuarantine = 10 * time.Minute
 	maxQuarantine = time.Hour
 	// earlyTrialWait is how long after its last crash a part under quarantine is tried
-	// early, by one gateway for all, and maxEarlyTrials how often. A part that all prompts
-	// share is thus not refused for long if engines ended under it for other reasons.
-	earlyTrialWait = 2 * time.Second
-	maxEarlyTrials = 2
+	// early, by one gateway for all, and maxEarlyTrials how often. This is for parts that
+	// many prompts share: a gateway tries those because of which it has refused
+	// minRefusals requests, and one in maxRequestsPerRefusal, within refusalWindow.
+	earlyTrialWait        = 2 * time.Second
+	maxEarlyTrials        = 2
+	minRefusals           = 10
+	maxRequestsPerRefusal = 5
+	refusalWindow         = 5 * time.Second
 	// maxTestWait is how long after the last crash a part that is blamed, but not for
 	// certain, waits for a request without other suspects. Then any request with it
 	// is let through, one at a time.
@@ -109,8 +113,9 @@
 	mu sync.Mutex
 	// trials counts the requests in flight with each blamed part after its quarantine.
 	trials map[uint32]int
-	// early counts the early trials of this gateway.
-	early map[earlyTrial]int
+	// early counts the early trials of this gateway, refusals its requests and refusals.
+	early    map[earlyTrial]int
+	refusals refusalCounts
 	// answered holds the parts that this gateway has seen answered.
 	answered recentParts
 }
@@ -198,12 +203,13 @@
 
 // mayTryEarly reports whether this gateway tries a part early in its quarantine.
 func (l *Log) mayTryEarly(key uint32, s suspicion, age time.Duration) bool {
-	if l.tries == nil || age < earlyTrialWait || !l.isCertain(key, s) || !l.tries(key) {
+	if l.tries == nil || age < earlyTrialWait || !l.isCertain(key, s) {
 		return false
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.trials[key] == 0 && l.early[earlyTrial{key, s.cleared}] < maxEarlyTrials
+	due := l.refusals.many(key, l.clock.Now()) && l.trials[key] == 0 && l.early[earlyTrial{key, s.cleared}] < maxEarlyTrials
+	l.mu.Unlock()
+	return due && l.tries(key)
 }
 
 // end ends the request and its trials. It returns false if the request had ended.
@@ -345,13 +351,17 @@
 // Blamed reports whether a request with the given parts is to be refused, and
 // because of which of them. It is to be called right before Begin.
 func (l *Log) Blamed(keys []uint32) (key uint32, blamed bool) {
-	for _, key := range keys {
-		known, age, _ := l.log.LookupAge(key)
-		if l.isBlamed(key, known) && !l.tests(known, age, key, keys) {
-			return key, true
+	for _, candidate := range keys {
+		known, age, _ := l.log.LookupAge(candidate)
+		if l.isBlamed(candidate, known) && !l.tests(known, age, candidate, keys) {
+			key, blamed = candidate, true
+			break
 		}
 	}
-	return 0, false
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refusals.count(key, l.clock.Now())
+	return key, blamed
 }
 
 // Provisional reports whether answers to requests that were sent before a part was
--- a/internal/state/crashes/earlytrial_test.go
+++ b/internal/state/crashes/earlytrial_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 )
@@ -11,6 +10,12 @@
 // gateways for the whole quarantine, because engines ended under it for other reasons and
 // no request with it is left that could clear it.
 func TestEarlyTrial(t *testing.T) {
+	refuse := func(t *testing.T, l *Log) {
+		t.Helper()
+		for range minRefusals {
+			assertBlamed(t, l, sound, sound, 100)
+		}
+	}
 	newPair := func() (owner, other *Log, clock *clockwork.FakeClock) {
 		clock = clockwork.NewFakeClock()
 		owner = New(Options{Clock: clock, Tries: func(uint32) bool { return true }})
@@ -21,7 +26,8 @@
 	}
 	t.Run("one gateway lets one request through, whose answer clears the part", func(t *testing.T) {
 		owner, other, clock := newPair()
-		assertBlamed(t, owner, sound, sound, 100)
+		refuse(t, owner)
+		refuse(t, other)
 		clock.Advance(earlyTrialWait)
 		assertBlamed(t, other, sound, sound, 100)
 		assertBlamed(t, owner, 0, sound, 100)
@@ -34,17 +40,29 @@
 	})
 	t.Run("a part that crashes engines is tried twice", func(t *testing.T) {
 		owner, _, clock := newPair()
+		refuse(t, owner)
 		for range maxEarlyTrials {
 			clock.Advance(earlyTrialWait)
 			assertBlamed(t, owner, 0, sound)
 			crash(owner, 1, sound)
 			assertBlamed(t, owner, sound, sound)
 		}
-		clock.Advance(time.Minute)
+		refuse(t, owner)
+		clock.Advance(earlyTrialWait)
+		assertBlamed(t, owner, sound, sound)
+	})
+	t.Run("a part of few prompts is not tried", func(t *testing.T) {
+		owner, _, clock := newPair()
+		refuse(t, owner)
+		for range maxRequestsPerRefusal * minRefusals {
+			assertBlamed(t, owner, 0, 100)
+		}
+		clock.Advance(earlyTrialWait)
 		assertBlamed(t, owner, sound, sound)
 	})
 	t.Run("a trial without a result does not count", func(t *testing.T) {
 		owner, _, clock := newPair()
+		refuse(t, owner)
 		clock.Advance(earlyTrialWait)
 		for range maxEarlyTrials + 1 {
 			assertBlamed(t, owner, 0, sound)
