--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -78,11 +78,11 @@
 	},
 	{
 		"sends prompts that crash engines", "internal/state/crashes/crashes.go",
-		"if l.isBlamed(key, known) && !l.tests(known, age, key, keys) {", "if l.tests(known, age, key, keys) && !l.tests(known, age, key, keys) {",
+		"if l.isBlamed(candidate, known) && !l.tests(known, age, candidate, keys) {", "if l.tests(known, age, candidate, keys) && !l.tests(known, age, candidate, keys) {",
 	},
 	{
 		"blames all parts of prompts at the first crash", "internal/state/crashes/crashes.go",
-		"if l.isBlamed(key, known) && !l.tests(known, age, key, keys) {", "if known.crashes > 0 && age >= 0 {",
+		"if l.isBlamed(candidate, known) && !l.tests(known, age, candidate, keys) {", "if known.crashes > 0 && age >= 0 {",
 	},
 }
 
