Answer requests that arrive while a gateway stops accepting connections

Callers of a gateway that was stopped saw connections closed without an answer although their request had arrived or had begun to. Requests whose header is read while http.Server.Shutdown runs are dropped by net/http, and Shutdown closes a kept connection in the middle of a header, because the server counts it as idle until the header is complete.

The gateway now closes its listener itself, waits for the open connections and answers what arrives on them. A connection is idle only as long as no byte of a request has been read from it; idle ones are closed through their read deadline, which keeps a request that has just been read.

--- /dev/null
+++ b/internal/transport/gateway/callers.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// callerConns tracks the connections of callers, so that a stopping gateway can wait
+// for them. http.Server.Shutdown does that too, but drops requests without an answer
+// whose header is read meanwhile.
+type callerConns struct {
+	mu     sync.Mutex
+	states map[net.Conn]http.ConnState
+	// closing means that connections are closed as soon as they are idle. Once none
+	// is left, drained is closed.
+	closing bool
+	drained chan struct{}
+}
+
+func newCallerConns() *callerConns {
+	return &callerConns{states: make(map[net.Conn]http.ConnState), drained: make(chan struct{})}
+}
+
+// track makes the server and the returned listener, which it must serve on, report
+// their connections.
+func (c *callerConns) track(server *http.Server, listener net.Listener) net.Listener {
+	server.ConnState = c.setState
+	return &callerListener{listener, c}
+}
+
+// setState implements http.Server.ConnState.
+func (c *callerConns) setState(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		delete(c.states, conn)
+		c.checkDrained()
+	default:
+		c.states[conn] = state
+	}
+	if caller, ok := conn.(*callerConn); ok {
+		caller.becameIdle = state == http.StateIdle
+	}
+}
+
+// requestBegan records that a connection is no longer idle.
+func (c *callerConns) requestBegan(conn *callerConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.states[conn] == http.StateIdle {
+		c.states[conn] = http.StateActive
+	}
+}
+
+func (c *callerConns) checkDrained() {
+	if c.closing && len(c.states) == 0 {
+		close(c.drained)
+	}
+}
+
+// closeIdle closes connections that are idle, from now on. It must be called once,
+// after the server has stopped accepting connections. It returns a channel that is
+// closed when no connection is left.
+func (c *callerConns) closeIdle() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	for conn, state := range c.states {
+		if caller, ok := conn.(*callerConn); ok && state == http.StateIdle {
+			// Unlike Close, this keeps a request that has just been read.
+			_ = caller.TCPConn.SetReadDeadline(time.Now())
+		}
+	}
+	c.checkDrained()
+	return c.drained
+}
+
+// callerListener accepts connections of callers.
+type callerListener struct {
+	net.Listener
+	conns *callerConns
+}
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		return &callerConn{TCPConn: tcp, conns: l.conns}, err
+	}
+	return conn, err
+}
+
+// callerConn is the connection of a caller.
+type callerConn struct {
+	*net.TCPConn
+	conns *callerConns
+	// becameIdle means that the next read deadline that the server sets is that of an
+	// idle connection. It is protected by callerConns.mu.
+	becameIdle bool
+}
+
+// Read implements net.Conn. A connection is no longer idle once a request has begun to
+// arrive; the server notices that only at the end of the header.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.conns.requestBegan(c)
+	}
+	return n, err
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *callerConn) SetReadDeadline(deadline time.Time) error {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if c.becameIdle && c.conns.closing {
+		deadline = time.Now()
+	}
+	c.becameIdle = false
+	return c.TCPConn.SetReadDeadline(deadline)
+}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -276,11 +276,19 @@
 	defer endRequests(nil)
 	requestServer := g.newServer(g.requestHandler())
 	requestServer.BaseContext = func(net.Listener) context.Context { return requestCtx }
+	callers := newCallerConns()
+	requests := callers.track(requestServer, listeners.Requests)
+	accepted := make(chan struct{})
 	readyServer := g.newServer(g.readyHandler())
 	group.Go(func() error {
+		defer close(accepted)
 		g.awaitInitialState(workCtx)
 		g.applyCallerLimits(requestServer)
-		return serve(requestServer, listeners.Requests)
+		err := serve(requestServer, requests)
+		if g.leaving.Load() && errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		return err
 	})
 	group.Go(func() error { return serve(readyServer, listeners.Ready) })
 	if listeners.Metrics != nil {
@@ -308,10 +316,14 @@
 		defer stop()
 		select {
 		case <-ctx.Done():
-			g.drain(requestServer, endRequests)
+			g.drain(endRequests, func() <-chan struct{} {
+				_ = listeners.Requests.Close()
+				<-accepted
+				return callers.closeIdle()
+			})
 		case <-workCtx.Done():
-			_ = requestServer.Close()
 		}
+		_ = requestServer.Close()
 		return readyServer.Close()
 	})
 	err := group.Wait()
@@ -380,22 +392,33 @@
 
 // drain reports not ready and keeps serving until the load balancer has
 // noticed, then lets open requests finish within the stop grace period. At its end,
-// those without an answer are answered with an error.
-func (g *Gateway) drain(server *http.Server, endRequests context.CancelCauseFunc) {
+// those without an answer are answered with an error. The given function stops
+// accepting connections and returns a channel that is closed when none is left.
+func (g *Gateway) drain(endRequests context.CancelCauseFunc, stopAccepting func() <-chan struct{}) {
 	startedAt := g.options.Clock.Now()
 	g.leaving.Store(true)
 	g.options.Logger.Info("shutdown started, reporting not ready")
 	g.options.Clock.Sleep(shutdownDelay)
+	drained := stopAccepting()
 	remaining := g.options.Settings.Bounds.StopGrace - shutdownMargin - g.options.Clock.Since(startedAt)
-	graceCtx, cancel := context.WithTimeout(context.Background(), remaining)
-	defer cancel()
-	if err := server.Shutdown(graceCtx); err != nil {
-		g.options.Logger.Warn("open requests cut off at the end of the stop grace period", zap.Error(err))
-		endRequests(forward.ErrStopping)
-		answerCtx, cancel := context.WithTimeout(context.Background(), lastAnswerTime)
-		defer cancel()
-		_ = server.Shutdown(answerCtx)
-		_ = server.Close()
+	if isClosedWithin(drained, remaining) {
+		return
+	}
+	g.options.Logger.Warn("open requests cut off at the end of the stop grace period")
+	endRequests(forward.ErrStopping)
+	_ = isClosedWithin(drained, lastAnswerTime)
+}
+
+// isClosedWithin waits until a channel is closed, and returns false if the time passes
+// before.
+func isClosedWithin(done <-chan struct{}, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+		return false
 	}
 }
 
