Wait at most 0.5 s for the first request on a new connection when stopping

Since requests are answered that arrive while a gateway stops accepting connections, one that comes late on a connection without a request would begin shortly before the end of the grace period, and a long stream would be cut off there. Such a connection is closed 0.5 s after the listener, as idle ones are at once. The deadline is set only while the server still waits for the header.

A case of TestIdleConnectionsAreClosed fails without it.

--- a/internal/transport/gateway/callers.go
+++ b/internal/transport/gateway/callers.go
@@ -7,16 +7,21 @@
 	"time"
 )
 
+// firstRequestWait is how long a stopping gateway waits for the first request on a new
+// connection. Later ones might not be answered before the end of the grace period.
+const firstRequestWait = 500 * time.Millisecond
+
 // callerConns tracks the connections of callers, so that a stopping gateway can wait
 // for them. http.Server.Shutdown does that too, but drops requests without an answer
 // whose header is read meanwhile.
 type callerConns struct {
 	mu     sync.Mutex
 	states map[net.Conn]http.ConnState
-	// closing means that connections are closed as soon as they are idle. Once none
-	// is left, drained is closed.
-	closing bool
-	drained chan struct{}
+	// closing means that connections are closed as soon as they are idle, and those
+	// without a request at firstRequestBy. Once none is left, drained is closed.
+	closing        bool
+	firstRequestBy time.Time
+	drained        chan struct{}
 }
 
 func newCallerConns() *callerConns {
@@ -67,11 +72,17 @@
 func (c *callerConns) closeIdle() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = true
+	now := time.Now()
+	c.closing, c.firstRequestBy = true, now.Add(firstRequestWait)
 	for conn, state := range c.states {
-		if caller, ok := conn.(*callerConn); ok && state == http.StateIdle {
+		caller, ok := conn.(*callerConn)
+		switch {
+		case !ok:
+		case state == http.StateIdle:
 			// Unlike Close, this keeps a request that has just been read.
-			_ = caller.TCPConn.SetReadDeadline(time.Now())
+			_ = caller.TCPConn.SetReadDeadline(now)
+		case state == http.StateNew:
+			_ = caller.TCPConn.SetReadDeadline(c.firstRequestBy)
 		}
 	}
 	c.checkDrained()
@@ -116,8 +127,15 @@
 func (c *callerConn) SetReadDeadline(deadline time.Time) error {
 	c.conns.mu.Lock()
 	defer c.conns.mu.Unlock()
-	if c.becameIdle && c.conns.closing {
+	isNew := c.conns.states[c] == http.StateNew
+	switch {
+	case c.becameIdle && c.conns.closing:
 		deadline = time.Now()
+	case isNew && deadline.IsZero():
+		// The header of the first request is complete.
+		c.conns.states[c] = http.StateActive
+	case isNew && c.conns.closing:
+		deadline = c.conns.firstRequestBy
 	}
 	c.becameIdle = false
 	return c.TCPConn.SetReadDeadline(deadline)
--- a/internal/transport/gateway/drain_test.go
+++ b/internal/transport/gateway/drain_test.go
@@ -79,10 +79,10 @@
 // TestIdleConnectionsAreClosed guards against a stop that waits for callers who keep
 // connections open that they do not use.
 func TestIdleConnectionsAreClosed(t *testing.T) {
-	for _, idle := range []string{"before the stop", "after the stop"} {
+	for _, idle := range []string{"before the stop", "after the stop", "never used"} {
 		t.Run(idle, func(t *testing.T) {
 			began, finish := make(chan struct{}), make(chan struct{})
-			server := &http.Server{IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			server := &http.Server{IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				_ = http.NewResponseController(w).Flush()
 				close(began)
 				<-finish
@@ -98,9 +98,13 @@
 			conn, err := net.Dial("tcp", listener.Addr().String())
 			assert.NilError(t, err)
 			defer func() { _ = conn.Close() }()
-			_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: api.example\r\n\r\n")
-			assert.NilError(t, err)
-			<-began
+			if idle == "never used" {
+				waitFor(t, func() bool { return callers.count(http.StateNew) == 1 })
+			} else {
+				_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: api.example\r\n\r\n")
+				assert.NilError(t, err)
+				<-began
+			}
 			if idle == "before the stop" {
 				close(finish)
 				waitFor(t, func() bool { return callers.count(http.StateIdle) == 1 })
@@ -115,7 +119,7 @@
 			assert.Assert(t, isClosedWithin(drained, 10*time.Second), "the connection stays open")
 			answer, err := io.ReadAll(conn)
 			assert.NilError(t, err)
-			assert.Assert(t, strings.HasPrefix(string(answer), "HTTP/1.1 200"))
+			assert.Equal(t, strings.HasPrefix(string(answer), "HTTP/1.1 200"), idle != "never used")
 		})
 	}
 }
