Log which attempts belong to the same request

Callers repeated one request under which three upstreams ended; its attempts and those of others look alike in the logs, because request IDs are new each time, and a crash is told from a refusal only by the text of the error. `attempt finished` and `request finished` now have `request-key`, a digest of workspace, method, host, target and body, and `attempt finished` says in `upstream-ended` whether the upstream closed the connection under the request.

No decision changes. The key's top bit tells the keys of whole requests from those of prompt parts.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -292,7 +292,7 @@
 		)
 	}
 	a.options.Logger.Info("attempt finished",
-		zap.String("request", string(a.request.Message.ID)),
+		zap.String("request", string(a.request.Message.ID)), zap.String("request-key", FormatPartKey(a.key)),
 		zap.String("route", a.request.Route.Name),
 		zap.String("upstream", string(a.pick.Upstream.ID)), zap.String("release", a.pick.Upstream.Release),
 		zap.String("resumes-after", a.resumesAfter),
@@ -306,7 +306,7 @@
 		zap.String("outcome", string(a.result.Outcome)),
 		zap.Strings("parts", a.request.Prompt.loggedParts()),
 		zap.Int("status", a.answer.status), zap.Int("events", a.answer.events), zap.Duration("answering", a.answer.age(a.options.Clock.Now())),
-		zap.Int("crashes", a.crashes),
+		zap.Bool("upstream-ended", a.engineEnded), zap.Int("crashes", a.crashes),
 		zap.Error(a.cause),
 	)
 }
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -94,6 +94,8 @@
 	// Part is the ID of the part of the prompt because of which the request was not sent
 	// or not sent again; empty if there is none.
 	Part string
+	// RequestKey is the key of the whole request in the log of crashes.
+	RequestKey uint32
 	// Sends is the number of times that the request was sent, Runs the number of
 	// upstreams on which it may have run.
 	Sends, Runs int
@@ -187,10 +189,17 @@
 // Forward sends a request until it has an answer or no further attempt is
 // allowed.
 func (f *Forwarder) Forward(ctx context.Context, request *Request, sink Sink) Outcome {
+	key := requestKey(request)
+	outcome := f.forward(ctx, request, key, sink)
+	outcome.RequestKey = key
+	return outcome
+}
+
+func (f *Forwarder) forward(ctx context.Context, request *Request, key uint32, sink Sink) Outcome {
 	ctx, cancel := context.WithTimeoutCause(ctx, f.options.Clock.Until(request.Deadline), errDeadline)
 	defer cancel()
 	r := &activeRequest{
-		Forwarder: f, request: request, sink: sink, lastEventID: request.LastEventID, suspects: suspects(request),
+		Forwarder: f, request: request, key: key, sink: sink, lastEventID: request.LastEventID, suspects: suspects(request),
 	}
 	if request.LastEventID != "" {
 		if outcome, quarantined := r.quarantined(); quarantined {
@@ -218,6 +227,7 @@
 	*Forwarder
 	*poolState
 	request *Request
+	key     uint32
 	sink    Sink
 
 	// mu protects the fields below while a takeover is in progress.
--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -36,6 +36,16 @@
 	return crashes.Key(cacheScope(workspace), part)
 }
 
+// requestKey returns the key of a whole request in the log of crashes.
+func requestKey(request *Request) uint32 {
+	var workspace string
+	if request.Workspace != nil {
+		workspace = string(request.Workspace.Name)
+	}
+	m := request.Message
+	return crashes.RequestKey(workspace, m.Method, m.Host, m.Target, m.Body)
+}
+
 // FormatPartKey returns a key as it is written in logs and lists.
 func FormatPartKey(key uint32) string { return fmt.Sprintf("%08x", key) }
 
--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -39,8 +39,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"comfreyworks"
 	"comfreyworks/internal/state/sharedlog"
 )
@@ -142,12 +140,6 @@
 	}
 }
 
-// Key returns the key of a part: the hash of the cache scope of its workspace and of
-// its ID. It is never zero.
-func Key(scope, partID string) uint32 {
-	return max(1, uint32(xxhash.Sum64String(scope+"\x00"+partID)))
-}
-
 // Request is a request that was sent to an engine. Its first call of EngineEnded,
 // Answered or Done counts; later ones have no effect.
 type Request struct {
--- a/internal/state/crashes/crashes_test.go
+++ b/internal/state/crashes/crashes_test.go
@@ -48,6 +48,17 @@
 func TestKey(t *testing.T) {
 	assert.Assert(t, Key("workspace:a", "p") != Key("workspace:b", "p"), "isolated workspaces cannot affect others")
 	assert.Assert(t, Key("a", "bc") != Key("ab", "c"), "scope and part are separate")
+	assert.Equal(t, KindOf(Key("a", "bc")), PromptPart)
+	request := RequestKey("w", "POST", "host", "/path?q", []byte("body"))
+	assert.Equal(t, KindOf(request), WholeRequest)
+	assert.Equal(t, RequestKey("w", "POST", "host", "/path?q", []byte("body")), request)
+	for _, other := range []uint32{
+		RequestKey("", "POST", "host", "/path?q", []byte("body")), RequestKey("w", "GET", "host", "/path?q", []byte("body")),
+		RequestKey("w", "POST", "other", "/path?q", []byte("body")), RequestKey("w", "POST", "host", "/path", []byte("body")),
+		RequestKey("w", "POST", "host", "/path?q", nil), RequestKey("w", "POST", "host", "/path?qb", []byte("ody")),
+	} {
+		assert.Assert(t, other != request)
+	}
 }
 
 func TestBlame(t *testing.T) {
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -104,7 +104,7 @@
 		labels.Workspace = request.Workspace.Name
 	}
 	g.options.Logger.Info("request finished",
-		zap.String("request", string(request.Message.ID)),
+		zap.String("request", string(request.Message.ID)), zap.String("request-key", forward.FormatPartKey(outcome.RequestKey)),
 		zap.String("route", request.Route.Name),
 		zap.String("workspace", string(labels.Workspace)),
 		zap.String("verdict", string(outcome.Verdict)),
