--- a/internal/transport/gateway/fixture_test.go
+++ b/internal/transport/gateway/fixture_test.go
@@ -74,8 +74,9 @@
 	source   *memorySource
 	engines  []*replica.Replica
 	services []*replica.Replica
-	// servers are those of engines and services.
+	// servers are those of engines and services, and wrap returns their handlers.
 	servers map[*replica.Replica]*httptest.Server
+	wrap    func(*replica.Replica) http.Handler
 	gateway *Gateway
 	server  *httptest.Server
 	names   comfreyworks.HeaderNames
@@ -85,7 +86,14 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{clock: clockwork.NewFakeClock(), source: &memorySource{position: 1}, names: comfreyworks.DefaultHeaderNames(), servers: make(map[*replica.Replica]*httptest.Server)}
+	return newFixtureBehind(t, func(r *replica.Replica) http.Handler { return r })
+}
+
+// newFixtureBehind returns a fixture whose engines and services are behind the handlers
+// that wrap returns.
+func newFixtureBehind(t *testing.T, wrap func(*replica.Replica) http.Handler) *fixture {
+	t.Helper()
+	f := &fixture{clock: clockwork.NewFakeClock(), source: &memorySource{position: 1}, names: comfreyworks.DefaultHeaderNames(), servers: make(map[*replica.Replica]*httptest.Server), wrap: wrap}
 	f.names.Reserved = []string{"Comfrey-Hold"}
 	for i := range 2 {
 		f.engines = append(f.engines, f.addReplica(t, "lm", i, eventsPerStream))
@@ -134,7 +142,7 @@
 	t.Helper()
 	id := comfreyworks.InstanceID(fmt.Sprint(pool, "-", i))
 	r := replica.New(replica.Options{ID: id, Headers: f.names, Events: events})
-	server := httptest.NewServer(r)
+	server := httptest.NewServer(f.wrap(r))
 	t.Cleanup(server.Close)
 	f.servers[r] = server
 	f.source.upstreams = append(f.source.upstreams, comfreyworks.Upstream{
--- a/internal/transport/gateway/quarantine_test.go
+++ b/internal/transport/gateway/quarantine_test.go
@@ -32,6 +32,8 @@
 	addresses [2]string
 	gateways  [2]*Gateway
 	requests  atomic.Int64
+	// away is the number of upstreams that have ended and aren't back yet.
+	away atomic.Int64
 }
 
 func newCrashFixture(t *testing.T) *crashFixture {
@@ -43,6 +45,12 @@
 	for _, engine := range f.engines {
 		engine.CrashOn(crashPart, func() { f.restart(engine) })
 	}
+	f.startGateways(t)
+	return f
+}
+
+func (f *crashFixture) startGateways(t *testing.T) {
+	t.Helper()
 	var listeners [2]Listeners
 	var peers []netip.AddrPort
 	for i := range listeners {
@@ -71,7 +79,6 @@
 		waitFor(t, func() bool { return isReady(listeners[i].Ready) })
 		waitFor(t, func() bool { return f.gateways[i].peering.Gateways() == len(listeners) })
 	}
-	return f
 }
 
 func isReady(l net.Listener) bool {
@@ -98,10 +105,11 @@
 	server.CloseClientConnections()
 }
 
-// awaitUpstreams waits until the gateways know of all restarts. An engine may restart
-// again before all of them do.
+// awaitUpstreams waits until no upstream is away and the gateways know of all restarts.
+// An engine may restart again before all of them do.
 func (f *crashFixture) awaitUpstreams(t *testing.T) {
 	t.Helper()
+	waitFor(t, func() bool { return f.away.Load() == 0 })
 	waitFor(t, func() bool {
 		f.source.mu.Lock()
 		listed := f.source.upstreams
