Refuse requests under which upstreams end again and again

What ends its worker was taken for a fault of the worker and handed to the next. The log of crashes knew one kind of suspect, parts of prompts, and this request has no prompt.

Change: the request itself is a suspect beside the parts of its prompt, in the same log and the same exchange between gateways: by a digest of workspace, method, host, target, body, model and shared parts. Three ends in a row put it under quarantine everywhere; an answer clears it. One that was answered before is blamed as soon as any other, and the first quarantine is 2 to 4 minutes instead of 10 to 20, since a lookup that many make is blamed as well while its service crashes for another reason. The kind is a bit of the key, so that nothing changes on the wire, and log lines, reasons and the list of quarantines name it. A suspicion remembers five others in place of four, because there is one more.

Tests that change: requests of TestPartThatCrashesEngines and of the tests of quarantine in forward were equal in all but their last part, which makes them one request now; each has a body of its own, so that they still test parts alone. The test of how many others a suspicion remembers sends one more than the limit, as before.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -35,8 +35,8 @@
 	takeover     *takeover
 	answer       receivedAnswer
 	trial        *crashes.Request
-	// engineEnded means that the engine ended under the request, crashes is how often
-	// that has happened to a part of its prompt, and cleared means that it can't any more.
+	// engineEnded means that the upstream ended under the request, crashes is how often
+	// that has happened to one of its suspects, and cleared means that it can't any more.
 	engineEnded, cleared bool
 	crashes              int
 	// resumesAfter is the event after which the attempt continues a stream; empty
@@ -292,7 +292,7 @@
 		)
 	}
 	a.options.Logger.Info("attempt finished",
-		zap.String("request", string(a.request.Message.ID)), zap.String("request-key", FormatPartKey(a.key)),
+		zap.String("request", string(a.request.Message.ID)), zap.String("request-key", FormatSuspectKey(a.key)),
 		zap.String("route", a.request.Route.Name),
 		zap.String("upstream", string(a.pick.Upstream.ID)), zap.String("release", a.pick.Upstream.Release),
 		zap.String("resumes-after", a.resumesAfter),
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -75,8 +75,8 @@
 	// Broken means that the answer was cut off after the sink had received a part
 	// of it.
 	Broken Verdict = "broken"
-	// Quarantined means that the request has not run, because engines have crashed
-	// under a part of its prompt.
+	// Quarantined means that the request has not run, because upstreams have crashed
+	// under the same request or under a part of its prompt.
 	Quarantined Verdict = "quarantined"
 	// Abandoned means that the caller disconnected.
 	Abandoned Verdict = "abandoned"
@@ -91,9 +91,10 @@
 	// RetryAfter is how long the caller should wait before a retry; set for
 	// Refused, and for Quarantined if a retry may be answered.
 	RetryAfter time.Duration
-	// Part is the ID of the part of the prompt because of which the request was not sent
-	// or not sent again; empty if there is none.
-	Part string
+	// Suspect is the key of what the request was not sent, or not sent again, because
+	// of; zero if there is none. Part is its ID if it is a part of the prompt.
+	Suspect uint32
+	Part    string
 	// RequestKey is the key of the whole request in the log of crashes.
 	RequestKey uint32
 	// Sends is the number of times that the request was sent, Runs the number of
@@ -144,7 +145,7 @@
 	// Origins knows the releases that began streams. If it is nil, a stream is
 	// continued only if its pool has had one release.
 	Origins comfreyworks.StreamOrigins
-	// Crashes knows the parts of prompts that crash engines; nil means a log of its own.
+	// Crashes knows what crashes upstreams; nil means a log of its own.
 	Crashes *crashes.Log
 	// RetryLimit returns this gateway's share of the retry budget.
 	RetryLimit func() retrybudget.Limit
@@ -199,7 +200,7 @@
 	ctx, cancel := context.WithTimeoutCause(ctx, f.options.Clock.Until(request.Deadline), errDeadline)
 	defer cancel()
 	r := &activeRequest{
-		Forwarder: f, request: request, key: key, sink: sink, lastEventID: request.LastEventID, suspects: suspects(request),
+		Forwarder: f, request: request, key: key, sink: sink, lastEventID: request.LastEventID, suspects: suspects(request, key),
 	}
 	if request.LastEventID != "" {
 		if outcome, quarantined := r.quarantined(); quarantined {
@@ -247,9 +248,9 @@
 	// next is the attempt that takes the place of the current one; nil if there is
 	// none.
 	next *attempt
-	// suspects are the keys of the parts of the prompt that may crash engines, and
-	// crashed is the number of engines that ended under this request. suspected means
-	// that several have ended under it or under one of the parts.
+	// suspects are the keys of what may crash upstreams, and crashed is the number of
+	// upstreams that ended under this request. suspected means that several have ended
+	// under it or under one of the suspects.
 	suspects  []uint32
 	crashed   int
 	suspected bool
@@ -313,7 +314,7 @@
 	case after == attemptRejected:
 		return ", not sent again"
 	case r.suspected:
-		return ", engine ended, prompt suspected"
+		return ", upstream ended, request suspected"
 	case r.sends >= maxSends:
 		return ", sent too often"
 	case after == attemptLost && !r.request.Route.Repeatable():
--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -16,19 +16,19 @@
 )
 
 const (
-	// soundAnswerTime is how long an answer goes on after its first event when no part
-	// of its prompt counts as the cause if the engine ends.
+	// soundAnswerTime is how long an answer goes on after its first event when the request
+	// no longer counts as the cause if the upstream ends.
 	soundAnswerTime = 500 * time.Millisecond
-	// maxCrashesToRetry is the number of crashes of a part of its prompt, or of engines
+	// maxCrashesToRetry is the number of crashes of one of its suspects, or of upstreams
 	// under it, with which a request is still sent again.
 	maxCrashesToRetry = 1
-	// maxSuspects limits the parts of one prompt that are looked at.
-	maxSuspects = 64
-	// retryAfterSuspected is the Retry-After time while a part under quarantine may still
+	// maxPartSuspects limits the parts of one prompt that are looked at.
+	maxPartSuspects = 64
+	// retryAfterSuspected is the Retry-After time while what is under quarantine may still
 	// turn out to be sound: an answer that takes no longer clears it.
 	retryAfterSuspected = time.Second
-	// reasonQuarantine is the reason of requests that are not sent because of a part.
-	reasonQuarantine = "prompt part under quarantine"
+	// reasonQuarantine follows the kind of what a request was not sent because of.
+	reasonQuarantine = " under quarantine"
 )
 
 // PartKey returns the key of a part of a workspace's prompts in the log of crashes.
@@ -43,23 +43,29 @@
 		workspace = string(request.Workspace.Name)
 	}
 	m := request.Message
-	return crashes.RequestKey(workspace, m.Method, m.Host, m.Target, m.Body)
+	fields := []string{workspace, m.Method, m.Host, m.Target, string(request.Prompt.Model)}
+	for _, part := range sharedParts(request) {
+		fields = append(fields, part.ID)
+	}
+	return crashes.RequestKey(m.Body, fields...)
 }
 
-// FormatPartKey returns a key as it is written in logs and lists.
-func FormatPartKey(key uint32) string { return fmt.Sprintf("%08x", key) }
-
-// suspects returns the keys of the parts of a prompt that may crash engines. The last
-// part is left out: it is specific to the request or to one conversation.
-func suspects(request *Request) []uint32 {
+// sharedParts returns the parts of a prompt that other prompts may have. The last one is
+// specific to the request or to one conversation.
+func sharedParts(request *Request) []comfreyworks.PromptPart {
 	parts := request.Prompt.Parts
-	if len(parts) < 2 {
-		return nil
-	}
-	parts = parts[:min(len(parts)-1, maxSuspects)]
-	keys := make([]uint32, len(parts))
-	for i, part := range parts {
-		keys[i] = PartKey(request.Workspace, part.ID)
+	return parts[:max(0, min(len(parts)-1, maxPartSuspects))]
+}
+
+// FormatSuspectKey returns a key as it is written in logs and lists.
+func FormatSuspectKey(key uint32) string { return fmt.Sprintf("%08x", key) }
+
+// suspects returns the keys of what may crash upstreams in a request: the whole request
+// with the given key and the shared parts of its prompt.
+func suspects(request *Request, key uint32) []uint32 {
+	keys := []uint32{key}
+	for _, part := range sharedParts(request) {
+		keys = append(keys, PartKey(request.Workspace, part.ID))
 	}
 	return keys
 }
@@ -74,14 +80,16 @@
 	return ""
 }
 
-// quarantined returns the outcome of a request that must not be sent because of a part
-// of its prompt, and whether this is so.
+// quarantined returns the outcome of a request that must not be sent because of what it
+// has in common with crashed ones, and whether this is so.
 func (r *activeRequest) quarantined() (Outcome, bool) {
 	key, blamed := r.options.Crashes.Blamed(r.suspects)
 	if !blamed {
 		return Outcome{}, false
 	}
-	outcome := Outcome{Verdict: Quarantined, Reason: reasonQuarantine, Part: partOf(r.request, key)}
+	outcome := Outcome{
+		Verdict: Quarantined, Reason: string(crashes.KindOf(key)) + reasonQuarantine, Suspect: key, Part: partOf(r.request, key),
+	}
 	switch {
 	case r.headerWritten:
 		outcome.Verdict = Broken
@@ -93,7 +101,7 @@
 	return outcome, true
 }
 
-// recordBreak records whether an exchange was lost because the engine ended under it.
+// recordBreak records whether an exchange was lost because the upstream ended under it.
 func (a *attempt) recordBreak(ctx context.Context, err error) {
 	a.engineEnded = context.Cause(ctx) == nil && isBrokenConnection(err) && a.answer.age(a.options.Clock.Now()) < soundAnswerTime
 }
@@ -109,48 +117,48 @@
 	return false
 }
 
-// eventArrived records an event, and clears the parts of the prompt once the answer has
-// gone on for soundAnswerTime.
+// eventArrived records an event, and clears the suspects once the answer has gone on for
+// soundAnswerTime.
 func (a *attempt) eventArrived() {
 	now := a.options.Clock.Now()
 	a.answer.addEvent(now)
 	if a.answer.age(now) >= soundAnswerTime {
-		a.clearParts()
+		a.clearSuspects()
 	}
 }
 
-// answerComplete clears the parts of the prompt unless the answer is an error.
+// answerComplete clears the suspects unless the answer is an error.
 func (a *attempt) answerComplete(status int) {
 	if status < http.StatusMultipleChoices {
-		a.clearParts()
+		a.clearSuspects()
 	}
 }
 
-// beginTrial records that a request with the parts of the prompt is sent.
+// beginTrial records that the request is sent.
 func (a *attempt) beginTrial() { a.trial = a.options.Crashes.Begin(a.suspects) }
 
-// endTrial records whether the engine ended under the parts of the prompt.
+// endTrial records whether the upstream ended under the request.
 func (a *attempt) endTrial() {
 	if a.trial == nil {
 		// The request was not sent.
 		return
 	}
-	if a.engineEnded && len(a.suspects) > 0 {
-		a.blameParts()
+	if a.engineEnded {
+		a.blameSuspects()
 	}
 	a.trial.Done()
 }
 
-func (a *attempt) blameParts() {
+func (a *attempt) blameSuspects() {
 	a.crashes = a.trial.EngineEnded()
 	a.crashed++
 	a.suspected = max(a.crashes, a.crashed) > maxCrashesToRetry
 	if key, blamed := a.options.Crashes.Blamed(a.suspects); blamed {
-		a.options.Logger.Warn("prompt part put under quarantine", a.partFields(key)...)
+		a.options.Logger.Warn(string(crashes.KindOf(key))+" put under quarantine", a.suspectFields(key)...)
 	}
 }
 
-func (a *attempt) clearParts() {
+func (a *attempt) clearSuspects() {
 	if a.cleared {
 		return
 	}
@@ -158,14 +166,15 @@
 	key, blamed := a.options.Crashes.Blamed(a.suspects)
 	a.trial.Answered()
 	if blamed {
-		a.options.Logger.Info("prompt part cleared", a.partFields(key)...)
+		a.options.Logger.Info(string(crashes.KindOf(key))+" cleared", a.suspectFields(key)...)
 	}
 }
 
-// partFields returns the fields of a log line about a part of the prompt.
-func (a *attempt) partFields(key uint32) []zap.Field {
+// suspectFields returns the fields of a log line about the whole request or a part of
+// its prompt.
+func (a *attempt) suspectFields(key uint32) []zap.Field {
 	return []zap.Field{
-		zap.String("part", partOf(a.request, key)), zap.String("key", FormatPartKey(key)), zap.Int("crashes", a.crashes),
+		zap.String("part", partOf(a.request, key)), zap.String("key", FormatSuspectKey(key)), zap.Int("crashes", a.crashes),
 		zap.String("request", string(a.request.Message.ID)),
 		zap.String("upstream", string(a.pick.Upstream.ID)),
 	}
--- a/internal/coordination/forward/quarantine_test.go
+++ b/internal/coordination/forward/quarantine_test.go
@@ -56,9 +56,15 @@
 	return f.promptOf(ctx, route, append(ids, fmt.Sprint("own", len(f.upstreams.sent)))...)
 }
 
-// promptOf forwards a request with exactly the given parts.
+// promptOf forwards a request with exactly the given parts and a body of its own.
 func (f *fixture) promptOf(ctx context.Context, route *comfreyworks.Route, ids ...string) Outcome {
+	return f.sendBody(ctx, route, fmt.Sprint("body", len(f.upstreams.sent)), ids...)
+}
+
+// sendBody forwards a request with the given body and parts.
+func (f *fixture) sendBody(ctx context.Context, route *comfreyworks.Route, body string, ids ...string) Outcome {
 	request := f.request(route)
+	request.Message.Body = []byte(body)
 	request.Prompt = Prompt{Model: model}
 	for _, id := range ids {
 		request.Prompt.Parts = append(request.Prompt.Parts, comfreyworks.PromptPart{ID: id, Tokens: 100})
@@ -114,7 +120,7 @@
 				assert.Equal(t, sent, 3)
 				assert.Equal(t, len(fresh.upstreams.sent), 3)
 				assert.Equal(t, outcome.Part, "5c1e")
-				assert.Equal(t, outcome.Reason, reasonQuarantine)
+				assert.Equal(t, outcome.Reason, string(crashes.PromptPart)+reasonQuarantine)
 			}
 		})
 	}
@@ -187,10 +193,44 @@
 	})
 	t.Run("of a prompt with many parts a limited number is looked at", func(t *testing.T) {
 		request := &Request{Prompt: Prompt{Parts: make([]comfreyworks.PromptPart, 10_000)}}
-		assert.Equal(t, len(suspects(request)), maxSuspects)
+		assert.Equal(t, len(suspects(request, 1)), 1+maxPartSuspects)
 	})
 }
 
+// TestRepeatedRequest guards against a request under which upstreams end and that callers
+// send again and again: it must end three at most, and no other request is refused for it.
+func TestRepeatedRequest(t *testing.T) {
+	for name, c := range map[string]struct {
+		route *comfreyworks.Route
+		parts []string
+	}{
+		"to a plain service": {route(comfreyworks.RouteIdempotent, 2, false), nil},
+		"that may run once":  {route(comfreyworks.RouteNonIdempotent, 1, false), nil},
+		"for a stream":       {route(comfreyworks.RouteStream, 2, true), []string{"91bd"}},
+		"with shared parts":  {route(comfreyworks.RouteStream, 1, false), []string{"5c1e", "91bd", "own"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.upstreams.script = []response{crash, crash, crash, respondOK(event(1))}
+			repeat := func() Outcome { return f.sendBody(context.Background(), c.route, "crashing", c.parts...) }
+			for len(f.upstreams.sent) < 3 {
+				repeat()
+			}
+			outcome := repeat()
+			assert.Equal(t, outcome.Verdict, Quarantined)
+			assert.Equal(t, outcome.Reason, string(crashes.WholeRequest)+reasonQuarantine)
+			assert.Equal(t, outcome.Suspect, outcome.RequestKey)
+			assert.Equal(t, outcome.Part, "")
+			assert.Equal(t, len(f.upstreams.sent), 3)
+			assert.Equal(t, f.sendBody(context.Background(), c.route, "sound", c.parts...).Verdict, Delivered)
+			assert.Equal(t, repeat().RetryAfter, time.Duration(0))
+			f.clock.Advance(time.Hour)
+			assert.Equal(t, repeat().Verdict, Delivered)
+			assert.Equal(t, repeat().Verdict, Delivered)
+		})
+	}
+}
+
 // TestEnginesPerRequest guards against one request that ends one engine after another:
 // it must end two at most.
 func TestEnginesPerRequest(t *testing.T) {
@@ -237,7 +277,7 @@
 		assert.Assert(t, len(lines) > 0, message)
 		fields := lines[len(lines)-1].ContextMap()
 		assert.Equal(t, fields["part"], "5c1e")
-		assert.Equal(t, fields["key"], FormatPartKey(PartKey(nil, "5c1e")))
+		assert.Equal(t, fields["key"], FormatSuspectKey(PartKey(nil, "5c1e")))
 	}
 	for range 2 {
 		f.prompt(context.Background(), route(comfreyworks.RouteStream, 1, false), "5c1e", "91bd")
--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -1,19 +1,20 @@
-// Package crashes finds out which parts of prompts crash engines, so that requests
-// with such a part can be refused.
+// Package crashes finds out which requests and which parts of prompts crash upstreams,
+// so that they can be refused.
 //
-// An engine that ends takes many requests with it, and gives no reason. The log
-// counts crashes for each part of the requests that had just begun, but only those
-// that follow one another: a request counts a crash for its parts in addition to
-// those that its gateway knew of when the request was sent. Engines that end
-// together, whatever they ran, thus count once. An answer clears the parts of its
-// request, and it then takes more crashes to blame them.
+// An upstream that ends takes many requests with it, and gives no reason. Each request
+// has suspects: the request itself, which callers may repeat, and the parts of its
+// prompt, which it shares with others. The log counts crashes for each suspect of the
+// requests that had just begun, but only those that follow one another: a request counts
+// a crash for its suspects in addition to those that its gateway knew of when the request
+// was sent. Upstreams that end together, whatever they ran, thus count once. An answer
+// clears the suspects of its request, and it then takes more crashes to blame its parts.
 //
-// A part with several crashes is blamed. Requests with it are refused, except those
-// that tell whether another part of the crashed requests was the cause. If one more
-// crash makes it certain, the part is put under quarantine. Soon after that one gateway
-// lets a request through, and again if it has no luck; after the quarantine each gateway
-// lets one through at a time: another crash blames the part again at all gateways, an
-// answer clears it.
+// A suspect with several crashes is blamed. Requests with it are refused, except those
+// that tell whether another suspect of the crashed requests was the cause. If one more
+// crash makes it certain, the suspect is put under quarantine. If many requests have it,
+// one gateway soon lets one of them through, and again if it has no luck; after the
+// quarantine each gateway lets one through at a time: another crash blames the suspect
+// again at all gateways, an answer clears it.
 //
 // Gateways exchange what was added to their logs since the last exchange. They may
 // learn of suspicions in any order and repeatedly.
@@ -21,7 +22,10 @@
 // # Usage
 //
 //	log := crashes.New(crashes.Options{Clock: clock, Spread: rand.Float64()})
-//	keys := []uint32{crashes.Key(scope, partID)} // all parts but the last
+//	keys := []uint32{
+//		crashes.RequestKey(body, workspace, method, host, target),
+//		crashes.Key(scope, partID), // all parts but the last
+//	}
 //	if key, blamed := log.Blamed(keys); blamed {
 //		return errQuarantined
 //	}
@@ -58,6 +62,10 @@
 	// doubles with each further crash up to maxQuarantine.
 	minQuarantine = 10 * time.Minute
 	maxQuarantine = time.Hour
+	// minRequestQuarantine takes the place of minQuarantine for whole requests. A request
+	// that many callers make is blamed as well if its service crashes for another reason
+	// until it is mended.
+	minRequestQuarantine = 2 * time.Minute
 	// earlyTrialWait is how long after its last crash a part under quarantine is tried
 	// early, by one gateway for all, and maxEarlyTrials how often. This is for parts that
 	// many prompts share: a gateway tries those because of which it has refused
@@ -282,7 +290,9 @@
 	r.log.mu.Lock()
 	now := r.log.clock.Now()
 	for _, s := range r.parts {
-		r.log.answered.add(s.key, now)
+		if KindOf(s.key) == PromptPart {
+			r.log.answered.add(s.key, now)
+		}
 	}
 	r.log.mu.Unlock()
 	for _, s := range r.parts {
@@ -317,9 +327,12 @@
 	return !l.answered.has(key, now)
 }
 
-// quarantine returns how long a blamed part is under quarantine at this gateway.
-func (l *Log) quarantine(s suspicion) time.Duration {
+// quarantine returns how long a suspect is under quarantine at this gateway.
+func (l *Log) quarantine(key uint32, s suspicion) time.Duration {
 	quarantine := minQuarantine
+	if KindOf(key) == WholeRequest {
+		quarantine = minRequestQuarantine
+	}
 	for range int(s.crashes) - int(l.thresholds.certain) {
 		if quarantine *= 2; quarantine >= maxQuarantine {
 			quarantine = maxQuarantine
@@ -335,7 +348,7 @@
 // restrictedFor returns for how long not just any request with a blamed part is tried.
 func (l *Log) restrictedFor(key uint32, s suspicion) time.Duration {
 	if l.isCertain(key, s) {
-		return l.quarantine(s)
+		return l.quarantine(key, s)
 	}
 	return l.lengthen(maxTestWait)
 }
--- a/internal/state/crashes/crashes_test.go
+++ b/internal/state/crashes/crashes_test.go
@@ -49,18 +49,34 @@
 	assert.Assert(t, Key("workspace:a", "p") != Key("workspace:b", "p"), "isolated workspaces cannot affect others")
 	assert.Assert(t, Key("a", "bc") != Key("ab", "c"), "scope and part are separate")
 	assert.Equal(t, KindOf(Key("a", "bc")), PromptPart)
-	request := RequestKey("w", "POST", "host", "/path?q", []byte("body"))
+	request := RequestKey([]byte("body"), "w", "POST", "host", "/path?q")
 	assert.Equal(t, KindOf(request), WholeRequest)
-	assert.Equal(t, RequestKey("w", "POST", "host", "/path?q", []byte("body")), request)
+	assert.Equal(t, RequestKey([]byte("body"), "w", "POST", "host", "/path?q"), request)
 	for _, other := range []uint32{
-		RequestKey("", "POST", "host", "/path?q", []byte("body")), RequestKey("w", "GET", "host", "/path?q", []byte("body")),
-		RequestKey("w", "POST", "other", "/path?q", []byte("body")), RequestKey("w", "POST", "host", "/path", []byte("body")),
-		RequestKey("w", "POST", "host", "/path?q", nil), RequestKey("w", "POST", "host", "/path?qb", []byte("ody")),
+		RequestKey([]byte("body"), "", "POST", "host", "/path?q"), RequestKey([]byte("body"), "w", "GET", "host", "/path?q"),
+		RequestKey([]byte("body"), "w", "POST", "other", "/path?q"), RequestKey([]byte("body"), "w", "POST", "host", "/path"),
+		RequestKey(nil, "w", "POST", "host", "/path?q"), RequestKey([]byte("ody"), "w", "POST", "host", "/path?qb"),
 	} {
 		assert.Assert(t, other != request)
 	}
 }
 
+// TestRepeatedRequest checks what differs for whole requests: one that was answered
+// before is blamed as soon as any other, and the first quarantine is shorter.
+func TestRepeatedRequest(t *testing.T) {
+	l, clock := newLog()
+	request := RequestKey(nil, "request")
+	answer(l, request)
+	crash(l, certainAfter, request)
+	clock.Advance(minRequestQuarantine)
+	assertBlamed(t, l, request, request)
+	clock.Advance(1)
+	assertBlamed(t, l, 0, request)
+	crash(l, 1, request)
+	clock.Advance(2 * minRequestQuarantine)
+	assertBlamed(t, l, request, request)
+}
+
 func TestBlame(t *testing.T) {
 	t.Run("crashes that follow one another blame", func(t *testing.T) {
 		l, _ := newLog()
@@ -205,7 +221,7 @@
 	t.Run("only what changed is passed on, not to where it came from", func(t *testing.T) {
 		l, _ := newLog()
 		crash(l, 1, crasher, sound)
-		l.Merge([]comfreyworks.CrashSuspicion{{Part: other, Crashes: 2, With: []uint32{9, 8, 8, 0, 7, 6, 5}}}, Remote)
+		l.Merge([]comfreyworks.CrashSuspicion{{Part: other, Crashes: 2, With: []uint32{9, 8, 8, 0, 7, 6, 5, 4}}}, Remote)
 		suspicions, version := l.After(0, Local)
 		assert.DeepEqual(t, suspicions, []comfreyworks.CrashSuspicion{
 			{Part: crasher, Crashes: 1, With: []uint32{sound}}, {Part: sound, Crashes: 1, With: []uint32{crasher}},
@@ -214,7 +230,7 @@
 		suspicions, _ = l.After(version, Remote)
 		assert.Equal(t, len(suspicions), 0)
 		suspicions, _ = l.After(0, Remote)
-		assert.DeepEqual(t, suspicions[2].With, []uint32{6, 7, 8, 9})
+		assert.DeepEqual(t, suspicions[2].With, []uint32{5, 6, 7, 8, 9})
 	})
 	t.Run("what a gateway reports that relies on this one is passed on, though it is known", func(t *testing.T) {
 		l, _ := newLog()
--- a/internal/state/crashes/key.go
+++ b/internal/state/crashes/key.go
@@ -27,11 +27,11 @@
 }
 
 // RequestKey returns the key of a request, the hash of all that callers repeat when
-// they send it again.
-func RequestKey(workspace, method, host, target string, body []byte) uint32 {
+// they send it again: the body and fields such as its workspace and target.
+func RequestKey(body []byte, fields ...string) uint32 {
 	hash := xxhash.New()
 	var length [8]byte
-	for _, field := range []string{workspace, method, host, target} {
+	for _, field := range fields {
 		_, _ = hash.Write(binary.LittleEndian.AppendUint64(length[:0], uint64(len(field))))
 		_, _ = hash.WriteString(field)
 	}
--- a/internal/transport/gateway/quarantine_test.go
+++ b/internal/transport/gateway/quarantine_test.go
@@ -131,7 +131,7 @@
 	t.Helper()
 	f.awaitUpstreams(t)
 	n := f.requests.Add(1)
-	r := f.request(t, http.MethodPost, path, "text")
+	r := f.request(t, http.MethodPost, path, fmt.Sprint("text", n))
 	r.URL.Host = f.addresses[gateway]
 	r.Header.Set(f.names.RequestID, fmt.Sprint("q", n))
 	r.Header.Set(f.names.Prefix, fmt.Sprintf("5c1e:800,%s91bd:410,own%d:250", part, n))
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -104,7 +104,7 @@
 		labels.Workspace = request.Workspace.Name
 	}
 	g.options.Logger.Info("request finished",
-		zap.String("request", string(request.Message.ID)), zap.String("request-key", forward.FormatPartKey(outcome.RequestKey)),
+		zap.String("request", string(request.Message.ID)), zap.String("request-key", forward.FormatSuspectKey(outcome.RequestKey)),
 		zap.String("route", request.Route.Name),
 		zap.String("workspace", string(labels.Workspace)),
 		zap.String("verdict", string(outcome.Verdict)),
@@ -114,7 +114,7 @@
 		zap.Duration("allowed", request.Deadline.Sub(request.Received)),
 		zap.Duration("took", elapsed),
 	)
-	if outcome.Part != "" {
+	if outcome.Suspect != 0 {
 		g.recordQuarantine(request, outcome)
 	}
 	g.options.Meter.Add("comfrey_requests_"+string(outcome.Verdict)+"_total", labels, 1)
--- a/internal/transport/gateway/suspicions.go
+++ b/internal/transport/gateway/suspicions.go
@@ -15,55 +15,55 @@
 	"comfreyworks/internal/state/crashes"
 )
 
-// maxListedSuspicions limits the list of parts under which engines have crashed.
+// maxListedSuspicions limits the list of what upstreams have crashed under.
 const maxListedSuspicions = 200
 
-// suspectedPart is an entry of the list of parts under which engines have crashed.
-type suspectedPart struct {
+// listedSuspicion is an entry of the list of what upstreams have crashed under.
+type listedSuspicion struct {
 	Key     string `json:"key"`
+	Kind    string `json:"kind"`
 	Crashes uint16 `json:"crashes"`
-	// Quarantined means that requests with this part alone are refused.
+	// Quarantined means that requests with this suspect alone are refused.
 	Quarantined bool `json:"quarantined"`
-	// With lists the parts that were in all crashed requests as well.
+	// With lists the suspects that were in all crashed requests as well.
 	With []string `json:"with,omitempty"`
 }
 
-// listSuspicions lists the parts under which engines have crashed, those with the most
-// crashes first.
+// listSuspicions lists what upstreams have crashed under, most crashes first.
 func (g *Gateway) listSuspicions(w http.ResponseWriter, _ *http.Request) {
 	suspicions, _ := g.crashes.After(0, crashes.Remote)
 	suspicions = slices.DeleteFunc(suspicions, func(s comfreyworks.CrashSuspicion) bool { return s.Crashes == 0 })
 	slices.SortFunc(suspicions, func(a, b comfreyworks.CrashSuspicion) int {
 		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.Part, b.Part))
 	})
-	parts := make([]suspectedPart, 0, min(len(suspicions), maxListedSuspicions))
-	for _, s := range suspicions[:cap(parts)] {
-		part := suspectedPart{Key: forward.FormatPartKey(s.Part), Crashes: s.Crashes}
-		_, part.Quarantined = g.crashes.Blamed([]uint32{s.Part})
+	listed := make([]listedSuspicion, 0, min(len(suspicions), maxListedSuspicions))
+	for _, s := range suspicions[:cap(listed)] {
+		entry := listedSuspicion{Key: forward.FormatSuspectKey(s.Part), Kind: string(crashes.KindOf(s.Part)), Crashes: s.Crashes}
+		_, entry.Quarantined = g.crashes.Blamed([]uint32{s.Part})
 		for _, key := range s.With {
-			part.With = append(part.With, forward.FormatPartKey(key))
+			entry.With = append(entry.With, forward.FormatSuspectKey(key))
 		}
-		parts = append(parts, part)
+		listed = append(listed, entry)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(parts)
+	_ = json.NewEncoder(w).Encode(listed)
 }
 
-// liftQuarantine clears a part that the query names by its key, or by its ID and the
-// workspace of its callers.
+// liftQuarantine clears a suspect that the query names by its key, or if it is a part of
+// prompts by its ID and the workspace of its callers.
 func (g *Gateway) liftQuarantine(w http.ResponseWriter, r *http.Request) {
-	key, err := g.queriedPart(r)
+	key, err := g.queriedSuspect(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	g.crashes.Lift(key)
-	g.options.Logger.Info("quarantine of a prompt part lifted by an operator", zap.String("key", forward.FormatPartKey(key)))
+	g.options.Logger.Info("quarantine lifted by an operator", zap.String("key", forward.FormatSuspectKey(key)))
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// queriedPart returns the key of the part that the query of a request names.
-func (g *Gateway) queriedPart(r *http.Request) (uint32, error) {
+// queriedSuspect returns the key of the suspect that the query of a request names.
+func (g *Gateway) queriedSuspect(r *http.Request) (uint32, error) {
 	query := r.URL.Query()
 	if text := query.Get("key"); text != "" {
 		key, err := strconv.ParseUint(text, 16, 32)
--- a/internal/transport/gateway/suspicions_test.go
+++ b/internal/transport/gateway/suspicions_test.go
@@ -31,9 +31,9 @@
 	return w
 }
 
-func (f *fixture) suspicions(t *testing.T) []suspectedPart {
+func (f *fixture) suspicions(t *testing.T) []listedSuspicion {
 	t.Helper()
-	var parts []suspectedPart
+	var parts []listedSuspicion
 	assert.NilError(t, json.Unmarshal(f.manage(http.MethodGet, "").Body.Bytes(), &parts))
 	return parts
 }
@@ -76,7 +76,7 @@
 	crew := &f.source.routing.Workspaces[1]
 	f.blame(nil, "91bd")
 	f.blame(crew, "91bd")
-	key := forward.FormatPartKey(forward.PartKey(nil, "91bd"))
+	key := forward.FormatSuspectKey(forward.PartKey(nil, "91bd"))
 	assert.Equal(t, len(f.suspicions(t)), 2)
 	for _, part := range f.suspicions(t) {
 		assert.Equal(t, part.Crashes, uint16(4))
--- a/peering.go
+++ b/peering.go
@@ -78,23 +78,25 @@
 	Release uint32
 }
 
-// CrashSuspicion tells how often engines ended while they ran requests with a
-// prompt part, one crash after another, without an answer in between.
+// CrashSuspicion tells how often upstreams ended while they ran the same request, or
+// requests with the same prompt part, one crash after another, without an answer in
+// between.
 type CrashSuspicion struct {
-	// Part is the hash of the cache scope and the ID of the part.
+	// Part identifies the request or the part: a hash of its content, or of the cache
+	// scope and the ID of the part. Older gateways know the field by this name.
 	Part uint32
 	// Cleared counts how often the suspicion was dropped. A suspicion that was
 	// cleared more often replaces the others.
 	Cleared uint16
 	// Crashes counts the crashes since the suspicion was last cleared.
 	Crashes uint16
-	// With lists parts that were in all of these requests. It has at most
+	// With lists keys of what was in all of these requests as well. It has at most
 	// MaxCrashSuspicionWith entries.
 	With []uint32
 }
 
 // MaxCrashSuspicionWith is the maximum length of CrashSuspicion.With.
-const MaxCrashSuspicionWith = 4
+const MaxCrashSuspicionWith = 5
 
 // GatewayState is the state that gateways send to each other.
 type GatewayState struct {
