Send the first bytes at once in the test of requests during a stop

TestRequestReadDuringShutdown failed once in three runs on a machine with a load of about 40: the test slept until 0.1 s before the gateway stops accepting connections, woke too late, and found the kept connection closed while idle, which is right. The bytes are sent before the sleep now; the header timeout of 5 s leaves time for the rest. The test is as strict: without the record that a request has begun to arrive, the case of the kept connection fails.

--- a/internal/transport/gateway/drain_test.go
+++ b/internal/transport/gateway/drain_test.go
@@ -58,8 +58,8 @@
 				receive()
 			}
 			stop()
-			time.Sleep(shutdownDelay - 100*time.Millisecond)
 			send(request[:c.sentBefore])
+			time.Sleep(shutdownDelay - 100*time.Millisecond)
 			waitFor(t, func() bool {
 				refused, err := net.Dial("tcp", address)
 				if err == nil {
