Apply the idle timeout of the current routing to callers' connections

After a change of the routing that raises the idle timeout, callers reuse connections that have been idle for up to four fifths of the new one. A gateway closed them after the timeout of the routing with which it had started, because http.Server reads it then, and a request that crossed that close got no answer. A lowered timeout had no effect.

The gateway sets the read deadline of an idle connection itself, from the current routing, and looks again when it has passed.

The limits of headers are still read at the start.

--- a/internal/transport/gateway/callers.go
+++ b/internal/transport/gateway/callers.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -11,10 +13,13 @@
 // connection. Later ones might not be answered before the end of the grace period.
 const firstRequestWait = 500 * time.Millisecond
 
-// callerConns tracks the connections of callers, so that a stopping gateway can wait
-// for them. http.Server.Shutdown does that too, but drops requests without an answer
-// whose header is read meanwhile.
+// callerConns tracks the connections of callers and applies the idle timeout, which
+// http.Server reads only when it starts. A stopping gateway waits for them here, because
+// http.Server.Shutdown drops requests without an answer whose header is read meanwhile.
 type callerConns struct {
+	// idleTimeout returns how long a connection may be idle now.
+	idleTimeout func() time.Duration
+
 	mu     sync.Mutex
 	states map[net.Conn]http.ConnState
 	// closing means that connections are closed as soon as they are idle, and those
@@ -24,8 +29,8 @@
 	drained        chan struct{}
 }
 
-func newCallerConns() *callerConns {
-	return &callerConns{states: make(map[net.Conn]http.ConnState), drained: make(chan struct{})}
+func newCallerConns(idleTimeout func() time.Duration) *callerConns {
+	return &callerConns{idleTimeout: idleTimeout, states: make(map[net.Conn]http.ConnState), drained: make(chan struct{})}
 }
 
 // track makes the server and the returned listener, which it must serve on, report
@@ -48,6 +53,9 @@
 	}
 	if caller, ok := conn.(*callerConn); ok {
 		caller.becameIdle = state == http.StateIdle
+		if caller.becameIdle {
+			caller.idleSince = time.Now()
+		}
 	}
 }
 
@@ -60,6 +68,18 @@
 	}
 }
 
+// extendIdle sets the read deadline of an idle connection according to the current idle
+// timeout. It returns false if that has passed or the connection is not idle.
+func (c *callerConns) extendIdle(conn *callerConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	deadline := conn.idleSince.Add(c.idleTimeout())
+	if c.closing || c.states[conn] != http.StateIdle || !deadline.After(time.Now()) {
+		return false
+	}
+	return conn.TCPConn.SetReadDeadline(deadline) == nil
+}
+
 func (c *callerConns) checkDrained() {
 	if c.closing && len(c.states) == 0 {
 		close(c.drained)
@@ -109,18 +129,25 @@
 	*net.TCPConn
 	conns *callerConns
 	// becameIdle means that the next read deadline that the server sets is that of an
-	// idle connection. It is protected by callerConns.mu.
+	// idle connection, and idleSince is when it became idle last. Both are protected by
+	// callerConns.mu.
 	becameIdle bool
+	idleSince  time.Time
 }
 
 // Read implements net.Conn. A connection is no longer idle once a request has begun to
 // arrive; the server notices that only at the end of the header.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n > 0 {
-		c.conns.requestBegan(c)
+	for {
+		n, err := c.TCPConn.Read(p)
+		if n > 0 {
+			c.conns.requestBegan(c)
+		} else if errors.Is(err, os.ErrDeadlineExceeded) && c.conns.extendIdle(c) {
+			// The idle timeout has been raised since.
+			continue
+		}
+		return n, err
 	}
-	return n, err
 }
 
 // SetReadDeadline implements net.Conn.
@@ -131,6 +158,8 @@
 	switch {
 	case c.becameIdle && c.conns.closing:
 		deadline = time.Now()
+	case c.becameIdle:
+		deadline = c.idleSince.Add(c.conns.idleTimeout())
 	case isNew && deadline.IsZero():
 		// The header of the first request is complete.
 		c.conns.states[c] = http.StateActive
--- a/internal/transport/gateway/drain_test.go
+++ b/internal/transport/gateway/drain_test.go
@@ -87,7 +87,7 @@
 				close(began)
 				<-finish
 			})}
-			callers, listener := newCallerConns(), listen(t)
+			callers, listener := newCallerConns(func() time.Duration { return time.Minute }), listen(t)
 			var group errgroup.Group
 			group.Go(func() error {
 				if err := server.Serve(callers.track(server, listener)); !errors.Is(err, net.ErrClosed) {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -276,7 +276,7 @@
 	defer endRequests(nil)
 	requestServer := g.newServer(g.requestHandler())
 	requestServer.BaseContext = func(net.Listener) context.Context { return requestCtx }
-	callers := newCallerConns()
+	callers := newCallerConns(g.idleTimeout)
 	requests := callers.track(requestServer, listeners.Requests)
 	accepted := make(chan struct{})
 	readyServer := g.newServer(g.readyHandler())
@@ -346,7 +346,15 @@
 	}
 }
 
-// applyCallerLimits sets the limits that the routing declares for callers. An
+// idleTimeout returns how long callers' connections may be idle now.
+func (g *Gateway) idleTimeout() time.Duration {
+	if table, _ := g.catalog.Routing(); table != nil && table.Limits().IdleTimeout > 0 {
+		return table.Limits().IdleTimeout
+	}
+	return defaultIdleTimeout
+}
+
+// applyCallerLimits sets the limits that the routing declares for callers' headers. An
 // http.Server reads them when it starts, so later changes need a restart.
 func (g *Gateway) applyCallerLimits(server *http.Server) {
 	table, _ := g.catalog.Routing()
@@ -360,9 +368,6 @@
 	if limits.HeaderTimeout > 0 {
 		server.ReadHeaderTimeout = limits.HeaderTimeout
 	}
-	if limits.IdleTimeout > 0 {
-		server.IdleTimeout = limits.IdleTimeout
-	}
 }
 
 func serve(server *http.Server, listener net.Listener) error {
