Count a request once for early trials, and no listings

A suspect that a fifth of a gateway's requests are refused because of is tried early. Each look at the log of crashes counted as a request there: retries, takeovers, log lines, and an operator's GET /quarantine, which counted as a refusal for each entry and could so bring about a trial that ends two more upstreams. Requests are counted when they arrive; looking is not. A case of TestEarlyTrial fails if Blamed counts.

Takes out a branch of activeRequest.attempt as well that could not be reached: an attempt that takes another's place always has its response.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -254,6 +254,8 @@
 	suspects  []uint32
 	crashed   int
 	suspected bool
+	// counted means that the log of crashes has counted the request.
+	counted bool
 }
 
 // attemptResult tells whether a request may be retried after an attempt.
@@ -389,18 +391,13 @@
 // attempt sends the request to one upstream, unless there is none or admission
 // control refuses the request.
 func (r *activeRequest) attempt(ctx context.Context) (Outcome, attemptResult) {
-	next := r.next
-	if next != nil && next.response != nil {
+	if next := r.next; next != nil {
 		r.next = nil
 		return next.run(ctx)
 	}
 	if outcome, quarantined := r.quarantined(); quarantined {
 		return outcome, attemptDone
 	}
-	if next != nil {
-		r.next = nil
-		return next.run(ctx)
-	}
 	pick := r.pick()
 	if pick == nil {
 		r.reason = "no upstream"
--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -83,7 +83,11 @@
 // quarantined returns the outcome of a request that must not be sent because of what it
 // has in common with crashed ones, and whether this is so.
 func (r *activeRequest) quarantined() (Outcome, bool) {
-	key, blamed := r.options.Crashes.Blamed(r.suspects)
+	check := r.options.Crashes.Blamed
+	if !r.counted {
+		check, r.counted = r.options.Crashes.Admit, true
+	}
+	key, blamed := check(r.suspects)
 	if !blamed {
 		return Outcome{}, false
 	}
--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -26,7 +26,7 @@
 //		crashes.RequestKey(body, workspace, method, host, target),
 //		crashes.Key(scope, partID), // all parts but the last
 //	}
-//	if key, blamed := log.Blamed(keys); blamed {
+//	if key, blamed := log.Admit(keys); blamed {
 //		return errQuarantined
 //	}
 //	request := log.Begin(keys)
@@ -353,20 +353,27 @@
 	return l.lengthen(maxTestWait)
 }
 
-// Blamed reports whether a request with the given parts is to be refused, and
-// because of which of them. It is to be called right before Begin.
+// Admit reports like Blamed whether a request with the given suspects is to be refused,
+// and counts it: what many requests are refused because of is tried early. It is to be
+// called right before Begin.
+func (l *Log) Admit(keys []uint32) (key uint32, blamed bool) {
+	key, blamed = l.Blamed(keys)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refusals.count(key, l.clock.Now())
+	return key, blamed
+}
+
+// Blamed reports whether a request with the given suspects would be refused, and
+// because of which of them.
 func (l *Log) Blamed(keys []uint32) (key uint32, blamed bool) {
 	for _, candidate := range keys {
 		known, age, _ := l.log.LookupAge(candidate)
 		if l.isBlamed(candidate, known) && !l.tests(known, age, candidate, keys) {
-			key, blamed = candidate, true
-			break
+			return candidate, true
 		}
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.refusals.count(key, l.clock.Now())
-	return key, blamed
+	return 0, false
 }
 
 // Provisional reports whether answers to requests that were sent before a part was
--- a/internal/state/crashes/crashes_test.go
+++ b/internal/state/crashes/crashes_test.go
@@ -40,7 +40,7 @@
 // assertBlamed checks which part is blamed for a request, zero for none.
 func assertBlamed(t *testing.T, l *Log, want uint32, keys ...uint32) {
 	t.Helper()
-	key, blamed := l.Blamed(keys)
+	key, blamed := l.Admit(keys)
 	assert.Equal(t, key, want)
 	assert.Equal(t, blamed, want != 0)
 }
--- a/internal/state/crashes/earlytrial_test.go
+++ b/internal/state/crashes/earlytrial_test.go
@@ -51,6 +51,14 @@
 		clock.Advance(earlyTrialWait)
 		assertBlamed(t, owner, sound, sound)
 	})
+	t.Run("looking at a part does not count as a request", func(t *testing.T) {
+		owner, _, clock := newPair()
+		for range minRefusals {
+			owner.Blamed([]uint32{sound})
+		}
+		clock.Advance(earlyTrialWait)
+		assertBlamed(t, owner, sound, sound)
+	})
 	t.Run("a part of few prompts is not tried", func(t *testing.T) {
 		owner, _, clock := newPair()
 		refuse(t, owner)
--- a/internal/state/crashes/policy_test.go
+++ b/internal/state/crashes/policy_test.go
@@ -30,7 +30,7 @@
 func (p logPolicy) begin(_ int, keys []uint32) run { return p.Begin(keys) }
 
 func (p logPolicy) verdict(keys []uint32) (refused, alone bool) {
-	_, refused = p.Blamed(keys)
+	_, refused = p.Admit(keys)
 	for _, key := range keys {
 		known, _ := p.log.Lookup(key)
 		alone = alone || p.aloneAfter > 0 && known.crashes >= p.aloneAfter
