Test that changes of the list of upstreams are complete

A gateway that has just started, or for another reason does not know what was removed before its position, tells a peer that is behind that nothing has gone. TestUnknownRemoval has five ways to learn the list late, and all fail; TestChangesAreComplete draws writes, reads, exchanges, lost answers, starts and restores for four gateways and compares each with what the source held at its position.

--- /dev/null
+++ b/internal/coordination/peering/changes_test.go
@@ -0,0 +1,233 @@
+package peering
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"comfreyworks"
+)
+
+// TestMain fixes the seed of the properties unless another one is given.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// travellingLog is state that gateways pass on as changes since a position or version.
+type travellingLog interface {
+	// write changes the state, at a gateway if there is no source.
+	write(t *rapid.T, g *gateway)
+	// read lets a gateway read the source, if there is one.
+	read(t *rapid.T, g *gateway)
+	// heard records that a gateway got what another one passed on.
+	heard(by, from *gateway)
+	// restarted records that a gateway starts without state.
+	restarted(g *gateway)
+	// missing describes what a gateway lacks, or has although it is gone.
+	missing(n *network, g *gateway) string
+}
+
+// lossyClient delivers calls but loses the answers.
+type lossyClient struct{ networkClient }
+
+// Sync implements comfreyworks.GatewayClient.
+func (c lossyClient) Sync(ctx context.Context, state comfreyworks.GatewayState) (comfreyworks.GatewayUpdate, error) {
+	_, err := c.networkClient.Sync(ctx, state)
+	return comfreyworks.GatewayUpdate{}, errors.Join(errUnreachable, err)
+}
+
+// TestChangesAreComplete guards against a gateway that passes on changes although it
+// does not know all of them since the position of the receiver, which then never
+// learns of the others: any order of changes, reads, exchanges, lost answers, starts
+// and restores.
+func TestChangesAreComplete(t *testing.T) {
+	for name, newLog := range map[string]func() travellingLog{
+		"upstreams": func() travellingLog { return newListSource() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				options := networkOptions{gateways: 4, zones: 4, seeds: 1}
+				n, log := newNetworkWith(options), newLog()
+				n.passOrigins = true
+				gateways := rapid.IntRange(0, options.gateways-1)
+				for range rapid.IntRange(1, 60).Draw(t, "steps") {
+					n.clock.Advance(time.Millisecond)
+					i, j := gateways.Draw(t, "gateway"), gateways.Draw(t, "peer")
+					g, peer := n.gateway(i), n.gateway(j)
+					switch step := rapid.SampledFrom([]string{"write", "write", "read", "exchange", "exchange", "lost", "restart"}).Draw(t, "step"); {
+					case step == "write":
+						log.write(t, g)
+					case step == "read":
+						log.read(t, g)
+					case step == "restart":
+						n.start(i, options)
+						log.restarted(n.gateway(i))
+					case i != j:
+						exchange(n, log, g, peer, step == "lost")
+					}
+					for _, g := range n.sorted() {
+						if missing := log.missing(n, g); missing != "" {
+							t.Fatalf("%s: %s", g.options.Self.ID, missing)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// exchange lets a gateway call a peer that is its partner.
+func exchange(n *network, log travellingLog, g, peer *gateway, lost bool) {
+	for range 2 {
+		g.updatePartners()
+		peer.updatePartners()
+		var client comfreyworks.GatewayClient = networkClient{n, peer.address}
+		if lost {
+			client = lossyClient{networkClient{n, peer.address}}
+		}
+		err := g.sync(context.Background(), client, peer.address)
+		log.heard(peer, g)
+		if err != nil {
+			g.recordFailure(peer.address, err)
+			continue
+		}
+		log.heard(g, peer)
+	}
+}
+
+// listSource is a list of upstreams with what it held at each position.
+type listSource struct {
+	position, restored comfreyworks.Position
+	sequence           uint64
+	listed             map[comfreyworks.InstanceID]comfreyworks.Upstream
+	// writtenAt holds the position of the last record of each upstream.
+	writtenAt map[comfreyworks.InstanceID]comfreyworks.Position
+	held      map[comfreyworks.Position]string
+	// unsettled counts the checks until the grace periods of a restore are to end.
+	unsettled int
+}
+
+// stepsOfRestore is the number of checks of gateways in which they learn of a restore.
+const stepsOfRestore = 40
+
+func newListSource() *listSource {
+	s := &listSource{
+		held: map[comfreyworks.Position]string{0: describe(nil)}, listed: make(map[comfreyworks.InstanceID]comfreyworks.Upstream),
+		writtenAt: make(map[comfreyworks.InstanceID]comfreyworks.Position),
+	}
+	s.put("first")
+	return s
+}
+
+// put lists an upstream, or writes its entry again.
+func (s *listSource) put(id comfreyworks.InstanceID) {
+	s.sequence++
+	upstream, known := s.listed[id]
+	if !known {
+		upstream = comfreyworks.Upstream{ID: id, Pool: pool, State: comfreyworks.InstanceLive, Started: time.UnixMilli(int64(s.sequence))}
+	}
+	upstream.Sequence = s.sequence
+	s.listed[id] = upstream
+	s.record(id)
+}
+
+func (s *listSource) record(id comfreyworks.InstanceID) {
+	s.position++
+	s.writtenAt[id] = s.position
+	s.held[s.position] = describe(slices.Collect(maps.Values(s.listed)))
+}
+
+func (s *listSource) write(t *rapid.T, _ *gateway) {
+	id := comfreyworks.InstanceID(rapid.StringMatching("[a-d]").Draw(t, "id"))
+	upstream, known := s.listed[id]
+	switch kind := rapid.IntRange(0, 6).Draw(t, "write"); {
+	case kind == 0 && rapid.IntRange(0, 3).Draw(t, "restore") == 0:
+		s.restore()
+	case kind <= 2 || !known:
+		s.put(id)
+	case kind <= 4 && upstream.State == comfreyworks.InstanceLive:
+		upstream.State = comfreyworks.InstanceLeaving
+		s.listed[id] = upstream
+		s.put(id)
+	case s.unsettled == 0 || upstream.State == comfreyworks.InstanceLeaving:
+		delete(s.listed, id)
+		s.record(id)
+	}
+}
+
+// restore loses the history of the list, after which all upstreams write their entries.
+func (s *listSource) restore() {
+	s.unsettled = stepsOfRestore
+	s.restored = (s.position>>40+1)<<40 | 1
+	s.position = s.restored + s.position&(1<<40-1)
+	for _, id := range slices.Sorted(maps.Keys(s.listed)) {
+		s.put(id)
+	}
+}
+
+func (s *listSource) read(t *rapid.T, g *gateway) {
+	s.list(g, rapid.IntRange(0, 9).Draw(t, "dropped") == 0)
+}
+
+func (s *listSource) list(g *gateway, dropped bool) {
+	_, known := g.catalog.SourceStates()
+	changes := comfreyworks.UpstreamChanges{Next: s.position}
+	if known.Position == 0 || known.Position < s.restored || dropped {
+		changes.Whole, changes.Restored = true, s.restored
+	}
+	for id, at := range s.writtenAt {
+		upstream, listed := s.listed[id]
+		switch {
+		case listed && (changes.Whole || at > known.Position):
+			changes.Present = append(changes.Present, upstream)
+		case !listed && !changes.Whole && at > known.Position:
+			changes.Gone = append(changes.Gone, id)
+		}
+	}
+	g.catalog.ApplyUpstreams(changes, g.options.Clock.Now())
+}
+
+func (s *listSource) heard(_, _ *gateway)  {}
+func (s *listSource) restarted(_ *gateway) {}
+
+func (s *listSource) missing(n *network, g *gateway) string {
+	if s.unsettled > 0 {
+		s.unsettled--
+		if s.unsettled == 0 {
+			for range 2 {
+				for _, g := range n.sorted() {
+					s.list(g, false)
+				}
+				n.clock.Advance(2 * time.Second)
+			}
+		}
+		return ""
+	}
+	_, known := g.catalog.SourceStates()
+	if got, want := describe(g.catalog.Upstreams(pool)), s.held[known.Position]; got != want {
+		return fmt.Sprintf("has %s at position %d, the source had %s", got, known.Position, want)
+	}
+	return ""
+}
+
+// describe returns what the property compares of upstreams.
+func describe(upstreams []comfreyworks.Upstream) string {
+	described := make([]string, 0, len(upstreams))
+	for _, u := range upstreams {
+		described = append(described, fmt.Sprint(u.ID, "/", u.State, "/", u.Started.UnixMilli()))
+	}
+	slices.Sort(described)
+	return fmt.Sprint(described)
+}
--- a/internal/state/catalog/changes_test.go
+++ b/internal/state/catalog/changes_test.go
@@ -55,6 +55,35 @@
 	})
 }
 
+// TestUnknownRemoval guards against a catalog that never learns of a removal, because
+// it took the position from one that had not listed the upstream.
+func TestUnknownRemoval(t *testing.T) {
+	for name, teach := range map[string]func(b, before fixture){
+		"started and read the source": func(b, _ fixture) { b.applyList(restored+35, true, nil) },
+		"started and asked a peer": func(b, before fixture) {
+			before.applyList(restored+35, false, nil, "a")
+			b.ApplyUpstreams(*before.UpstreamsAfter(0), b.clock.Now())
+		},
+		"missed records that the source dropped": func(b, _ fixture) { b.applyList(restored+20, true, nil); b.applyList(restored+35, true, nil) },
+		"missed a restore":                       func(b, _ fixture) { b.applyList(20, true, nil); b.applyRestored(restored + 35) },
+		"read an entry with its removal":         func(b, _ fixture) { b.applyList(restored+20, true, nil); b.applyList(restored+35, false, nil, "a") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			a, b, before := fixture{clock, New(clock)}, fixture{clock, New(clock)}, fixture{clock, New(clock)}
+			for _, f := range []fixture{a, before} {
+				f.ApplyUpstreams(comfreyworks.UpstreamChanges{
+					Whole: true, Restored: restored, Present: []comfreyworks.Upstream{listed("a", 1, 1)}, Next: restored + 34,
+				}, clock.Now())
+			}
+			teach(b, before)
+			a.ApplyUpstreams(*b.UpstreamsAfter(restored + 34), clock.Now())
+			a.applyList(restored+36, false, nil)
+			a.assertLive(t)
+		})
+	}
+}
+
 // TestUpstreamsAfterFollows checks that a catalog that is fed with the changes of
 // another one at random moments has the same upstreams.
 func TestUpstreamsAfterFollows(t *testing.T) {
