Send the whole list to receivers whose removals are not known

Callers' requests reached an upstream that had left. UpstreamsAfter sent changes unless removals had been dropped for want of room. A catalog that learned the list whole knows none of the removals before, and one that read an entry together with its removal recorded none, yet both told a peer in between that nothing had gone.

A catalog now holds since which positions it knows all changes (coverage). A whole list leaves a gap between the position before and its own: since the position before, comparing both lists shows the changes, so that peers there still get changes and whole lists do not spread from one gateway to all. Dropped removals leave a gap as well. Changes carry the position since which they are complete, and a receiver that has not reached it ignores them. A removal of an unknown upstream is recorded.

--- a/declaration.go
+++ b/declaration.go
@@ -45,6 +45,9 @@
 	Present []Upstream
 	// Gone lists the upstreams whose entries were removed.
 	Gone []InstanceID
+	// Since is the position since which Present and Gone list all changes. They mean
+	// nothing to a receiver that has not reached it. It is zero for a whole list.
+	Since Position
 	// Former lists releases that no listed upstream runs any more.
 	Former []FormerRelease
 	// Next is the position to pass as after in the next call.
--- a/internal/coordination/peering/exchange.go
+++ b/internal/coordination/peering/exchange.go
@@ -301,7 +301,7 @@
 // applyUpstreams applies a list of upstreams that a peer has read, like
 // applyDeclaration.
 func (p *Peering) applyUpstreams(update *comfreyworks.GatewayUpdate, readAt time.Time) {
-	changes := comfreyworks.UpstreamChanges{Next: update.State.Listed}
+	changes := comfreyworks.UpstreamChanges{Since: update.State.Listed, Next: update.State.Listed}
 	if update.Upstreams != nil {
 		changes = *update.Upstreams
 	}
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -104,10 +104,10 @@
 	// routingChangedAt is the position up to which the declarations were read when
 	// the routing last changed.
 	routingChangedAt comfreyworks.Position
-	// removals lists the removed upstreams, the latest last. Removals up to
-	// removalsFrom are no longer listed.
-	removals     []removal
-	removalsFrom comfreyworks.Position
+	// known tells since which positions all changes of the list of upstreams are known.
+	known coverage
+	// removals lists the removed upstreams, the latest last, each once.
+	removals []removal
 	// restoredAt is the first position since the list was restored from an earlier
 	// copy, or zero.
 	restoredAt comfreyworks.Position
@@ -290,15 +290,19 @@
 	return change
 }
 
-// ApplyUpstreams applies the result of a read that started at readAt.
+// ApplyUpstreams applies the result of a read that started at readAt. Changes since a
+// position that this catalog has not reached are ignored.
 func (c *Catalog) ApplyUpstreams(changes comfreyworks.UpstreamChanges, readAt time.Time) Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var change Change
-	if changes.Next < c.listed.Position {
+	if changes.Next < c.listed.Position || (!changes.Whole && changes.Since > c.listed.Position) {
 		return change
 	}
 	now := c.clock.Now()
+	if changes.Whole {
+		c.known.add(c.listed.Position, changes.Next)
+	}
 	if !c.listed.ConfirmedAt.IsZero() && readAt.Sub(c.listed.ConfirmedAt) > outageThreshold {
 		c.graceEnd = now.Add(lapsedGracePeriod)
 	}
@@ -392,6 +396,8 @@
 func (c *Catalog) remove(id comfreyworks.InstanceID, now time.Time, change *Change) {
 	e, ok := c.entries[id]
 	if !ok {
+		// Peers between this read and the one before may list the upstream.
+		c.addRemoval(removal{id: id, at: c.listed.Position})
 		return
 	}
 	if now.Before(c.graceEnd) && e.upstream.State == comfreyworks.InstanceLive {
@@ -410,9 +416,22 @@
 func (c *Catalog) delete(id comfreyworks.InstanceID, at comfreyworks.Position) {
 	last := c.entries[id].upstream
 	delete(c.entries, id)
-	c.removals = append(c.removals, removal{id, at, last.Started, last.Sequence})
+	c.addRemoval(removal{id, at, last.Started, last.Sequence})
+}
+
+// addRemoval adds a removal in place of an earlier one of the same upstream.
+func (c *Catalog) addRemoval(r removal) {
+	if i := slices.IndexFunc(c.removals, func(known removal) bool { return known.id == r.id }); i >= 0 {
+		known := c.removals[i]
+		if r.started.IsZero() {
+			r.started, r.sequence = known.started, known.sequence
+		}
+		r.at = max(r.at, known.at)
+		c.removals = slices.Delete(c.removals, i, i+1)
+	}
+	c.removals = append(c.removals, r)
 	if excess := len(c.removals) - maxRemovals; excess > 0 {
-		c.removalsFrom = max(c.removalsFrom, c.removals[excess-1].at)
+		c.known.add(0, c.removals[excess-1].at)
 		c.removals = slices.Clone(c.removals[excess:])
 	}
 }
--- a/internal/state/catalog/changes.go
+++ b/internal/state/catalog/changes.go
@@ -22,16 +22,16 @@
 
 // UpstreamsAfter returns the changes of the list of upstreams after a position.
 // Entries in which only the sequence number changed are left out. The result is
-// the whole list if the position is zero, if the list was restored since, or if
-// removals after it are no longer known. Upstreams in their grace period are left
+// the whole list if the list was restored since or if not all changes since the
+// position are known. Upstreams in their grace period are left
 // out for a receiver that has yet to start one.
 func (c *Catalog) UpstreamsAfter(after comfreyworks.Position) *comfreyworks.UpstreamChanges {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changes := &comfreyworks.UpstreamChanges{Next: c.listed.Position, Former: c.formerReleases(c.clock.Now())}
+	changes := &comfreyworks.UpstreamChanges{Since: after, Next: c.listed.Position, Former: c.formerReleases(c.clock.Now())}
 	restored := after < c.restoredAt
-	if after == 0 || after < c.removalsFrom || restored {
-		changes.Whole, changes.Restored = true, c.restoredAt
+	if restored || !c.known.includes(after) {
+		changes.Since, changes.Whole, changes.Restored = 0, true, c.restoredAt
 	}
 	for _, e := range c.entries {
 		if restored && after > 0 && !e.removeAt.IsZero() {
