Test that all logs between gateways are complete

Extends TestChangesAreComplete to declarations with routing, saved sessions, origins of streams, suspicions and members: what a gateway recorded before an answered call is known at both ends, or at the caller for members, whatever was lost or restarted. All gateways are relays here; leaves, expiry and dropped entries are not covered.

--- a/internal/coordination/peering/changes_test.go
+++ b/internal/coordination/peering/changes_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/sharedlog"
 )
 
 // TestMain fixes the seed of the properties unless another one is given.
@@ -31,10 +32,8 @@
 	write(t *rapid.T, g *gateway)
 	// read lets a gateway read the source, if there is one.
 	read(t *rapid.T, g *gateway)
-	// heard records that a gateway got what another one passed on.
-	heard(by, from *gateway)
-	// restarted records that a gateway starts without state.
-	restarted(g *gateway)
+	// exchanged records that a gateway has called another one.
+	exchanged(g, peer *gateway)
 	// missing describes what a gateway lacks, or has although it is gone.
 	missing(n *network, g *gateway) string
 }
@@ -54,7 +53,51 @@
 // and restores.
 func TestChangesAreComplete(t *testing.T) {
 	for name, newLog := range map[string]func() travellingLog{
-		"upstreams": func() travellingLog { return newListSource() },
+		"upstreams":    func() travellingLog { return newListSource() },
+		"declarations": func() travellingLog { return &declarationSource{declared: make(map[comfreyworks.Position]string)} },
+		"saved sessions": func() travellingLog {
+			return newGossip(func(g *gateway, key uint32) { g.options.Saved.Add(key) }, func(g *gateway) []uint32 {
+				keys, _ := g.options.Saved.After(0, sharedlog.Remote)
+				return keys
+			})
+		},
+		"stream origins": func() travellingLog {
+			return newGossip(func(g *gateway, key uint32) {
+				g.options.Origins.Merge([]comfreyworks.StreamOrigin{{Stream: key, Release: 1}}, sharedlog.Local)
+			}, func(g *gateway) (keys []uint32) {
+				origins, _ := g.options.Origins.After(0, sharedlog.Remote)
+				for _, o := range origins {
+					keys = append(keys, o.Stream)
+				}
+				return keys
+			})
+		},
+		"suspicions": func() travellingLog {
+			return newGossip(func(g *gateway, key uint32) {
+				g.options.Crashes.Merge([]comfreyworks.CrashSuspicion{{Part: key, Crashes: 1}}, sharedlog.Local)
+			}, func(g *gateway) (keys []uint32) {
+				suspicions, _ := g.options.Crashes.After(0, sharedlog.Remote)
+				for _, s := range suspicions {
+					keys = append(keys, s.Part)
+				}
+				return keys
+			})
+		},
+		"members": func() travellingLog {
+			s := newGossip(func(g *gateway, key uint32) {
+				now := g.options.Clock.Now()
+				g.members.record(comfreyworks.GatewayPeer{ID: "other", Address: address(1000 + int(key)), Zone: "z"}, now, now)
+			}, func(g *gateway) (keys []uint32) {
+				for key := range uint32(maxGossip) {
+					if g.members.members[address(1000+int(key))] != nil {
+						keys = append(keys, key)
+					}
+				}
+				return keys
+			})
+			s.repliesOnly = true
+			return s
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
@@ -73,7 +116,6 @@
 						log.read(t, g)
 					case step == "restart":
 						n.start(i, options)
-						log.restarted(n.gateway(i))
 					case i != j:
 						exchange(n, log, g, peer, step == "lost")
 					}
@@ -97,13 +139,12 @@
 		if lost {
 			client = lossyClient{networkClient{n, peer.address}}
 		}
-		err := g.sync(context.Background(), client, peer.address)
-		log.heard(peer, g)
-		if err != nil {
+		if err := g.sync(context.Background(), client, peer.address); err != nil {
 			g.recordFailure(peer.address, err)
-			continue
 		}
-		log.heard(g, peer)
+	}
+	if !lost {
+		log.exchanged(g, peer)
 	}
 }
 
@@ -199,8 +240,7 @@
 	g.catalog.ApplyUpstreams(changes, g.options.Clock.Now())
 }
 
-func (s *listSource) heard(_, _ *gateway)  {}
-func (s *listSource) restarted(_ *gateway) {}
+func (s *listSource) exchanged(_, _ *gateway) {}
 
 func (s *listSource) missing(n *network, g *gateway) string {
 	if s.unsettled > 0 {
@@ -231,3 +271,92 @@
 	slices.Sort(described)
 	return fmt.Sprint(described)
 }
+
+// declarationSource is a source of declarations with what it held at each position.
+type declarationSource struct {
+	position comfreyworks.Position
+	routing  comfreyworks.ConfigRevision
+	weights  comfreyworks.WeightsRevision
+	// routingAt is the position of the last routing.
+	routingAt comfreyworks.Position
+	declared  map[comfreyworks.Position]string
+}
+
+func (s *declarationSource) write(t *rapid.T, _ *gateway) {
+	s.position++
+	if rapid.Bool().Draw(t, "routing") || s.routing == 0 {
+		s.routing, s.routingAt = s.routing+1, s.position
+	} else {
+		s.weights++
+	}
+	s.declared[s.position] = fmt.Sprint(s.routing, "/", s.weights)
+}
+
+func (s *declarationSource) read(_ *rapid.T, g *gateway) {
+	known, _ := g.catalog.SourceStates()
+	declaration := comfreyworks.Declaration{Next: s.position, Weights: map[comfreyworks.Model]comfreyworks.WeightsRevision{"oak": s.weights}}
+	if s.routingAt > known.Position {
+		declaration.Routing = &comfreyworks.Routing{Version: s.routing}
+	}
+	g.catalog.ApplyDeclaration(declaration, g.options.Clock.Now())
+}
+
+func (s *declarationSource) exchanged(_, _ *gateway) {}
+
+func (s *declarationSource) missing(_ *network, g *gateway) string {
+	known, _ := g.catalog.SourceStates()
+	if known.Position == 0 {
+		return ""
+	}
+	table, _ := g.catalog.Routing()
+	if table == nil {
+		return "no routing"
+	}
+	if got, want := fmt.Sprint(table.Version(), "/", g.catalog.Weights("oak").Revision), s.declared[known.Position]; got != want {
+		return fmt.Sprintf("has %s at position %d, the source had %s", got, known.Position, want)
+	}
+	return ""
+}
+
+// maxGossip is the number of keys that a test records.
+const maxGossip = 60
+
+// gossip is a log to which each gateway adds keys, and which others are told of.
+type gossip struct {
+	add  func(g *gateway, key uint32)
+	held func(g *gateway) []uint32
+	next uint32
+	// repliesOnly means that requests carry no keys.
+	repliesOnly bool
+	// added holds the keys that a process added, expected those that it must hold.
+	added, expected map[*gateway][]uint32
+}
+
+func newGossip(add func(*gateway, uint32), held func(*gateway) []uint32) *gossip {
+	return &gossip{add: add, held: held, added: make(map[*gateway][]uint32), expected: make(map[*gateway][]uint32)}
+}
+
+func (s *gossip) write(_ *rapid.T, g *gateway) {
+	s.add(g, s.next)
+	s.added[g], s.expected[g] = append(s.added[g], s.next), append(s.expected[g], s.next)
+	s.next++
+}
+
+func (s *gossip) read(_ *rapid.T, _ *gateway) {}
+
+func (s *gossip) exchanged(g, peer *gateway) {
+	s.expected[g] = append(s.expected[g], s.added[peer]...)
+	if !s.repliesOnly {
+		s.expected[peer] = append(s.expected[peer], s.added[g]...)
+	}
+}
+
+func (s *gossip) missing(_ *network, g *gateway) string {
+	held := s.held(g)
+	for _, key := range s.expected[g] {
+		if !slices.Contains(held, key) {
+			return fmt.Sprintf("has %v, but not %d", held, key)
+		}
+	}
+	return ""
+}
