Let readers read on from their own last position

A reader now reads on from the position up to which it has read the list itself. What it reads again changes nothing; what a peer lost is found in the next read. A gateway that becomes a reader reads the whole list once.

The new subtest of TestReader fails without the change.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -75,6 +76,10 @@
 type Follower struct {
 	options   Options
 	startedAt time.Time
+	// upstreamsRead is the position up to which this gateway, as a reader, has read the
+	// upstreams itself. Readers read on from there and not from where a peer has
+	// taken the catalog, so that a change that a peer lost is not lost for all.
+	upstreamsRead atomic.Uint64
 }
 
 // New returns a follower.
@@ -212,12 +217,19 @@
 	ctx, cancel := context.WithTimeout(ctx, responseTimeout)
 	defer cancel()
 	_, listed := f.options.Catalog.SourceStates()
+	after := listed.Position
+	if f.isReader() {
+		after = comfreyworks.Position(f.upstreamsRead.Load())
+	}
 	requestedAt := f.options.Clock.Now()
-	changes, err := f.options.Upstreams.Upstreams(ctx, listed.Position, 0)
+	changes, err := f.options.Upstreams.Upstreams(ctx, after, 0)
 	if err != nil {
 		return err
 	}
 	change := f.options.Catalog.ApplyUpstreams(changes, requestedAt)
+	if _, listed = f.options.Catalog.SourceStates(); listed.Position == changes.Next && f.isReader() {
+		f.upstreamsRead.Store(uint64(changes.Next))
+	}
 	f.log(&change, changes.Next, requestedAt)
 	return nil
 }
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -24,6 +24,8 @@
 	mu    sync.Mutex
 	down  bool
 	reads int
+	// after is the position of the last read of upstreams.
+	after comfreyworks.Position
 }
 
 func (s *fakeSource) recordRead() error {
@@ -49,7 +51,10 @@
 }
 
 // Upstreams implements comfreyworks.UpstreamSource.
-func (s *fakeSource) Upstreams(context.Context, comfreyworks.Position, time.Duration) (comfreyworks.UpstreamChanges, error) {
+func (s *fakeSource) Upstreams(_ context.Context, after comfreyworks.Position, _ time.Duration) (comfreyworks.UpstreamChanges, error) {
+	s.mu.Lock()
+	s.after = after
+	s.mu.Unlock()
 	return comfreyworks.UpstreamChanges{Next: 1}, s.recordRead()
 }
 
@@ -107,6 +112,14 @@
 		f.poll(t, 10, upstreamInterval)
 		assert.Equal(t, f.source.readCount(), 11)
 	})
+	t.Run("a reader reads on from its own last read, whatever a peer has told it", func(t *testing.T) {
+		f := newFixture()
+		f.reader = true
+		f.poll(t, 1, upstreamInterval)
+		f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Next: 5}, f.clock.Now())
+		f.poll(t, 1, upstreamInterval)
+		assert.Equal(t, f.source.after, comfreyworks.Position(1))
+	})
 	// A fleet that starts at the same moment must not read the source from every
 	// gateway.
 	t.Run("another gateway relies on others from the start", func(t *testing.T) {
