--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"comfreyworks/internal/state/bootclock"
+	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/transport/gateway"
 	"comfreyworks/internal/transport/program"
@@ -64,12 +65,14 @@
 	client := program.NewHTTPClient()
 	upstreams := platform.NewReplicaClient(client)
 	store := platform.NewStoreClient(settings.StoreAddress, client, logger)
+	clock, metrics := bootclock.New(), meter.New()
+	store.RecordFaults(faults.New(faults.Options{Clock: clock, Logger: logger, Meter: metrics}))
 	stop := checkSettingsOnHangup(ctx, logger, hangups)
 	defer stop()
 	return gateway.New(gateway.Options{
 		Settings: settings.Gateway, Declarations: store, Upstreams: store, Leases: store, Registry: store,
 		Loader: upstreams, Caches: upstreams,
-		Clock: bootclock.New(), Logger: logger, Meter: meter.New(),
+		Clock: clock, Logger: logger, Meter: metrics,
 	}).Run(ctx, listeners)
 }
 
--- /dev/null
+++ b/internal/state/faults/faults.go
@@ -0,0 +1,117 @@
+// Package faults records faults that must not end a process or stop its work: input
+// from outside that cannot be decoded, and panics.
+//
+// # Usage
+//
+//	r := faults.New(faults.Options{Clock: clock, Logger: logger, Meter: meter})
+//	r.SetAside("upstreams", key, value, err)
+//	ok := r.Run("sync", func() { ... })
+//	r.Keep(ctx, "watch", func() { ... })
+//
+// A nil Recorder records nothing and lets panics pass. A Recorder is safe for
+// concurrent use.
+package faults
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+	"go.uber.org/zap"
+
+	"comfreyworks"
+	"comfreyworks/internal/state/meter"
+)
+
+const (
+	// maxKnown is how many records that were set aside are remembered.
+	maxKnown = 1024
+	// maxLoggedBytes is how much of a key or an error is logged.
+	maxLoggedBytes = 200
+	// restartDelay is the pause after a panic of a task that is kept running.
+	restartDelay = time.Second
+	// stackInterval is the minimum interval between two stacks of the same place in
+	// the log.
+	stackInterval = time.Minute
+)
+
+// Options configures a Recorder.
+type Options struct {
+	Clock  comfreyworks.Clock
+	Logger *zap.Logger
+	Meter  *meter.Meter
+}
+
+// Recorder logs and counts faults.
+type Recorder struct {
+	options Options
+	// known holds the hashes of the records that were set aside.
+	known *lru.Cache[uint64, struct{}]
+	// stackLogged holds when the stack of a place was last logged.
+	stackLogged *lru.Cache[string, time.Time]
+}
+
+// New returns a Recorder that knows no faults.
+func New(options Options) *Recorder {
+	// The only error is a size below one.
+	known, _ := lru.New[uint64, struct{}](maxKnown)
+	stackLogged, _ := lru.New[string, time.Time](maxKnown)
+	return &Recorder{options: options, known: known, stackLogged: stackLogged}
+}
+
+// SetAside records that a record of a source cannot be decoded. A record that is read
+// again counts once.
+func (r *Recorder) SetAside(source, key string, record []byte, err error) {
+	if r == nil {
+		return
+	}
+	hash := xxhash.New()
+	for _, part := range [][]byte{[]byte(source), []byte(key), record} {
+		_, _ = hash.Write(part)
+		_, _ = hash.Write([]byte{0})
+	}
+	if known, _ := r.known.ContainsOrAdd(hash.Sum64(), struct{}{}); known {
+		return
+	}
+	r.options.Meter.Add("comfrey_set_aside_total", meter.Labels{Class: comfreyworks.Class(source)}, 1)
+	r.options.Logger.Warn("record set aside because it cannot be decoded", zap.String("source", source),
+		zap.String("key", cut(key)), zap.Int("bytes", len(record)), zap.String("reason", cut(err.Error())))
+}
+
+// Run calls f. It returns false if f panicked, except with http.ErrAbortHandler, which
+// it passes on.
+func (r *Recorder) Run(place string, f func()) (ok bool) {
+	if r != nil {
+		defer func() {
+			if cause := recover(); cause != nil {
+				r.recordPanic(place, cause)
+			}
+		}()
+	}
+	f()
+	return true
+}
+
+func (r *Recorder) recordPanic(place string, cause any) {
+	if cause == http.ErrAbortHandler {
+		panic(cause)
+	}
+	r.options.Meter.Add("comfrey_panics_total", meter.Labels{Class: comfreyworks.Class(place)}, 1)
+	now := r.options.Clock.Now()
+	if last, ok := r.stackLogged.Get(place); ok && now.Sub(last) < stackInterval {
+		return
+	}
+	r.stackLogged.Add(place, now)
+	r.options.Logger.Error("panic", zap.String("place", place), zap.Any("cause", cause), zap.Stack("stack"))
+}
+
+// Keep calls f until it returns without a panic or ctx ends.
+func (r *Recorder) Keep(ctx context.Context, place string, f func()) {
+	for !r.Run(place, f) && comfreyworks.Sleep(ctx, r.options.Clock, restartDelay) {
+		continue
+	}
+}
+
+func cut(text string) string { return text[:min(len(text), maxLoggedBytes)] }
