Keep an upstream whose newest entry cannot be decoded

What callers saw: an upstream that served well left the list as soon as one entry that cannot be decoded was written under its key and a gateway read the whole list; if its sound entry was on the same page, that one was not used either.

A whole list names the entries that cannot be decoded, and the catalog keeps the upstreams that it knows by them.

--- a/declaration.go
+++ b/declaration.go
@@ -45,6 +45,9 @@
 	Present []Upstream
 	// Gone lists the upstreams whose entries were removed.
 	Gone []InstanceID
+	// Undecoded lists, in a whole list, the IDs of entries that cannot be decoded.
+	// Upstreams that are known by them stay as they are.
+	Undecoded []InstanceID
 	// Former lists releases that no listed upstream runs any more.
 	Former []FormerRelease
 	// Next is the position to pass as after in the next call.
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -379,6 +379,9 @@
 	for _, upstream := range changes.Present {
 		listed[upstream.ID] = true
 	}
+	for _, id := range changes.Undecoded {
+		listed[id] = true
+	}
 	for id := range c.entries {
 		if !listed[id] {
 			removed = append(removed, id)
--- a/internal/state/catalog/catalog_test.go
+++ b/internal/state/catalog/catalog_test.go
@@ -286,3 +286,12 @@
 		}
 	})
 }
+
+// TestUndecodedEntry guards against an upstream that is removed because its newest
+// entry cannot be decoded.
+func TestUndecodedEntry(t *testing.T) {
+	f := newFixture()
+	f.applyList(1, true, []comfreyworks.Upstream{upstream("a"), upstream("b")})
+	f.ApplyUpstreams(comfreyworks.UpstreamChanges{Whole: true, Undecoded: []comfreyworks.InstanceID{"a", "other"}, Next: 2}, f.clock.Now())
+	f.assertLive(t, "a")
+}
