Take over a lease whose newest record cannot be used

What callers saw: engines got no new weights any more from any gateway. A lease record that cannot be decoded made every attempt to acquire the lease an error, and one with a negative idle time was never old enough. As only the holder appends records, nothing ever replaced it.

Change: a record that cannot be decoded says nothing about who holds the lease, as one from before a restore, so that everyone waits for the whole duration since the log last grew. It is set aside, logged once and counted. The idle time of a released lease counts from zero up to the duration.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -66,13 +66,14 @@
 	upstreams := platform.NewReplicaClient(client)
 	store := platform.NewStoreClient(settings.StoreAddress, client, logger)
 	clock, metrics := bootclock.New(), meter.New()
-	store.RecordFaults(faults.New(faults.Options{Clock: clock, Logger: logger, Meter: metrics}))
+	recorder := faults.New(faults.Options{Clock: clock, Logger: logger, Meter: metrics})
+	store.RecordFaults(recorder)
 	stop := checkSettingsOnHangup(ctx, logger, hangups)
 	defer stop()
 	return gateway.New(gateway.Options{
 		Settings: settings.Gateway, Declarations: store, Upstreams: store, Leases: store, Registry: store,
 		Loader: upstreams, Caches: upstreams,
-		Clock: clock, Logger: logger, Meter: metrics,
+		Clock: clock, Logger: logger, Meter: metrics, Faults: recorder,
 	}).Run(ctx, listeners)
 }
 
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -10,7 +10,8 @@
 // A log that is restored from an earlier copy may have lost records, and with them
 // the latest holder. A record that was written before the restore therefore says
 // nothing about who holds the lease: everyone but the latest holder waits for as
-// long as an unknown holder might use the lease.
+// long as an unknown holder might use the lease. The same holds for a record that
+// cannot be decoded.
 //
 // # Usage
 //
@@ -28,6 +29,7 @@
 	"time"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/faults"
 )
 
 // Kind classifies the errors of this package.
@@ -37,7 +39,7 @@
 const (
 	// KindLog means that a call to the log failed.
 	KindLog Kind = "log"
-	// KindRecord means that a record cannot be encoded or decoded.
+	// KindRecord means that a record cannot be encoded.
 	KindRecord Kind = "record"
 )
 
@@ -72,6 +74,8 @@
 	// it is free; other processes do not read the log. Nil means always.
 	Candidate func() bool
 	Clock     comfreyworks.Clock
+	// Faults records lease records that cannot be decoded.
+	Faults *faults.Recorder
 }
 
 // record is one lease record in the log.
@@ -162,9 +166,11 @@
 		return l.interval(renewShare), &Error{Op: "read lease", Kind: KindLog, Err: err}
 	}
 	var newest record
-	if data != nil {
+	usable := data != nil
+	if usable {
 		if err := json.Unmarshal(data, &newest); err != nil {
-			return l.interval(pollShare), &Error{Op: "read lease", Kind: KindRecord, Err: err}
+			l.options.Faults.SetAside("lease", l.options.Stream, data, err)
+			usable, newest = false, record{}
 		}
 	}
 	now := l.options.Clock.Now()
@@ -173,7 +179,7 @@
 		l.logEndKnown, l.logEnd, l.logEndSeenAt = true, logEnd, now
 	}
 	// valid means that no record was lost after the newest one.
-	valid := logEnd == 0 || (data != nil && newest.At+1 == logEnd)
+	valid := logEnd == 0 || (usable && newest.At+1 == logEnd)
 	own := valid && newest.Holder == l.options.Self
 	if l.token != 0 && (!own || newest.Token != l.token || newest.Released) {
 		l.token = 0
@@ -181,7 +187,7 @@
 	l.appendUnconfirmed = false
 	token, unchangedFor := l.token, now.Sub(l.logEndSeenAt)
 	if valid && newest.Released {
-		unchangedFor += time.Duration(newest.IdleMS) * time.Millisecond
+		unchangedFor += time.Duration(min(max(newest.IdleMS, 0), l.options.Duration.Milliseconds())) * time.Millisecond
 	}
 	free := logEnd == 0 || own || (!valid && l.isOwner(now)) || unchangedFor >= l.options.Duration
 	l.mu.Unlock()
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -22,6 +22,7 @@
 	"comfreyworks/internal/coordination/balance"
 	"comfreyworks/internal/coordination/lease"
 	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/meter"
 )
 
@@ -100,6 +101,8 @@
 	Clock    comfreyworks.Clock
 	Logger   *zap.Logger
 	Meter    *meter.Meter
+	// Faults records lease records that cannot be decoded.
+	Faults *faults.Recorder
 }
 
 // Rollout updates engines to the declared weights.
@@ -120,6 +123,7 @@
 		lease: lease.New(lease.Options{
 			Log: options.Log, Stream: leaseStream, Self: options.Self,
 			Duration: options.LeaseDuration, Candidate: options.Candidate, Clock: options.Clock,
+			Faults: options.Faults,
 		}),
 		loads: newLoadTracker(),
 	}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/crashes"
+	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/retrybudget"
@@ -112,6 +113,8 @@
 	Clock  comfreyworks.Clock
 	Logger *zap.Logger
 	Meter  *meter.Meter
+	// Faults records what is set aside and panics; nil means one of its own.
+	Faults *faults.Recorder
 }
 
 // Listeners holds the listeners that a gateway serves on.
@@ -145,6 +148,9 @@
 
 // New returns a gateway that does nothing until Run is called.
 func New(options Options) *Gateway {
+	if options.Faults == nil {
+		options.Faults = faults.New(faults.Options{Clock: options.Clock, Logger: options.Logger, Meter: options.Meter})
+	}
 	g := &Gateway{options: options, startedAt: options.Clock.Now()}
 	g.catalog = catalog.New(options.Clock)
 	g.holdings = holdings.New()
@@ -201,7 +207,7 @@
 			Self: options.Settings.ID, LeaseDuration: options.Settings.Bounds.LeaseDuration,
 			Catalog: g.catalog, Balancer: g.balancer, Announce: g.peering.Announce, Log: options.Leases, Loader: options.Loader,
 			Candidate: func() bool { return g.peering.IsSelected("rollout", leaseCandidates) },
-			Clock:     options.Clock, Logger: options.Logger, Meter: options.Meter,
+			Clock:     options.Clock, Logger: options.Logger, Meter: options.Meter, Faults: options.Faults,
 		})
 	}
 	return g
