Read on after a cache event that cannot be decoded

What callers saw: one event of a wrong type made the whole page an error. The gateway then forgot all that the engine or cache store holds, read its events from the start, and met the same event again: the prompts of its sessions were prefilled again as long as the event was retained. Events with null fields, too few fields, negative or absurd numbers of tokens were believed, and IDs of any length were kept in the index.

Evidence: ten cases of TestReplicas failed before, four with an error for the page ("json: cannot unmarshal string into Go struct field"), six with "3 (int) != 2 (int)" changes.

Change: events are decoded one by one; one that cannot be decoded is set aside, logged once and counted. More than six fields are accepted, as before.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -68,6 +68,7 @@
 	clock, metrics := bootclock.New(), meter.New()
 	recorder := faults.New(faults.Options{Clock: clock, Logger: logger, Meter: metrics})
 	store.RecordFaults(recorder)
+	upstreams.RecordFaults(recorder)
 	stop := checkSettingsOnHangup(ctx, logger, hangups)
 	defer stop()
 	return gateway.New(gateway.Options{
--- a/prefix.go
+++ b/prefix.go
@@ -25,3 +25,7 @@
 	}
 	return c[len(c)-1].Tokens
 }
+
+// MaxPromptTokens is the maximum number of tokens of a prompt, or of one of its parts,
+// that is believed. Sums over many requests stay far below the range of an int.
+const MaxPromptTokens = 1 << 30
