Pause after a poll of cache events that brought nothing and did not wait

What callers saw: an engine or cache store that answers polls at once, with the token that the gateway already has, was polled without a pause: one processor of the gateway and of the engine for nothing but polls.

Evidence: TestAnswersWithoutProgress failed before: "context deadline exceeded" while it waited for the gateway to pause.

--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -139,7 +139,8 @@
 		}
 		wait, pause := pollSchedule(target.MaxReaders, int(w.readers.Load()))
 		pollCtx, cancel := context.WithTimeout(w.withAdvice(ctx, target, &state), wait+responseTimeout)
-		changes, err := w.options.Source.CacheChanges(pollCtx, target.Address, state.after, wait)
+		polledAt, after := w.options.Clock.Now(), state.after
+		changes, err := w.options.Source.CacheChanges(pollCtx, target.Address, after, wait)
 		cancel()
 		switch {
 		case err != nil && w.closedFor(target, &state) > 0:
@@ -150,6 +151,10 @@
 			w.recordFailure(&state)
 		default:
 			w.apply(&state, &changes)
+			if changes.Next <= after {
+				// The target need not wait as long as it was asked to.
+				pause = max(pause, minWait-w.options.Clock.Since(polledAt))
+			}
 		}
 		comfreyworks.Sleep(ctx, w.options.Clock, pause)
 	}
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -178,3 +178,25 @@
 	stop()
 	assert.NilError(t, group.Wait())
 }
+
+// TestAnswersWithoutProgress guards against a target that keeps a gateway busy by
+// answering polls at once without anything new.
+func TestAnswersWithoutProgress(t *testing.T) {
+	engine := &fakeEngine{answers: make(chan any)}
+	clock := clockwork.NewFakeClock()
+	w := New(Options{Source: engine, Index: holdings.New(), ReaderCount: oneReader, Clock: clock, Logger: zap.NewNop()})
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		w.poll(ctx, Target{ID: "e"})
+		return nil
+	})
+	for range 2 {
+		engine.answers <- comfreyworks.CacheChanges{Incarnation: 1, Next: 4, Changes: cacheChange("a", 100)}
+	}
+	blockCtx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	assert.NilError(t, clock.BlockUntilContext(blockCtx, 1))
+	stop()
+	assert.NilError(t, group.Wait())
+}
