Keep a gateway alive through a panic outside of a request's goroutine

What callers saw: net/http recovers the goroutine of a request, nothing else does. A panic while a silent upstream was replaced, in a call of a peer, while a peer's message was decoded, in a follower, a poll or a load of weights ended the gateway with all its streams; the message or record that caused it was then read by the next one.

Change: faults.Recorder runs these functions, logs a panic with its stack, at most once a minute for each place, and counts it in comfrey_panics_total, by place. What follows depends on the place: the successor of a silent upstream is ended and the silent one goes on; a peer's call gets an error; the connection of a message that cannot be decoded is closed, because the decoder is within it; followers count it as a failed read; polls and the exchange with peers start again after a second; a load of weights counts as failed, so that its permit is free. A panic in the request's own goroutine is counted too and still breaks only that request.

Not covered: timers of internal/protocol/exchange, whose callbacks only cancel a context, and sidecars, whose calls of peers still run in bare goroutines of net/rpc.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -19,6 +19,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/meter"
 )
 
@@ -51,6 +52,9 @@
 	maxStandbyRetry = 2400 * time.Millisecond
 )
 
+// errPanic means that a source could not be read because of a panic.
+var errPanic = errors.New("panic while reading")
+
 // Options configures a Follower.
 type Options struct {
 	Declarations comfreyworks.DeclarationSource
@@ -69,6 +73,8 @@
 	Clock      comfreyworks.Clock
 	Logger     *zap.Logger
 	Meter      *meter.Meter
+	// Faults records panics, after which a source is read on.
+	Faults *faults.Recorder
 }
 
 // Follower keeps one catalog up to date.
@@ -153,7 +159,8 @@
 			comfreyworks.Sleep(ctx, f.options.Clock, standbyInterval)
 			continue
 		}
-		err := p.read(ctx)
+		err := errPanic
+		f.options.Faults.Run("follow-"+p.source, func() { err = p.read(ctx) })
 		wait := p.interval
 		switch {
 		case ctx.Err() != nil:
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -39,6 +39,8 @@
 	// that has happened to a part of its prompt, and cleared means that it can't any more.
 	engineEnded, cleared bool
 	crashes              int
+	// ended means that end was called.
+	ended bool
 	// resumesAfter is the event after which the attempt continues a stream; empty
 	// means from the start.
 	resumesAfter string
@@ -77,6 +79,7 @@
 
 // end releases the attempt's resources and reports its result.
 func (a *attempt) end() {
+	a.ended = true
 	a.cancel(nil)
 	a.pick.Done(a.result)
 	a.endTrial()
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -31,6 +31,7 @@
 	"comfreyworks/internal/coordination/balance"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/crashes"
+	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/retrybudget"
 )
 
@@ -139,6 +140,8 @@
 	Exchanger comfreyworks.Exchanger
 	Clock     comfreyworks.Clock
 	Logger    *zap.Logger
+	// Faults records panics while a silent upstream is replaced.
+	Faults *faults.Recorder
 	// Origins knows the releases that began streams. If it is nil, a stream is
 	// continued only if its pool has had one release.
 	Origins comfreyworks.StreamOrigins
--- a/internal/coordination/forward/takeover.go
+++ b/internal/coordination/forward/takeover.go
@@ -19,6 +19,9 @@
 // upstream that refuses does so sooner, and two must not work on one request for long.
 const takeoverOverlap = 300 * time.Millisecond
 
+// panicPlace is the place of panics while a silent upstream is replaced.
+const panicPlace = "takeover"
+
 var (
 	// errUpstreamSilent is the context's cause when an upstream did not answer in
 	// time and another one has taken its place.
@@ -57,7 +60,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t := &takeover{silent: a, limit: limit, heardAt: a.options.Clock.Now()}
-	t.timer = a.options.Clock.AfterFunc(limit, func() { t.expired(ctx) })
+	t.timer = a.options.Clock.AfterFunc(limit, func() {
+		a.options.Faults.Run(panicPlace, func() { t.expired(ctx) })
+	})
 	a.takeover = t
 }
 
@@ -96,7 +101,9 @@
 	t.successor = next
 	options := next.attemptOptions()
 	t.group.Go(func() error {
-		t.await(next, options)
+		if !r.options.Faults.Run(panicPlace, func() { t.await(next, options) }) {
+			t.abort(next)
+		}
 		return nil
 	})
 }
@@ -132,7 +139,9 @@
 // await waits for the answer of the attempt that is to take over.
 func (t *takeover) await(next *attempt, options comfreyworks.AttemptOptions) {
 	r := t.silent.activeRequest
-	overlap := r.options.Clock.AfterFunc(takeoverOverlap, func() { t.abandon(next) })
+	overlap := r.options.Clock.AfterFunc(takeoverOverlap, func() {
+		r.options.Faults.Run(panicPlace, func() { t.abandon(next) })
+	})
 	defer overlap.Stop()
 	response, err := r.options.Exchanger.Exchange(comfreyworks.WithAdvice(next.ctx, next.pick.Advise), r.request.Message, options)
 	r.mu.Lock()
@@ -164,6 +173,22 @@
 	}
 }
 
+// abort ends the attempt that was to take over after a panic. The silent one goes on.
+func (t *takeover) abort(next *attempt) {
+	r := t.silent.activeRequest
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t.silent.next == next {
+		return
+	}
+	if t.successor == next {
+		t.successor = nil
+	}
+	if !next.ended {
+		next.end()
+	}
+}
+
 // abandon gives the silent upstream up for a successor that has not refused.
 func (t *takeover) abandon(successor *attempt) {
 	t.silent.mu.Lock()
--- a/internal/coordination/peering/notices.go
+++ b/internal/coordination/peering/notices.go
@@ -123,7 +123,7 @@
 			continue
 		}
 		group.Go(func() error {
-			p.notify(ctx, address, batch, notices)
+			p.options.Faults.Run("peering-notices", func() { p.notify(ctx, address, batch, notices) })
 			return nil
 		})
 	}
--- a/internal/coordination/peering/partners.go
+++ b/internal/coordination/peering/partners.go
@@ -23,10 +23,7 @@
 		}
 		pollCtx, stop := context.WithCancel(ctx)
 		polls[address] = stop
-		group.Go(func() error {
-			p.poll(pollCtx, address)
-			return nil
-		})
+		p.keep(pollCtx, group, "peering-poll", func() { p.poll(pollCtx, address) })
 	}
 	for address, stop := range polls {
 		if !partners[address] {
--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -46,6 +46,7 @@
 	"comfreyworks/internal/coordination/balance"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/crashes"
+	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/rendezvous"
 	"comfreyworks/internal/state/savedsessions"
 	"comfreyworks/internal/state/streamorigins"
@@ -139,6 +140,8 @@
 	Crashes *crashes.Log
 	Clock   comfreyworks.Clock
 	Logger  *zap.Logger
+	// Faults records panics, after which the exchange goes on.
+	Faults *faults.Recorder
 }
 
 // Peering exchanges state with the other gateways. It is safe for concurrent use.
@@ -210,20 +213,27 @@
 func (p *Peering) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	if p.options.Registry != nil {
-		group.Go(func() error { return p.pollRegistry(ctx) })
+		p.keep(ctx, group, "peering-registry", func() { _ = p.pollRegistry(ctx) })
 	}
-	group.Go(func() error { return p.sendNotices(ctx) })
-	group.Go(func() error {
-		polls := make(map[netip.AddrPort]context.CancelFunc)
+	p.keep(ctx, group, "peering-notices", func() { _ = p.sendNotices(ctx) })
+	polls := make(map[netip.AddrPort]context.CancelFunc)
+	p.keep(ctx, group, "peering", func() {
 		for ctx.Err() == nil {
 			p.reconcile(ctx, group, polls)
 			p.awaitChange(ctx)
 		}
-		return nil
 	})
 	return group.Wait()
 }
 
+// keep runs f in the group, and again after a panic.
+func (p *Peering) keep(ctx context.Context, group *errgroup.Group, place string, f func()) {
+	group.Go(func() error {
+		p.options.Faults.Keep(ctx, place, f)
+		return nil
+	})
+}
+
 // awaitChange waits for reconcileInterval or until the set of partners must
 // change.
 func (p *Peering) awaitChange(ctx context.Context) {
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -101,7 +101,7 @@
 	Clock    comfreyworks.Clock
 	Logger   *zap.Logger
 	Meter    *meter.Meter
-	// Faults records lease records that cannot be decoded.
+	// Faults records lease records that cannot be decoded, and panics.
 	Faults *faults.Recorder
 }
 
@@ -133,12 +133,15 @@
 // loads and releases the lease.
 func (r *Rollout) Run(ctx, stopping context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return r.maintainLease(ctx, stopping) })
+	group.Go(func() error {
+		r.options.Faults.Keep(ctx, "lease", func() { _ = r.maintainLease(ctx, stopping) })
+		return nil
+	})
 	group.Go(func() error {
 		for pause := standbyInterval; comfreyworks.Sleep(ctx, r.options.Clock, pause); {
 			pause = standbyInterval
 			if token, ok := r.lease.Held(); ok && stopping.Err() == nil {
-				r.startLoads(ctx, group, token)
+				r.options.Faults.Run("rollout", func() { r.startLoads(ctx, group, token) })
 				pause = checkInterval
 			}
 		}
@@ -200,7 +203,9 @@
 				}
 				r.loads.start(engine.ID)
 				group.Go(func() error {
-					r.loadWeights(ctx, order)
+					if !r.options.Faults.Run("rollout-load", func() { r.loadWeights(ctx, order) }) {
+						r.loads.finish(order.Upstream.ID, r.options.Clock.Now().Add(retryDelay))
+					}
 					return nil
 				})
 			}
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -24,6 +24,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/holdings"
 )
 
@@ -77,6 +78,8 @@
 	ClosedFor func(Target) time.Duration
 	Clock     comfreyworks.Clock
 	Logger    *zap.Logger
+	// Faults records panics, after which the target is read from the start.
+	Faults *faults.Recorder
 }
 
 // Watcher reads the cache changes of a changing set of targets.
@@ -95,7 +98,7 @@
 	cancels := make(map[Target]context.CancelFunc)
 	group.Go(func() error {
 		for {
-			w.reconcile(ctx, group, cancels)
+			w.options.Faults.Run("watch", func() { w.reconcile(ctx, group, cancels) })
 			if !comfreyworks.Sleep(ctx, w.options.Clock, reconcileInterval) {
 				return nil
 			}
@@ -116,7 +119,7 @@
 		targetCtx, cancel := context.WithCancel(ctx)
 		cancels[target] = cancel
 		group.Go(func() error {
-			w.poll(targetCtx, target)
+			w.options.Faults.Keep(targetCtx, "watch-poll", func() { w.poll(targetCtx, target) })
 			return nil
 		})
 	}
--- a/internal/protocol/peer/client.go
+++ b/internal/protocol/peer/client.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/faults"
 )
 
 // Kind classifies the errors of this package.
@@ -73,6 +74,8 @@
 	Dial Dial
 	// Limits bounds the answers of peers.
 	Limits MessageLimits
+	// Faults records panics while answers are decoded.
+	Faults *faults.Recorder
 }
 
 // Clients holds one client for each address.
@@ -315,7 +318,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return newConnection(conn, c.options.Limits), nil
+	return newConnection(conn, c.options.Limits, c.options.Faults), nil
 }
 
 // authenticate runs the client's half of the handshake within handshakeTimeout.
--- a/internal/protocol/peer/codec.go
+++ b/internal/protocol/peer/codec.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/faults"
 )
 
 const (
@@ -24,6 +25,9 @@
 	defaultMessageTimeout = 2 * writeTimeout
 )
 
+// errPanic means that a message could not be decoded because of a panic.
+var errPanic = errors.New("panic while decoding")
+
 // MessageLimits bounds each message that is read from a peer. Zero values stand for
 // defaults.
 type MessageLimits struct {
@@ -109,6 +113,7 @@
 // codec encodes and decodes messages in the format of net/rpc, within limits.
 type codec struct {
 	reader  *messageReader
+	faults  *faults.Recorder
 	decoder *gob.Decoder
 	encoder *gob.Encoder
 	buffer  *bufio.Writer
@@ -125,11 +130,11 @@
 	_ rpc.ServerCodec = (*codec)(nil)
 )
 
-func newCodec(conn net.Conn, limits MessageLimits) *codec {
+func newCodec(conn net.Conn, limits MessageLimits, recorder *faults.Recorder) *codec {
 	reader := &messageReader{conn: conn, buffer: bufio.NewReader(conn), limits: limits.withDefaults()}
 	buffer := bufio.NewWriter(conn)
 	return &codec{
-		reader: reader, decoder: gob.NewDecoder(reader), encoder: gob.NewEncoder(buffer), buffer: buffer,
+		reader: reader, faults: recorder, decoder: gob.NewDecoder(reader), encoder: gob.NewEncoder(buffer), buffer: buffer,
 		close: sync.OnceValue(conn.Close), calls: make(map[uint64]struct{}),
 	}
 }
@@ -152,11 +157,21 @@
 	if err := c.reader.begin(); err != nil {
 		return err
 	}
-	return c.decoder.Decode(header)
+	return c.decode(header)
 }
 
 func (c *codec) readBody(body any) error {
-	return errors.Join(c.decoder.Decode(body), c.reader.end())
+	return errors.Join(c.decode(body), c.reader.end())
+}
+
+// decode decodes a value. A panic closes the connection: it happens in a goroutine of
+// net/rpc, which does not recover, and leaves the decoder within a message.
+func (c *codec) decode(value any) error {
+	var err error
+	if !c.faults.Run("peer-codec", func() { err = c.decoder.Decode(value) }) {
+		return c.reader.fail(errPanic)
+	}
+	return err
 }
 
 // WriteRequest implements rpc.ClientCodec.
--- a/internal/protocol/peer/connection.go
+++ b/internal/protocol/peer/connection.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"comfreyworks/internal/state/faults"
 )
 
 // callDeadline decides how long one call waits for its answer. If anything
@@ -105,10 +107,10 @@
 	return now.Sub(c.silentSince)
 }
 
-func newConnection(conn net.Conn, limits MessageLimits) *connection {
+func newConnection(conn net.Conn, limits MessageLimits, recorder *faults.Recorder) *connection {
 	reads := new(atomic.Int64)
 	counting := countingConn{Conn: writeTimeoutConn{conn}, reads: reads}
-	return &connection{rpc: rpc.NewClientWithCodec(newCodec(counting, limits)), reads: reads}
+	return &connection{rpc: rpc.NewClientWithCodec(newCodec(counting, limits, recorder)), reads: reads}
 }
 
 // countingConn counts the reads that returned data.
--- a/internal/protocol/peer/server.go
+++ b/internal/protocol/peer/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"comfreyworks/internal/state/faults"
 )
 
 // acceptRetryInterval is the pause after a connection could not be accepted for lack of
@@ -20,6 +22,8 @@
 type Server struct {
 	// Limits bounds the requests of clients. It must be set before Serve is called.
 	Limits MessageLimits
+	// Faults records panics while messages are read.
+	Faults *faults.Recorder
 	secret string
 	rpc    *rpc.Server
 	group  errgroup.Group
@@ -58,7 +62,7 @@
 			return &Error{Op: "accept", Kind: KindRemote, Err: err}
 		}
 		s.group.Go(func() error {
-			s.serveConn(conn)
+			s.Faults.Run("peer-connection", func() { s.serveConn(conn) })
 			return nil
 		})
 	}
@@ -81,7 +85,7 @@
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		return
 	}
-	s.rpc.ServeCodec(newCodec(writeTimeoutConn{conn}, s.Limits))
+	s.rpc.ServeCodec(newCodec(writeTimeoutConn{conn}, s.Limits, s.Faults))
 }
 
 // track stores an open connection. It returns false if the server is closed.
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -172,16 +172,18 @@
 	})
 	g.forwarder = forward.New(forward.Options{
 		Catalog: g.catalog, Balancer: g.balancer, Exchanger: g.upstreamClient, Clock: options.Clock,
-		Origins: origins, Crashes: g.crashes, Logger: options.Logger, RetryLimit: g.retryLimit,
+		Origins: origins, Crashes: g.crashes, Logger: options.Logger, Faults: options.Faults, RetryLimit: g.retryLimit,
 	})
 	g.follower = follow.New(follow.Options{
 		Declarations: options.Declarations, Upstreams: options.Upstreams, Catalog: g.catalog,
 		IsReader:      func() bool { return g.peering.IsSelected("read", sourceReaders) },
 		FallbackDelay: func() time.Duration { return g.peering.FallbackDelay() },
 		StartDelay:    func() time.Duration { return g.peering.StartDelay() },
-		Clock:         options.Clock, Logger: options.Logger, Meter: options.Meter,
+		Clock:         options.Clock, Logger: options.Logger, Meter: options.Meter, Faults: options.Faults,
+	})
+	g.peerClients = peer.NewClients(peer.ClientOptions{
+		Clock: options.Clock, Limits: peer.MessageLimits{Bytes: maxPeerMessageBytes}, Faults: options.Faults,
 	})
-	g.peerClients = peer.NewClients(peer.ClientOptions{Clock: options.Clock, Limits: peer.MessageLimits{Bytes: maxPeerMessageBytes}})
 	g.peering = peering.New(peering.Options{
 		Self: comfreyworks.GatewayPeer{
 			ID: options.Settings.ID, Address: options.Settings.PeerListen,
@@ -190,7 +192,7 @@
 		Seeds: options.Settings.Peers, Registry: options.Registry,
 		NewClient:     func(address netip.AddrPort) comfreyworks.GatewayClient { return g.peerClients.To(address) },
 		RetainClients: g.peerClients.Retain,
-		Catalog:       g.catalog, Balancer: g.balancer, Saved: saved, Clock: options.Clock, Logger: options.Logger,
+		Catalog:       g.catalog, Balancer: g.balancer, Saved: saved, Clock: options.Clock, Logger: options.Logger, Faults: options.Faults,
 		Origins: origins.log, PassOrigins: g.passesOrigins, Crashes: g.crashes,
 	})
 	origins.peering = g.peering
@@ -199,7 +201,7 @@
 			Source: options.Caches, Index: g.holdings, Targets: g.cacheTargets,
 			ReaderCount: func() int { return g.peering.Gateways() },
 			Advise:      g.adviceFrom, ClosedFor: g.closedFor,
-			Clock: options.Clock, Logger: options.Logger,
+			Clock: options.Clock, Logger: options.Logger, Faults: options.Faults,
 		})
 	}
 	if options.Leases != nil && options.Loader != nil {
@@ -409,7 +411,7 @@
 // upstreams that it has not considered for upstreamRetention.
 func (g *Gateway) removeUnseenUpstreams(ctx context.Context) error {
 	for comfreyworks.Sleep(ctx, g.options.Clock, upstreamRetention) {
-		g.balancer.RemoveUnseen(upstreamRetention)
+		g.options.Faults.Run("clean-up", func() { g.balancer.RemoveUnseen(upstreamRetention) })
 	}
 	return nil
 }
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -15,7 +15,9 @@
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
+	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/state/crashes"
+	"comfreyworks/internal/state/meter"
 )
 
 // TestRetrySlackRampsUp guards against exceeding the retry budget during a
@@ -147,3 +149,15 @@
 		return s.Part == ours && s.Crashes == 3
 	}))
 }
+
+// TestPanicInPeerCall guards against a peer's message that ends the gateway: net/rpc
+// does not recover from panics.
+func TestPanicInPeerCall(t *testing.T) {
+	f := newFixture(t)
+	f.gateway.peering = nil
+	service := &peerService{f.gateway}
+	assert.ErrorIs(t, service.Sync(comfreyworks.GatewayState{}, &comfreyworks.GatewayUpdate{}), errPanic)
+	assert.ErrorIs(t, service.Notify(comfreyworks.WeightsLoadNotices{}, &peer.Empty{}), errPanic)
+	assert.ErrorIs(t, service.FindStream(peer.FindStreamArgs{}, &peer.FindStreamReply{}), errPanic)
+	assert.Equal(t, f.gateway.options.Meter.Counter("comfrey_panics_total", meter.Labels{Class: "peer-call"}), 3)
+}
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 
 	"golang.org/x/sync/errgroup"
@@ -19,19 +20,27 @@
 
 // Sync receives a peer's state and replies with the state of this gateway.
 func (s *peerService) Sync(state comfreyworks.GatewayState, reply *comfreyworks.GatewayUpdate) error {
-	*reply = s.gateway.peering.HandleSync(state)
-	return nil
+	return s.call(func() { *reply = s.gateway.peering.HandleSync(state) })
 }
 
 // Notify receives a peer's notices that engines load weights.
 func (s *peerService) Notify(notices comfreyworks.WeightsLoadNotices, _ *peer.Empty) error {
-	s.gateway.peering.HandleNotify(notices)
-	return nil
+	return s.call(func() { s.gateway.peering.HandleNotify(notices) })
 }
 
 // FindStream tells a peer which release began a stream.
 func (s *peerService) FindStream(args peer.FindStreamArgs, reply *peer.FindStreamReply) error {
-	reply.Release, reply.Found = s.gateway.peering.HandleFindStream(args.Stream)
+	return s.call(func() { reply.Release, reply.Found = s.gateway.peering.HandleFindStream(args.Stream) })
+}
+
+// errPanic is what a peer learns of a panic that its call caused.
+var errPanic = errors.New("call failed")
+
+// call calls f in a goroutine of net/rpc, which does not recover from panics.
+func (s *peerService) call(f func()) error {
+	if !s.gateway.options.Faults.Run("peer-call", f) {
+		return errPanic
+	}
 	return nil
 }
 
@@ -42,6 +51,7 @@
 	if err != nil {
 		return &Error{Op: "serve peers", Kind: KindServe, Err: err}
 	}
+	server.Faults = g.options.Faults
 	server.Limits = peer.MessageLimits{Bytes: maxPeerMessageBytes}
 	group.Go(func() error { return server.Serve(ctx, listener) })
 	group.Go(func() error { return g.peering.Run(ctx) })
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -26,7 +26,10 @@
 			return
 		}
 		s := &sink{writer: w, controller: http.NewResponseController(w), id: request.Message.ID, names: &g.options.Settings.Headers}
-		outcome := g.forwarder.Forward(r.Context(), request, s)
+		var outcome forward.Outcome
+		if !g.options.Faults.Run("request", func() { outcome = g.forwarder.Forward(r.Context(), request, s) }) {
+			outcome = forward.Outcome{Verdict: forward.Broken, Reason: "panic"}
+		}
 		g.recordOutcome(request, &outcome)
 		g.respond(w, r, &outcome)
 	})
