Keep times that are out of range in range

What callers saw: a deadline header of "1e300" or "inf" became a deadline in 1731, so that the request was given up at once.

Change: numbers become the nearest duration that there is, and what is not a number zero.

--- a/clock.go
+++ b/clock.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -30,3 +31,18 @@
 		return false
 	}
 }
+
+// Duration returns n units, or the nearest duration if that is out of range. What is not
+// a number is zero.
+func Duration(n float64, unit time.Duration) time.Duration {
+	switch d := n * float64(unit); {
+	case d >= math.MaxInt64:
+		return math.MaxInt64
+	case d <= math.MinInt64:
+		return math.MinInt64
+	case math.IsNaN(d):
+		return 0
+	default:
+		return time.Duration(d)
+	}
+}
--- a/internal/transport/gateway/request.go
+++ b/internal/transport/gateway/request.go
@@ -177,7 +177,7 @@
 func requestDeadline(text string, route *comfreyworks.Route, received time.Time) time.Time {
 	limit := route.Timeout
 	if ms, err := strconv.ParseFloat(strings.TrimSpace(text), 64); err == nil && ms > 0 {
-		if remaining := time.Duration(ms * float64(time.Millisecond)); limit == 0 || remaining < limit {
+		if remaining := comfreyworks.Duration(ms, time.Millisecond); limit == 0 || remaining < limit {
 			limit = remaining
 		}
 	}
