Ignore numbers of tokens that make no sense

What callers saw: one request with a number of tokens beyond the range of an int made the engine that ran it look busy with tokens to all gateways, and two of them made the sum negative, so that it drew all requests. Negative numbers counted against the load of others.

--- a/internal/transport/gateway/request.go
+++ b/internal/transport/gateway/request.go
@@ -189,14 +189,24 @@
 func parsePrompt(header http.Header, names *comfreyworks.HeaderNames) forward.Prompt {
 	p := forward.Prompt{Model: comfreyworks.Model(header.Get(names.Model))}
 	tokens, _, _ := strings.Cut(header.Get(names.Tokens), ",")
-	p.Tokens, _ = strconv.Atoi(strings.TrimSpace(tokens))
+	p.Tokens, _ = parseTokens(strings.TrimSpace(tokens))
 	for entry := range strings.SplitSeq(header.Get(names.Prefix), ",") {
 		id, length, ok := strings.Cut(strings.TrimSpace(entry), ":")
-		tokens, err := strconv.Atoi(length)
-		if !ok || err != nil {
+		tokens, valid := parseTokens(length)
+		if !ok || !valid {
 			break
 		}
 		p.Parts = append(p.Parts, comfreyworks.PromptPart{ID: id, Tokens: tokens})
 	}
 	return p
 }
+
+// parseTokens parses a number of tokens. It returns false, and zero, if it is malformed
+// or makes no sense.
+func parseTokens(text string) (int, bool) {
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 || n > comfreyworks.MaxPromptTokens {
+		return 0, false
+	}
+	return n, true
+}
