Believe no load of a peer that makes no sense

What callers saw: a peer's message with a negative number of requests or tokens for an upstream made it look less than idle here, and through relays to all gateways, so that it drew the requests of all.

Change: such counts become the nearest ones that make sense. They aren't an error, because the rest of the message is sound, and a gateway whose messages are refused counts as unreachable.

--- a/backlog.go
+++ b/backlog.go
@@ -51,8 +51,14 @@
 	return encoded, nil
 }
 
+// maxBacklogTokens is the highest number of tokens of a priority that is believed. The
+// sum over all priorities and many gateways stays within the range of an int.
+const maxBacklogTokens = 1 << 48
+
 // GobDecode implements gob.GobDecoder. It returns an error if a priority is out
-// of range or a token count is cut off or too large.
+// of range or a token count is cut off or too large for its encoding. Counts beyond
+// what makes sense become the nearest one that does, so that the rest of the message
+// can be used.
 func (b *PrefillBacklog) GobDecode(encoded []byte) error {
 	*b = PrefillBacklog{}
 	for len(encoded) > 0 {
@@ -60,7 +66,7 @@
 		if length <= 0 || encoded[0] >= NumPriorities {
 			return errors.New("decode prefill backlog: priority out of range or malformed token count")
 		}
-		b[encoded[0]] = int(n)
+		b[encoded[0]] = int(min(max(n, 0), maxBacklogTokens))
 		encoded = encoded[1+length:]
 	}
 	return nil
--- a/internal/coordination/balance/loads.go
+++ b/internal/coordination/balance/loads.go
@@ -12,6 +12,8 @@
 	// to leave the first home.
 	idleRequests = 2
 	idleTokens   = 4096
+	// maxPeerRequests limits what is believed of the counts in one report.
+	maxPeerRequests = 1 << 20
 )
 
 // peerLoads holds the loads that peers reported, and their sum, so that the load
@@ -104,8 +106,13 @@
 }
 
 // SetPeerLoads sets the loads that a peer reports, of itself or of several
-// gateways. They count until the given time.
+// gateways. They count until the given time. Counts that make no sense are corrected in
+// place.
 func (b *Balancer) SetPeerLoads(peer comfreyworks.InstanceID, loads []comfreyworks.UpstreamLoad, until time.Time) {
+	for i := range loads {
+		loads[i].Requests = min(max(loads[i].Requests, 0), maxPeerRequests)
+		loads[i].Unreachable = min(max(loads[i].Unreachable, 0), maxPeerRequests)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers.set(peer, loadReport{loads: loads, until: until})
