Limit the idle timeout that an upstream may declare

What callers saw: a Keep-Alive header of an upstream with seconds overflowed to 0.3 s, so that no connection to it was used twice.

Change: timeouts are read without a sign and count up to an hour. The target FuzzAnswer covers the whole header of an answer.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -44,6 +44,9 @@
 	maxConnections = maxIdlePerUpstream + 1
 	// maxIdleTime is the maximum time that an idle connection is kept open.
 	maxIdleTime = 12 * time.Second
+	// maxIdleSeconds is the longest idle timeout of an upstream that is believed. It only
+	// needs to exceed maxIdleTime.
+	maxIdleSeconds = 3600
 	// maxHeaderBytes is the maximum size of a response header. If the response says
 	// that the request did not run, it is also the most that is read of the body.
 	maxHeaderBytes = 64 << 10
@@ -279,8 +282,8 @@
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
-		if seconds, err := strconv.Atoi(strings.TrimSpace(value)); err == nil {
-			return time.Duration(seconds) * time.Second
+		if seconds, err := strconv.ParseUint(strings.TrimSpace(value), 10, 64); err == nil {
+			return time.Duration(min(seconds, maxIdleSeconds)) * time.Second
 		}
 	}
 	return 0
