--- a/internal/state/faults/faults.go
+++ b/internal/state/faults/faults.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -37,6 +38,9 @@
 	stackInterval = time.Minute
 )
 
+// errPanic means that something could not be decoded because of a panic.
+var errPanic = errors.New("panic while decoding")
+
 // Options configures a Recorder.
 type Options struct {
 	Clock  comfreyworks.Clock
@@ -107,6 +111,13 @@
 	r.options.Logger.Error("panic", zap.String("place", place), zap.Any("cause", cause), zap.Stack("stack"))
 }
 
+// Try is Run for a function that decodes something; a panic becomes an error.
+func (r *Recorder) Try(place string, f func() error) error {
+	err := errPanic
+	r.Run(place, func() { err = f() })
+	return err
+}
+
 // Keep calls f until it returns without a panic or ctx ends.
 func (r *Recorder) Keep(ctx context.Context, place string, f func()) {
 	for !r.Run(place, f) && comfreyworks.Sleep(ctx, r.options.Clock, restartDelay) {
--- a/internal/state/faults/faults_test.go
+++ b/internal/state/faults/faults_test.go
@@ -63,3 +63,12 @@
 	defer func() { assert.Equal(t, recover(), http.ErrAbortHandler) }()
 	r.Run("request", func() { panic(http.ErrAbortHandler) })
 }
+
+// TestTry guards against a record that panics each time that it is read.
+func TestTry(t *testing.T) {
+	r, _, _ := newRecorder()
+	known := errors.New("known")
+	assert.ErrorIs(t, r.Try("decode", func() error { return known }), known)
+	assert.NilError(t, r.Try("decode", func() error { return nil }))
+	assert.ErrorIs(t, r.Try("decode", func() error { panic("broken") }), errPanic)
+}
