Pause after a read of declarations that brought nothing and did not wait

What callers saw: a store that answers reads of the declarations at once, although it was asked to wait for changes, was read without a pause by the gateways that read for all.

Evidence: TestAnswerThatDoesNotWait failed before: "context deadline exceeded" while it waited for the follower to pause.

A read that waits as it should is not followed by one.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -92,10 +92,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		return f.pollSource(ctx, poll{
-			source: "declarations", read: f.readDeclarations, confirmedAt: f.declarationsConfirmedAt,
-			fallbackAge: declarationFallbackAge,
-		})
+		return f.pollSource(ctx, f.declarations())
 	})
 	group.Go(func() error {
 		return f.pollSource(ctx, poll{
@@ -106,6 +103,18 @@
 	return group.Wait()
 }
 
+// declarations describes the reads of the declarations, which wait for changes.
+func (f *Follower) declarations() poll {
+	return poll{
+		source: "declarations", read: f.readDeclarations, confirmedAt: f.declarationsConfirmedAt,
+		fallbackAge: declarationFallbackAge,
+		position: func() comfreyworks.Position {
+			declared, _ := f.options.Catalog.SourceStates()
+			return declared.Position
+		},
+	}
+}
+
 // poll describes the repeated reads of one source.
 type poll struct {
 	source string
@@ -117,6 +126,17 @@
 	fallbackAge time.Duration
 	// interval is the pause after a successful read.
 	interval time.Duration
+	// position returns the position up to which the source was read; nil if reads do
+	// not wait for changes. A read that brought none and its pause take at least
+	// retryInterval.
+	position func() comfreyworks.Position
+}
+
+func (p *poll) currentPosition() comfreyworks.Position {
+	if p.position == nil {
+		return 0
+	}
+	return p.position()
 }
 
 func (f *Follower) declarationsConfirmedAt() time.Time {
@@ -159,6 +179,7 @@
 			comfreyworks.Sleep(ctx, f.options.Clock, standbyInterval)
 			continue
 		}
+		before, startedAt := p.currentPosition(), f.options.Clock.Now()
 		err := errPanic
 		f.options.Faults.Run("follow-"+p.source, func() { err = p.read(ctx) })
 		wait := p.interval
@@ -177,6 +198,9 @@
 			logger.Info("source available again", zap.Duration("after", f.options.Clock.Since(failedAt)))
 			failedAt, failures = time.Time{}, 0
 		}
+		if p.position != nil && p.currentPosition() == before {
+			wait = max(wait, retryInterval-f.options.Clock.Since(startedAt))
+		}
 		if wait > 0 {
 			comfreyworks.Sleep(ctx, f.options.Clock, wait)
 		}
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -214,3 +214,20 @@
 		})
 	}
 }
+
+// TestAnswerThatDoesNotWait guards against reads without a pause of a source that
+// answers at once, without changes, although it was asked to wait for some.
+func TestAnswerThatDoesNotWait(t *testing.T) {
+	f := newFixture()
+	f.reader = true
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return f.follower.pollSource(ctx, f.follower.declarations()) })
+	blockCtx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	err := f.clock.BlockUntilContext(blockCtx, 1)
+	stop()
+	assert.NilError(t, group.Wait())
+	assert.NilError(t, err)
+	assert.Equal(t, f.source.readCount(), 2)
+}
