Limit how long a notice keeps requests from an engine

What callers saw: a peer's notice that an engine loads weights for hours kept all requests from it for that long, at every gateway, since notices are passed on. Our own notices say 2 s.

Evidence: the new case of TestWeights failed before: after 30 s another engine than the one with the session's cache was still chosen.

Change: a notice counts for at most 30 s, the longest time for which an upstream itself may ask for no requests.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -392,7 +392,7 @@
 		return false
 	}
 	e.noticeToken, e.noticeSequence = notice.Token, notice.Sequence
-	e.loadingUntil = now.Add(notice.For)
+	e.loadingUntil = now.Add(min(notice.For, comfreyworks.MaxClosedTime))
 	if notice.Done && notice.Weights > e.weights[notice.Model] {
 		// Loading weights clears the engine's cache.
 		b.options.Holdings.RemoveEngine(notice.Engine)
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -291,6 +291,13 @@
 		f.ApplyLoadNotice(comfreyworks.WeightsLoadNotice{Engine: engine, Model: model, Sequence: 1, For: time.Second})
 		assert.Assert(t, f.serve(t, promptQuery("guide", "site")).Upstream.ID != engine)
 	})
+	t.Run("a notice of a load that takes hours counts for a limited time", func(t *testing.T) {
+		f := newFixture(2)
+		engine := f.serve(t, promptQuery("guide", "site")).Upstream.ID
+		f.ApplyLoadNotice(comfreyworks.WeightsLoadNotice{Engine: engine, Model: model, Sequence: 1, For: time.Hour})
+		f.clock.Advance(comfreyworks.MaxClosedTime)
+		assert.Equal(t, f.serve(t, promptQuery("guide", "site")).Upstream.ID, engine)
+	})
 	// A notice that is late must not be taken for one about the engine as it is now:
 	// it would be sent every prompt and reject it.
 	t.Run("a notice about an earlier incarnation says nothing", func(t *testing.T) {
