Survive a panic while the settings are read again

The settings are read again at SIGHUP in a goroutine of its own, so that a panic of their decoder would end a gateway that serves. No such file is known: FuzzSettings looks for one. The panic is now logged with its stack, counted, and reported as the error of the check.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -69,7 +69,7 @@
 	recorder := faults.New(faults.Options{Clock: clock, Logger: logger, Meter: metrics})
 	store.RecordFaults(recorder)
 	upstreams.RecordFaults(recorder)
-	stop := checkSettingsOnHangup(ctx, logger, hangups)
+	stop := checkSettingsOnHangup(ctx, logger, recorder, hangups)
 	defer stop()
 	return gateway.New(gateway.Options{
 		Settings: settings.Gateway, Declarations: store, Upstreams: store, Leases: store, Registry: store,
@@ -83,7 +83,7 @@
 // checkSettingsOnHangup reads the settings file at each SIGHUP and logs whether
 // it is valid. The settings themselves are applied only at the start, so this
 // tells the operator whether a restart would succeed.
-func checkSettingsOnHangup(ctx context.Context, logger *zap.Logger, hangups <-chan os.Signal) (stop func()) {
+func checkSettingsOnHangup(ctx context.Context, logger *zap.Logger, recorder *faults.Recorder, hangups <-chan os.Signal) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	var group errgroup.Group
 	group.Go(func() error {
@@ -92,7 +92,10 @@
 			case <-ctx.Done():
 				return nil
 			case <-hangups:
-				_, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+				err := recorder.Try("settings", func() error {
+					_, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+					return err
+				})
 				logger.Info("settings file checked after SIGHUP", zap.Error(err))
 			}
 		}
