Record faults without a new dependency of other modules

make lint failed: package peer, which other modules use, now reached an LRU cache through package faults, so that their go.mod files were no longer tidy. Maps and the standard library's hash do the same.

--- a/internal/state/faults/faults.go
+++ b/internal/state/faults/faults.go
@@ -15,11 +15,11 @@
 import (
 	"context"
 	"errors"
+	"hash/maphash"
 	"net/http"
+	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	lru "github.com/hashicorp/golang-lru/v2"
 	"go.uber.org/zap"
 
 	"comfreyworks"
@@ -27,7 +27,8 @@
 )
 
 const (
-	// maxKnown is how many records that were set aside are remembered.
+	// maxKnown is how many records that were set aside are remembered. At the next one
+	// they are forgotten.
 	maxKnown = 1024
 	// maxLoggedBytes is how much of a key or an error is logged.
 	maxLoggedBytes = 200
@@ -51,18 +52,18 @@
 // Recorder logs and counts faults.
 type Recorder struct {
 	options Options
+	seed    maphash.Seed
+
+	mu sync.Mutex
 	// known holds the hashes of the records that were set aside.
-	known *lru.Cache[uint64, struct{}]
+	known map[uint64]bool
 	// stackLogged holds when the stack of a place was last logged.
-	stackLogged *lru.Cache[string, time.Time]
+	stackLogged map[string]time.Time
 }
 
 // New returns a Recorder that knows no faults.
 func New(options Options) *Recorder {
-	// The only error is a size below one.
-	known, _ := lru.New[uint64, struct{}](maxKnown)
-	stackLogged, _ := lru.New[string, time.Time](maxKnown)
-	return &Recorder{options: options, known: known, stackLogged: stackLogged}
+	return &Recorder{options: options, seed: maphash.MakeSeed(), known: make(map[uint64]bool), stackLogged: make(map[string]time.Time)}
 }
 
 // SetAside records that a record of a source cannot be decoded. A record that is read
@@ -71,12 +72,13 @@
 	if r == nil {
 		return
 	}
-	hash := xxhash.New()
+	var hash maphash.Hash
+	hash.SetSeed(r.seed)
 	for _, part := range [][]byte{[]byte(source), []byte(key), record} {
 		_, _ = hash.Write(part)
-		_, _ = hash.Write([]byte{0})
+		_ = hash.WriteByte(0)
 	}
-	if known, _ := r.known.ContainsOrAdd(hash.Sum64(), struct{}{}); known {
+	if !r.isNew(hash.Sum64()) {
 		return
 	}
 	r.options.Meter.Add("comfrey_set_aside_total", meter.Labels{Class: comfreyworks.Class(source)}, 1)
@@ -84,6 +86,20 @@
 		zap.String("key", cut(key)), zap.Int("bytes", len(record)), zap.String("reason", cut(err.Error())))
 }
 
+// isNew remembers the hash of a record. It returns false if it was known.
+func (r *Recorder) isNew(hash uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.known[hash] {
+		return false
+	}
+	if len(r.known) == maxKnown {
+		clear(r.known)
+	}
+	r.known[hash] = true
+	return true
+}
+
 // Run calls f. It returns false if f panicked, except with http.ErrAbortHandler, which
 // it passes on.
 func (r *Recorder) Run(place string, f func()) (ok bool) {
@@ -103,14 +119,24 @@
 		panic(cause)
 	}
 	r.options.Meter.Add("comfrey_panics_total", meter.Labels{Class: comfreyworks.Class(place)}, 1)
-	now := r.options.Clock.Now()
-	if last, ok := r.stackLogged.Get(place); ok && now.Sub(last) < stackInterval {
+	if !r.stackDue(place) {
 		return
 	}
-	r.stackLogged.Add(place, now)
 	r.options.Logger.Error("panic", zap.String("place", place), zap.Any("cause", cause), zap.Stack("stack"))
 }
 
+// stackDue reports whether the stack of a place is to be logged now.
+func (r *Recorder) stackDue(place string) bool {
+	now := r.options.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if last, ok := r.stackLogged[place]; ok && now.Sub(last) < stackInterval {
+		return false
+	}
+	r.stackLogged[place] = now
+	return true
+}
+
 // Try is Run for a function that decodes something; a panic becomes an error.
 func (r *Recorder) Try(place string, f func() error) error {
 	err := errPanic
