--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"comfreyworks/internal/state/bootclock"
+	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/transport/gateway"
 	"comfreyworks/internal/transport/program"
@@ -64,12 +65,16 @@
 	client := program.NewHTTPClient()
 	upstreams := platform.NewReplicaClient(client)
 	store := platform.NewStoreClient(settings.StoreAddress, client, logger)
-	stop := checkSettingsOnHangup(ctx, logger, hangups)
+	clock, metrics := bootclock.New(), meter.New()
+	recorder := faults.New(faults.Options{Clock: clock, Logger: logger, Meter: metrics})
+	store.RecordFaults(recorder)
+	upstreams.RecordFaults(recorder)
+	stop := checkSettingsOnHangup(ctx, logger, recorder, hangups)
 	defer stop()
 	return gateway.New(gateway.Options{
 		Settings: settings.Gateway, Declarations: store, Upstreams: store, Leases: store, Registry: store,
 		Loader: upstreams, Caches: upstreams,
-		Clock: bootclock.New(), Logger: logger, Meter: meter.New(),
+		Clock: clock, Logger: logger, Meter: metrics, Faults: recorder,
 	}).Run(ctx, listeners)
 }
 
@@ -78,7 +83,7 @@
 // checkSettingsOnHangup reads the settings file at each SIGHUP and logs whether
 // it is valid. The settings themselves are applied only at the start, so this
 // tells the operator whether a restart would succeed.
-func checkSettingsOnHangup(ctx context.Context, logger *zap.Logger, hangups <-chan os.Signal) (stop func()) {
+func checkSettingsOnHangup(ctx context.Context, logger *zap.Logger, recorder *faults.Recorder, hangups <-chan os.Signal) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	var group errgroup.Group
 	group.Go(func() error {
@@ -87,7 +92,10 @@
 			case <-ctx.Done():
 				return nil
 			case <-hangups:
-				_, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+				err := recorder.Try("settings", func() error {
+					_, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+					return err
+				})
 				logger.Info("settings file checked after SIGHUP", zap.Error(err))
 			}
 		}
--- a/declaration.go
+++ b/declaration.go
@@ -48,6 +48,9 @@
 	// Since is the position since which Present and Gone list all changes. They mean
 	// nothing to a receiver that has not reached it. It is zero for a whole list.
 	Since Position
+	// Undecoded lists, in a whole list, the IDs of entries that cannot be decoded.
+	// Upstreams that are known by them stay as they are.
+	Undecoded []InstanceID
 	// Former lists releases that no listed upstream runs any more.
 	Former []FormerRelease
 	// Next is the position to pass as after in the next call.
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -20,6 +20,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/meter"
 )
 
@@ -52,6 +53,9 @@
 	maxStandbyRetry = 2400 * time.Millisecond
 )
 
+// errPanic means that a source could not be read because of a panic.
+var errPanic = errors.New("panic while reading")
+
 // Options configures a Follower.
 type Options struct {
 	Declarations comfreyworks.DeclarationSource
@@ -70,6 +74,8 @@
 	Clock      comfreyworks.Clock
 	Logger     *zap.Logger
 	Meter      *meter.Meter
+	// Faults records panics, after which a source is read on.
+	Faults *faults.Recorder
 }
 
 // Follower keeps one catalog up to date.
@@ -91,10 +97,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		return f.pollSource(ctx, poll{
-			source: "declarations", read: f.readDeclarations, confirmedAt: f.declarationsConfirmedAt,
-			fallbackAge: declarationFallbackAge,
-		})
+		return f.pollSource(ctx, f.declarations())
 	})
 	group.Go(func() error {
 		return f.pollSource(ctx, poll{
@@ -105,6 +108,18 @@
 	return group.Wait()
 }
 
+// declarations describes the reads of the declarations, which wait for changes.
+func (f *Follower) declarations() poll {
+	return poll{
+		source: "declarations", read: f.readDeclarations, confirmedAt: f.declarationsConfirmedAt,
+		fallbackAge: declarationFallbackAge,
+		position: func() comfreyworks.Position {
+			declared, _ := f.options.Catalog.SourceStates()
+			return declared.Position
+		},
+	}
+}
+
 // poll describes the repeated reads of one source.
 type poll struct {
 	source string
@@ -116,6 +131,17 @@
 	fallbackAge time.Duration
 	// interval is the pause after a successful read.
 	interval time.Duration
+	// position returns the position up to which the source was read; nil if reads do
+	// not wait for changes. A read that brought none and its pause take at least
+	// retryInterval.
+	position func() comfreyworks.Position
+}
+
+func (p *poll) currentPosition() comfreyworks.Position {
+	if p.position == nil {
+		return 0
+	}
+	return p.position()
 }
 
 func (f *Follower) declarationsConfirmedAt() time.Time {
@@ -158,7 +184,9 @@
 			comfreyworks.Sleep(ctx, f.options.Clock, standbyInterval)
 			continue
 		}
-		err := p.read(ctx)
+		before, startedAt := p.currentPosition(), f.options.Clock.Now()
+		err := errPanic
+		f.options.Faults.Run("follow-"+p.source, func() { err = p.read(ctx) })
 		wait := p.interval
 		switch {
 		case ctx.Err() != nil:
@@ -175,6 +203,9 @@
 			logger.Info("source available again", zap.Duration("after", f.options.Clock.Since(failedAt)))
 			failedAt, failures = time.Time{}, 0
 		}
+		if p.position != nil && p.currentPosition() == before {
+			wait = max(wait, retryInterval-f.options.Clock.Since(startedAt))
+		}
 		if wait > 0 {
 			comfreyworks.Sleep(ctx, f.options.Clock, wait)
 		}
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -24,6 +24,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/holdings"
 )
 
@@ -77,6 +78,8 @@
 	ClosedFor func(Target) time.Duration
 	Clock     comfreyworks.Clock
 	Logger    *zap.Logger
+	// Faults records panics, after which the target is read from the start.
+	Faults *faults.Recorder
 }
 
 // Watcher reads the cache changes of a changing set of targets.
@@ -95,7 +98,7 @@
 	cancels := make(map[Target]context.CancelFunc)
 	group.Go(func() error {
 		for {
-			w.reconcile(ctx, group, cancels)
+			w.options.Faults.Run("watch", func() { w.reconcile(ctx, group, cancels) })
 			if !comfreyworks.Sleep(ctx, w.options.Clock, reconcileInterval) {
 				return nil
 			}
@@ -116,7 +119,7 @@
 		targetCtx, cancel := context.WithCancel(ctx)
 		cancels[target] = cancel
 		group.Go(func() error {
-			w.poll(targetCtx, target)
+			w.options.Faults.Keep(targetCtx, "watch-poll", func() { w.poll(targetCtx, target) })
 			return nil
 		})
 	}
@@ -139,7 +142,8 @@
 		}
 		wait, pause := pollSchedule(target.MaxReaders, int(w.readers.Load()))
 		pollCtx, cancel := context.WithTimeout(w.withAdvice(ctx, target, &state), wait+responseTimeout)
-		changes, err := w.options.Source.CacheChanges(pollCtx, target.Address, state.after, wait)
+		polledAt, after := w.options.Clock.Now(), state.after
+		changes, err := w.options.Source.CacheChanges(pollCtx, target.Address, after, wait)
 		cancel()
 		switch {
 		case err != nil && w.closedFor(target, &state) > 0:
@@ -150,6 +154,10 @@
 			w.recordFailure(&state)
 		default:
 			w.apply(&state, &changes)
+			if changes.Next <= after {
+				// The target need not wait as long as it was asked to.
+				pause = max(pause, minWait-w.options.Clock.Since(polledAt))
+			}
 		}
 		comfreyworks.Sleep(ctx, w.options.Clock, pause)
 	}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/crashes"
+	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/retrybudget"
@@ -112,6 +113,8 @@
 	Clock  comfreyworks.Clock
 	Logger *zap.Logger
 	Meter  *meter.Meter
+	// Faults records what is set aside and panics; nil means one of its own.
+	Faults *faults.Recorder
 }
 
 // Listeners holds the listeners that a gateway serves on.
@@ -145,6 +148,9 @@
 
 // New returns a gateway that does nothing until Run is called.
 func New(options Options) *Gateway {
+	if options.Faults == nil {
+		options.Faults = faults.New(faults.Options{Clock: options.Clock, Logger: options.Logger, Meter: options.Meter})
+	}
 	g := &Gateway{options: options, startedAt: options.Clock.Now()}
 	g.catalog = catalog.New(options.Clock)
 	g.holdings = holdings.New()
@@ -166,16 +172,18 @@
 	})
 	g.forwarder = forward.New(forward.Options{
 		Catalog: g.catalog, Balancer: g.balancer, Exchanger: g.upstreamClient, Clock: options.Clock,
-		Origins: origins, Crashes: g.crashes, Logger: options.Logger, RetryLimit: g.retryLimit,
+		Origins: origins, Crashes: g.crashes, Logger: options.Logger, Faults: options.Faults, RetryLimit: g.retryLimit,
 	})
 	g.follower = follow.New(follow.Options{
 		Declarations: options.Declarations, Upstreams: options.Upstreams, Catalog: g.catalog,
 		IsReader:      func() bool { return g.peering.IsSelected("read", sourceReaders) },
 		FallbackDelay: func() time.Duration { return g.peering.FallbackDelay() },
 		StartDelay:    func() time.Duration { return g.peering.StartDelay() },
-		Clock:         options.Clock, Logger: options.Logger, Meter: options.Meter,
+		Clock:         options.Clock, Logger: options.Logger, Meter: options.Meter, Faults: options.Faults,
+	})
+	g.peerClients = peer.NewClients(peer.ClientOptions{
+		Clock: options.Clock, Limits: peer.MessageLimits{Bytes: maxPeerMessageBytes}, Faults: options.Faults,
 	})
-	g.peerClients = peer.NewClients(peer.ClientOptions{Clock: options.Clock, Limits: peer.MessageLimits{Bytes: maxPeerMessageBytes}})
 	g.peering = peering.New(peering.Options{
 		Self: comfreyworks.GatewayPeer{
 			ID: options.Settings.ID, Address: options.Settings.PeerListen,
@@ -184,7 +192,7 @@
 		Seeds: options.Settings.Peers, Registry: options.Registry,
 		NewClient:     func(address netip.AddrPort) comfreyworks.GatewayClient { return g.peerClients.To(address) },
 		RetainClients: g.peerClients.Retain,
-		Catalog:       g.catalog, Balancer: g.balancer, Saved: saved, Clock: options.Clock, Logger: options.Logger,
+		Catalog:       g.catalog, Balancer: g.balancer, Saved: saved, Clock: options.Clock, Logger: options.Logger, Faults: options.Faults,
 		Origins: origins.log, PassOrigins: g.passesOrigins, Crashes: g.crashes,
 	})
 	origins.peering = g.peering
@@ -193,7 +201,7 @@
 			Source: options.Caches, Index: g.holdings, Targets: g.cacheTargets,
 			ReaderCount: func() int { return g.peering.Gateways() },
 			Advise:      g.adviceFrom, ClosedFor: g.closedFor,
-			Clock: options.Clock, Logger: options.Logger,
+			Clock: options.Clock, Logger: options.Logger, Faults: options.Faults,
 		})
 	}
 	if options.Leases != nil && options.Loader != nil {
@@ -201,7 +209,7 @@
 			Self: options.Settings.ID, LeaseDuration: options.Settings.Bounds.LeaseDuration,
 			Catalog: g.catalog, Balancer: g.balancer, Announce: g.peering.Announce, Log: options.Leases, Loader: options.Loader,
 			Candidate: func() bool { return g.peering.IsSelected("rollout", leaseCandidates) },
-			Clock:     options.Clock, Logger: options.Logger, Meter: options.Meter,
+			Clock:     options.Clock, Logger: options.Logger, Meter: options.Meter, Faults: options.Faults,
 		})
 	}
 	return g
@@ -431,7 +439,7 @@
 // upstreams that it has not considered for upstreamRetention.
 func (g *Gateway) removeUnseenUpstreams(ctx context.Context) error {
 	for comfreyworks.Sleep(ctx, g.options.Clock, upstreamRetention) {
-		g.balancer.RemoveUnseen(upstreamRetention)
+		g.options.Faults.Run("clean-up", func() { g.balancer.RemoveUnseen(upstreamRetention) })
 	}
 	return nil
 }
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"strings"
@@ -15,7 +16,9 @@
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
+	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/state/crashes"
+	"comfreyworks/internal/state/meter"
 )
 
 // TestRetrySlackRampsUp guards against exceeding the retry budget during a
@@ -147,3 +150,27 @@
 		return s.Part == ours && s.Crashes == 3
 	}))
 }
+
+// TestPanicInPeerCall guards against a peer's message that ends the gateway: net/rpc
+// does not recover from panics.
+func TestPanicInPeerCall(t *testing.T) {
+	f := newFixture(t)
+	f.gateway.peering = nil
+	service := &peerService{f.gateway}
+	assert.ErrorIs(t, service.Sync(comfreyworks.GatewayState{}, &comfreyworks.GatewayUpdate{}), errPanic)
+	assert.ErrorIs(t, service.Notify(comfreyworks.WeightsLoadNotices{}, &peer.Empty{}), errPanic)
+	assert.ErrorIs(t, service.FindStream(peer.FindStreamArgs{}, &peer.FindStreamReply{}), errPanic)
+	assert.Equal(t, f.gateway.options.Meter.Counter("comfrey_panics_total", meter.Labels{Class: "peer-call"}), 3)
+}
+
+// TestPanicInRequest guards against a panic that nobody counts, or after which the answer
+// looks complete.
+func TestPanicInRequest(t *testing.T) {
+	f := newFixture(t)
+	f.gateway.forwarder = nil
+	defer func() {
+		assert.Equal(t, recover(), http.ErrAbortHandler)
+		assert.Equal(t, f.gateway.options.Meter.Counter("comfrey_panics_total", meter.Labels{Class: "request"}), 1)
+	}()
+	f.gateway.requestHandler().ServeHTTP(httptest.NewRecorder(), f.request(t, http.MethodPost, "/book/1", "text"))
+}
