Compare lists of upstreams between gateways by a checksum

A gateway that loses a change keeps its list until the upstream changes again; nothing compared it with the lists of others. Changes now carry a checksum of the sender's list. None is compared during grace periods and soon after a restore.

A removal that a relay loses and passes on to all is found by the readers. It does not help where all gateways have lost the same change.

--- a/declaration.go
+++ b/declaration.go
@@ -48,6 +48,9 @@
 	// Since is the position since which Present and Gone list all changes. They mean
 	// nothing to a receiver that has not reached it. It is zero for a whole list.
 	Since Position
+	// Checksum is that of the sender's list at Next; zero means none. A receiver that
+	// then has another list must read it from the source.
+	Checksum uint32
 	// Former lists releases that no listed upstream runs any more.
 	Former []FormerRelease
 	// Next is the position to pass as after in the next call.
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -99,7 +99,7 @@
 	group.Go(func() error {
 		return f.pollSource(ctx, poll{
 			source: "upstreams", read: f.readUpstreams, confirmedAt: f.options.Catalog.UpstreamsConfirmedAt,
-			fallbackAge: upstreamFallbackAge, interval: upstreamInterval,
+			doubtful: f.options.Catalog.UpstreamsDoubtful, fallbackAge: upstreamFallbackAge, interval: upstreamInterval,
 		})
 	})
 	return group.Wait()
@@ -111,6 +111,9 @@
 	read   func(context.Context) error
 	// confirmedAt returns the time as of which the known state was last confirmed.
 	confirmedAt func() time.Time
+	// doubtful reports whether the known state may be wrong, in which case every gateway
+	// reads the source itself; nil means never.
+	doubtful func() bool
 	// fallbackAge is the age of that state at which a gateway reads the source
 	// itself.
 	fallbackAge time.Duration
@@ -126,7 +129,7 @@
 // onStandby reports whether this gateway currently relies on others to read a
 // source.
 func (f *Follower) onStandby(p *poll) bool {
-	if f.isReader() {
+	if f.isReader() || (p.doubtful != nil && p.doubtful()) {
 		return false
 	}
 	confirmedAt := p.confirmedAt()
@@ -217,8 +220,12 @@
 	ctx, cancel := context.WithTimeout(ctx, responseTimeout)
 	defer cancel()
 	_, listed := f.options.Catalog.SourceStates()
+	doubtful := f.options.Catalog.UpstreamsDoubtful()
 	after := listed.Position
-	if f.isReader() {
+	switch {
+	case doubtful:
+		after = 0
+	case f.isReader():
 		after = comfreyworks.Position(f.upstreamsRead.Load())
 	}
 	requestedAt := f.options.Clock.Now()
@@ -227,9 +234,12 @@
 		return err
 	}
 	change := f.options.Catalog.ApplyUpstreams(changes, requestedAt)
-	if _, listed = f.options.Catalog.SourceStates(); listed.Position == changes.Next && f.isReader() {
+	if _, listed = f.options.Catalog.SourceStates(); listed.Position == changes.Next && (f.isReader() || doubtful) {
 		f.upstreamsRead.Store(uint64(changes.Next))
 	}
+	if doubtful {
+		f.options.Catalog.UpstreamsVerified()
+	}
 	f.log(&change, changes.Next, requestedAt)
 	return nil
 }
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -93,7 +93,7 @@
 	group.Go(func() error {
 		return f.follower.pollSource(ctx, poll{
 			source: "upstreams", read: f.follower.readUpstreams, confirmedAt: f.catalog.UpstreamsConfirmedAt,
-			fallbackAge: upstreamFallbackAge, interval: upstreamInterval,
+			doubtful: f.catalog.UpstreamsDoubtful, fallbackAge: upstreamFallbackAge, interval: upstreamInterval,
 		})
 	})
 	for range rounds {
@@ -136,6 +136,15 @@
 		f.poll(t, 2, upstreamFallbackAge)
 		assert.Equal(t, f.source.readCount(), 3)
 	})
+	t.Run("another gateway reads the whole list once if a peer has another one", func(t *testing.T) {
+		f := newFixture()
+		f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Next: 1, Present: []comfreyworks.Upstream{{ID: "a"}}, Checksum: 7}, f.clock.Now())
+		assert.Assert(t, f.catalog.UpstreamsDoubtful())
+		f.poll(t, 5, standbyInterval)
+		assert.Equal(t, f.source.readCount(), 1)
+		assert.Equal(t, f.source.after, comfreyworks.Position(0))
+		assert.Assert(t, !f.catalog.UpstreamsDoubtful())
+	})
 	t.Run("a gateway that is further from the readers waits longer", func(t *testing.T) {
 		f := newFixture()
 		f.follower.options.FallbackDelay = func() time.Duration { return time.Second }
--- a/internal/coordination/peering/changes_test.go
+++ b/internal/coordination/peering/changes_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"comfreyworks"
@@ -219,21 +220,26 @@
 }
 
 func (s *listSource) read(t *rapid.T, g *gateway) {
-	s.list(g, rapid.IntRange(0, 9).Draw(t, "dropped") == 0)
+	_, known := g.catalog.SourceStates()
+	if rapid.IntRange(0, 9).Draw(t, "dropped") == 0 {
+		known.Position = 0
+	}
+	s.list(g, known.Position)
 }
 
-func (s *listSource) list(g *gateway, dropped bool) {
-	_, known := g.catalog.SourceStates()
-	changes := comfreyworks.UpstreamChanges{Next: s.position}
-	if known.Position == 0 || known.Position < s.restored || dropped {
+// list lets a gateway read the changes after a position.
+func (s *listSource) list(g *gateway, after comfreyworks.Position) {
+	changes := comfreyworks.UpstreamChanges{Since: after, Next: s.position}
+	if after == 0 || after < s.restored {
+		changes.Since = 0
 		changes.Whole, changes.Restored = true, s.restored
 	}
 	for id, at := range s.writtenAt {
 		upstream, listed := s.listed[id]
 		switch {
-		case listed && (changes.Whole || at > known.Position):
+		case listed && (changes.Whole || at > after):
 			changes.Present = append(changes.Present, upstream)
-		case !listed && !changes.Whole && at > known.Position:
+		case !listed && !changes.Whole && at > after:
 			changes.Gone = append(changes.Gone, id)
 		}
 	}
@@ -248,7 +254,8 @@
 		if s.unsettled == 0 {
 			for range 2 {
 				for _, g := range n.sorted() {
-					s.list(g, false)
+					_, known := g.catalog.SourceStates()
+					s.list(g, known.Position)
 				}
 				n.clock.Advance(2 * time.Second)
 			}
@@ -272,6 +279,59 @@
 	return fmt.Sprint(described)
 }
 
+// TestLostChange guards against a gateway that lost a change and keeps another list than
+// all others for longer than requests may still reach a leaving upstream.
+func TestLostChange(t *testing.T) {
+	const (
+		drainTime = 2 * time.Second
+		// skipped is the number of positions after the lost change that are skipped with it.
+		skipped = 16
+	)
+	for name, choose := range map[string]func(n *network) *gateway{
+		"relay": func(n *network) *gateway { return n.relays()[0] }, "leaf": leaf,
+	} {
+		for change, write := range map[string]func(s *listSource){
+			"a removal": func(s *listSource) { delete(s.listed, "a"); s.record("a") },
+			"an entry":  func(s *listSource) { s.put("b") },
+		} {
+			t.Run(name+" lost "+change, func(t *testing.T) {
+				n, source := newNetworkWith(largeFleet), newListSource()
+				source.put("a")
+				nextRead, lastRead := make(map[*gateway]time.Time), make(map[*gateway]comfreyworks.Position)
+				doubts := 0
+				step := func() {
+					source.put("first")
+					for _, g := range n.sorted() {
+						doubtful := g.catalog.UpstreamsDoubtful()
+						if (g.IsSelected("read", 2) || doubtful) && !n.clock.Now().Before(nextRead[g]) {
+							if doubtful {
+								lastRead[g] = 0
+								doubts++
+							}
+							g.readSource(1, 1)
+							source.list(g, lastRead[g])
+							g.catalog.UpstreamsVerified()
+							if _, known := g.catalog.SourceStates(); known.Position == source.position {
+								lastRead[g] = known.Position
+							}
+							nextRead[g] = n.clock.Now().Add(readInterval)
+						}
+					}
+				}
+				n.run(5*time.Second, step)
+				g := choose(n)
+				write(source)
+				g.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Next: source.position + skipped}, n.clock.Now())
+				n.run(drainTime, step)
+				for _, g := range n.sorted() {
+					assert.Equal(t, source.missing(n, g), "", "%s", g.options.Self.ID)
+				}
+				t.Logf("%d whole lists read because of a doubt", doubts)
+			})
+		}
+	}
+}
+
 // declarationSource is a source of declarations with what it held at each position.
 type declarationSource struct {
 	position comfreyworks.Position
--- a/internal/coordination/peering/sync_bench_test.go
+++ b/internal/coordination/peering/sync_bench_test.go
@@ -68,6 +68,59 @@
 	}
 }
 
+// BenchmarkRollingRestart counts the whole lists of upstreams that gateways send while
+// all of them are restarted one after another within some 20 s and one engine leaves
+// each second.
+func BenchmarkRollingRestart(b *testing.B) {
+	for _, size := range fleetSizes[1:] {
+		b.Run(fmt.Sprintf("%d gateways, %d engines", size.gateways, size.engines), func(b *testing.B) {
+			n, source, sent := newNetworkWith(size.networkOptions), newListSource(), 0
+			for i := range size.engines {
+				source.put(comfreyworks.InstanceID(fmt.Sprint("e", i)))
+			}
+			nextRead, lastRead := make(map[*gateway]time.Time), make(map[*gateway]comfreyworks.Position)
+			steps := 0
+			step := func() {
+				steps++
+				if id := comfreyworks.InstanceID(fmt.Sprint("e", steps/20)); steps%20 == 0 {
+					delete(source.listed, id)
+					source.record(id)
+				}
+				source.put("first")
+				for _, g := range n.sorted() {
+					if g.IsSelected("read", 2) && !n.clock.Now().Before(nextRead[g]) {
+						g.readSource(1, 1)
+						source.list(g, lastRead[g])
+						_, known := g.catalog.SourceStates()
+						lastRead[g], nextRead[g] = known.Position, n.clock.Now().Add(readInterval)
+					}
+				}
+			}
+			n.run(4*time.Second, step)
+			count := func() (total int) {
+				for _, g := range n.gateways {
+					total += g.wholeLists
+				}
+				return total
+			}
+			sent = -count()
+			for i := range size.gateways {
+				sent += n.gateway(i).wholeLists
+				n.start(i, size.networkOptions)
+				if i%(size.gateways/100) == 0 {
+					n.run(4*stepInterval, step)
+				}
+			}
+			n.run(4*time.Second, step)
+			var bytes byteCounter
+			assert.NilError(b, gob.NewEncoder(&bytes).Encode(n.relays()[0].catalog.UpstreamsAfter(0)))
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(float64(sent+count()), "lists")
+			b.ReportMetric(float64(bytes), "B/list")
+		})
+	}
+}
+
 // newOrigins is the number of origins of streams that BenchmarkSyncOrigins sends in
 // one call.
 const newOrigins = 1000
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -56,11 +56,13 @@
 	// Restored means that the source was restored from an earlier copy since the
 	// list of upstreams was last read.
 	Restored bool
+	// Doubted means that a peer has another list of upstreams at the same position.
+	Doubted bool
 }
 
 // Empty reports whether nothing changed.
 func (c *Change) Empty() bool {
-	return c.Routing == nil && len(c.Weights) == 0 && len(c.Joined) == 0 && len(c.Left) == 0 && len(c.Lapsed) == 0 && !c.Restored
+	return c.Routing == nil && len(c.Weights) == 0 && len(c.Joined) == 0 && len(c.Left) == 0 && len(c.Lapsed) == 0 && !c.Restored && !c.Doubted
 }
 
 // Log logs the change with the given fields, unless it is empty.
@@ -71,6 +73,9 @@
 	if c.Restored {
 		logger.Warn("source was restored from an earlier copy", fields...)
 	}
+	if c.Doubted {
+		logger.Warn("peer has another list of upstreams at the same position", fields...)
+	}
 	if c.Routing != nil {
 		fields = append(fields, zap.Uint64("routing", uint64(c.Routing.Version())))
 	}
@@ -111,6 +116,12 @@
 	// restoredAt is the first position since the list was restored from an earlier
 	// copy, or zero.
 	restoredAt comfreyworks.Position
+	// checksum is that of all entries, of which lapsed are in their grace period. It is
+	// not compared before checksumsFrom.
+	checksum      uint32
+	lapsed        int
+	checksumsFrom time.Time
+	doubt         doubt
 	// graceEnd is the time until which live upstreams are kept although their
 	// entries are missing.
 	graceEnd time.Time
@@ -329,8 +340,10 @@
 	}
 	if changed || !change.Empty() {
 		c.updateReleases(lastConfirmedAt, now)
+		c.updateChecksum()
 		c.publish(now)
 	}
+	change.Doubted = c.compare(&changes, now)
 	c.addFormerReleases(changes.Former, now)
 	return change
 }
--- a/internal/state/catalog/changes.go
+++ b/internal/state/catalog/changes.go
@@ -28,7 +28,10 @@
 func (c *Catalog) UpstreamsAfter(after comfreyworks.Position) *comfreyworks.UpstreamChanges {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changes := &comfreyworks.UpstreamChanges{Since: after, Next: c.listed.Position, Former: c.formerReleases(c.clock.Now())}
+	now := c.clock.Now()
+	changes := &comfreyworks.UpstreamChanges{
+		Since: after, Next: c.listed.Position, Checksum: c.currentChecksum(now), Former: c.formerReleases(now),
+	}
 	restored := after < c.restoredAt
 	if restored || !c.known.includes(after) {
 		changes.Since, changes.Whole, changes.Restored = 0, true, c.restoredAt
