--- a/internal/state/catalog/checksum_test.go
+++ b/internal/state/catalog/checksum_test.go
@@ -47,3 +47,20 @@
 		})
 	}
 }
+
+// TestLapsedUpstreamAtStart guards against a gateway that starts while its peer keeps an
+// upstream without an entry, and that keeps it for ever because it reads ahead of the
+// peer's removal.
+func TestLapsedUpstreamAtStart(t *testing.T) {
+	peer := newFixture()
+	starting := fixture{clock: peer.clock, Catalog: New(peer.clock)}
+	peer.applyList(10, true, []comfreyworks.Upstream{at("a", 1)})
+	peer.clock.Advance(2 * outageThreshold)
+	peer.applyList(11, true, nil)
+	starting.ApplyUpstreams(*peer.UpstreamsAfter(0), peer.clock.Now())
+	starting.applyList(13, false, nil)
+	peer.clock.Advance(lapsedGracePeriod)
+	peer.applyList(11, false, nil)
+	peer.applyList(14, false, nil)
+	assert.Assert(t, starting.ApplyUpstreams(*peer.UpstreamsAfter(13), peer.clock.Now()).Doubted)
+}
