--- a/declaration.go
+++ b/declaration.go
@@ -51,6 +51,9 @@
 	// Undecoded lists, in a whole list, the IDs of entries that cannot be decoded.
 	// Upstreams that are known by them stay as they are.
 	Undecoded []InstanceID
+	// Checksum is that of the sender's list at Next; zero means none. A receiver that
+	// then has another list must read it from the source.
+	Checksum uint32
 	// Former lists releases that no listed upstream runs any more.
 	Former []FormerRelease
 	// Next is the position to pass as after in the next call.
