Announce the close of a connection when the answer begins

Callers whose request had begun before a stop got an answer without "Connection: close" and could send the next request on a connection that the gateway was closing. The header was set when the handler started; now it is set where the answer begins, in the sink and in error responses.

--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -16,22 +16,31 @@
 func (g *Gateway) requestHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		received := g.options.Clock.Now()
-		if g.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
 		request, rejected := g.prepareRequest(w, r, received)
 		if rejected != nil {
 			g.reject(w, r, rejected)
 			g.recordRejection(r, rejected)
 			return
 		}
-		s := &sink{writer: w, controller: http.NewResponseController(w), id: request.Message.ID, names: &g.options.Settings.Headers}
+		s := &sink{
+			writer: w, controller: http.NewResponseController(w), id: request.Message.ID,
+			names: &g.options.Settings.Headers, announceClose: g.announceClose,
+		}
 		outcome := g.forwarder.Forward(r.Context(), request, s)
 		g.recordOutcome(request, &outcome)
 		g.respond(w, r, &outcome)
 	})
 }
 
+// announceClose adds to the header of a response that a stopping gateway closes the
+// connection. It must be called when the response begins, because the request may have
+// begun before the stop.
+func (g *Gateway) announceClose(header http.Header) {
+	if g.leaving.Load() {
+		header.Set("Connection", "close")
+	}
+}
+
 // respond sends an error response if the sink has received no response, and
 // closes the connection if the response was cut off or the caller has left.
 func (g *Gateway) respond(w http.ResponseWriter, r *http.Request, outcome *forward.Outcome) {
@@ -72,6 +81,7 @@
 
 // reject writes an error response.
 func (g *Gateway) reject(w http.ResponseWriter, r *http.Request, rejected *rejection) {
+	g.announceClose(w.Header())
 	names := &g.options.Settings.Headers
 	if id := r.Header.Get(names.RequestID); id != "" {
 		w.Header().Set(names.RequestID, id)
@@ -127,6 +137,8 @@
 	controller *http.ResponseController
 	id         comfreyworks.RequestID
 	names      *comfreyworks.HeaderNames
+	// announceClose adds Connection: close to a header if it applies.
+	announceClose func(http.Header)
 }
 
 var _ forward.Sink = (*sink)(nil)
@@ -143,6 +155,7 @@
 	if length >= 0 {
 		responseHeader.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	s.announceClose(responseHeader)
 	s.writer.WriteHeader(status)
 }
 
