Add a failing test: requests that are complete too late in a stop

A stopping gateway passes on requests whose header or body ends late, on connections that it has accepted before, for the whole grace period. A stream that begins shortly before its end is cut off there. Both cases fail: the connection is closed without an answer, or the answer is 502. With a longer grace period, the answer was cut off in its middle.

--- a/internal/transport/gateway/stop_test.go
+++ b/internal/transport/gateway/stop_test.go
@@ -120,3 +120,28 @@
 		})
 	}
 }
+
+// TestLateRequestDuringShutdown guards against beginning a stream that a stopping
+// gateway must cut off, for a request that was complete too late.
+func TestLateRequestDuringShutdown(t *testing.T) {
+	for _, part := range []string{"header", "body"} {
+		t.Run(part, func(t *testing.T) {
+			t.Parallel()
+			s := startStopping(t, 300*time.Millisecond, 1200*time.Millisecond)
+			text := s.text(t, "/note/1")
+			sent := 30
+			if part == "body" {
+				sent = len(text) - 2
+			}
+			s.send(t, s.text(t, "/book/1"))
+			assert.Equal(t, s.receive(t).StatusCode, http.StatusOK)
+			s.stop()
+			time.Sleep(shutdownDelay - 200*time.Millisecond)
+			s.send(t, text[:sent])
+			time.Sleep(1100 * time.Millisecond)
+			s.send(t, text[sent:])
+			assert.Equal(t, s.receive(t).StatusCode, http.StatusServiceUnavailable)
+			assert.Equal(t, len(s.runs(s.engines)), 0)
+		})
+	}
+}
