Refuse requests that are complete too late in a stop

Callers whose header or body took long got a stream that was cut off at the end of a stopping gateway's grace period, or 502, though their request had not run when it was complete. From 2.9 s after the beginning of a stop, a request whose deadline is later than the end of the grace period is now refused with 503 and Retry-After. Requests whose deadline is earlier are passed on as before.

--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -62,6 +62,9 @@
 	// shutdownMargin is the part of the stop grace period that is reserved for
 	// ending the process after the open requests have finished or were cut off.
 	shutdownMargin = 250 * time.Millisecond
+	// lateRequest is the time after the beginning of a stop from which requests are
+	// refused that may last beyond its end.
+	lateRequest = 2900 * time.Millisecond
 	// lastAnswerTime is the part of shutdownMargin in which requests without an answer
 	// are told that there will be none.
 	lastAnswerTime = 100 * time.Millisecond
@@ -140,7 +143,9 @@
 	peerClients    *peer.Clients
 	crashes        *crashes.Log
 	leaving        atomic.Bool
-	startedAt      time.Time
+	// stoppedAt is set before leaving.
+	stoppedAt atomic.Pointer[time.Time]
+	startedAt time.Time
 }
 
 // New returns a gateway that does nothing until Run is called.
@@ -401,6 +406,7 @@
 // accepting connections and returns a channel that is closed when none is left.
 func (g *Gateway) drain(endRequests context.CancelCauseFunc, stopAccepting func() <-chan struct{}) {
 	startedAt := g.options.Clock.Now()
+	g.stoppedAt.Store(&startedAt)
 	g.leaving.Store(true)
 	g.options.Logger.Info("shutdown started, reporting not ready")
 	g.options.Clock.Sleep(shutdownDelay)
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -17,6 +17,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		received := g.options.Clock.Now()
 		request, rejected := g.prepareRequest(w, r, received)
+		if rejected == nil && g.isLate(request) {
+			rejected = &rejection{http.StatusServiceUnavailable, "stopping", staleRetryAfter}
+		}
 		if rejected != nil {
 			g.reject(w, r, rejected)
 			g.recordRejection(r, rejected)
@@ -32,6 +35,16 @@
 	})
 }
 
+// isLate reports whether a request was complete so late in a stop that it might be cut
+// off at the end.
+func (g *Gateway) isLate(request *forward.Request) bool {
+	stoppedAt := g.stoppedAt.Load()
+	if stoppedAt == nil || g.options.Clock.Since(*stoppedAt) < lateRequest {
+		return false
+	}
+	return request.Deadline.After(stoppedAt.Add(g.options.Settings.Bounds.StopGrace - shutdownMargin))
+}
+
 // announceClose adds to the header of a response that a stopping gateway closes the
 // connection. It must be called when the response begins, because the request may have
 // begun before the stop.
