Add a failing test: a body that is incomplete at the end of a stop

At the end of the grace period a gateway answers the requests that it still has. One whose body is still being read is not woken up, and its connection is closed without an answer. The rule on whole requests doesn't count it, but its caller can't tell that it hasn't run.

--- a/internal/transport/gateway/stop_test.go
+++ b/internal/transport/gateway/stop_test.go
@@ -145,3 +145,13 @@
 		})
 	}
 }
+
+// TestBodyIncompleteAtTheEnd guards against closing the connection of a request whose
+// body is still arriving when the grace period ends, without a refusal.
+func TestBodyIncompleteAtTheEnd(t *testing.T) {
+	s := startStopping(t, 0, 300*time.Millisecond)
+	text := s.text(t, "/book/1")
+	s.send(t, text[:len(text)-2])
+	s.stop()
+	assert.Equal(t, s.receive(t).StatusCode, http.StatusServiceUnavailable)
+}
