Refuse requests whose body is incomplete at the end of a stop

A caller that was still sending its body at the end of the grace period saw the connection close. Reading the body now ends with the request's context, and the caller gets 503, which promises that the request has not run.

--- a/internal/transport/gateway/request.go
+++ b/internal/transport/gateway/request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -113,17 +114,21 @@
 	return &rejection{status: status, reason: reason}
 }
 
-// readBody reads the body of a request until its deadline; zero or less for the limit
-// means defaultMaxBodyBytes.
+// readBody reads the body of a request until its deadline or the end of the process;
+// zero or less for the limit means defaultMaxBodyBytes.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, remaining time.Duration) ([]byte, *rejection) {
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(remaining))
+	stop := context.AfterFunc(r.Context(), func() { _ = controller.SetReadDeadline(time.Now()) })
+	defer stop()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err != nil && errors.Is(context.Cause(r.Context()), forward.ErrStopping):
+		return nil, &rejection{http.StatusServiceUnavailable, "stopping before the body was complete", staleRetryAfter}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, &rejection{status: http.StatusRequestTimeout, reason: "body incomplete at the deadline"}
 	case errors.As(err, &tooLarge):
