Add a failing test: the limit of headers after a change of the routing

Like the idle timeout, the limits of headers are read when a gateway starts. After a change that raises the size, a header that is allowed gets 431, which callers don't repeat. The header's timeout is read in the same place; it was not tested. Whether the users' routings change these limits is not known.

--- a/internal/transport/gateway/stop_test.go
+++ b/internal/transport/gateway/stop_test.go
@@ -155,3 +155,15 @@
 	s.stop()
 	assert.Equal(t, s.receive(t).StatusCode, http.StatusServiceUnavailable)
 }
+
+// TestHeaderLimitFollowsRouting guards against refusing a header that the routing in
+// force allows, because the limit of an earlier one is still applied.
+func TestHeaderLimitFollowsRouting(t *testing.T) {
+	s := startStopping(t, 0, 0)
+	s.send(t, s.text(t, "/book/1"))
+	assert.Equal(t, s.receive(t).StatusCode, http.StatusOK)
+	s.source.change(func(source *memorySource) { source.routing.Limits.HeaderBytes = 256 << 10 })
+	time.Sleep(300 * time.Millisecond)
+	s.send(t, strings.Replace(s.text(t, "/book/1"), "\r\n\r\n", "\r\nX-Long: "+strings.Repeat("x", 128<<10)+"\r\n\r\n", 1))
+	assert.Equal(t, s.receive(t).StatusCode, http.StatusOK)
+}
