Add failing tests: requests that a stopping entry drops

The two faults that were found in the gateway hold in the entry as well. It uses http.Server.Shutdown, which drops a request whose header is read meanwhile and closes a kept connection in the middle of a header; and at the end of its grace period it closes the connections of requests that have no answer yet.

Not mended: the tracking of callers would move from the gateway to a package that both use.

--- /dev/null
+++ b/internal/transport/entry/stop_test.go
@@ -0,0 +1,89 @@
+package entry_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"comfreyworks/internal/standin/engine"
+	"comfreyworks/internal/state/settings"
+)
+
+// TestEntryReadsDuringShutdown guards against dropping a request without an answer
+// because a stopping entry stopped accepting connections while the request arrived.
+func TestEntryReadsDuringShutdown(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		name := "new connection"
+		if kept {
+			name = "kept connection"
+		}
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, overrides{})
+			address := strings.TrimPrefix(r.EntryURL(0), "http://")
+			conn, err := net.Dial("tcp", address)
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			reader := bufio.NewReader(conn)
+			var text strings.Builder
+			assert.NilError(t, request(t, http.MethodPost, r.EntryURL(0)+"/v1/chat/completions", validBody).Write(&text))
+			send := func(part string) {
+				_, err := io.WriteString(conn, part)
+				assert.NilError(t, err)
+			}
+			receive := func() {
+				answer, err := http.ReadResponse(reader, nil)
+				assert.NilError(t, err, "the request was dropped")
+				_, err = io.ReadAll(answer.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, answer.StatusCode, http.StatusOK)
+			}
+			if kept {
+				send(text.String())
+				receive()
+			}
+			send(text.String()[:30])
+			time.Sleep(50 * time.Millisecond)
+			var group errgroup.Group
+			group.Go(func() error {
+				r.StopEntry(0)
+				return nil
+			})
+			for refused := false; !refused; time.Sleep(time.Millisecond) {
+				probe, err := net.Dial("tcp", address)
+				if refused = err != nil; !refused {
+					_ = probe.Close()
+				}
+			}
+			send(text.String()[30:])
+			receive()
+			_ = conn.Close()
+			assert.NilError(t, group.Wait())
+		})
+	}
+}
+
+// TestEntryAnswersAtTheEnd guards against closing the connection of a
+// request that waits without any answer when the entry stops.
+func TestEntryAnswersAtTheEnd(t *testing.T) {
+	r := newRig(t, overrides{
+		callers: func(c *settings.Callers) { c.StopGrace = 300 * time.Millisecond },
+		rates:   func(rates *engine.Rates) { rates.StepTime = 2 * time.Second },
+	})
+	var group errgroup.Group
+	group.Go(func() error {
+		time.Sleep(200 * time.Millisecond)
+		r.StopEntry(0)
+		return nil
+	})
+	answer, err := http.DefaultClient.Do(request(t, http.MethodPost, r.EntryURL(0)+"/v1/chat/completions", validBody))
+	assert.NilError(t, err, "no answer")
+	_ = answer.Body.Close()
+	assert.NilError(t, group.Wait())
+}
