Add a failing test: the beginning of a request read with the one before

A connection is idle until bytes are read from it, but net/http reads up to 4 KiB ahead. If the beginning of the next request was among them, the connection counts as idle: its header has the idle timeout instead of its own, since that is extended by the current routing, and a gateway that stops cuts the header off, here in the middle of a name, which gives 400. Only callers that send a request before the answer to the last one meet this.

--- /dev/null
+++ b/internal/transport/gateway/pipelined_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+)
+
+// TestBeginOfNextRequest guards against taking a connection for idle although the
+// beginning of its next request was read with the one before: its header has no time
+// limit then, and a stop closes the connection in the middle of it.
+func TestBeginOfNextRequest(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: api.example\r\n\r\n"
+	for _, stops := range []bool{false, true} {
+		t.Run(map[bool]string{false: "header timeout", true: "stop"}[stops], func(t *testing.T) {
+			t.Parallel()
+			server := &http.Server{ReadHeaderTimeout: 300 * time.Millisecond, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+			if stops {
+				server.ReadHeaderTimeout = time.Minute
+			}
+			callers, listener := newCallerConns(func() time.Duration { return time.Minute }), listen(t)
+			var group errgroup.Group
+			group.Go(func() error {
+				_ = server.Serve(callers.track(server, listener))
+				return nil
+			})
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			assert.NilError(t, err)
+			_, err = io.WriteString(conn, request+request[:20])
+			assert.NilError(t, err)
+			reader := bufio.NewReader(conn)
+			_, err = http.ReadResponse(reader, nil)
+			assert.NilError(t, err)
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(3*time.Second)))
+			if stops {
+				time.Sleep(100 * time.Millisecond)
+				assert.NilError(t, listener.Close())
+				assert.NilError(t, group.Wait())
+				_ = callers.closeIdle()
+				_, err = io.WriteString(conn, request[20:])
+				assert.NilError(t, err)
+				answer, err := http.ReadResponse(reader, nil)
+				assert.NilError(t, err, "the request was dropped")
+				assert.Equal(t, answer.StatusCode, http.StatusOK)
+			} else {
+				_, err = reader.ReadByte()
+				assert.ErrorIs(t, err, io.EOF, "the connection stays open")
+			}
+			assert.NilError(t, conn.Close())
+			assert.NilError(t, server.Close())
+			assert.NilError(t, group.Wait())
+		})
+	}
+}
