Count a connection as in use once the header of a request is awaited

A caller that sends the beginning of a request before the answer to its last one had its header cut off by a stop, and its header had no time limit of its own. The server sets one deadline for an idle connection and the next one once it has the beginning of a request; from that one on the connection is in use.

--- a/internal/transport/gateway/callers.go
+++ b/internal/transport/gateway/callers.go
@@ -160,6 +160,9 @@
 		deadline = time.Now()
 	case c.becameIdle:
 		deadline = c.idleSince.Add(c.conns.idleTimeout())
+	case c.conns.states[c] == http.StateIdle:
+		// The server has the beginning of a request, maybe read with the one before.
+		c.conns.states[c] = http.StateActive
 	case isNew && deadline.IsZero():
 		// The header of the first request is complete.
 		c.conns.states[c] = http.StateActive
