Blame a request sooner that ends all upstreams of a small pool at once

Ends at the same moment count as one crash, because a rack that is lost takes along whatever runs on it, so that six ends were two crashes in a row.

A suspicion of a whole request now holds hashes of up to five upstreams that ended under it, as a union that gateways exchange. Two crashes in a row with four ended upstreams make it certain. One loss of a whole pool is still one crash. TestPoolEndsTogether fails without it; the property of suspicions (commutative, associative, idempotent) covers the new set. The bytes that it adds to the exchange were not measured.

--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -139,7 +139,9 @@
 }
 
 // beginTrial records that the request is sent.
-func (a *attempt) beginTrial() { a.trial = a.options.Crashes.Begin(a.suspects) }
+func (a *attempt) beginTrial() {
+	a.trial = a.options.Crashes.Begin(a.suspects).On(a.pick.Upstream.ID, a.pick.Upstream.Started)
+}
 
 // endTrial records whether the upstream ended under the request.
 func (a *attempt) endTrial() {
--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -38,11 +38,14 @@
 package crashes
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"comfreyworks"
 	"comfreyworks/internal/state/sharedlog"
 )
@@ -52,6 +55,10 @@
 	// that after which no more requests are let through to test it.
 	blameAfter   = 2
 	certainAfter = 3
+	// certainUpstreams is the number of upstreams that ended under a whole request, some
+	// of them together, after which it is certain as soon as it is blamed. A small pool
+	// ends at once under a request that is repeated quickly, which counts as one crash.
+	certainUpstreams = 4
 	// answeredMargin is added to both for a part that was answered recently, so that
 	// one that crashes engines is blamed before the parts that come with it.
 	answeredMargin = 3
@@ -140,7 +147,7 @@
 	return &Log{
 		log: sharedlog.New(sharedlog.Options[suspicion]{
 			Clock: options.Clock, Lifetime: lifetime, MaxEntries: maxEntries, Promote: true,
-			Preserve: func(s suspicion) bool { return s.crashes >= certainAfter },
+			Preserve: func(s suspicion) bool { return s.crashes >= certainAfter || s.endedMany() },
 		}),
 		clock: options.Clock, spread: options.Spread, tries: options.Tries,
 		trials: make(map[uint32]int), early: make(map[earlyTrial]int),
@@ -156,7 +163,9 @@
 	// trials lists the parts that the request tries after their quarantine.
 	trials []uint32
 	early  []earlyTrial
-	ended  bool
+	// upstream identifies the upstream to which it was sent; zero if unknown.
+	upstream uint32
+	ended    bool
 }
 
 // snapshot is what was known of a part when a request with it was sent.
@@ -191,6 +200,12 @@
 	return r
 }
 
+// On records to which incarnation of an upstream the request is sent.
+func (r *Request) On(upstream comfreyworks.InstanceID, started time.Time) *Request {
+	r.upstream = max(1, uint32(xxhash.Sum64String(fmt.Sprint(upstream, " ", started.UnixMilli()))))
+	return r
+}
+
 // countEarly counts early trials. The mutex must be held.
 func (l *Log) countEarly(trials []earlyTrial, n int) {
 	if len(l.early) > maxEntries {
@@ -254,7 +269,7 @@
 	}
 	r.log.log.Merge(func(yield func(uint32, suspicion) bool) {
 		for _, s := range cause {
-			if s.known.cleared < math.MaxUint16 && !yield(s.key, s.known.crash(r.others(s.key))) {
+			if s.known.cleared < math.MaxUint16 && !yield(s.key, s.known.crash(r.others(s.key), r.upstreamFor(s.key))) {
 				return
 			}
 		}
@@ -267,6 +282,14 @@
 	return crashes
 }
 
+// upstreamFor returns the upstream if it is recorded for the given suspect.
+func (r *Request) upstreamFor(key uint32) uint32 {
+	if KindOf(key) == WholeRequest {
+		return r.upstream
+	}
+	return 0
+}
+
 // others returns the parts of the request other than key. If there are too many,
 // those with the most crashes are kept.
 func (r *Request) others(key uint32) partSet {
@@ -312,8 +335,15 @@
 // isBlamed reports whether a part is under quarantine or was and is not cleared.
 func (l *Log) isBlamed(key uint32, s suspicion) bool { return l.reaches(l.thresholds.blame, key, s) }
 
-// isCertain reports whether a blamed part needs no further test.
-func (l *Log) isCertain(key uint32, s suspicion) bool { return l.reaches(l.thresholds.certain, key, s) }
+// isCertain reports whether a blamed suspect needs no further test.
+func (l *Log) isCertain(key uint32, s suspicion) bool {
+	return l.reaches(l.thresholds.certain, key, s) || s.endedMany()
+}
+
+// endedMany reports whether many upstreams ended, and not all of them together.
+func (s suspicion) endedMany() bool {
+	return s.crashes >= blameAfter && len(s.ended.keys()) >= certainUpstreams
+}
 
 // reaches reports whether a part has a number of crashes, or more than that if it
 // was answered recently.
@@ -424,7 +454,7 @@
 func (l *Log) Merge(suspicions []comfreyworks.CrashSuspicion, from Origin) {
 	l.log.Merge(func(yield func(uint32, suspicion) bool) {
 		for _, s := range suspicions {
-			if !yield(s.Part, suspicion{s.Cleared, s.Crashes, newPartSet(s.With)}) {
+			if !yield(s.Part, suspicion{s.Cleared, s.Crashes, newPartSet(s.With), newPartSet(s.Ended)}) {
 				return
 			}
 		}
@@ -436,7 +466,7 @@
 func (l *Log) After(version uint64, from Origin) (suspicions []comfreyworks.CrashSuspicion, current uint64) {
 	current = l.log.After(version, from, func(key uint32, s suspicion) {
 		suspicions = append(suspicions, comfreyworks.CrashSuspicion{
-			Part: key, Cleared: s.cleared, Crashes: s.crashes, With: s.with.keys(),
+			Part: key, Cleared: s.cleared, Crashes: s.crashes, With: s.with.keys(), Ended: s.ended.keys(),
 		})
 	})
 	return suspicions, current
--- a/internal/state/crashes/crashes_test.go
+++ b/internal/state/crashes/crashes_test.go
@@ -1,6 +1,7 @@
 package crashes
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -77,6 +78,40 @@
 	assertBlamed(t, l, request, request)
 }
 
+// TestPoolEndsTogether guards against a request that ends all upstreams of a small pool
+// several times, because ends at the same moment count once.
+func TestPoolEndsTogether(t *testing.T) {
+	request := RequestKey(nil, "request")
+	logs := make([]*Log, 3)
+	for i := range logs {
+		logs[i], _ = newLog()
+	}
+	endPool := func(incarnation int64) {
+		var runs []*Request
+		for i, l := range logs {
+			runs = append(runs, l.Begin([]uint32{request, sound}).On(comfreyworks.InstanceID(fmt.Sprint(i)), time.UnixMilli(incarnation)))
+		}
+		for _, run := range runs {
+			run.EngineEnded()
+		}
+		for range logs {
+			for i, l := range logs {
+				exchange(l, logs[(i+1)%len(logs)])
+			}
+		}
+	}
+	endPool(1)
+	for _, l := range logs {
+		assertBlamed(t, l, 0, request, sound)
+	}
+	endPool(2)
+	for _, l := range logs {
+		assertBlamed(t, l, request, request, sound)
+		answer(l, sound)
+		assertBlamed(t, l, 0, sound)
+	}
+}
+
 func TestBlame(t *testing.T) {
 	t.Run("crashes that follow one another blame", func(t *testing.T) {
 		l, _ := newLog()
--- a/internal/state/crashes/suspicion.go
+++ b/internal/state/crashes/suspicion.go
@@ -11,13 +11,13 @@
 // suspicion is what is known about a part, as in comfreyworks.CrashSuspicion.
 type suspicion struct {
 	cleared, crashes uint16
-	with             partSet
+	with, ended      partSet
 }
 
-// crash returns the suspicion after a crash of a request with the given other parts
-// that was sent when s was known.
-func (s suspicion) crash(others partSet) suspicion {
-	return suspicion{s.cleared, min(s.crashes, math.MaxUint16-1) + 1, others}
+// crash returns the suspicion after an upstream ended under a request with the given
+// other suspects that was sent when s was known.
+func (s suspicion) crash(others partSet, upstream uint32) suspicion {
+	return suspicion{s.cleared, min(s.crashes, math.MaxUint16-1) + 1, others, s.ended.union(newPartSet([]uint32{upstream}))}
 }
 
 // add returns the suspicion after a crash that was not known yet.
@@ -25,7 +25,7 @@
 	if s.cleared != crash.cleared || s.crashes == 0 {
 		return s.join(crash)
 	}
-	return suspicion{s.cleared, max(s.crashes, crash.crashes), s.with.intersect(crash.with)}
+	return suspicion{s.cleared, max(s.crashes, crash.crashes), s.with.intersect(crash.with), s.ended.union(crash.ended)}
 }
 
 // clear returns the suspicion after an answer.
@@ -39,17 +39,24 @@
 // join returns what two gateways know together. It is commutative, associative and
 // idempotent.
 func (s suspicion) join(other suspicion) suspicion {
-	switch cmp.Or(cmp.Compare(s.cleared, other.cleared), cmp.Compare(s.crashes, other.crashes)) {
-	case -1:
-		return other
-	case 1:
+	if s.cleared != other.cleared {
+		if s.cleared < other.cleared {
+			return other
+		}
 		return s
 	}
-	s.with = s.with.intersect(other.with)
+	ended := s.ended.union(other.ended)
+	switch cmp.Compare(s.crashes, other.crashes) {
+	case -1:
+		s = other
+	case 0:
+		s.with = s.with.intersect(other.with)
+	}
+	s.ended = ended
 	return s
 }
 
-// partSet is a set of a few parts in ascending order, followed by zeros.
+// partSet is a set of a few keys in ascending order, followed by zeros.
 type partSet [comfreyworks.MaxCrashSuspicionWith]uint32
 
 // newPartSet returns the set of the first keys that are not zero.
@@ -81,3 +88,10 @@
 func (p partSet) intersect(other partSet) partSet {
 	return newPartSet(slices.DeleteFunc(p.keys(), func(key uint32) bool { return !other.has(key) }))
 }
+
+// union returns the lowest keys that are in either set.
+func (p partSet) union(other partSet) partSet {
+	keys := append(p.keys(), other.keys()...)
+	slices.Sort(keys)
+	return newPartSet(keys)
+}
--- a/peering.go
+++ b/peering.go
@@ -93,9 +93,12 @@
 	// With lists keys of what was in all of these requests as well. It has at most
 	// MaxCrashSuspicionWith entries.
 	With []uint32
+	// Ended lists hashes of upstreams that ended under the request, at most
+	// MaxCrashSuspicionWith; empty for a part.
+	Ended []uint32
 }
 
-// MaxCrashSuspicionWith is the maximum length of CrashSuspicion.With.
+// MaxCrashSuspicionWith is the maximum length of CrashSuspicion.With and Ended.
 const MaxCrashSuspicionWith = 5
 
 // GatewayState is the state that gateways send to each other.
