Draw what harms replicas from a table in the soak

The soak knew one thing that harms replicas, a part of prompts that crashes engines.

Now a table lists what harms: the method, the targets, the body and the prompt, each with a place for what all such requests have in common and one for what no two have, and the fault that a replica shows when it begins to run one. A new kind is a line. The check counts the replicas that one thing crashed: five for a part of prompts as before, three if the same request comes again. A crashed service is replaced as an engine is. Sound requests may no longer be refused with any final status, where only 400 was looked for.

The stand-in's CrashOn stays as it was for other tests, on top of HarmOn.

Tests of cmd/soak and internal/standin with -race pass, and those of internal/transport/gateway about crashes and quarantines.

--- a/cmd/soak/internal/caller/caller.go
+++ b/cmd/soak/internal/caller/caller.go
@@ -19,6 +19,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"comfreyworks/cmd/soak/internal/fleet"
@@ -85,8 +86,8 @@
 	// this request takes up after event LastEvent. Other requests have neither.
 	Resumes   string
 	LastEvent int
-	// CrashPart is the part of the prompt that crashes engines, if it has one.
-	CrashPart      string
+	// Harmful tells what the request does to replicas; nil means no harm.
+	Harmful        *fleet.Harmful
 	SentAt         time.Time
 	EndedAt        time.Time
 	Status         int
@@ -108,9 +109,9 @@
 	// LongStreams makes all requests long streams that can be resumed, each at a random
 	// gateway.
 	LongStreams bool
-	// CrashPart, unless it is nil, makes all requests streams at random gateways whose
-	// prompts hold the part that it returns. None are sent while that is empty.
-	CrashPart func() string
+	// Harmful, unless it is nil, returns what to send to random gateways in place of other
+	// requests. None are sent while it returns nil.
+	Harmful func() *fleet.Harmful
 }
 
 // Caller is one caller with one connection to one gateway at a time. It is not
@@ -143,13 +144,13 @@
 // gateway.
 func (c *Caller) Run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		if c.options.CrashPart != nil && c.options.CrashPart() == "" {
+		if c.options.Harmful != nil && c.options.Harmful() == nil {
 			time.Sleep(maxThinkTime)
 			continue
 		}
 		record := c.sendAndTakeUp(n)
 		pause := time.Duration(c.rng.Int64N(int64(c.thinkTime())))
-		if record.Err != nil || c.options.LongStreams || c.options.CrashPart != nil {
+		if record.Err != nil || c.options.LongStreams || c.options.Harmful != nil {
 			c.gateway = c.rng.IntN(len(c.options.Gateways))
 		}
 		if retryAfter, err := strconv.ParseFloat(record.ResponseHeader.Get("Retry-After"), 64); err == nil {
@@ -162,7 +163,7 @@
 
 // thinkTime returns the maximum pause between two requests.
 func (c *Caller) thinkTime() time.Duration {
-	if c.options.LongStreams || c.options.CrashPart != nil {
+	if c.options.LongStreams || c.options.Harmful != nil {
 		return maxLongThinkTime
 	}
 	return maxThinkTime
@@ -223,16 +224,24 @@
 	if c.options.LongStreams {
 		record.Kind, record.Target = ResumableStream, fmt.Sprintf("%s%d?n=%d", fleet.LongStreamPath, c.rng.IntN(100), n)
 	}
-	if c.options.CrashPart != nil {
-		record.Kind = []Kind{Stream, ResumableStream}[n%2]
-		record.Target, record.CrashPart = fmt.Sprintf("/%s/%d", record.Kind, n), c.options.CrashPart()
-	}
 	if record.Kind == Idempotent {
 		record.Method, record.Body = http.MethodGet, ""
 	}
+	if c.options.Harmful != nil {
+		if h := c.options.Harmful(); h != nil {
+			record.harm(h, n)
+		}
+	}
 	return record
 }
 
+// harm makes the record a request that harms replicas.
+func (r *Record) harm(h *fleet.Harmful, n int) {
+	r.Harmful, r.Method, r.Body = h, h.Method, h.Expand(h.Body, r.ID)
+	r.Target = h.Expand(h.Targets[n%len(h.Targets)], r.ID)
+	r.Kind = Kind(strings.Split(r.Target, "/")[1])
+}
+
 // roundTrip sends a request and adds the response to the record.
 func (c *Caller) roundTrip(record *Record) {
 	url := "http://" + c.options.Gateways[record.Gateway].String() + record.Target
@@ -259,8 +268,8 @@
 			r.Header.Set(names.LastEventID, strconv.Itoa(record.LastEvent))
 		}
 		parts := fmt.Sprintf("guide:%d,%s:%d", promptTokens-uniqueTokens, record.ID, uniqueTokens)
-		if record.CrashPart != "" {
-			parts = fmt.Sprintf("guide:%d,%s:%d,%s:%d", promptTokens-2*uniqueTokens, record.CrashPart, uniqueTokens, record.ID, uniqueTokens)
+		if record.Harmful != nil {
+			parts = record.Harmful.Expand(record.Harmful.Prompt, record.ID)
 		}
 		r.Header.Set(names.Prefix, parts)
 	}
--- a/cmd/soak/internal/check/check.go
+++ b/cmd/soak/internal/check/check.go
@@ -66,8 +66,8 @@
 	// Closure: a gateway that a replica has turned away sends it nothing until the time
 	// that the replica named.
 	Closure Rule = "closure"
-	// Quarantine: once a part of prompts has crashed several engines, requests with it no
-	// longer reach engines, and no other request is refused because of it.
+	// Quarantine: once a request or a part of prompts has crashed several replicas, it no
+	// longer reaches replicas, and no other request is refused because of it.
 	Quarantine Rule = "quarantine"
 	// Answered: every request gets an answer or a refusal, and a gateway does not cut off
 	// the answers of replicas that are only silent for a while.
--- a/cmd/soak/internal/check/crashes.go
+++ b/cmd/soak/internal/check/crashes.go
@@ -6,73 +6,97 @@
 	"time"
 
 	"comfreyworks/cmd/soak/internal/caller"
+	"comfreyworks/cmd/soak/internal/fleet"
 )
 
 const (
-	// quarantineAfter is the number of engines that a part of prompts may crash until it
-	// is to be under quarantine, quarantineDelay how long all gateways may take to know.
-	quarantineAfter = 5
-	quarantineDelay = 3 * time.Second
-	// maxQuarantined is the number of requests that may reach engines later.
+	// requestCrashes and partCrashes are the numbers of replicas that a whole request and a
+	// part of prompts may crash until they are to be under quarantine, quarantineDelay is
+	// how long all gateways may take to know.
+	requestCrashes, partCrashes = 3, 5
+	quarantineDelay             = 3 * time.Second
+	// maxQuarantined is the number of requests that may reach replicas later.
 	maxQuarantined = 3
 )
 
-// crash is the crash of an engine by a request.
+// quarantineAfter returns the number of replicas that requests of a kind may crash.
+func quarantineAfter(h *fleet.Harmful) int {
+	if h.IsWholeRequest() {
+		return requestCrashes
+	}
+	return partCrashes
+}
+
+// isFinal reports whether a status tells callers that their request is at fault. Those are
+// left out that other rules check, or that ask for another try.
+func isFinal(status int) bool {
+	switch status {
+	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound,
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		return false
+	}
+	return status/100 == 4
+}
+
+// crash is the crash of a replica by a request.
 type crash struct {
 	at     time.Time
 	record *caller.Record
 }
 
-// checkQuarantine counts the requests that are refused although no part of their prompts
-// crashes engines, and those that reach engines although a part has crashed several.
+// checkQuarantine counts the sound requests that are refused for good, and the harmful
+// ones that reach replicas although they have crashed several.
 func (c *checker) checkQuarantine() {
-	crashes, reached, refused := c.crashes(), make(map[string]int), 0
+	crashes, reached, refused := c.crashes(), make(map[*fleet.Harmful]int), 0
 	for _, record := range c.records {
-		if record.CrashPart == "" && record.Status == http.StatusBadRequest {
-			refused++
+		if record.Harmful == nil {
+			if isFinal(record.Status) {
+				refused++
+			}
+			continue
 		}
 		for _, at := range c.observed.Arrivals[record.ID] {
-			if c.isKnown(crashes[record.CrashPart], record.Gateway, at) {
-				reached[record.CrashPart]++
+			if c.isKnown(crashes[record.Harmful], quarantineAfter(record.Harmful), record.Gateway, at) {
+				reached[record.Harmful]++
 			}
 		}
 	}
 	if refused > 0 {
-		c.report(Quarantine, "%d requests were refused although no part of their prompts crashes engines", refused)
+		c.report(Quarantine, "%d requests were refused for good although they crash no replicas", refused)
 	}
-	for part, n := range reached {
+	for h, n := range reached {
 		if n > maxQuarantined {
-			c.report(Quarantine, "%d requests with part %s reached engines later than %s after it had crashed %d", n, part, quarantineDelay, quarantineAfter)
+			c.report(Quarantine, "%d requests reached replicas later than %s after %d crashes; %d crashed in all: %s", n, quarantineDelay, quarantineAfter(h), len(crashes[h]), h)
 		}
 	}
 }
 
-// crashes returns the crashes of engines by part, the first one first.
-func (c *checker) crashes() map[string][]crash {
-	crashes, engines := make(map[string][]crash), make(map[string]bool)
+// crashes returns the crashes of replicas by what crashed them, the first one first.
+func (c *checker) crashes() map[*fleet.Harmful][]crash {
+	crashes, replicas := make(map[*fleet.Harmful][]crash), make(map[string]bool)
 	for i := range c.observed.Runs {
 		run := &c.observed.Runs[i]
-		if record := c.records[string(run.ID)]; run.Crashed && record != nil && !engines[run.Replica] {
-			engines[run.Replica] = true
-			crashes[record.CrashPart] = append(crashes[record.CrashPart], crash{run.At, record})
+		if record := c.records[string(run.ID)]; run.Crashed && record != nil && !replicas[run.Replica] {
+			replicas[run.Replica] = true
+			crashes[record.Harmful] = append(crashes[record.Harmful], crash{run.At, record})
 		}
 	}
-	for part := range crashes {
-		slices.SortFunc(crashes[part], func(a, b crash) int { return a.at.Compare(b.at) })
+	for h := range crashes {
+		slices.SortFunc(crashes[h], func(a, b crash) int { return a.at.Compare(b.at) })
 	}
 	return crashes
 }
 
-// isKnown reports whether a gateway must know at a time that a part crashes engines. Only
-// crashes count whose gateways could tell the others, and that the gateway could learn of.
-func (c *checker) isKnown(crashes []crash, gateway int, at time.Time) bool {
+// isKnown reports whether a gateway must know at a time of a number of crashes. Only those
+// count whose gateways could tell the others, and that the gateway could learn of.
+func (c *checker) isKnown(crashes []crash, limit, gateway int, at time.Time) bool {
 	n := 0
 	for _, crash := range crashes {
 		known := crash.at.Add(quarantineDelay)
 		if c.isQuiet(crash.record.Gateway, crash.at, known) && c.isQuiet(gateway, crash.at, at) {
 			n++
 		}
-		if n == quarantineAfter {
+		if n == limit {
 			return at.After(known)
 		}
 	}
--- a/cmd/soak/internal/check/crashes_test.go
+++ b/cmd/soak/internal/check/crashes_test.go
@@ -18,26 +18,30 @@
 		return []fleet.Span{{From: start.Add(after), To: start.Add(after)}}
 	}
 	late := quarantineDelay + time.Second
+	part, whole := &fleet.Harmful{Prompt: "*:1,+:1"}, &fleet.Harmful{Prompt: "*:1"}
 	for name, test := range map[string]struct {
+		harmful           *fleet.Harmful
 		crashes, requests int
 		after             time.Duration
 		gateways          [][]fleet.Span
 		rules             []Rule
 	}{
-		"more than three requests":     {5, 4, late, make([][]fleet.Span, 2), []Rule{Quarantine}},
-		"three requests":               {5, 3, late, make([][]fleet.Span, 2), nil},
-		"four crashes":                 {4, 4, late, make([][]fleet.Span, 2), nil},
-		"within the delay":             {5, 4, quarantineDelay, make([][]fleet.Span, 2), nil},
-		"the gateway was restarted":    {5, 4, late, [][]fleet.Span{nil, disturbedAt(late)}, nil},
-		"the other one was restarted":  {5, 4, late, [][]fleet.Span{disturbedAt(late), nil}, []Rule{Quarantine}},
-		"the other one could not tell": {5, 4, late, [][]fleet.Span{disturbedAt(time.Second), nil}, nil},
+		"more than three requests":     {part, 5, 4, late, make([][]fleet.Span, 2), []Rule{Quarantine}},
+		"three requests":               {part, 5, 3, late, make([][]fleet.Span, 2), nil},
+		"four crashes":                 {part, 4, 4, late, make([][]fleet.Span, 2), nil},
+		"within the delay":             {part, 5, 4, quarantineDelay, make([][]fleet.Span, 2), nil},
+		"the gateway was restarted":    {part, 5, 4, late, [][]fleet.Span{nil, disturbedAt(late)}, nil},
+		"the other one was restarted":  {part, 5, 4, late, [][]fleet.Span{disturbedAt(late), nil}, []Rule{Quarantine}},
+		"a whole request":              {whole, 3, 4, late, make([][]fleet.Span, 2), []Rule{Quarantine}},
+		"two crashes":                  {whole, 2, 4, late, make([][]fleet.Span, 2), nil},
+		"the other one could not tell": {part, 5, 4, late, [][]fleet.Span{disturbedAt(time.Second), nil}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			observed := servedRequest(caller.Idempotent)
 			observed.Gateways, observed.Arrivals = test.gateways, make(map[string][]time.Time)
 			add := func(id string, gateway int, at time.Time) {
 				observed.Records = append(observed.Records, caller.Record{
-					ID: id, Kind: caller.Idempotent, Key: "key-office", Method: http.MethodPost, Target: "/read/1", Gateway: gateway, CrashPart: "p",
+					ID: id, Kind: caller.Idempotent, Key: "key-office", Method: http.MethodPost, Target: "/read/1", Gateway: gateway, Harmful: test.harmful,
 				})
 				observed.Arrivals[id] = []time.Time{at}
 			}
@@ -56,13 +60,22 @@
 	}
 }
 
-// TestSoundRequestRefused guards against gateways that blame sound parts of prompts.
-func TestSoundRequestRefused(t *testing.T) {
-	for part, rules := range map[string][]Rule{"": {Quarantine}, "p": nil} {
-		t.Run(part, func(t *testing.T) {
+// TestRefused guards against gateways that blame sound requests, with whatever final status.
+func TestRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		harmful *fleet.Harmful
+		status  int
+		rules   []Rule
+	}{
+		"sound":                     {nil, http.StatusBadRequest, []Rule{Quarantine}},
+		"sound, another status":     {nil, http.StatusUnprocessableEntity, []Rule{Quarantine}},
+		"sound, asked to try again": {nil, http.StatusTooManyRequests, nil},
+		"harmful":                   {&fleet.Harmful{}, http.StatusBadRequest, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
 			observed := servedRequest(caller.Stream)
-			observed.Records[0].Status, observed.Records[0].CrashPart, observed.Runs = http.StatusBadRequest, part, nil
-			expectViolations(t, observed, rules...)
+			observed.Records[0].Status, observed.Records[0].Harmful, observed.Runs = test.status, test.harmful, nil
+			expectViolations(t, observed, test.rules...)
 		})
 	}
 }
--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -32,6 +32,8 @@
 	EnginePool = "lm"
 	AppPool    = "app"
 	Model      = "oak"
+	// HarmSources is the number of sources of harmful requests.
+	HarmSources = 1
 	// StreamEvents is the number of events of every stream.
 	StreamEvents = 12
 	// LongStreamPath begins the paths of streams that pause longer between events, and
@@ -88,10 +90,11 @@
 	slots, replicas []*Replica
 	// replicaIDs is the number of replica IDs that were assigned.
 	replicaIDs int
-	// crashPart is the part of prompts that crashes engines, and crashed those that it
-	// did crash until others have replaced them.
-	crashPart string
-	crashed   errgroup.Group
+	// harmful is what callers are to send, by source, and everHarmful all that they were
+	// to send so far. crashed holds the crashed replicas until others have replaced them.
+	harmful     [HarmSources]*Harmful
+	everHarmful []*Harmful
+	crashed     errgroup.Group
 
 	group       errgroup.Group
 	stopping    chan struct{}
--- a/cmd/soak/internal/fleet/replica.go
+++ b/cmd/soak/internal/fleet/replica.go
@@ -62,7 +62,7 @@
 	leaving, left bool
 	// removed means that the entry has been removed for good.
 	removed bool
-	// crashed means that the replica was stopped by a prompt.
+	// crashed means that the replica was stopped by a request.
 	crashed bool
 	server  *http.Server
 	// starts are the times at which the incarnations of the replica started.
@@ -100,7 +100,7 @@
 	replaced, f.slots[slot] = f.slots[slot], r
 	f.replicas = append(f.replicas, r)
 	f.mu.Unlock()
-	f.setCrash(r)
+	r.HarmOn(f.harm, func() { f.crashAndReplace(r) })
 	f.putEntry(r)
 	return replaced, nil
 }
--- a/cmd/soak/internal/series/series.go
+++ b/cmd/soak/internal/series/series.go
@@ -37,8 +37,8 @@
 	// quietPeriod is the time without faults before a gateway is killed or told to
 	// stop while nothing else is disturbed, so that only this can cut off requests.
 	quietPeriod = 4 * time.Second
-	// crashCallers is the number of callers whose prompts crash engines.
-	crashCallers = 3
+	// harmCallers is the number of callers of each source of harmful requests.
+	harmCallers = 3
 	// streamCallers is the number of callers of long streams for each other caller.
 	// They outnumber the others so that a gateway that is killed breaks many streams.
 	streamCallers = 3
@@ -110,14 +110,15 @@
 	defer stop()
 	var group errgroup.Group
 	ordinary := s.options.Callers * (1 + streamCallers)
-	for i := range ordinary + crashCallers {
+	for i := range ordinary + fleet.HarmSources*harmCallers {
 		options := caller.Options{
 			Name: fmt.Sprintf("caller-%d", i), Gateways: s.addresses, Seed: s.options.Seed + uint64(i),
 			Keys: []string{"key-office", "key-lab", "key-guest"},
 		}
 		switch {
 		case i >= ordinary:
-			options.Keys, options.CrashPart = options.Keys[:1], s.fleet.CrashPart
+			source := (i - ordinary) / harmCallers
+			options.Keys, options.Harmful = options.Keys[:1], func() *fleet.Harmful { return s.fleet.Harmful(source) }
 		case i >= s.options.Callers:
 			options.Keys, options.LongStreams = options.Keys[:2], true
 		}
--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -81,8 +81,8 @@
 	// ones start at the beginning of the event; the old ones leave or crash at its
 	// end.
 	Release Kind = "release"
-	// CrashPart makes callers send prompts with a part that crashes all engines.
-	CrashPart Kind = "part-crashes-engines"
+	// Harm makes callers send requests that harm the replicas which begin to run them.
+	Harm Kind = "harm"
 	// RevokeKey revokes the key of workspace guest.
 	RevokeKey Kind = "revoke"
 )
@@ -133,12 +133,15 @@
 	Seed        uint64
 	// Release is the release of the engines that replace others.
 	Release string
+	// Harmful is what callers send, Source the one of its callers.
+	Harmful fleet.Harmful
+	Source  int
 }
 
 // String describes the event on one line.
 func (e *Event) String() string {
-	return fmt.Sprintf("%.1f s to %.1f s %s, gateway %d, replica %d %s %s %s",
-		e.Start.Seconds(), (e.Start + e.Duration).Seconds(), e.Kind, e.Gateway, e.Replica, e.Link.Kind, e.Fault, e.Release)
+	return fmt.Sprintf("%.1f s to %.1f s %s, gateway %d, replica %d %s %s %s %s",
+		e.Start.Seconds(), (e.Start + e.Duration).Seconds(), e.Kind, e.Gateway, e.Replica, e.Link.Kind, e.Fault, e.Release, &e.Harmful)
 }
 
 // Plan is a schedule of events.
@@ -155,7 +158,7 @@
 		plan.Events = append(plan.Events, randomEvent(rng, at, gateways, replicas))
 	}
 	plan.addAdvice(seed, length, gateways, replicas)
-	plan.addCrashPart(seed, length)
+	plan.addHarm(seed, length)
 	plan.addSilences(seed, length)
 	plan.addRewrites(seed, length, gateways)
 	plan.addUnframed(seed, length, gateways, replicas)
@@ -209,8 +212,8 @@
 				return nil
 			case Release:
 				return event.replaceEngines(f)
-			case CrashPart:
-				return f.CrashEngines(fmt.Sprint("crash-", event.Seed), event.Duration)
+			case Harm:
+				return f.Harm(event.Source, &event.Harmful, event.Duration)
 			}
 			r := f.Replica(event.Replica)
 			undisturb := event.disturb(f, r)
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -46,6 +46,7 @@
 	Callers     int           `long:"callers" default:"12" description:"number of callers in each run, besides three of long streams for each"`
 	Length      time.Duration `long:"length" default:"12s" description:"time during which faults are started"`
 	Mutants     bool          `long:"mutants" description:"build gateways with deliberate bugs and run seeds until each bug is detected"`
+	Every       bool          `long:"every" description:"with --mutants: require that every seed detects each bug"`
 	Root        string        `long:"root" default:"." description:"source tree that --mutants builds from" value-name:"PATH"`
 }
 
@@ -169,17 +170,17 @@
 	}
 }
 
-// runMutants runs seeds on each mutant until it is detected.
+// runMutants runs seeds on each mutant until it is detected, or all of them with --every.
 func (o *options) runMutants(ctx context.Context) int {
 	undetected := 0
 	for i := range mutant.All {
 		m := &mutant.All[i]
-		detected, err := o.detects(ctx, m, filepath.Join(o.Dir, fmt.Sprint("mutant-", i)))
+		run, detected, err := o.detect(ctx, m, filepath.Join(o.Dir, fmt.Sprint("mutant-", i)))
 		if err != nil {
 			return reportError(errors.Join(errors.New(m.Name), err))
 		}
-		fmt.Printf("a gateway that %s: noticed %t\n", m.Name, detected)
-		if !detected {
+		fmt.Printf("a gateway that %s: noticed by %d of %d seeds\n", m.Name, detected, run)
+		if detected == 0 || o.Every && detected < run {
 			undetected++
 		}
 	}
@@ -189,18 +190,18 @@
 	return program.ExitOK
 }
 
-// detects builds a mutant and reports whether a seed detects it.
-func (o *options) detects(ctx context.Context, m *mutant.Mutant, dir string) (bool, error) {
+// detect builds a mutant and returns how many seeds ran on it, and how many detected it.
+func (o *options) detect(ctx context.Context, m *mutant.Mutant, dir string) (run, detected int, err error) {
 	if err := os.MkdirAll(dir, 0o750); err != nil {
-		return false, err
+		return 0, 0, err
 	}
 	root, err := filepath.Abs(o.Root)
 	if err != nil {
-		return false, err
+		return 0, 0, err
 	}
 	binary, err := m.Build(ctx, root, dir)
 	if err != nil {
-		return false, err
+		return 0, 0, err
 	}
 	for first := o.Seed; first < o.Seed+o.Seeds; first += uint64(o.Jobs) {
 		var seeds []uint64
@@ -208,9 +209,10 @@
 			seeds = append(seeds, seed)
 		}
 		failed, err := o.runSeeds(ctx, binary, dir, seeds)
-		if err != nil || failed > 0 {
-			return failed > 0, err
+		run, detected = run+len(seeds), detected+failed
+		if err != nil || failed > 0 && !o.Every {
+			return run, detected, err
 		}
 	}
-	return false, nil
+	return run, detected, nil
 }
--- a/internal/standin/replica/crash.go
+++ b/internal/standin/replica/crash.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"strings"
@@ -8,13 +9,35 @@
 	"comfreyworks"
 )
 
-// CrashOn makes the replica crash whenever it begins to answer a prompt with the given
-// part: after the header of the answer it calls crash, which ends its connections, and
-// aborts the request. An empty part never does.
-func (rep *Replica) CrashOn(part string, crash func()) {
+// Injected faults with which the replica calls the function of HarmOn, which ends its
+// connections, and aborts the request.
+const (
+	// FaultCrash crashes the replica after the header of its response.
+	FaultCrash Fault = "crash"
+	// FaultEarlyCrash crashes it before.
+	FaultEarlyCrash Fault = "early-crash"
+)
+
+// HarmOn makes harm choose the fault of each request, given its target, header and body;
+// with an empty Fault the replica uses its other injected faults. The replica calls crash
+// when it crashes.
+func (rep *Replica) HarmOn(harm func(run *Run) Fault, crash func()) {
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
-	rep.crashPart, rep.crash = part, crash
+	rep.harm, rep.crash = harm, crash
+}
+
+// CrashOn makes the replica crash whenever it begins to answer a prompt with the given
+// part.
+func (rep *Replica) CrashOn(part string, crash func()) {
+	rep.HarmOn(func(run *Run) Fault {
+		if slices.ContainsFunc(strings.Split(run.Header.Get(rep.options.Headers.Prefix), ","), func(entry string) bool {
+			return strings.HasPrefix(strings.TrimSpace(entry), part+":")
+		}) {
+			return FaultCrash
+		}
+		return ""
+	}, crash)
 }
 
 // Restart makes the replica a new incarnation with another ID. What it has recorded
@@ -31,21 +54,27 @@
 	return rep.id
 }
 
-// crashIfPart crashes if the prompt of a run has the part of CrashOn.
-func (rep *Replica) crashIfPart(w http.ResponseWriter, run *Run) {
+// harmFault returns the fault that HarmOn chose for a run, or the given one.
+func (rep *Replica) harmFault(run *Run, fault Fault) Fault {
+	rep.mu.Lock()
+	harm := rep.harm
+	rep.mu.Unlock()
+	if harm == nil {
+		return fault
+	}
+	return cmp.Or(harm(run), fault)
+}
+
+// crashUnder crashes while the replica runs a request.
+func (rep *Replica) crashUnder(w http.ResponseWriter, run *Run, fault Fault) {
 	rep.mu.Lock()
+	run.Crashed = true
 	crash := rep.crash
-	run.Crashed = rep.crashPart != "" && slices.ContainsFunc(
-		strings.Split(run.Header.Get(rep.options.Headers.Prefix), ","),
-		func(entry string) bool { return strings.HasPrefix(strings.TrimSpace(entry), rep.crashPart+":") },
-	)
-	crashed := run.Crashed
 	rep.mu.Unlock()
-	if !crashed {
-		return
+	if fault == FaultCrash {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
 	}
-	w.WriteHeader(http.StatusOK)
-	_ = http.NewResponseController(w).Flush()
 	crash()
 	panic(http.ErrAbortHandler)
 }
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -80,7 +80,7 @@
 	// Endless means that the body of the response consists of EndlessBody again and
 	// again, without end. It is set for plain services only.
 	Endless bool
-	// Crashed means that the replica crashed as CrashOn describes.
+	// Crashed means that the replica crashed when it began to run the request.
 	Crashed bool
 }
 
@@ -108,7 +108,7 @@
 	// closedUntil is the time until which the replica turns requests away.
 	closedUntil time.Time
 	turnedAway  []TurnedAway
-	crashPart   string
+	harm        func(run *Run) Fault
 	crash       func()
 }
 
@@ -204,10 +204,10 @@
 		return
 	}
 	run := rep.recordRun(r, string(body))
+	fault = rep.harmFault(run, fault)
 	if fault != FaultNoDigest {
 		w.Header().Set(names.Digest, "digest-"+string(rep.currentID()))
 	}
-	rep.crashIfPart(w, run)
 	switch fault {
 	case FaultUnavailable:
 		rep.setRetryAfter(w.Header())
@@ -216,6 +216,8 @@
 		http.Error(w, "failed", http.StatusInternalServerError)
 	case FaultReset:
 		panic(http.ErrAbortHandler)
+	case FaultCrash, FaultEarlyCrash:
+		rep.crashUnder(w, run, fault)
 	case FaultHang:
 		<-r.Context().Done()
 		rep.markCancelled(run)
