Let the soak send whole requests that crash replicas

The soak drew only parts of prompts that crash engines.

A second source in the table has five such requests: one to run once and two idempotent ones, with and without a body, to a plain service, and two prompts, of one part and with a last part that only they have.

--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -33,7 +33,7 @@
 	AppPool    = "app"
 	Model      = "oak"
 	// HarmSources is the number of sources of harmful requests.
-	HarmSources = 1
+	HarmSources = 2
 	// StreamEvents is the number of events of every stream.
 	StreamEvents = 12
 	// LongStreamPath begins the paths of streams that pause longer between events, and
--- a/cmd/soak/internal/trouble/harm.go
+++ b/cmd/soak/internal/trouble/harm.go
@@ -16,6 +16,9 @@
 	// harmDuration is how long callers send requests that harm replicas. All engines
 	// together crash about once in 5 s unless such requests are under quarantine.
 	harmDuration = 16 * time.Second
+	// harmDelay is the time between the earliest starts of two sources, so that most other
+	// faults have ended before the later ones.
+	harmDelay = 6 * time.Second
 )
 
 // harmful lists what may harm replicas, by source. Every plan contains one of each source.
@@ -23,6 +26,13 @@
 	{
 		{Name: "part of prompts", Method: http.MethodPost, Targets: []string{"/note/+", "/brief/+"}, Body: "body of +", Prompt: "guide:500,*:200,+:200", Harm: replica.FaultCrash},
 	},
+	{
+		{Name: "request to run once", Method: http.MethodPost, Targets: []string{"/book/*"}, Body: "body of *", Harm: replica.FaultEarlyCrash},
+		{Name: "request without a body", Method: http.MethodGet, Targets: []string{"/read/*"}, Harm: replica.FaultEarlyCrash},
+		{Name: "request with a body", Method: http.MethodPost, Targets: []string{"/read/*"}, Body: "body of *", Harm: replica.FaultEarlyCrash},
+		{Name: "prompt of one part", Method: http.MethodPost, Targets: []string{"/note/*"}, Body: "body of *", Prompt: "*:900", Harm: replica.FaultEarlyCrash},
+		{Name: "prompt with parts", Method: http.MethodPost, Targets: []string{"/brief/*"}, Body: "body of *", Prompt: "guide:700,*:200", Harm: replica.FaultCrash},
+	},
 }
 
 // addHarm adds an event for each source in which callers send requests that harm replicas.
@@ -30,7 +40,8 @@
 func (p *Plan) addHarm(seed uint64, length time.Duration) {
 	rng := rand.New(rand.NewPCG(seed, harmStream))
 	for source := range harmful {
-		event := Event{Kind: Harm, Start: length/2 + time.Duration(rng.Int64N(int64(length/2))), Duration: harmDuration, Seed: rng.Uint64(), Source: source}
+		event := Event{Kind: Harm, Duration: harmDuration, Source: source}
+		event.Start, event.Seed = length/2+time.Duration(rng.Int64N(int64(length/2)))+time.Duration(source)*harmDelay, rng.Uint64()
 		event.Harmful = harmful[source][event.Seed%uint64(len(harmful[source]))]
 		event.Harmful.ID = fmt.Sprintf("harm-%016x", event.Seed)
 		p.Events = append(p.Events, event)
--- a/cmd/soak/internal/trouble/trouble_test.go
+++ b/cmd/soak/internal/trouble/trouble_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -93,3 +94,30 @@
 		{Gateway: 0, Replica: -1, From: from, To: to.Add(fleet.StopGrace)},
 	})
 }
+
+// TestHarmful guards against rows of the table that no seed draws, that routes of the fleet
+// do not serve, or whose requests have nothing in common.
+func TestHarmful(t *testing.T) {
+	drawn := make(map[string]bool)
+	for seed := range uint64(100) {
+		plan := Plan{}
+		plan.addHarm(seed, length)
+		assert.Equal(t, len(plan.Events), fleet.HarmSources)
+		for i := range plan.Events {
+			drawn[plan.Events[i].Harmful.Name] = true
+		}
+	}
+	for source, rows := range harmful {
+		for _, h := range rows {
+			t.Run(h.Name, func(t *testing.T) {
+				assert.Assert(t, drawn[h.Name])
+				h.ID = "id"
+				assert.Equal(t, h.IsWholeRequest(), source > 0)
+				for _, target := range h.Targets {
+					expanded := h.Expand(target+h.Prompt, "r")
+					assert.Assert(t, strings.Contains(expanded, "id") && strings.Contains("book read note brief", strings.Split(expanded, "/")[1]), expanded)
+				}
+			})
+		}
+	}
+}
