--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -144,6 +144,7 @@
 			defer mu.Unlock()
 			printResult(seed, result)
 			if len(result.Violations) > 0 {
+				fmt.Printf("  played again by: soak --program %s --seed %d --gateways %d --callers %d --length %s\n", binary, seed, o.Gateways, o.Callers, o.Length)
 				failed++
 			}
 			return nil
