Let parts of prompts crash engines for 22 s in the soak

Five crashes, 3 s and four requests more hardly fit into 16 s in which other faults still go on.

Both sources now end at about the same time.

--- a/cmd/soak/internal/trouble/harm.go
+++ b/cmd/soak/internal/trouble/harm.go
@@ -13,9 +13,9 @@
 const (
 	// harmStream selects the random numbers of Harm.
 	harmStream = 4
-	// harmDuration is how long callers send requests that harm replicas. All engines
-	// together crash about once in 5 s unless such requests are under quarantine.
-	harmDuration = 16 * time.Second
+	// harmDuration is how long callers of the first source send requests that harm replicas.
+	// All engines together crash about once in 5 s unless such requests are under quarantine.
+	harmDuration = 22 * time.Second
 	// harmDelay is the time between the earliest starts of two sources, so that most other
 	// faults have ended before the later ones.
 	harmDelay = 6 * time.Second
@@ -40,7 +40,7 @@
 func (p *Plan) addHarm(seed uint64, length time.Duration) {
 	rng := rand.New(rand.NewPCG(seed, harmStream))
 	for source := range harmful {
-		event := Event{Kind: Harm, Duration: harmDuration, Source: source}
+		event := Event{Kind: Harm, Duration: harmDuration - time.Duration(source)*harmDelay, Source: source}
 		event.Start, event.Seed = length/2+time.Duration(rng.Int64N(int64(length/2)))+time.Duration(source)*harmDelay, rng.Uint64()
 		event.Harmful = harmful[source][event.Seed%uint64(len(harmful[source]))]
 		event.Harmful.ID = fmt.Sprintf("harm-%016x", event.Seed)
