Send the soak's gateways signals only when they handle them

A Go program cannot handle a signal before main runs, and both signals end it then. The soak guessed that main runs 200 ms after the start for SIGHUP, and sent SIGTERM at any time.

Now a process gets SIGHUP if it has logged something, which it does after it has set up both signals. SIGTERM waits for that, for 5 s at most. Nothing that a running gateway does with a signal goes unchecked: SIGHUP comes sooner after the start than before on a machine that is not busy.

--- a/cmd/soak/internal/fleet/gateway.go
+++ b/cmd/soak/internal/fleet/gateway.go
@@ -36,7 +36,8 @@
 
 // process is one process of a gateway, from its start to its exit.
 type process struct {
-	startedAt time.Time
+	// logBefore is the size of the gateway's log when the process was started.
+	logBefore int64
 	command   *exec.Cmd
 	// stopRequestedAt is when SIGTERM was sent; zero means that it was not.
 	stopRequestedAt time.Time
@@ -63,13 +64,17 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
+	info, err := log.Stat()
+	if err != nil {
+		return err
+	}
 	command := exec.Command(g.program)
 	command.Env = []string{platform.SettingsVariable + "=" + g.settingsPath}
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return err
 	}
-	p := &process{command: command, startedAt: time.Now(), exited: make(chan struct{})}
+	p := &process{command: command, logBefore: info.Size(), exited: make(chan struct{})}
 	g.process = p
 	p.group.Go(func() error {
 		err := command.Wait()
@@ -108,8 +113,13 @@
 	return g.process
 }
 
-// programStartTime is the time that a program may take until its main function runs.
-const programStartTime = 200 * time.Millisecond
+const (
+	// programStartTime is the longest time that a program takes until it logs something, on
+	// a busy machine.
+	programStartTime = 5 * time.Second
+	// processPollInterval is the time between two checks of a process.
+	processPollInterval = 5 * time.Millisecond
+)
 
 // Pause suspends the process with SIGSTOP, which it cannot handle.
 func (g *Gateway) Pause() { g.signal(syscall.SIGSTOP, func(*process) {}) }
@@ -117,16 +127,35 @@
 // Resume continues a paused process.
 func (g *Gateway) Resume() { g.signal(syscall.SIGCONT, func(*process) {}) }
 
+// handlesSignals reports whether a process has logged something. A Go program cannot
+// handle signals before main runs; they end it.
+func (g *Gateway) handlesSignals(p *process) bool {
+	info, err := os.Stat(g.logPath)
+	return err == nil && info.Size() > p.logBefore
+}
+
 // Hangup sends SIGHUP, at which the process checks its settings file again. A process
-// that has just started gets none: a Go program cannot receive it before main runs.
+// that does not handle signals yet gets none.
 func (g *Gateway) Hangup() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.process != nil && time.Since(g.process.startedAt) > programStartTime {
+	if g.process != nil && g.handlesSignals(g.process) {
 		_ = g.process.command.Process.Signal(syscall.SIGHUP)
 	}
 }
 
+// awaitSignalHandling waits until the process handles signals or has exited.
+func (g *Gateway) awaitSignalHandling() {
+	for deadline := time.Now().Add(programStartTime); time.Now().Before(deadline); time.Sleep(processPollInterval) {
+		g.mu.Lock()
+		ready := g.process == nil || g.handlesSignals(g.process)
+		g.mu.Unlock()
+		if ready {
+			return
+		}
+	}
+}
+
 // Kill kills the process and waits until it has exited.
 func (g *Gateway) Kill() {
 	if p := g.signal(syscall.SIGKILL, func(p *process) { p.killed = true }); p != nil {
@@ -137,6 +166,7 @@
 // Terminate sends SIGTERM and waits until the process has exited. It kills the
 // process after StopGrace, as the platform does.
 func (g *Gateway) Terminate() {
+	g.awaitSignalHandling()
 	p := g.signal(syscall.SIGTERM, func(p *process) { p.stopRequestedAt = time.Now() })
 	if p == nil {
 		return
