Start gateways in the soak at the moment at which a replica leaves

Now a gateway starts up to 30 ms before or after a replica's entry is removed, together with a change of the configuration, the weights or the release, five or so times in each seed. Three times in four the others are cut off from the store for 0.9 s, so that they hear from the one that started first. Once more this happens after all faults, with the others paused until that gateway has read the store. The same gateway starts in a seed, so that the others keep what they know of harmful requests.

The replica goes on serving, and the new rule says what may still reach it: no request that its caller sent later than 2 s after the removal was acknowledged, to a gateway that has run and reached the store all that time. 2 s more are allowed after an outage of the store, in which gateways keep missing entries for 1.8 s.

This fails until the loss is mended, and is meant to be merged after that.

--- a/cmd/soak/internal/check/advice.go
+++ b/cmd/soak/internal/check/advice.go
@@ -23,6 +23,8 @@
 	Arrivals   []replica.Arrival
 	TurnedAway []replica.TurnedAway
 	Starts     []time.Time
+	// Left is when the store acknowledged that the replica leaves; zero means never.
+	Left time.Time
 	// Disturbed holds when faults other than silence affected the replica.
 	Disturbed []fleet.Span
 }
--- a/cmd/soak/internal/check/check.go
+++ b/cmd/soak/internal/check/check.go
@@ -63,6 +63,9 @@
 	// Departure: a gateway that has passed on an answer in which a replica says that it
 	// is leaving sends it no requests after the bound.
 	Departure Rule = "departure"
+	// Drain: a gateway that reaches the store sends a replica no requests after the bound
+	// for one that is leaving.
+	Drain Rule = "drain"
 	// Closure: a gateway that a replica has turned away sends it nothing until the time
 	// that the replica named.
 	Closure Rule = "closure"
@@ -125,7 +128,9 @@
 	Disturbances []Disturbance
 	// Gateways holds, by gateway, when faults affected it.
 	Gateways [][]fleet.Span
-	Engines  []Engine
+	// Stores holds, by gateway, when it could not reach the store.
+	Stores  [][]fleet.Span
+	Engines []Engine
 }
 
 // Engine is the life of an engine.
@@ -158,6 +163,7 @@
 	}
 	for i := range observed.Replicas {
 		c.checkAdvice(i)
+		c.checkDrain(&observed.Replicas[i])
 	}
 	c.checkTakeUps()
 	c.checkQuarantine()
--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -54,6 +54,9 @@
 	// DepartureBound is how long a gateway may send requests to a replica after it has
 	// passed on an answer in which the replica says that it is leaving.
 	DepartureBound = 2 * time.Second
+	// DrainBound is how long a gateway may send requests to a replica after the store has
+	// acknowledged that it is leaving.
+	DrainBound = drainTime
 
 	// latencyObjective is that of all routes, and that of the time between two events of
 	// a stream. Replicas that are silent for twice as long may be replaced.
@@ -78,8 +81,10 @@
 
 // Fleet holds the store, the gateways and the replicas of one run.
 type Fleet struct {
-	Store    *standin.Store
-	Gateways []*Gateway
+	Store *standin.Store
+	// StoreFaults records when the store did not work for all gateways.
+	StoreFaults Disturbances
+	Gateways    []*Gateway
 
 	mu         sync.Mutex
 	deployment standin.Deployment
--- a/cmd/soak/internal/fleet/gateway.go
+++ b/cmd/soak/internal/fleet/gateway.go
@@ -22,6 +22,8 @@
 type Gateway struct {
 	Disturbances
 	StoreLink *proxy.Proxy
+	// StoreFaults records when StoreLink was disturbed.
+	StoreFaults Disturbances
 
 	program, logPath, settingsPath string
 	settings                       standin.Settings
@@ -117,12 +119,26 @@
 	// programStartTime is the longest time that a program takes until it logs something, on
 	// a busy machine.
 	programStartTime = 5 * time.Second
+	// maxPauseDelay is the longest time from SIGSTOP until a process has stopped.
+	maxPauseDelay = 2 * time.Second
 	// processPollInterval is the time between two checks of a process.
 	processPollInterval = 5 * time.Millisecond
 )
 
-// Pause suspends the process with SIGSTOP, which it cannot handle.
-func (g *Gateway) Pause() { g.signal(syscall.SIGSTOP, func(*process) {}) }
+// Pause suspends the process with SIGSTOP, which it cannot handle, and waits until it has
+// stopped.
+func (g *Gateway) Pause() {
+	p := g.signal(syscall.SIGSTOP, func(*process) {})
+	for deadline := time.Now().Add(maxPauseDelay); p != nil && !p.isStopped() && time.Now().Before(deadline); {
+		time.Sleep(processPollInterval)
+	}
+}
+
+// isStopped reports whether the process is suspended.
+func (p *process) isStopped() bool {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.command.Process.Pid))
+	return err == nil && bytes.Contains(stat, []byte(") T "))
+}
 
 // Resume continues a paused process.
 func (g *Gateway) Resume() { g.signal(syscall.SIGCONT, func(*process) {}) }
--- a/cmd/soak/internal/fleet/replica.go
+++ b/cmd/soak/internal/fleet/replica.go
@@ -62,6 +62,9 @@
 	leaving, left bool
 	// removed means that the entry has been removed for good.
 	removed bool
+	// departedAt is when the store acknowledged that the replica leaves, if Depart was
+	// called.
+	departedAt time.Time
 	// crashed means that the replica was stopped by a request.
 	crashed bool
 	server  *http.Server
@@ -158,6 +161,24 @@
 	r.stop()
 }
 
+// Depart removes the entry of a replica at once. The replica goes on serving, so that
+// requests which should not arrive are seen.
+func (f *Fleet) Depart(r *Replica) {
+	r.Disturb()
+	f.remove(r)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.departedAt = time.Now()
+}
+
+// DepartedAt returns when the store acknowledged that the replica leaves; zero means that
+// it did not depart.
+func (r *Replica) DepartedAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.departedAt
+}
+
 // Crash stops a replica in the middle of its requests. Its entry is removed after
 // expiryTime.
 func (f *Fleet) Crash(r *Replica) {
--- a/cmd/soak/internal/series/series.go
+++ b/cmd/soak/internal/series/series.go
@@ -139,6 +139,9 @@
 		return nil, err
 	}
 	notServing := s.awaitServing(ctx, "recover", recoverTimeout)
+	if err := s.startAlone(); err != nil {
+		return nil, err
+	}
 	if err := s.breakStreams(); err != nil {
 		return nil, err
 	}
@@ -148,6 +151,17 @@
 	return s.evaluate(plan, startedAt, revokedAt, notServing, stopWindow), nil
 }
 
+// startAlone lets a service leave at the moment at which a gateway starts while the others
+// are paused and nothing else is disturbed. One of those is not killed afterwards, so that
+// callers see whether it has learned of that.
+func (s *soak) startAlone() error {
+	event := trouble.Event{
+		Gateway: (int(s.options.Seed) + 1) % len(s.fleet.Gateways), Replica: fleet.EngineSlots + int(s.options.Seed)%(fleet.Slots-fleet.EngineSlots),
+		Seed: s.options.Seed, Alone: true,
+	}
+	return event.StartAtLeaving(s.fleet)
+}
+
 // breakStreams lets engines of two releases serve in each availability zone and kills
 // two gateways, one after the other, while nothing else is disturbed.
 func (s *soak) breakStreams() error {
@@ -232,6 +246,7 @@
 	}
 	for _, g := range s.fleet.Gateways {
 		observed.Gateways = append(observed.Gateways, g.Disturbed())
+		observed.Stores = append(observed.Stores, append(g.StoreFaults.Disturbed(), s.fleet.StoreFaults.Disturbed()...))
 	}
 	for i, r := range s.fleet.Replicas() {
 		for _, span := range r.LinkFaults.Disturbed() {
@@ -243,7 +258,7 @@
 		for _, run := range r.Runs() {
 			observed.Runs = append(observed.Runs, check.Run{Run: run, Replica: string(r.ID), Pool: r.Pool})
 		}
-		observed.Replicas = append(observed.Replicas, check.Replica{ID: string(r.ID), Arrivals: r.Arrivals(), TurnedAway: r.TurnedAway(), Starts: r.Starts(), Disturbed: r.Disturbed()})
+		observed.Replicas = append(observed.Replicas, check.Replica{ID: string(r.ID), Arrivals: r.Arrivals(), TurnedAway: r.TurnedAway(), Starts: r.Starts(), Left: r.DepartedAt(), Disturbed: r.Disturbed()})
 		for _, arrival := range r.Arrivals() {
 			observed.Arrivals[string(arrival.ID)] = append(observed.Arrivals[string(arrival.ID)], arrival.At)
 		}
--- a/cmd/soak/internal/trouble/advice.go
+++ b/cmd/soak/internal/trouble/advice.go
@@ -34,7 +34,7 @@
 		e := &p.Events[i]
 		d := check.Disturbance{Gateway: e.Gateway, Replica: -1, From: startedAt.Add(e.Start), To: startedAt.Add(e.Start + e.Duration)}
 		switch e.Kind {
-		case Kill, Pause:
+		case Kill, Pause, StartAtLeaving:
 		case KillAll:
 			d.Gateway = -1
 		case Terminate, RewriteConfigs:
--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -83,6 +83,8 @@
 	Release Kind = "release"
 	// Harm makes callers send requests that harm the replicas which begin to run them.
 	Harm Kind = "harm"
+	// StartAtLeaving restarts a gateway at the moment at which a replica leaves.
+	StartAtLeaving Kind = "start-at-leaving"
 	// RevokeKey revokes the key of workspace guest.
 	RevokeKey Kind = "revoke"
 )
@@ -136,6 +138,8 @@
 	// Harmful is what callers send, Source the one of its callers.
 	Harmful fleet.Harmful
 	Source  int
+	// Alone means that the other gateways are paused while one starts.
+	Alone bool
 }
 
 // String describes the event on one line.
@@ -161,6 +165,7 @@
 	plan.addHarm(seed, length)
 	plan.addSilences(seed, length)
 	plan.addRewrites(seed, length, gateways)
+	plan.addStarts(seed, length, gateways)
 	plan.addUnframed(seed, length, gateways, replicas)
 	revocation := Event{Kind: RevokeKey, Start: time.Duration(rng.Int64N(int64(length / 2)))}
 	var cut Event
@@ -212,6 +217,8 @@
 				return nil
 			case Release:
 				return event.replaceEngines(f)
+			case StartAtLeaving:
+				return event.StartAtLeaving(f)
 			case Harm:
 				return f.Harm(event.Source, &event.Harmful, event.Duration)
 			}
@@ -228,7 +235,7 @@
 	return revokedAt, err
 }
 
-// disturb records that the event affects gateways or a replica, and returns a function
+// disturb records that the event affects gateways, the store or a replica, and returns a function
 // that records its end. A gateway counts as affected if its process is stopped or paused:
 // faults of the store and SIGHUP are no reason to refuse streams.
 func (e *Event) disturb(f *fleet.Fleet, r *fleet.Replica) (end func()) {
@@ -245,6 +252,10 @@
 				end()
 			}
 		}
+	case StoreLinkFault:
+		return f.Gateways[e.Gateway].StoreFaults.Disturb()
+	case StorePartition, StoreDown, StoreSlow, StoreResponseLoss, StoreRestored:
+		return f.StoreFaults.Disturb()
 	case ReplicaLinkFault, ReplicaUnlisted, ReplicaDraining, ReplicaFaulty, ReplicaLeaves, ReplicaCloses:
 		return r.Disturb()
 	default:
