--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -32,6 +32,8 @@
 	EnginePool = "lm"
 	AppPool    = "app"
 	Model      = "oak"
+	// HarmSources is the number of sources of harmful requests.
+	HarmSources = 2
 	// StreamEvents is the number of events of every stream.
 	StreamEvents = 12
 	// LongStreamPath begins the paths of streams that pause longer between events, and
@@ -52,6 +54,9 @@
 	// DepartureBound is how long a gateway may send requests to a replica after it has
 	// passed on an answer in which the replica says that it is leaving.
 	DepartureBound = 2 * time.Second
+	// DrainBound is how long a gateway may send requests to a replica after the store has
+	// acknowledged that it is leaving.
+	DrainBound = drainTime
 
 	// latencyObjective is that of all routes, and that of the time between two events of
 	// a stream. Replicas that are silent for twice as long may be replaced.
@@ -76,8 +81,10 @@
 
 // Fleet holds the store, the gateways and the replicas of one run.
 type Fleet struct {
-	Store    *standin.Store
-	Gateways []*Gateway
+	Store *standin.Store
+	// StoreFaults records when the store did not work for all gateways.
+	StoreFaults Disturbances
+	Gateways    []*Gateway
 
 	mu         sync.Mutex
 	deployment standin.Deployment
@@ -88,10 +95,11 @@
 	slots, replicas []*Replica
 	// replicaIDs is the number of replica IDs that were assigned.
 	replicaIDs int
-	// crashPart is the part of prompts that crashes engines, and crashed those that it
-	// did crash until others have replaced them.
-	crashPart string
-	crashed   errgroup.Group
+	// harmful is what callers are to send, by source, and everHarmful all that they were
+	// to send so far. crashed holds the crashed replicas until others have replaced them.
+	harmful     [HarmSources]*Harmful
+	everHarmful []*Harmful
+	crashed     errgroup.Group
 
 	group       errgroup.Group
 	stopping    chan struct{}
--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -81,8 +81,10 @@
 	// ones start at the beginning of the event; the old ones leave or crash at its
 	// end.
 	Release Kind = "release"
-	// CrashPart makes callers send prompts with a part that crashes all engines.
-	CrashPart Kind = "part-crashes-engines"
+	// Harm makes callers send requests that harm the replicas which begin to run them.
+	Harm Kind = "harm"
+	// StartAtLeaving restarts a gateway at the moment at which a replica leaves.
+	StartAtLeaving Kind = "start-at-leaving"
 	// RevokeKey revokes the key of workspace guest.
 	RevokeKey Kind = "revoke"
 )
@@ -133,12 +135,17 @@
 	Seed        uint64
 	// Release is the release of the engines that replace others.
 	Release string
+	// Harmful is what callers send, Source the one of its callers.
+	Harmful fleet.Harmful
+	Source  int
+	// Alone means that the other gateways are paused while one starts.
+	Alone bool
 }
 
 // String describes the event on one line.
 func (e *Event) String() string {
-	return fmt.Sprintf("%.1f s to %.1f s %s, gateway %d, replica %d %s %s %s",
-		e.Start.Seconds(), (e.Start + e.Duration).Seconds(), e.Kind, e.Gateway, e.Replica, e.Link.Kind, e.Fault, e.Release)
+	return fmt.Sprintf("%.1f s to %.1f s %s, gateway %d, replica %d %s %s %s %s",
+		e.Start.Seconds(), (e.Start + e.Duration).Seconds(), e.Kind, e.Gateway, e.Replica, e.Link.Kind, e.Fault, e.Release, &e.Harmful)
 }
 
 // Plan is a schedule of events.
@@ -155,9 +162,10 @@
 		plan.Events = append(plan.Events, randomEvent(rng, at, gateways, replicas))
 	}
 	plan.addAdvice(seed, length, gateways, replicas)
-	plan.addCrashPart(seed, length)
+	plan.addHarm(seed, length)
 	plan.addSilences(seed, length)
 	plan.addRewrites(seed, length, gateways)
+	plan.addStarts(seed, length, gateways)
 	plan.addUnframed(seed, length, gateways, replicas)
 	revocation := Event{Kind: RevokeKey, Start: time.Duration(rng.Int64N(int64(length / 2)))}
 	var cut Event
@@ -209,8 +217,10 @@
 				return nil
 			case Release:
 				return event.replaceEngines(f)
-			case CrashPart:
-				return f.CrashEngines(fmt.Sprint("crash-", event.Seed), event.Duration)
+			case StartAtLeaving:
+				return event.StartAtLeaving(f)
+			case Harm:
+				return f.Harm(event.Source, &event.Harmful, event.Duration)
 			}
 			r := f.Replica(event.Replica)
 			undisturb := event.disturb(f, r)
@@ -225,7 +235,7 @@
 	return revokedAt, err
 }
 
-// disturb records that the event affects gateways or a replica, and returns a function
+// disturb records that the event affects gateways, the store or a replica, and returns a function
 // that records its end. A gateway counts as affected if its process is stopped or paused:
 // faults of the store and SIGHUP are no reason to refuse streams.
 func (e *Event) disturb(f *fleet.Fleet, r *fleet.Replica) (end func()) {
@@ -242,6 +252,10 @@
 				end()
 			}
 		}
+	case StoreLinkFault:
+		return f.Gateways[e.Gateway].StoreFaults.Disturb()
+	case StorePartition, StoreDown, StoreSlow, StoreResponseLoss, StoreRestored:
+		return f.StoreFaults.Disturb()
 	case ReplicaLinkFault, ReplicaUnlisted, ReplicaDraining, ReplicaFaulty, ReplicaLeaves, ReplicaCloses:
 		return r.Disturb()
 	default:
