Let the soak break gateways for whole requests and lost leavings

Two mutants: a gateway to which whole requests are no suspects, and one that sends changes of upstreams to receivers whose removals it does not know. The mutant that drops requests on a change follows the request handler, which recovers panics now: its text no longer occurred, so that the mutants could not be built.

--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -68,9 +68,9 @@
 	},
 	{
 		"drops requests when the configuration changes", "internal/transport/gateway/serve.go",
-		"outcome := g.forwarder.Forward(r.Context(), request, s)",
-		"before, _ := g.catalog.Routing()\n\t\toutcome := g.forwarder.Forward(r.Context(), request, s)\n" +
-			"\t\tif after, _ := g.catalog.Routing(); after != before {\n\t\t\tabort(w, r)\n\t\t}",
+		"var outcome forward.Outcome",
+		"var outcome forward.Outcome\n\t\tbefore, _ := g.catalog.Routing()\n" +
+			"\t\tdefer func() {\n\t\t\tif after, _ := g.catalog.Routing(); after != before {\n\t\t\t\tabort(w, r)\n\t\t\t}\n\t\t}()",
 	},
 	{
 		"takes a reset for the end of an answer", "internal/coordination/forward/attempt.go",
@@ -84,6 +84,14 @@
 		"blames all parts of prompts at the first crash", "internal/state/crashes/crashes.go",
 		"if l.isBlamed(candidate, known) && !l.tests(known, age, candidate, keys) {", "if known.crashes > 0 && age >= 0 {",
 	},
+	{
+		"sends requests that crash replicas", "internal/coordination/forward/quarantine.go",
+		"keys := []uint32{key}", "keys := []uint32{key}[:0]",
+	},
+	{
+		"loses what left between gateways", "internal/state/catalog/changes.go",
+		"if restored || !c.known.includes(after) {", "if restored || after == 0 {",
+	},
 }
 
 // Build builds the mutant from the source tree at root and returns the path of the
