Move the draining of callers' connections into a package of its own

The code moves from internal/transport/gateway to internal/protocol/listener, with its two tests (TestIdleConnectionsAreClosed, TestBeginOfNextRequest), whose checks are the same; they use the names of the package now. No behaviour changes, except that a listener refuses connections that are not TCP instead of serving them without limits.

--- /dev/null
+++ b/internal/protocol/listener/listener.go
@@ -0,0 +1,215 @@
+// Package listener accepts the connections of callers for an http.Server. It applies
+// limits that may change while the server runs, and drains the connections when it
+// stops without dropping a request.
+//
+// # Usage
+//
+//	l := listener.New(tcp, func() listener.Limits { return listener.Limits{IdleTimeout: time.Minute} })
+//	err := l.Serve(server) // until Drain or server.Close
+//	drained := l.Drain(grace, endRequests)
+package listener
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"comfreyworks"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindServe means that accepting connections failed.
+	KindServe Kind = "serve"
+	// KindNetwork means that a connection is not a TCP connection.
+	KindNetwork Kind = "network"
+)
+
+// Error is the error type of this package.
+type Error = comfreyworks.OpError[Kind]
+
+const (
+	// LastAnswerTime is how long a drain waits, after its grace period, for the answers
+	// of requests that it ends.
+	LastAnswerTime = 100 * time.Millisecond
+	// firstRequestWait is how long a drain waits for the first request on a new
+	// connection. Later ones might not be answered before the end of the grace period.
+	firstRequestWait = 500 * time.Millisecond
+)
+
+// errClosed is what Accept returns after Close.
+var errClosed = errors.New("listener closed")
+
+// Limits bounds the connections of callers. They are read when they are applied, so
+// that changes apply to open connections too.
+type Limits struct {
+	// IdleTimeout is how long a connection may be idle between two requests.
+	IdleTimeout time.Duration
+}
+
+// Listener accepts connections of callers and tracks their states. A drain waits for
+// them here, because http.Server.Shutdown drops requests without an answer whose header
+// is read meanwhile, and http.Server reads its idle timeout only when it starts.
+type Listener struct {
+	net.Listener
+	limits func() Limits
+	// served is closed when Serve has returned.
+	served chan struct{}
+	// closed means that Close was called.
+	closed atomic.Bool
+
+	mu     sync.Mutex
+	states map[net.Conn]http.ConnState
+	// closing means that connections are closed as soon as they are idle, and those
+	// without a request at firstRequestBy. Once none is left, drained is closed.
+	closing        bool
+	firstRequestBy time.Time
+	drained        chan struct{}
+}
+
+// New returns a listener on top of one that accepts TCP connections.
+func New(inner net.Listener, limits func() Limits) *Listener {
+	return &Listener{
+		Listener: inner, limits: limits, served: make(chan struct{}),
+		states: make(map[net.Conn]http.ConnState), drained: make(chan struct{}),
+	}
+}
+
+// Serve serves until the listener or the server is closed, and then returns nil. It must be called once, also before Drain.
+func (l *Listener) Serve(server *http.Server) error {
+	defer close(l.served)
+	server.ConnState = l.setState
+	err := server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, errClosed) {
+		return nil
+	}
+	return &Error{Op: "serve", Kind: KindServe, Err: err}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	switch {
+	case err != nil && l.closed.Load():
+		return nil, errClosed
+	case err != nil:
+		return nil, err
+	}
+	tcp, ok := accepted.(*net.TCPConn)
+	if !ok {
+		_ = accepted.Close()
+		return nil, &Error{Op: "accept", Kind: KindNetwork, Err: fmt.Errorf("expected a TCP connection, found %T", accepted)}
+	}
+	return &conn{TCPConn: tcp, listener: l}, nil
+}
+
+// Close implements net.Listener. It leaves open connections as they are.
+func (l *Listener) Close() error {
+	l.closed.Store(true)
+	return l.Listener.Close()
+}
+
+// Drain stops accepting connections, closes those that are idle and lets open requests
+// finish within a grace period. Then it calls endRequests, which must make the handlers
+// answer the requests that have no answer yet, and waits up to LastAnswerTime. It
+// returns whether all requests finished in the grace period.
+func (l *Listener) Drain(grace time.Duration, endRequests func()) bool {
+	_ = l.Close()
+	<-l.served
+	drained := l.closeIdle()
+	if isClosedWithin(drained, grace) {
+		return true
+	}
+	endRequests()
+	_ = isClosedWithin(drained, LastAnswerTime)
+	return false
+}
+
+// closeIdle closes connections that are idle, from now on. It must be called once,
+// after the server has stopped accepting connections. It returns a channel that is
+// closed when no connection is left.
+func (l *Listener) closeIdle() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.closing, l.firstRequestBy = true, now.Add(firstRequestWait)
+	for c, state := range l.states {
+		caller, ok := c.(*conn)
+		switch {
+		case !ok:
+		case state == http.StateIdle:
+			// Unlike Close, this keeps a request that has just been read.
+			_ = caller.TCPConn.SetReadDeadline(now)
+		case state == http.StateNew:
+			_ = caller.TCPConn.SetReadDeadline(l.firstRequestBy)
+		}
+	}
+	l.checkDrained()
+	return l.drained
+}
+
+// setState implements http.Server.ConnState.
+func (l *Listener) setState(c net.Conn, state http.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		delete(l.states, c)
+		l.checkDrained()
+	default:
+		l.states[c] = state
+	}
+	if caller, ok := c.(*conn); ok {
+		caller.becameIdle = state == http.StateIdle
+		if caller.becameIdle {
+			caller.idleSince = time.Now()
+		}
+	}
+}
+
+func (l *Listener) checkDrained() {
+	if l.closing && len(l.states) == 0 {
+		close(l.drained)
+	}
+}
+
+// requestBegan records that a connection is no longer idle.
+func (l *Listener) requestBegan(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.states[c] == http.StateIdle {
+		l.states[c] = http.StateActive
+	}
+}
+
+// extendIdle sets the read deadline of an idle connection according to the current idle
+// timeout. It returns false if that has passed or the connection is not idle.
+func (l *Listener) extendIdle(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	deadline := c.idleSince.Add(l.limits().IdleTimeout)
+	if l.closing || l.states[c] != http.StateIdle || !deadline.After(time.Now()) {
+		return false
+	}
+	return c.TCPConn.SetReadDeadline(deadline) == nil
+}
+
+// isClosedWithin waits until a channel is closed, and returns false if the time passes
+// before.
+func isClosedWithin(done <-chan struct{}, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
--- a/internal/transport/gateway/pipelined_test.go
+++ b/internal/protocol/listener/pipelined_test.go
@@ -1,4 +1,4 @@
-package gateway
+package listener
 
 import (
 	"bufio"
@@ -24,13 +24,12 @@
 			if stops {
 				server.ReadHeaderTimeout = time.Minute
 			}
-			callers, listener := newCallerConns(func() time.Duration { return time.Minute }), listen(t)
+			callers := New(listen(t), func() Limits { return Limits{IdleTimeout: time.Minute} })
 			var group errgroup.Group
 			group.Go(func() error {
-				_ = server.Serve(callers.track(server, listener))
-				return nil
+				return callers.Serve(server)
 			})
-			conn, err := net.Dial("tcp", listener.Addr().String())
+			conn, err := net.Dial("tcp", callers.Addr().String())
 			assert.NilError(t, err)
 			_, err = io.WriteString(conn, request+request[:24])
 			assert.NilError(t, err)
@@ -40,7 +39,7 @@
 			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(3*time.Second)))
 			if stops {
 				time.Sleep(100 * time.Millisecond)
-				assert.NilError(t, listener.Close())
+				assert.NilError(t, callers.Close())
 				assert.NilError(t, group.Wait())
 				_ = callers.closeIdle()
 				_, err = io.WriteString(conn, request[24:])
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -35,6 +35,7 @@
 	"comfreyworks/internal/coordination/rollout"
 	"comfreyworks/internal/coordination/watch"
 	"comfreyworks/internal/protocol/exchange"
+	"comfreyworks/internal/protocol/listener"
 	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/crashes"
@@ -61,14 +62,12 @@
 	// failed probes.
 	shutdownDelay = 2300 * time.Millisecond
 	// shutdownMargin is the part of the stop grace period that is reserved for
-	// ending the process after the open requests have finished or were cut off.
+	// ending the process after the open requests have finished or were cut off. It
+	// includes listener.LastAnswerTime.
 	shutdownMargin = 250 * time.Millisecond
 	// lateRequest is the time after the beginning of a stop from which requests are
 	// refused that may last beyond its end.
 	lateRequest = 2900 * time.Millisecond
-	// lastAnswerTime is the part of shutdownMargin in which requests without an answer
-	// are told that there will be none.
-	lastAnswerTime = 100 * time.Millisecond
 	// startupWait is how long a new process waits for its first routing and list
 	// of upstreams before it accepts requests; a healthy store answers several
 	// times within it. startupPollInterval is the pause between two checks.
@@ -289,19 +288,12 @@
 	defer endRequests(nil)
 	requestServer := g.newServer(g.requestHandler())
 	requestServer.BaseContext = func(net.Listener) context.Context { return requestCtx }
-	callers := newCallerConns(g.idleTimeout)
-	requests := callers.track(requestServer, listeners.Requests)
-	accepted := make(chan struct{})
+	callers := listener.New(listeners.Requests, g.callerLimits)
 	readyServer := g.newServer(g.readyHandler())
 	group.Go(func() error {
-		defer close(accepted)
 		g.awaitInitialState(workCtx)
 		g.applyCallerLimits(requestServer)
-		err := serve(requestServer, requests)
-		if g.leaving.Load() && errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		return err
+		return callers.Serve(requestServer)
 	})
 	group.Go(func() error { return serve(readyServer, listeners.Ready) })
 	if listeners.Metrics != nil {
@@ -329,11 +321,7 @@
 		defer stop()
 		select {
 		case <-ctx.Done():
-			g.drain(endRequests, func() <-chan struct{} {
-				_ = listeners.Requests.Close()
-				<-accepted
-				return callers.closeIdle()
-			})
+			g.drain(callers, endRequests)
 		case <-workCtx.Done():
 		}
 		_ = requestServer.Close()
@@ -359,12 +347,13 @@
 	}
 }
 
-// idleTimeout returns how long callers' connections may be idle now.
-func (g *Gateway) idleTimeout() time.Duration {
+// callerLimits returns the limits of callers' connections now.
+func (g *Gateway) callerLimits() listener.Limits {
+	limits := listener.Limits{IdleTimeout: defaultIdleTimeout}
 	if table, _ := g.catalog.Routing(); table != nil && table.Limits().IdleTimeout > 0 {
-		return table.Limits().IdleTimeout
+		limits.IdleTimeout = table.Limits().IdleTimeout
 	}
-	return defaultIdleTimeout
+	return limits
 }
 
 // applyCallerLimits sets the limits that the routing declares for callers' headers. An
@@ -410,35 +399,18 @@
 
 // drain reports not ready and keeps serving until the load balancer has
 // noticed, then lets open requests finish within the stop grace period. At its end,
-// those without an answer are answered with an error. The given function stops
-// accepting connections and returns a channel that is closed when none is left.
-func (g *Gateway) drain(endRequests context.CancelCauseFunc, stopAccepting func() <-chan struct{}) {
+// those without an answer are answered with an error.
+func (g *Gateway) drain(callers *listener.Listener, endRequests context.CancelCauseFunc) {
 	startedAt := g.options.Clock.Now()
 	g.stoppedAt.Store(&startedAt)
 	g.leaving.Store(true)
 	g.options.Logger.Info("shutdown started, reporting not ready")
 	g.options.Clock.Sleep(shutdownDelay)
-	drained := stopAccepting()
 	remaining := g.options.Settings.Bounds.StopGrace - shutdownMargin - g.options.Clock.Since(startedAt)
-	if isClosedWithin(drained, remaining) {
-		return
-	}
-	g.options.Logger.Warn("open requests cut off at the end of the stop grace period")
-	endRequests(forward.ErrStopping)
-	_ = isClosedWithin(drained, lastAnswerTime)
-}
-
-// isClosedWithin waits until a channel is closed, and returns false if the time passes
-// before.
-func isClosedWithin(done <-chan struct{}, limit time.Duration) bool {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-done:
-		return true
-	case <-timer.C:
-		return false
-	}
+	callers.Drain(remaining, func() {
+		g.options.Logger.Warn("open requests cut off at the end of the stop grace period")
+		endRequests(forward.ErrStopping)
+	})
 }
 
 // removeUnseenUpstreams periodically removes the balancer's records of
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -73,7 +73,7 @@
 	server := f.gateway.newServer(f.gateway.requestHandler())
 	f.gateway.applyCallerLimits(server)
 	assert.Equal(t, server.ReadHeaderTimeout, 3*time.Second)
-	assert.Equal(t, f.gateway.idleTimeout(), 15*time.Second)
+	assert.Equal(t, f.gateway.callerLimits().IdleTimeout, 15*time.Second)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	var group errgroup.Group
