Apply the routing's limits on callers' headers to open connections

Cause: a gateway copied the limits into its http.Server once, before it served. Those fields must not change while a server runs.

What callers saw: after an operator had raised the size to 256 KiB, a header of 128 KiB still got 431 until the gateway was restarted; a lowered limit or time was not applied either.

Change: the listener applies the limits itself, for each request. It knows from the read deadlines that the server sets when a header begins and ends. A header that is too large is answered with 431, as before, and what the caller still sends is read for up to 0.5 s, so that the answer is not lost.

TestCallerLimits read the limit from the http.Server's field. It reads it from callerLimits now, which the listener applies; its checks over the network are unchanged.

--- a/internal/protocol/listener/conn.go
+++ b/internal/protocol/listener/conn.go
@@ -2,26 +2,65 @@
 
 import (
 	"errors"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
+	"strings"
+	"sync/atomic"
 	"time"
 )
 
+// phase is what an http.Server does with a connection. It is known from the read
+// deadlines that the server sets: one when it waits for the next request, one when a
+// header begins, and one when the header is complete.
+type phase int
+
+const (
+	// phaseOpened lasts until the first header begins.
+	phaseOpened phase = iota
+	// phaseHeader lasts until the header is complete.
+	phaseHeader
+	// phaseRequest lasts until the request has been answered. Handlers may set deadlines.
+	phaseRequest
+	// phaseAnswered lasts until the server waits for the next request.
+	phaseAnswered
+	// phaseWaiting lasts until the next header begins.
+	phaseWaiting
+)
+
+// errHeaderTooLarge ends a connection whose header exceeds the limit. It is a net.OpError
+// for a read, which http.Server does not answer.
+var errHeaderTooLarge = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("request header too large")}
+
 // conn is the connection of a caller.
 type conn struct {
 	*net.TCPConn
 	listener *Listener
-	// becameIdle means that the next read deadline that the server sets is that of an
-	// idle connection, and idleSince is when it became idle last. Both are protected by
+	// phase and idleSince, when the connection became idle last, are protected by
 	// Listener.mu.
-	becameIdle bool
-	idleSince  time.Time
+	phase     phase
+	idleSince time.Time
+	// headerLeft is how many bytes may be read before the header is complete.
+	headerLeft atomic.Int64
+}
+
+func newConn(tcp *net.TCPConn, l *Listener) *conn {
+	c := &conn{TCPConn: tcp, listener: l}
+	c.headerLeft.Store(math.MaxInt64)
+	return c
 }
 
 // Read implements net.Conn. A connection is no longer idle once a request has begun to
 // arrive; the server notices that only at the end of the header.
 func (c *conn) Read(p []byte) (int, error) {
+	left := c.headerLeft.Load()
+	if left <= 0 {
+		c.refuseHeader()
+		return 0, errHeaderTooLarge
+	}
+	p = p[:min(int64(len(p)), left)]
 	for {
 		n, err := c.TCPConn.Read(p)
 		if n > 0 {
@@ -30,30 +69,63 @@
 			// The idle timeout has been raised since.
 			continue
 		}
+		// Fails if another phase has begun since.
+		c.headerLeft.CompareAndSwap(left, left-int64(n))
 		return n, err
 	}
 }
 
-// SetReadDeadline implements net.Conn.
+// refuseHeader answers a request whose header is too large.
+func (c *conn) refuseHeader() {
+	deadline := time.Now().Add(lingerTime)
+	text := http.StatusText(http.StatusRequestHeaderFieldsTooLarge)
+	response := http.Response{
+		StatusCode: http.StatusRequestHeaderFieldsTooLarge, ProtoMajor: 1, ProtoMinor: 1, Close: true,
+		Header:        http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
+		ContentLength: int64(len(text)), Body: io.NopCloser(strings.NewReader(text)),
+	}
+	if c.TCPConn.SetDeadline(deadline) != nil || response.Write(c.TCPConn) != nil || c.CloseWrite() != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
+}
+
+// SetReadDeadline implements net.Conn. It replaces the deadlines of the server by those
+// of the limits in force.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	isNew := l.states[c] == http.StateNew
-	switch {
-	case c.becameIdle && l.closing:
-		deadline = time.Now()
-	case c.becameIdle:
-		deadline = c.idleSince.Add(l.limits().IdleTimeout)
-	case l.states[c] == http.StateIdle:
-		// The server has the beginning of a request, maybe read with the one before.
-		l.states[c] = http.StateActive
-	case isNew && deadline.IsZero():
-		// The header of the first request is complete.
+	switch c.phase {
+	case phaseOpened, phaseWaiting:
+		deadline = c.beginHeader()
+	case phaseHeader:
+		c.phase = phaseRequest
+		c.headerLeft.Store(math.MaxInt64)
 		l.states[c] = http.StateActive
-	case isNew && l.closing:
-		deadline = l.firstRequestBy
+	case phaseAnswered:
+		c.phase = phaseWaiting
+		deadline = c.idleSince.Add(l.limits().IdleTimeout)
+		if l.closing {
+			deadline = time.Now()
+		}
+	case phaseRequest:
 	}
-	c.becameIdle = false
 	return c.TCPConn.SetReadDeadline(deadline)
 }
+
+// beginHeader returns the deadline of a header that begins. The server may have read its
+// beginning with the request before.
+func (c *conn) beginHeader() time.Time {
+	l := c.listener
+	limits := l.limits()
+	c.phase = phaseHeader
+	c.headerLeft.Store(int64(limits.HeaderBytes) + readAhead)
+	if l.states[c] == http.StateIdle {
+		l.states[c] = http.StateActive
+	}
+	if l.closing && l.states[c] == http.StateNew {
+		return l.firstRequestBy
+	}
+	return time.Now().Add(limits.HeaderTimeout)
+}
--- a/internal/protocol/listener/listener.go
+++ b/internal/protocol/listener/listener.go
@@ -12,6 +12,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -42,21 +43,38 @@
 	// firstRequestWait is how long a drain waits for the first request on a new
 	// connection. Later ones might not be answered before the end of the grace period.
 	firstRequestWait = 500 * time.Millisecond
+	// serverTimeout is the header timeout of the server. It must be positive, so that the
+	// server sets a deadline for each header; conn replaces its value.
+	serverTimeout = time.Minute
+	// readAhead is what the server may read beyond the end of a request, and how much
+	// http.Server adds to its limit for that reason.
+	readAhead = 4 << 10
+	// lingerTime and lingerBytes bound what is read after an early answer. Without it the
+	// answer would be lost: closing a connection with unread data resets it.
+	// http.Server waits as long.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 1 << 20
 )
 
 // errClosed is what Accept returns after Close.
 var errClosed = errors.New("listener closed")
 
-// Limits bounds the connections of callers. They are read when they are applied, so
-// that changes apply to open connections too.
+// Limits bounds the connections of callers. They are read for each request, so that
+// changes apply to open connections too.
 type Limits struct {
+	// HeaderBytes is the size of a request's header above which it is answered with 431.
+	// As with http.Server, up to 8 kB more may be read.
+	HeaderBytes int
+	// HeaderTimeout is the time in which the header of a request must arrive.
+	HeaderTimeout time.Duration
 	// IdleTimeout is how long a connection may be idle between two requests.
 	IdleTimeout time.Duration
 }
 
 // Listener accepts connections of callers and tracks their states. A drain waits for
 // them here, because http.Server.Shutdown drops requests without an answer whose header
-// is read meanwhile, and http.Server reads its idle timeout only when it starts.
+// is read meanwhile. The limits are applied here, because those of an http.Server must
+// not change while it runs.
 type Listener struct {
 	net.Listener
 	limits func() Limits
@@ -86,6 +104,8 @@
 func (l *Listener) Serve(server *http.Server) error {
 	defer close(l.served)
 	server.ConnState = l.setState
+	server.ReadHeaderTimeout, server.ReadTimeout = serverTimeout, 0
+	server.MaxHeaderBytes = math.MaxInt32
 	err := server.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, errClosed) {
 		return nil
@@ -107,7 +127,7 @@
 		_ = accepted.Close()
 		return nil, &Error{Op: "accept", Kind: KindNetwork, Err: fmt.Errorf("expected a TCP connection, found %T", accepted)}
 	}
-	return &conn{TCPConn: tcp, listener: l}, nil
+	return newConn(tcp, l), nil
 }
 
 // Close implements net.Listener. It leaves open connections as they are.
@@ -166,11 +186,8 @@
 	default:
 		l.states[c] = state
 	}
-	if caller, ok := c.(*conn); ok {
-		caller.becameIdle = state == http.StateIdle
-		if caller.becameIdle {
-			caller.idleSince = time.Now()
-		}
+	if caller, ok := c.(*conn); ok && state == http.StateIdle {
+		caller.phase, caller.idleSince = phaseAnswered, time.Now()
 	}
 }
 
--- a/internal/protocol/listener/listener_test.go
+++ b/internal/protocol/listener/listener_test.go
@@ -1,10 +1,12 @@
 package listener
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,12 +34,14 @@
 	for _, idle := range []string{"before the stop", "after the stop", "never used"} {
 		t.Run(idle, func(t *testing.T) {
 			began, finish := make(chan struct{}), make(chan struct{})
-			server := &http.Server{IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				_ = http.NewResponseController(w).Flush()
 				close(began)
 				<-finish
 			})}
-			callers := New(listen(t), func() Limits { return Limits{IdleTimeout: time.Minute} })
+			callers := New(listen(t), func() Limits {
+				return Limits{HeaderBytes: 1 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+			})
 			var group errgroup.Group
 			group.Go(func() error {
 				return callers.Serve(server)
@@ -83,3 +87,58 @@
 	}
 	return n
 }
+
+// TestHeaderLimits guards against limits of an earlier configuration that still apply to
+// an open connection: a header that is allowed would be refused, or one that is too long
+// or too slow be read.
+func TestHeaderLimits(t *testing.T) {
+	const short, long = 4 << 10, 64 << 10
+	for _, c := range []struct {
+		name          string
+		before, after Limits
+		header        int
+		pause         time.Duration
+		status        int
+	}{
+		{"size raised", Limits{short, time.Minute, time.Minute}, Limits{long, time.Minute, time.Minute}, 32 << 10, 0, http.StatusOK},
+		{"size lowered", Limits{long, time.Minute, time.Minute}, Limits{short, time.Minute, time.Minute}, 32 << 10, 0, http.StatusRequestHeaderFieldsTooLarge},
+		{"size lowered, endless header", Limits{long, time.Minute, time.Minute}, Limits{short, time.Minute, time.Minute}, 16 << 20, 0, http.StatusRequestHeaderFieldsTooLarge},
+		{"time raised", Limits{short, time.Second, time.Minute}, Limits{short, time.Minute, time.Minute}, 10, 1200 * time.Millisecond, http.StatusOK},
+		{"time lowered", Limits{short, time.Minute, time.Minute}, Limits{short, 50 * time.Millisecond, time.Minute}, 10, 200 * time.Millisecond, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var limits atomic.Pointer[Limits]
+			limits.Store(&c.before)
+			callers := New(listen(t), func() Limits { return *limits.Load() })
+			server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+			var group errgroup.Group
+			group.Go(func() error { return callers.Serve(server) })
+			conn, err := net.Dial("tcp", callers.Addr().String())
+			assert.NilError(t, err)
+			reader := bufio.NewReader(conn)
+			receive := func() int {
+				answer, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					return 0
+				}
+				_, err = io.ReadAll(answer.Body)
+				assert.NilError(t, err)
+				return answer.StatusCode
+			}
+			const start = "GET / HTTP/1.1\r\nHost: api.example\r\n"
+			_, err = io.WriteString(conn, start+"\r\n")
+			assert.NilError(t, err)
+			assert.Equal(t, receive(), http.StatusOK)
+			limits.Store(&c.after)
+			_, _ = io.WriteString(conn, start)
+			time.Sleep(c.pause)
+			// The server may close the connection before all is sent.
+			_, _ = io.WriteString(conn, "X-Long: "+strings.Repeat("x", c.header)+"\r\n\r\n")
+			assert.Equal(t, receive(), c.status)
+			assert.NilError(t, conn.Close())
+			assert.NilError(t, server.Close())
+			assert.NilError(t, group.Wait())
+		})
+	}
+}
--- a/internal/protocol/listener/pipelined_test.go
+++ b/internal/protocol/listener/pipelined_test.go
@@ -20,11 +20,12 @@
 	for _, stops := range []bool{false, true} {
 		t.Run(map[bool]string{false: "header timeout", true: "stop"}[stops], func(t *testing.T) {
 			t.Parallel()
-			server := &http.Server{ReadHeaderTimeout: 300 * time.Millisecond, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+			limits := Limits{HeaderBytes: 1 << 10, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: time.Minute}
+			server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 			if stops {
-				server.ReadHeaderTimeout = time.Minute
+				limits.HeaderTimeout = time.Minute
 			}
-			callers := New(listen(t), func() Limits { return Limits{IdleTimeout: time.Minute} })
+			callers := New(listen(t), func() Limits { return limits })
 			var group errgroup.Group
 			group.Go(func() error {
 				return callers.Serve(server)
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -292,7 +292,6 @@
 	readyServer := g.newServer(g.readyHandler())
 	group.Go(func() error {
 		g.awaitInitialState(workCtx)
-		g.applyCallerLimits(requestServer)
 		return callers.Serve(requestServer)
 	})
 	group.Go(func() error { return serve(readyServer, listeners.Ready) })
@@ -347,29 +346,25 @@
 	}
 }
 
-// callerLimits returns the limits of callers' connections now.
+// callerLimits returns the limits of callers' connections now: those of the routing, and
+// defaults for what it does not declare.
 func (g *Gateway) callerLimits() listener.Limits {
-	limits := listener.Limits{IdleTimeout: defaultIdleTimeout}
-	if table, _ := g.catalog.Routing(); table != nil && table.Limits().IdleTimeout > 0 {
-		limits.IdleTimeout = table.Limits().IdleTimeout
-	}
-	return limits
-}
-
-// applyCallerLimits sets the limits that the routing declares for callers' headers. An
-// http.Server reads them when it starts, so later changes need a restart.
-func (g *Gateway) applyCallerLimits(server *http.Server) {
+	limits := listener.Limits{HeaderBytes: defaultMaxHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	table, _ := g.catalog.Routing()
 	if table == nil {
-		return
+		return limits
+	}
+	declared := table.Limits()
+	if declared.HeaderBytes > 0 {
+		limits.HeaderBytes = declared.HeaderBytes
 	}
-	limits := table.Limits()
-	if limits.HeaderBytes > 0 {
-		server.MaxHeaderBytes = limits.HeaderBytes
+	if declared.HeaderTimeout > 0 {
+		limits.HeaderTimeout = declared.HeaderTimeout
 	}
-	if limits.HeaderTimeout > 0 {
-		server.ReadHeaderTimeout = limits.HeaderTimeout
+	if declared.IdleTimeout > 0 {
+		limits.IdleTimeout = declared.IdleTimeout
 	}
+	return limits
 }
 
 func serve(server *http.Server, listener net.Listener) error {
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
+	"comfreyworks/internal/protocol/listener"
 	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/state/crashes"
 	"comfreyworks/internal/state/meter"
@@ -71,15 +72,13 @@
 	})
 	f.refresh(t)
 	server := f.gateway.newServer(f.gateway.requestHandler())
-	f.gateway.applyCallerLimits(server)
-	assert.Equal(t, server.ReadHeaderTimeout, 3*time.Second)
+	assert.Equal(t, f.gateway.callerLimits().HeaderTimeout, 3*time.Second)
 	assert.Equal(t, f.gateway.callerLimits().IdleTimeout, 15*time.Second)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	callers := listener.New(listen(t), f.gateway.callerLimits)
 	var group errgroup.Group
-	group.Go(func() error { return serve(server, listener) })
+	group.Go(func() error { return callers.Serve(server) })
 	r := f.request(t, http.MethodPost, "/book/1", "")
-	r.URL.Host = listener.Addr().String()
+	r.URL.Host = callers.Addr().String()
 	r.Header.Set("X-Own", strings.Repeat("x", 10_000))
 	assert.Equal(t, f.do(t, r).StatusCode, http.StatusRequestHeaderFieldsTooLarge)
 	r.Header.Set("X-Own", "x")
