Answer requests that arrive while an entry stops accepting connections

Cause: an entry stopped with http.Server.Shutdown, which closes connections whose header is read meanwhile without an answer.

What callers saw: a request in pieces, on a new or a kept connection, was dropped; the caller could not know whether it had run.

Change: the entry serves on the listener that the gateway uses and drains it. The deployment's limits on headers, bodies and idle connections apply to open connections too.

--- a/internal/protocol/listener/conn.go
+++ b/internal/protocol/listener/conn.go
@@ -38,10 +38,10 @@
 type conn struct {
 	*net.TCPConn
 	listener *Listener
-	// phase and idleSince, when the connection became idle last, are protected by
-	// Listener.mu.
-	phase     phase
-	idleSince time.Time
+	// phase, headerSince, when the last header began, and idleSince, when the connection
+	// became idle last, are protected by Listener.mu.
+	phase                  phase
+	headerSince, idleSince time.Time
 	// headerLeft is how many bytes may be read before the header is complete.
 	headerLeft atomic.Int64
 }
@@ -103,6 +103,9 @@
 		c.phase = phaseRequest
 		c.headerLeft.Store(math.MaxInt64)
 		l.states[c] = http.StateActive
+		if timeout := l.limits().BodyTimeout; timeout > 0 {
+			deadline = c.headerSince.Add(timeout)
+		}
 	case phaseAnswered:
 		c.phase = phaseWaiting
 		deadline = c.idleSince.Add(l.limits().IdleTimeout)
@@ -119,7 +122,7 @@
 func (c *conn) beginHeader() time.Time {
 	l := c.listener
 	limits := l.limits()
-	c.phase = phaseHeader
+	c.phase, c.headerSince = phaseHeader, time.Now()
 	c.headerLeft.Store(int64(limits.HeaderBytes) + readAhead)
 	if l.states[c] == http.StateIdle {
 		l.states[c] = http.StateActive
@@ -127,5 +130,5 @@
 	if l.closing && l.states[c] == http.StateNew {
 		return l.firstRequestBy
 	}
-	return time.Now().Add(limits.HeaderTimeout)
+	return c.headerSince.Add(limits.HeaderTimeout)
 }
--- a/internal/protocol/listener/listener.go
+++ b/internal/protocol/listener/listener.go
@@ -67,6 +67,9 @@
 	HeaderBytes int
 	// HeaderTimeout is the time in which the header of a request must arrive.
 	HeaderTimeout time.Duration
+	// BodyTimeout is the time from the beginning of a header in which the whole request
+	// must arrive; zero means that only the handler limits it.
+	BodyTimeout time.Duration
 	// IdleTimeout is how long a connection may be idle between two requests.
 	IdleTimeout time.Duration
 }
--- a/internal/protocol/listener/listener_test.go
+++ b/internal/protocol/listener/listener_test.go
@@ -93,6 +93,9 @@
 // or too slow be read.
 func TestHeaderLimits(t *testing.T) {
 	const short, long = 4 << 10, 64 << 10
+	limits := func(bytes int, timeout time.Duration) Limits {
+		return Limits{HeaderBytes: bytes, HeaderTimeout: timeout, IdleTimeout: time.Minute}
+	}
 	for _, c := range []struct {
 		name          string
 		before, after Limits
@@ -100,17 +103,17 @@
 		pause         time.Duration
 		status        int
 	}{
-		{"size raised", Limits{short, time.Minute, time.Minute}, Limits{long, time.Minute, time.Minute}, 32 << 10, 0, http.StatusOK},
-		{"size lowered", Limits{long, time.Minute, time.Minute}, Limits{short, time.Minute, time.Minute}, 32 << 10, 0, http.StatusRequestHeaderFieldsTooLarge},
-		{"size lowered, endless header", Limits{long, time.Minute, time.Minute}, Limits{short, time.Minute, time.Minute}, 16 << 20, 0, http.StatusRequestHeaderFieldsTooLarge},
-		{"time raised", Limits{short, time.Second, time.Minute}, Limits{short, time.Minute, time.Minute}, 10, 1200 * time.Millisecond, http.StatusOK},
-		{"time lowered", Limits{short, time.Minute, time.Minute}, Limits{short, 50 * time.Millisecond, time.Minute}, 10, 200 * time.Millisecond, 0},
+		{"size raised", limits(short, time.Minute), limits(long, time.Minute), 32 << 10, 0, http.StatusOK},
+		{"size lowered", limits(long, time.Minute), limits(short, time.Minute), 32 << 10, 0, http.StatusRequestHeaderFieldsTooLarge},
+		{"size lowered, endless header", limits(long, time.Minute), limits(short, time.Minute), 16 << 20, 0, http.StatusRequestHeaderFieldsTooLarge},
+		{"time raised", limits(short, time.Second), limits(short, time.Minute), 10, 1200 * time.Millisecond, http.StatusOK},
+		{"time lowered", limits(short, time.Minute), limits(short, 50*time.Millisecond), 10, 200 * time.Millisecond, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			var limits atomic.Pointer[Limits]
-			limits.Store(&c.before)
-			callers := New(listen(t), func() Limits { return *limits.Load() })
+			var current atomic.Pointer[Limits]
+			current.Store(&c.before)
+			callers := New(listen(t), func() Limits { return *current.Load() })
 			server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 			var group errgroup.Group
 			group.Go(func() error { return callers.Serve(server) })
@@ -130,7 +133,7 @@
 			_, err = io.WriteString(conn, start+"\r\n")
 			assert.NilError(t, err)
 			assert.Equal(t, receive(), http.StatusOK)
-			limits.Store(&c.after)
+			current.Store(&c.after)
 			_, _ = io.WriteString(conn, start)
 			time.Sleep(c.pause)
 			// The server may close the connection before all is sent.
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -30,6 +30,7 @@
 	"comfreyworks/internal/coordination/configuration"
 	"comfreyworks/internal/coordination/dispatch"
 	"comfreyworks/internal/coordination/membership"
+	"comfreyworks/internal/protocol/listener"
 	"comfreyworks/internal/protocol/logservice"
 	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/state/meter"
@@ -119,26 +120,29 @@
 
 // Run serves on a listener until ctx ends and then shuts down as described in the
 // package comment.
-func (e *Entry) Run(ctx context.Context, listener net.Listener) error {
+func (e *Entry) Run(ctx context.Context, requests net.Listener) error {
 	defer e.kill()
 	e.view.Refresh(ctx)
 	e.config.Bootstrap(ctx)
 	server := e.newServer(e.serveCtx)
+	callers := listener.New(requests, e.callerLimits)
 	group, workCtx := errgroup.WithContext(e.serveCtx)
 	group.Go(func() error { return e.view.Run(workCtx) })
 	group.Go(func() error { return e.config.Run(workCtx) })
 	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := callers.Serve(server); err != nil {
 			return &Error{Op: "run", Kind: KindServe, Err: err}
 		}
 		return nil
 	})
-	e.options.Logger.Info("entry started", zap.Stringer("address", listener.Addr()))
+	e.options.Logger.Info("entry started", zap.Stringer("address", requests.Addr()))
 	group.Go(func() error {
 		defer e.kill()
 		select {
 		case <-ctx.Done():
-			return e.drain(ctx, server)
+			err := e.drain(callers)
+			_ = server.Close()
+			return err
 		case <-workCtx.Done():
 			return server.Close()
 		}
@@ -149,15 +153,19 @@
 }
 
 func (e *Entry) newServer(ctx context.Context) *http.Server {
-	callers := e.deployment().Callers
 	return &http.Server{
-		Handler:           e.Handler(),
-		ReadHeaderTimeout: callers.HeaderTimeout,
-		ReadTimeout:       callers.BodyTimeout,
-		IdleTimeout:       callers.IdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          zap.NewStdLog(e.options.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-		BaseContext:       func(net.Listener) context.Context { return ctx },
+		Handler:     e.Handler(),
+		ErrorLog:    zap.NewStdLog(e.options.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
+}
+
+// callerLimits returns the limits of callers' connections now.
+func (e *Entry) callerLimits() listener.Limits {
+	callers := e.deployment().Callers
+	return listener.Limits{
+		HeaderBytes: maxHeaderBytes, HeaderTimeout: callers.HeaderTimeout,
+		BodyTimeout: callers.BodyTimeout, IdleTimeout: callers.IdleTimeout,
 	}
 }
 
@@ -169,24 +177,32 @@
 // Kill stops the entry at once, as a crash would.
 func (e *Entry) Kill() { e.kill() }
 
+// errCutOff is the error of a stop that ended requests at the end of the grace period.
+var errCutOff = errors.New("open requests cut off at the end of the stop grace period")
+
 // drain reports not ready, keeps serving until the load balancer has noticed and
 // then lets open requests finish within the stop grace period.
-func (e *Entry) drain(ctx context.Context, server *http.Server) error {
-	callers := e.deployment().Callers
+func (e *Entry) drain(callers *listener.Listener) error {
+	limits := e.deployment().Callers
 	e.leaving.Store(true)
 	e.options.Logger.Info("shutdown started, reporting not ready")
-	e.options.Clock.Sleep(callers.StopNotice)
-	graceCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callers.StopGrace)
-	defer cancel()
-	err := server.Shutdown(graceCtx)
-	e.options.Logger.Info("shutdown finished", zap.Error(err))
-	if err != nil {
-		_ = server.Close()
-		return &Error{Op: "drain", Kind: KindServe, Err: err}
+	e.options.Clock.Sleep(limits.StopNotice)
+	if !callers.Drain(limits.StopGrace, func() {}) {
+		e.options.Logger.Warn("shutdown finished", zap.Error(errCutOff))
+		return &Error{Op: "drain", Kind: KindServe, Err: errCutOff}
 	}
+	e.options.Logger.Info("shutdown finished")
 	return nil
 }
 
+// announceClose adds to the header of a response that a stopping entry closes the
+// connection.
+func (e *Entry) announceClose(header http.Header) {
+	if e.leaving.Load() {
+		header.Set("Connection", "close")
+	}
+}
+
 // Handler returns the handler for all paths of the HTTP interface.
 func (e *Entry) Handler() http.Handler {
 	router := mux.NewRouter()
@@ -203,7 +219,7 @@
 	router.HandleFunc("/v1/chat/completions", e.authenticate(e.serveChatCompletion)).Methods(http.MethodPost)
 	router.HandleFunc("/v1/completions", e.authenticate(e.serveTextCompletion)).Methods(http.MethodPost)
 	router.HandleFunc("/services/{pool}{path:/.*}", e.authenticate(e.serveService))
-	return e.withWriteTimeout(router)
+	return e.withResponseWriter(router)
 }
 
 // notReadyReason returns why the load balancer should send no new requests, or ""
--- a/internal/transport/entry/writer.go
+++ b/internal/transport/entry/writer.go
@@ -5,18 +5,33 @@
 	"time"
 )
 
-// timeoutWriter sets a deadline for each write, so that a caller that stops
+// responseWriter sets a deadline for each write, so that a caller that stops
 // reading cannot block a request forever. The deadline remains set on the
 // connection after the response. Setting it before each write also ensures that
 // the next request on a keep-alive connection does not fail because of a deadline
 // that has passed.
-type timeoutWriter struct {
+type responseWriter struct {
 	http.ResponseWriter
 	timeout time.Duration
+	// announceClose adds Connection: close to a header if it applies.
+	announceClose func(http.Header)
+	headerWritten bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *responseWriter) WriteHeader(status int) {
+	if !w.headerWritten {
+		w.headerWritten = true
+		w.announceClose(w.Header())
+	}
+	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements io.Writer.
-func (w *timeoutWriter) Write(p []byte) (int, error) {
+func (w *responseWriter) Write(p []byte) (int, error) {
+	if !w.headerWritten {
+		w.WriteHeader(http.StatusOK)
+	}
 	controller := http.NewResponseController(w.ResponseWriter)
 	if err := controller.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
 		return 0, err
@@ -25,12 +40,12 @@
 }
 
 // Unwrap lets http.ResponseController find the underlying writer.
-func (w *timeoutWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// withWriteTimeout wraps the response writer of each request in a timeoutWriter.
-func (e *Entry) withWriteTimeout(next http.Handler) http.Handler {
+// withResponseWriter wraps the response writer of each request in a responseWriter.
+func (e *Entry) withResponseWriter(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		limited := &timeoutWriter{ResponseWriter: w, timeout: e.deployment().Callers.WriteTimeout}
+		limited := &responseWriter{ResponseWriter: w, timeout: e.deployment().Callers.WriteTimeout, announceClose: e.announceClose}
 		next.ServeHTTP(limited, r)
 	})
 }
