Answer open requests at the end of an entry's grace period

Cause: at the end of its grace period an entry closed all connections. Had it only cancelled the requests, they would have got an empty 200, because a cancelled request was taken for a caller that had left.

What callers saw: a request that waited for an engine ended with a closed connection and no answer.

Change: 0.1 s before the end the drain cancels open requests with a cause of its own. Completions without an answer get 502, streams an error event, and requests whose body has not arrived 503 with Comfrey-Run: not-run. The call that cancels a stream at its sidecar delays the answer by 50 ms at most, 1 s before, once a request has been given up.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -72,8 +72,11 @@
 	// placeTimeout limits a call to a directory shard. The choice without the
 	// directory is nearly as good, so a longer wait is not worth its cost.
 	placeTimeout = 50 * time.Millisecond
-	// cancelTimeout limits the call that cancels a stream.
-	cancelTimeout = time.Second
+	// cancelTimeout limits the call that cancels a stream. endedCancelTimeout limits it
+	// once the request has been given up: its final answer waits for the call, and a
+	// stopping entry waits only 100 ms for final answers.
+	cancelTimeout      = time.Second
+	endedCancelTimeout = 50 * time.Millisecond
 	// initialBackoff and maxBackoff limit the waits between attempts when there
 	// is no upstream left to try.
 	initialBackoff = 20 * time.Millisecond
@@ -425,7 +428,11 @@
 // cancel stops a stream and so frees its engine. If the call is lost, the
 // sidecar stops the stream itself once nobody has read it for a while.
 func (d *Dispatcher) cancel(ctx context.Context, sidecar comfreyworks.Sidecar, id comfreyworks.StreamID) {
-	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	timeout := cancelTimeout
+	if ctx.Err() != nil {
+		timeout = endedCancelTimeout
+	}
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer stop()
 	if err := sidecar.Cancel(ctx, id); err != nil {
 		d.options.Logger.Debug("failed to cancel stream", zap.String("stream", string(id)), zap.Error(err))
--- a/internal/coordination/dispatch/silence_test.go
+++ b/internal/coordination/dispatch/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"strings"
@@ -249,3 +250,35 @@
 		})
 	})
 }
+
+// hangingSidecar accepts streams and answers no other call.
+type hangingSidecar struct{ fakeSidecar }
+
+func (s *hangingSidecar) Read(ctx context.Context, _ comfreyworks.StreamID, _ int, _ time.Duration) (comfreyworks.StreamUpdate, error) {
+	<-ctx.Done()
+	return comfreyworks.StreamUpdate{}, errNoAnswer
+}
+
+func (s *hangingSidecar) Cancel(ctx context.Context, _ comfreyworks.StreamID) error {
+	<-ctx.Done()
+	return errNoAnswer
+}
+
+// Sidecar implements comfreyworks.SidecarClients.
+func (s *hangingSidecar) Sidecar(comfreyworks.Instance) comfreyworks.Sidecar { return s }
+
+// TestGivenUpAtOnce guards against a final answer that waits for a silent sidecar until
+// its entry has stopped.
+func TestGivenUpAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcherFor(1, new(hangingSidecar), clockwork.NewRealClock())
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		start := time.Now()
+		_, err := d.Generate(ctx, newNumberedJob(0), func(TokenBatch) error { return nil })
+		var failure *Error
+		assert.Assert(t, errors.As(err, &failure))
+		assert.Equal(t, failure.Kind, KindGivenUp)
+		assert.Assert(t, time.Since(start) <= time.Second+endedCancelTimeout, "%s", time.Since(start))
+	})
+}
--- a/internal/transport/entry/completions.go
+++ b/internal/transport/entry/completions.go
@@ -17,6 +17,10 @@
 	"comfreyworks/internal/state/settings"
 )
 
+// leavingRetryAfter is the Retry-After of requests that a stopping entry has not run; the
+// load balancer sends them to another entry.
+const leavingRetryAfter = time.Second
+
 func (e *Entry) serveModels(w http.ResponseWriter, _ *http.Request, _ caller) {
 	list := completion.ModelList{Object: "list"}
 	for _, model := range e.deployment().Models {
@@ -73,23 +77,34 @@
 	writer.finish(r.Context(), result, err)
 }
 
-// readBody reads the body within the size limit. If that fails, it responds with
-// an error and returns false. It clears the read deadline after the body, because
+// isStopping reports whether a request is ended because the entry stops.
+func isStopping(requestCtx context.Context) bool {
+	return errors.Is(context.Cause(requestCtx), errStopping)
+}
+
+// readBody reads the body within the size limit, until the entry ends its requests. If
+// that fails, it responds with an error and returns false. It clears the read deadline after the body, because
 // the server keeps reading while the answer is written, to detect that the caller
 // disconnects, and would treat an expired deadline as a disconnect.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	limit := int64(e.deployment().Callers.MaxBody)
+	controller := http.NewResponseController(w)
+	stop := context.AfterFunc(r.Context(), func() { _ = controller.SetReadDeadline(time.Now()) })
+	defer stop()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		writeError(w, bodyTooLargeError(limit))
 		return nil, false
+	case err != nil && isStopping(r.Context()):
+		writeError(w, refusedError(comfreyworks.Refusal{Reason: comfreyworks.RefusedLeaving, RetryAfter: leavingRetryAfter}))
+		return nil, false
 	case err != nil:
 		writeError(w, badRequestError("unreadable_body", "the body could not be read"))
 		return nil, false
 	}
-	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
+	if err := controller.SetReadDeadline(time.Time{}); err != nil {
 		e.options.Logger.Debug("read deadline of the connection not cleared", zap.Error(err))
 	}
 	return body, true
--- a/internal/transport/entry/completionwriter.go
+++ b/internal/transport/entry/completionwriter.go
@@ -99,7 +99,7 @@
 // event if the stream has begun.
 func (c *completionWriter) finish(callerCtx context.Context, result dispatch.Result, err error) {
 	switch {
-	case err != nil && callerCtx.Err() != nil:
+	case err != nil && callerCtx.Err() != nil && !isStopping(callerCtx):
 		// The caller has disconnected.
 	case err != nil && c.headerWritten:
 		_ = c.writeEvent(errorFromDispatch(err).body())
@@ -129,7 +129,7 @@
 		return refusedError(refused.Refusal)
 	}
 	var failure *dispatch.Error
-	if errors.As(err, &failure) && failure.Kind == dispatch.KindGivenUp {
+	if errors.As(err, &failure) && failure.Kind == dispatch.KindGivenUp && !errors.Is(err, errStopping) {
 		return deadlineError()
 	}
 	return incompleteError()
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -124,7 +124,9 @@
 	defer e.kill()
 	e.view.Refresh(ctx)
 	e.config.Bootstrap(ctx)
-	server := e.newServer(e.serveCtx)
+	requestCtx, endRequests := context.WithCancelCause(e.serveCtx)
+	defer endRequests(nil)
+	server := e.newServer(requestCtx)
 	callers := listener.New(requests, e.callerLimits)
 	group, workCtx := errgroup.WithContext(e.serveCtx)
 	group.Go(func() error { return e.view.Run(workCtx) })
@@ -140,7 +142,7 @@
 		defer e.kill()
 		select {
 		case <-ctx.Done():
-			err := e.drain(callers)
+			err := e.drain(callers, endRequests)
 			_ = server.Close()
 			return err
 		case <-workCtx.Done():
@@ -177,19 +179,21 @@
 // Kill stops the entry at once, as a crash would.
 func (e *Entry) Kill() { e.kill() }
 
-// errCutOff is the error of a stop that ended requests at the end of the grace period.
-var errCutOff = errors.New("open requests cut off at the end of the stop grace period")
+// errStopping ends the requests that are open at the end of the stop grace period.
+var errStopping = errors.New("open requests cut off at the end of the stop grace period")
 
 // drain reports not ready, keeps serving until the load balancer has noticed and
-// then lets open requests finish within the stop grace period.
-func (e *Entry) drain(callers *listener.Listener) error {
+// then lets open requests finish within the stop grace period. At its end, those
+// without an answer are answered with an error.
+func (e *Entry) drain(callers *listener.Listener, endRequests context.CancelCauseFunc) error {
 	limits := e.deployment().Callers
 	e.leaving.Store(true)
 	e.options.Logger.Info("shutdown started, reporting not ready")
 	e.options.Clock.Sleep(limits.StopNotice)
-	if !callers.Drain(limits.StopGrace, func() {}) {
-		e.options.Logger.Warn("shutdown finished", zap.Error(errCutOff))
-		return &Error{Op: "drain", Kind: KindServe, Err: errCutOff}
+	grace := max(limits.StopGrace-listener.LastAnswerTime, 0)
+	if !callers.Drain(grace, func() { endRequests(errStopping) }) {
+		e.options.Logger.Warn("shutdown finished", zap.Error(errStopping))
+		return &Error{Op: "drain", Kind: KindServe, Err: errStopping}
 	}
 	e.options.Logger.Info("shutdown finished")
 	return nil
--- a/internal/transport/entry/stop_test.go
+++ b/internal/transport/entry/stop_test.go
@@ -12,8 +12,10 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"comfreyworks"
 	"comfreyworks/internal/standin/engine"
 	"comfreyworks/internal/state/settings"
+	"comfreyworks/internal/transport/entry"
 )
 
 // TestEntryReadsDuringShutdown guards against dropping a request without an answer
@@ -87,3 +89,41 @@
 	_ = answer.Body.Close()
 	assert.NilError(t, group.Wait())
 }
+
+// TestErrorsAtTheEnd guards against a final answer that says the wrong thing: a request
+// whose body never arrived has not run, and one that an engine has may have run.
+func TestErrorsAtTheEnd(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// missing is how many bytes of the request are not sent.
+		missing, status int
+		run             comfreyworks.RunState
+	}{
+		{"body incomplete", 2, http.StatusServiceUnavailable, comfreyworks.RunStateNotRun},
+		{"engine too slow", 0, http.StatusBadGateway, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, overrides{
+				callers: func(callers *settings.Callers) { callers.StopGrace = 300 * time.Millisecond },
+				rates:   func(rates *engine.Rates) { rates.StepTime = 2 * time.Second },
+			})
+			conn, err := net.Dial("tcp", strings.TrimPrefix(r.EntryURL(0), "http://"))
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			var text strings.Builder
+			assert.NilError(t, request(t, http.MethodPost, r.EntryURL(0)+"/v1/chat/completions", validBody).Write(&text))
+			_, err = io.WriteString(conn, text.String()[:text.Len()-c.missing])
+			assert.NilError(t, err)
+			time.Sleep(200 * time.Millisecond)
+			r.StopEntry(0)
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err, "no answer")
+			_, err = io.ReadAll(answer.Body)
+			assert.NilError(t, err, "incomplete answer")
+			assert.Equal(t, answer.StatusCode, c.status)
+			assert.Equal(t, answer.Header.Get(entry.HeaderRun), string(c.run))
+			assert.Assert(t, answer.Close, "the close is announced")
+		})
+	}
+}
