Send the answers of calls that have ended before a peer server closes

Cause: a server of peers that stops closed its connections at once. A sidecar stops once its calls have returned, but net/rpc may still be sending their answers.

What callers saw: an entry lost a long answer of a sidecar that stopped, and had to report a call as possibly run or to start the stream elsewhere.

Change: a server that stops reads no further calls, sends the answers of those that it has read, and then closes each connection, at most 5 s later (gateways 50 ms, a part of the margin at their end). It shuts its sending side down first and reads what the client still sends for up to 0.5 s: closing a connection with unread calls resets it and loses the answer. Sidecar.Kill, which stands for a crash, closes all connections at once as before.

--- a/internal/protocol/peer/codec.go
+++ b/internal/protocol/peer/codec.go
@@ -54,6 +54,8 @@
 	conn   net.Conn
 	buffer *bufio.Reader
 	limits MessageLimits
+	// abort closes the connection after an error.
+	abort func() error
 	// left is the number of bytes that the message may still have.
 	left int64
 	// err is the first error; no read succeeds after it.
@@ -106,7 +108,7 @@
 		err = fmt.Errorf("%w: message incomplete after %s", comfreyworks.ErrCutOff, r.limits.Time)
 	}
 	r.err = err
-	_ = r.conn.Close()
+	_ = r.abort()
 	return err
 }
 
@@ -131,7 +133,7 @@
 )
 
 func newCodec(conn net.Conn, limits MessageLimits, recorder *faults.Recorder) *codec {
-	reader := &messageReader{conn: conn, buffer: bufio.NewReader(conn), limits: limits.withDefaults()}
+	reader := &messageReader{conn: conn, buffer: bufio.NewReader(conn), limits: limits.withDefaults(), abort: conn.Close}
 	buffer := bufio.NewWriter(conn)
 	return &codec{
 		reader: reader, faults: recorder, decoder: gob.NewDecoder(reader), encoder: gob.NewEncoder(buffer), buffer: buffer,
--- a/internal/protocol/peer/server.go
+++ b/internal/protocol/peer/server.go
@@ -18,18 +18,25 @@
 // file descriptors.
 const acceptRetryInterval = 10 * time.Millisecond
 
+// defaultStopTimeout is how long a server that stops waits for its calls and answers
+// unless another time is set. A write to a client that does not read ends after it too.
+const defaultStopTimeout = writeTimeout
+
 // Server serves the methods of one receiver to clients that know the secret.
 type Server struct {
 	// Limits bounds the requests of clients. It must be set before Serve is called.
 	Limits MessageLimits
 	// Faults records panics while messages are read.
 	Faults *faults.Recorder
-	secret string
-	rpc    *rpc.Server
-	group  errgroup.Group
-	mu     sync.Mutex
-	conns  map[net.Conn]struct{}
-	closed bool
+	// StopTimeout is how long a server that stops waits for the calls that it has read and
+	// for their answers to be sent; zero means defaultStopTimeout.
+	StopTimeout time.Duration
+	secret      string
+	rpc         *rpc.Server
+	group       errgroup.Group
+	mu          sync.Mutex
+	conns       map[*servedConn]struct{}
+	closed      bool
 }
 
 // NewServer returns a server for a receiver whose methods follow the rules of
@@ -39,11 +46,12 @@
 	if err := server.RegisterName(serviceName, receiver); err != nil {
 		return nil, &Error{Op: "register", Kind: KindRemote, Err: err}
 	}
-	return &Server{secret: secret, rpc: server, conns: make(map[net.Conn]struct{})}, nil
+	return &Server{secret: secret, rpc: server, conns: make(map[*servedConn]struct{})}, nil
 }
 
-// Serve accepts connections until ctx ends or the listener fails. Then it closes
-// all connections and waits for their goroutines.
+// Serve accepts connections until ctx ends or the listener fails. Then it reads no
+// further calls, closes each connection once the answers of those that it has read are
+// sent, or after StopTimeout, and waits for their goroutines.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
@@ -54,8 +62,7 @@
 			continue
 		}
 		if err != nil {
-			s.closeConns()
-			_ = s.group.Wait()
+			s.stopConns()
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return nil
 			}
@@ -68,10 +75,38 @@
 	}
 }
 
+// Close closes all connections at once, as a crash would.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.Conn.Close()
+	}
+}
+
+// stopConns stops reading from all connections and waits until they are closed.
+func (s *Server) stopConns() {
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.conns {
+		conn.stop()
+	}
+	s.mu.Unlock()
+	timeout := s.StopTimeout
+	if timeout == 0 {
+		timeout = defaultStopTimeout
+	}
+	timer := time.AfterFunc(timeout, s.Close)
+	defer timer.Stop()
+	_ = s.group.Wait()
+}
+
 // serveConn authenticates the client and serves its calls until the connection is
 // closed.
-func (s *Server) serveConn(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
+func (s *Server) serveConn(accepted net.Conn) {
+	conn := &servedConn{Conn: accepted}
+	defer func() { _ = accepted.Close() }()
 	if !s.track(conn) {
 		return
 	}
@@ -85,11 +120,13 @@
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		return
 	}
-	s.rpc.ServeCodec(newCodec(writeTimeoutConn{conn}, s.Limits, s.Faults))
+	codec := newCodec(writeTimeoutConn{conn}, s.Limits, s.Faults)
+	codec.reader.abort = conn.abort
+	s.rpc.ServeCodec(codec)
 }
 
 // track stores an open connection. It returns false if the server is closed.
-func (s *Server) track(conn net.Conn) bool {
+func (s *Server) track(conn *servedConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -99,17 +136,8 @@
 	return true
 }
 
-func (s *Server) untrack(conn net.Conn) {
+func (s *Server) untrack(conn *servedConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
 }
-
-func (s *Server) closeConns() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
-	for conn := range s.conns {
-		_ = conn.Close()
-	}
-}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -63,7 +63,7 @@
 	shutdownDelay = 2300 * time.Millisecond
 	// shutdownMargin is the part of the stop grace period that is reserved for
 	// ending the process after the open requests have finished or were cut off. It
-	// includes listener.LastAnswerTime.
+	// includes listener.LastAnswerTime and peerStopTimeout.
 	shutdownMargin = 250 * time.Millisecond
 	// lateRequest is the time after the beginning of a stop from which requests are
 	// refused that may last beyond its end.
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -15,6 +16,10 @@
 // ones hold the whole routing and the list of upstreams.
 const maxPeerMessageBytes = 8 << 20
 
+// peerStopTimeout is how long a stopping gateway waits for answers to its peers. It is a
+// part of shutdownMargin.
+const peerStopTimeout = 50 * time.Millisecond
+
 // peerService implements the RPC methods that other gateways call.
 type peerService struct{ gateway *Gateway }
 
@@ -52,6 +57,7 @@
 		return &Error{Op: "serve peers", Kind: KindServe, Err: err}
 	}
 	server.Faults = g.options.Faults
+	server.StopTimeout = peerStopTimeout
 	server.Limits = peer.MessageLimits{Bytes: maxPeerMessageBytes}
 	group.Go(func() error { return server.Serve(ctx, listener) })
 	group.Go(func() error { return g.peering.Run(ctx) })
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -296,7 +296,10 @@
 }
 
 // Kill stops the sidecar at once, as a crash would.
-func (s *Sidecar) Kill() { s.kill() }
+func (s *Sidecar) Kill() {
+	s.server.Close()
+	s.kill()
+}
 
 // drain lets open requests finish within the stop grace period.
 func (s *Sidecar) drain(ctx context.Context) {
