Limit the usage of workspaces over all gateways

Nothing read the limits that operators declare for workspaces, so a workspace that sends many times its usual load overloaded the engines for all.

All gateways now share one token bucket for each workspace with a limit. Each estimates its level from what it has admitted and what others report through the relays. Requests over the limit get 429 with Retry-After before anything is sent; requests that no upstream ran return what they took.

In the module's own test, with reports through relays at 4, 25 and 103 gateways, a surge of 7.5 times the usual load and eight kinds of failures, no window exceeds the bound. With failures more than 3 in 100 are refused when half or all of the gateways are killed or when gateways are cut off from each other; the test states how many.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -111,7 +111,9 @@
 	Workspace *comfreyworks.WorkspaceKeys
 	// Received is when the request arrived, Deadline when it must be answered.
 	Received, Deadline time.Time
-	Prompt             Prompt
+	// Usage is what was taken from the usage limit of the workspace.
+	Usage  int
+	Prompt Prompt
 	// LastEventID is the event after which a stream resumes; empty means from the
 	// start. Resumes is the request that brought the first event of that stream.
 	LastEventID string
--- a/internal/coordination/peering/exchange.go
+++ b/internal/coordination/peering/exchange.go
@@ -60,6 +60,7 @@
 		state.Known, state.SavedKnown = m.known, m.savedKnown
 		state.Saved, state.SavedList.Version = p.options.Saved.After(m.savedSent, savedsessions.Local)
 		p.requestOrigins(&state, m, passesOrigins)
+		p.requestUsage(&state, m)
 	}
 	if !p.relay {
 		state.Loads = p.options.Balancer.LocalLoads()
@@ -166,6 +167,7 @@
 	state.SavedList.Process = p.members.version.Process
 	p.replyOrigins(&state, to, passesOrigins)
 	p.replyCrashes(&state, to)
+	p.replyUsage(&state, to)
 	state.Peers = p.members.changesAfter(to.Known, p.options.Clock.Now())
 	state.PeerList = p.members.version
 	return state
@@ -192,6 +194,7 @@
 	}
 	p.options.Saved.Merge(state.Saved, passedOnBy(state.Role))
 	p.recordOriginsRequest(m, state)
+	p.recordUsageRequest(state)
 	p.mergeCrashes(state.Crashes, passedOnBy(state.Role))
 	p.options.Balancer.AddLeaving(m.ID, state.Leaving)
 }
@@ -233,6 +236,7 @@
 		m.savedSent = 0
 	}
 	p.recordOriginsReply(m, state, request)
+	p.recordUsageReply(m, state, request)
 	p.recordCrashesReply(m, state, request, restarted)
 	m.known, m.savedKnown = state.PeerList, state.SavedList
 }
--- a/internal/coordination/peering/fixture_test.go
+++ b/internal/coordination/peering/fixture_test.go
@@ -15,6 +15,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
+	"comfreyworks/internal/coordination/usage"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/savedsessions"
@@ -38,6 +39,10 @@
 	origins, originsToLeaves int
 	// crashes counts the suspicions that were sent.
 	crashes int
+	// limits are the usage limits of all gateways; nil means none. usage counts the
+	// counts that were sent.
+	limits *comfreyworks.Routing
+	usage  int
 	// old are gateways that do not know of suspicions.
 	old map[netip.AddrPort]bool
 }
@@ -88,6 +93,7 @@
 	}
 	c.network.gateways[state.Self.Address].answered++
 	c.network.crashes += len(state.Crashes) + len(update.State.Crashes)
+	c.network.usage += len(state.Usage) + len(update.State.Usage)
 	c.network.replies[c.to] = update
 	c.network.origins += len(state.Origins) + len(update.State.Origins)
 	if state.Role == comfreyworks.PeerLeaf {
@@ -195,6 +201,7 @@
 		NewClient: func(to netip.AddrPort) comfreyworks.GatewayClient { return networkClient{n, to} },
 		Catalog:   g.catalog, Balancer: g.balancer, Saved: savedsessions.New(n.clock), Clock: n.clock, Logger: zap.NewNop(),
 		Origins: streamorigins.New(n.clock), PassOrigins: func() bool { return n.passOrigins },
+		Usage: usage.New(usage.Options{Clock: n.clock, Overage: 0.1, Routing: func() *comfreyworks.Routing { return n.limits }}),
 	})
 	n.gateways[address(i)] = g
 }
--- a/internal/coordination/peering/members.go
+++ b/internal/coordination/peering/members.go
@@ -53,6 +53,9 @@
 	// crashesKnown and crashesSent are the same for suspicions.
 	crashesKnown comfreyworks.ListVersion
 	crashesSent  uint64
+	// usageKnown and usageSent are the same for usage counts.
+	usageKnown comfreyworks.ListVersion
+	usageSent  uint64
 	// listedBy is the relay whose list contains the member, if this gateway is a leaf
 	// of that relay.
 	listedBy netip.AddrPort
--- a/internal/coordination/peering/partners.go
+++ b/internal/coordination/peering/partners.go
@@ -48,6 +48,7 @@
 	}
 	gateways := len(p.members.present()) + 1
 	p.maxSeen = max(p.maxSeen, gateways)
+	p.setUsageGateways()
 	if p.hasJoined(now) {
 		p.options.Balancer.SetGateways(gateways)
 	}
@@ -60,6 +61,7 @@
 		for _, m := range p.members.members {
 			m.forgetOrigins()
 			m.forgetCrashes()
+			m.usageKnown, m.usageSent = comfreyworks.ListVersion{}, 0
 		}
 	}
 	if !p.relay {
--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -1,7 +1,8 @@
 // Package peering exchanges state between gateways: which gateways exist, the
 // load that they have put on each upstream, which engines load weights, which
-// release began each stream, which parts of prompts may crash engines, and the
-// newest declaration and list of upstreams.
+// release began each stream, which parts of prompts may crash engines, what
+// workspaces with usage limits have used, and the newest declaration and list of
+// upstreams.
 //
 // In each availability zone a few gateways are relays. Relays exchange state with
 // all other relays; every other gateway is a leaf and exchanges state with one
@@ -44,6 +45,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
+	"comfreyworks/internal/coordination/usage"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/crashes"
 	"comfreyworks/internal/state/faults"
@@ -138,8 +140,11 @@
 	// Crashes records which parts of prompts may crash engines; gateways exchange it.
 	// Nil means a log of its own.
 	Crashes *crashes.Log
-	Clock   comfreyworks.Clock
-	Logger  *zap.Logger
+	// Usage limits what workspaces use; gateways exchange its counts. Nil means one
+	// without limits.
+	Usage  *usage.Limiter
+	Clock  comfreyworks.Clock
+	Logger *zap.Logger
 	// Faults records panics, after which the exchange goes on.
 	Faults *faults.Recorder
 }
@@ -182,6 +187,9 @@
 	if options.Crashes == nil {
 		options.Crashes = crashes.New(crashes.Options{Clock: options.Clock})
 	}
+	if options.Usage == nil {
+		options.Usage = usage.New(usage.Options{Clock: options.Clock})
+	}
 	p := &Peering{
 		options: options, startedAt: now,
 		spread:   Spread(options.Self.ID),
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"comfreyworks/internal/coordination/peering"
 	"comfreyworks/internal/coordination/placement"
 	"comfreyworks/internal/coordination/rollout"
+	"comfreyworks/internal/coordination/usage"
 	"comfreyworks/internal/coordination/watch"
 	"comfreyworks/internal/protocol/exchange"
 	"comfreyworks/internal/protocol/peer"
@@ -145,6 +146,7 @@
 	peering        *peering.Peering
 	peerClients    *peer.Clients
 	crashes        *crashes.Log
+	usage          *usageAdmission
 	leaving        atomic.Bool
 	// stoppedAt is set before leaving.
 	stoppedAt atomic.Pointer[time.Time]
@@ -163,6 +165,14 @@
 		Clock: options.Clock, Spread: peering.Spread(options.Settings.ID),
 		Tries: func(key uint32) bool { return g.peering.IsSelected(fmt.Sprint("part ", key), 1) },
 	})
+	bounds := &options.Settings.Bounds
+	g.usage = &usageAdmission{
+		limiter: usage.New(usage.Options{
+			Clock: options.Clock, Window: bounds.UsageWindow, Overage: bounds.UsageOverage, Slack: bounds.UsageSlack,
+			Routing: g.declaredRouting,
+		}),
+		clock: options.Clock, logger: options.Logger, meter: options.Meter, loggedAt: make(map[comfreyworks.Workspace]time.Time),
+	}
 	saved := savedsessions.New(options.Clock)
 	origins := &streamOrigins{log: streamorigins.New(options.Clock)}
 	g.balancer = balance.New(balance.Options{
@@ -198,7 +208,7 @@
 		NewClient:     func(address netip.AddrPort) comfreyworks.GatewayClient { return g.peerClients.To(address) },
 		RetainClients: g.peerClients.Retain,
 		Catalog:       g.catalog, Balancer: g.balancer, Saved: saved, Clock: options.Clock, Logger: options.Logger, Faults: options.Faults,
-		Origins: origins.log, PassOrigins: g.passesOrigins, Crashes: g.crashes,
+		Origins: origins.log, PassOrigins: g.passesOrigins, Crashes: g.crashes, Usage: g.usage.limiter,
 	})
 	origins.peering = g.peering
 	if options.Caches != nil {
--- a/internal/transport/gateway/request.go
+++ b/internal/transport/gateway/request.go
@@ -82,9 +82,14 @@
 			return nil, missingRejection(stale, http.StatusUnauthorized, "no such key")
 		}
 	}
+	amount, rejected := g.usage.take(r, names, route, workspace)
+	if rejected != nil {
+		return nil, rejected
+	}
 	deadline := requestDeadline(r.Header.Get(names.Deadline), route, received)
 	body, rejected := readBody(w, r, table.Limits().BodyBytes, g.options.Clock.Until(deadline))
 	if rejected != nil {
+		g.usage.giveBack(workspace, amount)
 		return nil, rejected
 	}
 	request := &forward.Request{
@@ -93,7 +98,7 @@
 			Header: g.forwardableHeader(r.Header), Body: body,
 		},
 		Route: route, Pool: routing.ChoosePool(route, rand.Float64()), Workspace: workspace,
-		Received: received, Deadline: deadline,
+		Received: received, Deadline: deadline, Usage: amount,
 	}
 	if route.Affinity {
 		request.Prompt = parsePrompt(r.Header, names)
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -18,6 +18,7 @@
 		received := g.options.Clock.Now()
 		request, rejected := g.prepareRequest(w, r, received)
 		if rejected == nil && g.isLate(request) {
+			g.usage.giveBack(request.Workspace, request.Usage)
 			rejected = &rejection{http.StatusServiceUnavailable, "stopping", staleRetryAfter}
 		}
 		if rejected != nil {
@@ -31,7 +32,10 @@
 		}
 		var outcome forward.Outcome
 		if !g.options.Faults.Run("request", func() { outcome = g.forwarder.Forward(r.Context(), request, s) }) {
-			outcome = forward.Outcome{Verdict: forward.Broken, Reason: "panic"}
+			outcome = forward.Outcome{Verdict: forward.Broken, Reason: "panic", Runs: 1}
+		}
+		if outcome.Runs == 0 {
+			g.usage.giveBack(request.Workspace, request.Usage)
 		}
 		g.recordOutcome(request, &outcome)
 		g.respond(w, r, &outcome)
--- a/peering.go
+++ b/peering.go
@@ -127,6 +127,15 @@
 	// the state of a gateway that does not exchange suspicions.
 	Crashes                   []CrashSuspicion
 	CrashesList, CrashesKnown ListVersion
+	// Usage lists the counts of workspaces with usage limits that the receiver does not
+	// know yet, summed like Loads, with UsageList and UsageKnown as for Saved.
+	// UsageList.Process also changes when the counts are summed over other gateways.
+	// UsageWhole means that all counts are listed.
+	Usage                 []UsageCount
+	UsageList, UsageKnown ListVersion
+	UsageWhole            bool
+	// UsageGateways is the number of gateways whose recent counts are in the sums.
+	UsageGateways int
 	// Loads are the loads of the sender and of the leaves that call it. In a reply
 	// to a leaf, they are the loads of all other gateways.
 	Loads []UpstreamLoad
--- a/routing.go
+++ b/routing.go
@@ -106,6 +106,8 @@
 	Priority int
 	// Isolated means that the workspace shares no cached prefix with any other.
 	Isolated bool
+	// Limit limits the usage of the workspace.
+	Limit UsageLimit
 }
 
 // Routing is one version of the routes, pools, limits and workspaces that
--- a/settings.go
+++ b/settings.go
@@ -43,4 +43,9 @@
 	// SupersededWeights is how long superseded weights may still generate
 	// answers.
 	SupersededWeights time.Duration
+	// Within each UsageWindow, upstreams run at most (rate * UsageWindow + burst) *
+	// (1 + UsageOverage) + UsageSlack for a workspace with a usage limit.
+	UsageWindow  time.Duration
+	UsageOverage float64
+	UsageSlack   float64
 }
