Excuse parts of prompts when several upstreams end at the same moment

Cause: a request counts a crash for its suspects in addition to those known when it was sent. Half the engines that end two or three times 2 s apart thus give two or three crashes to every part that was in flight each time, and answers that take 1 to 5 s clear none in between. Most refusals were because of a first part with two crashes, which many prompts share.

What callers saw: sound requests were refused, some for the 10 minutes of a quarantine.

Change: a gateway under whose requests three upstreams end within 20 ms excuses the suspects of these requests, unless they were at half of the upstreams or more. They keep the crashes known before. A part that is blamed is not excused, and none more than three times.

The model's policies now pass the engine of a request to the log (policy_test.go), as internal/coordination/forward does; they dropped it. Without it the log can't tell one upstream from several.

--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -6,8 +6,10 @@
 // prompt, which it shares with others. The log counts crashes for each suspect of the
 // requests that had just begun, but only those that follow one another: a request counts
 // a crash for its suspects in addition to those that its gateway knew of when the request
-// was sent. Upstreams that end together, whatever they ran, thus count once. An answer
-// clears the suspects of its request, and it then takes more crashes to blame its parts.
+// was sent. Upstreams that end together, whatever they ran, thus count once, and not at
+// all if a gateway sees several end at the same moment under requests that have nothing
+// in common. An answer clears the suspects of its request, and it then takes more
+// crashes to blame its parts.
 //
 // A suspect with several crashes is blamed. Requests with it are refused, except those
 // that tell whether another suspect of the crashed requests was the cause. If one more
@@ -131,6 +133,8 @@
 	refusals refusalCounts
 	// answered holds the parts that this gateway has seen answered.
 	answered recentParts
+	// ends holds the requests under which upstreams ended last.
+	ends recentEnds
 }
 
 // earlyTrial identifies a quarantine: the part, and how often it was cleared before.
@@ -274,6 +278,7 @@
 			}
 		}
 	}, Local, suspicion.add)
+	r.log.excuseTogether(r)
 	for _, s := range r.parts {
 		if known, _ := r.log.log.Lookup(s.key); known.cleared == s.known.cleared {
 			crashes = max(crashes, int(known.crashes))
--- a/internal/state/crashes/policy_test.go
+++ b/internal/state/crashes/policy_test.go
@@ -1,6 +1,10 @@
 package crashes
 
 import (
+	"fmt"
+	"time"
+
+	"comfreyworks"
 	"comfreyworks/internal/state/sharedlog"
 )
 
@@ -27,7 +31,9 @@
 	aloneAfter uint16
 }
 
-func (p logPolicy) begin(_ int, keys []uint32) run { return p.Begin(keys) }
+func (p logPolicy) begin(engine int, keys []uint32) run {
+	return p.Begin(keys).On(comfreyworks.InstanceID(fmt.Sprint("engine/", engine)), time.Time{})
+}
 
 func (p logPolicy) verdict(keys []uint32) (refused, alone bool) {
 	_, refused = p.Admit(keys)
