Treat limits of callers that are zero as http.Server does

The listener ended every connection if a deployment sets header-timeout or idle-timeout to zero. http.Server, which applied them before, takes the timeout of whole requests instead, or none.

go test -race ./internal/protocol/listener: pass, with a case that removes the timeout of a connection in use.

--- a/internal/protocol/listener/conn.go
+++ b/internal/protocol/listener/conn.go
@@ -103,12 +103,10 @@
 		c.phase = phaseRequest
 		c.headerLeft.Store(math.MaxInt64)
 		l.states[c] = http.StateActive
-		if timeout := l.limits().BodyTimeout; timeout > 0 {
-			deadline = c.headerSince.Add(timeout)
-		}
+		deadline = firstDeadline(c.headerSince, l.limits().BodyTimeout)
 	case phaseAnswered:
 		c.phase = phaseWaiting
-		deadline = c.idleSince.Add(l.limits().IdleTimeout)
+		deadline = l.limits().idleDeadline(c.idleSince)
 		if l.closing {
 			deadline = time.Now()
 		}
@@ -130,5 +128,5 @@
 	if l.closing && l.states[c] == http.StateNew {
 		return l.firstRequestBy
 	}
-	return c.headerSince.Add(limits.HeaderTimeout)
+	return limits.headerDeadline(c.headerSince)
 }
--- a/internal/protocol/listener/listener.go
+++ b/internal/protocol/listener/listener.go
@@ -65,15 +65,36 @@
 	// HeaderBytes is the size of a request's header above which it is answered with 431.
 	// As with http.Server, up to 8 kB more may be read.
 	HeaderBytes int
-	// HeaderTimeout is the time in which the header of a request must arrive.
+	// HeaderTimeout is the time in which the header of a request must arrive; zero means
+	// BodyTimeout.
 	HeaderTimeout time.Duration
 	// BodyTimeout is the time from the beginning of a header in which the whole request
 	// must arrive; zero means that only the handler limits it.
 	BodyTimeout time.Duration
-	// IdleTimeout is how long a connection may be idle between two requests.
+	// IdleTimeout is how long a connection may be idle between two requests; zero means
+	// BodyTimeout.
 	IdleTimeout time.Duration
 }
 
+// firstDeadline returns the end of the first timeout that is not zero, or the zero time
+// if there is none.
+func firstDeadline(since time.Time, timeouts ...time.Duration) time.Time {
+	for _, timeout := range timeouts {
+		if timeout > 0 {
+			return since.Add(timeout)
+		}
+	}
+	return time.Time{}
+}
+
+func (l Limits) headerDeadline(since time.Time) time.Time {
+	return firstDeadline(since, l.HeaderTimeout, l.BodyTimeout)
+}
+
+func (l Limits) idleDeadline(since time.Time) time.Time {
+	return firstDeadline(since, l.IdleTimeout, l.BodyTimeout)
+}
+
 // Listener accepts connections of callers and tracks their states. A drain waits for
 // them here, because http.Server.Shutdown drops requests without an answer whose header
 // is read meanwhile. The limits are applied here, because those of an http.Server must
@@ -214,8 +235,9 @@
 func (l *Listener) extendIdle(c *conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	deadline := c.idleSince.Add(l.limits().IdleTimeout)
-	if l.closing || l.states[c] != http.StateIdle || !deadline.After(time.Now()) {
+	deadline := l.limits().idleDeadline(c.idleSince)
+	passed := !deadline.IsZero() && !deadline.After(time.Now())
+	if l.closing || l.states[c] != http.StateIdle || passed {
 		return false
 	}
 	return c.TCPConn.SetReadDeadline(deadline) == nil
--- a/internal/protocol/listener/listener_test.go
+++ b/internal/protocol/listener/listener_test.go
@@ -107,6 +107,7 @@
 		{"size lowered", limits(long, time.Minute), limits(short, time.Minute), 32 << 10, 0, http.StatusRequestHeaderFieldsTooLarge},
 		{"size lowered, endless header", limits(long, time.Minute), limits(short, time.Minute), 16 << 20, 0, http.StatusRequestHeaderFieldsTooLarge},
 		{"time raised", limits(short, time.Second), limits(short, time.Minute), 10, 1200 * time.Millisecond, http.StatusOK},
+		{"time removed", limits(short, time.Second), limits(short, 0), 10, 1200 * time.Millisecond, http.StatusOK},
 		{"time lowered", limits(short, time.Minute), limits(short, 50*time.Millisecond), 10, 200 * time.Millisecond, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
