Warn of entries without effect and contradicting limits in deployment files

comfreyctl validate reported only what makes a file invalid. An operator learnt of a class that nobody may use, a call that an earlier one shadows, two workspaces with one key or as many load permits as replicas only when requests failed.

go test -race ./internal/state/settings ./internal/transport/control: pass. The example files have no warnings.

--- a/internal/state/settings/settings_test.go
+++ b/internal/state/settings/settings_test.go
@@ -133,3 +133,64 @@
 		}
 	})
 }
+
+const doubtfulDeployment = `{
+  "deployment": "d", "region": "r", "zones": [{"name": "a"}],
+  "models": [{"name": "m1", "weights": "v1"}],
+  "classes": [
+    {"name": "review", "priority": 1, "deadline": "20m", "queue-bound": 0},
+    {"name": "unused", "priority": 1, "deadline": "0s"},
+  ],
+  "workspaces": [
+    {"name": "w1", "key-sha256": "` + hash + `", "classes": ["review", "review"]},
+    {"name": "w2", "key-sha256": "` + hash + `", "classes": ["review"]},
+  ],
+  "pools": [
+    {"name": "lm", "kind": "engine", "models": ["m1"], "replicas": 2, "zones": ["a"], "load-permits": 2,
+     "directory-shards": 3},
+    {"name": "orders", "kind": "service", "replicas": 0, "zones": ["a"], "calls": [
+      {"method": "GET", "path": "/jobs", "repeatable": true},
+      {"method": "GET", "path": "/jobs", "repeatable": false},
+      {"method": "GET", "path": "/jobs?crew=7", "repeatable": true},
+      {"method": "POST", "path": "/jobs", "repeatable": false},
+    ]},
+  ],
+  "callers": {"header-timeout": "5s", "body-timeout": "2s", "write-timeout": "0s", "max-body": "0B"},
+}`
+
+const hash = "6e29f9735b816ec076bca48b7b39ef34af39f2cd68c786a14750f52ae192a5e2"
+
+// TestReviewDeployment guards against entries without effect, and limits that contradict
+// each other, that an operator learns of only when requests fail.
+func TestReviewDeployment(t *testing.T) {
+	_, warnings, err := ReviewDeployment("d.jsonc", []byte(doubtfulDeployment))
+	assert.NilError(t, err)
+	expectProblems(t, warnings,
+		`d.jsonc:5: classes[0].queue-bound: found 0, so every request of the class that would have to wait is refused`,
+		`d.jsonc:6: classes[1].name: "unused" is in the classes of no workspace, so no request can have it`,
+		`d.jsonc:6: classes[1].deadline: found 0s, so every request of the class ends at once`,
+		`d.jsonc:9: workspaces[0].classes[1]: "review" is in the list already, at workspaces[0].classes[0]`,
+		`d.jsonc:9: workspaces[0].key-sha256: workspace "w2" has the same key, so no request is counted as one of "w1"`,
+		`d.jsonc:13: pools[0].load-permits: found 2, so all 2 replicas may load weights at the same time and none serves`,
+		`d.jsonc:14: pools[0].directory-shards: found 3, more than the 2 replicas that hold them`,
+		`d.jsonc:15: pools[1].replicas: found 0, so nothing serves the requests of the pool`,
+		`d.jsonc:15: pools[1].idempotency-window: found 15m0s, less than the longest deadline of a class, 20m0s: a key can expire while its request runs`,
+		`d.jsonc:17: pools[1].calls[1].path: GET /jobs never matches, because pools[1].calls[0] is the same call`,
+		`d.jsonc:18: pools[1].calls[2].path: "/jobs?crew=7" never matches, because the query of a request is ignored`,
+		`d.jsonc:22: callers.max-body: found 0, so every request with a body is refused`,
+		`d.jsonc:22: callers.body-timeout: found 2s, which includes the header and is less than callers.header-timeout, 5s`,
+		`d.jsonc:22: callers.write-timeout: found 0s, so every answer is cut off`,
+	)
+	t.Run("the examples have none", func(t *testing.T) {
+		for _, example := range [][]byte{examples.Piedmont, examples.Ramdeen} {
+			_, warnings, err := ReviewDeployment("example.jsonc", example)
+			assert.NilError(t, err)
+			assert.Equal(t, len(warnings), 0, "%v", warnings)
+		}
+	})
+	t.Run("an invalid file has errors instead", func(t *testing.T) {
+		_, warnings, err := ReviewDeployment("d.jsonc", []byte(invalidDeployment))
+		assert.Equal(t, len(warnings), 0)
+		assert.Assert(t, err != nil)
+	})
+}
--- a/internal/transport/control/configure.go
+++ b/internal/transport/control/configure.go
@@ -90,18 +90,36 @@
 	}
 }
 
-// readDocument reads and validates a deployment file.
-func readDocument(file string) (*revision.Document, error) {
+// readDocument reads and validates a deployment file. It also returns the warnings
+// about it.
+func readDocument(file string) (*revision.Document, settings.Problems, error) {
 	source, err := os.ReadFile(file)
 	if err != nil {
-		return nil, eris.Wrap(err, "read the deployment file")
+		return nil, nil, eris.Wrap(err, "read the deployment file")
+	}
+	_, warnings, err := settings.ReviewDeployment(file, source)
+	if err != nil {
+		return nil, nil, err
 	}
 	document, err := revision.Parse(file, source)
 	var invalid *revision.Error
 	if errors.As(err, &invalid) {
-		return nil, invalid.Err
+		return nil, nil, invalid.Err
+	}
+	return document, warnings, err
+}
+
+// printDiffs prints for each valid file what applying it would change.
+func (s *session) printDiffs(files []string) error {
+	var all []error
+	for _, file := range files {
+		if _, _, err := readDocument(file); err != nil {
+			continue
+		}
+		s.printf("%s: ", file)
+		all = append(all, s.printDiff(file))
 	}
-	return document, err
+	return errors.Join(all...)
 }
 
 // printDiff prints what applying a file would change.
@@ -110,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	next, err := readDocument(file)
+	next, _, err := readDocument(file)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/control/configure_test.go
+++ b/internal/transport/control/configure_test.go
@@ -97,6 +97,16 @@
 		f.expect(t, program.ExitOK, `"40s"`, "diff", f.writeDeployment(t, "40s"))
 		f.expect(t, program.ExitOK, "no difference", "diff", f.writeDeployment(t, "50s"))
 	})
+	t.Run("validate shows it with the mistakes", func(t *testing.T) {
+		f.expect(t, program.ExitOK, `"40s"`, "validate", "--in-force", f.writeDeployment(t, "40s"))
+		f.expect(t, program.ExitSettings, `found "soon"`, "validate", "--in-force", f.writeDeployment(t, "soon"))
+	})
+	t.Run("a file with warnings is not applied with --strict", func(t *testing.T) {
+		text := strings.Replace(string(examples.Piedmont), `"queue-bound": 256`, `"queue-bound": 0`, 1)
+		file := f.write(t, "doubtful.jsonc", text)
+		f.expect(t, program.ExitSettings, "classes[1].queue-bound: found 0", "apply", file, "--author", "ann", "--strict")
+		f.expect(t, program.ExitOK, "no difference", "diff", f.writeDeployment(t, "50s"))
+	})
 	t.Run("a base that is no longer current is a conflict that names the other author", func(t *testing.T) {
 		f.expect(t, control.ExitConflict, "revision 1 by ann", "apply", f.writeDeployment(t, "30s"), "--author", "bob", "--base", "0")
 	})
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -52,8 +52,15 @@
 	Timeout       time.Duration `long:"timeout" default:"30s" description:"how long --wait waits"`
 }
 
+// strictOption is the option of commands that read a deployment file.
+type strictOption struct {
+	Strict bool `long:"strict" description:"treat warnings as mistakes"`
+}
+
 type validateCommand struct {
-	Args struct {
+	strictOption
+	InForce bool `long:"in-force" description:"also show what differs from the configuration in force"`
+	Args    struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes"`
 }
@@ -64,6 +71,7 @@
 
 type applyCommand struct {
 	changeOptions
+	strictOption
 	Base    *uint64      `long:"base" description:"revision that the file was made for; a newer one is a conflict"`
 	Message string       `long:"message" description:"why the change is made"`
 	Args    fileArgument `positional-args:"yes"`
@@ -145,8 +153,8 @@
 
 // run executes the subcommand with the given name.
 func (c *commands) run(name string, stdout io.Writer) error {
-	if name == "validate" {
-		return validate(c.Validate.Args.Files, stdout)
+	if name == "validate" && !c.Validate.InForce {
+		return c.Validate.execute(stdout)
 	}
 	s, err := openSession(context.Background(), c.Config, stdout)
 	if err != nil {
@@ -154,6 +162,8 @@
 	}
 	defer s.peers.Close()
 	switch name {
+	case "validate":
+		return errors.Join(c.Validate.execute(stdout), s.printDiffs(c.Validate.Args.Files))
 	case "diff":
 		return s.printDiff(c.Diff.Args.File)
 	case "apply":
@@ -168,10 +178,13 @@
 }
 
 func (c *applyCommand) execute(s *session) error {
-	next, err := readDocument(c.Args.File)
+	next, warnings, err := readDocument(c.Args.File)
 	if err != nil {
 		return err
 	}
+	if err := c.report(warnings, s.out); err != nil {
+		return err
+	}
 	var base *comfreyworks.ConfigRevision
 	if c.Base != nil {
 		base = new(comfreyworks.ConfigRevision(*c.Base))
@@ -195,14 +208,29 @@
 	return s.waitInForce(number, c.Timeout)
 }
 
-// validate checks all files, even after errors, so that one run reports every
+// report prints warnings. With --strict it returns them as an error instead.
+func (o strictOption) report(warnings settings.Problems, stdout io.Writer) error {
+	if o.Strict && len(warnings) > 0 {
+		return warnings
+	}
+	for _, warning := range warnings {
+		_, _ = fmt.Fprintf(stdout, "warning: %s\n", warning)
+	}
+	return nil
+}
+
+// execute checks all files, even after errors, so that one run reports every
 // mistake.
-func validate(files []string, stdout io.Writer) error {
+func (c *validateCommand) execute(stdout io.Writer) error {
 	var all []error
-	for _, file := range files {
+	for _, file := range c.Args.Files {
 		source, err := os.ReadFile(file)
+		var warnings settings.Problems
+		if err == nil {
+			_, warnings, err = settings.ReviewDeployment(file, source)
+		}
 		if err == nil {
-			_, err = settings.ReadDeployment(file, source)
+			err = c.report(warnings, stdout)
 		}
 		if err != nil {
 			all = append(all, err)
--- a/internal/transport/control/control_test.go
+++ b/internal/transport/control/control_test.go
@@ -18,6 +18,10 @@
 	hostName := filepath.Join(t.TempDir(), "host.jsonc")
 	assert.NilError(t, os.WriteFile(hostName, []byte(`{"platform": "log.example:1", "peer-secret": "0123456789abcdef"}`), 0o600))
 	const valid = "../../../examples/piedmont.jsonc"
+	source, err := os.ReadFile(valid)
+	assert.NilError(t, err)
+	doubtful := filepath.Join(t.TempDir(), "doubtful.jsonc")
+	assert.NilError(t, os.WriteFile(doubtful, bytes.Replace(source, []byte(`"directory-shards": 2`), []byte(`"directory-shards": 20`), 1), 0o600))
 	tests := []struct {
 		name     string
 		args     []string
@@ -28,6 +32,8 @@
 		{"version", []string{"--version"}, program.ExitOK, program.Version},
 		{"valid file", []string{"validate", valid}, program.ExitOK, "settings are good"},
 		{"invalid file", []string{"validate", invalid, valid}, program.ExitSettings, invalid + ":2: colour: unknown field"},
+		{"warning", []string{"validate", doubtful}, program.ExitOK, "warning: " + doubtful + ":"},
+		{"warning, strict", []string{"validate", "--strict", doubtful}, program.ExitSettings, "pools[0].directory-shards: found 20"},
 		{"no file argument", []string{"validate"}, program.ExitUsage, "FILE"},
 		{"file does not exist", []string{"validate", "none.jsonc"}, program.ExitSettings, "none.jsonc"},
 		{"unknown command", []string{"fly"}, program.ExitUsage, "fly"},
