Check what operators declare for gateways before it is declared

Gateways take a routing as it is: a route with the host and prefix of an earlier one, a pool that nothing declares, a key of two workspaces or a timeout of zero showed only in failing requests, and a record that cannot be decoded was set aside.

--- a/cmd/comfreyctl/main.go
+++ b/cmd/comfreyctl/main.go
@@ -10,8 +10,9 @@
 	"os"
 
 	"comfreyworks/internal/transport/control"
+	"comfreyworks/platform"
 )
 
 func main() {
-	os.Exit(control.Main(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(control.Main(os.Args[1:], os.Stdout, os.Stderr, platform.CheckConfig))
 }
--- a/internal/state/crashes/together_test.go
+++ b/internal/state/crashes/together_test.go
@@ -43,7 +43,8 @@
 		{"one after another", togetherWindow, together, map[uint32]int{sound: 1, other: 1, 100: 1, 104: 1}},
 		{"two upstreams", 0, together[:2], map[uint32]int{sound: 1, other: 1}},
 		{
-			"a part of half the requests", 0, [][]uint32{{crasher, 100}, {crasher, 101}, {crasher, 102}, {sound}, {other}},
+			"a part of half the requests", 0,
+			[][]uint32{{crasher, 100}, {crasher, 101}, {crasher, 102}, {sound}, {other}},
 			map[uint32]int{crasher: 1, 100: 0, sound: 0},
 		},
 	} {
--- a/internal/transport/control/configure_test.go
+++ b/internal/transport/control/configure_test.go
@@ -67,7 +67,7 @@
 	t.Helper()
 	args = append(args, "--config", f.config)
 	var out bytes.Buffer
-	assert.Equal(t, control.Main(args, &out, &out), code, out.String())
+	assert.Equal(t, control.Main(args, &out, &out, nil), code, out.String())
 	assert.Assert(t, strings.Contains(out.String(), part), out.String())
 }
 
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	os.Exit(control.Main(os.Args[1:], os.Stdout, os.Stderr))
+//	os.Exit(control.Main(os.Args[1:], os.Stdout, os.Stderr, platform.CheckConfig))
 //
 // Exit codes are those of package program, and ExitConflict.
 package control
@@ -36,6 +36,8 @@
 	Status      statusCommand   `command:"status" description:"show which revision every instance has in force"`
 	History     historyCommand  `command:"history" description:"list the revisions and the records that made none"`
 	Rollback    rollbackCommand `command:"rollback" description:"make an older revision's content the next revision"`
+
+	checkGateways CheckGatewayConfig
 }
 
 // fileArgument is the positional argument of commands that read a deployment
@@ -59,8 +61,10 @@
 
 type validateCommand struct {
 	strictOption
-	InForce bool `long:"in-force" description:"also show what differs from the configuration in force"`
-	Args    struct {
+	InForce         bool   `long:"in-force" description:"also show what differs from the configuration in force"`
+	Gateways        bool   `long:"gateways" description:"the files declare the configuration of gateways"`
+	GatewaySettings string `long:"gateway-settings" description:"with --gateways, settings file of a gateway whose bounds are compared" value-name:"FILE"`
+	Args            struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes"`
 }
@@ -88,10 +92,16 @@
 	} `positional-args:"yes"`
 }
 
-// Main runs one command and returns the exit code.
-func Main(args []string, stdout, stderr io.Writer) program.ExitCode {
+// CheckGatewayConfig checks a file that declares the configuration of gateways. The path
+// of a gateway's settings file may be empty. It returns mistakes as settings.Problems and
+// otherwise warnings.
+type CheckGatewayConfig func(file, settingsFile string) (warnings settings.Problems, err error)
+
+// Main runs one command and returns the exit code. checkGateways implements validate
+// --gateways.
+func Main(args []string, stdout, stderr io.Writer, checkGateways CheckGatewayConfig) program.ExitCode {
 	versionShown := false
-	var c commands
+	c := commands{checkGateways: checkGateways}
 	c.Version = func() {
 		versionShown = true
 		_, _ = fmt.Fprintln(stdout, "comfreyctl", program.Version)
@@ -153,8 +163,15 @@
 
 // run executes the subcommand with the given name.
 func (c *commands) run(name string, stdout io.Writer) error {
-	if name == "validate" && !c.Validate.InForce {
-		return c.Validate.execute(stdout)
+	switch {
+	case name == "validate" && c.Validate.Gateways && c.Validate.InForce:
+		return errors.New("--in-force cannot be combined with --gateways: their configuration is not in the log")
+	case name == "validate" && c.Validate.Gateways:
+		return c.Validate.execute(stdout, func(file string) (settings.Problems, error) {
+			return c.checkGateways(file, c.Validate.GatewaySettings)
+		})
+	case name == "validate" && !c.Validate.InForce:
+		return c.Validate.execute(stdout, reviewDeployment)
 	}
 	s, err := openSession(context.Background(), c.Config, stdout)
 	if err != nil {
@@ -163,7 +180,7 @@
 	defer s.peers.Close()
 	switch name {
 	case "validate":
-		return errors.Join(c.Validate.execute(stdout), s.printDiffs(c.Validate.Args.Files))
+		return errors.Join(c.Validate.execute(stdout, reviewDeployment), s.printDiffs(c.Validate.Args.Files))
 	case "diff":
 		return s.printDiff(c.Diff.Args.File)
 	case "apply":
@@ -221,14 +238,10 @@
 
 // execute checks all files, even after errors, so that one run reports every
 // mistake.
-func (c *validateCommand) execute(stdout io.Writer) error {
+func (c *validateCommand) execute(stdout io.Writer, check func(file string) (settings.Problems, error)) error {
 	var all []error
 	for _, file := range c.Args.Files {
-		source, err := os.ReadFile(file)
-		var warnings settings.Problems
-		if err == nil {
-			_, warnings, err = settings.ReviewDeployment(file, source)
-		}
+		warnings, err := check(file)
 		if err == nil {
 			err = c.report(warnings, stdout)
 		}
@@ -240,3 +253,13 @@
 	}
 	return errors.Join(all...)
 }
+
+// reviewDeployment checks a deployment file.
+func reviewDeployment(file string) (settings.Problems, error) {
+	source, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	_, warnings, err := settings.ReviewDeployment(file, source)
+	return warnings, err
+}
--- a/internal/transport/control/control_test.go
+++ b/internal/transport/control/control_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"comfreyworks/internal/transport/program"
+	"comfreyworks/platform"
 )
 
 func TestExitCodesAndOutput(t *testing.T) {
@@ -22,6 +23,8 @@
 	assert.NilError(t, err)
 	doubtful := filepath.Join(t.TempDir(), "doubtful.jsonc")
 	assert.NilError(t, os.WriteFile(doubtful, bytes.Replace(source, []byte(`"directory-shards": 2`), []byte(`"directory-shards": 20`), 1), 0o600))
+	routes := filepath.Join(t.TempDir(), "routes.json")
+	assert.NilError(t, os.WriteFile(routes, []byte(`{"routes": [{"name": "r", "hostname": "h", "kind": "idempotent", "service": "s"}], "services": [{"name": "s"}]}`), 0o600))
 	tests := []struct {
 		name     string
 		args     []string
@@ -34,6 +37,10 @@
 		{"invalid file", []string{"validate", invalid, valid}, program.ExitSettings, invalid + ":2: colour: unknown field"},
 		{"warning", []string{"validate", doubtful}, program.ExitOK, "warning: " + doubtful + ":"},
 		{"warning, strict", []string{"validate", "--strict", doubtful}, program.ExitSettings, "pools[0].directory-shards: found 20"},
+		{"gateways", []string{"validate", "--gateways", routes}, program.ExitOK, "warning: " + routes + ":1: routes[0].timeout_ms"},
+		{"gateways, deployment file", []string{"validate", "--gateways", valid}, program.ExitSettings, valid + ":1: invalid character"},
+		{"gateways, settings file", []string{"validate", "--gateways", routes, "--gateway-settings", invalid}, program.ExitFailure, invalid},
+		{"gateways, in force", []string{"validate", "--gateways", "--in-force", routes}, program.ExitFailure, "cannot be combined"},
 		{"no file argument", []string{"validate"}, program.ExitUsage, "FILE"},
 		{"file does not exist", []string{"validate", "none.jsonc"}, program.ExitSettings, "none.jsonc"},
 		{"unknown command", []string{"fly"}, program.ExitUsage, "fly"},
@@ -45,7 +52,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			var out bytes.Buffer
-			assert.Equal(t, Main(test.args, &out, &out), test.code)
+			assert.Equal(t, Main(test.args, &out, &out, platform.CheckConfig), test.code)
 			assert.Assert(t, strings.Contains(out.String(), test.expected), out.String())
 		})
 	}
