Separate long prompts from streams under pressure

An engine that prefills a long prompt generates no tokens for its streams. While 8 % or more of the judged streams of a pool miss a gap, an objective or a deadline that their route declares, long prompts and all other generation requests now use different engines. Package partition decides the share from the demand for engine time of both kinds, which gateways exchange as sums, and orders engines by speed class and rendezvous hashing. The boundary moves by at most a tenth of the capacity in 250 ms, and changes of demand within 5 % do not move it.

Tests are without network; no deployment was measured yet.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -11,6 +11,9 @@
 // In a large fleet no gateway knows what engines have cached. There each session
 // has a few homes among the engines, on which all gateways agree.
 //
+// While streams miss the times that their routes declare, long prompts and other requests
+// use different engines, see package partition.
+//
 // # Usage
 //
 //	b := balance.New(balance.Options{Catalog: c, Holdings: index, Policy: policy, Clock: clock, Zone: zone})
@@ -29,6 +32,7 @@
 	"go.uber.org/zap"
 
 	"comfreyworks"
+	"comfreyworks/internal/coordination/partition"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/rendezvous"
@@ -93,6 +97,9 @@
 	// SupersededWeights is how long superseded weights may generate answers; zero
 	// means without limit.
 	SupersededWeights time.Duration
+	// PrefillFactor returns the time that an engine takes to prefill a token relative to
+	// the usual one. If it is nil, all engines count as equally fast.
+	PrefillFactor func(comfreyworks.InstanceID) float64
 }
 
 // Query describes a request that needs an upstream.
@@ -113,6 +120,10 @@
 	// whole prompt.
 	Parts  []comfreyworks.PromptPart
 	Tokens int
+	// OutputTokens is the declared maximum length of the answer; zero if unknown.
+	OutputTokens int
+	// RoutePriority is the priority of the route, without that of the workspace.
+	RoutePriority int
 	// Priority is the priority in the engine's queue; 0 is the most urgent.
 	Priority int
 	// Release is the only release that may serve the request, as a value of
@@ -178,6 +189,8 @@
 	// not known yet.
 	gateways int
 	leaving  departures
+	demands  demands
+	divided  map[comfreyworks.Pool]*poolDivision
 }
 
 // endpoint holds what this gateway has observed of one upstream itself.
@@ -221,6 +234,8 @@
 		peers:     newPeerLoads(),
 		gateways:  1,
 		leaving:   make(departures),
+		demands:   newDemands(),
+		divided:   make(map[comfreyworks.Pool]*poolDivision),
 	}
 }
 
@@ -262,6 +277,9 @@
 	// silent means that the upstream's silence has been counted as a failure, isProbe
 	// that the answer measures its latency anew, isRetrial that it ends retrialUntil.
 	silent, isProbe, isRetrial bool
+	// kind is the kind of the request, judged means that JudgeStream was called.
+	kind   partition.Kind
+	judged bool
 }
 
 // Pick chooses an upstream and adds the request to its load. It returns nil if
@@ -288,6 +306,7 @@
 	if query.Model == "" {
 		return b.newPick(&tier[chooseFastest(tier, now)], query, len(candidates), 0)
 	}
+	tier = b.dividedTier(tier, &query, now)
 	sources := b.addCacheState(tier, &query, now)
 	tier = b.sessionSubset(tier)
 	best := b.options.Policy.Place(query.Tokens, policyCandidates(tier))
@@ -307,10 +326,11 @@
 func (b *Balancer) newPick(c *candidate, query Query, candidates, prefillTokens int) *Pick {
 	c.endpoint.requests++
 	c.endpoint.backlog.AddTokens(query.Priority, prefillTokens)
+	kind := b.countDemand(&query, c.upstream, prefillTokens, c.endpoint.seenAt)
 	return &Pick{
 		Upstream: *c.upstream, Weights: c.weights, Candidates: candidates, CachedTokens: c.cachedTokens,
 		Wait:     c.wait(),
-		balancer: b, endpoint: c.endpoint, query: query, prefillTokens: prefillTokens,
+		balancer: b, endpoint: c.endpoint, query: query, prefillTokens: prefillTokens, kind: kind,
 		trial: c.endpoint.closure.start(), isProbe: c.isProbe, isRetrial: c.endpoint.startRetrial(),
 	}
 }
--- /dev/null
+++ b/internal/coordination/balance/division.go
@@ -0,0 +1,251 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"comfreyworks"
+	"comfreyworks/internal/coordination/partition"
+	"comfreyworks/internal/state/catalog"
+)
+
+// maxSpilled is the number of engines for long prompts at which a gateway looks for an idle
+// one for another request.
+const maxSpilled = 2 * minHomes
+
+// poolDivision divides the engines of a pool between long prompts and other requests.
+type poolDivision struct {
+	*partition.Separation
+	// gap is the smallest permitted gap of the pool's streams; zero if no route permits
+	// one. cacheTokens is the declared memory of an engine.
+	gap         time.Duration
+	cacheTokens int
+	// groups holds the group of each engine that was listed at the last update, which was
+	// at updatedAt; nil while all engines serve both kinds.
+	groups    map[comfreyworks.InstanceID]partition.Group
+	updatedAt time.Time
+}
+
+// division returns the division of a pool, updated if that is due.
+func (b *Balancer) division(pool comfreyworks.Pool, now time.Time) *poolDivision {
+	d, ok := b.divided[pool]
+	if !ok {
+		d = &poolDivision{Separation: partition.New(string(pool))}
+		b.divided[pool] = d
+	}
+	if d.updatedAt.IsZero() || now.Sub(d.updatedAt) >= partition.UpdateInterval {
+		d.updatedAt = now
+		b.updateDivision(d, pool, now)
+	}
+	return d
+}
+
+// updateDivision updates the objectives and the groups of a pool's engines.
+func (b *Balancer) updateDivision(d *poolDivision, pool comfreyworks.Pool, now time.Time) {
+	d.gap, d.cacheTokens = b.streamObjective(pool)
+	if d.gap == 0 {
+		d.groups = nil
+		return
+	}
+	view := b.options.Catalog.Pool(pool)
+	described := make([]partition.Engine, len(view.Upstreams))
+	for i := range view.Upstreams {
+		upstream := &view.Upstreams[i]
+		described[i] = partition.Engine{Seed: view.Seeds[i], PrefillFactor: b.prefillFactor(upstream.ID), Usable: b.isUsable(upstream, now)}
+	}
+	wasActive, load := d.Active(), b.partitionLoad(pool, now)
+	d.Update(now, &load, described)
+	if d.Active() != wasActive {
+		b.options.Logger.Info("separation of long prompts from other requests changed",
+			zap.String("pool", string(pool)), zap.Bool("separated", d.Active()), zap.Float64("share-for-long", d.Share()),
+			zap.Float64("engines-needed-for-long", load.Demand[partition.Long].EngineTime),
+			zap.Float64("engines-needed-for-others", load.Demand[partition.Other].EngineTime),
+			zap.Float64("missed", load.Missed), zap.Float64("streams", load.Streams))
+	}
+	d.groups = nil
+	if !d.Separated() {
+		return
+	}
+	d.groups = make(map[comfreyworks.InstanceID]partition.Group, len(view.Upstreams))
+	for i, group := range d.Groups(described) {
+		d.groups[view.Upstreams[i].ID] = group
+	}
+}
+
+// streamObjective returns the smallest gap between two events that a route of the pool
+// permits and the declared memory of the pool's engines; zero if there is none.
+func (b *Balancer) streamObjective(pool comfreyworks.Pool) (gap time.Duration, cacheTokens int) {
+	table, _ := b.options.Catalog.Routing()
+	if table == nil {
+		return 0, 0
+	}
+	declared := table.Declared()
+	for i := range declared.Routes {
+		route := &declared.Routes[i]
+		if route.Kind != comfreyworks.RouteStream || route.MaxEventGap <= 0 || (gap != 0 && gap <= route.MaxEventGap) {
+			continue
+		}
+		if slices.ContainsFunc(route.Pools, func(w comfreyworks.PoolWeight) bool { return w.Pool == pool }) {
+			gap = route.MaxEventGap
+		}
+	}
+	for i := range declared.Pools {
+		if declared.Pools[i].Name == pool {
+			cacheTokens = declared.Pools[i].CacheTokens
+		}
+	}
+	return gap, cacheTokens
+}
+
+// partitionLoad returns the load of a pool. Without reports of peers, they count as having
+// measured the same as this gateway.
+func (b *Balancer) partitionLoad(pool comfreyworks.Pool, now time.Time) partition.Load {
+	sum := b.demands.sum(now, func(comfreyworks.InstanceID) bool { return true })[pool]
+	gateways := 1.0
+	if len(b.demands.reports) == 0 {
+		gateways = float64(max(b.gateways, 1))
+	}
+	demand := func(time, priority int) partition.Demand {
+		return partition.Demand{EngineTime: gateways * float64(time) / 1e6, Priority: float64(priority) / float64(max(time, 1))}
+	}
+	return partition.Load{
+		Demand: [partition.NumKinds]partition.Demand{
+			partition.Long: demand(sum.LongTime, sum.LongPriority), partition.Other: demand(sum.OtherTime, sum.OtherPriority),
+		},
+		Streams: float64(sum.Streams) / 1000, Missed: float64(sum.Missed) / 1000,
+	}
+}
+
+func (b *Balancer) prefillFactor(id comfreyworks.InstanceID) float64 {
+	if b.options.PrefillFactor == nil {
+		return 1
+	}
+	return b.options.PrefillFactor(id)
+}
+
+// isUsable reports whether an upstream may receive requests now, as far as this gateway
+// knows.
+func (b *Balancer) isUsable(upstream *comfreyworks.Upstream, now time.Time) bool {
+	return upstream.State == comfreyworks.InstanceLive && !b.leaving.has(upstream) && !b.isAvoided(upstream.ID, now)
+}
+
+// countDemand adds the demand of a request, unless it was counted when it was sent before,
+// and returns its kind.
+func (b *Balancer) countDemand(query *Query, upstream *comfreyworks.Upstream, prefillTokens int, now time.Time) partition.Kind {
+	if query.Model == "" {
+		return partition.Other
+	}
+	d := b.division(query.Pool, now)
+	kind := d.kindOf(query)
+	if d.gap == 0 || len(query.Exclude) > 0 {
+		return kind
+	}
+	slots := cmp.Or(upstream.Slots, defaultSlots)
+	if tokens := query.Tokens + query.OutputTokens; d.cacheTokens > 0 && tokens > 0 {
+		slots = max(min(slots, d.cacheTokens/tokens), 1)
+	}
+	needed := time.Duration(prefillTokens)*prefillTime + time.Duration(query.OutputTokens)*stepTime/time.Duration(slots)
+	measured := b.demands.of(query.Pool, now)
+	measured.time[kind] += float64(needed.Microseconds())
+	measured.priority[kind] += float64(needed.Microseconds()) * float64(min(max(query.RoutePriority, 0), comfreyworks.NumPriorities-1))
+	return kind
+}
+
+// kindOf returns the kind of a request. The whole prompt counts: an engine that is not one
+// of the session's homes would have to prefill all of it.
+func (d *poolDivision) kindOf(query *Query) partition.Kind {
+	if partition.IsLong(time.Duration(query.Tokens)*prefillTime, d.gap) {
+		return partition.Long
+	}
+	return partition.Other
+}
+
+// serves reports whether an engine serves a kind of requests. Engines that were not listed
+// at the last update serve both.
+func (d *poolDivision) serves(id comfreyworks.InstanceID, kind partition.Kind) bool {
+	group, ok := d.groups[id]
+	return !ok || group.Serves(kind)
+}
+
+// JudgeStream records whether a stream keeps the times that its route declares. Only the
+// first call counts.
+func (p *Pick) JudgeStream(missed bool) {
+	if p.query.Model == "" || p.kind != partition.Other {
+		return
+	}
+	now := p.balancer.options.Clock.Now()
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	if p.judged {
+		return
+	}
+	p.judged = true
+	measured := p.balancer.demands.of(p.query.Pool, now)
+	measured.streams++
+	if missed {
+		measured.missed++
+	}
+}
+
+// dividedHomes returns the homes of a session among the engines that serve the kind of the
+// request. If none of these is usable, all engines may be homes. If none of them is free, a
+// request without a long prompt may use idle ones of the others.
+func (b *Balancer) dividedHomes(view *catalog.PoolView, query *Query, declared catalog.DeclaredWeights, now time.Time) []candidate {
+	d := b.division(query.Pool, now)
+	if d.groups == nil {
+		return b.freeHomes(view, query, declared, nil, now)
+	}
+	kind := d.kindOf(query)
+	own := func(i int) bool { return d.serves(view.Upstreams[i].ID, kind) }
+	homes := b.freeHomes(view, query, declared, own, now)
+	if !slices.ContainsFunc(homes, candidate.isUsable) {
+		return b.freeHomes(view, query, declared, nil, now)
+	}
+	if kind == partition.Long || slices.ContainsFunc(homes, candidate.isFreeHome) {
+		return homes
+	}
+	for _, c := range b.homes(view, query, declared, maxSpilled, func(i int) bool { return !own(i) }, now) {
+		if c.isIdle() {
+			c.rank += len(homes)
+			homes = append(homes, c)
+		}
+	}
+	return homes
+}
+
+// dividedTier is like dividedHomes for candidates in a small fleet.
+func (b *Balancer) dividedTier(tier []candidate, query *Query, now time.Time) []candidate {
+	d := b.division(query.Pool, now)
+	if d.groups == nil {
+		return tier
+	}
+	kind := d.kindOf(query)
+	var own, idle []candidate
+	for _, c := range tier {
+		switch {
+		case d.serves(c.upstream.ID, kind):
+			own = append(own, c)
+		case kind == partition.Other && c.isIdle():
+			idle = append(idle, c)
+		}
+	}
+	switch {
+	case !slices.ContainsFunc(own, candidate.isUsable):
+		return tier
+	case !slices.ContainsFunc(own, candidate.isFreeHome):
+		return append(own, idle...)
+	default:
+		return own
+	}
+}
+
+// isUsable reports whether the candidate has not failed.
+func (c candidate) isUsable() bool { return !c.avoided && !c.settling }
+
+// isIdle reports whether the candidate has hardly anything to do.
+func (c candidate) isIdle() bool {
+	return c.isFreeHome() && c.requests <= idleRequests && c.tokensAhead <= idleTokens
+}
--- a/internal/coordination/balance/loads.go
+++ b/internal/coordination/balance/loads.go
@@ -118,10 +118,11 @@
 	b.peers.set(peer, loadReport{loads: loads, until: until})
 }
 
-// RemovePeer removes the loads that a peer reported.
+// RemovePeer removes the loads and demands that a peer reported.
 func (b *Balancer) RemovePeer(peer comfreyworks.InstanceID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	delete(b.demands.reports, peer)
 	b.peers.remove(peer)
 }
 
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -39,6 +39,7 @@
 	// that has happened to one of its suspects, and cleared means that it can't any more.
 	engineEnded, cleared bool
 	crashes              int
+	pace                 streamPace
 	// ended means that end was called.
 	ended bool
 	// resumesAfter is the event after which the attempt continues a stream; empty
@@ -81,6 +82,7 @@
 func (a *attempt) end() {
 	a.ended = true
 	a.cancel(nil)
+	a.judgePace()
 	a.pick.Done(a.result)
 	a.endTrial()
 	a.log()
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -123,8 +123,9 @@
 type Prompt struct {
 	Model comfreyworks.Model
 	Parts []comfreyworks.PromptPart
-	// Tokens is the length of the whole prompt.
-	Tokens int
+	// Tokens is the length of the whole prompt, OutputTokens the maximum length of the
+	// answer; zero if unknown.
+	Tokens, OutputTokens int
 }
 
 // Sink receives an answer.
@@ -165,6 +166,7 @@
 type poolState struct {
 	budget    *retrybudget.Budget
 	admission admissionControl
+	events    eventLength
 }
 
 // New returns a forwarder.
@@ -410,6 +412,7 @@
 		return Outcome{Verdict: Refused, RetryAfter: r.retryAfter(retryAfterNoUpstream)}, attemptDone
 	}
 	if r.refusedByAdmission(pick) {
+		pick.JudgeStream(true)
 		pick.Done(balance.Result{Outcome: balance.Withdrawn})
 		r.reason = fmt.Sprintf("overload, would wait %s", pick.Wait.Round(time.Millisecond))
 		return Outcome{Verdict: Refused, RetryAfter: max(retryAfterFactor*pick.Wait, minRetryAfter)}, attemptDone
@@ -443,8 +446,8 @@
 	return balance.Query{
 		Pool: r.request.Pool, Model: r.request.Prompt.Model,
 		CacheScope: cacheScope(r.request.Workspace), AffinityKey: affinityKey(r.request), StoreKey: storeKey(r.request),
-		Parts: r.request.Prompt.Parts, Tokens: r.request.Prompt.Tokens,
-		Priority: r.priority(), Exclude: r.tried, Release: r.release, BeginsStream: r.beginsStream(),
+		Parts: r.request.Prompt.Parts, Tokens: r.request.Prompt.Tokens, OutputTokens: r.request.Prompt.OutputTokens,
+		RoutePriority: r.request.Route.Priority, Priority: r.priority(), Exclude: r.tried, Release: r.release, BeginsStream: r.beginsStream(),
 	}
 }
 
--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -126,6 +126,7 @@
 func (a *attempt) eventArrived() {
 	now := a.options.Clock.Now()
 	a.answer.addEvent(now)
+	a.observePace(now)
 	if a.answer.age(now) >= soundAnswerTime {
 		a.clearSuspects()
 	}
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -64,6 +64,7 @@
 			return Outcome{Verdict: Abandoned, Reason: "caller left"}, attemptDone
 		}
 		a.endEvent(id, isNew)
+		a.pace.resume(a.options.Clock.Now())
 	}
 	err := events.Err()
 	if replaced && err == nil {
@@ -82,6 +83,7 @@
 	}
 	a.recordAnswer(response.Status)
 	a.answerComplete(response.Status)
+	a.pace.complete = true
 	return Outcome{Verdict: Delivered, Status: response.Status}, attemptDone
 }
 
--- a/internal/coordination/peering/exchange.go
+++ b/internal/coordination/peering/exchange.go
@@ -63,10 +63,12 @@
 	}
 	if !p.relay {
 		state.Loads = p.options.Balancer.LocalLoads()
+		p.addDemands(&state, m, nil)
 		return state
 	}
 	state.Role = comfreyworks.PeerRelay
 	state.Loads = p.options.Balancer.SumLoads(p.attached())
+	p.addDemands(&state, m, p.attached())
 	state.Peers = p.attachedList(m)
 	return state
 }
@@ -158,6 +160,7 @@
 	} else {
 		state.Loads = p.options.Balancer.SumLoads(p.attached())
 	}
+	p.replyDemands(&state, to)
 	savedKnown := to.SavedKnown
 	if savedKnown.Process != p.members.version.Process {
 		savedKnown.Version = 0
@@ -186,6 +189,7 @@
 	}
 	if p.relay {
 		p.options.Balancer.SetPeerLoads(m.ID, state.Loads, now.Add(loadExpiry))
+		p.recordDemands(m, state, now)
 	}
 	for _, other := range state.Peers {
 		p.members.record(other, now.Add(-other.HeardAgo), now)
@@ -217,6 +221,7 @@
 	}
 	if p.partners[m.Address] && request.Role == p.role() {
 		p.options.Balancer.SetPeerLoads(m.ID, state.Loads, now.Add(loadExpiry))
+		p.recordDemands(m, state, now)
 	}
 	for _, other := range state.Peers {
 		p.recordReported(other, m.Address, now)
--- a/internal/coordination/peering/members.go
+++ b/internal/coordination/peering/members.go
@@ -39,6 +39,8 @@
 	unreachableUntil time.Time
 	// changed is the version of the list in which the member last changed.
 	changed uint64
+	// demandsSentAt is when this gateway last sent it demands.
+	demandsSentAt time.Time
 	// listSentAt is when this gateway last sent it the list of its leaves.
 	listSentAt time.Time
 	// known is the version of the member's own list that this gateway has.
--- a/internal/transport/gateway/request.go
+++ b/internal/transport/gateway/request.go
@@ -193,8 +193,9 @@
 // at the first malformed entry: later parts can be shared only together with it.
 func parsePrompt(header http.Header, names *comfreyworks.HeaderNames) forward.Prompt {
 	p := forward.Prompt{Model: comfreyworks.Model(header.Get(names.Model))}
-	tokens, _, _ := strings.Cut(header.Get(names.Tokens), ",")
+	tokens, output, _ := strings.Cut(header.Get(names.Tokens), ",")
 	p.Tokens, _ = parseTokens(strings.TrimSpace(tokens))
+	p.OutputTokens, _ = parseTokens(strings.TrimSpace(output))
 	for entry := range strings.SplitSeq(header.Get(names.Prefix), ",") {
 		id, length, ok := strings.Cut(strings.TrimSpace(entry), ":")
 		tokens, valid := parseTokens(length)
--- a/peering.go
+++ b/peering.go
@@ -130,6 +130,9 @@
 	// Loads are the loads of the sender and of the leaves that call it. In a reply
 	// to a leaf, they are the loads of all other gateways.
 	Loads []UpstreamLoad
+	// Demands are the demands that the gateways of Loads measured, one for each pool. It
+	// is empty in most messages; the demands of the last one that has any still apply.
+	Demands []PoolDemand
 	// Leaving lists the listed upstreams that have said in an answer, to any
 	// gateway, that they are leaving.
 	Leaving []UpstreamIncarnation
