--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -97,9 +97,9 @@
 	// SupersededWeights is how long superseded weights may generate answers; zero
 	// means without limit.
 	SupersededWeights time.Duration
-	// PrefillFactor returns the time that an engine takes to prefill a token relative to
-	// the usual one. If it is nil, all engines count as equally fast.
-	PrefillFactor func(comfreyworks.InstanceID) float64
+	// PrefillSpeed returns how fast an engine prefills relative to the usual engine of its
+	// pool: 2 means twice as fast. If it is nil, all engines count as equally fast.
+	PrefillSpeed func(*comfreyworks.Upstream) float64
 }
 
 // Query describes a request that needs an upstream.
--- a/internal/coordination/balance/division.go
+++ b/internal/coordination/balance/division.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -27,6 +28,10 @@
 	// at updatedAt; nil while all engines serve both kinds.
 	groups    map[comfreyworks.InstanceID]partition.Group
 	updatedAt time.Time
+	// kinds holds, for each kind, the engines of a view that serve it, and others those
+	// that serve only the other kind. They apply to the view whose upstreams are listed.
+	kinds, others [partition.NumKinds]catalog.PoolView
+	listed        []comfreyworks.Upstream
 }
 
 // division returns the division of a pool, updated if that is due.
@@ -54,7 +59,7 @@
 	described := make([]partition.Engine, len(view.Upstreams))
 	for i := range view.Upstreams {
 		upstream := &view.Upstreams[i]
-		described[i] = partition.Engine{Seed: view.Seeds[i], PrefillFactor: b.prefillFactor(upstream.ID), Usable: b.isUsable(upstream, now)}
+		described[i] = partition.Engine{Seed: view.Seeds[i], Speed: b.prefillSpeed(upstream), Usable: b.isUsable(upstream, now)}
 	}
 	wasActive, load := d.Active(), b.partitionLoad(pool, now)
 	d.Update(now, &load, described)
@@ -65,13 +70,17 @@
 			zap.Float64("engines-needed-for-others", load.Demand[partition.Other].EngineTime),
 			zap.Float64("missed", load.Missed), zap.Float64("streams", load.Streams))
 	}
-	d.groups = nil
 	if !d.Separated() {
+		d.groups, d.listed = nil, nil
+		d.kinds, d.others = [partition.NumKinds]catalog.PoolView{}, [partition.NumKinds]catalog.PoolView{}
 		return
 	}
-	d.groups = make(map[comfreyworks.InstanceID]partition.Group, len(view.Upstreams))
+	groups := make(map[comfreyworks.InstanceID]partition.Group, len(view.Upstreams))
 	for i, group := range d.Groups(described) {
-		d.groups[view.Upstreams[i].ID] = group
+		groups[view.Upstreams[i].ID] = group
+	}
+	if !maps.Equal(groups, d.groups) {
+		d.groups, d.listed = groups, nil
 	}
 }
 
@@ -119,11 +128,11 @@
 	}
 }
 
-func (b *Balancer) prefillFactor(id comfreyworks.InstanceID) float64 {
-	if b.options.PrefillFactor == nil {
+func (b *Balancer) prefillSpeed(upstream *comfreyworks.Upstream) float64 {
+	if b.options.PrefillSpeed == nil {
 		return 1
 	}
-	return b.options.PrefillFactor(id)
+	return b.options.PrefillSpeed(upstream)
 }
 
 // isUsable reports whether an upstream may receive requests now, as far as this gateway
@@ -196,18 +205,18 @@
 func (b *Balancer) dividedHomes(view *catalog.PoolView, query *Query, declared catalog.DeclaredWeights, now time.Time) []candidate {
 	d := b.division(query.Pool, now)
 	if d.groups == nil {
-		return b.freeHomes(view, query, declared, nil, now)
+		return b.freeHomes(view, query, declared, now)
 	}
+	d.divide(view)
 	kind := d.kindOf(query)
-	own := func(i int) bool { return d.serves(view.Upstreams[i].ID, kind) }
-	homes := b.freeHomes(view, query, declared, own, now)
+	homes := b.freeHomes(&d.kinds[kind], query, declared, now)
 	if !slices.ContainsFunc(homes, candidate.isUsable) {
-		return b.freeHomes(view, query, declared, nil, now)
+		return b.freeHomes(view, query, declared, now)
 	}
 	if kind == partition.Long || slices.ContainsFunc(homes, candidate.isFreeHome) {
 		return homes
 	}
-	for _, c := range b.homes(view, query, declared, maxSpilled, func(i int) bool { return !own(i) }, now) {
+	for _, c := range b.homes(&d.others[kind], query, declared, maxSpilled, now) {
 		if c.isIdle() {
 			c.rank += len(homes)
 			homes = append(homes, c)
@@ -216,6 +225,25 @@
 	return homes
 }
 
+// divide divides a view, unless that was done since it or the groups changed.
+func (d *poolDivision) divide(view *catalog.PoolView) {
+	if len(view.Upstreams) == 0 || (len(d.listed) == len(view.Upstreams) && &d.listed[0] == &view.Upstreams[0]) {
+		return
+	}
+	d.listed = view.Upstreams
+	for kind := range partition.NumKinds {
+		d.kinds[kind], d.others[kind] = catalog.PoolView{Settling: view.Settling}, catalog.PoolView{Settling: view.Settling}
+		for i := range view.Upstreams {
+			part := &d.others[kind]
+			if d.serves(view.Upstreams[i].ID, kind) {
+				part = &d.kinds[kind]
+			}
+			part.Upstreams = append(part.Upstreams, view.Upstreams[i])
+			part.Seeds = append(part.Seeds, view.Seeds[i])
+		}
+	}
+}
+
 // dividedTier is like dividedHomes for candidates in a small fleet.
 func (b *Balancer) dividedTier(tier []candidate, query *Query, now time.Time) []candidate {
 	d := b.division(query.Pool, now)
--- a/internal/coordination/balance/homes.go
+++ b/internal/coordination/balance/homes.go
@@ -130,22 +130,21 @@
 	return pick
 }
 
-// freeHomes returns the first homes of a session among the eligible engines, twice as
-// many as long as none of them is free.
-func (b *Balancer) freeHomes(view *catalog.PoolView, query *Query, declared catalog.DeclaredWeights, eligible func(i int) bool, now time.Time) []candidate {
+// freeHomes returns the first homes of a session, twice as many as long as none of them is
+// free.
+func (b *Balancer) freeHomes(view *catalog.PoolView, query *Query, declared catalog.DeclaredWeights, now time.Time) []candidate {
 	for n := minHomes; ; n *= 2 {
-		homes := b.homes(view, query, declared, n, eligible, now)
+		homes := b.homes(view, query, declared, n, now)
 		if n >= len(view.Upstreams) || slices.ContainsFunc(homes, candidate.isFreeHome) {
 			return homes
 		}
 	}
 }
 
-// homes returns the first n homes of a session among the eligible engines that may receive
-// the request. If eligible is nil, all are.
-func (b *Balancer) homes(view *catalog.PoolView, query *Query, declared catalog.DeclaredWeights, n int, eligible func(i int) bool, now time.Time) []candidate {
+// homes returns the first n homes of a session that may receive the request.
+func (b *Balancer) homes(view *catalog.PoolView, query *Query, declared catalog.DeclaredWeights, n int, now time.Time) []candidate {
 	homes := make([]candidate, 0, n)
-	for rank, i := range highestEligible(view.Seeds, query.AffinityKey, n, eligible) {
+	for rank, i := range highestScores(view.Seeds, query.AffinityKey, n) {
 		if c, ok := b.newCandidate(&view.Upstreams[i], query, declared, now); ok {
 			c.rank = rank
 			homes = append(homes, c)
@@ -157,11 +156,6 @@
 // highestScores returns the indexes of the n seeds with the highest scores for a
 // key, the highest first.
 func highestScores(seeds []uint64, key uint64, n int) []int {
-	return highestEligible(seeds, key, n, nil)
-}
-
-// highestEligible is like highestScores for the eligible indexes.
-func highestEligible(seeds []uint64, key uint64, n int, eligible func(i int) bool) []int {
 	type scored struct {
 		score uint64
 		index int
@@ -169,7 +163,7 @@
 	best := make([]scored, 0, n+1)
 	for i, seed := range seeds {
 		score := rendezvous.Score(seed, key)
-		if (len(best) == n && score <= best[n-1].score) || (eligible != nil && !eligible(i)) {
+		if len(best) == n && score <= best[n-1].score {
 			continue
 		}
 		at, _ := slices.BinarySearchFunc(best, score, func(s scored, score uint64) int { return cmp.Compare(score, s.score) })
--- a/internal/coordination/partition/order.go
+++ b/internal/coordination/partition/order.go
@@ -26,11 +26,11 @@
 
 // update sets the class of an engine.
 func (c speedClasses) update(engine *Engine) {
-	factor := engine.PrefillFactor
-	if !(factor > 0) || math.IsInf(factor, 1) {
-		factor = 1
+	speed := engine.Speed
+	if !(speed > 0) || math.IsInf(speed, 1) {
+		speed = 1
 	}
-	exact := min(max(-math.Log(factor)/math.Log(speedClassRatio), -maxSpeedClass), maxSpeedClass)
+	exact := min(max(math.Log(speed)/math.Log(speedClassRatio), -maxSpeedClass), maxSpeedClass)
 	if known, ok := c[engine.Seed]; !ok || math.Abs(exact-float64(known)) > speedClassMargin {
 		c[engine.Seed] = int(math.Round(exact))
 	}
--- a/internal/coordination/partition/partition.go
+++ b/internal/coordination/partition/partition.go
@@ -67,9 +67,9 @@
 type Engine struct {
 	// Seed is the engine's seed for rendezvous hashing.
 	Seed uint64
-	// PrefillFactor is the time per prompt token relative to the usual one. Zero means
-	// one.
-	PrefillFactor float64
+	// Speed is how fast the engine prefills relative to the usual one: 2 means twice as
+	// fast, and zero the same as 1.
+	Speed float64
 	// Usable means that the engine may receive requests now.
 	Usable bool
 }
--- a/internal/coordination/partition/partition_test.go
+++ b/internal/coordination/partition/partition_test.go
@@ -10,13 +10,13 @@
 	"comfreyworks/internal/state/rendezvous"
 )
 
-// newEngines returns n engines whose prefill factors repeat the given ones.
-func newEngines(n int, factors ...float64) []Engine {
+// newEngines returns n engines whose speeds repeat the given ones.
+func newEngines(n int, speeds ...float64) []Engine {
 	engines := make([]Engine, n)
 	for i := range engines {
 		engines[i] = Engine{Seed: rendezvous.Seed(string(rune('a' + i))), Usable: true}
-		if len(factors) > 0 {
-			engines[i].PrefillFactor = factors[i%len(factors)]
+		if len(speeds) > 0 {
+			engines[i].Speed = speeds[i%len(speeds)]
 		}
 	}
 	return engines
@@ -170,15 +170,15 @@
 	engines := newEngines(30, 0.6, 1, 1.6)
 	groups := run(New("lm"), time.Unix(0, 0), 3*time.Second, newLoad(10, 8, 0.3), engines)
 	for i, g := range groups {
-		if engines[i].PrefillFactor < 1 {
+		if engines[i].Speed > 1 {
 			assert.Assert(t, g.Serves(Long))
 		}
-		if engines[i].PrefillFactor > 1 {
+		if engines[i].Speed < 1 {
 			assert.Assert(t, !g.Serves(Long))
 		}
 	}
 	t.Run("absurd speeds count as a bounded one", func(t *testing.T) {
-		groups := run(New("lm"), time.Unix(0, 0), 3*time.Second, newLoad(10, 8, 0.3), newEngines(30, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1e-9, math.NaN(), -3))
+		groups := run(New("lm"), time.Unix(0, 0), 3*time.Second, newLoad(10, 8, 0.3), newEngines(30, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1e9, math.NaN(), -3))
 		assert.Assert(t, count(groups, Long) > 3)
 	})
 }
