Refuse under pressure what engines cannot end in time or hold

While streams of a pool miss declared times, an engine whose pace would end a stream after its deadline, whose running streams would become late through a further prefill, or whose memory (CacheTokens) is taken counts as not free. A request is refused at once if all engines of its session are in this state. The memory of requests in progress is exchanged with the loads in units of 1,024 tokens.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -122,6 +122,10 @@
 	Tokens int
 	// OutputTokens is the declared maximum length of the answer; zero if unknown.
 	OutputTokens int
+	// Events is the expected number of events of a stream; zero if unknown. Deadline is
+	// when it must have ended; zero if it has none.
+	Events   float64
+	Deadline time.Time
 	// RoutePriority is the priority of the route, without that of the workspace.
 	RoutePriority int
 	// Priority is the priority in the engine's queue; 0 is the most urgent.
@@ -221,6 +225,7 @@
 	noticeToken, noticeSequence uint64
 	closure                     closure
 	seenAt                      time.Time
+	running                     runningLoad
 }
 
 // New returns a balancer without any observations.
@@ -254,6 +259,9 @@
 	// CachedTokens is the estimated number of prompt tokens that the engine has
 	// cached.
 	CachedTokens int
+	// Pressure is why the request is not to be sent now: all engines that could receive it
+	// are under pressure. It is empty if it may be sent.
+	Pressure PressureReason
 	// ImportFrom is an engine or cache store that has more of the prompt cached,
 	// namely ImportableTokens. It is invalid if there is none.
 	ImportFrom       netip.AddrPort
@@ -280,6 +288,8 @@
 	// kind is the kind of the request, judged means that JudgeStream was called.
 	kind   partition.Kind
 	judged bool
+	// memory is the number of tokens that the request takes in the engine's KV cache.
+	memory int
 }
 
 // Pick chooses an upstream and adds the request to its load. It returns nil if
@@ -327,10 +337,11 @@
 	c.endpoint.requests++
 	c.endpoint.backlog.AddTokens(query.Priority, prefillTokens)
 	kind := b.countDemand(&query, c.upstream, prefillTokens, c.endpoint.seenAt)
+	memory := c.endpoint.running.begin(&query, prefillTokens)
 	return &Pick{
 		Upstream: *c.upstream, Weights: c.weights, Candidates: candidates, CachedTokens: c.cachedTokens,
 		Wait:     c.wait(),
-		balancer: b, endpoint: c.endpoint, query: query, prefillTokens: prefillTokens, kind: kind,
+		balancer: b, endpoint: c.endpoint, query: query, prefillTokens: prefillTokens, kind: kind, memory: memory, Pressure: c.pressure,
 		trial: c.endpoint.closure.start(), isProbe: c.isProbe, isRetrial: c.endpoint.startRetrial(),
 	}
 }
@@ -362,6 +373,7 @@
 	if query.Model == "" {
 		return c, true
 	}
+	c.pressure = b.pressureOn(&c, peerLoad.Memory, query, now)
 	c.weights = max(upstream.Weights[query.Model], e.weights[query.Model])
 	successor, superseded := declared.Superseded(c.weights)
 	if !superseded {
@@ -478,6 +490,7 @@
 	defer p.balancer.mu.Unlock()
 	e := p.endpoint
 	e.requests--
+	e.running.end(p)
 	e.backlog.AddTokens(p.query.Priority, -p.prefillTokens)
 	if result.Weights != 0 && p.query.Model != "" {
 		e.weights[p.query.Model] = max(e.weights[p.query.Model], result.Weights)
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -77,6 +77,9 @@
 	// serve weights whose answers lose value. settling ones run a release that other
 	// gateways may not know yet.
 	avoided, full, stale, settling bool
+	// pressure is why the engine must not receive the request while streams miss their
+	// times; empty if it may.
+	pressure PressureReason
 }
 
 // tier ranks the state of the candidate; lower is better.
@@ -85,15 +88,18 @@
 	if c.stale {
 		tier++
 	}
-	if c.full {
+	if c.pressure != "" {
 		tier += 2
 	}
-	if c.avoided {
+	if c.full {
 		tier += 4
 	}
-	if c.settling {
+	if c.avoided {
 		tier += 8
 	}
+	if c.settling {
+		tier += 16
+	}
 	return tier
 }
 
--- a/internal/coordination/balance/demand.go
+++ b/internal/coordination/balance/demand.go
@@ -24,7 +24,7 @@
 // decaying sums as of updatedAt. Engine times are in microseconds.
 type measuredDemand struct {
 	time, priority  [partition.NumKinds]float64
-	streams, missed float64
+	streams, missed [partition.NumKinds]float64
 	updatedAt       time.Time
 }
 
@@ -34,9 +34,9 @@
 	for kind := range d.time {
 		d.time[kind] *= factor
 		d.priority[kind] *= factor
+		d.streams[kind] *= factor
+		d.missed[kind] *= factor
 	}
-	d.streams *= factor
-	d.missed *= factor
 	d.updatedAt = now
 }
 
@@ -47,7 +47,8 @@
 		Pool:     pool,
 		LongTime: int(perSecond * d.time[partition.Long]), LongPriority: int(perSecond * d.priority[partition.Long]),
 		OtherTime: int(perSecond * d.time[partition.Other]), OtherPriority: int(perSecond * d.priority[partition.Other]),
-		Streams: int(1000 * d.streams), Missed: int(1000 * d.missed),
+		Streams: int(1000 * d.streams[partition.Other]), Missed: int(1000 * d.missed[partition.Other]),
+		LongStreams: int(1000 * d.streams[partition.Long]), LongMissed: int(1000 * d.missed[partition.Long]),
 	}
 }
 
--- a/internal/coordination/balance/division.go
+++ b/internal/coordination/balance/division.go
@@ -120,11 +120,12 @@
 	demand := func(time, priority int) partition.Demand {
 		return partition.Demand{EngineTime: gateways * float64(time) / 1e6, Priority: float64(priority) / float64(max(time, 1))}
 	}
+	judged := func(count int) float64 { return float64(count) / 1000 }
 	return partition.Load{
 		Demand: [partition.NumKinds]partition.Demand{
 			partition.Long: demand(sum.LongTime, sum.LongPriority), partition.Other: demand(sum.OtherTime, sum.OtherPriority),
 		},
-		Streams: float64(sum.Streams) / 1000, Missed: float64(sum.Missed) / 1000,
+		Streams: judged(sum.Streams), Missed: judged(sum.Missed), LongStreams: judged(sum.LongStreams), LongMissed: judged(sum.LongMissed),
 	}
 }
 
@@ -182,7 +183,7 @@
 // JudgeStream records whether a stream keeps the times that its route declares. Only the
 // first call counts.
 func (p *Pick) JudgeStream(missed bool) {
-	if p.query.Model == "" || p.kind != partition.Other {
+	if p.query.Model == "" {
 		return
 	}
 	now := p.balancer.options.Clock.Now()
@@ -193,9 +194,9 @@
 	}
 	p.judged = true
 	measured := p.balancer.demands.of(p.query.Pool, now)
-	measured.streams++
+	measured.streams[p.kind]++
 	if missed {
-		measured.missed++
+		measured.missed[p.kind]++
 	}
 }
 
--- a/internal/coordination/balance/homes.go
+++ b/internal/coordination/balance/homes.go
@@ -179,7 +179,7 @@
 
 // isFreeHome reports whether the candidate can start a prompt soon.
 func (c candidate) isFreeHome() bool {
-	return !c.full && !c.avoided && !c.settling && c.wait() < homeIdleWait
+	return c.pressure == "" && !c.full && !c.avoided && !c.settling && c.wait() < homeIdleWait
 }
 
 // homeTier ranks the state of the candidate without regard to its weights; lower
--- a/internal/coordination/balance/loads.go
+++ b/internal/coordination/balance/loads.go
@@ -72,10 +72,11 @@
 	total.ID = load.ID
 	total.Requests += sign * load.Requests
 	total.Unreachable += sign * load.Unreachable
+	total.Memory += sign * load.Memory
 	for priority, tokens := range load.Unread {
 		total.Unread[priority] += sign * tokens
 	}
-	if total.Requests == 0 && total.Unreachable == 0 && total.Unread == (comfreyworks.PrefillBacklog{}) {
+	if total.Requests == 0 && total.Unreachable == 0 && total.Memory == 0 && total.Unread == (comfreyworks.PrefillBacklog{}) {
 		delete(p.sum, load.ID)
 		return
 	}
@@ -112,6 +113,7 @@
 	for i := range loads {
 		loads[i].Requests = min(max(loads[i].Requests, 0), maxPeerRequests)
 		loads[i].Unreachable = min(max(loads[i].Unreachable, 0), maxPeerRequests)
+		loads[i].Memory = min(max(loads[i].Memory, 0), maxPeerRequests)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -137,7 +139,7 @@
 	now := b.options.Clock.Now()
 	var loads []comfreyworks.UpstreamLoad
 	for id, e := range b.endpoints {
-		load := comfreyworks.UpstreamLoad{ID: id, Requests: e.requests, Unread: e.backlog}
+		load := comfreyworks.UpstreamLoad{ID: id, Requests: e.requests, Unread: e.backlog, Memory: e.running.reportedMemory()}
 		if e.unreachable && now.Before(e.avoidUntil) {
 			load.Unreachable = 1
 		}
--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -64,13 +64,18 @@
 	return false
 }
 
+// mayRefuse reports whether admission control applies to the request: it has a prompt, was
+// not sent yet and does not resume a stream.
+func (r *activeRequest) mayRefuse() bool {
+	return r.sends == 0 && r.lastEventID == "" && r.request.Prompt.Model != ""
+}
+
 // refusedByAdmission reports whether admission control refuses the request
 // because the chosen engine has too much to prefill. It does not apply to
-// retries, resumed streams, requests without a prompt and routes without a
-// latency objective.
+// routes without a latency objective.
 func (r *activeRequest) refusedByAdmission(pick *balance.Pick) bool {
 	route := r.request.Route
-	if r.sends > 0 || r.lastEventID != "" || r.request.Prompt.Model == "" || route.Objective == 0 {
+	if !r.mayRefuse() || route.Objective == 0 {
 		return false
 	}
 	left := r.options.Clock.Until(r.request.Deadline)
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -417,6 +417,12 @@
 		r.reason = fmt.Sprintf("overload, would wait %s", pick.Wait.Round(time.Millisecond))
 		return Outcome{Verdict: Refused, RetryAfter: max(retryAfterFactor*pick.Wait, minRetryAfter)}, attemptDone
 	}
+	if pick.Pressure != "" && r.mayRefuse() {
+		pick.JudgeStream(true)
+		pick.Done(balance.Result{Outcome: balance.Withdrawn})
+		r.reason = "overload, " + string(pick.Pressure)
+		return Outcome{Verdict: Refused, RetryAfter: max(retryAfterFactor*pick.Wait, minRetryAfter)}, attemptDone
+	}
 	return r.newAttempt(ctx, pick).run(ctx)
 }
 
@@ -447,7 +453,7 @@
 		Pool: r.request.Pool, Model: r.request.Prompt.Model,
 		CacheScope: cacheScope(r.request.Workspace), AffinityKey: affinityKey(r.request), StoreKey: storeKey(r.request),
 		Parts: r.request.Prompt.Parts, Tokens: r.request.Prompt.Tokens, OutputTokens: r.request.Prompt.OutputTokens,
-		RoutePriority: r.request.Route.Priority, Priority: r.priority(), Exclude: r.tried, Release: r.release, BeginsStream: r.beginsStream(),
+		Events: r.expectedEvents(), Deadline: r.request.Deadline, RoutePriority: r.request.Route.Priority, Priority: r.priority(), Exclude: r.tried, Release: r.release, BeginsStream: r.beginsStream(),
 	}
 }
 
--- a/internal/coordination/forward/pace.go
+++ b/internal/coordination/forward/pace.go
@@ -108,7 +108,7 @@
 
 // observePace records an event, and judges the stream as soon as it misses a limit.
 func (a *attempt) observePace(now time.Time) {
-	if !a.isPaced() || a.pace.missed {
+	if !a.isPaced() {
 		return
 	}
 	route := a.request.Route
@@ -119,9 +119,13 @@
 			limits.objective = a.request.Received.Add(route.Objective)
 		}
 	}
+	gap := now.Sub(a.pace.since)
 	if a.pace.add(now, &limits) {
 		a.pick.JudgeStream(true)
 	}
+	if a.pace.events > 1 {
+		a.pick.StreamEvent(gap, limits.events-float64(a.pace.events))
+	}
 }
 
 // judgePace judges the stream at the end of the attempt, unless its end says nothing about
@@ -140,3 +144,12 @@
 		a.pick.JudgeStream(true)
 	}
 }
+
+// expectedEvents returns the expected number of events of the answer; zero if it is
+// unknown or not a whole stream.
+func (r *activeRequest) expectedEvents() float64 {
+	if r.request.Route.Kind != comfreyworks.RouteStream || r.lastEventID != "" {
+		return 0
+	}
+	return r.events.events(r.request.Prompt.OutputTokens)
+}
--- a/internal/coordination/forward/pace_test.go
+++ b/internal/coordination/forward/pace_test.go
@@ -82,3 +82,42 @@
 		})
 	}
 }
+
+// TestRefusedUnderPressure guards against requests that wait until their deadline for
+// engines that cannot serve them, and against refusals of what is running already.
+func TestRefusedUnderPressure(t *testing.T) {
+	newPressed := func(missed int) *fixture {
+		f := newFixture(respondOK("x"))
+		f.catalog.ApplyDeclaration(comfreyworks.Declaration{Next: 1, Routing: &comfreyworks.Routing{
+			Version: 1, Pools: []comfreyworks.UpstreamPool{{Name: pool, CacheTokens: 90_000}},
+			Routes: []comfreyworks.Route{{Kind: comfreyworks.RouteStream, MaxEventGap: time.Second, Pools: []comfreyworks.PoolWeight{{Pool: pool}}}},
+		}}, f.clock.Now())
+		var loads []comfreyworks.UpstreamLoad
+		for _, id := range []comfreyworks.InstanceID{"a", "b", "c"} {
+			loads = append(loads, comfreyworks.UpstreamLoad{ID: id, Requests: 9, Memory: 88})
+		}
+		b := f.forwarder.options.Balancer
+		b.SetPeerLoads("peer", loads, f.clock.Now().Add(time.Hour))
+		b.SetPeerDemands("peer", []comfreyworks.PoolDemand{{Pool: pool, Streams: 90_000, Missed: missed}}, f.clock.Now().Add(time.Hour))
+		return f
+	}
+	t.Run("refused at once", func(t *testing.T) {
+		f := newPressed(20_000)
+		outcome := f.forwardRequest(f.promptRequest(time.Minute))
+		assert.Equal(t, outcome.Verdict, Refused)
+		assert.Equal(t, outcome.Reason, "overload, no memory left")
+		assert.Assert(t, outcome.RetryAfter > 0)
+		assert.Equal(t, len(f.upstreams.sent), 0)
+		assert.Equal(t, len(f.forwarder.options.Balancer.LocalLoads()), 0)
+	})
+	t.Run("streams in time: sent", func(t *testing.T) {
+		f := newPressed(0)
+		assert.Equal(t, f.forwardRequest(f.promptRequest(time.Minute)).Verdict, Delivered)
+	})
+	t.Run("a resumed stream is sent", func(t *testing.T) {
+		f := newPressed(20_000)
+		request := f.promptRequest(time.Minute)
+		request.LastEventID = "7"
+		assert.Equal(t, f.forwardRequest(request).Verdict, Delivered)
+	})
+}
--- a/internal/coordination/partition/load.go
+++ b/internal/coordination/partition/load.go
@@ -28,6 +28,9 @@
 	// number of those that missed, or cannot meet any more, a time that their route
 	// declares.
 	Streams, Missed float64
+	// LongStreams and LongMissed are the same for the kind Long. They do not begin a
+	// separation.
+	LongStreams, LongMissed float64
 }
 
 // targetShare returns the part of the capacity that long prompts need. While there is
--- a/internal/coordination/partition/partition.go
+++ b/internal/coordination/partition/partition.go
@@ -103,6 +103,9 @@
 // Active reports whether the kinds are to be separated now.
 func (s *Separation) Active() bool { return s.pressure.active }
 
+// Missing reports whether streams of any kind miss times that their routes declare.
+func (s *Separation) Missing() bool { return s.pressure.missing }
+
 // Share returns the part of the capacity for long prompts.
 func (s *Separation) Share() float64 { return s.share }
 
--- a/internal/coordination/partition/pressure.go
+++ b/internal/coordination/partition/pressure.go
@@ -22,13 +22,27 @@
 	active bool
 	// calmSince is the time since which the separation is not needed; zero while it is.
 	calmSince time.Time
+	// missing means that streams of any kind miss their times.
+	missing bool
+}
+
+// missedShare returns the share of judged streams that missed a time, or zero if too few
+// were judged.
+func missedShare(missed, streams float64) float64 {
+	if streams < minJudged {
+		return 0
+	}
+	return missed / streams
 }
 
 // update decides anew. The capacity is in engines of the usual speed.
 func (p *pressure) update(now time.Time, load *Load, capacity float64) {
-	missed := 0.0
-	if load.Streams >= minJudged {
-		missed = load.Missed / load.Streams
+	missed := missedShare(load.Missed, load.Streams)
+	switch either := max(missed, missedShare(load.LongMissed, load.LongStreams)); {
+	case either >= beginMissed:
+		p.missing = true
+	case either < endMissed:
+		p.missing = false
 	}
 	long := load.Demand[Long].EngineTime
 	if missed >= beginMissed && long > 0 {
--- a/internal/transport/gateway/fuzz_test.go
+++ b/internal/transport/gateway/fuzz_test.go
@@ -31,6 +31,7 @@
 		header.Set(names.APIKey, "key")
 		prompt := parsePrompt(header, &names)
 		assertTokens(t, prompt.Tokens)
+		assertTokens(t, prompt.OutputTokens)
 		for _, part := range prompt.Parts {
 			assertTokens(t, part.Tokens)
 		}
--- a/peering.go
+++ b/peering.go
@@ -16,6 +16,9 @@
 	// Unreachable is the number of gateways that recently could not reach the
 	// upstream.
 	Unreachable int
+	// Memory is the number of tokens, in units of 1,024, that the requests in progress need
+	// in the KV cache of an engine: their prompts and their declared output.
+	Memory int
 }
 
 // WeightsLoadNotice announces that an engine is about to load weights or has
