--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -35,6 +35,7 @@
 	"comfreyworks/internal/coordination/partition"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/holdings"
+	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/rendezvous"
 	"comfreyworks/internal/state/savedsessions"
 	"comfreyworks/internal/state/streamorigins"
@@ -97,6 +98,8 @@
 	// SupersededWeights is how long superseded weights may generate answers; zero
 	// means without limit.
 	SupersededWeights time.Duration
+	// Meter counts judged streams; it may be nil.
+	Meter *meter.Meter
 	// PrefillSpeed returns how fast an engine prefills relative to the usual engine of its
 	// pool: 2 means twice as fast. If it is nil, all engines count as equally fast.
 	PrefillSpeed func(*comfreyworks.Upstream) float64
@@ -233,6 +236,9 @@
 	if options.Logger == nil {
 		options.Logger = zap.NewNop()
 	}
+	if options.Meter == nil {
+		options.Meter = meter.New()
+	}
 	return &Balancer{
 		options:   options,
 		endpoints: make(map[comfreyworks.InstanceID]*endpoint),
@@ -462,6 +468,7 @@
 // has prefilled the prompt and has it cached.
 func (p *Pick) AnswerStarted() {
 	p.balancer.mu.Lock()
+	p.endpoint.running.heardAt = p.balancer.options.Clock.Now()
 	p.endpoint.backlog.AddTokens(p.query.Priority, -p.prefillTokens)
 	p.prefillTokens = 0
 	p.endTrial(p.balancer.options.Clock.Now(), true)
--- a/internal/coordination/balance/division.go
+++ b/internal/coordination/balance/division.go
@@ -11,6 +11,7 @@
 	"comfreyworks"
 	"comfreyworks/internal/coordination/partition"
 	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/meter"
 )
 
 // maxSpilled is the number of engines for long prompts at which a gateway looks for an idle
@@ -136,10 +137,30 @@
 	return b.options.PrefillSpeed(upstream)
 }
 
+// permittedGap returns the permitted gap of the streams of an upstream's pool, or zero if
+// there is none or if no request to the pool needed it yet.
+func (b *Balancer) permittedGap(id comfreyworks.InstanceID) time.Duration {
+	e := b.endpoints[id]
+	if len(e.running.streams) < minSilentStreams {
+		return 0
+	}
+	for p := range e.running.streams {
+		if d := b.divided[p.query.Pool]; d != nil {
+			return d.gap
+		}
+	}
+	return 0
+}
+
 // isUsable reports whether an upstream may receive requests now, as far as this gateway
 // knows.
 func (b *Balancer) isUsable(upstream *comfreyworks.Upstream, now time.Time) bool {
-	return upstream.State == comfreyworks.InstanceLive && !b.leaving.has(upstream) && !b.isAvoided(upstream.ID, now)
+	return upstream.State == comfreyworks.InstanceLive && !b.leaving.has(upstream) && !b.isAvoided(upstream.ID, now) && !b.isSilent(upstream.ID, now)
+}
+
+func (b *Balancer) isSilent(id comfreyworks.InstanceID, now time.Time) bool {
+	e, ok := b.endpoints[id]
+	return ok && e.isSilent(b.permittedGap(id), now)
 }
 
 // countDemand adds the demand of a request, unless it was counted when it was sent before,
@@ -195,7 +216,10 @@
 	p.judged = true
 	measured := p.balancer.demands.of(p.query.Pool, now)
 	measured.streams[p.kind]++
+	labels := meter.Labels{Class: comfreyworks.Class(p.query.Pool)}
+	p.balancer.options.Meter.Add("comfrey_streams_judged_total", labels, 1)
 	if missed {
+		p.balancer.options.Meter.Add("comfrey_streams_missed_total", labels, 1)
 		measured.missed[p.kind]++
 	}
 }
--- a/internal/coordination/balance/loads.go
+++ b/internal/coordination/balance/loads.go
@@ -140,7 +140,7 @@
 	var loads []comfreyworks.UpstreamLoad
 	for id, e := range b.endpoints {
 		load := comfreyworks.UpstreamLoad{ID: id, Requests: e.requests, Unread: e.backlog, Memory: e.running.reportedMemory()}
-		if e.unreachable && now.Before(e.avoidUntil) {
+		if (e.unreachable && now.Before(e.avoidUntil)) || e.isSilent(b.permittedGap(id), now) {
 			load.Unreachable = 1
 		}
 		if load.Requests > 0 || load.Unreachable > 0 {
--- a/internal/coordination/balance/pressure.go
+++ b/internal/coordination/balance/pressure.go
@@ -31,6 +31,12 @@
 	// eventTimeExpiry is how long that average is used after the last event. The pace of an
 	// engine changes within the time of a few prefills.
 	eventTimeExpiry = time.Second
+	// minSilentStreams is the number of running streams from which an engine counts as
+	// silent when none of them brings an event. A single one may be stuck by itself.
+	minSilentStreams = 2
+	// minSilence is the time without an event from which that applies, if the permitted gap
+	// is not longer. Sound engines pause for less while they prefill.
+	minSilence = 500 * time.Millisecond
 )
 
 // runningStream is a stream that this gateway receives from an engine.
@@ -52,7 +58,9 @@
 	// eventAt.
 	eventTime time.Duration
 	eventAt   time.Time
-	streams   map[*Pick]runningStream
+	// heardAt is when any answer of the engine last got on.
+	heardAt time.Time
+	streams map[*Pick]runningStream
 }
 
 // begin adds a request and returns the memory that it takes. Cached parts of the prompt are
@@ -78,7 +86,7 @@
 		l.eventTime = gap
 	}
 	l.eventTime += time.Duration(eventTimeWeight * float64(gap-l.eventTime))
-	l.eventAt = now
+	l.eventAt, l.heardAt = now, now
 	if rest <= 0 || p.query.Events <= 0 {
 		delete(l.streams, p)
 		return
@@ -100,6 +108,13 @@
 	return l.eventTime
 }
 
+// silent reports whether the engine has brought no event of any of several running streams
+// for longer than the permitted gap. It then is probably unreachable, and new requests need
+// not find that out one by one.
+func (l *runningLoad) silent(permittedGap time.Duration, now time.Time) bool {
+	return permittedGap > 0 && len(l.streams) >= minSilentStreams && now.Sub(l.heardAt) > max(permittedGap, minSilence)
+}
+
 // delays reports whether a further prefill would make a stream late that is at least as
 // urgent as the request and could end in time without.
 func (l *runningLoad) delays(prefill time.Duration, priority int, now time.Time) bool {
@@ -116,6 +131,11 @@
 // times returns a multiple of a duration.
 func times(n float64, d time.Duration) time.Duration { return comfreyworks.Duration(n, d) }
 
+// isSilent reports whether the engine is silent although it is not known to load weights.
+func (e *endpoint) isSilent(permittedGap time.Duration, now time.Time) bool {
+	return !now.Before(e.loadingUntil) && e.running.silent(permittedGap, now)
+}
+
 // StreamEvent records an event of the stream that arrived some time after the one before,
 // and the expected number of further ones.
 func (p *Pick) StreamEvent(gap time.Duration, rest float64) {
@@ -131,6 +151,9 @@
 // the pool miss their times. peerMemory is the memory that requests of peers take.
 func (b *Balancer) pressureOn(c *candidate, peerMemory int, query *Query, now time.Time) PressureReason {
 	d := b.division(query.Pool, now)
+	if c.endpoint.isSilent(d.gap, now) {
+		c.avoided = true
+	}
 	if !d.Missing() {
 		return ""
 	}
--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -1,11 +1,14 @@
 package forward
 
 import (
+	"fmt"
 	"math"
 	"sync"
 	"time"
 
+	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
+	"comfreyworks/internal/state/meter"
 )
 
 const (
@@ -26,11 +29,6 @@
 	// refusalHalfLife is the half-life of the counts of requests and refusals. It
 	// is about the time in which an engine answers the prompts in its queue.
 	refusalHalfLife = 2 * time.Second
-	// minRetryAfter is the minimum Retry-After time: it lets an engine finish the
-	// work in its queue. retryAfterFactor multiplies the expected wait to allow
-	// for what other callers send in the meantime.
-	minRetryAfter    = 600 * time.Millisecond
-	retryAfterFactor = 2
 )
 
 // admissionControl refuses prompts whose prefill would start too late. An engine
@@ -51,8 +49,8 @@
 func (a *admissionControl) admit(now time.Time, wait, maxWait, maxRetryWait time.Duration) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	decay := math.Exp2(-float64(now.Sub(a.updatedAt)) / float64(refusalHalfLife))
-	a.requests, a.refusals, a.updatedAt = a.requests*decay+1, a.refusals*decay, now
+	a.decay(now)
+	a.requests++
 	limit := maxWait
 	if a.refusals < overloadRefusalShare*a.requests+overloadMinRefusals {
 		limit = max(maxWait, maxRetryWait)
@@ -64,6 +62,47 @@
 	return false
 }
 
+// decay lets the counts decay up to now. The mutex must be held.
+func (a *admissionControl) decay(now time.Time) {
+	decay := math.Exp2(-float64(now.Sub(a.updatedAt)) / float64(refusalHalfLife))
+	a.requests, a.refusals, a.updatedAt = a.requests*decay, a.refusals*decay, now
+}
+
+// addRefusal counts the refusal of a prompt that admit has admitted.
+func (a *admissionControl) addRefusal(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.decay(now)
+	a.refusals++
+}
+
+// refusalShare returns the share of recent prompts that were refused.
+func (a *admissionControl) refusalShare(now time.Time) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.decay(now)
+	return a.refusals / max(a.requests, 1)
+}
+
+// overloadReason returns why the request is refused instead of being sent to the chosen
+// engine, or the empty string if it is sent.
+func (r *activeRequest) overloadReason(pick *balance.Pick) string {
+	count := func(reason string) {
+		r.options.Meter.Add("comfrey_overload_refused_total", meter.Labels{Class: comfreyworks.Class(reason)}, 1)
+	}
+	switch {
+	case r.refusedByAdmission(pick):
+		count("wait")
+		return fmt.Sprintf("would wait %s", pick.Wait.Round(time.Millisecond))
+	case pick.Pressure != "" && r.mayRefuse():
+		count(string(pick.Pressure))
+		r.admission.addRefusal(r.options.Clock.Now())
+		return string(pick.Pressure)
+	default:
+		return ""
+	}
+}
+
 // mayRefuse reports whether admission control applies to the request: it has a prompt, was
 // not sent yet and does not resume a stream.
 func (r *activeRequest) mayRefuse() bool {
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -20,7 +20,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -32,6 +31,7 @@
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/crashes"
 	"comfreyworks/internal/state/faults"
+	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/retrybudget"
 )
 
@@ -151,6 +151,8 @@
 	Origins comfreyworks.StreamOrigins
 	// Crashes knows what crashes upstreams; nil means a log of its own.
 	Crashes *crashes.Log
+	// Meter counts requests that are refused because of overload; it may be nil.
+	Meter *meter.Meter
 	// RetryLimit returns this gateway's share of the retry budget.
 	RetryLimit func() retrybudget.Limit
 }
@@ -174,6 +176,9 @@
 	if options.Crashes == nil {
 		options.Crashes = crashes.New(crashes.Options{Clock: options.Clock})
 	}
+	if options.Meter == nil {
+		options.Meter = meter.New()
+	}
 	return &Forwarder{options: options, pools: make(map[comfreyworks.Pool]*poolState)}
 }
 
@@ -328,7 +333,7 @@
 		return ", may not run again"
 	case r.runs >= r.request.Route.MaxAttempts:
 		return ", no run left"
-	case r.options.Clock.Until(r.request.Deadline) < minTimeLeft:
+	case r.options.Clock.Until(r.request.Deadline) < max(minTimeLeft, r.minRemainingTime()):
 		return ", no time left"
 	default:
 		return ""
@@ -411,17 +416,11 @@
 		}
 		return Outcome{Verdict: Refused, RetryAfter: r.retryAfter(retryAfterNoUpstream)}, attemptDone
 	}
-	if r.refusedByAdmission(pick) {
-		pick.JudgeStream(true)
-		pick.Done(balance.Result{Outcome: balance.Withdrawn})
-		r.reason = fmt.Sprintf("overload, would wait %s", pick.Wait.Round(time.Millisecond))
-		return Outcome{Verdict: Refused, RetryAfter: max(retryAfterFactor*pick.Wait, minRetryAfter)}, attemptDone
-	}
-	if pick.Pressure != "" && r.mayRefuse() {
+	if reason := r.overloadReason(pick); reason != "" {
 		pick.JudgeStream(true)
 		pick.Done(balance.Result{Outcome: balance.Withdrawn})
-		r.reason = "overload, " + string(pick.Pressure)
-		return Outcome{Verdict: Refused, RetryAfter: max(retryAfterFactor*pick.Wait, minRetryAfter)}, attemptDone
+		r.reason = "overload, " + reason
+		return Outcome{Verdict: Refused, RetryAfter: r.overloadRetryAfter(pick.Wait)}, attemptDone
 	}
 	return r.newAttempt(ctx, pick).run(ctx)
 }
--- a/internal/coordination/forward/pace.go
+++ b/internal/coordination/forward/pace.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -153,3 +154,26 @@
 	}
 	return r.events.events(r.request.Prompt.OutputTokens)
 }
+
+// minTokenTime is the time in which a fast engine without load generates one token. Usual
+// ones take about twice as long.
+const minTokenTime = 2 * time.Millisecond
+
+// minRemainingTime returns the time that the rest of a stream takes at a fast engine
+// without load; zero if it is unknown. With less time left, a retry would be wasted.
+func (r *activeRequest) minRemainingTime() time.Duration {
+	tokens := r.request.Prompt.OutputTokens
+	expected := r.events.events(tokens)
+	if r.request.Route.Kind != comfreyworks.RouteStream || expected <= 0 {
+		return 0
+	}
+	rest := 1.0
+	if r.lastEventID != "" {
+		delivered, err := strconv.ParseFloat(r.lastEventID, 64)
+		if err != nil {
+			return 0
+		}
+		rest = min(max(1-delivered/expected, 0), 1)
+	}
+	return comfreyworks.Duration(rest*float64(tokens), minTokenTime)
+}
--- a/internal/coordination/forward/pace_test.go
+++ b/internal/coordination/forward/pace_test.go
@@ -83,6 +83,31 @@
 	}
 }
 
+// TestNoRetryTooLate guards against a retry budget that is spent on streams that cannot end
+// before their deadline.
+func TestNoRetryTooLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		delivered string
+		left      time.Duration
+		sends     int
+	}{
+		"whole stream in time":   {"", 800 * time.Millisecond, 2},
+		"whole stream too late":  {"", 500 * time.Millisecond, 1},
+		"second half in time":    {"id: 24\ndata: a\n\n", 500 * time.Millisecond, 2},
+		"second half too late":   {"id: 24\ndata: a\n\n", 250 * time.Millisecond, 1},
+		"IDs that are no counts": {"id: x7\ndata: a\n\n", 250 * time.Millisecond, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(respond(200, true, truncatedBody(c.delivered)), respondOK("id: 49\ndata: z\n\n"))
+			request := f.request(route(comfreyworks.RouteStream, 2, true))
+			request.Prompt = Prompt{Model: model, Tokens: 800, OutputTokens: 294}
+			request.Deadline = f.clock.Now().Add(c.left)
+			f.forwarder.pool(pool).events.add(294, 49)
+			assert.Equal(t, f.forwardRequest(request).Sends, c.sends)
+		})
+	}
+}
+
 // TestRefusedUnderPressure guards against requests that wait until their deadline for
 // engines that cannot serve them, and against refusals of what is running already.
 func TestRefusedUnderPressure(t *testing.T) {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -169,7 +169,7 @@
 		Catalog: g.catalog, Holdings: g.holdings, Saved: saved,
 		Policy: placement.Comfrey{RecomputeWeight: placement.DefaultRecomputeWeight},
 		Clock:  options.Clock, Zone: options.Settings.Zone, Logger: options.Logger,
-		SupersededWeights: options.Settings.Bounds.SupersededWeights,
+		SupersededWeights: options.Settings.Bounds.SupersededWeights, Meter: options.Meter,
 	})
 	g.upstreamClient = exchange.NewClient(exchange.Options{
 		Clock: options.Clock, Headers: options.Settings.Headers,
@@ -177,7 +177,7 @@
 	})
 	g.forwarder = forward.New(forward.Options{
 		Catalog: g.catalog, Balancer: g.balancer, Exchanger: g.upstreamClient, Clock: options.Clock,
-		Origins: origins, Crashes: g.crashes, Logger: options.Logger, Faults: options.Faults, RetryLimit: g.retryLimit,
+		Origins: origins, Crashes: g.crashes, Logger: options.Logger, Faults: options.Faults, Meter: options.Meter, RetryLimit: g.retryLimit,
 	})
 	g.follower = follow.New(follow.Options{
 		Declarations: options.Declarations, Upstreams: options.Upstreams, Catalog: g.catalog,
