Learn how fast engines are from their answers

The balancer assumed the same time per prompt token and per running request for every engine. Where engines differ (0.6, 1 and 1.6) a slow one got as many sessions as a fast one, and its queue counted as short.

Gateways now measure the time between events and the time to the first event, relative to the pool's median, and exchange the lasting speeds with their loads: 8 bytes for each engine that differs. Waits, running requests and the choice of homes follow the speed. Engines that differ by less than 20 % count as before, so that nothing changes where all are equally fast.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -30,6 +30,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/enginepace"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/rendezvous"
 	"comfreyworks/internal/state/savedsessions"
@@ -84,6 +85,8 @@
 	// Saved records the sessions that are in a cache store; it is used in large
 	// fleets.
 	Saved *savedsessions.Log
+	// Pace knows how fast engines are; nil means a log of its own.
+	Pace *enginepace.Log
 	// Policy chooses among the engines that may receive a prompt.
 	Policy comfreyworks.PlacementPolicy
 	Clock  comfreyworks.Clock
@@ -215,6 +218,9 @@
 	if options.Logger == nil {
 		options.Logger = zap.NewNop()
 	}
+	if options.Pace == nil {
+		options.Pace = enginepace.New(enginepace.Options{Clock: options.Clock})
+	}
 	return &Balancer{
 		options:   options,
 		endpoints: make(map[comfreyworks.InstanceID]*endpoint),
@@ -253,6 +259,10 @@
 	query    Query
 	// prefillTokens is this request's remaining contribution to the backlog.
 	prefillTokens int
+	// sentAt is when the upstream was chosen, tokensBefore the number of prompt tokens
+	// that it then had to prefill up to the end of this prompt.
+	sentAt       time.Time
+	tokensBefore int
 	// session is the key of the session in the record of saved sessions; zero if it
 	// is not used.
 	session uint32
@@ -311,6 +321,7 @@
 		Upstream: *c.upstream, Weights: c.weights, Candidates: candidates, CachedTokens: c.cachedTokens,
 		Wait:     c.wait(),
 		balancer: b, endpoint: c.endpoint, query: query, prefillTokens: prefillTokens,
+		sentAt: b.options.Clock.Now(), tokensBefore: c.tokensAhead + prefillTokens,
 		trial: c.endpoint.closure.start(), isProbe: c.isProbe, isRetrial: c.endpoint.startRetrial(),
 	}
 }
@@ -342,6 +353,7 @@
 	if query.Model == "" {
 		return c, true
 	}
+	c.pace = b.options.Pace.Pace(upstream)
 	c.weights = max(upstream.Weights[query.Model], e.weights[query.Model])
 	successor, superseded := declared.Superseded(c.weights)
 	if !superseded {
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/enginepace"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/rendezvous"
 )
@@ -73,6 +74,8 @@
 	// nowhere yet and that this engine will cache, because all gateways send
 	// requests for them here.
 	expectedTokens int
+	// pace is how fast the engine is; the zero value means as fast as all others.
+	pace enginepace.Pace
 	// avoided candidates have failed, full ones have no free capacity, stale ones
 	// serve weights whose answers lose value. settling ones run a release that other
 	// gateways may not know yet.
@@ -139,9 +142,6 @@
 	return subset
 }
 
-// wait is the estimated time until the prompt's prefill starts.
-func (c *candidate) wait() time.Duration { return time.Duration(c.tokensAhead) * prefillTime }
-
 // idle reports whether the candidate can start a new prompt soon.
 func (c candidate) idle() bool { return c.wait() < maxIdleWait }
 
@@ -268,8 +268,8 @@
 		}
 		converted[i] = comfreyworks.Candidate{
 			Instance: c.upstream.ID, Score: c.score, CachedTokens: cached + c.expectedTokens,
-			Wait:    c.wait() + time.Duration(c.requests)*runningRequestTime,
-			Running: c.requests, PrefillTime: prefillTime,
+			Wait:    c.wait() + c.runningTime(),
+			Running: c.requests, PrefillTime: scaled(prefillTime, c.pace.Prefill),
 		}
 		if !c.sameZone {
 			converted[i].Wait += crossZonePenalty
--- a/internal/coordination/balance/homes.go
+++ b/internal/coordination/balance/homes.go
@@ -139,7 +139,7 @@
 // homes returns the first n homes of a session that may receive the request.
 func (b *Balancer) homes(view *catalog.PoolView, query *Query, declared catalog.DeclaredWeights, n int, now time.Time) []candidate {
 	homes := make([]candidate, 0, n)
-	for rank, i := range highestScores(view.Seeds, query.AffinityKey, n) {
+	for rank, i := range b.rankHomes(view, query.AffinityKey, n) {
 		if c, ok := b.newCandidate(&view.Upstreams[i], query, declared, now); ok {
 			c.rank = rank
 			homes = append(homes, c)
@@ -151,13 +151,18 @@
 // highestScores returns the indexes of the n seeds with the highest scores for a
 // key, the highest first.
 func highestScores(seeds []uint64, key uint64, n int) []int {
+	return highest(len(seeds), n, func(i int) uint64 { return rendezvous.Score(seeds[i], key) })
+}
+
+// highest returns the indexes of the n highest of count scores, the highest first.
+func highest(count, n int, scoreOf func(int) uint64) []int {
 	type scored struct {
 		score uint64
 		index int
 	}
 	best := make([]scored, 0, n+1)
-	for i, seed := range seeds {
-		score := rendezvous.Score(seed, key)
+	for i := range count {
+		score := scoreOf(i)
 		if len(best) == n && score <= best[n-1].score {
 			continue
 		}
@@ -194,7 +199,7 @@
 // homeCost is the expected wait of the request, with what it costs to leave the
 // first available home, the zone and the newest weights.
 func (c *candidate) homeCost(s *homeSession, first int) time.Duration {
-	cost := c.wait() + time.Duration(c.requests)*runningRequestTime
+	cost := c.wait() + c.runningTime() + c.slowPrefill(max(s.query.Tokens-s.sharedTokens, 0))
 	if c.rank != first {
 		cost += s.movePenalty(c.weights)
 	}
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -26,6 +26,7 @@
 	events.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
 	events.Split(new(eventSplitter).split)
 	first, replaced := true, false
+	var gaps gapMeter
 	var progress streamProgress
 	for events.Scan() {
 		event := events.Bytes()
@@ -55,7 +56,11 @@
 		if first {
 			a.recordAnswer(response.Status)
 			first = false
+			if a.response == nil {
+				a.pick.FirstEvent()
+			}
 		}
+		gaps.add(a, a.options.Clock.Now())
 		if begins {
 			// Another upstream may write the rest of the stream with another length.
 			a.sink.Begin(response.Status, response.Header, -1)
@@ -63,6 +68,7 @@
 		if _, err := a.sink.Write(progress.release(event)); err != nil {
 			return Outcome{Verdict: Abandoned, Reason: "caller left"}, attemptDone
 		}
+		gaps.written(a.options.Clock.Now())
 		a.endEvent(id, isNew)
 	}
 	err := events.Err()
--- a/internal/coordination/peering/exchange.go
+++ b/internal/coordination/peering/exchange.go
@@ -61,12 +61,20 @@
 		state.Saved, state.SavedList.Version = p.options.Saved.After(m.savedSent, savedsessions.Local)
 		p.requestOrigins(&state, m, passesOrigins)
 	}
+	sendsPaces := p.sendsPaces(m)
 	if !p.relay {
 		state.Loads = p.options.Balancer.LocalLoads()
+		if sendsPaces {
+			state.Paces = p.options.Pace.Local()
+		}
 		return state
 	}
 	state.Role = comfreyworks.PeerRelay
-	state.Loads = p.options.Balancer.SumLoads(p.attached())
+	attached := p.attached()
+	state.Loads = p.options.Balancer.SumLoads(attached)
+	if sendsPaces {
+		state.Paces = p.options.Pace.Sum(attached)
+	}
 	state.Peers = p.attachedList(m)
 	return state
 }
@@ -84,6 +92,17 @@
 	return attached
 }
 
+// sendsPaces reports whether a peer is to be sent the speeds of engines now, and counts
+// them as sent. The mutex must be held.
+func (p *Peering) sendsPaces(to *member) bool {
+	now := p.options.Clock.Now()
+	if to == nil || now.Sub(to.pacesSentAt) < paceInterval {
+		return false
+	}
+	to.pacesSentAt = now
+	return true
+}
+
 // attachedList returns the gateways that call this one, to be sent to another
 // relay, or nil if it has received them within attachedListInterval. The mutex
 // must be held.
@@ -152,11 +171,19 @@
 		state.Role = comfreyworks.PeerRelay
 	}
 	passedOn := savedsessions.Local
+	sendsPaces := p.sendsPaces(p.members.members[to.Self.Address])
 	if to.Role == comfreyworks.PeerLeaf {
 		state.Loads = p.options.Balancer.AllLoadsExcept(to.Self.ID)
 		passedOn = savedsessions.Remote
+		if sendsPaces {
+			state.Paces = p.options.Pace.AllExcept(to.Self.ID)
+		}
 	} else {
-		state.Loads = p.options.Balancer.SumLoads(p.attached())
+		attached := p.attached()
+		state.Loads = p.options.Balancer.SumLoads(attached)
+		if sendsPaces {
+			state.Paces = p.options.Pace.Sum(attached)
+		}
 	}
 	savedKnown := to.SavedKnown
 	if savedKnown.Process != p.members.version.Process {
@@ -186,6 +213,7 @@
 	}
 	if p.relay {
 		p.options.Balancer.SetPeerLoads(m.ID, state.Loads, now.Add(loadExpiry))
+		p.options.Pace.SetReport(m.ID, state.Paces, now.Add(paceExpiry))
 	}
 	for _, other := range state.Peers {
 		p.members.record(other, now.Add(-other.HeardAgo), now)
@@ -217,6 +245,7 @@
 	}
 	if p.partners[m.Address] && request.Role == p.role() {
 		p.options.Balancer.SetPeerLoads(m.ID, state.Loads, now.Add(loadExpiry))
+		p.options.Pace.SetReport(m.ID, state.Paces, now.Add(paceExpiry))
 	}
 	for _, other := range state.Peers {
 		p.recordReported(other, m.Address, now)
--- a/internal/coordination/peering/partners.go
+++ b/internal/coordination/peering/partners.go
@@ -44,6 +44,7 @@
 	defer p.mu.Unlock()
 	for _, m := range p.members.expire(now) {
 		p.options.Balancer.RemovePeer(m.ID)
+		p.options.Pace.RemovePeer(m.ID)
 		p.options.Logger.Info("peer gone", zap.String("peer", string(m.ID)))
 	}
 	gateways := len(p.members.present()) + 1
@@ -98,6 +99,7 @@
 	for address := range p.partners {
 		if m := p.members.members[address]; m != nil && !partners[address] {
 			p.options.Balancer.RemovePeer(m.ID)
+			p.options.Pace.RemovePeer(m.ID)
 		}
 	}
 	p.partners = partners
--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -1,5 +1,6 @@
 // Package peering exchanges state between gateways: which gateways exist, the
-// load that they have put on each upstream, which engines load weights, which
+// load that they have put on each upstream, how fast engines are, which engines load
+// weights, which
 // release began each stream, which parts of prompts may crash engines, and the
 // newest declaration and list of upstreams.
 //
@@ -46,6 +47,7 @@
 	"comfreyworks/internal/coordination/balance"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/crashes"
+	"comfreyworks/internal/state/enginepace"
 	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/rendezvous"
 	"comfreyworks/internal/state/savedsessions"
@@ -92,6 +94,11 @@
 	// in one wholeListInterval. Who gets none asks again.
 	wholeListsPerInterval = 4
 	wholeListInterval     = 100 * time.Millisecond
+	// paceInterval is the minimum interval at which a gateway tells another one how
+	// fast engines are, and paceExpiry how long such a report is used. Lasting speeds
+	// change slowly.
+	paceInterval = 500 * time.Millisecond
+	paceExpiry   = 3 * time.Second
 	// loadExpiry is how long the load that a peer reported is used, and how long a
 	// partner that is silent counts as live.
 	loadExpiry = 1200 * time.Millisecond
@@ -128,6 +135,9 @@
 	RetainClients func(addresses map[netip.AddrPort]bool)
 	Catalog       *catalog.Catalog
 	Balancer      *balance.Balancer
+	// Pace records how fast engines are; gateways exchange it. Nil means a log of its
+	// own.
+	Pace *enginepace.Log
 	// Saved records the sessions that are in a cache store; gateways exchange it.
 	Saved *savedsessions.Log
 	// Origins records which release began each stream; nil means a log of its own.
@@ -179,6 +189,9 @@
 	if options.Origins == nil {
 		options.Origins = streamorigins.New(options.Clock)
 	}
+	if options.Pace == nil {
+		options.Pace = enginepace.New(enginepace.Options{Clock: options.Clock})
+	}
 	if options.Crashes == nil {
 		options.Crashes = crashes.New(crashes.Options{Clock: options.Clock})
 	}
--- a/internal/state/rendezvous/rendezvous.go
+++ b/internal/state/rendezvous/rendezvous.go
@@ -6,11 +6,13 @@
 //
 //	seed := rendezvous.Seed("lm-pool/3")
 //	score := rendezvous.Score(seed, key) // the highest score wins
+//	score = rendezvous.Weighted(score, 1.5) // wins 1.5 times as many keys
 //	best := rendezvous.Top(ids, key, 2)
 package rendezvous
 
 import (
 	"encoding/binary"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,6 +32,20 @@
 	return xxhash.Sum64(pair[:])
 }
 
+// Weighted returns the score of an instance that is to be chosen for a share of the keys
+// in proportion to weight. The weight 1 leaves a score as it is. If the weight of an
+// instance changes, only keys of that instance or to it move.
+func Weighted(score uint64, weight float64) uint64 {
+	if weight == 1 || weight <= 0 {
+		return score
+	}
+	const scores = 1 << 64
+	if weighted := math.Pow((float64(score)+0.5)/scores, 1/weight) * scores; weighted < scores {
+		return uint64(weighted)
+	}
+	return math.MaxUint64
+}
+
 // Top returns up to n instances by descending score.
 func Top(ids []comfreyworks.InstanceID, key uint64, n int) []comfreyworks.InstanceID {
 	ranked := slices.Clone(ids)
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/crashes"
+	"comfreyworks/internal/state/enginepace"
 	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/meter"
@@ -164,9 +165,10 @@
 		Tries: func(key uint32) bool { return g.peering.IsSelected(fmt.Sprint("part ", key), 1) },
 	})
 	saved := savedsessions.New(options.Clock)
+	pace := enginepace.New(enginepace.Options{Clock: options.Clock, Logger: options.Logger, Meter: options.Meter})
 	origins := &streamOrigins{log: streamorigins.New(options.Clock)}
 	g.balancer = balance.New(balance.Options{
-		Catalog: g.catalog, Holdings: g.holdings, Saved: saved,
+		Catalog: g.catalog, Holdings: g.holdings, Saved: saved, Pace: pace,
 		Policy: placement.Comfrey{RecomputeWeight: placement.DefaultRecomputeWeight},
 		Clock:  options.Clock, Zone: options.Settings.Zone, Logger: options.Logger,
 		SupersededWeights: options.Settings.Bounds.SupersededWeights,
@@ -197,7 +199,7 @@
 		Seeds: options.Settings.Peers, Registry: options.Registry,
 		NewClient:     func(address netip.AddrPort) comfreyworks.GatewayClient { return g.peerClients.To(address) },
 		RetainClients: g.peerClients.Retain,
-		Catalog:       g.catalog, Balancer: g.balancer, Saved: saved, Clock: options.Clock, Logger: options.Logger, Faults: options.Faults,
+		Catalog:       g.catalog, Balancer: g.balancer, Saved: saved, Pace: pace, Clock: options.Clock, Logger: options.Logger, Faults: options.Faults,
 		Origins: origins.log, PassOrigins: g.passesOrigins, Crashes: g.crashes,
 	})
 	origins.peering = g.peering
--- a/peering.go
+++ b/peering.go
@@ -130,6 +130,10 @@
 	// Loads are the loads of the sender and of the leaves that call it. In a reply
 	// to a leaf, they are the loads of all other gateways.
 	Loads []UpstreamLoad
+	// Paces are the speeds of engines that the sender and the leaves that call it have
+	// measured, as far as they differ from the others; in a reply to a leaf, those of all
+	// other gateways. Most messages have none.
+	Paces EnginePaces
 	// Leaving lists the listed upstreams that have said in an answer, to any
 	// gateway, that they are leaving.
 	Leaving []UpstreamIncarnation
