--- a/internal/coordination/balance/division.go
+++ b/internal/coordination/balance/division.go
@@ -128,11 +128,10 @@
 	}
 }
 
+// prefillSpeed returns how fast an engine prefills relative to the usual engine of its
+// pool, without slow moments.
 func (b *Balancer) prefillSpeed(upstream *comfreyworks.Upstream) float64 {
-	if b.options.PrefillSpeed == nil {
-		return 1
-	}
-	return b.options.PrefillSpeed(upstream)
+	return b.options.Pace.Lasting(upstream).Prefill
 }
 
 // isUsable reports whether an upstream may receive requests now, as far as this gateway
--- a/peering.go
+++ b/peering.go
@@ -133,6 +133,10 @@
 	// Demands are the demands that the gateways of Loads measured, one for each pool. It
 	// is empty in most messages; the demands of the last one that has any still apply.
 	Demands []PoolDemand
+	// Paces are the speeds of engines that the sender and the leaves that call it have
+	// measured, as far as they differ from the others; in a reply to a leaf, those of all
+	// other gateways. Most messages have none.
+	Paces EnginePaces
 	// Leaving lists the listed upstreams that have said in an answer, to any
 	// gateway, that they are leaving.
 	Leaving []UpstreamIncarnation
