--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -34,6 +34,7 @@
 	"comfreyworks"
 	"comfreyworks/internal/coordination/partition"
 	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/enginepace"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/rendezvous"
@@ -89,6 +90,8 @@
 	// Saved records the sessions that are in a cache store; it is used in large
 	// fleets.
 	Saved *savedsessions.Log
+	// Pace knows how fast engines are; nil means a log of its own.
+	Pace *enginepace.Log
 	// Policy chooses among the engines that may receive a prompt.
 	Policy comfreyworks.PlacementPolicy
 	Clock  comfreyworks.Clock
@@ -100,9 +103,6 @@
 	SupersededWeights time.Duration
 	// Meter counts judged streams; it may be nil.
 	Meter *meter.Meter
-	// PrefillSpeed returns how fast an engine prefills relative to the usual engine of its
-	// pool: 2 means twice as fast. If it is nil, all engines count as equally fast.
-	PrefillSpeed func(*comfreyworks.Upstream) float64
 }
 
 // Query describes a request that needs an upstream.
@@ -239,6 +239,9 @@
 	if options.Meter == nil {
 		options.Meter = meter.New()
 	}
+	if options.Pace == nil {
+		options.Pace = enginepace.New(enginepace.Options{Clock: options.Clock})
+	}
 	return &Balancer{
 		options:   options,
 		endpoints: make(map[comfreyworks.InstanceID]*endpoint),
@@ -282,6 +285,10 @@
 	query    Query
 	// prefillTokens is this request's remaining contribution to the backlog.
 	prefillTokens int
+	// sentAt is when the upstream was chosen, tokensBefore the number of prompt tokens
+	// that it then had to prefill up to the end of this prompt.
+	sentAt       time.Time
+	tokensBefore int
 	// session is the key of the session in the record of saved sessions; zero if it
 	// is not used.
 	session uint32
@@ -348,6 +355,7 @@
 		Upstream: *c.upstream, Weights: c.weights, Candidates: candidates, CachedTokens: c.cachedTokens,
 		Wait:     c.wait(),
 		balancer: b, endpoint: c.endpoint, query: query, prefillTokens: prefillTokens, kind: kind, memory: memory, Pressure: c.pressure,
+		sentAt: b.options.Clock.Now(), tokensBefore: c.tokensAhead + prefillTokens,
 		trial: c.endpoint.closure.start(), isProbe: c.isProbe, isRetrial: c.endpoint.startRetrial(),
 	}
 }
@@ -379,6 +387,7 @@
 	if query.Model == "" {
 		return c, true
 	}
+	c.pace = b.options.Pace.Pace(upstream)
 	c.pressure = b.pressureOn(&c, peerLoad.Memory, query, now)
 	c.weights = max(upstream.Weights[query.Model], e.weights[query.Model])
 	successor, superseded := declared.Superseded(c.weights)
