Correct the share for long prompts by what is missed, end the separation in time

The separation ends when the pool has borne the load before. Streams also use engines for long prompts with few requests while their own have few slots left. Repeated requests of callers no longer count as demand.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -133,6 +133,9 @@
 	RoutePriority int
 	// Priority is the priority in the engine's queue; 0 is the most urgent.
 	Priority int
+	// Returning means that the caller repeats a request that was refused, which is no
+	// further demand.
+	Returning bool
 	// Release is the only release that may serve the request, as a value of
 	// streamorigins.Release; zero means any.
 	Release uint32
--- a/internal/coordination/balance/division.go
+++ b/internal/coordination/balance/division.go
@@ -18,6 +18,15 @@
 // one for another request.
 const maxSpilled = 2 * minHomes
 
+const (
+	// crowdedSlots is the part of its slots from which an engine counts as crowded: requests
+	// of other gateways that are not reported yet may take the rest.
+	crowdedSlots = 0.75
+	// idleSlots is the part of its slots up to which an engine for long prompts takes streams.
+	// Long prompts fill the memory of an engine with few requests.
+	idleSlots = 0.25
+)
+
 // poolDivision divides the engines of a pool between long prompts and other requests.
 type poolDivision struct {
 	*partition.Separation
@@ -170,7 +179,7 @@
 	}
 	d := b.division(query.Pool, now)
 	kind := d.kindOf(query)
-	if d.gap == 0 || len(query.Exclude) > 0 {
+	if d.gap == 0 || len(query.Exclude) > 0 || query.Returning {
 		return kind
 	}
 	slots := cmp.Or(upstream.Slots, defaultSlots)
@@ -237,7 +246,7 @@
 	if !slices.ContainsFunc(homes, candidate.isUsable) {
 		return b.freeHomes(view, query, declared, now)
 	}
-	if kind == partition.Long || slices.ContainsFunc(homes, candidate.isFreeHome) {
+	if kind == partition.Long || slices.ContainsFunc(homes, candidate.isUncrowded) {
 		return homes
 	}
 	for _, c := range b.homes(&d.others[kind], query, declared, maxSpilled, now) {
@@ -287,7 +296,7 @@
 	switch {
 	case !slices.ContainsFunc(own, candidate.isUsable):
 		return tier
-	case !slices.ContainsFunc(own, candidate.isFreeHome):
+	case !slices.ContainsFunc(own, candidate.isUncrowded):
 		return append(own, idle...)
 	default:
 		return own
@@ -297,7 +306,15 @@
 // isUsable reports whether the candidate has not failed.
 func (c candidate) isUsable() bool { return !c.avoided && !c.settling }
 
-// isIdle reports whether the candidate has hardly anything to do.
+// isUncrowded reports whether the candidate can start a prompt soon and has slots left.
+func (c candidate) isUncrowded() bool {
+	return c.isFreeHome() && float64(c.requests) < crowdedSlots*float64(c.slots())
+}
+
+// isIdle reports whether the candidate has little to prefill and most of its slots free.
 func (c candidate) isIdle() bool {
-	return c.isFreeHome() && c.requests <= idleRequests && c.tokensAhead <= idleTokens
+	return c.isFreeHome() && c.tokensAhead <= idleTokens && float64(c.requests) <= idleSlots*float64(c.slots())
 }
+
+// slots returns the number of requests that the engine runs concurrently.
+func (c *candidate) slots() int { return cmp.Or(c.upstream.Slots, defaultSlots) }
--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -103,6 +103,12 @@
 	}
 }
 
+// isReturning reports whether the caller has probably sent the request before.
+func (r *activeRequest) isReturning() bool {
+	left := r.request.Deadline.Sub(r.request.Received)
+	return float64(left) < retryTimeLeftShare*float64(r.request.Route.Timeout)
+}
+
 // mayRefuse reports whether admission control applies to the request: it has a prompt, was
 // not sent yet and does not resume a stream.
 func (r *activeRequest) mayRefuse() bool {
@@ -119,7 +125,7 @@
 	}
 	left := r.options.Clock.Until(r.request.Deadline)
 	var maxRetryWait time.Duration
-	if float64(left) < retryTimeLeftShare*float64(route.Timeout) {
+	if r.isReturning() {
 		maxRetryWait = time.Duration(retryWaitShare * float64(left))
 	}
 	maxWait := time.Duration(maxWaitShare * float64(route.Objective))
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -452,7 +452,7 @@
 		Pool: r.request.Pool, Model: r.request.Prompt.Model,
 		CacheScope: cacheScope(r.request.Workspace), AffinityKey: affinityKey(r.request), StoreKey: storeKey(r.request),
 		Parts: r.request.Prompt.Parts, Tokens: r.request.Prompt.Tokens, OutputTokens: r.request.Prompt.OutputTokens,
-		Events: r.expectedEvents(), Deadline: r.request.Deadline, RoutePriority: r.request.Route.Priority, Priority: r.priority(), Exclude: r.tried, Release: r.release, BeginsStream: r.beginsStream(),
+		Events: r.expectedEvents(), Deadline: r.request.Deadline, RoutePriority: r.request.Route.Priority, Priority: r.priority(), Exclude: r.tried, Release: r.release, BeginsStream: r.beginsStream(), Returning: r.isReturning(),
 	}
 }
 
--- a/internal/coordination/partition/load.go
+++ b/internal/coordination/partition/load.go
@@ -1,16 +1,8 @@
 package partition
 
-const (
-	// maxUtilization is the part of its capacity up to which a kind can use its engines
-	// without queues that grow: requests do not arrive evenly.
-	maxUtilization = 0.7
-	// minShare is the part of the capacity that each kind keeps whatever the other one
-	// needs, so that none is starved.
-	minShare = 0.1
-	// samePriority is the difference between the mean priorities of two kinds up to which
-	// they count as equally urgent.
-	samePriority = 0.25
-)
+// minShare is the part of the capacity that each kind keeps whatever the other one needs, so
+// that none is starved.
+const minShare = 0.1
 
 // Demand is the demand of one kind of requests.
 type Demand struct {
@@ -33,28 +25,22 @@
 	LongStreams, LongMissed float64
 }
 
-// targetShare returns the part of the capacity that long prompts need. While there is
-// enough for all, shares are proportional to need. Otherwise the more urgent kind gets
-// what it needs first. Each kind keeps at least one engine, of which the fastest has the
-// given speed.
-func targetShare(load *Load, capacity, fastest float64) float64 {
-	long, other := load.Demand[Long], load.Demand[Other]
-	total := long.EngineTime + other.EngineTime
-	if total <= 0 {
-		return 0.5
-	}
-	share := long.EngineTime / total
-	if usable := maxUtilization * capacity; usable > 0 && total > usable {
-		switch difference := long.Priority - other.Priority; {
-		case difference < -samePriority:
-			share = long.EngineTime / usable
-		case difference > samePriority:
-			share = 1 - other.EngineTime/usable
-		}
-	}
-	lowest := minShare
-	if capacity > 0 {
-		lowest = min(max(minShare, fastest/capacity), 0.5)
+// estimatedShare returns the part of the capacity that long prompts need, in proportion to
+// the need of both kinds. It is at least lowest and at most 1-lowest.
+func (l *Load) estimatedShare(lowest float64) float64 {
+	long, other := l.Demand[Long].EngineTime, l.Demand[Other].EngineTime
+	share := 0.5
+	if total := long + other; total > 0 {
+		share = long / total
 	}
 	return min(max(share, lowest), 1-lowest)
 }
+
+// lowestShare returns the least part of the capacity that each kind keeps: the minimum, or
+// one engine. fastest is the speed of the fastest engine.
+func lowestShare(capacity, fastest float64) float64 {
+	if capacity <= 0 {
+		return minShare
+	}
+	return min(max(minShare, fastest/capacity), 0.5)
+}
--- a/internal/coordination/partition/partition.go
+++ b/internal/coordination/partition/partition.go
@@ -49,6 +49,9 @@
 	// maxStep is the largest part of the capacity that changes its kind at once. Each
 	// engine that changes loses the cached prompts of its sessions.
 	maxStep = 0.1
+	// leaveStep is the same for the end of a separation, in which no session must leave its
+	// engines.
+	leaveStep = 0.25
 	// shareTolerance is the difference from the wanted share up to which the present one
 	// stays. Demand that is measured over a second varies by about as much.
 	shareTolerance = 0.05
@@ -83,9 +86,10 @@
 
 // Separation is the state of the division of one pool.
 type Separation struct {
-	key      uint64
-	pressure pressure
-	speeds   speedClasses
+	key        uint64
+	pressure   pressure
+	speeds     speedClasses
+	correction correction
 	// share is the part of the capacity for long prompts. overlap is the part of the
 	// boundary range that both kinds use; 1 means that all engines serve both.
 	share, overlap float64
@@ -126,8 +130,15 @@
 		}
 	}
 	s.speeds.prune(engines)
-	s.pressure.update(now, load, capacity)
-	wanted := targetShare(load, capacity, fastest)
+	s.pressure.update(now, load, capacity, s.overlap)
+	lowest := lowestShare(capacity, fastest)
+	estimated := load.estimatedShare(lowest)
+	if s.Separated() {
+		s.correction.update(load, estimated, lowest)
+	} else {
+		s.correction = correction{}
+	}
+	wanted := estimated + s.correction.offset
 	switch difference := wanted - s.share; {
 	case !s.Separated():
 		s.share = wanted
@@ -137,7 +148,7 @@
 		s.share -= min(-difference, maxStep)
 	}
 	if usable < minEngines || !s.pressure.active {
-		s.overlap = min(s.overlap+maxStep, 1)
+		s.overlap = min(s.overlap+leaveStep, 1)
 	} else {
 		s.overlap = max(s.overlap-maxStep, 0)
 	}
