--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -131,6 +131,8 @@
 	Deadline time.Time
 	// RoutePriority is the priority of the route, without that of the workspace.
 	RoutePriority int
+	// Objective is the latency objective for the first event; zero means none.
+	Objective time.Duration
 	// Priority is the priority in the engine's queue; 0 is the most urgent.
 	Priority int
 	// Returning means that the caller repeats a request that was refused, which is no
@@ -144,6 +146,9 @@
 	BeginsStream bool
 	// Exclude lists the upstreams that have already been tried.
 	Exclude []comfreyworks.InstanceID
+
+	// weighsBehind is the result of Balancer.weighsPromptsBehind.
+	weighsBehind bool
 }
 
 // allows reports whether the request may be sent to an upstream.
@@ -201,6 +206,8 @@
 	leaving  departures
 	demands  demands
 	divided  map[comfreyworks.Pool]*poolDivision
+	// late counts late short prompts by pool.
+	late map[comfreyworks.Pool]*lateness
 }
 
 // endpoint holds what this gateway has observed of one upstream itself.
@@ -253,6 +260,7 @@
 		leaving:   make(departures),
 		demands:   newDemands(),
 		divided:   make(map[comfreyworks.Pool]*poolDivision),
+		late:      make(map[comfreyworks.Pool]*lateness),
 	}
 }
 
@@ -315,6 +323,7 @@
 	now := b.options.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	query.weighsBehind = query.Model != "" && b.weighsPromptsBehind(query.Pool)
 	if query.Model != "" && !b.usesCacheNews(query.Pool) {
 		return b.pickHome(query, declared, now)
 	}
@@ -392,6 +401,9 @@
 	}
 	c.pace = b.options.Pace.Pace(upstream)
 	c.pressure = b.pressureOn(&c, peerLoad.Memory, query, now)
+	if query.weighsBehind {
+		c.tokensBehind = tokensBehind(e, &peerLoad, query.Priority)
+	}
 	c.weights = max(upstream.Weights[query.Model], e.weights[query.Model])
 	successor, superseded := declared.Superseded(c.weights)
 	if !superseded {
--- a/internal/coordination/balance/homes.go
+++ b/internal/coordination/balance/homes.go
@@ -133,7 +133,7 @@
 // freeHomes returns the first homes of a session, twice as many as long as none of them is
 // free.
 func (b *Balancer) freeHomes(view *catalog.PoolView, query *Query, declared catalog.DeclaredWeights, now time.Time) []candidate {
-	for n := minHomes; ; n *= 2 {
+	for n := b.minHomes(query); ; n *= 2 {
 		homes := b.homes(view, query, declared, n, now)
 		if n >= len(view.Upstreams) || slices.ContainsFunc(homes, candidate.isFreeHome) {
 			return homes
@@ -204,7 +204,7 @@
 // homeCost is the expected wait of the request, with what it costs to leave the
 // first available home, the zone and the newest weights.
 func (c *candidate) homeCost(s *homeSession, first int) time.Duration {
-	cost := c.wait() + c.runningTime() + c.slowPrefill(max(s.query.Tokens-s.sharedTokens, 0))
+	cost := c.wait() + c.blockedTime() + c.runningTime() + c.slowPrefill(max(s.query.Tokens-s.sharedTokens, 0))
 	if c.rank != first {
 		cost += s.movePenalty(c.weights)
 	}
