--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/enginepace"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/rendezvous"
 )
@@ -60,7 +61,10 @@
 	// tokensAhead is the number of prompt tokens that are prefilled before this
 	// request.
 	tokensAhead int
-	latency     time.Duration
+	// tokensBehind is the number of prompt tokens of less urgent requests, as far as
+	// they count.
+	tokensBehind int
+	latency      time.Duration
 	// isProbe means that the request is to measure the latency anew.
 	isProbe  bool
 	weights  comfreyworks.WeightsRevision
@@ -73,10 +77,15 @@
 	// nowhere yet and that this engine will cache, because all gateways send
 	// requests for them here.
 	expectedTokens int
+	// pace is how fast the engine is; the zero value means as fast as all others.
+	pace enginepace.Pace
 	// avoided candidates have failed, full ones have no free capacity, stale ones
 	// serve weights whose answers lose value. settling ones run a release that other
 	// gateways may not know yet.
 	avoided, full, stale, settling bool
+	// pressure is why the engine must not receive the request while streams miss their
+	// times; empty if it may.
+	pressure PressureReason
 }
 
 // tier ranks the state of the candidate; lower is better.
@@ -85,15 +94,18 @@
 	if c.stale {
 		tier++
 	}
-	if c.full {
+	if c.pressure != "" {
 		tier += 2
 	}
-	if c.avoided {
+	if c.full {
 		tier += 4
 	}
-	if c.settling {
+	if c.avoided {
 		tier += 8
 	}
+	if c.settling {
+		tier += 16
+	}
 	return tier
 }
 
@@ -139,9 +151,6 @@
 	return subset
 }
 
-// wait is the estimated time until the prompt's prefill starts.
-func (c *candidate) wait() time.Duration { return time.Duration(c.tokensAhead) * prefillTime }
-
 // idle reports whether the candidate can start a new prompt soon.
 func (c candidate) idle() bool { return c.wait() < maxIdleWait }
 
@@ -268,8 +277,8 @@
 		}
 		converted[i] = comfreyworks.Candidate{
 			Instance: c.upstream.ID, Score: c.score, CachedTokens: cached + c.expectedTokens,
-			Wait:    c.wait() + time.Duration(c.requests)*runningRequestTime,
-			Running: c.requests, PrefillTime: prefillTime,
+			Wait:    c.wait() + c.blockedTime() + c.runningTime(),
+			Running: c.requests, PrefillTime: scaled(prefillTime, c.pace.Prefill),
 		}
 		if !c.sameZone {
 			converted[i].Wait += crossZonePenalty
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -20,7 +20,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -32,6 +31,7 @@
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/crashes"
 	"comfreyworks/internal/state/faults"
+	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/retrybudget"
 )
 
@@ -125,8 +125,9 @@
 type Prompt struct {
 	Model comfreyworks.Model
 	Parts []comfreyworks.PromptPart
-	// Tokens is the length of the whole prompt.
-	Tokens int
+	// Tokens is the length of the whole prompt, OutputTokens the maximum length of the
+	// answer; zero if unknown.
+	Tokens, OutputTokens int
 }
 
 // Sink receives an answer.
@@ -152,6 +153,8 @@
 	Origins comfreyworks.StreamOrigins
 	// Crashes knows what crashes upstreams; nil means a log of its own.
 	Crashes *crashes.Log
+	// Meter counts requests that are refused because of overload; it may be nil.
+	Meter *meter.Meter
 	// RetryLimit returns this gateway's share of the retry budget.
 	RetryLimit func() retrybudget.Limit
 }
@@ -167,6 +170,7 @@
 type poolState struct {
 	budget    *retrybudget.Budget
 	admission admissionControl
+	events    eventLength
 }
 
 // New returns a forwarder.
@@ -174,6 +178,9 @@
 	if options.Crashes == nil {
 		options.Crashes = crashes.New(crashes.Options{Clock: options.Clock})
 	}
+	if options.Meter == nil {
+		options.Meter = meter.New()
+	}
 	return &Forwarder{options: options, pools: make(map[comfreyworks.Pool]*poolState)}
 }
 
@@ -328,7 +335,7 @@
 		return ", may not run again"
 	case r.runs >= r.request.Route.MaxAttempts:
 		return ", no run left"
-	case r.options.Clock.Until(r.request.Deadline) < minTimeLeft:
+	case r.options.Clock.Until(r.request.Deadline) < max(minTimeLeft, r.minRemainingTime()):
 		return ", no time left"
 	default:
 		return ""
@@ -411,10 +418,11 @@
 		}
 		return Outcome{Verdict: Refused, RetryAfter: r.retryAfter(retryAfterNoUpstream)}, attemptDone
 	}
-	if r.refusedByAdmission(pick) {
+	if reason := r.overloadReason(pick); reason != "" {
+		pick.JudgeStream(true)
 		pick.Done(balance.Result{Outcome: balance.Withdrawn})
-		r.reason = fmt.Sprintf("overload, would wait %s", pick.Wait.Round(time.Millisecond))
-		return Outcome{Verdict: Refused, RetryAfter: max(retryAfterFactor*pick.Wait, minRetryAfter)}, attemptDone
+		r.reason = "overload, " + reason
+		return Outcome{Verdict: Refused, RetryAfter: r.overloadRetryAfter(pick.Wait)}, attemptDone
 	}
 	return r.newAttempt(ctx, pick).run(ctx)
 }
@@ -445,8 +453,10 @@
 	return balance.Query{
 		Pool: r.request.Pool, Model: r.request.Prompt.Model,
 		CacheScope: cacheScope(r.request.Workspace), AffinityKey: affinityKey(r.request), StoreKey: storeKey(r.request),
-		Parts: r.request.Prompt.Parts, Tokens: r.request.Prompt.Tokens,
-		Priority: r.priority(), Exclude: r.tried, Release: r.release, BeginsStream: r.beginsStream(),
+		Parts: r.request.Prompt.Parts, Tokens: r.request.Prompt.Tokens, OutputTokens: r.request.Prompt.OutputTokens,
+		Events: r.expectedEvents(), Deadline: r.request.Deadline, Objective: r.request.Route.Objective,
+		RoutePriority: r.request.Route.Priority, Priority: r.priority(), Returning: r.isReturning(),
+		Exclude: r.tried, Release: r.release, BeginsStream: r.beginsStream(),
 	}
 }
 
--- a/internal/coordination/peering/members.go
+++ b/internal/coordination/peering/members.go
@@ -39,8 +39,12 @@
 	unreachableUntil time.Time
 	// changed is the version of the list in which the member last changed.
 	changed uint64
+	// demandsSentAt is when this gateway last sent it demands.
+	demandsSentAt time.Time
 	// listSentAt is when this gateway last sent it the list of its leaves.
 	listSentAt time.Time
+	// pacesSentAt is when this gateway last sent it the speeds of engines.
+	pacesSentAt time.Time
 	// known is the version of the member's own list that this gateway has.
 	known comfreyworks.ListVersion
 	// savedKnown is the version of the member's list of saved sessions that this
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -40,6 +40,7 @@
 	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/crashes"
+	"comfreyworks/internal/state/enginepace"
 	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/holdings"
 	"comfreyworks/internal/state/meter"
@@ -173,12 +174,13 @@
 		clock: options.Clock, logger: options.Logger, meter: options.Meter, loggedAt: make(map[comfreyworks.Workspace]time.Time),
 	}
 	saved := savedsessions.New(options.Clock)
+	pace := enginepace.New(enginepace.Options{Clock: options.Clock, Logger: options.Logger, Meter: options.Meter})
 	origins := &streamOrigins{log: streamorigins.New(options.Clock)}
 	g.balancer = balance.New(balance.Options{
-		Catalog: g.catalog, Holdings: g.holdings, Saved: saved,
+		Catalog: g.catalog, Holdings: g.holdings, Saved: saved, Pace: pace,
 		Policy: placement.Comfrey{RecomputeWeight: placement.DefaultRecomputeWeight},
 		Clock:  options.Clock, Zone: options.Settings.Zone, Logger: options.Logger,
-		SupersededWeights: options.Settings.Bounds.SupersededWeights,
+		SupersededWeights: options.Settings.Bounds.SupersededWeights, Meter: options.Meter,
 	})
 	g.upstreamClient = exchange.NewClient(exchange.Options{
 		Clock: options.Clock, Headers: options.Settings.Headers,
@@ -186,7 +188,7 @@
 	})
 	g.forwarder = forward.New(forward.Options{
 		Catalog: g.catalog, Balancer: g.balancer, Exchanger: g.upstreamClient, Clock: options.Clock,
-		Origins: origins, Crashes: g.crashes, Logger: options.Logger, Faults: options.Faults, RetryLimit: g.retryLimit,
+		Origins: origins, Crashes: g.crashes, Logger: options.Logger, Faults: options.Faults, Meter: options.Meter, RetryLimit: g.retryLimit,
 	})
 	g.follower = follow.New(follow.Options{
 		Declarations: options.Declarations, Upstreams: options.Upstreams, Catalog: g.catalog,
@@ -206,7 +208,7 @@
 		Seeds: options.Settings.Peers, Registry: options.Registry,
 		NewClient:     func(address netip.AddrPort) comfreyworks.GatewayClient { return g.peerClients.To(address) },
 		RetainClients: g.peerClients.Retain,
-		Catalog:       g.catalog, Balancer: g.balancer, Saved: saved, Clock: options.Clock, Logger: options.Logger, Faults: options.Faults,
+		Catalog:       g.catalog, Balancer: g.balancer, Saved: saved, Pace: pace, Clock: options.Clock, Logger: options.Logger, Faults: options.Faults,
 		Origins: origins.log, PassOrigins: g.passesOrigins, Crashes: g.crashes, Usage: g.usage.limiter,
 	})
 	origins.peering = g.peering
--- a/peering.go
+++ b/peering.go
@@ -16,6 +16,9 @@
 	// Unreachable is the number of gateways that recently could not reach the
 	// upstream.
 	Unreachable int
+	// Memory is the number of tokens, in units of 1,024, that the requests in progress need
+	// in the KV cache of an engine: their prompts and their declared output.
+	Memory int
 }
 
 // WeightsLoadNotice announces that an engine is about to load weights or has
@@ -139,6 +142,13 @@
 	// Loads are the loads of the sender and of the leaves that call it. In a reply
 	// to a leaf, they are the loads of all other gateways.
 	Loads []UpstreamLoad
+	// Demands are the demands that the gateways of Loads measured, one for each pool. It
+	// is empty in most messages; the demands of the last one that has any still apply.
+	Demands []PoolDemand
+	// Paces are the speeds of engines that the sender and the leaves that call it have
+	// measured, as far as they differ from the others; in a reply to a leaf, those of all
+	// other gateways. Most messages have none.
+	Paces EnginePaces
 	// Leaving lists the listed upstreams that have said in an answer, to any
 	// gateway, that they are leaving.
 	Leaving []UpstreamIncarnation
