Show that a fresh gateway joins streams of two releases

A gateway that starts after all gateways ended takes the only listed release for the one that began every stream.

--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -109,8 +109,7 @@
 }
 
 func newFixture(script ...response) *fixture {
-	f := &fixture{clock: clockwork.NewFakeClockAt(time.Now()), upstreams: &fakeUpstreams{script: script}, sink: &recordingSink{}}
-	f.catalog = catalog.New(f.clock)
+	f := newFreshFixture(script...)
 	var present []comfreyworks.Upstream
 	for _, id := range []comfreyworks.InstanceID{"a", "b", "c"} {
 		present = append(present, comfreyworks.Upstream{
@@ -119,6 +118,13 @@
 		})
 	}
 	f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Whole: true, Present: present, Next: 1}, f.clock.Now())
+	return f
+}
+
+// newFreshFixture returns a fixture that has not read the list of upstreams yet.
+func newFreshFixture(script ...response) *fixture {
+	f := &fixture{clock: clockwork.NewFakeClockAt(time.Now()), upstreams: &fakeUpstreams{script: script}, sink: &recordingSink{}}
+	f.catalog = catalog.New(f.clock)
 	f.forwarder = New(Options{
 		Catalog: f.catalog,
 		Balancer: balance.New(balance.Options{
--- a/internal/coordination/forward/resume_test.go
+++ b/internal/coordination/forward/resume_test.go
@@ -65,19 +65,6 @@
 // what two releases write does not fit together.
 func TestTakeUp(t *testing.T) {
 	rest := respondOK("id: 3\ndata: c\n\n")
-	takeUpWaiting := func(f *fixture, polls int) (outcome Outcome) {
-		var group errgroup.Group
-		group.Go(func() error {
-			outcome = f.takeUp()
-			return nil
-		})
-		for range polls {
-			_ = f.clock.BlockUntilContext(context.Background(), 1)
-			f.clock.Advance(originPollInterval)
-		}
-		_ = group.Wait()
-		return outcome
-	}
 	t.Run("at the release that began it", func(t *testing.T) {
 		f := newReleaseFixture(&fakeOrigins{known: map[comfreyworks.RequestID]uint32{"r0": streamorigins.Release(pool, "v1")}}, rest)
 		assert.Equal(t, f.takeUp().Verdict, Delivered)
@@ -156,3 +143,48 @@
 		assert.Equal(t, len(origins.added), 1)
 	})
 }
+
+// TestTakeUpAtFreshGateway guards against a gateway that started after all gateways
+// ended and continues a stream of a former release at the only one that is listed now.
+func TestTakeUpAtFreshGateway(t *testing.T) {
+	for name, listed := range map[string][]comfreyworks.Upstream{
+		"the list has not been read yet": nil,
+		"the other release is gone":      {{ID: "b", Pool: pool, State: comfreyworks.InstanceLive, Release: "v2"}},
+		"the other release is leaving": {
+			{ID: "a", Pool: pool, State: comfreyworks.InstanceLeaving, Release: "v1"},
+			{ID: "b", Pool: pool, State: comfreyworks.InstanceLive, Release: "v2"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFreshFixture(respondOK("id: 3\ndata: c\n\n"))
+			if listed != nil {
+				f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Whole: true, Present: listed, Next: 1}, f.clock.Now())
+			}
+			f.forwarder.options.Origins = &fakeOrigins{}
+			outcome := takeUpWaiting(f, int(maxOriginWait/originPollInterval))
+			assert.Equal(t, outcome.Verdict, Refused)
+			assert.Assert(t, outcome.RetryAfter > 0)
+			assert.Equal(t, len(f.upstreams.sent), 0)
+		})
+	}
+}
+
+// takeUpWaiting is takeUp for a request that looks up its origin several times. It
+// returns early if the request does not wait.
+func takeUpWaiting(f *fixture, polls int) (outcome Outcome) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		defer cancel()
+		outcome = f.takeUp()
+		return nil
+	})
+	for range polls {
+		if f.clock.BlockUntilContext(ctx, 1) != nil {
+			break
+		}
+		f.clock.Advance(originPollInterval)
+	}
+	_ = group.Wait()
+	return outcome
+}
