Refuse streams of unknown origin after all gateways ended

A gateway took the only listed release for the one that began every stream, although it knew nothing of the time before its start or of a time in which it was cut off. It now knows since when it has known all releases, and takes one for the only one if that is 30 s ago, the time for which streams can be taken up. A new release begins streams once it is recorded or 6 s have passed.

The time of day at which upstreams started no longer decides which release is new. A release that leaves before it has settled settles anew, and one that returns after 15 to 30 s keeps counting; both were holes without any kill.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -71,9 +71,12 @@
 	// StartDelay returns how long after its start this gateway waits for the first
 	// results; nil means not at all.
 	StartDelay func() time.Duration
-	Clock      comfreyworks.Clock
-	Logger     *zap.Logger
-	Meter      *meter.Meter
+	// OnUpstreamsRead is called after this gateway has read the upstreams itself, as a
+	// reader or not; it may be nil.
+	OnUpstreamsRead func(reader bool)
+	Clock           comfreyworks.Clock
+	Logger          *zap.Logger
+	Meter           *meter.Meter
 	// Faults records panics, after which a source is read on.
 	Faults *faults.Recorder
 }
@@ -272,6 +275,9 @@
 		f.options.Catalog.UpstreamsVerified()
 	}
 	f.log(&change, changes.Next, requestedAt)
+	if f.options.OnUpstreamsRead != nil {
+		f.options.OnUpstreamsRead(f.isReader())
+	}
 	return nil
 }
 
--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -118,6 +118,7 @@
 		})
 	}
 	f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Whole: true, Present: present, Next: 1}, f.clock.Now())
+	f.catalog.ApplyReleaseRecord(comfreyworks.ReleaseRecord{Pools: map[comfreyworks.Pool][]string{pool: {""}}}, f.clock.Now())
 	return f
 }
 
--- a/internal/coordination/peering/exchange.go
+++ b/internal/coordination/peering/exchange.go
@@ -37,7 +37,11 @@
 		p.applyDeclaration(&update, sentAt.Add(-update.DeclaredAge))
 	}
 	if update.ListedAge >= 0 {
-		p.applyUpstreams(&update, sentAt.Add(-update.ListedAge))
+		readAt := sentAt.Add(-update.ListedAge)
+		p.applyUpstreams(&update, readAt)
+		if update.Releases != nil {
+			p.options.Catalog.LearnReleases(update.Releases, readAt)
+		}
 	}
 	return nil
 }
@@ -45,7 +49,7 @@
 // request returns the state that this gateway sends to a peer.
 func (p *Peering) request(to netip.AddrPort) comfreyworks.GatewayState {
 	declared, listed := p.options.Catalog.SourceStates()
-	starting, passesOrigins := p.starting(), p.passesOrigins()
+	starting, passesOrigins, wantsReleases := p.starting(), p.passesOrigins(), p.options.Catalog.WantsReleases()
 	state := comfreyworks.GatewayState{
 		Self: p.options.Self, Role: comfreyworks.PeerLeaf, Declared: declared.Position, Listed: listed.Position,
 		Leaving: p.options.Balancer.Leaving(),
@@ -55,6 +59,7 @@
 	state.WantsState = p.partners[to] ||
 		(starting && p.relay && !p.heardAt.IsZero() && p.options.Clock.Since(p.heardAt) >= seedStateDelay)
 	m := p.members.members[to]
+	state.WantsReleases = wantsReleases && p.mayAskForReleases(m)
 	p.requestCrashes(&state, m)
 	if m != nil {
 		state.Known, state.SavedKnown = m.known, m.savedKnown
@@ -71,6 +76,17 @@
 	return state
 }
 
+// mayAskForReleases reports whether this gateway may ask another one now which releases
+// it knows. The mutex must be held.
+func (p *Peering) mayAskForReleases(of *member) bool {
+	now := p.options.Clock.Now()
+	if of == nil || now.Sub(of.releasesAskedAt) < releasesInterval {
+		return of == nil
+	}
+	of.releasesAskedAt = now
+	return true
+}
+
 // attached returns the leaves that have called this gateway recently. The mutex
 // must be held.
 func (p *Peering) attached() map[comfreyworks.InstanceID]bool {
@@ -110,6 +126,9 @@
 		State: p.reply(&state, declared, listed), DeclaredAge: p.sinceRead(declared), ListedAge: p.sinceRead(listed),
 		DeclaredWait: declared.CompleteAt.Sub(declared.ConfirmedAt),
 	}
+	if state.WantsReleases {
+		update.Releases = p.options.Catalog.KnownReleases()
+	}
 	if !state.WantsState {
 		return update
 	}
--- a/internal/coordination/peering/members.go
+++ b/internal/coordination/peering/members.go
@@ -41,6 +41,8 @@
 	changed uint64
 	// listSentAt is when this gateway last sent it the list of its leaves.
 	listSentAt time.Time
+	// releasesAskedAt is when this gateway last asked it which releases it knows.
+	releasesAskedAt time.Time
 	// known is the version of the member's own list that this gateway has.
 	known comfreyworks.ListVersion
 	// savedKnown is the version of the member's list of saved sessions that this
--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -67,6 +67,9 @@
 	// attachedListInterval is the minimum interval at which a relay tells another
 	// one which leaves call it.
 	attachedListInterval = 2 * time.Second
+	// releasesInterval is the minimum interval at which a gateway asks another one which
+	// releases it knows. It bounds the bytes while none of them knows all.
+	releasesInterval = 400 * time.Millisecond
 	// callTimeout limits one call to a peer, which is a few milliseconds away, or
 	// to the registry.
 	callTimeout = 400 * time.Millisecond
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -106,6 +106,12 @@
 	entries  map[comfreyworks.InstanceID]entry
 	// releases holds the releases that upstreams of each pool run or ran recently.
 	releases map[comfreyworks.Pool]map[string]releaseSpan
+	// knownSince is the time since which all releases that were in service are known.
+	knownSince time.Time
+	// recordsReleases means that streams begin at a new release once it is recorded.
+	// recorded is the newest record; nil if it is not known.
+	recordsReleases bool
+	recorded        *comfreyworks.ReleaseRecord
 	// routingChangedAt is the position up to which the declarations were read when
 	// the routing last changed.
 	routingChangedAt comfreyworks.Position
@@ -319,6 +325,7 @@
 	}
 	c.crossRestore(&changes, now, &change)
 	lastConfirmedAt := c.listed.ConfirmedAt
+	c.updateKnownSince(lastConfirmedAt, now)
 	c.listed.Position = changes.Next
 	if readAt.After(c.listed.ConfirmedAt) {
 		c.listed.ConfirmedAt = readAt
--- a/internal/state/catalog/releases.go
+++ b/internal/state/catalog/releases.go
@@ -14,9 +14,15 @@
 	// one of them is new. As long as a list of upstreams is younger, no stream that may
 	// be continued began at a release that it does not contain.
 	releaseSettleTime = 2 * time.Second
-	// startupTime is more than an upstream takes from its start until it is listed.
-	startupTime = 10 * time.Second
-	// maxFormerReleases limits the former releases that are accepted from one peer.
+	// maxRecordWait is how long streams begin at other releases of a pool while a new one
+	// is not recorded. It covers the time in which another gateway takes over from the one
+	// that should have recorded it; longer, and a store that fails all writes would keep
+	// streams off new upstreams.
+	maxRecordWait = 6 * time.Second
+	// recordMargin is how much longer than releaseMemory a release is recorded. Gateways
+	// with an older list of upstreams used it for longer than the one that records it.
+	recordMargin = 5 * time.Second
+	// maxFormerReleases limits the releases that are accepted from one peer.
 	maxFormerReleases = 256
 )
 
@@ -28,6 +34,27 @@
 	// leftAt is when the last upstream that runs the release was removed; zero if
 	// there is one.
 	leftAt time.Time
+	// enteredAt is when this gateway saw or learned that the release entered service;
+	// zero if it was listed before this gateway started, as far as is known.
+	enteredAt time.Time
+	// recorded means that a record which contains the release was written since it
+	// entered service. Otherwise streams begin at it from recordBy on.
+	recorded bool
+	recordBy time.Time
+}
+
+// newReleaseSpan returns the span of a release that entered service.
+func newReleaseSpan(now time.Time) releaseSpan {
+	return releaseSpan{enteredAt: now, settledAt: now.Add(releaseSettleTime), recordBy: now.Add(maxRecordWait)}
+}
+
+// updateKnownSince restarts the time since which all releases are known if the list of
+// upstreams, last confirmed at lastConfirmedAt, may have missed one: a release serves no
+// sooner than releaseSettleTime after it was listed. The mutex must be held.
+func (c *Catalog) updateKnownSince(lastConfirmedAt, now time.Time) {
+	if now.Sub(lastConfirmedAt) >= releaseSettleTime {
+		c.knownSince = now
+	}
 }
 
 // updateReleases records the releases of the listed upstreams. The list before was
@@ -42,9 +69,12 @@
 		}
 		for release := range listed {
 			span, known := spans[release]
-			if !known || (!span.leftAt.IsZero() && now.Sub(span.leftAt) > releaseMemory/2) {
-				// Some gateways may have forgotten a release that returns.
-				span = releaseSpan{settledAt: now.Add(releaseSettleTime), countsFrom: lastConfirmedAt.Add(releaseSettleTime)}
+			if !known || span.mayBeUnknown(now) {
+				counts := known && !span.isForgotten(now)
+				span = newReleaseSpan(now)
+				if !counts {
+					span.countsFrom = lastConfirmedAt.Add(releaseSettleTime)
+				}
 			}
 			span.leftAt = time.Time{}
 			spans[release] = span
@@ -53,31 +83,39 @@
 	c.markRemovedReleases(now)
 }
 
-// listedReleases returns the listed releases of each pool with the earliest start of
-// an upstream that runs it. The mutex must be held.
-func (c *Catalog) listedReleases() map[comfreyworks.Pool]map[string]time.Time {
-	pools := make(map[comfreyworks.Pool]map[string]time.Time)
+// mayBeUnknown reports whether a release that returns may be unknown to other gateways:
+// they have not seen it before it left, or have forgotten it. A record without it may then
+// still be on its way to the store.
+func (s releaseSpan) mayBeUnknown(now time.Time) bool {
+	return !s.leftAt.IsZero() && (s.settledAt.After(s.leftAt) || now.Sub(s.leftAt) > releaseMemory/2)
+}
+
+// listedReleases returns the listed releases of each pool, without those of upstreams in
+// their grace period. The mutex must be held.
+func (c *Catalog) listedReleases() map[comfreyworks.Pool]map[string]bool {
+	pools := make(map[comfreyworks.Pool]map[string]bool)
 	for _, e := range c.entries {
+		if !e.removeAt.IsZero() {
+			continue
+		}
 		listed := pools[e.upstream.Pool]
 		if listed == nil {
-			listed = make(map[string]time.Time)
+			listed = make(map[string]bool)
 			pools[e.upstream.Pool] = listed
 		}
-		if started, ok := listed[e.upstream.Release]; !ok || e.upstream.Started.Before(started) {
-			listed[e.upstream.Release] = e.upstream.Started
-		}
+		listed[e.upstream.Release] = true
 	}
 	return pools
 }
 
-// firstReleases returns the releases of a pool that was not listed before. Those whose
-// upstreams started long ago were listed long ago.
-func firstReleases(listed map[string]time.Time, now time.Time) map[string]releaseSpan {
+// firstReleases returns the releases of a pool of which nothing was known. If there are
+// several, one of them may be new, until the record or a peer tells which.
+func firstReleases(listed map[string]bool, now time.Time) map[string]releaseSpan {
 	spans := make(map[string]releaseSpan, len(listed))
-	for release, started := range listed {
+	for release := range listed {
 		var span releaseSpan
-		if len(listed) > 1 && now.Sub(started) < startupTime {
-			span.settledAt = now.Add(releaseSettleTime)
+		if len(listed) > 1 {
+			span.settledAt, span.recordBy = now.Add(releaseSettleTime), now.Add(maxRecordWait)
 		}
 		spans[release] = span
 	}
@@ -90,7 +128,7 @@
 	listed := c.listedReleases()
 	for pool, spans := range c.releases {
 		for release, span := range spans {
-			if _, ok := listed[pool][release]; !ok && span.leftAt.IsZero() {
+			if !listed[pool][release] && span.leftAt.IsZero() {
 				span.leftAt = now
 				spans[release] = span
 			}
@@ -98,12 +136,12 @@
 	}
 }
 
-// removeForgottenReleases removes releases whose streams can no longer be continued.
-// The mutex must be held.
+// removeForgottenReleases removes releases that need no longer be recorded. The mutex
+// must be held.
 func (c *Catalog) removeForgottenReleases(now time.Time) {
 	for _, spans := range c.releases {
 		for release, span := range spans {
-			if span.isForgotten(now) {
+			if !span.leftAt.IsZero() && now.Sub(span.leftAt) > releaseMemory+recordMargin {
 				delete(spans, release)
 			}
 		}
@@ -119,16 +157,24 @@
 func (c *Catalog) settling(pool comfreyworks.Pool, now time.Time) map[string]time.Time {
 	var settling map[string]time.Time
 	for release, span := range c.releases[pool] {
-		if span.settledAt.After(now) {
+		if begins := c.beginsAt(&span); begins.After(now) {
 			if settling == nil {
 				settling = make(map[string]time.Time)
 			}
-			settling[release] = span.settledAt
+			settling[release] = begins
 		}
 	}
 	return settling
 }
 
+// beginsAt returns when streams may begin at a release.
+func (c *Catalog) beginsAt(span *releaseSpan) time.Time {
+	if span.recorded || !c.recordsReleases {
+		return span.settledAt
+	}
+	return comfreyworks.Later(span.settledAt, span.recordBy)
+}
+
 // formerReleases returns the releases that are no longer listed but whose streams may
 // still be continued. The mutex must be held.
 func (c *Catalog) formerReleases(now time.Time) []comfreyworks.FormerRelease {
@@ -156,14 +202,14 @@
 }
 
 // OnlyRelease returns the release that began all streams of a pool that may still be
-// continued. It returns false if there may be several, or if the list of upstreams is
-// too old to tell. A gateway that has just started knows of former releases only what
-// its peers know.
+// continued. It returns false if there may be several, if the list of upstreams is too
+// old to tell, or if it is not known which releases were in service while such streams
+// began.
 func (c *Catalog) OnlyRelease(pool comfreyworks.Pool) (release string, ok bool) {
 	now := c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.listed.ConfirmedAt) >= releaseSettleTime {
+	if !c.listIsFresh(now) || !c.knowsReleases(now) {
 		return "", false
 	}
 	n := 0
--- a/internal/state/catalog/releases_test.go
+++ b/internal/state/catalog/releases_test.go
@@ -26,9 +26,16 @@
 	}
 }
 
+// know makes the releases known that were in service, as a record on the store does.
+func (f fixture) know(releases ...string) {
+	f.ApplyReleaseRecord(comfreyworks.ReleaseRecord{Pools: map[comfreyworks.Pool][]string{pool: releases}}, f.clock.Now())
+}
+
 func TestOnlyRelease(t *testing.T) {
 	f := newFixture()
-	f.applyList(1, true, []comfreyworks.Upstream{upstreamOf("a", "v1"), upstreamOf("b", "v1")})
+	a, b, c := upstreamOf("a", "v1"), upstreamOf("b", "v1"), upstreamOf("c", "v2")
+	f.applyList(1, true, []comfreyworks.Upstream{a, b})
+	f.know("v1")
 	t.Run("a pool of one release", func(t *testing.T) {
 		f.assertOnlyRelease(t, "v1", true)
 	})
@@ -39,27 +46,26 @@
 		f.assertOnlyRelease(t, "", false)
 		f.clock.Advance(outageThreshold)
 		f.applyList(2, false, nil)
+		f.assertOnlyRelease(t, "", false)
+		f.know("v1")
 		f.assertOnlyRelease(t, "v1", true)
-		f.clock.Advance(lapsedGracePeriod)
+		f.follow(lapsedGracePeriod, a, b)
 	})
 	t.Run("not while upstreams of several releases are listed", func(t *testing.T) {
-		f.applyList(3, false, []comfreyworks.Upstream{upstreamOf("c", "v2")})
-		f.clock.Advance(releaseSettleTime)
-		f.applyList(3, false, nil)
+		f.follow(releaseSettleTime, a, b, c)
 		f.assertOnlyRelease(t, "", false)
 	})
 	t.Run("not while streams of a former release may be taken up", func(t *testing.T) {
-		f.applyList(4, false, nil, "a", "b")
-		f.clock.Advance(releaseMemory)
-		f.applyList(5, false, nil)
+		f.follow(releaseMemory, c)
 		f.assertOnlyRelease(t, "", false)
 		f.clock.Advance(1)
 		f.assertOnlyRelease(t, "v2", true)
 	})
 	t.Run("an upstream that restarts with another release", func(t *testing.T) {
-		f.applyList(6, false, []comfreyworks.Upstream{upstreamOf("c", "v3")})
+		c = upstreamOf("c", "v3")
+		f.follow(0, c)
 		f.clock.Advance(releaseSettleTime - 2)
-		f.applyList(7, false, nil)
+		f.follow(0, c)
 		f.assertOnlyRelease(t, "v2", true)
 		f.clock.Advance(1)
 		f.assertOnlyRelease(t, "", false)
@@ -67,17 +73,22 @@
 	t.Run("a gateway that starts learns of former releases from its peers", func(t *testing.T) {
 		starting := fixture{clock: f.clock, Catalog: New(f.clock)}
 		starting.ApplyUpstreams(*f.UpstreamsAfter(0), f.clock.Now())
+		starting.LearnReleases(f.KnownReleases(), f.clock.Now())
 		starting.assertOnlyRelease(t, "", false)
-		f.clock.Advance(releaseMemory)
-		starting.applyList(8, false, nil)
+		f.clock.Advance(time.Second)
+		starting.follow(releaseMemory-4*time.Second, c)
+		starting.assertOnlyRelease(t, "", false)
+		starting.follow(2*time.Second, c)
 		starting.assertOnlyRelease(t, "v3", true)
 	})
 	t.Run("former releases that make no sense are ignored", func(t *testing.T) {
-		f.ApplyUpstreams(comfreyworks.UpstreamChanges{Next: 9, Former: []comfreyworks.FormerRelease{
+		f.follow(0, c)
+		f.follow(releaseMemory, c)
+		f.ApplyUpstreams(comfreyworks.UpstreamChanges{Next: f.listed.Position, Former: []comfreyworks.FormerRelease{
 			{}, {Pool: "none", Release: "v1"}, {Pool: pool, Release: "v3"}, {Pool: pool, Release: "v0", LeftAgo: time.Hour},
 		}}, f.clock.Now())
 		f.assertOnlyRelease(t, "v3", true)
-		f.ApplyUpstreams(comfreyworks.UpstreamChanges{Next: 9, Former: []comfreyworks.FormerRelease{{Pool: pool, Release: "v2", LeftAgo: -time.Hour}}}, f.clock.Now())
+		f.ApplyUpstreams(comfreyworks.UpstreamChanges{Next: f.listed.Position, Former: []comfreyworks.FormerRelease{{Pool: pool, Release: "v2", LeftAgo: -time.Hour}}}, f.clock.Now())
 		f.assertOnlyRelease(t, "", false)
 	})
 }
@@ -106,6 +117,8 @@
 			for i, f := range gateways {
 				if n == 1 || rapid.IntRange(0, 20).Draw(t, "reads") == i {
 					list(f, n)
+					// Of the record the worst is assumed: that it never contains v2.
+					f.know("v1")
 				}
 				settling, known := f.Pool(pool).Settling["v2"]
 				_, listed := f.Upstream("b")
@@ -126,7 +139,12 @@
 func TestSettling(t *testing.T) {
 	f := newFixture()
 	f.applyList(1, true, []comfreyworks.Upstream{upstreamOf("a", "v1"), upstreamOf("b", "v2")})
-	t.Run("releases that were there first are used at once", func(t *testing.T) {
+	t.Run("of several that were there first one may be new", func(t *testing.T) {
+		settledAt := f.clock.Now().Add(releaseSettleTime)
+		assert.DeepEqual(t, f.Pool(pool).Settling, map[string]time.Time{"v1": settledAt, "v2": settledAt})
+	})
+	t.Run("they are used at once when it is known that none is", func(t *testing.T) {
+		f.know("v1", "v2")
 		assert.Equal(t, len(f.Pool(pool).Settling), 0)
 	})
 	t.Run("a new one later", func(t *testing.T) {
@@ -153,10 +171,21 @@
 		assert.Equal(t, len(f.Pool(pool).Settling), 1)
 	})
 	t.Run("so does one that was new when this gateway started", func(t *testing.T) {
-		starting := fixture{clock: f.clock, Catalog: New(f.clock)}
-		old, young := upstreamOf("a", "v1"), upstreamOf("b", "v2")
-		old.Started, young.Started = f.clock.Now().Add(-startupTime), f.clock.Now().Add(1-startupTime)
-		starting.applyList(1, true, []comfreyworks.Upstream{old, young})
-		assert.DeepEqual(t, starting.Pool(pool).Settling, map[string]time.Time{"v2": f.clock.Now().Add(releaseSettleTime)})
+		for name, learn := range map[string]func(fixture){
+			"by the record": func(f fixture) { f.know("v1") },
+			"by a peer": func(f fixture) {
+				f.LearnReleases(&comfreyworks.KnownReleases{Releases: []comfreyworks.KnownRelease{
+					{Pool: pool, Release: "v1", Listed: true, Recorded: true}, {Pool: pool, Release: "v2", Listed: true, SettlesIn: releaseSettleTime},
+				}}, f.clock.Now())
+			},
+		} {
+			t.Run(name, func(t *testing.T) {
+				starting := fixture{clock: f.clock, Catalog: New(f.clock)}
+				starting.RecordReleases()
+				starting.applyList(1, true, []comfreyworks.Upstream{upstreamOf("a", "v1"), upstreamOf("b", "v2")})
+				learn(starting)
+				assert.DeepEqual(t, starting.Pool(pool).Settling, map[string]time.Time{"v2": f.clock.Now().Add(maxRecordWait)})
+			})
+		}
 	})
 }
--- a/internal/state/catalog/restore.go
+++ b/internal/state/catalog/restore.go
@@ -20,6 +20,7 @@
 		return
 	}
 	change.Restored = true
+	c.recorded = nil
 	c.checksumsFrom = now.Add(restorePause)
 	c.graceEnd = now.Add(lapsedGracePeriod)
 	removed := make(map[comfreyworks.InstanceID]comfreyworks.Upstream, len(c.removals))
--- a/internal/transport/gateway/fixture_test.go
+++ b/internal/transport/gateway/fixture_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
+	"comfreyworks/internal/standin/releasestore"
 	"comfreyworks/internal/standin/replica"
 	"comfreyworks/internal/state/meter"
 )
@@ -72,6 +73,7 @@
 type fixture struct {
 	clock    *clockwork.FakeClock
 	source   *memorySource
+	releases *releasestore.Store
 	engines  []*replica.Replica
 	services []*replica.Replica
 	// servers are those of engines and services, and wrap returns their handlers.
@@ -93,7 +95,7 @@
 // that wrap returns.
 func newFixtureBehind(t *testing.T, wrap func(*replica.Replica) http.Handler) *fixture {
 	t.Helper()
-	f := &fixture{clock: clockwork.NewFakeClock(), source: &memorySource{position: 1}, names: comfreyworks.DefaultHeaderNames(), servers: make(map[*replica.Replica]*httptest.Server), wrap: wrap}
+	f := &fixture{clock: clockwork.NewFakeClock(), source: &memorySource{position: 1}, releases: releasestore.New(), names: comfreyworks.DefaultHeaderNames(), servers: make(map[*replica.Replica]*httptest.Server), wrap: wrap}
 	f.names.Reserved = []string{"Comfrey-Hold"}
 	for i := range 2 {
 		f.engines = append(f.engines, f.addReplica(t, "lm", i, eventsPerStream))
@@ -122,6 +124,16 @@
 			route.Pools[0].Pool = "lm"
 		}
 	}
+	record := comfreyworks.ReleaseRecord{Pools: map[comfreyworks.Pool][]string{"lm": {""}, "orders": {""}}}
+	_, _, err := f.releases.RecordReleases(context.Background(), record, 0)
+	assert.NilError(t, err)
+	f.start(t)
+	return f
+}
+
+// start starts a gateway, in place of the one before, which ends.
+func (f *fixture) start(t *testing.T) {
+	t.Helper()
 	f.gateway = New(Options{
 		Settings: comfreyworks.GatewaySettings{
 			ID: "g0", ReadyPath: "/ready", Headers: f.names,
@@ -129,13 +141,12 @@
 				KeyRevocation: 5 * time.Second, StopGrace: 8 * time.Second, RetryRatio: 2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 			},
 		},
-		Declarations: f.source, Upstreams: f.source, Clock: f.clock, Logger: zap.NewNop(), Meter: meter.New(),
+		Declarations: f.source, Upstreams: f.source, Releases: f.releases, Clock: f.clock, Logger: zap.NewNop(), Meter: meter.New(),
 	})
 	f.clock.Advance(f.gateway.options.Settings.Bounds.RetryWindow)
 	f.server = httptest.NewServer(f.gateway.requestHandler())
 	t.Cleanup(f.server.Close)
 	f.refresh(t)
-	return f
 }
 
 func (f *fixture) addReplica(t *testing.T, pool comfreyworks.Pool, i, events int) *replica.Replica {
@@ -153,10 +164,11 @@
 	return r
 }
 
-// refresh reads the sources once.
+// refresh reads the sources and the record of releases once.
 func (f *fixture) refresh(t *testing.T) {
 	t.Helper()
 	assert.NilError(t, f.gateway.follower.ReadOnce(context.Background()))
+	f.gateway.releases.Check(context.Background())
 }
 
 // request builds a request with the key of workspace office.
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"comfreyworks/internal/coordination/forward"
 	"comfreyworks/internal/coordination/peering"
 	"comfreyworks/internal/coordination/placement"
+	"comfreyworks/internal/coordination/releaserecord"
 	"comfreyworks/internal/coordination/rollout"
 	"comfreyworks/internal/coordination/watch"
 	"comfreyworks/internal/protocol/exchange"
@@ -110,6 +111,9 @@
 	// Registry lets gateways discover each other in addition to the seeds; it may
 	// be nil.
 	Registry comfreyworks.GatewayRegistry
+	// Releases keeps the record of releases that gateways read after all of them ended. If
+	// it is nil, streams of unknown origin are refused for some time after such a start.
+	Releases comfreyworks.ReleaseStore
 	// Caches reports what engines and cache stores hold. If it is nil, this is
 	// inferred from the requests of this process alone.
 	Caches comfreyworks.CacheSource
@@ -133,11 +137,13 @@
 
 // Gateway routes and forwards callers' requests.
 type Gateway struct {
-	options        Options
-	catalog        *catalog.Catalog
-	balancer       *balance.Balancer
-	forwarder      *forward.Forwarder
-	follower       *follow.Follower
+	options   Options
+	catalog   *catalog.Catalog
+	balancer  *balance.Balancer
+	forwarder *forward.Forwarder
+	follower  *follow.Follower
+	// releases is nil if there is no ReleaseStore.
+	releases       *releaserecord.Recorder
 	upstreamClient *exchange.Client
 	rollout        *rollout.Rollout
 	holdings       *holdings.Index
@@ -184,8 +190,20 @@
 		IsReader:      func() bool { return g.peering.IsSelected("read", sourceReaders) },
 		FallbackDelay: func() time.Duration { return g.peering.FallbackDelay() },
 		StartDelay:    func() time.Duration { return g.peering.StartDelay() },
-		Clock:         options.Clock, Logger: options.Logger, Meter: options.Meter, Faults: options.Faults,
+		OnUpstreamsRead: func(reader bool) {
+			if g.releases != nil {
+				g.releases.ListRead(reader)
+			}
+		},
+		Clock: options.Clock, Logger: options.Logger, Meter: options.Meter, Faults: options.Faults,
 	})
+	if options.Releases != nil {
+		g.catalog.RecordReleases()
+		g.releases = releaserecord.New(releaserecord.Options{
+			Store: options.Releases, Catalog: g.catalog, IsWriter: func(n int) bool { return g.peering.IsSelected("record releases", n) },
+			Clock: options.Clock, Logger: options.Logger, Meter: options.Meter, Faults: options.Faults,
+		})
+	}
 	g.peerClients = peer.NewClients(peer.ClientOptions{
 		Clock: options.Clock, Limits: peer.MessageLimits{Bytes: maxPeerMessageBytes}, Faults: options.Faults,
 	})
@@ -311,6 +329,9 @@
 	}
 	group.Go(func() error { return g.follower.Run(workCtx) })
 	group.Go(func() error { return g.removeUnseenUpstreams(workCtx) })
+	if g.releases != nil {
+		group.Go(func() error { return g.releases.Run(workCtx) })
+	}
 	if listeners.Peers != nil {
 		// Not known until peers answer.
 		g.balancer.SetGateways(0)
--- a/internal/transport/gateway/release_test.go
+++ b/internal/transport/gateway/release_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,8 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"comfreyworks"
+	"comfreyworks/internal/standin/releasestore"
 	"comfreyworks/internal/standin/replica"
 )
 
@@ -151,3 +154,54 @@
 		assert.Equal(t, releaseFixture{f}.takeUp(t, "again", "elsewhere").StatusCode, http.StatusOK)
 	})
 }
+
+// TestAllGatewaysEnded guards against streams that a gateway joins from two releases
+// because no gateway is left that knows which one began them, and against a deployment of
+// one release that loses streams because of that.
+func TestAllGatewaysEnded(t *testing.T) {
+	leave := func(f releaseFixture, release string) {
+		f.source.change(func(s *memorySource) {
+			s.upstreams = slices.DeleteFunc(slices.Clone(s.upstreams), func(u comfreyworks.Upstream) bool {
+				return u.Pool == "lm" && u.Release == release
+			})
+		})
+	}
+	for name, test := range map[string]struct {
+		// before happens while the first gateway runs, after when none does.
+		before, after func(releaseFixture)
+	}{
+		"two releases in service":    {},
+		"one of them has left":       {before: func(f releaseFixture) { leave(f, "v1") }},
+		"one of them left meanwhile": {after: func(f releaseFixture) { leave(f, "v1") }},
+		"it left meanwhile, and the store is down": {after: func(f releaseFixture) {
+			leave(f, "v1")
+			f.releases.SetFault(releasestore.Down)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newReleaseFixture(t)
+			f.begin(t, "r0")
+			if test.before != nil {
+				test.before(f)
+				f.refresh(t)
+			}
+			if test.after != nil {
+				test.after(f)
+			}
+			f.start(t)
+			stop := f.advanceContinuously(t)
+			defer stop()
+			assert.Equal(t, f.takeUp(t, "again", "r0").StatusCode, http.StatusServiceUnavailable)
+			assert.Equal(t, f.ranAt("again"), "")
+		})
+	}
+	t.Run("one release goes on as soon as the record was read", func(t *testing.T) {
+		f := newFixture(t)
+		reads, appends := f.releases.Calls()
+		f.start(t)
+		assert.Equal(t, releaseFixture{f}.takeUp(t, "again", "elsewhere").StatusCode, http.StatusOK)
+		readsAfter, appendsAfter := f.releases.Calls()
+		assert.Equal(t, readsAfter, reads+1)
+		assert.Equal(t, appendsAfter, appends)
+	})
+}
--- a/peering.go
+++ b/peering.go
@@ -138,6 +138,8 @@
 	Declared, Listed Position
 	// WantsState asks for what changed after these positions.
 	WantsState bool
+	// WantsReleases asks for the releases that the other gateway knows.
+	WantsReleases bool
 }
 
 // GatewayUpdate is a gateway's reply to the state of another gateway.
@@ -156,6 +158,9 @@
 	// means nothing, that it was not asked for, or that the whole list must be asked
 	// for again later.
 	Upstreams *UpstreamChanges
+	// Releases holds the releases of upstreams as of the time of ListedAge or later; nil
+	// means that they were not asked for or that the list is too old.
+	Releases *KnownReleases
 }
 
 // WeightsLoadNotices is a batch of notices in the order in which they were given.
