--- a/internal/coordination/releaserecord/releaserecord_test.go
+++ b/internal/coordination/releaserecord/releaserecord_test.go
@@ -347,6 +347,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		f := newKnownFleet(t, 3, "v1")
 		begun := map[string]time.Time{"v1": f.clock.Now()}
+		saved := f.store.Copy()
 		draw := func(name string, n int) int { return rapid.IntRange(0, n-1).Draw(rt, name) }
 		for range 200 {
 			switch i := draw("gateway", 3); draw("event", 60) {
@@ -368,8 +369,10 @@
 			case 12:
 				f.store.Deliver()
 			case 13:
-				f.store.Restore(f.store.Copy())
+				f.store.Restore(saved)
 				f.restored = f.position + 1
+			case 15:
+				saved = f.store.Copy()
 			case 14:
 				f.apart = !f.apart
 			}
