Let the soak end all gateways during a release

Callers did not try again while no gateway accepted connections, so no stream was ever taken up after all gateways had been killed, and the soak could not see streams joined then. They now try for 5 s.

The mutant that trusts the only listed release was not run yet.

--- a/cmd/soak/internal/caller/caller.go
+++ b/cmd/soak/internal/caller/caller.go
@@ -11,6 +11,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -20,6 +21,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"comfreyworks/cmd/soak/internal/fleet"
@@ -39,6 +41,9 @@
 	maxLongThinkTime = 300 * time.Millisecond
 	// maxRetryDelay is the maximum pause after a response with Retry-After.
 	maxRetryDelay = 500 * time.Millisecond
+	// takeUpTime is how long a caller tries to take up a stream while all gateways are
+	// down, and takeUpPause the pause between two tries.
+	takeUpTime, takeUpPause = 5 * time.Second, 50 * time.Millisecond
 	// promptTokens is the length of a prompt. uniqueTokens is the length of the
 	// part of it that no other prompt has.
 	promptTokens, uniqueTokens = 900, 200
@@ -200,7 +205,8 @@
 func (r *Record) Events() int { return bytes.Count(r.ResponseBody, []byte("\n\n")) }
 
 // takeUp sends a request for the rest of a stream to another gateway, and records and
-// returns it. The caller stays with that gateway.
+// returns it. The caller stays with that gateway. While no gateway accepts connections, it
+// tries one after the other.
 func (c *Caller) takeUp(broken *Record) Record {
 	n := len(c.options.Gateways)
 	c.gateway = (broken.Gateway + 1 + c.rng.IntN(n-1)) % n
@@ -209,10 +215,19 @@
 		Target: broken.Target, Body: broken.Body, Resumes: broken.ID, LastEvent: broken.Events(),
 	}
 	c.roundTrip(&record)
+	for end := time.Now().Add(takeUpTime); isRefused(record.Err) && time.Now().Before(end); {
+		time.Sleep(takeUpPause)
+		c.gateway = (c.gateway + 1) % n
+		record.Gateway, record.Err = c.gateway, nil
+		c.roundTrip(&record)
+	}
 	c.records = append(c.records, record)
 	return record
 }
 
+// isRefused reports whether a request was not sent because there was no connection.
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // randomRequest returns a random request that has not been sent.
 func (c *Caller) randomRequest(n int) Record {
 	kind := []Kind{NonIdempotent, Idempotent, Stream, ResumableStream}[c.rng.IntN(4)]
--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -88,6 +88,10 @@
 		"sends requests that crash replicas", "internal/coordination/forward/quarantine.go",
 		"keys := []uint32{key}", "keys := []uint32{key}[:0]",
 	},
+	{
+		"trusts the only listed release", "internal/state/catalog/knownreleases.go",
+		"return now.Sub(c.knownSince) >= releaseMemory", "return !now.Before(c.knownSince)",
+	},
 	{
 		"loses what left between gateways", "internal/state/catalog/changes.go",
 		"if restored || !c.known.includes(after) {", "if restored || after == 0 {",
--- a/cmd/soak/internal/series/series.go
+++ b/cmd/soak/internal/series/series.go
@@ -145,6 +145,10 @@
 	if err := s.breakStreams(); err != nil {
 		return nil, err
 	}
+	time.Sleep(quietPeriod)
+	if err := trouble.EndAllInRelease(s.fleet, s.options.Seed, fleet.Releases[0]); err != nil {
+		return nil, err
+	}
 	stopWindow := s.stopOneGateway()
 	stop()
 	_ = group.Wait()
