Hold the first event of a stream whose release changed

A gateway that continues a stream because there is only one release records that, so that its caller can take it up again after a new release has entered service.

The table of TestOriginIsRecorded lists more upstreams, so that its second attempt keeps the release and does not wait; it still demands both records.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -247,7 +247,10 @@
 	// sentTo is the release to which the last attempt to begin the stream was sent;
 	// zero if there was none.
 	sentTo uint32
-	reason string
+	// originChangedAt is when an attempt to begin the stream was last sent to another
+	// release than the one before; zero if never.
+	originChangedAt time.Time
+	reason          string
 	// next is the attempt that takes the place of the current one; nil if there is
 	// none.
 	next *attempt
--- a/internal/coordination/forward/resume_test.go
+++ b/internal/coordination/forward/resume_test.go
@@ -52,6 +52,18 @@
 	return f
 }
 
+// addUpstreams lists three upstreams of each release, so that a second attempt need not
+// change the release.
+func (f *fixture) addUpstreams() {
+	var present []comfreyworks.Upstream
+	for i := range 6 {
+		present = append(present, comfreyworks.Upstream{
+			ID: comfreyworks.InstanceID(rune('a' + i)), Pool: pool, State: comfreyworks.InstanceLive, Release: []string{"v1", "v2"}[i%2], Sequence: 2,
+		})
+	}
+	f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Present: present, Next: 3}, f.clock.Now())
+}
+
 // takeUp forwards a request that takes up stream r0 after its second event.
 func (f *fixture) takeUp() Outcome {
 	stream := route(comfreyworks.RouteStream, 2, true)
@@ -117,6 +129,7 @@
 				return respondOK(events)(ctx, options)
 			}
 			f := newReleaseFixture(origins, lost, answer)
+			f.addUpstreams()
 			f.forward(test.route)
 			assert.Equal(t, recorded, test.want)
 			assert.Equal(t, len(origins.added), test.want)
@@ -125,13 +138,7 @@
 	t.Run("a second attempt goes to the same release if it can", func(t *testing.T) {
 		origins := &fakeOrigins{}
 		f := newReleaseFixture(origins, lost, respondOK(events))
-		var present []comfreyworks.Upstream
-		for i := range 6 {
-			present = append(present, comfreyworks.Upstream{
-				ID: comfreyworks.InstanceID(rune('a' + i)), Pool: pool, State: comfreyworks.InstanceLive, Release: []string{"v1", "v2"}[i%2], Sequence: 2,
-			})
-		}
-		f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Present: present, Next: 3}, f.clock.Now())
+		f.addUpstreams()
 		f.forward(route(comfreyworks.RouteStream, 2, true))
 		assert.Equal(t, len(origins.added), 2)
 		assert.Equal(t, origins.added[0], origins.added[1])
@@ -169,6 +176,16 @@
 	}
 }
 
+// TestTakeUpTwice guards against a stream that its caller takes up again after a new
+// release entered service: the gateway must remember at which release it went on.
+func TestTakeUpTwice(t *testing.T) {
+	f := newFixture(respondOK("id: 3\ndata: c\n\n"))
+	origins := &fakeOrigins{}
+	f.forwarder.options.Origins = origins
+	assert.Equal(t, f.takeUp().Verdict, Delivered)
+	assert.DeepEqual(t, origins.added, []uint32{streamorigins.Release(pool, "")})
+}
+
 // takeUpWaiting is takeUp for a request that looks up its origin several times. It
 // returns early if the request does not wait.
 func takeUpWaiting(f *fixture, polls int) (outcome Outcome) {
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -57,6 +57,7 @@
 			first = false
 		}
 		if begins {
+			a.awaitOriginExchange()
 			// Another upstream may write the rest of the stream with another length.
 			a.sink.Begin(response.Status, response.Header, -1)
 		}
