--- a/internal/coordination/peering/fixture_test.go
+++ b/internal/coordination/peering/fixture_test.go
@@ -36,8 +36,8 @@
 	// that were sent, originsToLeaves those that leaves received.
 	passOrigins              bool
 	origins, originsToLeaves int
-	// crashes counts the suspicions that were sent.
-	crashes int
+	// crashes counts the suspicions that were sent, releases the replies with releases.
+	crashes, releases int
 	// old are gateways that do not know of suspicions.
 	old map[netip.AddrPort]bool
 }
@@ -99,6 +99,9 @@
 	if update.Upstreams != nil && update.Upstreams.Whole {
 		to.wholeLists++
 	}
+	if update.Releases != nil {
+		c.network.releases++
+	}
 	c.advance()
 	return update, nil
 }
