Recognize the first start of a deployment

Without a record, resumed streams of unknown origin would be refused for 30 s, also when no gateway has ever run before. If the store has never had a record and no gateway is registered, no stream of an earlier time exists. Relays register within two seconds of their start; a store that was restored does not count as new.

--- a/internal/coordination/releaserecord/releaserecord.go
+++ b/internal/coordination/releaserecord/releaserecord.go
@@ -48,7 +48,11 @@
 	Catalog *catalog.Catalog
 	// IsWriter reports whether this gateway is among the n that append records.
 	IsWriter func(n int) bool
-	Clock    comfreyworks.Clock
+	// NoneBefore reports whether no gateway has ever run with this store, so that there are
+	// no streams of an earlier time. It is called if there has never been a record; nil
+	// means that this is not known.
+	NoneBefore func(ctx context.Context) (bool, error)
+	Clock         comfreyworks.Clock
 	Logger   *zap.Logger
 	Meter    *meter.Meter
 	// Faults records panics, after which the recorder goes on.
@@ -140,6 +144,17 @@
 	if !r.load(ctx) {
 		return
 	}
+	first, err := r.isFirstStart(ctx)
+	if err != nil {
+		r.fail("failed to find out whether gateways ran before", err)
+		return
+	}
+	if first {
+		r.options.Catalog.ApplyReleaseRecord(comfreyworks.ReleaseRecord{}, readAt)
+		r.read = r.options.Catalog.KnowsReleases()
+		r.options.Logger.Info("first start of a gateway with this store, no earlier releases")
+		return
+	}
 	if r.stored == nil {
 		r.read = true
 		r.options.Logger.Warn("no valid record of releases, streams of unknown origin are refused until all that began earlier have expired")
@@ -150,6 +165,16 @@
 	r.options.Logger.Info("record of releases read", zap.Any("releases", r.stored.Pools))
 }
 
+// isFirstStart reports whether no gateway has ever run with this store.
+func (r *Recorder) isFirstStart(ctx context.Context) (bool, error) {
+	if r.next != 0 || r.options.NoneBefore == nil {
+		return false, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.options.NoneBefore(ctx)
+}
+
 // load reads the newest record. It returns false if the store did not answer.
 func (r *Recorder) load(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/coordination/releaserecord/releaserecord_test.go
+++ b/internal/coordination/releaserecord/releaserecord_test.go
@@ -1,6 +1,7 @@
 package releaserecord
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
@@ -319,6 +320,38 @@
 	})
 }
 
+// TestFirstStart guards against streams that are refused for 30 s after the first start of
+// a deployment, and against one that is taken for the first although gateways ran before.
+func TestFirstStart(t *testing.T) {
+	for name, test := range map[string]struct {
+		none   bool
+		err    error
+		before func(*fleet)
+		want   bool
+	}{
+		"no gateway ran before":              {none: true, want: true},
+		"one ran that kept no record":        {},
+		"that is not known":                  {none: true, err: context.DeadlineExceeded},
+		"the store was restored since":       {none: true, before: func(f *fleet) { f.store.Restore(f.store.Copy()) }},
+		"there was a record that is no more": {none: true, before: func(f *fleet) { f.store.Drop() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(1, "v1", "v2")
+			f.change("v2")
+			if test.before != nil {
+				test.before(f)
+			}
+			f.gateways[0].recorder.options.NoneBefore = func(context.Context) (bool, error) { return test.none, test.err }
+			f.step(t)
+			f.assertOnly(t, "v2", test.want)
+			f.run(t, time.Second)
+			f.startAll()
+			f.step(t)
+			f.assertOnly(t, "v2", test.want)
+		})
+	}
+}
+
 // TestFewReads guards against a store that is read by every gateway of a large fleet that
 // starts: those that read no list themselves learn from the others.
 func TestFewReads(t *testing.T) {
--- a/internal/standin/releasestore/releasestore.go
+++ b/internal/standin/releasestore/releasestore.go
@@ -78,6 +78,13 @@
 	s.era++
 }
 
+// Drop appends a record that cannot be decoded.
+func (s *Store) Drop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.content = Copy{era: s.era, end: s.content.end + 1}
+}
+
 // Deliver lets all delayed appends arrive.
 func (s *Store) Deliver() {
 	s.mu.Lock()
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -201,7 +201,7 @@
 		g.catalog.RecordReleases()
 		g.releases = releaserecord.New(releaserecord.Options{
 			Store: options.Releases, Catalog: g.catalog, IsWriter: func(n int) bool { return g.peering.IsSelected("record releases", n) },
-			Clock: options.Clock, Logger: options.Logger, Meter: options.Meter, Faults: options.Faults,
+			NoneBefore: g.noneBefore, Clock: options.Clock, Logger: options.Logger, Meter: options.Meter, Faults: options.Faults,
 		})
 	}
 	g.peerClients = peer.NewClients(peer.ClientOptions{
--- a/internal/transport/gateway/origins.go
+++ b/internal/transport/gateway/origins.go
@@ -47,3 +47,13 @@
 	}
 	return false
 }
+
+// noneBefore reports whether no gateway was ever registered. Relays register within two
+// seconds of their start.
+func (g *Gateway) noneBefore(ctx context.Context) (bool, error) {
+	if g.options.Registry == nil {
+		return false, nil
+	}
+	registered, err := g.options.Registry.Registered(ctx)
+	return err == nil && len(registered) == 0, err
+}
--- a/releases.go
+++ b/releases.go
@@ -28,7 +28,7 @@
 	// Releases returns the newest record and the offset that the next one will get. The
 	// record is nil if there is none, if it cannot be decoded, or if the store has been
 	// restored from an earlier copy since it was written: later ones may be lost. Offsets
-	// only grow.
+	// only grow, and are zero only as long as no record was ever appended.
 	Releases(ctx context.Context) (record *ReleaseRecord, next Offset, err error)
 	// RecordReleases appends a record if its offset would be at, and returns the offset
 	// after it. Otherwise, or if the store has been restored since at was returned, it
