--- a/internal/coordination/releaserecord/releaserecord.go
+++ b/internal/coordination/releaserecord/releaserecord.go
@@ -52,9 +52,9 @@
 	// no streams of an earlier time. It is called if there has never been a record; nil
 	// means that this is not known.
 	NoneBefore func(ctx context.Context) (bool, error)
-	Clock         comfreyworks.Clock
-	Logger   *zap.Logger
-	Meter    *meter.Meter
+	Clock      comfreyworks.Clock
+	Logger     *zap.Logger
+	Meter      *meter.Meter
 	// Faults records panics, after which the recorder goes on.
 	Faults *faults.Recorder
 }
