Merge the record of releases for streams resumed after all gateways ended

Gateways now know how far back they know all releases, the store keeps a record of them, and streams of unknown origin are refused.

--- a/internal/coordination/forward/resume_test.go
+++ b/internal/coordination/forward/resume_test.go
@@ -52,6 +52,18 @@
 	return f
 }
 
+// addUpstreams lists three upstreams of each release, so that a second attempt need not
+// change the release.
+func (f *fixture) addUpstreams() {
+	var present []comfreyworks.Upstream
+	for i := range 6 {
+		present = append(present, comfreyworks.Upstream{
+			ID: comfreyworks.InstanceID(rune('a' + i)), Pool: pool, State: comfreyworks.InstanceLive, Release: []string{"v1", "v2"}[i%2], Sequence: 2,
+		})
+	}
+	f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Present: present, Next: 3}, f.clock.Now())
+}
+
 // takeUp forwards a request that takes up stream r0 after its second event.
 func (f *fixture) takeUp() Outcome {
 	stream := route(comfreyworks.RouteStream, 2, true)
@@ -65,19 +77,6 @@
 // what two releases write does not fit together.
 func TestTakeUp(t *testing.T) {
 	rest := respondOK("id: 3\ndata: c\n\n")
-	takeUpWaiting := func(f *fixture, polls int) (outcome Outcome) {
-		var group errgroup.Group
-		group.Go(func() error {
-			outcome = f.takeUp()
-			return nil
-		})
-		for range polls {
-			_ = f.clock.BlockUntilContext(context.Background(), 1)
-			f.clock.Advance(originPollInterval)
-		}
-		_ = group.Wait()
-		return outcome
-	}
 	t.Run("at the release that began it", func(t *testing.T) {
 		f := newReleaseFixture(&fakeOrigins{known: map[comfreyworks.RequestID]uint32{"r0": streamorigins.Release(pool, "v1")}}, rest)
 		assert.Equal(t, f.takeUp().Verdict, Delivered)
@@ -130,6 +129,7 @@
 				return respondOK(events)(ctx, options)
 			}
 			f := newReleaseFixture(origins, lost, answer)
+			f.addUpstreams()
 			f.forward(test.route)
 			assert.Equal(t, recorded, test.want)
 			assert.Equal(t, len(origins.added), test.want)
@@ -138,13 +138,7 @@
 	t.Run("a second attempt goes to the same release if it can", func(t *testing.T) {
 		origins := &fakeOrigins{}
 		f := newReleaseFixture(origins, lost, respondOK(events))
-		var present []comfreyworks.Upstream
-		for i := range 6 {
-			present = append(present, comfreyworks.Upstream{
-				ID: comfreyworks.InstanceID(rune('a' + i)), Pool: pool, State: comfreyworks.InstanceLive, Release: []string{"v1", "v2"}[i%2], Sequence: 2,
-			})
-		}
-		f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Present: present, Next: 3}, f.clock.Now())
+		f.addUpstreams()
 		f.forward(route(comfreyworks.RouteStream, 2, true))
 		assert.Equal(t, len(origins.added), 2)
 		assert.Equal(t, origins.added[0], origins.added[1])
@@ -156,3 +150,58 @@
 		assert.Equal(t, len(origins.added), 1)
 	})
 }
+
+// TestTakeUpAtFreshGateway guards against a gateway that started after all gateways
+// ended and continues a stream of a former release at the only one that is listed now.
+func TestTakeUpAtFreshGateway(t *testing.T) {
+	for name, listed := range map[string][]comfreyworks.Upstream{
+		"the list has not been read yet": nil,
+		"the other release is gone":      {{ID: "b", Pool: pool, State: comfreyworks.InstanceLive, Release: "v2"}},
+		"the other release is leaving": {
+			{ID: "a", Pool: pool, State: comfreyworks.InstanceLeaving, Release: "v1"},
+			{ID: "b", Pool: pool, State: comfreyworks.InstanceLive, Release: "v2"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFreshFixture(respondOK("id: 3\ndata: c\n\n"))
+			if listed != nil {
+				f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Whole: true, Present: listed, Next: 1}, f.clock.Now())
+			}
+			f.forwarder.options.Origins = &fakeOrigins{}
+			outcome := takeUpWaiting(f, int(maxOriginWait/originPollInterval))
+			assert.Equal(t, outcome.Verdict, Refused)
+			assert.Assert(t, outcome.RetryAfter > 0)
+			assert.Equal(t, len(f.upstreams.sent), 0)
+		})
+	}
+}
+
+// TestTakeUpTwice guards against a stream that its caller takes up again after a new
+// release entered service: the gateway must remember at which release it went on.
+func TestTakeUpTwice(t *testing.T) {
+	f := newFixture(respondOK("id: 3\ndata: c\n\n"))
+	origins := &fakeOrigins{}
+	f.forwarder.options.Origins = origins
+	assert.Equal(t, f.takeUp().Verdict, Delivered)
+	assert.DeepEqual(t, origins.added, []uint32{streamorigins.Release(pool, "")})
+}
+
+// takeUpWaiting is takeUp for a request that looks up its origin several times. It
+// returns early if the request does not wait.
+func takeUpWaiting(f *fixture, polls int) (outcome Outcome) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		defer cancel()
+		outcome = f.takeUp()
+		return nil
+	})
+	for range polls {
+		if f.clock.BlockUntilContext(ctx, 1) != nil {
+			break
+		}
+		f.clock.Advance(originPollInterval)
+	}
+	_ = group.Wait()
+	return outcome
+}
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -62,6 +62,7 @@
 		}
 		gaps.add(a, a.options.Clock.Now())
 		if begins {
+			a.awaitOriginExchange()
 			// Another upstream may write the rest of the stream with another length.
 			a.sink.Begin(response.Status, response.Header, -1)
 		}
--- a/internal/coordination/peering/fixture_test.go
+++ b/internal/coordination/peering/fixture_test.go
@@ -37,8 +37,8 @@
 	// that were sent, originsToLeaves those that leaves received.
 	passOrigins              bool
 	origins, originsToLeaves int
-	// crashes counts the suspicions that were sent.
-	crashes int
+	// crashes counts the suspicions that were sent, releases the replies with releases.
+	crashes, releases int
 	// limits are the usage limits of all gateways; nil means none. usage counts the
 	// counts that were sent.
 	limits *comfreyworks.Routing
@@ -105,6 +105,9 @@
 	if update.Upstreams != nil && update.Upstreams.Whole {
 		to.wholeLists++
 	}
+	if update.Releases != nil {
+		c.network.releases++
+	}
 	c.advance()
 	return update, nil
 }
--- a/internal/coordination/peering/members.go
+++ b/internal/coordination/peering/members.go
@@ -45,6 +45,8 @@
 	listSentAt time.Time
 	// pacesSentAt is when this gateway last sent it the speeds of engines.
 	pacesSentAt time.Time
+	// releasesAskedAt is when this gateway last asked it which releases it knows.
+	releasesAskedAt time.Time
 	// known is the version of the member's own list that this gateway has.
 	known comfreyworks.ListVersion
 	// savedKnown is the version of the member's list of saved sessions that this
