--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -284,10 +284,16 @@
 	case !p.partners[address] && p.options.Clock.Since(p.startedAt) > 2*settleTime:
 		return contactInterval
 	default:
-		return max(relayInterval, time.Duration(len(p.partners))*relayIntervalPerPartner)
+		return p.relayPause()
 	}
 }
 
+// relayPause returns the pause between two calls of this gateway to a relay, if it is one
+// itself. The mutex must be held.
+func (p *Peering) relayPause() time.Duration {
+	return max(relayInterval, time.Duration(len(p.partners))*relayIntervalPerPartner)
+}
+
 // role returns the role of this gateway. The mutex must be held.
 func (p *Peering) role() comfreyworks.PeerRole {
 	if p.relay {
--- a/internal/coordination/peering/usage.go
+++ b/internal/coordination/peering/usage.go
@@ -83,5 +83,5 @@
 	if gateways == 1 && (len(p.contacts) > 0 || p.options.Registry != nil) {
 		gateways = unknownGateways
 	}
-	p.options.Usage.SetGateways(gateways)
+	p.options.Usage.SetGateways(gateways, p.relayPause())
 }
--- a/internal/coordination/usage/links.go
+++ b/internal/coordination/usage/links.go
@@ -43,13 +43,14 @@
 	taken, asked decaying
 }
 
-func (l *link) fresh(now float64) bool { return now-l.heardAt <= l.expiry() }
+// fresh reports whether what the gateways behind a link admit is known.
+func (l *Limiter) fresh(from *link, now float64) bool { return now-from.heardAt <= l.expiry(from) }
 
-// expiry returns the age of the last report above which what the gateways behind the
-// link admit counts as unknown.
-func (l *link) expiry() float64 {
-	if l.relays {
-		return relayNewsExpiry.Seconds()
+// expiry returns the age of the last report above which what the gateways behind a link
+// admit counts as unknown.
+func (l *Limiter) expiry(from *link) float64 {
+	if from.relays {
+		return l.relayExpiry.Seconds()
 	}
 	return newsExpiry.Seconds()
 }
@@ -67,7 +68,7 @@
 func (l *Limiter) coverage(now float64) float64 {
 	heard := 1
 	for _, link := range l.links {
-		if link.fresh(now) {
+		if l.fresh(link, now) {
 			heard += link.gateways
 		}
 	}
@@ -83,8 +84,11 @@
 func (l *Limiter) pending(a *account, now float64) float64 {
 	pending := 0.0
 	for _, link := range l.links {
+		if now-link.heardAt > linkExpiry.Seconds() {
+			continue
+		}
 		if count := link.counts[a.key]; count != nil {
-			age := min(now-link.heardAt, link.expiry()) + link.delay()
+			age := min(now-link.heardAt, l.expiry(link)) + link.delay()
 			pending += count.taken.rate(link.heardAt) * age
 		}
 	}
@@ -111,10 +115,10 @@
 	l.removeSilent(now)
 	known := l.links[news.From]
 	if known == nil {
-		known = &link{heardAt: now}
+		known = &link{heardAt: now, counts: make(map[uint32]*linkCount)}
 		l.links[news.From] = known
 	}
-	late := !known.fresh(now)
+	late := !l.fresh(known, now)
 	counts, coverage := news.Counts[:min(len(news.Counts), maxCounts)], l.coverage(now)
 	for _, count := range counts {
 		if a := l.accounts[count.Workspace]; a != nil && a.hasLimit() {
@@ -237,7 +241,7 @@
 	}
 	gateways = 1
 	for _, link := range l.links {
-		if link.near && link.fresh(now) {
+		if link.near && l.fresh(link, now) {
 			gateways += link.gateways
 		}
 	}
@@ -283,7 +287,7 @@
 	}
 	gateways = 1
 	for id, link := range l.links {
-		if id != leaf && link.fresh(now) {
+		if id != leaf && l.fresh(link, now) {
 			gateways += link.gateways
 		}
 	}
--- a/internal/coordination/usage/usage.go
+++ b/internal/coordination/usage/usage.go
@@ -39,10 +39,11 @@
 	// newsExpiry is the age of the last report of a peer above which what it and the
 	// gateways behind it admit counts as unknown. It covers three calls of a leaf.
 	newsExpiry = 800 * time.Millisecond
-	// relayNewsExpiry is the same between relays, behind which there are many gateways.
-	// It covers two pauses between calls. Until it has passed, each side of a partition believes that
-	// it may use the whole limit.
+	// relayNewsExpiry and relayNewsPauses times the pause between two calls are the same
+	// between relays, behind which there are many gateways, whichever is longer. Until it
+	// has passed, each side of a partition believes that it may use the whole limit.
 	relayNewsExpiry = 300 * time.Millisecond
+	relayNewsPauses = 1.5
 	// linkExpiry is how long the counts of a silent peer are kept.
 	linkExpiry = 10 * time.Second
 	// relayDelay is the mean age of counts from other gateways when a relay reports them.
@@ -110,8 +111,10 @@
 	links                map[comfreyworks.InstanceID]*link
 	// linkSerial is the serial number of the last link.
 	linkSerial uint64
-	// gateways is the number of gateways that may be running.
-	gateways int
+	// gateways is the number of gateways that may be running, relayExpiry the expiry of
+	// news between relays.
+	gateways    int
+	relayExpiry time.Duration
 	// informed means that a gateway that knew the levels has told them.
 	informed bool
 }
@@ -124,7 +127,8 @@
 	now := options.Clock.Now()
 	return &Limiter{
 		options: options, startedAt: now, process: uint64(now.UnixNano()),
-		accounts: make(map[uint32]*account), links: make(map[comfreyworks.InstanceID]*link), gateways: 1,
+		accounts: make(map[uint32]*account), links: make(map[comfreyworks.InstanceID]*link),
+		gateways: 1, relayExpiry: relayNewsExpiry,
 	}
 }
 
@@ -183,11 +187,13 @@
 }
 
 // SetGateways sets the number of gateways that may be running, including this one and
-// those that have not been heard of for a while.
-func (l *Limiter) SetGateways(n int) {
+// those that have not been heard of for a while, and the pause between two calls of a
+// relay to another one.
+func (l *Limiter) SetGateways(n int, relayPause time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.gateways = min(max(n, 1), maxGateways)
+	l.relayExpiry = max(relayNewsExpiry, time.Duration(relayNewsPauses*float64(relayPause)))
 }
 
 // Active reports whether any workspace has a limit.
