--- a/internal/coordination/usage/account.go
+++ b/internal/coordination/usage/account.go
@@ -16,7 +16,8 @@
 // account is the state of one workspace. Times are in seconds since the start of the
 // process, amounts in units of the limit.
 type account struct {
-	key uint32
+	workspace comfreyworks.Workspace
+	key       uint32
 	// rate, burst and allowed are the limit; allowed is what it allows in a window. All
 	// are zero if there is no limit.
 	rate, burst, allowed float64
@@ -49,8 +50,8 @@
 	promised float64
 }
 
-func newAccount(key uint32, now float64) *account {
-	return &account{key: key, levelAt: now, allottedAt: now}
+func newAccount(workspace comfreyworks.Workspace, now float64) *account {
+	return &account{workspace: workspace, key: Key(workspace), levelAt: now, allottedAt: now}
 }
 
 func (a *account) hasLimit() bool { return a.rate > 0 }
--- a/internal/coordination/usage/usage.go
+++ b/internal/coordination/usage/usage.go
@@ -25,6 +25,8 @@
 package usage
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -173,6 +175,40 @@
 	return l.decide(a, now, float64(max(amount, 0)), min(max(priority, 0), comfreyworks.NumPriorities-1))
 }
 
+// WorkspaceUsage is the usage of a workspace with its limit.
+type WorkspaceUsage struct {
+	Workspace   comfreyworks.Workspace
+	Rate, Burst float64
+	Usage       Usage
+	// Taken and Refused are what this gateway and its leaves have admitted and refused
+	// since the process started.
+	Taken, Refused int64
+}
+
+// List returns the usage of at most n workspaces that have limits, those first of which
+// the least remains.
+func (l *Limiter) List(n int) []WorkspaceUsage {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readLimits()
+	var list []WorkspaceUsage
+	for _, a := range l.accounts {
+		if !a.hasLimit() {
+			continue
+		}
+		s := l.state(a, now)
+		list = append(list, WorkspaceUsage{
+			Workspace: a.workspace, Rate: a.rate, Burst: a.burst, Taken: a.near.taken, Refused: a.near.refused,
+			Usage: Usage{Level: s.level, Window: a.window.sum(now) + s.pending, Share: s.share * s.coverage},
+		})
+	}
+	slices.SortFunc(list, func(a, b WorkspaceUsage) int {
+		return cmp.Or(cmp.Compare(a.Usage.Level/a.Rate, b.Usage.Level/b.Rate), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	return list[:min(n, len(list))]
+}
+
 // Return gives back the amount of an admitted request that no upstream ran.
 func (l *Limiter) Return(workspace comfreyworks.Workspace, amount int) {
 	l.mu.Lock()
@@ -216,25 +252,28 @@
 	if routing == l.routing || routing == nil {
 		return
 	}
-	l.routing, l.limited = routing, 0
+	l.routing = routing
 	now := l.now()
-	limits := make(map[uint32]comfreyworks.UsageLimit)
+	limited := make(map[uint32]bool)
 	for i := range routing.Workspaces {
-		if workspace := &routing.Workspaces[i]; workspace.Limit.Rate > 0 {
-			limits[Key(workspace.Name)] = workspace.Limit
+		workspace := &routing.Workspaces[i]
+		key := Key(workspace.Name)
+		if workspace.Limit.Rate <= 0 {
+			continue
 		}
+		if l.accounts[key] == nil {
+			l.accounts[key] = newAccount(workspace.Name, now)
+		}
+		l.accounts[key].setLimit(now, workspace.Limit, l.options.Window)
+		limited[key] = true
 	}
 	for key, a := range l.accounts {
-		// An account without a limit keeps its counts, which peers know.
-		a.setLimit(now, limits[key], l.options.Window)
-	}
-	for key, limit := range limits {
-		if l.accounts[key] == nil {
-			l.accounts[key] = newAccount(key, now)
-			l.accounts[key].setLimit(now, limit, l.options.Window)
+		if !limited[key] {
+			// The account keeps its counts, which peers know.
+			a.setLimit(now, comfreyworks.UsageLimit{}, l.options.Window)
 		}
-		l.limited++
 	}
+	l.limited = len(limited)
 }
 
 // touch records that the counts of an account have changed. Near means that the change
--- a/internal/transport/gateway/ready.go
+++ b/internal/transport/gateway/ready.go
@@ -31,11 +31,13 @@
 	}
 }
 
-// metricsHandler serves the metrics, and the parts of prompts under quarantine.
+// metricsHandler serves the metrics, the parts of prompts under quarantine and the usage
+// of workspaces with limits.
 func (g *Gateway) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", admin.MetricsHandler(g.options.Meter, g.options.Logger))
 	mux.HandleFunc("GET /quarantine", g.listSuspicions)
 	mux.HandleFunc("DELETE /quarantine", g.liftQuarantine)
+	mux.HandleFunc("GET /usage", g.usage.list)
 	return mux
 }
--- a/internal/transport/gateway/usage.go
+++ b/internal/transport/gateway/usage.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,6 +19,8 @@
 	// usageLogInterval is the minimum interval between two log lines about one
 	// workspace. A workspace over its limit may be refused thousands of times a second.
 	usageLogInterval = time.Second
+	// maxListedUsage limits the list of workspaces with usage limits.
+	maxListedUsage = 200
 	// Reasons with which requests over a usage limit are refused.
 	reasonUsage         = "usage limit of the workspace reached"
 	reasonUsageTooLarge = "request alone exceeds the usage limit of the workspace"
@@ -80,6 +83,34 @@
 	return 0, rejected
 }
 
+// listedUsage is an entry of the list of workspaces with usage limits, in units of the
+// limit.
+type listedUsage struct {
+	Workspace comfreyworks.Workspace `json:"workspace"`
+	Rate      float64                `json:"rate"`
+	Burst     float64                `json:"burst"`
+	// Level is what remains now, Used what all gateways admitted in the last window.
+	Level float64 `json:"level"`
+	Used  float64 `json:"used"`
+	// Share is the part of the rate that this gateway may use when little remains.
+	Share float64 `json:"share"`
+	// Taken and Refused count since the start, here and at the leaves of this gateway.
+	Taken   int64 `json:"taken"`
+	Refused int64 `json:"refused"`
+}
+
+// list lists the workspaces with usage limits, those first of which the least remains.
+func (u *usageAdmission) list(w http.ResponseWriter, _ *http.Request) {
+	listed := []listedUsage{}
+	for _, entry := range u.limiter.List(maxListedUsage) {
+		listed = append(listed, listedUsage{
+			entry.Workspace, entry.Rate, entry.Burst, entry.Usage.Level, entry.Usage.Window, entry.Usage.Share, entry.Taken, entry.Refused,
+		})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(listed)
+}
+
 // giveBack returns what was taken for a request that no upstream ran.
 func (u *usageAdmission) giveBack(workspace *comfreyworks.WorkspaceKeys, amount int) {
 	if workspace == nil || amount == 0 {
--- a/internal/transport/gateway/usage_test.go
+++ b/internal/transport/gateway/usage_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
@@ -50,6 +52,15 @@
 	t.Run("public routes are not limited", func(t *testing.T) {
 		assert.Equal(t, f.call(t, "/open/1").StatusCode, http.StatusOK)
 	})
+	t.Run("operators see what was used", func(t *testing.T) {
+		w := httptest.NewRecorder()
+		f.gateway.metricsHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/usage", http.NoBody))
+		var listed []listedUsage
+		assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &listed))
+		assert.DeepEqual(t, listed, []listedUsage{{
+			Workspace: "office", Rate: 2000, Burst: 2000, Level: 2000 - 2*1540, Used: 2 * 1540, Share: 1, Taken: 2 * 1540, Refused: 1540,
+		}})
+	})
 	t.Run("it admits requests again in time", func(t *testing.T) {
 		f.clock.Advance(2 * time.Second)
 		assert.Equal(t, f.call(t, "/review/7").StatusCode, http.StatusOK)
