Use a limit sooner after all gateways were killed

Played with package peering, gateways that start together know how many they are after 0.4 s, so they assume 64 for 0.6 s in place of 1 s.

--- a/internal/coordination/usage/links.go
+++ b/internal/coordination/usage/links.go
@@ -206,7 +206,7 @@
 
 // knows reports whether this process has been running for long enough to know the level,
 // or has taken it over.
-func (a *account) knows(now float64) bool { return a.informed || now >= startTime.Seconds() }
+func (a *account) knows(now float64) bool { return a.informed || now >= levelKnownTime.Seconds() }
 
 // removeSilent removes the links of peers that have been silent for long.
 func (l *Limiter) removeSilent(now float64) {
--- a/internal/coordination/usage/usage.go
+++ b/internal/coordination/usage/usage.go
@@ -71,10 +71,14 @@
 	// minShareOfEqual bounds the share of a gateway from below, as a part of an equal
 	// share, so that one with little demand admits single requests.
 	minShareOfEqual = 0.1
-	// startTime is how long a process assumes startGateways gateways if no running
-	// one tells it what it knows. After all were killed they find each other meanwhile.
-	startTime     = time.Second
+	// startTime is how long a process assumes startGateways gateways if no running one
+	// tells it what it knows. After all were killed they know how many they are after
+	// 0.4 s.
+	startTime     = 600 * time.Millisecond
 	startGateways = 64
+	// levelKnownTime is how long a process waits for the level that its peers know before
+	// it tells others its own.
+	levelKnownTime = time.Second
 	// maxGateways, maxCounts and maxCount bound what is believed of a report: the number
 	// of gateways, of workspaces and of units.
 	maxGateways = 1 << 12
