--- a/internal/coordination/usage/links.go
+++ b/internal/coordination/usage/links.go
@@ -43,13 +43,14 @@
 	taken, asked decaying
 }
 
-func (l *link) fresh(now float64) bool { return now-l.heardAt <= l.expiry() }
+// fresh reports whether what the gateways behind a link admit is known.
+func (l *Limiter) fresh(from *link, now float64) bool { return now-from.heardAt <= l.expiry(from) }
 
-// expiry returns the age of the last report above which what the gateways behind the
-// link admit counts as unknown.
-func (l *link) expiry() float64 {
-	if l.relays {
-		return relayNewsExpiry.Seconds()
+// expiry returns the age of the last report above which what the gateways behind a link
+// admit counts as unknown.
+func (l *Limiter) expiry(from *link) float64 {
+	if from.relays {
+		return l.relayExpiry.Seconds()
 	}
 	return newsExpiry.Seconds()
 }
@@ -67,7 +68,7 @@
 func (l *Limiter) coverage(now float64) float64 {
 	heard := 1
 	for _, link := range l.links {
-		if link.fresh(now) {
+		if l.fresh(link, now) {
 			heard += link.gateways
 		}
 	}
@@ -83,8 +84,11 @@
 func (l *Limiter) pending(a *account, now float64) float64 {
 	pending := 0.0
 	for _, link := range l.links {
+		if now-link.heardAt > linkExpiry.Seconds() {
+			continue
+		}
 		if count := link.counts[a.key]; count != nil {
-			age := min(now-link.heardAt, link.expiry()) + link.delay()
+			age := min(now-link.heardAt, l.expiry(link)) + link.delay()
 			pending += count.taken.rate(link.heardAt) * age
 		}
 	}
@@ -111,14 +115,14 @@
 	l.removeSilent(now)
 	known := l.links[news.From]
 	if known == nil {
-		known = &link{heardAt: now}
+		known = &link{heardAt: now, counts: make(map[uint32]*linkCount)}
 		l.links[news.From] = known
 	}
-	late := !known.fresh(now)
-	counts := news.Counts[:min(len(news.Counts), maxCounts)]
+	late := !l.fresh(known, now)
+	counts, coverage := news.Counts[:min(len(news.Counts), maxCounts)], l.coverage(now)
 	for _, count := range counts {
 		if a := l.accounts[count.Workspace]; a != nil && a.hasLimit() {
-			a.refill(now, l.coverage(now), l.pending(a, now))
+			a.refill(now, coverage, l.pending(a, now))
 		}
 	}
 	if known.process != news.List.Process || (known.near && late) {
@@ -130,13 +134,13 @@
 	known.near, known.relays = news.Near, news.Relays
 	known.heardAt, known.gateways = now, min(max(news.Gateways, 0), maxGateways)
 	for _, count := range counts {
-		l.recordCount(known, &count, now, late)
+		l.recordCount(known, &count, now, late, news.Whole)
 	}
 	known.whole = known.whole || news.Whole
 }
 
 // recordCount stores the count of one workspace that a peer reports.
-func (l *Limiter) recordCount(from *link, count *comfreyworks.UsageCount, now float64, late bool) {
+func (l *Limiter) recordCount(from *link, count *comfreyworks.UsageCount, now float64, late, whole bool) {
 	reported := totals{min(max(count.Taken, -maxCount), maxCount), min(max(count.Refused, 0), maxCount)}
 	a := l.accounts[count.Workspace]
 	known := from.counts[count.Workspace]
@@ -146,11 +150,11 @@
 		}
 		known = &linkCount{}
 		from.counts[count.Workspace] = known
-		if count.Known && !from.whole {
+		if !from.whole && (count.Known || !whole) {
 			// What the peer had counted before this gateway knew it is in its level, and
 			// of what a leaf took, other relays have passed on all but the new part.
 			known.last = reported
-			if a != nil && a.hasLimit() {
+			if a != nil && a.hasLimit() && count.Known {
 				l.takeOver(a, count, now, from.near)
 			}
 			if !from.near {
@@ -194,6 +198,7 @@
 		a.informed, l.informed = true, true
 		// Others that have just started may wait for it.
 		l.touch(a, true)
+		l.levelsSince = l.version
 	case !counted:
 		a.level = min(a.level, level)
 	}
@@ -201,7 +206,7 @@
 
 // knows reports whether this process has been running for long enough to know the level,
 // or has taken it over.
-func (a *account) knows(now float64) bool { return a.informed || now >= startTime.Seconds() }
+func (a *account) knows(now float64) bool { return a.informed || now >= levelKnownTime.Seconds() }
 
 // removeSilent removes the links of peers that have been silent for long.
 func (l *Limiter) removeSilent(now float64) {
@@ -216,27 +221,31 @@
 func (l *Limiter) Process() uint64 { return l.process }
 
 // Near returns what this gateway and its leaves have taken, as far as it changed after a
-// version, the version of the list, and the number of gateways that it covers.
-func (l *Limiter) Near(after uint64) (counts []comfreyworks.UsageCount, list comfreyworks.ListVersion, gateways int) {
+// version, the version of the list, whether all counts are listed, and the number of
+// gateways that it covers.
+func (l *Limiter) Near(after uint64) (counts []comfreyworks.UsageCount, list comfreyworks.ListVersion, whole bool, gateways int) {
 	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	whole = after <= l.levelsSince
 	for _, a := range l.accounts {
 		// A receiver without any counts may lack the level as well.
-		if a.nearChanged > after || (after == 0 && a.changed > 0) {
-			count := l.report(a, a.near, now)
-			count.New = a.near.taken - a.confirmed
+		if a.nearChanged > after || (whole && a.changed > 0) {
+			count := l.report(a, a.near, now, whole)
+			if whole {
+				count.New = a.near.taken - a.confirmed
+			}
 			counts = append(counts, count)
 			a.reported = a.near.taken
 		}
 	}
 	gateways = 1
 	for _, link := range l.links {
-		if link.near && link.fresh(now) {
+		if link.near && l.fresh(link, now) {
 			gateways += link.gateways
 		}
 	}
-	return counts, comfreyworks.ListVersion{Process: l.process, Version: l.version}, gateways
+	return counts, comfreyworks.ListVersion{Process: l.process, Version: l.version}, whole, gateways
 }
 
 // Confirm records that a relay has received what Near returned last.
@@ -261,7 +270,7 @@
 		// The sums are continuous only as long as the link is known.
 		list.Process += from.serial
 	}
-	whole = known.Process != list.Process
+	whole = known.Process != list.Process || known.Version <= l.levelsSince
 	if whole {
 		known.Version = 0
 	}
@@ -274,21 +283,22 @@
 			sum.taken -= from.counts[a.key].added.taken
 			sum.refused -= from.counts[a.key].added.refused
 		}
-		counts = append(counts, l.report(a, sum, now))
+		counts = append(counts, l.report(a, sum, now, whole))
 	}
 	gateways = 1
 	for id, link := range l.links {
-		if id != leaf && link.fresh(now) {
+		if id != leaf && l.fresh(link, now) {
 			gateways += link.gateways
 		}
 	}
 	return counts, list, whole, gateways
 }
 
-// report returns the counts of a workspace with its level.
-func (l *Limiter) report(a *account, sum totals, now float64) comfreyworks.UsageCount {
+// report returns the counts of a workspace. The level is needed only by a receiver that
+// did not have the counts before.
+func (l *Limiter) report(a *account, sum totals, now float64, whole bool) comfreyworks.UsageCount {
 	count := comfreyworks.UsageCount{Workspace: a.key, Taken: sum.taken, Refused: sum.refused}
-	if a.hasLimit() && a.knows(now) {
+	if whole && a.hasLimit() && a.knows(now) {
 		count.Known = true
 		count.Level = int64(l.state(a, now).level)
 	}
--- a/internal/coordination/usage/usage.go
+++ b/internal/coordination/usage/usage.go
@@ -20,11 +20,13 @@
 //		l.Return(workspace, amount)
 //	}
 //	l.Record(news)                            // for what a peer reports
-//	counts, version := l.Near(known)          // to a relay
-//	counts, list, whole := l.All(leaf, known) // from a relay to its leaf
+//	counts, list, whole, gateways := l.Near(known)      // to a relay
+//	counts, list, whole, gateways = l.All(leaf, known) // from a relay to its leaf
 package usage
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,10 +41,11 @@
 	// newsExpiry is the age of the last report of a peer above which what it and the
 	// gateways behind it admit counts as unknown. It covers three calls of a leaf.
 	newsExpiry = 800 * time.Millisecond
-	// relayNewsExpiry is the same between relays, behind which there are many gateways.
-	// It covers two pauses between calls. Until it has passed, each side of a partition believes that
-	// it may use the whole limit.
+	// relayNewsExpiry and relayNewsPauses times the pause between two calls are the same
+	// between relays, behind which there are many gateways, whichever is longer. Until it
+	// has passed, each side of a partition believes that it may use the whole limit.
 	relayNewsExpiry = 300 * time.Millisecond
+	relayNewsPauses = 1.5
 	// linkExpiry is how long the counts of a silent peer are kept.
 	linkExpiry = 10 * time.Second
 	// relayDelay is the mean age of counts from other gateways when a relay reports them.
@@ -68,10 +71,14 @@
 	// minShareOfEqual bounds the share of a gateway from below, as a part of an equal
 	// share, so that one with little demand admits single requests.
 	minShareOfEqual = 0.1
-	// startTime is how long a process assumes startGateways gateways if no running
-	// one tells it what it knows. After all were killed they find each other meanwhile.
-	startTime     = time.Second
+	// startTime is how long a process assumes startGateways gateways if no running one
+	// tells it what it knows. After all were killed they know how many they are after
+	// 0.4 s.
+	startTime     = 600 * time.Millisecond
 	startGateways = 64
+	// levelKnownTime is how long a process waits for the level that its peers know before
+	// it tells others its own.
+	levelKnownTime = time.Second
 	// maxGateways, maxCounts and maxCount bound what is believed of a report: the number
 	// of gateways, of workspaces and of units.
 	maxGateways = 1 << 12
@@ -104,13 +111,16 @@
 	accounts map[uint32]*account
 	// limited is the number of accounts that have a limit.
 	limited int
-	// version grows with each change of a count.
-	version uint64
-	links   map[comfreyworks.InstanceID]*link
+	// version grows with each change of a count. Peers that know an earlier version
+	// than levelsSince have not been told the levels.
+	version, levelsSince uint64
+	links                map[comfreyworks.InstanceID]*link
 	// linkSerial is the serial number of the last link.
 	linkSerial uint64
-	// gateways is the number of gateways that may be running.
-	gateways int
+	// gateways is the number of gateways that may be running, relayExpiry the expiry of
+	// news between relays.
+	gateways    int
+	relayExpiry time.Duration
 	// informed means that a gateway that knew the levels has told them.
 	informed bool
 }
@@ -123,7 +133,8 @@
 	now := options.Clock.Now()
 	return &Limiter{
 		options: options, startedAt: now, process: uint64(now.UnixNano()),
-		accounts: make(map[uint32]*account), links: make(map[comfreyworks.InstanceID]*link), gateways: 1,
+		accounts: make(map[uint32]*account), links: make(map[comfreyworks.InstanceID]*link),
+		gateways: 1, relayExpiry: relayNewsExpiry,
 	}
 }
 
@@ -168,6 +179,40 @@
 	return l.decide(a, now, float64(max(amount, 0)), min(max(priority, 0), comfreyworks.NumPriorities-1))
 }
 
+// WorkspaceUsage is the usage of a workspace with its limit.
+type WorkspaceUsage struct {
+	Workspace   comfreyworks.Workspace
+	Rate, Burst float64
+	Usage       Usage
+	// Taken and Refused are what this gateway and its leaves have admitted and refused
+	// since the process started.
+	Taken, Refused int64
+}
+
+// List returns the usage of at most n workspaces that have limits, those first of which
+// the least remains.
+func (l *Limiter) List(n int) []WorkspaceUsage {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readLimits()
+	var list []WorkspaceUsage
+	for _, a := range l.accounts {
+		if !a.hasLimit() {
+			continue
+		}
+		s := l.state(a, now)
+		list = append(list, WorkspaceUsage{
+			Workspace: a.workspace, Rate: a.rate, Burst: a.burst, Taken: a.near.taken, Refused: a.near.refused,
+			Usage: Usage{Level: s.level, Window: a.window.sum(now) + s.pending, Share: s.share * s.coverage},
+		})
+	}
+	slices.SortFunc(list, func(a, b WorkspaceUsage) int {
+		return cmp.Or(cmp.Compare(a.Usage.Level/a.Rate, b.Usage.Level/b.Rate), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	return list[:min(n, len(list))]
+}
+
 // Return gives back the amount of an admitted request that no upstream ran.
 func (l *Limiter) Return(workspace comfreyworks.Workspace, amount int) {
 	l.mu.Lock()
@@ -182,11 +227,13 @@
 }
 
 // SetGateways sets the number of gateways that may be running, including this one and
-// those that have not been heard of for a while.
-func (l *Limiter) SetGateways(n int) {
+// those that have not been heard of for a while, and the pause between two calls of a
+// relay to another one.
+func (l *Limiter) SetGateways(n int, relayPause time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.gateways = min(max(n, 1), maxGateways)
+	l.relayExpiry = max(relayNewsExpiry, time.Duration(relayNewsPauses*float64(relayPause)))
 }
 
 // Active reports whether any workspace has a limit.
@@ -209,25 +256,28 @@
 	if routing == l.routing || routing == nil {
 		return
 	}
-	l.routing, l.limited = routing, 0
+	l.routing = routing
 	now := l.now()
-	limits := make(map[uint32]comfreyworks.UsageLimit)
+	limited := make(map[uint32]bool)
 	for i := range routing.Workspaces {
-		if workspace := &routing.Workspaces[i]; workspace.Limit.Rate > 0 {
-			limits[Key(workspace.Name)] = workspace.Limit
+		workspace := &routing.Workspaces[i]
+		key := Key(workspace.Name)
+		if workspace.Limit.Rate <= 0 {
+			continue
 		}
+		if l.accounts[key] == nil {
+			l.accounts[key] = newAccount(workspace.Name, now)
+		}
+		l.accounts[key].setLimit(now, workspace.Limit, l.options.Window)
+		limited[key] = true
 	}
 	for key, a := range l.accounts {
-		// An account without a limit keeps its counts, which peers know.
-		a.setLimit(now, limits[key], l.options.Window)
-	}
-	for key, limit := range limits {
-		if l.accounts[key] == nil {
-			l.accounts[key] = newAccount(key, now)
-			l.accounts[key].setLimit(now, limit, l.options.Window)
+		if !limited[key] {
+			// The account keeps its counts, which peers know.
+			a.setLimit(now, comfreyworks.UsageLimit{}, l.options.Window)
 		}
-		l.limited++
 	}
+	l.limited = len(limited)
 }
 
 // touch records that the counts of an account have changed. Near means that the change
