--- a/demand.go
+++ b/demand.go
@@ -11,12 +11,9 @@
 	// LongPriority and OtherPriority are the sums of engine time, in the same unit, times
 	// the priority of its requests.
 	LongPriority, OtherPriority int
-	// Streams counts, in thousandths, the streams without long prompts that began,
+	// Streams counts, in thousandths, the streams without long prompts that were judged,
 	// and Missed those of them that missed a time that their route declares.
 	Streams, Missed int
-	// Slow counts those of Missed whose events arrived too slowly, which a queue before the
-	// first event does not explain.
-	Slow int
 	// LongStreams and LongMissed are the same for streams with long prompts.
 	LongStreams, LongMissed int
 }
@@ -29,7 +26,6 @@
 	d.OtherPriority += other.OtherPriority
 	d.Streams += other.Streams
 	d.Missed += other.Missed
-	d.Slow += other.Slow
 	d.LongStreams += other.LongStreams
 	d.LongMissed += other.LongMissed
 }
@@ -38,10 +34,6 @@
 // engines, or a million streams.
 const maxDemandCount = 1 << 30
 
-// maxMissedRatio is the highest ratio of missed streams to streams that is believed. It may
-// exceed one for a while, because streams count when they begin.
-const maxMissedRatio = 2
-
 // Limit replaces counts that make no sense by the nearest ones that do.
 func (d *PoolDemand) Limit() {
 	for _, time := range []*int{&d.LongTime, &d.OtherTime, &d.Streams, &d.LongStreams} {
@@ -49,7 +41,6 @@
 	}
 	d.LongPriority = min(max(d.LongPriority, 0), d.LongTime*(NumPriorities-1))
 	d.OtherPriority = min(max(d.OtherPriority, 0), d.OtherTime*(NumPriorities-1))
-	d.Missed = min(max(d.Missed, 0), maxMissedRatio*d.Streams)
-	d.Slow = min(max(d.Slow, 0), d.Missed)
-	d.LongMissed = min(max(d.LongMissed, 0), maxMissedRatio*d.LongStreams)
+	d.Missed = min(max(d.Missed, 0), d.Streams)
+	d.LongMissed = min(max(d.LongMissed, 0), d.LongStreams)
 }
--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -301,10 +301,9 @@
 	// silent means that the upstream's silence has been counted as a failure, isProbe
 	// that the answer measures its latency anew, isRetrial that it ends retrialUntil.
 	silent, isProbe, isRetrial bool
-	// kind is the kind of the request, judged the verdict on its stream; zero if there is
-	// none.
+	// kind is the kind of the request, judged means that JudgeStream was called.
 	kind   partition.Kind
-	judged StreamVerdict
+	judged bool
 	// memory is the number of tokens that the request takes in the engine's KV cache.
 	memory int
 }
--- a/internal/coordination/balance/demand.go
+++ b/internal/coordination/balance/demand.go
@@ -25,9 +25,7 @@
 type measuredDemand struct {
 	time, priority  [partition.NumKinds]float64
 	streams, missed [partition.NumKinds]float64
-	// slow counts those of missed that arrived too slowly.
-	slow      [partition.NumKinds]float64
-	updatedAt time.Time
+	updatedAt       time.Time
 }
 
 // decay lets the sums decay up to now.
@@ -38,7 +36,6 @@
 		d.priority[kind] *= factor
 		d.streams[kind] *= factor
 		d.missed[kind] *= factor
-		d.slow[kind] *= factor
 	}
 	d.updatedAt = now
 }
@@ -50,7 +47,7 @@
 		Pool:     pool,
 		LongTime: int(perSecond * d.time[partition.Long]), LongPriority: int(perSecond * d.priority[partition.Long]),
 		OtherTime: int(perSecond * d.time[partition.Other]), OtherPriority: int(perSecond * d.priority[partition.Other]),
-		Streams: int(1000 * d.streams[partition.Other]), Missed: int(1000 * d.missed[partition.Other]), Slow: int(1000 * d.slow[partition.Other]),
+		Streams: int(1000 * d.streams[partition.Other]), Missed: int(1000 * d.missed[partition.Other]),
 		LongStreams: int(1000 * d.streams[partition.Long]), LongMissed: int(1000 * d.missed[partition.Long]),
 	}
 }
--- a/internal/coordination/balance/division.go
+++ b/internal/coordination/balance/division.go
@@ -78,7 +78,7 @@
 			zap.String("pool", string(pool)), zap.Bool("separated", d.Active()), zap.Float64("share-for-long", d.Share()),
 			zap.Float64("engines-needed-for-long", load.Demand[partition.Long].EngineTime),
 			zap.Float64("engines-needed-for-others", load.Demand[partition.Other].EngineTime),
-			zap.Float64("missed", load.Missed), zap.Float64("slow", load.Slow), zap.Float64("streams", load.Streams))
+			zap.Float64("missed", load.Missed), zap.Float64("streams", load.Streams))
 	}
 	if !d.Separated() {
 		d.groups, d.listed = nil, nil
@@ -135,7 +135,7 @@
 		Demand: [partition.NumKinds]partition.Demand{
 			partition.Long: demand(sum.LongTime, sum.LongPriority), partition.Other: demand(sum.OtherTime, sum.OtherPriority),
 		},
-		Streams: judged(sum.Streams), Missed: judged(sum.Missed), Slow: judged(sum.Slow), LongStreams: judged(sum.LongStreams), LongMissed: judged(sum.LongMissed),
+		Streams: judged(sum.Streams), Missed: judged(sum.Missed), LongStreams: judged(sum.LongStreams), LongMissed: judged(sum.LongMissed),
 	}
 }
 
@@ -209,48 +209,27 @@
 	return !ok || group.Serves(kind)
 }
 
-// StreamVerdict tells whether a stream keeps the times that its route declares.
-type StreamVerdict int
-
-// Verdicts on streams, from the best to the worst.
-const (
-	// StreamBegun means that it was sent and has missed nothing so far. All streams count from
-	// here on: of those that end, the fast ones would be counted first.
-	StreamBegun StreamVerdict = iota + 1
-	// StreamLate means that its first event is late, or that it was refused because of
-	// overload.
-	StreamLate
-	// StreamSlow means that a gap between two events is longer than permitted, or that it
-	// cannot end before its deadline at the pace of its events.
-	StreamSlow
-)
-
-// JudgeStream records the verdict on a stream. After the first one, only worse ones count.
-func (p *Pick) JudgeStream(verdict StreamVerdict) {
+// JudgeStream records whether a stream keeps the times that its route declares. Only the
+// first call counts.
+func (p *Pick) JudgeStream(missed bool) {
 	if p.query.Model == "" {
 		return
 	}
 	now := p.balancer.options.Clock.Now()
 	p.balancer.mu.Lock()
 	defer p.balancer.mu.Unlock()
-	if p.judged >= verdict {
+	if p.judged {
 		return
 	}
+	p.judged = true
 	measured := p.balancer.demands.of(p.query.Pool, now)
+	measured.streams[p.kind]++
 	labels := meter.Labels{Class: comfreyworks.Class(p.query.Pool)}
-	if p.judged == 0 {
-		measured.streams[p.kind]++
-		p.balancer.options.Meter.Add("comfrey_streams_judged_total", labels, 1)
-	}
-	if p.judged < StreamLate && verdict >= StreamLate {
-		measured.missed[p.kind]++
+	p.balancer.options.Meter.Add("comfrey_streams_judged_total", labels, 1)
+	if missed {
 		p.balancer.options.Meter.Add("comfrey_streams_missed_total", labels, 1)
+		measured.missed[p.kind]++
 	}
-	if verdict == StreamSlow {
-		measured.slow[p.kind]++
-		p.balancer.options.Meter.Add("comfrey_streams_slow_total", labels, 1)
-	}
-	p.judged = verdict
 }
 
 // dividedHomes returns the homes of a session among the engines that serve the kind of the
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -52,9 +52,6 @@
 	a := &attempt{activeRequest: r, pick: pick, startedAt: r.options.Clock.Now(), resumesAfter: r.lastEventID}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.silenceLimit = a.responseTimeout()
-	if a.isPaced() {
-		pick.JudgeStream(balance.StreamBegun)
-	}
 	return a
 }
 
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -417,7 +417,7 @@
 		return Outcome{Verdict: Refused, RetryAfter: r.retryAfter(retryAfterNoUpstream)}, attemptDone
 	}
 	if reason := r.overloadReason(pick); reason != "" {
-		pick.JudgeStream(balance.StreamLate)
+		pick.JudgeStream(true)
 		pick.Done(balance.Result{Outcome: balance.Withdrawn})
 		r.reason = "overload, " + reason
 		return Outcome{Verdict: Refused, RetryAfter: r.overloadRetryAfter(pick.Wait)}, attemptDone
--- a/internal/coordination/forward/pace.go
+++ b/internal/coordination/forward/pace.go
@@ -29,10 +29,8 @@
 	// in which the caller did not read, which does not count.
 	since  time.Time
 	unread time.Duration
-	// verdict is StreamLate or StreamSlow once the stream misses a limit. complete means that
-	// it has ended.
-	verdict  balance.StreamVerdict
-	complete bool
+	// missed means that the stream misses a limit, complete that it has ended.
+	missed, complete bool
 }
 
 // paceLimits holds what a stream is to keep.
@@ -46,30 +44,23 @@
 	events float64
 }
 
-// add records an event and returns the verdict on the stream so far.
-func (p *streamPace) add(now time.Time, limits *paceLimits) balance.StreamVerdict {
+// add records an event and reports whether the stream now misses a limit, or will.
+func (p *streamPace) add(now time.Time, limits *paceLimits) bool {
 	p.events++
 	if p.events == 1 {
 		p.since = now
-		p.verdict = balance.StreamBegun
-		if !limits.objective.IsZero() && now.After(limits.objective) {
-			p.verdict = balance.StreamLate
-		}
-		return p.verdict
+		p.missed = !limits.objective.IsZero() && now.After(limits.objective)
+		return p.missed
 	}
 	gap := now.Sub(p.since)
 	p.running += gap
 	p.since = now
-	if limits.gap > 0 && gap > limits.gap {
-		p.verdict = balance.StreamSlow
-	}
+	p.missed = p.missed || (limits.gap > 0 && gap > limits.gap)
 	if p.events >= minPaceEvents && float64(p.events) < limits.events {
 		rest := (limits.events - float64(p.events)) * float64(p.running) / float64(p.events-1)
-		if now.Add(comfreyworks.Duration(rest, 1) - p.unread).After(limits.deadline) {
-			p.verdict = balance.StreamSlow
-		}
+		p.missed = p.missed || now.Add(time.Duration(rest)-p.unread).After(limits.deadline)
 	}
-	return p.verdict
+	return p.missed
 }
 
 // resume records that the caller has read the last event.
@@ -130,8 +121,8 @@
 		}
 	}
 	gap := now.Sub(a.pace.since)
-	if verdict := a.pace.add(now, &limits); verdict != balance.StreamBegun {
-		a.pick.JudgeStream(verdict)
+	if a.pace.add(now, &limits) {
+		a.pick.JudgeStream(true)
 	}
 	if a.pace.events > 1 {
 		a.pick.StreamEvent(gap, limits.events-float64(a.pace.events))
@@ -145,19 +136,14 @@
 		return
 	}
 	switch {
-	case a.pace.complete && a.resumesAfter == "":
-		a.events.add(a.request.Prompt.OutputTokens, a.pace.events)
+	case a.pace.complete:
+		a.pick.JudgeStream(a.pace.missed)
+		if a.resumesAfter == "" {
+			a.events.add(a.request.Prompt.OutputTokens, a.pace.events)
+		}
 	case a.result.Outcome == balance.Failed && !a.options.Clock.Now().Before(a.request.Deadline):
-		a.pick.JudgeStream(verdictAtDeadline(&a.pace))
-	}
-}
-
-// verdictAtDeadline returns the verdict on a stream that has not ended before its deadline.
-func verdictAtDeadline(p *streamPace) balance.StreamVerdict {
-	if p.events == 0 {
-		return balance.StreamLate
+		a.pick.JudgeStream(true)
 	}
-	return balance.StreamSlow
 }
 
 // expectedEvents returns the expected number of events of the answer; zero if it is
--- a/internal/coordination/partition/load.go
+++ b/internal/coordination/partition/load.go
@@ -20,9 +20,6 @@
 	// number of those that missed, or cannot meet any more, a time that their route
 	// declares.
 	Streams, Missed float64
-	// Slow is the number of those of Missed whose events arrived too slowly. That their first
-	// event was late may have other reasons than long prompts at the same engine.
-	Slow float64
 	// LongStreams and LongMissed are the same for the kind Long. They do not begin a
 	// separation.
 	LongStreams, LongMissed float64
--- a/internal/coordination/partition/pressure.go
+++ b/internal/coordination/partition/pressure.go
@@ -3,11 +3,8 @@
 import "time"
 
 const (
-	// beginSlow is the share of streams that arrive too slowly from which the kinds are
-	// separated.
-	beginSlow = 0.03
-	// beginMissed is the share of streams that miss a declared time from which a pool is
-	// under pressure, endMissed the share below which its streams are in time.
+	// beginMissed is the share of streams that miss a declared time from which the kinds
+	// are separated, endMissed the share below which the streams of a pool are in time.
 	beginMissed = 0.08
 	endMissed   = 0.02
 	// minJudged is the number of judged streams below which their share says little.
@@ -52,13 +49,13 @@
 	missing bool
 }
 
-// missedShare returns the share of streams that missed a time, or zero if too few began. It
-// is at most one: streams count when they begin, and may miss a time much later.
+// missedShare returns the share of judged streams that missed a time, or zero if too few
+// were judged.
 func missedShare(missed, streams float64) float64 {
 	if streams < minJudged {
 		return 0
 	}
-	return min(missed/streams, 1)
+	return missed / streams
 }
 
 // update decides anew. The capacity is in engines of the usual speed; overlap is that of the
@@ -80,7 +77,7 @@
 	long := load.Demand[Long].EngineTime
 	switch {
 	case !p.active && now.Before(p.refillUntil) && relative <= borneMargin*p.borne:
-	case !p.active && missedShare(load.Slow, load.Streams) >= beginSlow && long > 0:
+	case !p.active && missed >= beginMissed && long > 0:
 		p.active, p.highest = true, relative
 		p.calmSince, p.borneSince = time.Time{}, time.Time{}
 	case p.active:
