--- /dev/null
+++ b/internal/protocol/listener/listener_test.go
@@ -0,0 +1,148 @@
+package listener
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+)
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return l
+}
+
+func waitFor(t *testing.T, condition func() bool) {
+	t.Helper()
+	for !condition() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestIdleConnectionsAreClosed guards against a stop that waits for callers who keep
+// connections open that they do not use.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	for _, idle := range []string{"before the stop", "after the stop", "never used"} {
+		t.Run(idle, func(t *testing.T) {
+			began, finish := make(chan struct{}), make(chan struct{})
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_ = http.NewResponseController(w).Flush()
+				close(began)
+				<-finish
+			})}
+			callers := New(listen(t), func() Limits {
+				return Limits{HeaderBytes: 1 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+			})
+			var group errgroup.Group
+			group.Go(func() error {
+				return callers.Serve(server)
+			})
+			conn, err := net.Dial("tcp", callers.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			if idle == "never used" {
+				waitFor(t, func() bool { return callers.count(http.StateNew) == 1 })
+			} else {
+				_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: api.example\r\n\r\n")
+				assert.NilError(t, err)
+				<-began
+			}
+			if idle == "before the stop" {
+				close(finish)
+				waitFor(t, func() bool { return callers.count(http.StateIdle) == 1 })
+			}
+			assert.NilError(t, callers.Close())
+			assert.NilError(t, group.Wait())
+			drained := callers.closeIdle()
+			if idle == "after the stop" {
+				assert.Equal(t, callers.count(http.StateActive), 1)
+				close(finish)
+			}
+			assert.Assert(t, isClosedWithin(drained, 10*time.Second), "the connection stays open")
+			answer, err := io.ReadAll(conn)
+			assert.NilError(t, err)
+			assert.Equal(t, strings.HasPrefix(string(answer), "HTTP/1.1 200"), idle != "never used")
+		})
+	}
+}
+
+// count returns the number of connections in a state.
+func (l *Listener) count(state http.ConnState) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, s := range l.states {
+		if s == state {
+			n++
+		}
+	}
+	return n
+}
+
+// TestHeaderLimits guards against limits of an earlier configuration that still apply to
+// an open connection: a header that is allowed would be refused, or one that is too long
+// or too slow be read.
+func TestHeaderLimits(t *testing.T) {
+	const short, long = 4 << 10, 64 << 10
+	limits := func(bytes int, timeout time.Duration) Limits {
+		return Limits{HeaderBytes: bytes, HeaderTimeout: timeout, IdleTimeout: time.Minute}
+	}
+	for _, c := range []struct {
+		name          string
+		before, after Limits
+		header        int
+		pause         time.Duration
+		status        int
+	}{
+		{"size raised", limits(short, time.Minute), limits(long, time.Minute), 32 << 10, 0, http.StatusOK},
+		{"size lowered", limits(long, time.Minute), limits(short, time.Minute), 32 << 10, 0, http.StatusRequestHeaderFieldsTooLarge},
+		{"size lowered, endless header", limits(long, time.Minute), limits(short, time.Minute), 16 << 20, 0, http.StatusRequestHeaderFieldsTooLarge},
+		{"time raised", limits(short, time.Second), limits(short, time.Minute), 10, 1200 * time.Millisecond, http.StatusOK},
+		{"time removed", limits(short, time.Second), limits(short, 0), 10, 1200 * time.Millisecond, http.StatusOK},
+		{"time lowered", limits(short, time.Minute), limits(short, 50*time.Millisecond), 10, 200 * time.Millisecond, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var current atomic.Pointer[Limits]
+			current.Store(&c.before)
+			callers := New(listen(t), func() Limits { return *current.Load() })
+			server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+			var group errgroup.Group
+			group.Go(func() error { return callers.Serve(server) })
+			conn, err := net.Dial("tcp", callers.Addr().String())
+			assert.NilError(t, err)
+			reader := bufio.NewReader(conn)
+			receive := func() int {
+				answer, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					return 0
+				}
+				_, err = io.ReadAll(answer.Body)
+				assert.NilError(t, err)
+				return answer.StatusCode
+			}
+			const start = "GET / HTTP/1.1\r\nHost: api.example\r\n"
+			_, err = io.WriteString(conn, start+"\r\n")
+			assert.NilError(t, err)
+			assert.Equal(t, receive(), http.StatusOK)
+			current.Store(&c.after)
+			_, _ = io.WriteString(conn, start)
+			time.Sleep(c.pause)
+			// The server may close the connection before all is sent.
+			_, _ = io.WriteString(conn, "X-Long: "+strings.Repeat("x", c.header)+"\r\n\r\n")
+			assert.Equal(t, receive(), c.status)
+			assert.NilError(t, conn.Close())
+			assert.NilError(t, server.Close())
+			assert.NilError(t, group.Wait())
+		})
+	}
+}
--- a/internal/transport/gateway/pipelined_test.go
+++ b/internal/protocol/listener/pipelined_test.go
@@ -1,4 +1,4 @@
-package gateway
+package listener
 
 import (
 	"bufio"
@@ -20,17 +20,17 @@
 	for _, stops := range []bool{false, true} {
 		t.Run(map[bool]string{false: "header timeout", true: "stop"}[stops], func(t *testing.T) {
 			t.Parallel()
-			server := &http.Server{ReadHeaderTimeout: 300 * time.Millisecond, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+			limits := Limits{HeaderBytes: 1 << 10, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: time.Minute}
+			server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 			if stops {
-				server.ReadHeaderTimeout = time.Minute
+				limits.HeaderTimeout = time.Minute
 			}
-			callers, listener := newCallerConns(func() time.Duration { return time.Minute }), listen(t)
+			callers := New(listen(t), func() Limits { return limits })
 			var group errgroup.Group
 			group.Go(func() error {
-				_ = server.Serve(callers.track(server, listener))
-				return nil
+				return callers.Serve(server)
 			})
-			conn, err := net.Dial("tcp", listener.Addr().String())
+			conn, err := net.Dial("tcp", callers.Addr().String())
 			assert.NilError(t, err)
 			_, err = io.WriteString(conn, request+request[:24])
 			assert.NilError(t, err)
@@ -40,7 +40,7 @@
 			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(3*time.Second)))
 			if stops {
 				time.Sleep(100 * time.Millisecond)
-				assert.NilError(t, listener.Close())
+				assert.NilError(t, callers.Close())
 				assert.NilError(t, group.Wait())
 				_ = callers.closeIdle()
 				_, err = io.WriteString(conn, request[24:])
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	os.Exit(control.Main(os.Args[1:], os.Stdout, os.Stderr))
+//	os.Exit(control.Main(os.Args[1:], os.Stdout, os.Stderr, platform.CheckConfig))
 //
 // Exit codes are those of package program, and ExitConflict.
 package control
@@ -36,6 +36,8 @@
 	Status      statusCommand   `command:"status" description:"show which revision every instance has in force"`
 	History     historyCommand  `command:"history" description:"list the revisions and the records that made none"`
 	Rollback    rollbackCommand `command:"rollback" description:"make an older revision's content the next revision"`
+
+	checkGateways CheckGatewayConfig
 }
 
 // fileArgument is the positional argument of commands that read a deployment
@@ -52,8 +54,17 @@
 	Timeout       time.Duration `long:"timeout" default:"30s" description:"how long --wait waits"`
 }
 
+// strictOption is the option of commands that read a deployment file.
+type strictOption struct {
+	Strict bool `long:"strict" description:"treat warnings as mistakes"`
+}
+
 type validateCommand struct {
-	Args struct {
+	strictOption
+	InForce         bool   `long:"in-force" description:"also show what differs from the configuration in force"`
+	Gateways        bool   `long:"gateways" description:"the files declare the configuration of gateways"`
+	GatewaySettings string `long:"gateway-settings" description:"with --gateways, settings file of a gateway whose bounds are compared" value-name:"FILE"`
+	Args            struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes"`
 }
@@ -64,6 +75,7 @@
 
 type applyCommand struct {
 	changeOptions
+	strictOption
 	Base    *uint64      `long:"base" description:"revision that the file was made for; a newer one is a conflict"`
 	Message string       `long:"message" description:"why the change is made"`
 	Args    fileArgument `positional-args:"yes"`
@@ -80,10 +92,16 @@
 	} `positional-args:"yes"`
 }
 
-// Main runs one command and returns the exit code.
-func Main(args []string, stdout, stderr io.Writer) program.ExitCode {
+// CheckGatewayConfig checks a file that declares the configuration of gateways. The path
+// of a gateway's settings file may be empty. It returns mistakes as settings.Problems and
+// otherwise warnings.
+type CheckGatewayConfig func(file, settingsFile string) (warnings settings.Problems, err error)
+
+// Main runs one command and returns the exit code. checkGateways implements validate
+// --gateways.
+func Main(args []string, stdout, stderr io.Writer, checkGateways CheckGatewayConfig) program.ExitCode {
 	versionShown := false
-	var c commands
+	c := commands{checkGateways: checkGateways}
 	c.Version = func() {
 		versionShown = true
 		_, _ = fmt.Fprintln(stdout, "comfreyctl", program.Version)
@@ -145,8 +163,15 @@
 
 // run executes the subcommand with the given name.
 func (c *commands) run(name string, stdout io.Writer) error {
-	if name == "validate" {
-		return validate(c.Validate.Args.Files, stdout)
+	switch {
+	case name == "validate" && c.Validate.Gateways && c.Validate.InForce:
+		return errors.New("--in-force cannot be combined with --gateways: their configuration is not in the log")
+	case name == "validate" && c.Validate.Gateways:
+		return c.Validate.execute(stdout, func(file string) (settings.Problems, error) {
+			return c.checkGateways(file, c.Validate.GatewaySettings)
+		})
+	case name == "validate" && !c.Validate.InForce:
+		return c.Validate.execute(stdout, reviewDeployment)
 	}
 	s, err := openSession(context.Background(), c.Config, stdout)
 	if err != nil {
@@ -154,6 +179,8 @@
 	}
 	defer s.peers.Close()
 	switch name {
+	case "validate":
+		return errors.Join(c.Validate.execute(stdout, reviewDeployment), s.printDiffs(c.Validate.Args.Files))
 	case "diff":
 		return s.printDiff(c.Diff.Args.File)
 	case "apply":
@@ -168,10 +195,13 @@
 }
 
 func (c *applyCommand) execute(s *session) error {
-	next, err := readDocument(c.Args.File)
+	next, warnings, err := readDocument(c.Args.File)
 	if err != nil {
 		return err
 	}
+	if err := c.report(warnings, s.out); err != nil {
+		return err
+	}
 	var base *comfreyworks.ConfigRevision
 	if c.Base != nil {
 		base = new(comfreyworks.ConfigRevision(*c.Base))
@@ -195,14 +225,25 @@
 	return s.waitInForce(number, c.Timeout)
 }
 
-// validate checks all files, even after errors, so that one run reports every
+// report prints warnings. With --strict it returns them as an error instead.
+func (o strictOption) report(warnings settings.Problems, stdout io.Writer) error {
+	if o.Strict && len(warnings) > 0 {
+		return warnings
+	}
+	for _, warning := range warnings {
+		_, _ = fmt.Fprintf(stdout, "warning: %s\n", warning)
+	}
+	return nil
+}
+
+// execute checks all files, even after errors, so that one run reports every
 // mistake.
-func validate(files []string, stdout io.Writer) error {
+func (c *validateCommand) execute(stdout io.Writer, check func(file string) (settings.Problems, error)) error {
 	var all []error
-	for _, file := range files {
-		source, err := os.ReadFile(file)
+	for _, file := range c.Args.Files {
+		warnings, err := check(file)
 		if err == nil {
-			_, err = settings.ReadDeployment(file, source)
+			err = c.report(warnings, stdout)
 		}
 		if err != nil {
 			all = append(all, err)
@@ -212,3 +253,13 @@
 	}
 	return errors.Join(all...)
 }
+
+// reviewDeployment checks a deployment file.
+func reviewDeployment(file string) (settings.Problems, error) {
+	source, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	_, warnings, err := settings.ReviewDeployment(file, source)
+	return warnings, err
+}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -33,8 +33,10 @@
 	"comfreyworks/internal/coordination/peering"
 	"comfreyworks/internal/coordination/placement"
 	"comfreyworks/internal/coordination/rollout"
+	"comfreyworks/internal/coordination/usage"
 	"comfreyworks/internal/coordination/watch"
 	"comfreyworks/internal/protocol/exchange"
+	"comfreyworks/internal/protocol/listener"
 	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/crashes"
@@ -62,14 +64,12 @@
 	// failed probes.
 	shutdownDelay = 2300 * time.Millisecond
 	// shutdownMargin is the part of the stop grace period that is reserved for
-	// ending the process after the open requests have finished or were cut off.
+	// ending the process after the open requests have finished or were cut off. It
+	// includes listener.LastAnswerTime and peerStopTimeout.
 	shutdownMargin = 250 * time.Millisecond
 	// lateRequest is the time after the beginning of a stop from which requests are
 	// refused that may last beyond its end.
 	lateRequest = 2900 * time.Millisecond
-	// lastAnswerTime is the part of shutdownMargin in which requests without an answer
-	// are told that there will be none.
-	lastAnswerTime = 100 * time.Millisecond
 	// startupWait is how long a new process waits for its first routing and list
 	// of upstreams before it accepts requests; a healthy store answers several
 	// times within it. startupPollInterval is the pause between two checks.
@@ -146,6 +146,7 @@
 	peering        *peering.Peering
 	peerClients    *peer.Clients
 	crashes        *crashes.Log
+	usage          *usageAdmission
 	leaving        atomic.Bool
 	// stoppedAt is set before leaving.
 	stoppedAt atomic.Pointer[time.Time]
@@ -164,6 +165,14 @@
 		Clock: options.Clock, Spread: peering.Spread(options.Settings.ID),
 		Tries: func(key uint32) bool { return g.peering.IsSelected(fmt.Sprint("part ", key), 1) },
 	})
+	bounds := &options.Settings.Bounds
+	g.usage = &usageAdmission{
+		limiter: usage.New(usage.Options{
+			Clock: options.Clock, Window: bounds.UsageWindow, Overage: bounds.UsageOverage, Slack: bounds.UsageSlack,
+			Routing: g.declaredRouting,
+		}),
+		clock: options.Clock, logger: options.Logger, meter: options.Meter, loggedAt: make(map[comfreyworks.Workspace]time.Time),
+	}
 	saved := savedsessions.New(options.Clock)
 	pace := enginepace.New(enginepace.Options{Clock: options.Clock, Logger: options.Logger, Meter: options.Meter})
 	origins := &streamOrigins{log: streamorigins.New(options.Clock)}
@@ -200,7 +209,7 @@
 		NewClient:     func(address netip.AddrPort) comfreyworks.GatewayClient { return g.peerClients.To(address) },
 		RetainClients: g.peerClients.Retain,
 		Catalog:       g.catalog, Balancer: g.balancer, Saved: saved, Pace: pace, Clock: options.Clock, Logger: options.Logger, Faults: options.Faults,
-		Origins: origins.log, PassOrigins: g.passesOrigins, Crashes: g.crashes,
+		Origins: origins.log, PassOrigins: g.passesOrigins, Crashes: g.crashes, Usage: g.usage.limiter,
 	})
 	origins.peering = g.peering
 	if options.Caches != nil {
@@ -291,19 +300,11 @@
 	defer endRequests(nil)
 	requestServer := g.newServer(g.requestHandler())
 	requestServer.BaseContext = func(net.Listener) context.Context { return requestCtx }
-	callers := newCallerConns(g.idleTimeout)
-	requests := callers.track(requestServer, listeners.Requests)
-	accepted := make(chan struct{})
+	callers := listener.New(listeners.Requests, g.callerLimits)
 	readyServer := g.newServer(g.readyHandler())
 	group.Go(func() error {
-		defer close(accepted)
 		g.awaitInitialState(workCtx)
-		g.applyCallerLimits(requestServer)
-		err := serve(requestServer, requests)
-		if g.leaving.Load() && errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		return err
+		return callers.Serve(requestServer)
 	})
 	group.Go(func() error { return serve(readyServer, listeners.Ready) })
 	if listeners.Metrics != nil {
@@ -331,11 +332,7 @@
 		defer stop()
 		select {
 		case <-ctx.Done():
-			g.drain(endRequests, func() <-chan struct{} {
-				_ = listeners.Requests.Close()
-				<-accepted
-				return callers.closeIdle()
-			})
+			g.drain(callers, endRequests)
 		case <-workCtx.Done():
 		}
 		_ = requestServer.Close()
@@ -361,28 +358,25 @@
 	}
 }
 
-// idleTimeout returns how long callers' connections may be idle now.
-func (g *Gateway) idleTimeout() time.Duration {
-	if table, _ := g.catalog.Routing(); table != nil && table.Limits().IdleTimeout > 0 {
-		return table.Limits().IdleTimeout
-	}
-	return defaultIdleTimeout
-}
-
-// applyCallerLimits sets the limits that the routing declares for callers' headers. An
-// http.Server reads them when it starts, so later changes need a restart.
-func (g *Gateway) applyCallerLimits(server *http.Server) {
+// callerLimits returns the limits of callers' connections now: those of the routing, and
+// defaults for what it does not declare.
+func (g *Gateway) callerLimits() listener.Limits {
+	limits := listener.Limits{HeaderBytes: defaultMaxHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	table, _ := g.catalog.Routing()
 	if table == nil {
-		return
+		return limits
+	}
+	declared := table.Limits()
+	if declared.HeaderBytes > 0 {
+		limits.HeaderBytes = declared.HeaderBytes
 	}
-	limits := table.Limits()
-	if limits.HeaderBytes > 0 {
-		server.MaxHeaderBytes = limits.HeaderBytes
+	if declared.HeaderTimeout > 0 {
+		limits.HeaderTimeout = declared.HeaderTimeout
 	}
-	if limits.HeaderTimeout > 0 {
-		server.ReadHeaderTimeout = limits.HeaderTimeout
+	if declared.IdleTimeout > 0 {
+		limits.IdleTimeout = declared.IdleTimeout
 	}
+	return limits
 }
 
 func serve(server *http.Server, listener net.Listener) error {
@@ -412,35 +406,18 @@
 
 // drain reports not ready and keeps serving until the load balancer has
 // noticed, then lets open requests finish within the stop grace period. At its end,
-// those without an answer are answered with an error. The given function stops
-// accepting connections and returns a channel that is closed when none is left.
-func (g *Gateway) drain(endRequests context.CancelCauseFunc, stopAccepting func() <-chan struct{}) {
+// those without an answer are answered with an error.
+func (g *Gateway) drain(callers *listener.Listener, endRequests context.CancelCauseFunc) {
 	startedAt := g.options.Clock.Now()
 	g.stoppedAt.Store(&startedAt)
 	g.leaving.Store(true)
 	g.options.Logger.Info("shutdown started, reporting not ready")
 	g.options.Clock.Sleep(shutdownDelay)
-	drained := stopAccepting()
 	remaining := g.options.Settings.Bounds.StopGrace - shutdownMargin - g.options.Clock.Since(startedAt)
-	if isClosedWithin(drained, remaining) {
-		return
-	}
-	g.options.Logger.Warn("open requests cut off at the end of the stop grace period")
-	endRequests(forward.ErrStopping)
-	_ = isClosedWithin(drained, lastAnswerTime)
-}
-
-// isClosedWithin waits until a channel is closed, and returns false if the time passes
-// before.
-func isClosedWithin(done <-chan struct{}, limit time.Duration) bool {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-done:
-		return true
-	case <-timer.C:
-		return false
-	}
+	callers.Drain(remaining, func() {
+		g.options.Logger.Warn("open requests cut off at the end of the stop grace period")
+		endRequests(forward.ErrStopping)
+	})
 }
 
 // removeUnseenUpstreams periodically removes the balancer's records of
