Agree on the share for long prompts, prefer urgent requests from two steps on

A difference of one step no longer counts.

They now exchange the shares that they use, and approach the mean.

--- a/demand.go
+++ b/demand.go
@@ -16,6 +16,10 @@
 	Streams, Missed int
 	// LongStreams and LongMissed are the same for streams with long prompts.
 	LongStreams, LongMissed int
+	// Separated is the number of gateways that separate long prompts from other requests,
+	// Shares the sum of the parts of the capacity, in thousandths, that they reserve for long
+	// prompts.
+	Separated, Shares int
 }
 
 // Add adds the counts of other.
@@ -28,6 +32,8 @@
 	d.Missed += other.Missed
 	d.LongStreams += other.LongStreams
 	d.LongMissed += other.LongMissed
+	d.Separated += other.Separated
+	d.Shares += other.Shares
 }
 
 // maxDemandCount bounds each count of a PoolDemand that is believed: about a thousand
@@ -36,11 +42,12 @@
 
 // Limit replaces counts that make no sense by the nearest ones that do.
 func (d *PoolDemand) Limit() {
-	for _, time := range []*int{&d.LongTime, &d.OtherTime, &d.Streams, &d.LongStreams} {
+	for _, time := range []*int{&d.LongTime, &d.OtherTime, &d.Streams, &d.LongStreams, &d.Separated} {
 		*time = min(max(*time, 0), maxDemandCount)
 	}
 	d.LongPriority = min(max(d.LongPriority, 0), d.LongTime*(NumPriorities-1))
 	d.OtherPriority = min(max(d.OtherPriority, 0), d.OtherTime*(NumPriorities-1))
 	d.Missed = min(max(d.Missed, 0), d.Streams)
 	d.LongMissed = min(max(d.LongMissed, 0), d.LongStreams)
+	d.Shares = min(max(d.Shares, 0), 1000*d.Separated)
 }
--- a/internal/coordination/balance/demand.go
+++ b/internal/coordination/balance/demand.go
@@ -63,12 +63,16 @@
 type demands struct {
 	measured map[comfreyworks.Pool]*measuredDemand
 	reports  map[comfreyworks.InstanceID]demandReport
+	// shares holds the part of the capacity for long prompts, in thousandths, of the pools in
+	// which this gateway separates them from other requests.
+	shares map[comfreyworks.Pool]int
 }
 
 func newDemands() demands {
 	return demands{
 		measured: make(map[comfreyworks.Pool]*measuredDemand),
 		reports:  make(map[comfreyworks.InstanceID]demandReport),
+		shares:   make(map[comfreyworks.Pool]int),
 	}
 }
 
@@ -95,7 +99,11 @@
 	}
 	for pool, measured := range d.measured {
 		measured.decay(now)
-		if rate := measured.rate(pool); rate != (comfreyworks.PoolDemand{Pool: pool}) {
+		rate := measured.rate(pool)
+		if share, ok := d.shares[pool]; ok {
+			rate.Separated, rate.Shares = 1, share
+		}
+		if rate != (comfreyworks.PoolDemand{Pool: pool}) {
 			add(rate)
 		}
 	}
--- a/internal/coordination/balance/division.go
+++ b/internal/coordination/balance/division.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -81,10 +82,12 @@
 			zap.Float64("missed", load.Missed), zap.Float64("streams", load.Streams))
 	}
 	if !d.Separated() {
+		delete(b.demands.shares, pool)
 		d.groups, d.listed = nil, nil
 		d.kinds, d.others = [partition.NumKinds]catalog.PoolView{}, [partition.NumKinds]catalog.PoolView{}
 		return
 	}
+	b.demands.shares[pool] = int(math.Round(1000 * d.Share()))
 	groups := make(map[comfreyworks.InstanceID]partition.Group, len(view.Upstreams))
 	for i, group := range d.Groups(described) {
 		groups[view.Upstreams[i].ID] = group
@@ -131,7 +134,12 @@
 		return partition.Demand{EngineTime: gateways * float64(time) / 1e6, Priority: float64(priority) / float64(max(time, 1))}
 	}
 	judged := func(count int) float64 { return float64(count) / 1000 }
+	meanShare := 0.0
+	if sum.Separated > 0 {
+		meanShare = float64(sum.Shares) / float64(1000*sum.Separated)
+	}
 	return partition.Load{
+		MeanShare: meanShare,
 		Demand: [partition.NumKinds]partition.Demand{
 			partition.Long: demand(sum.LongTime, sum.LongPriority), partition.Other: demand(sum.OtherTime, sum.OtherPriority),
 		},
--- a/internal/coordination/partition/correction.go
+++ b/internal/coordination/partition/correction.go
@@ -6,8 +6,10 @@
 	// preferenceStep is how much more a missed stream of a kind counts for each step of
 	// priority that the kind is more urgent than the other one.
 	preferenceStep = 1.5
-	// maxPreferenceSteps limits the preference, so that the less urgent kind is not starved.
-	maxPreferenceSteps = 2
+	// minPreferenceSteps and maxPreferenceSteps limit the steps that count. Neighbouring
+	// priorities say little about what requests are worth, and with more the less urgent kind
+	// would starve.
+	minPreferenceSteps, maxPreferenceSteps = 1.5, 2.0
 	// correctionGain is the part of the difference between the miss rates by which the share
 	// changes in one update. What a change brings is known after about two seconds.
 	correctionGain = 0.06
@@ -34,7 +36,9 @@
 	if steps < 0 {
 		preferred = Long
 	}
-	weights[preferred] = math.Pow(preferenceStep, min(math.Abs(steps), maxPreferenceSteps))
+	if steps = math.Abs(steps); steps >= minPreferenceSteps {
+		weights[preferred] = math.Pow(preferenceStep, min(steps, maxPreferenceSteps))
+	}
 	return weights
 }
 
--- a/internal/coordination/partition/load.go
+++ b/internal/coordination/partition/load.go
@@ -23,6 +23,9 @@
 	// LongStreams and LongMissed are the same for the kind Long. They do not begin a
 	// separation.
 	LongStreams, LongMissed float64
+	// MeanShare is the mean share for long prompts of the gateways that separate them, zero if
+	// there are none.
+	MeanShare float64
 }
 
 // estimatedShare returns the part of the capacity that long prompts need, in proportion to
--- a/internal/coordination/partition/order.go
+++ b/internal/coordination/partition/order.go
@@ -12,12 +12,12 @@
 	// speedClassRatio is the ratio between the speeds of two classes. Smaller differences
 	// do not order engines, so that measurements of gateways that differ a little lead to
 	// the same order.
-	speedClassRatio = 1.25
+	speedClassRatio = 1.5
 	// speedClassMargin is how far, in classes, a speed must be from its class for another
 	// one to take its place. Above one half, a speed between two classes stays where it is.
 	speedClassMargin = 0.75
 	// maxSpeedClass bounds what an absurd measurement can claim to about a factor of four.
-	maxSpeedClass = 6
+	maxSpeedClass = 3
 )
 
 // speedClasses holds the speed class of each engine by its seed. Higher classes are
--- a/internal/coordination/partition/partition.go
+++ b/internal/coordination/partition/partition.go
@@ -55,6 +55,10 @@
 	// shareTolerance is the difference from the wanted share up to which the present one
 	// stays. Demand that is measured over a second varies by about as much.
 	shareTolerance = 0.05
+	// consensusStep is the part of the difference to the mean share of all gateways that is
+	// made up for in one update. An engine between two boundaries serves both kinds; larger
+	// steps would slow down changes, because the mean is half a second old.
+	consensusStep = 0.15
 	// minEngines is the number of usable engines below which nothing is separated: each
 	// kind needs a second engine when one fails.
 	minEngines = 4
@@ -147,6 +151,9 @@
 	case difference < -shareTolerance:
 		s.share -= min(-difference, maxStep)
 	}
+	if s.Separated() && load.MeanShare > 0 {
+		s.share += consensusStep * (load.MeanShare - s.share)
+	}
 	if usable < minEngines || !s.pressure.active {
 		s.overlap = min(s.overlap+leaveStep, 1)
 	} else {
--- a/internal/coordination/partition/partition_test.go
+++ b/internal/coordination/partition/partition_test.go
@@ -240,6 +240,20 @@
 			assert.Assert(t, !g.Serves(Long))
 		}
 	}
+	t.Run("gateways with other shares agree in the end", func(t *testing.T) {
+		first, second := New("lm"), New("lm")
+		engines := newEngines(40)
+		run(first, time.Unix(0, 0), 3*time.Second, newLoad(12, 8, 0.3), engines)
+		run(second, time.Unix(0, 0), 3*time.Second, newLoad(10, 10, 0.3), engines)
+		for i := range 20 {
+			load := newLoad(11, 9, 0.3)
+			load.MeanShare = (first.Share() + second.Share()) / 2
+			at := time.Unix(4, 0).Add(time.Duration(i) * UpdateInterval)
+			first.Update(at, load, engines)
+			second.Update(at, load, engines)
+		}
+		assert.Assert(t, math.Abs(first.Share()-second.Share()) < 0.02)
+	})
 	t.Run("absurd speeds count as a bounded one", func(t *testing.T) {
 		groups := run(New("lm"), time.Unix(0, 0), 3*time.Second, newLoad(10, 8, 0.3), newEngines(30, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1e9, math.NaN(), -3))
 		assert.Assert(t, count(groups, Long) > 3)
