--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -32,6 +32,7 @@
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/enginepace"
 	"comfreyworks/internal/state/holdings"
+	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/rendezvous"
 	"comfreyworks/internal/state/savedsessions"
 	"comfreyworks/internal/state/streamorigins"
@@ -93,6 +94,8 @@
 	Zone   comfreyworks.Zone
 	// Logger logs what upstreams say about themselves; it may be nil.
 	Logger *zap.Logger
+	// Meter may be nil.
+	Meter *meter.Meter
 	// SupersededWeights is how long superseded weights may generate answers; zero
 	// means without limit.
 	SupersededWeights time.Duration
@@ -225,6 +228,9 @@
 	if options.Logger == nil {
 		options.Logger = zap.NewNop()
 	}
+	if options.Meter == nil {
+		options.Meter = meter.New()
+	}
 	if options.Pace == nil {
 		options.Pace = enginepace.New(enginepace.Options{Clock: options.Clock})
 	}
--- a/internal/coordination/balance/evenload.go
+++ b/internal/coordination/balance/evenload.go
@@ -4,7 +4,10 @@
 	"math"
 	"time"
 
+	"go.uber.org/zap"
+
 	"comfreyworks"
+	"comfreyworks/internal/state/meter"
 )
 
 const (
@@ -68,6 +71,7 @@
 // minHomes returns the number of homes among which a request chooses at least.
 func (b *Balancer) minHomes(query *Query) int {
 	if query.Tokens <= shortPromptTokens && query.weighsBehind {
+		b.options.Meter.Add("comfrey_short_prompts_spread_total", meter.Labels{}, 1)
 		return shortPromptHomes
 	}
 	return minHomes
@@ -81,5 +85,11 @@
 	if b.late[query.Pool] == nil {
 		b.late[query.Pool] = new(lateness)
 	}
-	b.late[query.Pool].add(elapsed > query.Objective, now)
+	l := b.late[query.Pool]
+	before := l.queued()
+	l.add(elapsed > query.Objective, now)
+	if l.queued() != before {
+		b.options.Logger.Info("short prompts late", zap.String("pool", string(query.Pool)), zap.Bool("late", !before),
+			zap.Float64("share", l.late/l.count))
+	}
 }
--- a/internal/coordination/balance/pace.go
+++ b/internal/coordination/balance/pace.go
@@ -10,10 +10,6 @@
 )
 
 const (
-	// homeWeightExponent makes the share of sessions that have an engine as their
-	// first home grow faster than its speed. While engines are not fully used, a prompt
-	// is answered sooner where it is also read faster.
-	homeWeightExponent = 1.5
 	// homeWeightStep is the ratio between two weights. Gateways that measure slightly
 	// different speeds thus mostly agree on the homes of a session.
 	homeWeightStep = 1.25
@@ -58,14 +54,14 @@
 	})
 }
 
-// homeWeight returns the weight of an engine in the choice of homes.
+// homeWeight returns the weight of an engine in the choice of homes: its speed. With
+// weights that grow faster more prompts were late in the queue model.
 func (b *Balancer) homeWeight(upstream *comfreyworks.Upstream) float64 {
 	speed := b.options.Pace.Lasting(upstream).Prefill
 	if speed == 1 {
 		return 1
 	}
-	steps := homeWeightExponent * math.Log(speed) / math.Log(homeWeightStep)
-	return math.Pow(homeWeightStep, math.Round(steps))
+	return math.Pow(homeWeightStep, math.Round(math.Log(speed)/math.Log(homeWeightStep)))
 }
 
 // FirstEvent records the time to the first event of a stream, from which the speed of
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -170,7 +170,7 @@
 	g.balancer = balance.New(balance.Options{
 		Catalog: g.catalog, Holdings: g.holdings, Saved: saved, Pace: pace,
 		Policy: placement.Comfrey{RecomputeWeight: placement.DefaultRecomputeWeight},
-		Clock:  options.Clock, Zone: options.Settings.Zone, Logger: options.Logger,
+		Clock:  options.Clock, Zone: options.Settings.Zone, Logger: options.Logger, Meter: options.Meter,
 		SupersededWeights: options.Settings.Bounds.SupersededWeights,
 	})
 	g.upstreamClient = exchange.NewClient(exchange.Options{
