Spill before a prompt is refused, and rank many engines sooner

A session stayed with its first home for a wait of up to 0.4 s more than elsewhere and looked for more homes only from 0.5 s on, while admission control refuses from 0.7 of the objective: routes with an objective below 0.7 s refused prompts while engines were free. A prompt that would be refused now chooses among the engines where it would not; the new case of TestOverload fails without the change.

Computing the speeds of 1,100 engines took 21 ms every 0.2 s, because the median was sorted anew for each engine; estimates are now kept until a measurement is added.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -121,6 +121,9 @@
 	Tokens int
 	// Objective is the latency objective for the first event; zero means none.
 	Objective time.Duration
+	// MaxWait is the wait in an engine's queue beyond which the request is refused; zero
+	// means that it is not.
+	MaxWait time.Duration
 	// Priority is the priority in the engine's queue; 0 is the most urgent.
 	Priority int
 	// Release is the only release that may serve the request, as a value of
@@ -314,7 +317,7 @@
 		return b.newPick(&tier[chooseFastest(tier, now)], query, len(candidates), 0)
 	}
 	sources := b.addCacheState(tier, &query, now)
-	tier = b.sessionSubset(tier)
+	tier = b.sessionSubset(withinWait(tier, query.MaxWait))
 	best := b.options.Policy.Place(query.Tokens, policyCandidates(tier))
 	chosen := &tier[best]
 	pick := b.newPick(chosen, query, len(candidates), max(query.Tokens-max(chosen.cachedTokens, chosen.importableTokens), 0))
--- a/internal/coordination/balance/evenload.go
+++ b/internal/coordination/balance/evenload.go
@@ -53,7 +53,7 @@
 // weighsPromptsBehind reports whether less urgent prompts count as ahead of a request:
 // while engines differ in speed, or while short prompts are late.
 func (b *Balancer) weighsPromptsBehind(pool comfreyworks.Pool) bool {
-	return b.late[pool].queued() || b.options.Pace.Differs()
+	return b.late[pool].queued() || b.options.Pace.Speeds().Differ()
 }
 
 // tokensBehind returns the number of prompt tokens of less urgent requests at an engine.
@@ -68,6 +68,25 @@
 	return scaled(time.Duration(c.tokensBehind)*prefillTime, c.pace.Prefill)
 }
 
+// withinWait returns the candidates whose wait is at most maxWait, or all if there are
+// none or if maxWait is zero. A session leaves its engine, and costs a prefill, rather
+// than being refused while other engines are free.
+func withinWait(candidates []candidate, maxWait time.Duration) []candidate {
+	if maxWait == 0 {
+		return candidates
+	}
+	var within []candidate
+	for i := range candidates {
+		if candidates[i].wait() <= maxWait {
+			within = append(within, candidates[i])
+		}
+	}
+	if within == nil {
+		return candidates
+	}
+	return within
+}
+
 // minHomes returns the number of homes among which a request chooses at least.
 func (b *Balancer) minHomes(query *Query) int {
 	if query.Tokens <= shortPromptTokens && query.weighsBehind {
--- a/internal/coordination/balance/homes.go
+++ b/internal/coordination/balance/homes.go
@@ -67,7 +67,7 @@
 	var homes []candidate
 	for n := b.minHomes(&query); ; n *= 2 {
 		homes = b.homes(&view, &query, declared, n, now)
-		if n >= len(view.Upstreams) || slices.ContainsFunc(homes, candidate.isFreeHome) {
+		if n >= len(view.Upstreams) || slices.ContainsFunc(homes, func(c candidate) bool { return c.isFreeHome(query.MaxWait) }) {
 			break
 		}
 	}
@@ -76,7 +76,7 @@
 	}
 	session := b.newHomeSession(&query)
 	homes = bestHomes(homes)
-	best := slices.MinFunc(homes, func(a, b candidate) int {
+	best := slices.MinFunc(withinWait(homes, query.MaxWait), func(a, b candidate) int {
 		return cmp.Compare(a.homeCost(session, homes[0].rank), b.homeCost(session, homes[0].rank))
 	})
 	return b.newHomePick(&best, query, homes, session, declared)
@@ -177,9 +177,10 @@
 	return indexes
 }
 
-// isFreeHome reports whether the candidate can start a prompt soon.
-func (c candidate) isFreeHome() bool {
-	return !c.full && !c.avoided && !c.settling && c.wait() < homeIdleWait
+// isFreeHome reports whether the candidate can start a prompt soon, and before it would
+// be refused.
+func (c *candidate) isFreeHome(maxWait time.Duration) bool {
+	return !c.full && !c.avoided && !c.settling && c.wait() < homeIdleWait && (maxWait == 0 || c.wait() <= maxWait)
 }
 
 // homeTier ranks the state of the candidate without regard to its weights; lower
--- a/internal/coordination/balance/pace.go
+++ b/internal/coordination/balance/pace.go
@@ -46,18 +46,18 @@
 // rankHomes returns the indexes of the n upstreams with the highest scores for a key,
 // the highest first. While engines differ, faster ones are ranked first more often.
 func (b *Balancer) rankHomes(view *catalog.PoolView, key uint64, n int) []int {
-	if !b.options.Pace.Differs() {
+	speeds := b.options.Pace.Speeds()
+	if !speeds.Differ() {
 		return highestScores(view.Seeds, key, n)
 	}
 	return highest(len(view.Seeds), n, func(i int) uint64 {
-		return rendezvous.Weighted(rendezvous.Score(view.Seeds[i], key), b.homeWeight(&view.Upstreams[i]))
+		return rendezvous.Weighted(rendezvous.Score(view.Seeds[i], key), homeWeight(speeds.Of(&view.Upstreams[i]).Prefill))
 	})
 }
 
-// homeWeight returns the weight of an engine in the choice of homes: its speed. With
-// weights that grow faster more prompts were late in the queue model.
-func (b *Balancer) homeWeight(upstream *comfreyworks.Upstream) float64 {
-	speed := b.options.Pace.Lasting(upstream).Prefill
+// homeWeight returns the weight of an engine in the choice of homes: its speed, rounded.
+// With weights that grow faster more prompts were late in the queue model.
+func homeWeight(speed float64) float64 {
 	if speed == 1 {
 		return 1
 	}
--- a/internal/coordination/balance/pace_test.go
+++ b/internal/coordination/balance/pace_test.go
@@ -28,7 +28,7 @@
 			elapsed := time.Duration(float64(72*time.Millisecond) / speeds[number(t, engine.ID)%len(speeds)])
 			f.options.Pace.ObserveDecode(&engine, 3, elapsed, false)
 		}
-		f.options.Pace.Differs()
+		f.options.Pace.Speeds()
 	}
 }
 
--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -64,13 +64,24 @@
 	return false
 }
 
+// maxWait returns the expected wait beyond which admission control refuses the request,
+// unless it is a caller's retry. Zero means that admission control does not apply: to
+// retries, resumed streams, requests without a prompt and routes without a latency
+// objective.
+func (r *activeRequest) maxWait() time.Duration {
+	route := r.request.Route
+	if r.sends > 0 || r.lastEventID != "" || r.request.Prompt.Model == "" {
+		return 0
+	}
+	return time.Duration(maxWaitShare * float64(route.Objective))
+}
+
 // refusedByAdmission reports whether admission control refuses the request
-// because the chosen engine has too much to prefill. It does not apply to
-// retries, resumed streams, requests without a prompt and routes without a
-// latency objective.
+// because the chosen engine has too much to prefill.
 func (r *activeRequest) refusedByAdmission(pick *balance.Pick) bool {
 	route := r.request.Route
-	if r.sends > 0 || r.lastEventID != "" || r.request.Prompt.Model == "" || route.Objective == 0 {
+	maxWait := r.maxWait()
+	if maxWait == 0 {
 		return false
 	}
 	left := r.options.Clock.Until(r.request.Deadline)
@@ -78,6 +89,5 @@
 	if float64(left) < retryTimeLeftShare*float64(route.Timeout) {
 		maxRetryWait = time.Duration(retryWaitShare * float64(left))
 	}
-	maxWait := time.Duration(maxWaitShare * float64(route.Objective))
 	return !r.admission.admit(r.options.Clock.Now(), pick.Wait, maxWait, maxRetryWait)
 }
--- a/internal/coordination/forward/admit_test.go
+++ b/internal/coordination/forward/admit_test.go
@@ -62,6 +62,24 @@
 		f := busyFixture(4)
 		assert.Equal(t, f.forwardRequest(f.promptRequest(fullTimeout)).Verdict, Delivered)
 	})
+	t.Run("a prompt leaves the engine of its session rather than being refused", func(t *testing.T) {
+		for _, gateways := range []int{4, 22} {
+			f := newFixture(respondOK("x"))
+			request := f.promptRequest(fullTimeout)
+			request.Prompt = Prompt{Model: model, Parts: []comfreyworks.PromptPart{{ID: "guide", Tokens: 6300}, {ID: "own", Tokens: 2000}}, Tokens: 8300}
+			balancer := f.forwarder.options.Balancer
+			balancer.SetGateways(gateways)
+			for range 2 {
+				assert.Equal(t, f.forwardRequest(request).Verdict, Delivered)
+			}
+			home := f.upstreams.sent[1].Upstream.ID
+			load := comfreyworks.UpstreamLoad{ID: home}
+			load.Unread.AddTokens(3, prefillTokensPerSecond/4)
+			balancer.SetPeerLoads("peer", []comfreyworks.UpstreamLoad{load}, f.clock.Now().Add(time.Hour))
+			assert.Equal(t, f.forwardRequest(request).Verdict, Delivered)
+			assert.Assert(t, f.upstreams.sent[2].Upstream.ID != home)
+		}
+	})
 	t.Run("requests without a prompt are admitted", func(t *testing.T) {
 		f := busyFixture(0)
 		assert.Equal(t, f.forward(route(comfreyworks.RouteNonIdempotent, 1, false)).Verdict, Delivered)
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -443,7 +443,7 @@
 	return balance.Query{
 		Pool: r.request.Pool, Model: r.request.Prompt.Model,
 		CacheScope: cacheScope(r.request.Workspace), AffinityKey: affinityKey(r.request), StoreKey: storeKey(r.request),
-		Parts: r.request.Prompt.Parts, Tokens: r.request.Prompt.Tokens, Objective: r.request.Route.Objective,
+		Parts: r.request.Prompt.Parts, Tokens: r.request.Prompt.Tokens, Objective: r.request.Route.Objective, MaxWait: r.maxWait(),
 		Priority: r.priority(), Exclude: r.tried, Release: r.release, BeginsStream: r.beginsStream(),
 	}
 }
--- a/internal/state/enginepace/enginepace.go
+++ b/internal/state/enginepace/enginepace.go
@@ -24,7 +24,6 @@
 package enginepace
 
 import (
-	"encoding/binary"
 	"math"
 	"slices"
 	"sync"
@@ -136,14 +135,11 @@
 // key returns the hash of an engine's incarnation. A restarted engine may run on other
 // hardware.
 func key(u *comfreyworks.Upstream) uint32 {
-	var started [8]byte
+	hash := xxhash.Sum64String(string(u.ID))
 	if !u.Started.IsZero() {
-		binary.LittleEndian.PutUint64(started[:], uint64(u.Started.UnixNano()))
+		hash = (hash ^ uint64(u.Started.UnixNano())) * 0x9e3779b97f4a7c15
 	}
-	hash := xxhash.New()
-	_, _ = hash.WriteString(string(u.ID))
-	_, _ = hash.Write(started[:])
-	return uint32(hash.Sum64())
+	return uint32(hash >> 32)
 }
 
 // engine returns the measurements of an engine. The mutex must be held.
@@ -170,7 +166,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.engine(u, now)
-	if lasting, ok := e.decode.value(now); ok && !disturbed {
+	if lasting, n := e.decode.value(now); n > 0 && !disturbed {
 		e.transient.add(x-lasting, now)
 	}
 	e.decode.add(x, now)
@@ -210,25 +206,28 @@
 	return pace
 }
 
-// Lasting returns the lasting speed of an engine.
-func (l *Log) Lasting(u *comfreyworks.Upstream) Pace {
+// Speeds holds the lasting speeds of engines at one time. It is safe for concurrent use.
+type Speeds struct{ differing map[uint32]Pace }
+
+// Speeds returns the current lasting speeds of all engines.
+func (l *Log) Speeds() Speeds {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refresh(l.options.Clock.Now())
-	if pace, ok := l.differing[key(u)]; ok {
+	return Speeds{l.differing}
+}
+
+// Differ reports whether any engine differs from its pool's median.
+func (s Speeds) Differ() bool { return len(s.differing) > 0 }
+
+// Of returns the lasting speed of an engine.
+func (s Speeds) Of(u *comfreyworks.Upstream) Pace {
+	if pace, ok := s.differing[key(u)]; ok {
 		return pace
 	}
 	return usual
 }
 
-// Differs reports whether any engine differs from its pool's median.
-func (l *Log) Differs() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.refresh(l.options.Clock.Now())
-	return len(l.differing) > 0
-}
-
 // speed holds the logarithms of the lasting speeds of an engine and the numbers of
 // measurements that they rest on.
 type speed struct {
@@ -335,28 +334,29 @@
 // measured returns the speeds that this gateway has measured, and removes engines that
 // are no longer measured.
 func (l *Log) measured(now time.Time) map[uint32]speed {
-	decode := make(map[comfreyworks.Pool][]float64)
-	prefill := make(map[comfreyworks.Pool][]float64)
+	decode, prefill := make(medians), make(medians)
 	for k, e := range l.engines {
 		if now.Sub(e.seenAt) > unusedExpiry {
 			delete(l.engines, k)
 			continue
 		}
-		if x, ok := e.decode.value(now); ok {
-			decode[e.pool] = append(decode[e.pool], x)
+		if x, n := e.decode.value(now); n > 0 {
+			decode.add(e.pool, x)
 		}
 		if x, n := e.prefill.value(now); n > 0 {
-			prefill[e.pool] = append(prefill[e.pool], x)
+			prefill.add(e.pool, x)
 		}
 	}
+	decode.compute()
+	prefill.compute()
 	speeds := make(map[uint32]speed, len(l.engines))
 	for k, e := range l.engines {
 		var s speed
-		if x, ok := e.decode.value(now); ok && len(decode[e.pool]) >= minMeasured {
-			s.decode, s.decodeWeight = median(decode[e.pool])-x, float64(e.decode.count(now))
+		if x, n := e.decode.value(now); n > 0 {
+			s.decode, s.decodeWeight = decode.relative(e.pool, x, n)
 		}
-		if x, n := e.prefill.value(now); n > 0 && len(prefill[e.pool]) >= minMeasured {
-			s.prefill, s.prefillWeight = median(prefill[e.pool])-x, float64(n)
+		if x, n := e.prefill.value(now); n > 0 {
+			s.prefill, s.prefillWeight = prefill.relative(e.pool, x, n)
 		}
 		if s != (speed{}) {
 			speeds[k] = s
@@ -365,8 +365,34 @@
 	return speeds
 }
 
-// median returns the median and sorts the values.
-func median(values []float64) float64 {
-	slices.Sort(values)
-	return values[len(values)/2]
+// medians holds the measurements of the engines of each pool, and their median.
+type medians map[comfreyworks.Pool]*poolMedian
+
+type poolMedian struct {
+	values []float64
+	median float64
+}
+
+func (m medians) add(pool comfreyworks.Pool, x float64) {
+	if m[pool] == nil {
+		m[pool] = new(poolMedian)
+	}
+	m[pool].values = append(m[pool].values, x)
+}
+
+func (m medians) compute() {
+	for _, p := range m {
+		slices.Sort(p.values)
+		p.median = p.values[len(p.values)/2]
+	}
+}
+
+// relative returns the speed of an engine relative to the median of its pool, from n
+// measurements of x, and its weight. The weight is zero if there is no median.
+func (m medians) relative(pool comfreyworks.Pool, x float64, n int) (logarithm, weight float64) {
+	p := m[pool]
+	if len(p.values) < minMeasured {
+		return 0, 0
+	}
+	return p.median - x, float64(n)
 }
--- a/internal/state/enginepace/enginepace_test.go
+++ b/internal/state/enginepace/enginepace_test.go
@@ -122,7 +122,7 @@
 		f.ObserveDecode(&slow, 3, time.Duration(2.5*3*float64(eventTime)), false)
 	}
 	assertPace(t, f.Pace(&slow), 0.4)
-	assertPace(t, f.Lasting(&slow), 1)
+	assertPace(t, f.Speeds().Of(&slow), 1)
 	t.Run("it ends with the first event in time", func(t *testing.T) {
 		f.ObserveDecode(&slow, 3, 3*eventTime, false)
 		assertPace(t, f.Pace(&slow), 1)
--- a/internal/state/enginepace/estimate.go
+++ b/internal/state/enginepace/estimate.go
@@ -15,6 +15,8 @@
 	// how long each of them counts.
 	numSamples   = 32
 	sampleExpiry = 20 * time.Second
+	// estimateInterval is how long an estimate without new measurements is used.
+	estimateInterval = time.Second
 	// slotDuration is the time in which only the fastest measurement of the decode
 	// speed counts. The others are delayed by prompts that the engine reads.
 	slotDuration = 250 * time.Millisecond
@@ -43,34 +45,44 @@
 	values [numSamples]float64
 	at     [numSamples]time.Time
 	next   int
+	// estimate is a quantile of the n recent measurements as of computedAt. It is
+	// outdated if measurements were added since.
+	estimate   float64
+	n          int
+	computedAt time.Time
+	outdated   bool
 }
 
 func (s *samples) add(x float64, now time.Time) {
 	s.values[s.next], s.at[s.next] = x, now
 	s.next = (s.next + 1) % numSamples
+	s.outdated = true
 }
 
-// recent returns the measurements that have not expired, sorted.
-func (s *samples) recent(now time.Time) []float64 {
-	recent := make([]float64, 0, numSamples)
+// quantile returns a quantile of the measurements that have not expired, always the same
+// one, and their number.
+func (s *samples) quantile(q float64, now time.Time) (x float64, n int) {
+	if !s.outdated && now.Sub(s.computedAt) < estimateInterval {
+		return s.estimate, s.n
+	}
+	var buffer [numSamples]float64
+	recent := buffer[:0]
 	for i, at := range s.at {
 		if !at.IsZero() && now.Sub(at) <= sampleExpiry {
 			recent = append(recent, s.values[i])
 		}
 	}
 	slices.Sort(recent)
-	return recent
+	s.estimate, s.n, s.computedAt, s.outdated = 0, len(recent), now, false
+	if s.n > 0 {
+		s.estimate = recent[int(q*float64(s.n))]
+	}
+	return s.estimate, s.n
 }
 
 // value returns the lasting measurement of the prefill speed and the number of
 // measurements.
-func (s *samples) value(now time.Time) (x float64, n int) {
-	recent := s.recent(now)
-	if len(recent) == 0 {
-		return 0, 0
-	}
-	return recent[int(prefillQuantile*float64(len(recent)))], len(recent)
-}
+func (s *samples) value(now time.Time) (x float64, n int) { return s.quantile(prefillQuantile, now) }
 
 // slots holds the fastest measurement of each slotDuration, as a logarithm of a time.
 type slots struct {
@@ -91,17 +103,15 @@
 	}
 }
 
-// value returns the lasting measurement, or false if there are too few.
-func (s *slots) value(now time.Time) (float64, bool) {
-	recent := s.recent(now)
-	if len(recent) < minLocalSlots {
-		return 0, false
+// value returns the lasting measurement of the decode speed and the number of
+// measurements; zero if there are too few.
+func (s *slots) value(now time.Time) (x float64, n int) {
+	if x, n = s.quantile(decodeQuantile, now); n < minLocalSlots {
+		return 0, 0
 	}
-	return recent[int(decodeQuantile*float64(len(recent)))], true
+	return x, n
 }
 
-func (s *slots) count(now time.Time) int { return len(s.recent(now)) }
-
 // transient detects a slowdown that has just begun.
 type transient struct {
 	// slow is the number of slow measurements in a row, least the smallest of them
