--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -98,11 +98,11 @@
 	Zone   comfreyworks.Zone
 	// Logger logs what upstreams say about themselves; it may be nil.
 	Logger *zap.Logger
+	// Meter may be nil.
+	Meter *meter.Meter
 	// SupersededWeights is how long superseded weights may generate answers; zero
 	// means without limit.
 	SupersededWeights time.Duration
-	// Meter counts judged streams; it may be nil.
-	Meter *meter.Meter
 }
 
 // Query describes a request that needs an upstream.
@@ -133,6 +133,9 @@
 	RoutePriority int
 	// Objective is the latency objective for the first event; zero means none.
 	Objective time.Duration
+	// MaxWait is the wait in an engine's queue beyond which the request is refused; zero
+	// means that it is not.
+	MaxWait time.Duration
 	// Priority is the priority in the engine's queue; 0 is the most urgent.
 	Priority int
 	// Returning means that the caller repeats a request that was refused, which is no
@@ -343,7 +346,7 @@
 	}
 	tier = b.dividedTier(tier, &query, now)
 	sources := b.addCacheState(tier, &query, now)
-	tier = b.sessionSubset(tier)
+	tier = b.sessionSubset(withinWait(tier, query.MaxWait))
 	best := b.options.Policy.Place(query.Tokens, policyCandidates(tier))
 	chosen := &tier[best]
 	pick := b.newPick(chosen, query, len(candidates), max(query.Tokens-max(chosen.cachedTokens, chosen.importableTokens), 0))
--- a/internal/coordination/balance/division.go
+++ b/internal/coordination/balance/division.go
@@ -67,10 +67,11 @@
 		return
 	}
 	view := b.options.Catalog.Pool(pool)
+	speeds := b.options.Pace.Speeds()
 	described := make([]partition.Engine, len(view.Upstreams))
 	for i := range view.Upstreams {
 		upstream := &view.Upstreams[i]
-		described[i] = partition.Engine{Seed: view.Seeds[i], Speed: b.prefillSpeed(upstream), Usable: b.isUsable(upstream, now)}
+		described[i] = partition.Engine{Seed: view.Seeds[i], Speed: speeds.Of(upstream).Prefill, Usable: b.isUsable(upstream, now)}
 	}
 	wasActive, load := d.Active(), b.partitionLoad(pool, now)
 	d.Update(now, &load, described)
@@ -147,12 +148,6 @@
 	}
 }
 
-// prefillSpeed returns how fast an engine prefills relative to the usual engine of its
-// pool, without slow moments.
-func (b *Balancer) prefillSpeed(upstream *comfreyworks.Upstream) float64 {
-	return b.options.Pace.Lasting(upstream).Prefill
-}
-
 // permittedGap returns the permitted gap of the streams of an upstream's pool, or zero if
 // there is none or if no request to the pool needed it yet.
 func (b *Balancer) permittedGap(id comfreyworks.InstanceID) time.Duration {
@@ -316,12 +311,12 @@
 
 // isUncrowded reports whether the candidate can start a prompt soon and has slots left.
 func (c candidate) isUncrowded() bool {
-	return c.isFreeHome() && float64(c.requests) < crowdedSlots*float64(c.slots())
+	return c.isFreeHome(0) && float64(c.requests) < crowdedSlots*float64(c.slots())
 }
 
 // isIdle reports whether the candidate has little to prefill and most of its slots free.
 func (c candidate) isIdle() bool {
-	return c.isFreeHome() && c.tokensAhead <= idleTokens && float64(c.requests) <= idleSlots*float64(c.slots())
+	return c.isFreeHome(0) && c.tokensAhead <= idleTokens && float64(c.requests) <= idleSlots*float64(c.slots())
 }
 
 // slots returns the number of requests that the engine runs concurrently.
--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -115,12 +115,22 @@
 	return r.sends == 0 && r.lastEventID == "" && r.request.Prompt.Model != ""
 }
 
+// maxWait returns the expected wait beyond which admission control refuses the request,
+// unless it is a caller's retry. Zero means that admission control does not apply: to
+// retries, resumed streams, requests without a prompt and routes without a latency
+// objective.
+func (r *activeRequest) maxWait() time.Duration {
+	if !r.mayRefuse() {
+		return 0
+	}
+	return time.Duration(maxWaitShare * float64(r.request.Route.Objective))
+}
+
 // refusedByAdmission reports whether admission control refuses the request
-// because the chosen engine has too much to prefill. It does not apply to
-// routes without a latency objective.
+// because the chosen engine has too much to prefill.
 func (r *activeRequest) refusedByAdmission(pick *balance.Pick) bool {
-	route := r.request.Route
-	if !r.mayRefuse() || route.Objective == 0 {
+	maxWait := r.maxWait()
+	if maxWait == 0 {
 		return false
 	}
 	left := r.options.Clock.Until(r.request.Deadline)
@@ -128,6 +138,5 @@
 	if r.isReturning() {
 		maxRetryWait = time.Duration(retryWaitShare * float64(left))
 	}
-	maxWait := time.Duration(maxWaitShare * float64(route.Objective))
 	return !r.admission.admit(r.options.Clock.Now(), pick.Wait, maxWait, maxRetryWait)
 }
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -185,8 +185,8 @@
 	g.balancer = balance.New(balance.Options{
 		Catalog: g.catalog, Holdings: g.holdings, Saved: saved, Pace: pace,
 		Policy: placement.Comfrey{RecomputeWeight: placement.DefaultRecomputeWeight},
-		Clock:  options.Clock, Zone: options.Settings.Zone, Logger: options.Logger,
-		SupersededWeights: options.Settings.Bounds.SupersededWeights, Meter: options.Meter,
+		Clock:  options.Clock, Zone: options.Settings.Zone, Logger: options.Logger, Meter: options.Meter,
+		SupersededWeights: options.Settings.Bounds.SupersededWeights,
 	})
 	g.upstreamClient = exchange.NewClient(exchange.Options{
 		Clock: options.Clock, Headers: options.Settings.Headers,
