--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -11,6 +11,9 @@
 // In a large fleet no gateway knows what engines have cached. There each session
 // has a few homes among the engines, on which all gateways agree.
 //
+// While streams miss the times that their routes declare, long prompts and other requests
+// use different engines, see package partition.
+//
 // # Usage
 //
 //	b := balance.New(balance.Options{Catalog: c, Holdings: index, Policy: policy, Clock: clock, Zone: zone})
@@ -29,8 +32,11 @@
 	"go.uber.org/zap"
 
 	"comfreyworks"
+	"comfreyworks/internal/coordination/partition"
 	"comfreyworks/internal/state/catalog"
+	"comfreyworks/internal/state/enginepace"
 	"comfreyworks/internal/state/holdings"
+	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/rendezvous"
 	"comfreyworks/internal/state/savedsessions"
 	"comfreyworks/internal/state/streamorigins"
@@ -84,6 +90,8 @@
 	// Saved records the sessions that are in a cache store; it is used in large
 	// fleets.
 	Saved *savedsessions.Log
+	// Pace knows how fast engines are; nil means a log of its own.
+	Pace *enginepace.Log
 	// Policy chooses among the engines that may receive a prompt.
 	Policy comfreyworks.PlacementPolicy
 	Clock  comfreyworks.Clock
@@ -93,6 +101,8 @@
 	// SupersededWeights is how long superseded weights may generate answers; zero
 	// means without limit.
 	SupersededWeights time.Duration
+	// Meter counts judged streams; it may be nil.
+	Meter *meter.Meter
 }
 
 // Query describes a request that needs an upstream.
@@ -113,8 +123,21 @@
 	// whole prompt.
 	Parts  []comfreyworks.PromptPart
 	Tokens int
+	// OutputTokens is the declared maximum length of the answer; zero if unknown.
+	OutputTokens int
+	// Events is the expected number of events of a stream; zero if unknown. Deadline is
+	// when it must have ended; zero if it has none.
+	Events   float64
+	Deadline time.Time
+	// RoutePriority is the priority of the route, without that of the workspace.
+	RoutePriority int
+	// Objective is the latency objective for the first event; zero means none.
+	Objective time.Duration
 	// Priority is the priority in the engine's queue; 0 is the most urgent.
 	Priority int
+	// Returning means that the caller repeats a request that was refused, which is no
+	// further demand.
+	Returning bool
 	// Release is the only release that may serve the request, as a value of
 	// streamorigins.Release; zero means any.
 	Release uint32
@@ -123,6 +146,9 @@
 	BeginsStream bool
 	// Exclude lists the upstreams that have already been tried.
 	Exclude []comfreyworks.InstanceID
+
+	// weighsBehind is the result of Balancer.weighsPromptsBehind.
+	weighsBehind bool
 }
 
 // allows reports whether the request may be sent to an upstream.
@@ -178,6 +204,10 @@
 	// not known yet.
 	gateways int
 	leaving  departures
+	demands  demands
+	divided  map[comfreyworks.Pool]*poolDivision
+	// late counts late short prompts by pool.
+	late map[comfreyworks.Pool]*lateness
 }
 
 // endpoint holds what this gateway has observed of one upstream itself.
@@ -208,6 +238,7 @@
 	noticeToken, noticeSequence uint64
 	closure                     closure
 	seenAt                      time.Time
+	running                     runningLoad
 }
 
 // New returns a balancer without any observations.
@@ -215,12 +246,21 @@
 	if options.Logger == nil {
 		options.Logger = zap.NewNop()
 	}
+	if options.Meter == nil {
+		options.Meter = meter.New()
+	}
+	if options.Pace == nil {
+		options.Pace = enginepace.New(enginepace.Options{Clock: options.Clock})
+	}
 	return &Balancer{
 		options:   options,
 		endpoints: make(map[comfreyworks.InstanceID]*endpoint),
 		peers:     newPeerLoads(),
 		gateways:  1,
 		leaving:   make(departures),
+		demands:   newDemands(),
+		divided:   make(map[comfreyworks.Pool]*poolDivision),
+		late:      make(map[comfreyworks.Pool]*lateness),
 	}
 }
 
@@ -239,6 +279,9 @@
 	// CachedTokens is the estimated number of prompt tokens that the engine has
 	// cached.
 	CachedTokens int
+	// Pressure is why the request is not to be sent now: all engines that could receive it
+	// are under pressure. It is empty if it may be sent.
+	Pressure PressureReason
 	// ImportFrom is an engine or cache store that has more of the prompt cached,
 	// namely ImportableTokens. It is invalid if there is none.
 	ImportFrom       netip.AddrPort
@@ -253,6 +296,10 @@
 	query    Query
 	// prefillTokens is this request's remaining contribution to the backlog.
 	prefillTokens int
+	// sentAt is when the upstream was chosen, tokensBefore the number of prompt tokens
+	// that it then had to prefill up to the end of this prompt.
+	sentAt       time.Time
+	tokensBefore int
 	// session is the key of the session in the record of saved sessions; zero if it
 	// is not used.
 	session uint32
@@ -262,6 +309,11 @@
 	// silent means that the upstream's silence has been counted as a failure, isProbe
 	// that the answer measures its latency anew, isRetrial that it ends retrialUntil.
 	silent, isProbe, isRetrial bool
+	// kind is the kind of the request, judged means that JudgeStream was called.
+	kind   partition.Kind
+	judged bool
+	// memory is the number of tokens that the request takes in the engine's KV cache.
+	memory int
 }
 
 // Pick chooses an upstream and adds the request to its load. It returns nil if
@@ -271,6 +323,7 @@
 	now := b.options.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	query.weighsBehind = query.Model != "" && b.weighsPromptsBehind(query.Pool)
 	if query.Model != "" && !b.usesCacheNews(query.Pool) {
 		return b.pickHome(query, declared, now)
 	}
@@ -288,6 +341,7 @@
 	if query.Model == "" {
 		return b.newPick(&tier[chooseFastest(tier, now)], query, len(candidates), 0)
 	}
+	tier = b.dividedTier(tier, &query, now)
 	sources := b.addCacheState(tier, &query, now)
 	tier = b.sessionSubset(tier)
 	best := b.options.Policy.Place(query.Tokens, policyCandidates(tier))
@@ -307,10 +361,13 @@
 func (b *Balancer) newPick(c *candidate, query Query, candidates, prefillTokens int) *Pick {
 	c.endpoint.requests++
 	c.endpoint.backlog.AddTokens(query.Priority, prefillTokens)
+	kind := b.countDemand(&query, c.upstream, prefillTokens, c.endpoint.seenAt)
+	memory := c.endpoint.running.begin(&query, prefillTokens)
 	return &Pick{
 		Upstream: *c.upstream, Weights: c.weights, Candidates: candidates, CachedTokens: c.cachedTokens,
 		Wait:     c.wait(),
-		balancer: b, endpoint: c.endpoint, query: query, prefillTokens: prefillTokens,
+		balancer: b, endpoint: c.endpoint, query: query, prefillTokens: prefillTokens, kind: kind, memory: memory, Pressure: c.pressure,
+		sentAt: b.options.Clock.Now(), tokensBefore: c.tokensAhead + prefillTokens,
 		trial: c.endpoint.closure.start(), isProbe: c.isProbe, isRetrial: c.endpoint.startRetrial(),
 	}
 }
@@ -342,6 +399,11 @@
 	if query.Model == "" {
 		return c, true
 	}
+	c.pace = b.options.Pace.Pace(upstream)
+	c.pressure = b.pressureOn(&c, peerLoad.Memory, query, now)
+	if query.weighsBehind {
+		c.tokensBehind = tokensBehind(e, &peerLoad, query.Priority)
+	}
 	c.weights = max(upstream.Weights[query.Model], e.weights[query.Model])
 	successor, superseded := declared.Superseded(c.weights)
 	if !superseded {
@@ -430,6 +492,7 @@
 // has prefilled the prompt and has it cached.
 func (p *Pick) AnswerStarted() {
 	p.balancer.mu.Lock()
+	p.endpoint.running.heardAt = p.balancer.options.Clock.Now()
 	p.endpoint.backlog.AddTokens(p.query.Priority, -p.prefillTokens)
 	p.prefillTokens = 0
 	p.endTrial(p.balancer.options.Clock.Now(), true)
@@ -458,6 +521,7 @@
 	defer p.balancer.mu.Unlock()
 	e := p.endpoint
 	e.requests--
+	e.running.end(p)
 	e.backlog.AddTokens(p.query.Priority, -p.prefillTokens)
 	if result.Weights != 0 && p.query.Model != "" {
 		e.weights[p.query.Model] = max(e.weights[p.query.Model], result.Weights)
--- a/internal/coordination/balance/loads.go
+++ b/internal/coordination/balance/loads.go
@@ -72,10 +72,11 @@
 	total.ID = load.ID
 	total.Requests += sign * load.Requests
 	total.Unreachable += sign * load.Unreachable
+	total.Memory += sign * load.Memory
 	for priority, tokens := range load.Unread {
 		total.Unread[priority] += sign * tokens
 	}
-	if total.Requests == 0 && total.Unreachable == 0 && total.Unread == (comfreyworks.PrefillBacklog{}) {
+	if total.Requests == 0 && total.Unreachable == 0 && total.Memory == 0 && total.Unread == (comfreyworks.PrefillBacklog{}) {
 		delete(p.sum, load.ID)
 		return
 	}
@@ -112,16 +113,18 @@
 	for i := range loads {
 		loads[i].Requests = min(max(loads[i].Requests, 0), maxPeerRequests)
 		loads[i].Unreachable = min(max(loads[i].Unreachable, 0), maxPeerRequests)
+		loads[i].Memory = min(max(loads[i].Memory, 0), maxPeerRequests)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers.set(peer, loadReport{loads: loads, until: until})
 }
 
-// RemovePeer removes the loads that a peer reported.
+// RemovePeer removes the loads and demands that a peer reported.
 func (b *Balancer) RemovePeer(peer comfreyworks.InstanceID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	delete(b.demands.reports, peer)
 	b.peers.remove(peer)
 }
 
@@ -136,8 +139,8 @@
 	now := b.options.Clock.Now()
 	var loads []comfreyworks.UpstreamLoad
 	for id, e := range b.endpoints {
-		load := comfreyworks.UpstreamLoad{ID: id, Requests: e.requests, Unread: e.backlog}
-		if e.unreachable && now.Before(e.avoidUntil) {
+		load := comfreyworks.UpstreamLoad{ID: id, Requests: e.requests, Unread: e.backlog, Memory: e.running.reportedMemory()}
+		if (e.unreachable && now.Before(e.avoidUntil)) || e.isSilent(b.permittedGap(id), now) {
 			load.Unreachable = 1
 		}
 		if load.Requests > 0 || load.Unreachable > 0 {
--- a/internal/coordination/peering/exchange.go
+++ b/internal/coordination/peering/exchange.go
@@ -62,12 +62,22 @@
 		p.requestOrigins(&state, m, passesOrigins)
 		p.requestUsage(&state, m)
 	}
+	sendsPaces := p.sendsPaces(m)
 	if !p.relay {
 		state.Loads = p.options.Balancer.LocalLoads()
+		p.addDemands(&state, m, nil)
+		if sendsPaces {
+			state.Paces = p.options.Pace.Local()
+		}
 		return state
 	}
 	state.Role = comfreyworks.PeerRelay
-	state.Loads = p.options.Balancer.SumLoads(p.attached())
+	attached := p.attached()
+	state.Loads = p.options.Balancer.SumLoads(attached)
+	p.addDemands(&state, m, attached)
+	if sendsPaces {
+		state.Paces = p.options.Pace.Sum(attached)
+	}
 	state.Peers = p.attachedList(m)
 	return state
 }
@@ -85,6 +95,17 @@
 	return attached
 }
 
+// sendsPaces reports whether a peer is to be sent the speeds of engines now, and counts
+// them as sent. The mutex must be held.
+func (p *Peering) sendsPaces(to *member) bool {
+	now := p.options.Clock.Now()
+	if to == nil || now.Sub(to.pacesSentAt) < paceInterval {
+		return false
+	}
+	to.pacesSentAt = now
+	return true
+}
+
 // attachedList returns the gateways that call this one, to be sent to another
 // relay, or nil if it has received them within attachedListInterval. The mutex
 // must be held.
@@ -153,12 +174,21 @@
 		state.Role = comfreyworks.PeerRelay
 	}
 	passedOn := savedsessions.Local
+	sendsPaces := p.sendsPaces(p.members.members[to.Self.Address])
 	if to.Role == comfreyworks.PeerLeaf {
 		state.Loads = p.options.Balancer.AllLoadsExcept(to.Self.ID)
 		passedOn = savedsessions.Remote
+		if sendsPaces {
+			state.Paces = p.options.Pace.AllExcept(to.Self.ID)
+		}
 	} else {
-		state.Loads = p.options.Balancer.SumLoads(p.attached())
+		attached := p.attached()
+		state.Loads = p.options.Balancer.SumLoads(attached)
+		if sendsPaces {
+			state.Paces = p.options.Pace.Sum(attached)
+		}
 	}
+	p.replyDemands(&state, to)
 	savedKnown := to.SavedKnown
 	if savedKnown.Process != p.members.version.Process {
 		savedKnown.Version = 0
@@ -188,6 +218,8 @@
 	}
 	if p.relay {
 		p.options.Balancer.SetPeerLoads(m.ID, state.Loads, now.Add(loadExpiry))
+		p.recordDemands(m, state, now)
+		p.options.Pace.SetReport(m.ID, state.Paces, now.Add(paceExpiry))
 	}
 	for _, other := range state.Peers {
 		p.members.record(other, now.Add(-other.HeardAgo), now)
@@ -220,6 +252,8 @@
 	}
 	if p.partners[m.Address] && request.Role == p.role() {
 		p.options.Balancer.SetPeerLoads(m.ID, state.Loads, now.Add(loadExpiry))
+		p.recordDemands(m, state, now)
+		p.options.Pace.SetReport(m.ID, state.Paces, now.Add(paceExpiry))
 	}
 	for _, other := range state.Peers {
 		p.recordReported(other, m.Address, now)
--- a/internal/transport/gateway/usage.go
+++ b/internal/transport/gateway/usage.go
@@ -58,11 +58,8 @@
 		u.logger.Warn("malformed token usage", zap.String("workspace", string(workspace.Name)),
 			zap.Strings("header", r.Header.Values(names.Tokens)), zap.Int("counted", amount))
 	}
-	priority := route.Priority
-	if workspace.Priority >= 0 {
-		priority = workspace.Priority
-	}
-	decision := u.limiter.Admit(workspace.Name, amount, priority)
+	// The priority of the workspace is the same for all of its requests.
+	decision := u.limiter.Admit(workspace.Name, amount, route.Priority)
 	labels := meter.Labels{Workspace: workspace.Name}
 	if decision.Admitted {
 		u.meter.Add("comfrey_usage_taken_total", labels, amount)
@@ -76,7 +73,7 @@
 	}
 	if u.mayLog(workspace.Name) {
 		u.logger.Warn("usage limit reached", zap.String("workspace", string(workspace.Name)),
-			zap.String("request", r.Header.Get(names.RequestID)), zap.Int("amount", amount), zap.Int("priority", priority),
+			zap.String("request", r.Header.Get(names.RequestID)), zap.Int("amount", amount), zap.Int("priority", route.Priority),
 			zap.Float64("rate", workspace.Limit.Rate), zap.Float64("burst", workspace.Limit.Burst), zap.Float64("level", decision.Usage.Level),
 			zap.Float64("used", decision.Usage.Window), zap.Float64("share", decision.Usage.Share), zap.Duration("retry-after", decision.RetryAfter))
 	}
