--- a/internal/coordination/releaserecord/releaserecord_test.go
+++ b/internal/coordination/releaserecord/releaserecord_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -30,6 +32,15 @@
 	streamLifetime = 30 * time.Second
 )
 
+// TestMain fixes the seed of the property unless another one is given.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
 // gateway is the part of a gateway that knows releases.
 type gateway struct {
 	catalog  *catalog.Catalog
