Keep releases in the record that the writer has not seen yet

A writer now keeps releases that it has never known for as long as former ones. The new case of TestRecord failed before.

--- a/internal/coordination/releaserecord/releaserecord.go
+++ b/internal/coordination/releaserecord/releaserecord.go
@@ -204,10 +204,19 @@
 		r.known = false
 		return
 	}
-	// A record that would only lack a former release may be there already, or lost.
-	if !r.mayCall() || ((!r.known || !due.MustAppend) && !r.load(ctx)) {
+	if !r.mayCall() {
 		return
 	}
+	// A record that would only lack a former release may be there already, or lost.
+	if !r.known || !due.MustAppend {
+		if !r.load(ctx) {
+			return
+		}
+		if r.stored != nil {
+			r.options.Catalog.AddRecorded(*r.stored)
+			due = r.options.Catalog.ReleasesToRecord()
+		}
+	}
 	if !due.MustAppend && r.stored != nil && r.stored.Equal(due.Record) {
 		r.options.Catalog.ReleasesRecorded(&due)
 		return
--- a/internal/coordination/releaserecord/releaserecord_test.go
+++ b/internal/coordination/releaserecord/releaserecord_test.go
@@ -275,6 +275,23 @@
 		assert.NilError(t, err)
 		assert.DeepEqual(t, record.Pools[pool], []string{"v1", "v2"})
 	})
+	t.Run("a writer does not remove a release that it has not seen yet", func(t *testing.T) {
+		f := newKnownFleet(t, 1, "v1")
+		_, next, err := f.store.Releases(t.Context())
+		assert.NilError(t, err)
+		other := comfreyworks.ReleaseRecord{Pools: map[comfreyworks.Pool][]string{pool: {"v1", "v2"}}, New: map[comfreyworks.Pool][]string{pool: {"v2"}}}
+		_, written, err := f.store.RecordReleases(t.Context(), other, next)
+		assert.Assert(t, err == nil && written)
+		f.change("v1", "v3")
+		f.run(t, 3*time.Second)
+		record, _, err := f.store.Releases(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, record.Pools[pool], []string{"v1", "v2", "v3"})
+		f.run(t, streamLifetime+10*time.Second)
+		record, _, err = f.store.Releases(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, record.Pools[pool], []string{"v1", "v3"})
+	})
 	t.Run("the answer to an append is lost", func(t *testing.T) {
 		f := newKnownFleet(t, 1, "v1")
 		f.store.SetFault(releasestore.LostAnswers)
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -106,6 +106,9 @@
 	entries  map[comfreyworks.InstanceID]entry
 	// releases holds the releases that upstreams of each pool run or ran recently.
 	releases map[comfreyworks.Pool]map[string]releaseSpan
+	// expired holds former releases that were removed from releases, with the time. A
+	// record that contains one soon afterwards is outdated; later, the release is back.
+	expired map[comfreyworks.Pool]map[string]time.Time
 	// knownSince is the time since which all releases that were in service are known.
 	knownSince time.Time
 	// recordsReleases means that streams begin at a new release once it is recorded.
@@ -170,6 +173,7 @@
 		weights:  make(map[comfreyworks.Model]DeclaredWeights),
 		entries:  make(map[comfreyworks.InstanceID]entry),
 		releases: make(map[comfreyworks.Pool]map[string]releaseSpan),
+		expired:  make(map[comfreyworks.Pool]map[string]time.Time),
 	}
 	c.pools.Store(&map[comfreyworks.Pool]*PoolView{})
 	return c
--- a/internal/state/catalog/knownreleases.go
+++ b/internal/state/catalog/knownreleases.go
@@ -180,6 +180,23 @@
 	c.publish(now)
 }
 
+// AddRecorded adds the releases of the newest record that this gateway has never known,
+// before it replaces the record: another one with a newer list may have recorded them.
+func (c *Catalog) AddRecorded(record comfreyworks.ReleaseRecord) {
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for pool, releases := range record.Pools {
+		spans := c.spansOf(pool)
+		for _, release := range releases {
+			expiredAt, expired := c.expired[pool][release]
+			if _, ok := spans[release]; !ok && (!expired || now.Sub(expiredAt) > removalTime) {
+				spans[release] = releaseSpan{enteredAt: now, leftAt: now, settledAt: now.Add(releaseSettleTime)}
+			}
+		}
+	}
+}
+
 // ReleaseRecording describes the record of releases that the store should have.
 type ReleaseRecording struct {
 	Record comfreyworks.ReleaseRecord
--- a/internal/state/catalog/releases.go
+++ b/internal/state/catalog/releases.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"time"
 
 	"comfreyworks"
@@ -22,6 +23,9 @@
 	// recordMargin is how much longer than releaseMemory a release is recorded. Gateways
 	// with an older list of upstreams used it for longer than the one that records it.
 	recordMargin = 5 * time.Second
+	// removalTime is how long after a release expired the record is replaced by one without
+	// it. If that fails for longer, the release is recorded for another releaseMemory.
+	removalTime = 10 * time.Second
 	// maxFormerReleases limits the releases that are accepted from one peer.
 	maxFormerReleases = 256
 )
@@ -139,15 +143,25 @@
 // removeForgottenReleases removes releases that need no longer be recorded. The mutex
 // must be held.
 func (c *Catalog) removeForgottenReleases(now time.Time) {
-	for _, spans := range c.releases {
+	for pool, spans := range c.releases {
 		for release, span := range spans {
 			if !span.leftAt.IsZero() && now.Sub(span.leftAt) > releaseMemory+recordMargin {
 				delete(spans, release)
+				c.addExpired(pool, release, now)
 			}
 		}
 	}
 }
 
+// addExpired records that a former release was removed. The mutex must be held.
+func (c *Catalog) addExpired(pool comfreyworks.Pool, release string, now time.Time) {
+	if c.expired[pool] == nil {
+		c.expired[pool] = make(map[string]time.Time)
+	}
+	maps.DeleteFunc(c.expired[pool], func(_ string, at time.Time) bool { return now.Sub(at) > removalTime })
+	c.expired[pool][release] = now
+}
+
 func (s releaseSpan) isForgotten(now time.Time) bool {
 	return !s.leftAt.IsZero() && now.Sub(s.leftAt) > releaseMemory
 }
