Append no record put together from an old list of upstreams

If the list grew too old while the record was read, the catalog returned an empty record, which replaced the valid one. Found in review; the new case of TestRecord failed before.

--- a/internal/coordination/releaserecord/releaserecord.go
+++ b/internal/coordination/releaserecord/releaserecord.go
@@ -214,7 +214,10 @@
 		}
 		if r.stored != nil {
 			r.options.Catalog.AddRecorded(*r.stored)
-			due = r.options.Catalog.ReleasesToRecord()
+		}
+		// The list of upstreams may have grown too old during the read.
+		if due = r.options.Catalog.ReleasesToRecord(); !due.Due {
+			return
 		}
 	}
 	if !due.MustAppend && r.stored != nil && r.stored.Equal(due.Record) {
--- a/internal/coordination/releaserecord/releaserecord_test.go
+++ b/internal/coordination/releaserecord/releaserecord_test.go
@@ -292,6 +292,19 @@
 		assert.NilError(t, err)
 		assert.DeepEqual(t, record.Pools[pool], []string{"v1", "v3"})
 	})
+	t.Run("nothing is appended if the list of upstreams grows old during a read", func(t *testing.T) {
+		f := newKnownFleet(t, 1, "v1", "v2")
+		_, before := f.store.Calls()
+		f.store.SlowReads(func() { f.clock.Advance(3 * time.Second) })
+		f.change("v2")
+		f.gateways[0].recorder.known = false
+		f.run(t, streamLifetime+6*time.Second)
+		_, after := f.store.Calls()
+		assert.Equal(t, after, before)
+		record, _, err := f.store.Releases(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, record.Pools[pool], []string{"v1", "v2"})
+	})
 	t.Run("the answer to an append is lost", func(t *testing.T) {
 		f := newKnownFleet(t, 1, "v1")
 		f.store.SetFault(releasestore.LostAnswers)
--- a/internal/standin/releasestore/releasestore.go
+++ b/internal/standin/releasestore/releasestore.go
@@ -44,6 +44,8 @@
 	delayed []func()
 	reads   int
 	appends int
+	// onRead is called in each read.
+	onRead func()
 }
 
 // Copy is the content of a store at one moment.
@@ -85,6 +87,13 @@
 	s.content = Copy{era: s.era, end: s.content.end + 1}
 }
 
+// SlowReads calls a function during each read, which may advance a clock.
+func (s *Store) SlowReads(during func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onRead = during
+}
+
 // Deliver lets all delayed appends arrive.
 func (s *Store) Deliver() {
 	s.mu.Lock()
@@ -107,6 +116,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
+	if s.onRead != nil {
+		s.onRead()
+	}
 	if s.fault == Down {
 		return nil, 0, errNoAnswer
 	}
