--- a/internal/coordination/releaserecord/releaserecord_test.go
+++ b/internal/coordination/releaserecord/releaserecord_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -30,6 +32,15 @@
 	streamLifetime = 30 * time.Second
 )
 
+// TestMain fixes the seed of the property unless another one is given.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
 // gateway is the part of a gateway that knows releases.
 type gateway struct {
 	catalog  *catalog.Catalog
@@ -264,6 +275,36 @@
 		assert.NilError(t, err)
 		assert.DeepEqual(t, record.Pools[pool], []string{"v1", "v2"})
 	})
+	t.Run("a writer does not remove a release that it has not seen yet", func(t *testing.T) {
+		f := newKnownFleet(t, 1, "v1")
+		_, next, err := f.store.Releases(t.Context())
+		assert.NilError(t, err)
+		other := comfreyworks.ReleaseRecord{Pools: map[comfreyworks.Pool][]string{pool: {"v1", "v2"}}, New: map[comfreyworks.Pool][]string{pool: {"v2"}}}
+		_, written, err := f.store.RecordReleases(t.Context(), other, next)
+		assert.Assert(t, err == nil && written)
+		f.change("v1", "v3")
+		f.run(t, 3*time.Second)
+		record, _, err := f.store.Releases(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, record.Pools[pool], []string{"v1", "v2", "v3"})
+		f.run(t, streamLifetime+10*time.Second)
+		record, _, err = f.store.Releases(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, record.Pools[pool], []string{"v1", "v3"})
+	})
+	t.Run("nothing is appended if the list of upstreams grows old during a read", func(t *testing.T) {
+		f := newKnownFleet(t, 1, "v1", "v2")
+		_, before := f.store.Calls()
+		f.store.SlowReads(func() { f.clock.Advance(3 * time.Second) })
+		f.change("v2")
+		f.gateways[0].recorder.known = false
+		f.run(t, streamLifetime+6*time.Second)
+		_, after := f.store.Calls()
+		assert.Equal(t, after, before)
+		record, _, err := f.store.Releases(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, record.Pools[pool], []string{"v1", "v2"})
+	})
 	t.Run("the answer to an append is lost", func(t *testing.T) {
 		f := newKnownFleet(t, 1, "v1")
 		f.store.SetFault(releasestore.LostAnswers)
