--- a/internal/coordination/usage/decide.go
+++ b/internal/coordination/usage/decide.go
@@ -46,8 +46,7 @@
 		s.share = own / total
 	}
 	s.share = min(max(s.share, minShareOfEqual/float64(l.gateways)), 1)
-	if s.coverage >= 1 && now >= l.options.Window.Seconds() {
-		l.applyWindow(a, &s)
+	if s.coverage >= 1 && now >= l.options.Window.Seconds() && l.applyWindow(a, &s) {
 		return s
 	}
 	s.remaining, s.gain, s.limit = a.level-s.pending, a.rate, a.allowed+debtSlackShare*l.options.Slack
@@ -61,17 +60,22 @@
 //
 // Processes that start know nothing of the window and admit at the rate. If all are
 // killed, what was admitted before and what they admit then must be within the bound
-// together: no part of the window may exceed the rate by more than that leaves.
-func (l *Limiter) applyWindow(a *account, s *state) {
-	s.windowed = true
-	s.limit = windowLimitShare * (a.allowed*(1+l.options.Overage) + l.options.Slack)
-	beyondRate := s.limit - a.rate*l.options.Window.Seconds()
+// together: no part of the window may exceed the rate by more than that leaves. Where that
+// is less than the burst, the bucket admits more, and applyWindow returns false.
+func (l *Limiter) applyWindow(a *account, s *state) bool {
+	limit := windowLimitShare * (a.allowed*(1+l.options.Overage) + l.options.Slack)
+	beyondRate := limit - a.rate*l.options.Window.Seconds()
+	if beyondRate < a.burst {
+		return false
+	}
+	s.windowed, s.limit = true, limit
 	s.remaining = beyondRate - a.window.excess(s.now, a.rate) - pendingFactor*s.pending
 	s.gain = max(a.window.leaving(s.now), a.rate)
 	s.free = s.remaining >= freeWindowShare*beyondRate
 	// Without the counts of all, the bucket applies. What the window has allowed is not to
 	// be made up for then.
 	a.level = max(a.level, s.pending)
+	return true
 }
 
 // decide admits or refuses a request and counts it.
