--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -54,7 +54,7 @@
 		"return now.Before(c.until)", "return now.IsZero()",
 	},
 	{
-		"ignores the releases of streams", "internal/coordination/balance/balance.go",
+		"ignores the releases of streams", "internal/coordination/balance/query.go",
 		"(q.Release == 0 || q.Release == streamorigins.Release(upstream.Pool, upstream.Release))",
 		"(q.Release == 0 || streamorigins.Release(upstream.Pool, upstream.Release) != 0)",
 	},
