Ask several relays which release began a stream

Cause: a leaf asked only its own relay, which had been killed with it or had become a relay just now; relays asked nobody. Now up to eight relays are asked, all answers count, and a known conflict refuses the stream. Ruled out: the record of releases, which was read within 0.3 s of each start.

--- a/internal/coordination/peering/origins.go
+++ b/internal/coordination/peering/origins.go
@@ -3,59 +3,91 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"comfreyworks"
 	"comfreyworks/internal/state/streamorigins"
 )
 
-// findStreamTimeout limits the question to a relay which release began a stream. The
-// caller of the stream waits for the answer.
-const findStreamTimeout = 150 * time.Millisecond
+const (
+	// findStreamTimeout limits the question to relays which release began a stream. The
+	// caller of the stream waits for the answer.
+	findStreamTimeout = 150 * time.Millisecond
+	// maxAskedRelays limits the relays that are asked about one stream. Of so many, one has
+	// been a relay for a while unless nearly all gateways have ended.
+	maxAskedRelays = 8
+)
 
 // StreamOrigin returns the release that began the stream of a request, as in
-// comfreyworks.StreamOrigin. A leaf that does not know it asks its relay. It returns
-// false if the release is unknown, gateways disagree about it or the relay does not
-// answer in time.
+// comfreyworks.StreamOrigin. If this gateway does not know it, it asks relays. It returns
+// false if the release is unknown, gateways disagree about it or no relay that knows it
+// answers in time.
 func (p *Peering) StreamOrigin(ctx context.Context, id comfreyworks.RequestID) (release uint32, found bool) {
 	key := streamorigins.Key(id)
-	if release, found = p.options.Origins.Lookup(key); found {
-		return release, true
-	}
-	relay, ok := p.ownRelay()
-	if !ok {
-		return 0, false
+	if release, found = p.options.Origins.Lookup(key); found || p.options.Origins.Conflicts(key) {
+		return release, found
 	}
 	ctx, cancel := context.WithTimeout(ctx, findStreamTimeout)
 	defer cancel()
-	release, found, err := p.options.NewClient(relay).FindStream(ctx, key)
-	if err != nil {
-		p.options.Logger.Debug("failed to ask relay for the origin of a stream", zap.Stringer("address", relay), zap.Error(err))
+	var mu sync.Mutex
+	conflict := false
+	var group errgroup.Group
+	for _, relay := range p.relaysToAsk() {
+		group.Go(func() error {
+			answer, ok, err := p.options.NewClient(relay).FindStream(ctx, key)
+			if err != nil {
+				p.options.Logger.Debug("failed to ask relay for the origin of a stream", zap.Stringer("address", relay), zap.Error(err))
+			}
+			if err == nil && ok {
+				mu.Lock()
+				defer mu.Unlock()
+				conflict = conflict || answer == 0 || (found && answer != release)
+				release, found = answer, true
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	if conflict {
 		return 0, false
 	}
 	return release, found
 }
 
-// HandleFindStream returns the release that began a stream and whether this gateway
-// knows it, for the FindStream call of a peer.
-func (p *Peering) HandleFindStream(stream uint32) (release uint32, found bool) {
-	return p.options.Origins.Lookup(stream)
-}
-
-// ownRelay returns the address of the relay of this gateway. It returns false if
-// this gateway is a relay itself.
-func (p *Peering) ownRelay() (address netip.AddrPort, ok bool) {
+// relaysToAsk returns the addresses of the relays that may know the origin of a stream,
+// the partners first. All relays know the same origins, but after many gateways have
+// ended at once some of those that are left have just become relays.
+func (p *Peering) relaysToAsk() []netip.AddrPort {
+	now := p.options.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.relay {
-		return netip.AddrPort{}, false
-	}
-	for address = range p.partners {
-		return address, true
+	var addresses []netip.AddrPort
+	for _, relays := range p.members.relays(now) {
+		for _, r := range relays {
+			if r.address != p.options.Self.Address {
+				addresses = append(addresses, r.address)
+			}
+		}
 	}
-	return netip.AddrPort{}, false
+	slices.SortFunc(addresses, func(a, b netip.AddrPort) int {
+		if p.partners[a] != p.partners[b] {
+			return map[bool]int{true: -1, false: 1}[p.partners[a]]
+		}
+		return a.Compare(b)
+	})
+	return addresses[:min(len(addresses), maxAskedRelays)]
+}
+
+// HandleFindStream returns the release that began a stream and whether this gateway
+// knows it, for the FindStream call of a peer. Zero and true mean that gateways disagree.
+func (p *Peering) HandleFindStream(stream uint32) (release uint32, found bool) {
+	release, found = p.options.Origins.Lookup(stream)
+	return release, found || p.options.Origins.Conflicts(stream)
 }
 
 // passesOrigins reports whether this gateway sends the origins of streams. The mutex
--- a/internal/state/streamorigins/streamorigins.go
+++ b/internal/state/streamorigins/streamorigins.go
@@ -120,6 +120,12 @@
 	return o.release, ok && o.release != conflicting
 }
 
+// Conflicts reports whether gateways disagree about a stream.
+func (l *Log) Conflicts(key uint32) bool {
+	o, ok := l.log.Lookup(key)
+	return ok && o.release == conflicting
+}
+
 // After returns what was recorded after a version of the log, and the current
 // version. With origin Local it leaves out remote entries.
 func (l *Log) After(version uint64, from Origin) (origins []comfreyworks.StreamOrigin, current uint64) {
--- a/peering.go
+++ b/peering.go
@@ -197,7 +197,7 @@
 	// Notify announces that engines load weights.
 	Notify(ctx context.Context, notices WeightsLoadNotices) error
 	// FindStream returns the release that began a stream, as in StreamOrigin, and
-	// whether the other gateway knows it.
+	// whether the other gateway knows it. Zero and true mean that gateways disagree.
 	FindStream(ctx context.Context, stream uint32) (release uint32, found bool, err error)
 }
 
