Log why connections of callers end

Callers saw connections end without a byte of an answer, and for some of them no gateway wrote any line: a connection that is closed below the handler left no trace, "abandoned" did not tell a caller that closed from one that was reset, and "broken" not whether anything had reached it.

The lines of abandoned and broken requests now tell how the caller left and how many bytes of the answer were written. Each end of a connection is counted by reason, and those are logged, at most 20 a second, on which bytes of a request had arrived or lay unread in the receive buffer, with both addresses, the idle time, and the idle limit now and when the connection became idle. No decision has changed. A request costs two atomic stores and an addition for each write more, a closed connection one ioctl.

--- a/internal/protocol/listener/conn.go
+++ b/internal/protocol/listener/conn.go
@@ -34,6 +34,9 @@
 // for a read, which http.Server does not answer.
 var errHeaderTooLarge = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("request header too large")}
 
+// abortDeadline is the read deadline with which http.Server ends its own read.
+var abortDeadline = time.Unix(1, 0)
+
 // conn is the connection of a caller.
 type conn struct {
 	*net.TCPConn
@@ -42,8 +45,21 @@
 	// became idle last, are protected by Listener.mu.
 	phase                  phase
 	headerSince, idleSince time.Time
+	// limitThen is the idle or header timeout that was in force when the connection
+	// became idle or the header began, and arrived is how many bytes were read since
+	// then. Listener.mu protects them as well.
+	limitThen time.Duration
+	arrived   int
 	// headerLeft is how many bytes may be read before the header is complete.
 	headerLeft atomic.Int64
+	// written is how many bytes were written since the last header was complete, and
+	// departed how the caller left since then; nil if it has not.
+	written  atomic.Int64
+	departed atomic.Pointer[Departure]
+	// aborting means that the server ends its own read of a connection whose request has
+	// been handled.
+	aborting atomic.Bool
+	closed   atomic.Bool
 }
 
 func newConn(tcp *net.TCPConn, l *Listener) *conn {
@@ -64,17 +80,53 @@
 	for {
 		n, err := c.TCPConn.Read(p)
 		if n > 0 {
-			c.listener.requestBegan(c)
+			c.listener.bytesRead(c, n, len(p) == 1)
 		} else if errors.Is(err, os.ErrDeadlineExceeded) && c.listener.extendIdle(c) {
 			// The idle timeout has been raised since.
 			continue
 		}
 		// Fails if another phase has begun since.
 		c.headerLeft.CompareAndSwap(left, left-int64(n))
+		if err != nil {
+			c.depart(readDeparture(err), err)
+		}
 		return n, err
 	}
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	c.written.Add(int64(n))
+	if err != nil {
+		c.depart(DepartureWriteFailed, err)
+	}
+	return n, err
+}
+
+// ReadFrom implements io.ReaderFrom.
+func (c *conn) ReadFrom(r io.Reader) (int64, error) {
+	n, err := c.TCPConn.ReadFrom(r)
+	c.written.Add(n)
+	return n, err
+}
+
+// depart records how the caller left. What follows from that does not count, nor does
+// what fails because the connection was closed here.
+func (c *conn) depart(departure Departure, err error) {
+	if !errors.Is(err, net.ErrClosed) && (departure != DepartureReadDeadline || !c.aborting.Load()) {
+		c.departed.CompareAndSwap(nil, &departure)
+	}
+}
+
+// departure returns how the caller has left.
+func (c *conn) departure() Departure {
+	if departed := c.departed.Load(); departed != nil {
+		return *departed
+	}
+	return DepartureNone
+}
+
 // refuseHeader answers a request whose header is too large.
 func (c *conn) refuseHeader() {
 	deadline := time.Now().Add(lingerTime)
@@ -100,17 +152,23 @@
 	case phaseOpened, phaseWaiting:
 		deadline = c.beginHeader()
 	case phaseHeader:
-		c.phase = phaseRequest
+		c.phase, c.arrived = phaseRequest, 0
 		c.headerLeft.Store(math.MaxInt64)
+		c.written.Store(0)
+		c.departed.Store(nil)
 		l.states[c] = http.StateActive
-		deadline = firstDeadline(c.headerSince, l.limits().BodyTimeout)
+		deadline = deadlineAfter(c.headerSince, l.limits().BodyTimeout)
 	case phaseAnswered:
 		c.phase = phaseWaiting
-		deadline = l.limits().idleDeadline(c.idleSince)
+		c.departed.Store(nil)
+		limits := l.limits()
+		c.limitThen = limits.idleTimeout()
+		deadline = deadlineAfter(c.idleSince, c.limitThen)
 		if l.closing {
 			deadline = time.Now()
 		}
 	case phaseRequest:
+		c.aborting.Store(deadline.Equal(abortDeadline))
 	}
 	return c.TCPConn.SetReadDeadline(deadline)
 }
@@ -120,7 +178,7 @@
 func (c *conn) beginHeader() time.Time {
 	l := c.listener
 	limits := l.limits()
-	c.phase, c.headerSince = phaseHeader, time.Now()
+	c.phase, c.headerSince, c.limitThen = phaseHeader, time.Now(), limits.headerTimeout()
 	c.headerLeft.Store(int64(limits.HeaderBytes) + readAhead)
 	if l.states[c] == http.StateIdle {
 		l.states[c] = http.StateActive
@@ -128,5 +186,5 @@
 	if l.closing && l.states[c] == http.StateNew {
 		return l.firstRequestBy
 	}
-	return limits.headerDeadline(c.headerSince)
+	return deadlineAfter(c.headerSince, c.limitThen)
 }
--- a/internal/protocol/listener/listener.go
+++ b/internal/protocol/listener/listener.go
@@ -10,6 +10,7 @@
 package listener
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math"
@@ -76,23 +77,23 @@
 	IdleTimeout time.Duration
 }
 
-// firstDeadline returns the end of the first timeout that is not zero, or the zero time
-// if there is none.
-func firstDeadline(since time.Time, timeouts ...time.Duration) time.Time {
-	for _, timeout := range timeouts {
-		if timeout > 0 {
-			return since.Add(timeout)
-		}
+// deadlineAfter returns the end of a timeout, or the zero time if there is none.
+func deadlineAfter(since time.Time, timeout time.Duration) time.Time {
+	if timeout <= 0 {
+		return time.Time{}
 	}
-	return time.Time{}
+	return since.Add(timeout)
 }
 
-func (l Limits) headerDeadline(since time.Time) time.Time {
-	return firstDeadline(since, l.HeaderTimeout, l.BodyTimeout)
-}
+func (l Limits) headerTimeout() time.Duration { return l.orBody(l.HeaderTimeout) }
+
+func (l Limits) idleTimeout() time.Duration { return l.orBody(l.IdleTimeout) }
 
-func (l Limits) idleDeadline(since time.Time) time.Time {
-	return firstDeadline(since, l.IdleTimeout, l.BodyTimeout)
+func (l Limits) orBody(timeout time.Duration) time.Duration {
+	if timeout <= 0 {
+		return l.BodyTimeout
+	}
+	return timeout
 }
 
 // Listener accepts connections of callers and tracks their states. A drain waits for
@@ -102,6 +103,8 @@
 type Listener struct {
 	net.Listener
 	limits func() Limits
+	// onClosed may be nil.
+	onClosed func(Closed)
 	// served is closed when Serve has returned.
 	served chan struct{}
 	// closed means that Close was called.
@@ -128,6 +131,7 @@
 func (l *Listener) Serve(server *http.Server) error {
 	defer close(l.served)
 	server.ConnState = l.setState
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	server.ReadHeaderTimeout, server.ReadTimeout = serverTimeout, 0
 	server.MaxHeaderBytes = math.MaxInt32
 	err := server.Serve(l)
@@ -221,10 +225,14 @@
 	}
 }
 
-// requestBegan records that a connection is no longer idle.
-func (l *Listener) requestBegan(c *conn) {
+// bytesRead records that n bytes were read, so that a connection is no longer idle. While
+// a request is handled, the server itself reads a single byte, the first of the next one.
+func (l *Listener) bytesRead(c *conn, n int, single bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if c.phase != phaseRequest || single {
+		c.arrived += n
+	}
 	if l.states[c] == http.StateIdle {
 		l.states[c] = http.StateActive
 	}
@@ -235,7 +243,7 @@
 func (l *Listener) extendIdle(c *conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	deadline := l.limits().idleDeadline(c.idleSince)
+	deadline := deadlineAfter(c.idleSince, l.limits().idleTimeout())
 	passed := !deadline.IsZero() && !deadline.After(time.Now())
 	if l.closing || l.states[c] != http.StateIdle || passed {
 		return false
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -153,6 +153,7 @@
 	peerClients    *peer.Clients
 	crashes        *crashes.Log
 	usage          *usageAdmission
+	closings       *closings
 	leaving        atomic.Bool
 	// stoppedAt is set before leaving.
 	stoppedAt atomic.Pointer[time.Time]
@@ -179,6 +180,7 @@
 		}),
 		clock: options.Clock, logger: options.Logger, meter: options.Meter, loggedAt: make(map[comfreyworks.Workspace]time.Time),
 	}
+	g.closings = &closings{clock: options.Clock, logger: options.Logger, meter: options.Meter}
 	saved := savedsessions.New(options.Clock)
 	pace := enginepace.New(enginepace.Options{Clock: options.Clock, Logger: options.Logger, Meter: options.Meter})
 	origins := &streamOrigins{log: streamorigins.New(options.Clock)}
@@ -319,6 +321,7 @@
 	requestServer := g.newServer(g.requestHandler())
 	requestServer.BaseContext = func(net.Listener) context.Context { return requestCtx }
 	callers := listener.New(listeners.Requests, g.callerLimits)
+	callers.OnClosed(g.closings.record)
 	readyServer := g.newServer(g.readyHandler())
 	group.Go(func() error {
 		g.awaitInitialState(workCtx)
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -9,6 +9,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/forward"
+	"comfreyworks/internal/protocol/listener"
 	"comfreyworks/internal/state/meter"
 )
 
@@ -37,7 +38,7 @@
 		if outcome.Runs == 0 {
 			g.usage.giveBack(request.Workspace, request.Usage)
 		}
-		g.recordOutcome(request, &outcome)
+		g.recordOutcome(request, &outcome, listener.CallerOf(r.Context()))
 		g.respond(w, r, &outcome)
 	})
 }
@@ -127,13 +128,13 @@
 }
 
 // recordOutcome logs and counts a forwarded request.
-func (g *Gateway) recordOutcome(request *forward.Request, outcome *forward.Outcome) {
+func (g *Gateway) recordOutcome(request *forward.Request, outcome *forward.Outcome, caller listener.Caller) {
 	elapsed := g.options.Clock.Since(request.Received)
 	labels := meter.Labels{Class: comfreyworks.Class(request.Route.Name)}
 	if request.Workspace != nil {
 		labels.Workspace = request.Workspace.Name
 	}
-	g.options.Logger.Info("request finished",
+	fields := []zap.Field{
 		zap.String("request", string(request.Message.ID)), zap.String("request-key", forward.FormatSuspectKey(outcome.RequestKey)),
 		zap.String("route", request.Route.Name),
 		zap.String("workspace", string(labels.Workspace)),
@@ -143,7 +144,11 @@
 		zap.Int("sends", outcome.Sends), zap.Int("runs", outcome.Runs),
 		zap.Duration("allowed", request.Deadline.Sub(request.Received)),
 		zap.Duration("took", elapsed),
-	)
+	}
+	if outcome.Verdict == forward.Abandoned || outcome.Verdict == forward.Broken {
+		fields = append(fields, zap.String("caller-left", string(caller.Departure())), zap.Int64("written", caller.Written()))
+	}
+	g.options.Logger.Info("request finished", fields...)
 	if outcome.Suspect != 0 {
 		g.recordQuarantine(request, outcome)
 	}
