Answer requests that panic before anything is written

Callers saw a connection that ended without a byte and without a refusal. A panic while a request was prepared, rejected or recorded was not recovered at all, and one while it was forwarded counted as an answer that was cut off, also if nothing had been written. An upstream can cause that: http.ResponseWriter panics on a status below 100.

Now a request that panics before it was forwarded is refused with 503, which is true, one that may have run gets 502 without the header of the upstream, and one that only cannot be recorded gets its own answer. A connection is cut only after a part of the answer.

--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -13,36 +13,59 @@
 	"comfreyworks/internal/state/meter"
 )
 
+// reasonPanic is the reason of requests that end because of a panic.
+const reasonPanic = "panic"
+
 // requestHandler handles callers' requests.
 func (g *Gateway) requestHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		received := g.options.Clock.Now()
-		request, rejected := g.prepareRequest(w, r, received)
-		if rejected == nil && g.isLate(request) {
-			g.usage.giveBack(request.Workspace, request.Usage)
-			rejected = &rejection{http.StatusServiceUnavailable, "stopping", staleRetryAfter}
-		}
+		request, rejected := g.admit(w, r)
 		if rejected != nil {
 			g.reject(w, r, rejected)
-			g.recordRejection(r, rejected)
+			g.options.Faults.Run("record", func() { g.recordRejection(r, rejected) })
 			return
 		}
 		s := &sink{
 			writer: w, controller: http.NewResponseController(w), id: request.Message.ID,
 			names: &g.options.Settings.Headers, announceClose: g.announceClose,
 		}
-		var outcome forward.Outcome
-		if !g.options.Faults.Run("request", func() { outcome = g.forwarder.Forward(r.Context(), request, s) }) {
-			outcome = forward.Outcome{Verdict: forward.Broken, Reason: "panic", Runs: 1}
-		}
-		if outcome.Runs == 0 {
-			g.usage.giveBack(request.Workspace, request.Usage)
-		}
-		g.recordOutcome(request, &outcome, listener.CallerOf(r.Context()))
+		outcome := g.forward(r, request, s)
+		g.options.Faults.Run("record", func() {
+			if outcome.Runs == 0 {
+				g.usage.giveBack(request.Workspace, request.Usage)
+			}
+			g.recordOutcome(request, &outcome, listener.CallerOf(r.Context()))
+		})
 		g.respond(w, r, &outcome)
 	})
 }
 
+// admit returns the request to forward, or the rejection to respond with.
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (request *forward.Request, rejected *rejection) {
+	received := g.options.Clock.Now()
+	if !g.options.Faults.Run("request", func() { request, rejected = g.prepareRequest(w, r, received) }) {
+		return nil, &rejection{http.StatusServiceUnavailable, reasonPanic, staleRetryAfter}
+	}
+	if rejected == nil && g.isLate(request) {
+		g.usage.giveBack(request.Workspace, request.Usage)
+		return nil, &rejection{http.StatusServiceUnavailable, "stopping", staleRetryAfter}
+	}
+	return request, rejected
+}
+
+// forward forwards a request. If that panics, an upstream may have run it.
+func (g *Gateway) forward(r *http.Request, request *forward.Request, s *sink) (outcome forward.Outcome) {
+	if g.options.Faults.Run("request", func() { outcome = g.forwarder.Forward(r.Context(), request, s) }) {
+		return outcome
+	}
+	if s.began {
+		return forward.Outcome{Verdict: forward.Broken, Reason: reasonPanic, Runs: 1}
+	}
+	// What the sink received does not belong to the answer of the gateway.
+	clear(s.writer.Header())
+	return forward.Outcome{Verdict: forward.Failed, Reason: reasonPanic, Runs: 1}
+}
+
 // isLate reports whether a request was complete so late in a stop that it might be cut
 // off at the end.
 func (g *Gateway) isLate(request *forward.Request) bool {
@@ -164,6 +187,8 @@
 	names      *comfreyworks.HeaderNames
 	// announceClose adds Connection: close to a header if it applies.
 	announceClose func(http.Header)
+	// began means that a part of the response may have reached the caller.
+	began bool
 }
 
 var _ forward.Sink = (*sink)(nil)
@@ -182,6 +207,7 @@
 	}
 	s.announceClose(responseHeader)
 	s.writer.WriteHeader(status)
+	s.began = true
 }
 
 // Write implements forward.Sink.
