Serve requests that have arrived when a connection's time is up

Callers saw a kept connection reset under a request that had long arrived, and no gateway had a line about it. Go reports a read deadline that has passed without looking at the receive buffer. A process that was stalled while a request arrived, be it throttled or paused, closed the connection as idle, or in the middle of its header; so did the end of idle connections in a stop. In a stop it was enough that the first byte of the next request had been read with the request before, which http.Server does when its caller is quick: the connection counted as idle.

When a deadline between two requests or of a header has passed, what has arrived is read once more before the connection ends, and a connection on which the first byte of a request has been read is not idle. The look costs one system call for each connection that ends.

--- a/internal/protocol/listener/conn.go
+++ b/internal/protocol/listener/conn.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // phase is what an http.Server does with a connection. It is known from the read
@@ -79,11 +81,17 @@
 	p = p[:min(int64(len(p)), left)]
 	for {
 		n, err := c.TCPConn.Read(p)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if c.listener.extendIdle(c) {
+				// The idle timeout has been raised since.
+				continue
+			}
+			if n = c.readArrived(p); n > 0 {
+				err = nil
+			}
+		}
 		if n > 0 {
 			c.listener.bytesRead(c, n, len(p) == 1)
-		} else if errors.Is(err, os.ErrDeadlineExceeded) && c.listener.extendIdle(c) {
-			// The idle timeout has been raised since.
-			continue
 		}
 		// Fails if another phase has begun since.
 		c.headerLeft.CompareAndSwap(left, left-int64(n))
@@ -94,6 +102,22 @@
 	}
 }
 
+// readArrived reads what has arrived between two requests or of a header although the
+// read deadline has passed: a process that was stalled did not get round to reading it.
+func (c *conn) readArrived(p []byte) int {
+	if !c.listener.expectsRequest(c) {
+		return 0
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	// Unlike Read and RawConn.Read, this ignores the deadline.
+	_ = raw.Control(func(fd uintptr) { n, _ = unix.Read(int(fd), p) })
+	return max(n, 0)
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.TCPConn.Write(p)
@@ -164,7 +188,11 @@
 		limits := l.limits()
 		c.limitThen = limits.idleTimeout()
 		deadline = deadlineAfter(c.idleSince, c.limitThen)
-		if l.closing {
+		switch {
+		case c.arrived > 0:
+			l.states[c] = http.StateActive
+			deadline = deadlineAfter(time.Now(), limits.headerTimeout())
+		case l.closing:
 			deadline = time.Now()
 		}
 	case phaseRequest:
--- a/internal/protocol/listener/listener.go
+++ b/internal/protocol/listener/listener.go
@@ -233,9 +233,19 @@
 	if c.phase != phaseRequest || single {
 		c.arrived += n
 	}
-	if l.states[c] == http.StateIdle {
-		l.states[c] = http.StateActive
+	if l.states[c] != http.StateIdle {
+		return
 	}
+	l.states[c] = http.StateActive
+	// The server sets a deadline for the header once it has read a little more.
+	_ = c.TCPConn.SetReadDeadline(deadlineAfter(time.Now(), l.limits().headerTimeout()))
+}
+
+// expectsRequest reports whether the server waits for a request or reads its header.
+func (l *Listener) expectsRequest(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.phase == phaseWaiting || c.phase == phaseHeader
 }
 
 // extendIdle sets the read deadline of an idle connection according to the current idle
