Do not take a passed read deadline for a caller that left

Callers with little time left got a closed connection in place of a refusal. The deadline for the body of a request applies to its whole connection, and http.Server reads on there, once the body is complete, to notice a caller that leaves. If that read fails, whatever the reason, the server cancels the request and all later ones on the connection, and the gateway cut them as abandoned.

The server's own read is now resumed without a deadline, unless the server itself ends it. The deadline that is set when the process ends is no longer left to come after the body: readBody waits for it.

Held on reading net/http: a complete body clears its deadline before the server reads on, so that only requests without a body, or with a deadline set after it, were hit.

--- a/internal/protocol/listener/conn.go
+++ b/internal/protocol/listener/conn.go
@@ -85,8 +85,7 @@
 	for {
 		n, err := c.TCPConn.Read(p)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			if c.listener.extendIdle(c) {
-				// The idle timeout has been raised since.
+			if c.listener.extendIdle(c) || len(p) == 1 && c.listener.keepsReading(c) {
 				continue
 			}
 			if n = c.readArrived(p); n > 0 {
@@ -199,7 +198,12 @@
 			deadline = time.Now()
 		}
 	case phaseRequest:
-		c.aborting.Store(deadline.Equal(abortDeadline))
+		switch {
+		case deadline.Equal(abortDeadline):
+			c.aborting.Store(true)
+		case deadline.IsZero():
+			c.aborting.Store(false)
+		}
 	}
 	return c.TCPConn.SetReadDeadline(deadline)
 }
--- a/internal/protocol/listener/listener.go
+++ b/internal/protocol/listener/listener.go
@@ -248,8 +248,21 @@
 	return c.phase == phaseWaiting || c.phase == phaseHeader
 }
 
+// keepsReading removes the read deadline while the server waits for the caller to leave. The
+// server would cancel the request, and later ones on the connection, if that read failed. It
+// returns false if the server itself ends the read.
+func (l *Listener) keepsReading(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.phase != phaseRequest || c.aborting.Load() {
+		return false
+	}
+	return c.TCPConn.SetReadDeadline(time.Time{}) == nil
+}
+
 // extendIdle sets the read deadline of an idle connection according to the current idle
-// timeout. It returns false if that has passed or the connection is not idle.
+// timeout, which may have been raised. It returns false if that has passed or the connection
+// is not idle.
 func (l *Listener) extendIdle(c *conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/transport/gateway/request.go
+++ b/internal/transport/gateway/request.go
@@ -127,8 +127,17 @@
 	}
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(remaining))
-	stop := context.AfterFunc(r.Context(), func() { _ = controller.SetReadDeadline(time.Now()) })
-	defer stop()
+	ended := make(chan struct{})
+	stop := context.AfterFunc(r.Context(), func() {
+		defer close(ended)
+		_ = controller.SetReadDeadline(time.Now())
+	})
+	defer func() {
+		if !stop() {
+			// Its deadline would apply to whatever follows on the connection.
+			<-ended
+		}
+	}()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
