Mend the test of announced idle timeouts

TestIdleTimeoutIsAnnounced failed once in a run of the whole package ("unexpected EOF: no answer", line 98). It raised the timeout after an answer under one of 100 ms, on a connection that ends 100 ms later: if the new limit takes longer to be in force, the end is right. What it checks is the same in another order: the timeout of 2 s comes first, and nothing follows the answer under 100 ms. That a stopping gateway closes the connection is checked by TestCloseIsAnnounced.

--- a/internal/transport/gateway/idle_test.go
+++ b/internal/transport/gateway/idle_test.go
@@ -82,6 +82,9 @@
 		s.source.change(func(s *memorySource) { s.routing.Limits.IdleTimeout = timeout })
 		waitFor(t, func() bool { return s.gateway.callerLimits().IdleTimeout == timeout })
 	}
+	limit(2 * time.Second)
+	s.send(t, s.text(t, "/none/1"))
+	assert.Equal(t, s.receive(t).Header.Get("Keep-Alive"), "timeout=1")
 	limit(5 * time.Second)
 	s.send(t, s.text(t, "/review/1"))
 	stream, err := http.ReadResponse(s.reader, nil)
@@ -93,13 +96,4 @@
 	time.Sleep(idle)
 	s.send(t, s.text(t, "/none/1"))
 	assert.Equal(t, s.receive(t).Header.Get("Keep-Alive"), "", "less than a second cannot be announced")
-	limit(2 * time.Second)
-	s.send(t, s.text(t, "/none/1"))
-	assert.Equal(t, s.receive(t).Header.Get("Keep-Alive"), "timeout=1")
-	s.stop()
-	waitFor(t, s.gateway.leaving.Load)
-	s.send(t, s.text(t, "/none/1"))
-	last := s.receive(t)
-	assert.Assert(t, last.Close)
-	assert.Equal(t, last.Header.Get("Keep-Alive"), "")
 }
