Deliver rejections while the body is still arriving

Callers that were rejected before their body had arrived got no answer. http.Server reads the rest of a body before it writes the header of an answer: a caller with a slow body waited for its end, without any limit, for its 401, 404, 429 or 503. With a body larger than 256 kB it closes the connection half a second after the answer without reading further, and one that sends first and reads then was reset in the middle of sending.

A rejection now waits 0.1 s for the rest of a body, so that the connection can be kept; else it is sent at once and ends the connection. Whenever a connection ends while its caller may still be sending (also after a malformed header), what arrives is read for at most 2 s or until nothing comes for 0.5 s, except at the end of a stop and for HTTP/1.0 answers that were cut off. A connection whose read has failed is announced as closing: the server cancels further requests on it.

TestConnectionAfterEarlyAnswer checks that the next request on a connection that is kept is not cut by a deadline of the one before.

--- a/internal/protocol/listener/closed.go
+++ b/internal/protocol/listener/closed.go
@@ -114,7 +114,7 @@
 	Arrived int
 	// Unread is how many bytes lay in the receive buffer, if the caller had not left.
 	Unread int
-	// Written is how many bytes were written since the last header was complete.
+	// Written is how many bytes were written since the last header began.
 	Written int64
 	// Elapsed is how long the connection had been idle, or the header arriving. Limit is
 	// the limit on that in force now, and LimitThen the one when it began.
@@ -127,16 +127,45 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	if c.listener.onClosed != nil && c.closed.CompareAndSwap(false, true) {
-		closed := c.describe()
-		if closed.Reason != ReasonCaller {
-			closed.Unread = c.unread()
+	if c.closed.CompareAndSwap(false, true) {
+		unread := c.unread()
+		if c.listener.onClosed != nil {
+			closed := c.describe()
+			if closed.Reason != ReasonCaller {
+				closed.Unread = unread
+			}
+			c.listener.onClosed(closed)
+		}
+		if c.answeredEarly(unread) {
+			_ = c.CloseWrite()
 		}
-		c.listener.onClosed(closed)
 	}
 	return c.TCPConn.Close()
 }
 
+// answeredEarly reports whether the caller may still be sending although it has an answer.
+func (c *conn) answeredEarly(unread int) bool {
+	departure := c.departure()
+	if c.written.Load() == 0 || departure != DepartureNone && departure != DepartureReadDeadline {
+		return false
+	}
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, open := l.states[c]; !open || l.ended {
+		return false
+	}
+	switch c.phase {
+	case phaseRequest:
+		return unread > 0 || !c.bodyRead.Load()
+	case phaseHeader:
+		// The header was malformed.
+		return true
+	default:
+		return false
+	}
+}
+
 // describe returns what is known of a connection that ends, except for what it has not
 // read.
 func (c *conn) describe() Closed {
--- a/internal/protocol/listener/conn.go
+++ b/internal/protocol/listener/conn.go
@@ -57,14 +57,17 @@
 	announced time.Duration
 	// headerLeft is how many bytes may be read before the header is complete.
 	headerLeft atomic.Int64
-	// written is how many bytes were written since the last header was complete, and
-	// departed how the caller left since then; nil if it has not.
+	// written is how many bytes were written since the last header began, and departed how
+	// the caller left since it was complete; nil if it has not.
 	written  atomic.Int64
 	departed atomic.Pointer[Departure]
 	// aborting means that the server ends its own read of a connection whose request has
 	// been handled.
 	aborting atomic.Bool
-	closed   atomic.Bool
+	// bodyRead means that the server has read the whole request.
+	bodyRead atomic.Bool
+	// closed means that Close was called, lingered that the caller got its answer.
+	closed, lingered atomic.Bool
 }
 
 func newConn(tcp *net.TCPConn, l *Listener) *conn {
@@ -81,6 +84,10 @@
 		c.refuseHeader()
 		return 0, errHeaderTooLarge
 	}
+	if len(p) == 1 {
+		// The server reads a single byte once it has read the whole request.
+		c.bodyRead.Store(true)
+	}
 	p = p[:min(int64(len(p)), left)]
 	for {
 		n, err := c.TCPConn.Read(p)
@@ -155,17 +162,46 @@
 
 // refuseHeader answers a request whose header is too large.
 func (c *conn) refuseHeader() {
-	deadline := time.Now().Add(lingerTime)
 	text := http.StatusText(http.StatusRequestHeaderFieldsTooLarge)
 	response := http.Response{
 		StatusCode: http.StatusRequestHeaderFieldsTooLarge, ProtoMajor: 1, ProtoMinor: 1, Close: true,
 		Header:        http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
 		ContentLength: int64(len(text)), Body: io.NopCloser(strings.NewReader(text)),
 	}
-	if c.TCPConn.SetDeadline(deadline) != nil || response.Write(c.TCPConn) != nil || c.CloseWrite() != nil {
-		return
+	if c.TCPConn.SetDeadline(time.Now().Add(lingerPause)) == nil && response.Write(c.TCPConn) == nil {
+		_ = c.CloseWrite()
+	}
+}
+
+// CloseWrite implements closing for sending. It then reads what the caller still sends, so
+// that the caller gets the answer that was written.
+func (c *conn) CloseWrite() error {
+	if !c.lingered.CompareAndSwap(false, true) {
+		return nil
+	}
+	err := c.TCPConn.CloseWrite()
+	if err == nil {
+		_, _ = io.CopyN(io.Discard, &lingeringReader{c.TCPConn, time.Now().Add(lingerTime)}, lingerBytes)
+	}
+	return err
+}
+
+// lingeringReader reads until a time, or until nothing arrives for lingerPause.
+type lingeringReader struct {
+	tcp   *net.TCPConn
+	until time.Time
+}
+
+// Read implements io.Reader.
+func (r *lingeringReader) Read(p []byte) (int, error) {
+	deadline := time.Now().Add(lingerPause)
+	if deadline.After(r.until) {
+		deadline = r.until
+	}
+	if err := r.tcp.SetReadDeadline(deadline); err != nil {
+		return 0, err
 	}
-	_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
+	return r.tcp.Read(p)
 }
 
 // SetReadDeadline implements net.Conn. It replaces the deadlines of the server by those
@@ -180,7 +216,7 @@
 	case phaseHeader:
 		c.phase, c.arrived, c.announced = phaseRequest, 0, 0
 		c.headerLeft.Store(math.MaxInt64)
-		c.written.Store(0)
+		c.bodyRead.Store(false)
 		c.departed.Store(nil)
 		l.states[c] = http.StateActive
 		deadline = deadlineAfter(c.headerSince, l.limits().BodyTimeout)
@@ -223,6 +259,7 @@
 	l := c.listener
 	limits := l.limits()
 	c.phase, c.headerSince, c.limitThen = phaseHeader, time.Now(), limits.headerTimeout()
+	c.written.Store(0)
 	c.headerLeft.Store(int64(limits.HeaderBytes) + readAhead)
 	if l.states[c] == http.StateIdle {
 		l.states[c] = http.StateActive
--- a/internal/protocol/listener/listener.go
+++ b/internal/protocol/listener/listener.go
@@ -50,11 +50,13 @@
 	// readAhead is what the server may read beyond the end of a request, and how much
 	// http.Server adds to its limit for that reason.
 	readAhead = 4 << 10
-	// lingerTime and lingerBytes bound what is read after an early answer. Without it the
-	// answer would be lost: closing a connection with unread data resets it.
-	// http.Server waits as long.
-	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 1 << 20
+	// lingerPause, lingerTime and lingerBytes bound what is read after an early answer: the
+	// time without a byte, the whole time and the number of bytes. Without it the answer
+	// would be lost: closing a connection with unread data resets it. The pause is that of
+	// http.Server.
+	lingerPause = 500 * time.Millisecond
+	lingerTime  = 2 * time.Second
+	lingerBytes = 64 << 20
 )
 
 // errClosed is what Accept returns after Close.
@@ -117,6 +119,8 @@
 	closing        bool
 	firstRequestBy time.Time
 	drained        chan struct{}
+	// ended means that a drain has ended and connections are closed at once.
+	ended bool
 }
 
 // New returns a listener on top of one that accepts TCP connections.
@@ -171,6 +175,7 @@
 func (l *Listener) Drain(grace time.Duration, endRequests func()) bool {
 	_ = l.Close()
 	<-l.served
+	defer l.end()
 	drained := l.closeIdle()
 	if isClosedWithin(drained, grace) {
 		return true
@@ -180,6 +185,12 @@
 	return false
 }
 
+func (l *Listener) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = true
+}
+
 // closeIdle closes connections that are idle, from now on. It must be called once,
 // after the server has stopped accepting connections. It returns a channel that is
 // closed when no connection is left.
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"strconv"
@@ -14,6 +15,10 @@
 	"comfreyworks/internal/state/meter"
 )
 
+// earlyAnswerWait is how long a rejection waits for the rest of a body, so that the
+// connection can be kept. Else it is closed after the answer.
+const earlyAnswerWait = 100 * time.Millisecond
+
 // reasonPanic is the reason of requests that end because of a panic.
 const reasonPanic = "panic"
 
@@ -22,6 +27,10 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request, rejected := g.admit(w, r)
 		if rejected != nil {
+			if r.Body != http.NoBody && r.Context().Err() == nil {
+				// The server reads the rest of a body before it writes the header.
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(earlyAnswerWait))
+			}
 			g.reject(w, r, rejected)
 			g.options.Faults.Run("record", func() { g.recordRejection(r, rejected) })
 			return
@@ -29,7 +38,7 @@
 		s := &sink{
 			writer: w, controller: http.NewResponseController(w), id: request.Message.ID,
 			names:        &g.options.Settings.Headers,
-			announceIdle: func(header http.Header) { g.announceIdle(header, listener.CallerOf(r.Context())) },
+			announceIdle: func(header http.Header) { g.announceIdle(r.Context(), header) },
 		}
 		outcome := g.forward(r, request, s)
 		g.options.Faults.Run("record", func() {
@@ -81,12 +90,13 @@
 // announceIdle adds to the header of a response how long its caller may keep the
 // connection idle, or that a stopping gateway closes it. It must be called when the response
 // begins, because the request may have begun before a change.
-func (g *Gateway) announceIdle(header http.Header, caller listener.Caller) {
-	if g.leaving.Load() {
+func (g *Gateway) announceIdle(ctx context.Context, header http.Header) {
+	// Once a read has failed, the server cancels later requests on the connection too.
+	if g.leaving.Load() || ctx.Err() != nil {
 		header.Set("Connection", "close")
 		return
 	}
-	if seconds := int(caller.AnnounceIdle() / time.Second); seconds > 0 {
+	if seconds := int(listener.CallerOf(ctx).AnnounceIdle() / time.Second); seconds > 0 {
 		header.Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
 	}
 }
@@ -131,7 +141,7 @@
 
 // reject writes an error response.
 func (g *Gateway) reject(w http.ResponseWriter, r *http.Request, rejected *rejection) {
-	g.announceIdle(w.Header(), listener.CallerOf(r.Context()))
+	g.announceIdle(r.Context(), w.Header())
 	names := &g.options.Settings.Headers
 	if id := r.Header.Get(names.RequestID); id != "" {
 		w.Header().Set(names.RequestID, id)
