Check requests beside every kind of configuration change

Callers reported requests without an answer or a refusal beside a change of the configuration and an upstream that is silent for a second. TestConfigurationChange plays nine changes (routes removed, pools changed, weights zero, no pools, timeout lowered and removed, idle timeout, header and body limits, key dropped) on real connections: 20 requests each, whole and under way at an upstream that is silent for 1 s, cut in the header or the body when the change comes, or sent next on a kept connection.

On one of the nine failed: a request to a route without pools panicked in ChoosePool and was cut ("unexpected EOF"), 10 of 10. Requests that panic are refused by now; ChoosePool no longer panics, and they are refused because there is no upstream. The adapter declares no such route. The other eight held on: a request is judged by the routing that it found when its header was complete, a header by the limits in force when it began, and an idle connection keeps its time if the timeout is lowered. A route without a timeout refuses requests that state no deadline, with an answer.

--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -101,8 +101,12 @@
 }
 
 // ChoosePool returns one of the route's pools according to their weights, given a
-// random number in [0, 1). If all weights are zero, it returns the first pool.
+// random number in [0, 1). If all weights are zero, it returns the first pool, and if there
+// are none the empty name.
 func ChoosePool(route *comfreyworks.Route, draw float64) comfreyworks.Pool {
+	if len(route.Pools) == 0 {
+		return ""
+	}
 	total := 0
 	for _, share := range route.Pools {
 		total += max(share.Weight, 0)
--- a/internal/state/routing/routing_test.go
+++ b/internal/state/routing/routing_test.go
@@ -95,4 +95,5 @@
 	t.Run("all weights are zero", func(t *testing.T) {
 		assert.Equal(t, ChoosePool(&comfreyworks.Route{Pools: []comfreyworks.PoolWeight{{Pool: "a"}}}, 0.5), comfreyworks.Pool("a"))
 	})
+	t.Run("no pools", func(t *testing.T) { assert.Equal(t, ChoosePool(&comfreyworks.Route{}, 0.5), comfreyworks.Pool("")) })
 }
