Answer callers that only stopped sending

A caller that closes its sending side after its request got a closed connection without a byte. The gateway cannot tell it from one that has left, and ends its request at once, as it must; but it then also cut the connection, which is of use to nobody.

A request that is abandoned before anything was written now ends with 503 if it has not run, and with 502 if it may have. A caller that has left does not see it, and the request still ends as soon as before. The connection is announced as closing and ends. It is the same if a caller was taken for one that has left by mistake.

TestHowCallersLeave, "closed for sending", failed before: "unexpected EOF: neither an answer nor a refusal".

--- a/internal/transport/gateway/closings_test.go
+++ b/internal/transport/gateway/closings_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -18,7 +19,8 @@
 )
 
 // TestHowCallersLeave guards against lines about abandoned requests that do not tell
-// whether the caller left, and how.
+// whether the caller left, and how, and against a caller that only stopped sending and gets
+// neither an answer nor a refusal.
 func TestHowCallersLeave(t *testing.T) {
 	for name, c := range map[string]struct {
 		path    string
@@ -71,6 +73,12 @@
 			assert.Equal(t, fields["verdict"], c.verdict)
 			assert.Equal(t, fields["caller-left"], c.how)
 			assert.Equal(t, fields["written"].(int64) > 0, c.written)
+			if name == "closed for sending" {
+				answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				assert.NilError(t, err, "neither an answer nor a refusal")
+				assert.Equal(t, answer.StatusCode, http.StatusBadGateway)
+				assert.Assert(t, answer.Close)
+			}
 			stop()
 			assert.NilError(t, group.Wait())
 		})
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -47,7 +47,7 @@
 			}
 			g.recordOutcome(request, &outcome, listener.CallerOf(r.Context()))
 		})
-		g.respond(w, r, &outcome)
+		g.respond(w, r, &outcome, s.began)
 	})
 }
 
@@ -102,12 +102,20 @@
 }
 
 // respond sends an error response if the sink has received no response, and
-// closes the connection if the response was cut off or the caller has left.
-func (g *Gateway) respond(w http.ResponseWriter, r *http.Request, outcome *forward.Outcome) {
+// closes the connection if the response was cut off. A caller that seems to have left
+// may have closed only its sending side.
+func (g *Gateway) respond(w http.ResponseWriter, r *http.Request, outcome *forward.Outcome, began bool) {
 	switch outcome.Verdict {
 	case forward.Delivered:
 	case forward.Broken, forward.Abandoned:
-		abort(w, r)
+		switch {
+		case began:
+			abort(w, r)
+		case outcome.Runs == 0:
+			g.reject(w, r, &rejection{http.StatusServiceUnavailable, outcome.Reason, staleRetryAfter})
+		default:
+			g.reject(w, r, &rejection{status: http.StatusBadGateway, reason: outcome.Reason})
+		}
 	case forward.Refused:
 		g.reject(w, r, &rejection{http.StatusServiceUnavailable, outcome.Reason, outcome.RetryAfter})
 	case forward.Quarantined:
