Recover from panics at the end of a connection

A panic while the end of a connection is recorded would have ended the whole process with all its requests: http.Server closes connections in a deferred function, where nothing recovers. Nothing has been seen; found on reading. The check for late requests during a stop is now recovered too, with the rest of what happens before a request is forwarded.

--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -321,7 +321,10 @@
 	requestServer := g.newServer(g.requestHandler())
 	requestServer.BaseContext = func(net.Listener) context.Context { return requestCtx }
 	callers := listener.New(listeners.Requests, g.callerLimits)
-	callers.OnClosed(g.closings.record)
+	callers.OnClosed(func(closed listener.Closed) {
+		// http.Server does not recover from panics there.
+		g.options.Faults.Run("record", func() { g.closings.record(closed) })
+	})
 	readyServer := g.newServer(g.readyHandler())
 	group.Go(func() error {
 		g.awaitInitialState(workCtx)
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -54,12 +54,15 @@
 // admit returns the request to forward, or the rejection to respond with.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (request *forward.Request, rejected *rejection) {
 	received := g.options.Clock.Now()
-	if !g.options.Faults.Run("request", func() { request, rejected = g.prepareRequest(w, r, received) }) {
-		return nil, &rejection{http.StatusServiceUnavailable, reasonPanic, staleRetryAfter}
-	}
-	if rejected == nil && g.isLate(request) {
-		g.usage.giveBack(request.Workspace, request.Usage)
-		return nil, &rejection{http.StatusServiceUnavailable, "stopping", staleRetryAfter}
+	admitted := g.options.Faults.Run("request", func() {
+		request, rejected = g.prepareRequest(w, r, received)
+		if rejected == nil && g.isLate(request) {
+			g.usage.giveBack(request.Workspace, request.Usage)
+			rejected = &rejection{http.StatusServiceUnavailable, "stopping", staleRetryAfter}
+		}
+	})
+	if !admitted {
+		rejected = &rejection{http.StatusServiceUnavailable, reasonPanic, staleRetryAfter}
 	}
 	return request, rejected
 }
