--- a/internal/protocol/listener/conn.go
+++ b/internal/protocol/listener/conn.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // phase is what an http.Server does with a connection. It is known from the read
@@ -34,6 +36,9 @@
 // for a read, which http.Server does not answer.
 var errHeaderTooLarge = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("request header too large")}
 
+// abortDeadline is the read deadline with which http.Server ends its own read.
+var abortDeadline = time.Unix(1, 0)
+
 // conn is the connection of a caller.
 type conn struct {
 	*net.TCPConn
@@ -42,8 +47,27 @@
 	// became idle last, are protected by Listener.mu.
 	phase                  phase
 	headerSince, idleSince time.Time
+	// limitThen is the idle or header timeout that was in force when the connection
+	// became idle or the header began, and arrived is how many bytes were read since
+	// then. Listener.mu protects them as well.
+	limitThen time.Duration
+	arrived   int
+	// announced is the idle timeout of which the caller was told with the last answer.
+	// Listener.mu protects it as well.
+	announced time.Duration
 	// headerLeft is how many bytes may be read before the header is complete.
 	headerLeft atomic.Int64
+	// written is how many bytes were written since the last header began, and departed how
+	// the caller left since it was complete; nil if it has not.
+	written  atomic.Int64
+	departed atomic.Pointer[Departure]
+	// aborting means that the server ends its own read of a connection whose request has
+	// been handled.
+	aborting atomic.Bool
+	// bodyRead means that the server has read the whole request.
+	bodyRead atomic.Bool
+	// closed means that Close was called, lingered that the caller got its answer.
+	closed, lingered atomic.Bool
 }
 
 func newConn(tcp *net.TCPConn, l *Listener) *conn {
@@ -60,34 +84,124 @@
 		c.refuseHeader()
 		return 0, errHeaderTooLarge
 	}
+	if len(p) == 1 {
+		// The server reads a single byte once it has read the whole request.
+		c.bodyRead.Store(true)
+	}
 	p = p[:min(int64(len(p)), left)]
 	for {
 		n, err := c.TCPConn.Read(p)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if c.listener.extendIdle(c) || len(p) == 1 && c.listener.keepsReading(c) {
+				continue
+			}
+			if n = c.readArrived(p); n > 0 {
+				err = nil
+			}
+		}
 		if n > 0 {
-			c.listener.requestBegan(c)
-		} else if errors.Is(err, os.ErrDeadlineExceeded) && c.listener.extendIdle(c) {
-			// The idle timeout has been raised since.
-			continue
+			c.listener.bytesRead(c, n, len(p) == 1)
 		}
 		// Fails if another phase has begun since.
 		c.headerLeft.CompareAndSwap(left, left-int64(n))
+		if err != nil {
+			c.depart(readDeparture(err), err)
+		}
 		return n, err
 	}
 }
 
+// readArrived reads what has arrived between two requests or of a header although the
+// read deadline has passed: a process that was stalled did not get round to reading it.
+func (c *conn) readArrived(p []byte) int {
+	if !c.listener.expectsRequest(c) {
+		return 0
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	// Unlike Read and RawConn.Read, this ignores the deadline.
+	_ = raw.Control(func(fd uintptr) { n, _ = unix.Read(int(fd), p) })
+	return max(n, 0)
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	c.written.Add(int64(n))
+	if err != nil {
+		c.depart(DepartureWriteFailed, err)
+	}
+	return n, err
+}
+
+// ReadFrom implements io.ReaderFrom.
+func (c *conn) ReadFrom(r io.Reader) (int64, error) {
+	n, err := c.TCPConn.ReadFrom(r)
+	c.written.Add(n)
+	return n, err
+}
+
+// depart records how the caller left. What follows from that does not count, nor does
+// what fails because the connection was closed here.
+func (c *conn) depart(departure Departure, err error) {
+	if !errors.Is(err, net.ErrClosed) && (departure != DepartureReadDeadline || !c.aborting.Load()) {
+		c.departed.CompareAndSwap(nil, &departure)
+	}
+}
+
+// departure returns how the caller has left.
+func (c *conn) departure() Departure {
+	if departed := c.departed.Load(); departed != nil {
+		return *departed
+	}
+	return DepartureNone
+}
+
 // refuseHeader answers a request whose header is too large.
 func (c *conn) refuseHeader() {
-	deadline := time.Now().Add(lingerTime)
 	text := http.StatusText(http.StatusRequestHeaderFieldsTooLarge)
 	response := http.Response{
 		StatusCode: http.StatusRequestHeaderFieldsTooLarge, ProtoMajor: 1, ProtoMinor: 1, Close: true,
 		Header:        http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
 		ContentLength: int64(len(text)), Body: io.NopCloser(strings.NewReader(text)),
 	}
-	if c.TCPConn.SetDeadline(deadline) != nil || response.Write(c.TCPConn) != nil || c.CloseWrite() != nil {
-		return
+	if c.TCPConn.SetDeadline(time.Now().Add(lingerPause)) == nil && response.Write(c.TCPConn) == nil {
+		_ = c.CloseWrite()
 	}
-	_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
+}
+
+// CloseWrite implements closing for sending. It then reads what the caller still sends, so
+// that the caller gets the answer that was written.
+func (c *conn) CloseWrite() error {
+	if !c.lingered.CompareAndSwap(false, true) {
+		return nil
+	}
+	err := c.TCPConn.CloseWrite()
+	if err == nil {
+		_, _ = io.CopyN(io.Discard, &lingeringReader{c.TCPConn, time.Now().Add(lingerTime)}, lingerBytes)
+	}
+	return err
+}
+
+// lingeringReader reads until a time, or until nothing arrives for lingerPause.
+type lingeringReader struct {
+	tcp   *net.TCPConn
+	until time.Time
+}
+
+// Read implements io.Reader.
+func (r *lingeringReader) Read(p []byte) (int, error) {
+	deadline := time.Now().Add(lingerPause)
+	if deadline.After(r.until) {
+		deadline = r.until
+	}
+	if err := r.tcp.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	return r.tcp.Read(p)
 }
 
 // SetReadDeadline implements net.Conn. It replaces the deadlines of the server by those
@@ -100,27 +214,52 @@
 	case phaseOpened, phaseWaiting:
 		deadline = c.beginHeader()
 	case phaseHeader:
-		c.phase = phaseRequest
+		c.phase, c.arrived, c.announced = phaseRequest, 0, 0
 		c.headerLeft.Store(math.MaxInt64)
+		c.bodyRead.Store(false)
+		c.departed.Store(nil)
 		l.states[c] = http.StateActive
-		deadline = firstDeadline(c.headerSince, l.limits().BodyTimeout)
+		deadline = deadlineAfter(c.headerSince, l.limits().BodyTimeout)
 	case phaseAnswered:
 		c.phase = phaseWaiting
-		deadline = l.limits().idleDeadline(c.idleSince)
-		if l.closing {
+		c.departed.Store(nil)
+		limits := l.limits()
+		c.limitThen = c.idleTimeout(limits)
+		deadline = deadlineAfter(c.idleSince, c.limitThen)
+		switch {
+		case c.arrived > 0:
+			l.states[c] = http.StateActive
+			deadline = deadlineAfter(time.Now(), limits.headerTimeout())
+		case l.closing:
 			deadline = time.Now()
 		}
 	case phaseRequest:
+		switch {
+		case deadline.Equal(abortDeadline):
+			c.aborting.Store(true)
+		case deadline.IsZero():
+			c.aborting.Store(false)
+		}
 	}
 	return c.TCPConn.SetReadDeadline(deadline)
 }
 
+// idleTimeout returns how long the connection may be idle, or zero.
+func (c *conn) idleTimeout(limits Limits) time.Duration {
+	limit := limits.idleTimeout()
+	if limit <= 0 {
+		return 0
+	}
+	return max(limit, c.announced)
+}
+
 // beginHeader returns the deadline of a header that begins. The server may have read its
 // beginning with the request before.
 func (c *conn) beginHeader() time.Time {
 	l := c.listener
 	limits := l.limits()
-	c.phase, c.headerSince = phaseHeader, time.Now()
+	c.phase, c.headerSince, c.limitThen = phaseHeader, time.Now(), limits.headerTimeout()
+	c.written.Store(0)
 	c.headerLeft.Store(int64(limits.HeaderBytes) + readAhead)
 	if l.states[c] == http.StateIdle {
 		l.states[c] = http.StateActive
@@ -128,5 +267,5 @@
 	if l.closing && l.states[c] == http.StateNew {
 		return l.firstRequestBy
 	}
-	return limits.headerDeadline(c.headerSince)
+	return deadlineAfter(c.headerSince, c.limitThen)
 }
--- a/internal/protocol/listener/listener.go
+++ b/internal/protocol/listener/listener.go
@@ -10,6 +10,7 @@
 package listener
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math"
@@ -49,11 +50,13 @@
 	// readAhead is what the server may read beyond the end of a request, and how much
 	// http.Server adds to its limit for that reason.
 	readAhead = 4 << 10
-	// lingerTime and lingerBytes bound what is read after an early answer. Without it the
-	// answer would be lost: closing a connection with unread data resets it.
-	// http.Server waits as long.
-	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 1 << 20
+	// lingerPause, lingerTime and lingerBytes bound what is read after an early answer: the
+	// time without a byte, the whole time and the number of bytes. Without it the answer
+	// would be lost: closing a connection with unread data resets it. The pause is that of
+	// http.Server.
+	lingerPause = 500 * time.Millisecond
+	lingerTime  = 2 * time.Second
+	lingerBytes = 64 << 20
 )
 
 // errClosed is what Accept returns after Close.
@@ -76,23 +79,23 @@
 	IdleTimeout time.Duration
 }
 
-// firstDeadline returns the end of the first timeout that is not zero, or the zero time
-// if there is none.
-func firstDeadline(since time.Time, timeouts ...time.Duration) time.Time {
-	for _, timeout := range timeouts {
-		if timeout > 0 {
-			return since.Add(timeout)
-		}
+// deadlineAfter returns the end of a timeout, or the zero time if there is none.
+func deadlineAfter(since time.Time, timeout time.Duration) time.Time {
+	if timeout <= 0 {
+		return time.Time{}
 	}
-	return time.Time{}
+	return since.Add(timeout)
 }
 
-func (l Limits) headerDeadline(since time.Time) time.Time {
-	return firstDeadline(since, l.HeaderTimeout, l.BodyTimeout)
-}
+func (l Limits) headerTimeout() time.Duration { return l.orBody(l.HeaderTimeout) }
+
+func (l Limits) idleTimeout() time.Duration { return l.orBody(l.IdleTimeout) }
 
-func (l Limits) idleDeadline(since time.Time) time.Time {
-	return firstDeadline(since, l.IdleTimeout, l.BodyTimeout)
+func (l Limits) orBody(timeout time.Duration) time.Duration {
+	if timeout <= 0 {
+		return l.BodyTimeout
+	}
+	return timeout
 }
 
 // Listener accepts connections of callers and tracks their states. A drain waits for
@@ -102,6 +105,8 @@
 type Listener struct {
 	net.Listener
 	limits func() Limits
+	// onClosed may be nil.
+	onClosed func(Closed)
 	// served is closed when Serve has returned.
 	served chan struct{}
 	// closed means that Close was called.
@@ -114,6 +119,8 @@
 	closing        bool
 	firstRequestBy time.Time
 	drained        chan struct{}
+	// ended means that a drain has ended and connections are closed at once.
+	ended bool
 }
 
 // New returns a listener on top of one that accepts TCP connections.
@@ -128,6 +135,7 @@
 func (l *Listener) Serve(server *http.Server) error {
 	defer close(l.served)
 	server.ConnState = l.setState
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	server.ReadHeaderTimeout, server.ReadTimeout = serverTimeout, 0
 	server.MaxHeaderBytes = math.MaxInt32
 	err := server.Serve(l)
@@ -167,6 +175,7 @@
 func (l *Listener) Drain(grace time.Duration, endRequests func()) bool {
 	_ = l.Close()
 	<-l.served
+	defer l.end()
 	drained := l.closeIdle()
 	if isClosedWithin(drained, grace) {
 		return true
@@ -176,6 +185,12 @@
 	return false
 }
 
+func (l *Listener) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = true
+}
+
 // closeIdle closes connections that are idle, from now on. It must be called once,
 // after the server has stopped accepting connections. It returns a channel that is
 // closed when no connection is left.
@@ -221,21 +236,48 @@
 	}
 }
 
-// requestBegan records that a connection is no longer idle.
-func (l *Listener) requestBegan(c *conn) {
+// bytesRead records that n bytes were read, so that a connection is no longer idle. While
+// a request is handled, the server itself reads a single byte, the first of the next one.
+func (l *Listener) bytesRead(c *conn, n int, single bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.states[c] == http.StateIdle {
-		l.states[c] = http.StateActive
+	if c.phase != phaseRequest || single {
+		c.arrived += n
+	}
+	if l.states[c] != http.StateIdle {
+		return
+	}
+	l.states[c] = http.StateActive
+	// The server sets a deadline for the header once it has read a little more.
+	_ = c.TCPConn.SetReadDeadline(deadlineAfter(time.Now(), l.limits().headerTimeout()))
+}
+
+// expectsRequest reports whether the server waits for a request or reads its header.
+func (l *Listener) expectsRequest(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.phase == phaseWaiting || c.phase == phaseHeader
+}
+
+// keepsReading removes the read deadline while the server waits for the caller to leave. The
+// server would cancel the request, and later ones on the connection, if that read failed. It
+// returns false if the server itself ends the read.
+func (l *Listener) keepsReading(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.phase != phaseRequest || c.aborting.Load() {
+		return false
 	}
+	return c.TCPConn.SetReadDeadline(time.Time{}) == nil
 }
 
 // extendIdle sets the read deadline of an idle connection according to the current idle
-// timeout. It returns false if that has passed or the connection is not idle.
+// timeout, which may have been raised. It returns false if that has passed or the connection
+// is not idle.
 func (l *Listener) extendIdle(c *conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	deadline := l.limits().idleDeadline(c.idleSince)
+	deadline := deadlineAfter(c.idleSince, c.idleTimeout(l.limits()))
 	passed := !deadline.IsZero() && !deadline.After(time.Now())
 	if l.closing || l.states[c] != http.StateIdle || passed {
 		return false
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -1,45 +1,83 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/forward"
+	"comfreyworks/internal/protocol/listener"
 	"comfreyworks/internal/state/meter"
 )
 
+// earlyAnswerWait is how long a rejection waits for the rest of a body, so that the
+// connection can be kept. Else it is closed after the answer.
+const earlyAnswerWait = 100 * time.Millisecond
+
+// reasonPanic is the reason of requests that end because of a panic.
+const reasonPanic = "panic"
+
 // requestHandler handles callers' requests.
 func (g *Gateway) requestHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		received := g.options.Clock.Now()
-		request, rejected := g.prepareRequest(w, r, received)
-		if rejected == nil && g.isLate(request) {
-			g.usage.giveBack(request.Workspace, request.Usage)
-			rejected = &rejection{http.StatusServiceUnavailable, "stopping", staleRetryAfter}
-		}
+		request, rejected := g.admit(w, r)
 		if rejected != nil {
+			if r.Body != http.NoBody && r.Context().Err() == nil {
+				// The server reads the rest of a body before it writes the header.
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(earlyAnswerWait))
+			}
 			g.reject(w, r, rejected)
-			g.recordRejection(r, rejected)
+			g.options.Faults.Run("record", func() { g.recordRejection(r, rejected) })
 			return
 		}
 		s := &sink{
 			writer: w, controller: http.NewResponseController(w), id: request.Message.ID,
-			names: &g.options.Settings.Headers, announceClose: g.announceClose,
-		}
-		var outcome forward.Outcome
-		if !g.options.Faults.Run("request", func() { outcome = g.forwarder.Forward(r.Context(), request, s) }) {
-			outcome = forward.Outcome{Verdict: forward.Broken, Reason: "panic", Runs: 1}
+			names:        &g.options.Settings.Headers,
+			announceIdle: func(header http.Header) { g.announceIdle(r.Context(), header) },
 		}
-		if outcome.Runs == 0 {
+		outcome := g.forward(r, request, s)
+		g.options.Faults.Run("record", func() {
+			if outcome.Runs == 0 {
+				g.usage.giveBack(request.Workspace, request.Usage)
+			}
+			g.recordOutcome(request, &outcome, listener.CallerOf(r.Context()))
+		})
+		g.respond(w, r, &outcome, s.began)
+	})
+}
+
+// admit returns the request to forward, or the rejection to respond with.
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (request *forward.Request, rejected *rejection) {
+	received := g.options.Clock.Now()
+	admitted := g.options.Faults.Run("request", func() {
+		request, rejected = g.prepareRequest(w, r, received)
+		if rejected == nil && g.isLate(request) {
 			g.usage.giveBack(request.Workspace, request.Usage)
+			rejected = &rejection{http.StatusServiceUnavailable, "stopping", staleRetryAfter}
 		}
-		g.recordOutcome(request, &outcome)
-		g.respond(w, r, &outcome)
 	})
+	if !admitted {
+		rejected = &rejection{http.StatusServiceUnavailable, reasonPanic, staleRetryAfter}
+	}
+	return request, rejected
+}
+
+// forward forwards a request. If that panics, an upstream may have run it.
+func (g *Gateway) forward(r *http.Request, request *forward.Request, s *sink) (outcome forward.Outcome) {
+	if g.options.Faults.Run("request", func() { outcome = g.forwarder.Forward(r.Context(), request, s) }) {
+		return outcome
+	}
+	if s.began {
+		return forward.Outcome{Verdict: forward.Broken, Reason: reasonPanic, Runs: 1}
+	}
+	// What the sink received does not belong to the answer of the gateway.
+	clear(s.writer.Header())
+	return forward.Outcome{Verdict: forward.Failed, Reason: reasonPanic, Runs: 1}
 }
 
 // isLate reports whether a request was complete so late in a stop that it might be cut
@@ -52,22 +90,35 @@
 	return request.Deadline.After(stoppedAt.Add(g.options.Settings.Bounds.StopGrace - shutdownMargin))
 }
 
-// announceClose adds to the header of a response that a stopping gateway closes the
-// connection. It must be called when the response begins, because the request may have
-// begun before the stop.
-func (g *Gateway) announceClose(header http.Header) {
-	if g.leaving.Load() {
+// announceIdle adds to the header of a response how long its caller may keep the
+// connection idle, or that a stopping gateway closes it. It must be called when the response
+// begins, because the request may have begun before a change.
+func (g *Gateway) announceIdle(ctx context.Context, header http.Header) {
+	// Once a read has failed, the server cancels later requests on the connection too.
+	if g.leaving.Load() || ctx.Err() != nil {
 		header.Set("Connection", "close")
+		return
+	}
+	if seconds := int(listener.CallerOf(ctx).AnnounceIdle() / time.Second); seconds > 0 {
+		header.Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
 	}
 }
 
 // respond sends an error response if the sink has received no response, and
-// closes the connection if the response was cut off or the caller has left.
-func (g *Gateway) respond(w http.ResponseWriter, r *http.Request, outcome *forward.Outcome) {
+// closes the connection if the response was cut off. A caller that seems to have left
+// may have closed only its sending side.
+func (g *Gateway) respond(w http.ResponseWriter, r *http.Request, outcome *forward.Outcome, began bool) {
 	switch outcome.Verdict {
 	case forward.Delivered:
 	case forward.Broken, forward.Abandoned:
-		abort(w, r)
+		switch {
+		case began:
+			abort(w, r)
+		case outcome.Runs == 0:
+			g.reject(w, r, &rejection{http.StatusServiceUnavailable, outcome.Reason, staleRetryAfter})
+		default:
+			g.reject(w, r, &rejection{status: http.StatusBadGateway, reason: outcome.Reason})
+		}
 	case forward.Refused:
 		g.reject(w, r, &rejection{http.StatusServiceUnavailable, outcome.Reason, outcome.RetryAfter})
 	case forward.Quarantined:
@@ -101,7 +152,7 @@
 
 // reject writes an error response.
 func (g *Gateway) reject(w http.ResponseWriter, r *http.Request, rejected *rejection) {
-	g.announceClose(w.Header())
+	g.announceIdle(r.Context(), w.Header())
 	names := &g.options.Settings.Headers
 	if id := r.Header.Get(names.RequestID); id != "" {
 		w.Header().Set(names.RequestID, id)
@@ -127,13 +178,13 @@
 }
 
 // recordOutcome logs and counts a forwarded request.
-func (g *Gateway) recordOutcome(request *forward.Request, outcome *forward.Outcome) {
+func (g *Gateway) recordOutcome(request *forward.Request, outcome *forward.Outcome, caller listener.Caller) {
 	elapsed := g.options.Clock.Since(request.Received)
 	labels := meter.Labels{Class: comfreyworks.Class(request.Route.Name)}
 	if request.Workspace != nil {
 		labels.Workspace = request.Workspace.Name
 	}
-	g.options.Logger.Info("request finished",
+	fields := []zap.Field{
 		zap.String("request", string(request.Message.ID)), zap.String("request-key", forward.FormatSuspectKey(outcome.RequestKey)),
 		zap.String("route", request.Route.Name),
 		zap.String("workspace", string(labels.Workspace)),
@@ -143,7 +194,11 @@
 		zap.Int("sends", outcome.Sends), zap.Int("runs", outcome.Runs),
 		zap.Duration("allowed", request.Deadline.Sub(request.Received)),
 		zap.Duration("took", elapsed),
-	)
+	}
+	if outcome.Verdict == forward.Abandoned || outcome.Verdict == forward.Broken {
+		fields = append(fields, zap.String("caller-left", string(caller.Departure())), zap.Int64("written", caller.Written()))
+	}
+	g.options.Logger.Info("request finished", fields...)
 	if outcome.Suspect != 0 {
 		g.recordQuarantine(request, outcome)
 	}
@@ -157,8 +212,10 @@
 	controller *http.ResponseController
 	id         comfreyworks.RequestID
 	names      *comfreyworks.HeaderNames
-	// announceClose adds Connection: close to a header if it applies.
-	announceClose func(http.Header)
+	// announceIdle adds to a header how long the connection may be kept.
+	announceIdle func(http.Header)
+	// began means that a part of the response may have reached the caller.
+	began bool
 }
 
 var _ forward.Sink = (*sink)(nil)
@@ -175,8 +232,9 @@
 	if length >= 0 {
 		responseHeader.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	s.announceClose(responseHeader)
+	s.announceIdle(responseHeader)
 	s.writer.WriteHeader(status)
+	s.began = true
 }
 
 // Write implements forward.Sink.
