Log why a silent upstream is not replaced

Operators saw nothing when a gateway wanted another upstream for a silent one and found none: takeover.pick returned nil without a line, so that a request which then waited until its deadline could not be told from one that nobody watched.

A line names the reason, once for each attempt and again when it changes, and comfrey_silent_upstreams_kept_total counts it. Which requests are replaced has not changed. Requests that may run once, and the last run that a route allows, are not watched for silence and still leave no line.

--- a/internal/coordination/forward/silence_test.go
+++ b/internal/coordination/forward/silence_test.go
@@ -12,10 +12,13 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/retrybudget"
 	"comfreyworks/internal/state/streamorigins"
 )
@@ -206,6 +209,27 @@
 	})
 }
 
+// TestObstacleIsLogged guards against silent upstreams that are not replaced without a line
+// that tells why.
+func TestObstacleIsLogged(t *testing.T) {
+	for reason, c := range map[string]struct {
+		upstreams int
+		retries   float64
+	}{"retry budget spent": {3, 0}, "no other upstream": {1, 10}} {
+		t.Run(reason, func(t *testing.T) {
+			f, sound := newSoundFixture(c.upstreams, c.retries)
+			core, logs := observer.New(zap.InfoLevel)
+			f.forwarder.options.Logger = zap.New(core)
+			sound.first, sound.others = pausing(f.clock, wholeStream, untilSecond, 3*time.Second), respondRest
+			outcomes, sinks := f.forwardAll(t, route(comfreyworks.RouteStream, 2, true), 1)
+			assertComplete(t, outcomes[0], &sinks[0], wholeStream)
+			assert.Equal(t, logs.FilterMessage("silent upstream not replaced").FilterField(zap.String("reason", reason)).Len(), 1)
+			counted := f.forwarder.options.Meter.Counter("comfrey_silent_upstreams_kept_total", meter.Labels{Class: comfreyworks.Class(reason)})
+			assert.Equal(t, counted, 1)
+		})
+	}
+}
+
 // TestDeadUpstreamIsLeft guards against waiting for an upstream that is silent for good
 // although another one can take its place.
 func TestDeadUpstreamIsLeft(t *testing.T) {
--- a/internal/coordination/forward/takeover.go
+++ b/internal/coordination/forward/takeover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -13,6 +14,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
+	"comfreyworks/internal/state/meter"
 )
 
 // takeoverOverlap is how long a silent upstream is kept after another one was asked. An
@@ -52,7 +54,9 @@
 	// answered yet, lost that the attempt has failed and its successor is waited for,
 	// stopped that the takeover has ended.
 	abandoned, lost, stopped bool
-	group                    errgroup.Group
+	// obstacle is why the upstream was last not replaced; empty if it was not tried.
+	obstacle string
+	group    errgroup.Group
 }
 
 // watch starts to watch for the silence of the attempt's upstream.
@@ -81,8 +85,9 @@
 		return
 	}
 	t.silent.pick.Silent()
-	pick := t.pick()
+	pick, obstacle := t.pick()
 	if pick == nil {
+		t.recordObstacle(obstacle, silentFor)
 		return
 	}
 	if t.successor != nil {
@@ -108,23 +113,45 @@
 	})
 }
 
+// recordObstacle records why a silent upstream is not replaced, unless the reason is the
+// same as before.
+func (t *takeover) recordObstacle(obstacle string, silentFor time.Duration) {
+	if t.obstacle == obstacle {
+		return
+	}
+	t.obstacle = obstacle
+	r := t.silent.activeRequest
+	r.options.Meter.Add("comfrey_silent_upstreams_kept_total", meter.Labels{Class: comfreyworks.Class(obstacle)}, 1)
+	r.options.Logger.Info("silent upstream not replaced",
+		zap.String("request", string(r.request.Message.ID)),
+		zap.String("upstream", string(t.silent.pick.Upstream.ID)),
+		zap.Duration("silent-for", silentFor), zap.String("reason", obstacle),
+	)
+}
+
 // pick chooses the upstream that takes over and takes a retry from the budget. It
-// returns nil if the request cannot be sent again now.
-func (t *takeover) pick() *balance.Pick {
+// returns nil and the reason if the request cannot be sent again now.
+func (t *takeover) pick() (pick *balance.Pick, obstacle string) {
 	r := t.silent.activeRequest
-	if _, quarantined := r.quarantined(); quarantined || r.retryObstacle(attemptLost) != "" {
-		return nil
+	if outcome, quarantined := r.quarantined(); quarantined {
+		return nil, outcome.Reason
+	}
+	if obstacle := r.retryObstacle(attemptLost); obstacle != "" {
+		return nil, strings.TrimPrefix(obstacle, ", ")
 	}
 	keep := []comfreyworks.InstanceID{t.silent.pick.Upstream.ID}
 	if t.successor != nil {
 		keep = append(keep, t.successor.pick.Upstream.ID)
 	}
-	pick := r.pick(keep...)
-	if pick != nil && !r.budget.TryRetry() {
+	pick = r.pick(keep...)
+	if pick == nil {
+		return nil, "no other upstream"
+	}
+	if !r.budget.TryRetry() {
 		pick.Done(balance.Result{Outcome: balance.Withdrawn})
-		return nil
+		return nil, "retry budget spent"
 	}
-	return pick
+	return pick, ""
 }
 
 // finish ends the silent attempt in favor of the next one.
