Show that a silent upstream is given up for one that fails

Callers lost streams and requests of sound upstreams. takeover.abandon closes the connection of a silent upstream 0.3 s after another one was asked. If that one is then lost, refuses, answers 500 or without proof, or breaks off, the request ends for want of a run, of budget or of another upstream, although the first one would have gone on.

Left out is a request under which two upstreams have ended and which has run nowhere: it is under suspicion, and rightly not sent again.

--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -106,6 +106,7 @@
 	upstreams *fakeUpstreams
 	forwarder *Forwarder
 	sink      *recordingSink
+	declared  Prompt
 }
 
 func newFixture(script ...response) *fixture {
@@ -150,7 +151,7 @@
 func (f *fixture) request(route *comfreyworks.Route) *Request {
 	return &Request{
 		Message: &comfreyworks.ForwardedRequest{ID: "r1", Method: http.MethodPost}, Route: route, Pool: pool,
-		Received: f.clock.Now(), Deadline: f.clock.Now().Add(route.Timeout),
+		Received: f.clock.Now(), Deadline: f.clock.Now().Add(route.Timeout), Prompt: f.declared,
 	}
 }
 
--- a/internal/coordination/forward/silence_test.go
+++ b/internal/coordination/forward/silence_test.go
@@ -79,11 +79,12 @@
 	return respondOK(rest[strings.Index(rest, "id:"):])(ctx, options)
 }
 
-// soundUpstreams answers the first attempt of each request with first and all others
-// with others. It is safe for concurrent use.
+// soundUpstreams answers the first attempt of each request with first, later ones at the
+// same upstream with again unless it is nil, and all others with others. It is safe for
+// concurrent use.
 type soundUpstreams struct {
-	clock         *clockwork.FakeClock
-	first, others response
+	clock                *clockwork.FakeClock
+	first, again, others response
 
 	mu   sync.Mutex
 	sent map[comfreyworks.RequestID][]sentAttempt
@@ -93,18 +94,30 @@
 	at       time.Time
 	ctx      context.Context
 	upstream comfreyworks.InstanceID
+	// others is the number of earlier attempts that had not ended when it was sent.
+	others int
 }
 
 // Exchange implements comfreyworks.Exchanger.
 func (u *soundUpstreams) Exchange(ctx context.Context, request *comfreyworks.ForwardedRequest, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
 	u.mu.Lock()
-	u.sent[request.ID] = append(u.sent[request.ID], sentAttempt{u.clock.Now(), ctx, options.Upstream.ID})
-	isFirst := len(u.sent[request.ID]) == 1
+	earlier := u.sent[request.ID]
+	attempt := sentAttempt{at: u.clock.Now(), ctx: ctx, upstream: options.Upstream.ID}
+	for _, other := range earlier {
+		if other.ctx.Err() == nil {
+			attempt.others++
+		}
+	}
+	u.sent[request.ID] = append(earlier, attempt)
 	u.mu.Unlock()
-	if isFirst {
+	switch {
+	case len(earlier) == 0:
 		return u.first(ctx, options)
+	case u.again != nil && options.Upstream.ID == earlier[0].upstream:
+		return u.again(ctx, options)
+	default:
+		return u.others(ctx, options)
 	}
-	return u.others(ctx, options)
 }
 
 // newSoundFixture returns a fixture with the given number of upstreams and retries.
@@ -120,6 +133,12 @@
 	return f, sound
 }
 
+// message returns the i-th request that forwardAll forwards.
+func message(i int) *comfreyworks.ForwardedRequest {
+	id := comfreyworks.RequestID(fmt.Sprint("r", i))
+	return &comfreyworks.ForwardedRequest{ID: id, Method: http.MethodPost, Target: "/" + string(id)}
+}
+
 // forwardAll forwards n requests at the same time, advances the clock until they have
 // ended or maxTestTime is over, and returns their outcomes and bodies.
 func (f *fixture) forwardAll(t *testing.T, route *comfreyworks.Route, n int) ([]Outcome, []recordingSink) {
@@ -131,7 +150,7 @@
 	var ended atomic.Int32
 	for i := range n {
 		request := f.request(route)
-		request.Message = &comfreyworks.ForwardedRequest{ID: comfreyworks.RequestID(fmt.Sprint("r", i)), Method: http.MethodPost}
+		request.Message = message(i)
 		requests.Go(func() error {
 			outcomes[i] = f.forwarder.Forward(ctx, request, &sinks[i])
 			ended.Add(1)
