Return to a silent upstream if the one asked instead fails

Callers lost streams and requests of sound upstreams: they got the beginning of a stream, or 502, although their upstream went on a moment later.

Cause: 0.3 s after another upstream was asked, the silent one was given up for good. If the other one then failed or refused, "no run left", "retry budget spent", "sent too often", "not sent again" or a suspicion ended the request.

Change: an upstream that a request has left without a failure stays a place where it can go on, after the last event, once nothing else is permitted. A retry for that is reserved together with the one for the takeover, or the silent upstream is kept. MaxAttempts counts upstreams, so that a return adds none; a request runs once more than that at most. The balancer may choose an upstream for a return that it avoids because of its silence, if it is listed as live with the same start, release and weights. Suspicion does not count against an upstream that has delivered events of the request. The line "returning to an upstream that was silent" names the reason.

--- a/advice.go
+++ b/advice.go
@@ -33,6 +33,11 @@
 	Started time.Time
 }
 
+// Equal reports whether both are the same run of the same upstream.
+func (i UpstreamIncarnation) Equal(other UpstreamIncarnation) bool {
+	return i.ID == other.ID && i.Started.Equal(other.Started)
+}
+
 // Incarnation returns the incarnation that the entry describes.
 func (u *Upstream) Incarnation() UpstreamIncarnation {
 	return UpstreamIncarnation{ID: u.ID, Started: u.Started}
--- a/internal/coordination/balance/division.go
+++ b/internal/coordination/balance/division.go
@@ -182,7 +182,7 @@
 	}
 	d := b.division(query.Pool, now)
 	kind := d.kindOf(query)
-	if d.gap == 0 || len(query.Exclude) > 0 || query.Returning {
+	if d.gap == 0 || len(query.Exclude) > 0 || query.Only != nil || query.Returning {
 		return kind
 	}
 	slots := cmp.Or(upstream.Slots, defaultSlots)
--- a/internal/coordination/balance/query.go
+++ b/internal/coordination/balance/query.go
@@ -52,6 +52,9 @@
 	BeginsStream bool
 	// Exclude lists the upstreams that have already been tried.
 	Exclude []comfreyworks.InstanceID
+	// Only lists the upstreams to which the request may return, even if they can't be
+	// reached at the moment; nil means that it may be sent to any.
+	Only []comfreyworks.UpstreamIncarnation
 
 	// weighsBehind is the result of Balancer.weighsPromptsBehind.
 	weighsBehind bool
@@ -60,6 +63,7 @@
 // allows reports whether the request may be sent to an upstream.
 func (q *Query) allows(upstream *comfreyworks.Upstream) bool {
 	return upstream.State == comfreyworks.InstanceLive && !slices.Contains(q.Exclude, upstream.ID) &&
+		(q.Only == nil || slices.ContainsFunc(q.Only, upstream.Incarnation().Equal)) &&
 		(q.Release == 0 || q.Release == streamorigins.Release(upstream.Pool, upstream.Release))
 }
 
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -40,8 +41,8 @@
 	engineEnded, cleared bool
 	crashes              int
 	pace                 streamPace
-	// ended means that end was called.
-	ended bool
+	// ended means that end was called, delivered that an event was passed on.
+	ended, delivered bool
 	// resumesAfter is the event after which the attempt continues a stream; empty
 	// means from the start.
 	resumesAfter string
@@ -55,20 +56,29 @@
 	return a
 }
 
-// countSend counts an attempt that is about to be sent.
+// countSend counts an attempt that is about to be sent, and that may run.
 func (r *activeRequest) countSend(a *attempt) {
+	upstream := a.pick.Upstream.Incarnation()
 	r.sends++
-	r.tried = append(r.tried, a.pick.Upstream.ID)
+	r.tried = append(r.tried, upstream.ID)
+	r.runs = append(r.runs, upstream)
+	r.left = slices.DeleteFunc(r.left, func(l leftUpstream) bool { return l.Equal(upstream) })
 	a.beginTrial()
 }
 
+// removeRun records that the attempt has not run.
+func (a *attempt) removeRun() {
+	if i := slices.IndexFunc(a.runs, a.pick.Upstream.Incarnation().Equal); i >= 0 {
+		a.runs = slices.Delete(a.runs, i, i+1)
+	}
+}
+
 // run sends the request, unless that has been done, and relays the answer. If the
 // upstream is silent for longer than the response timeout, another one takes over.
 func (a *attempt) run(ctx context.Context) (Outcome, attemptResult) {
 	defer a.end()
 	if a.response == nil {
 		a.countSend(a)
-		a.runs++
 		a.recordOrigin()
 	}
 	if a.silenceLimit > 0 {
@@ -94,7 +104,7 @@
 // added, because leaving a queue would only lengthen that of another upstream.
 func (a *attempt) responseTimeout() time.Duration {
 	route := a.request.Route
-	if !route.Repeatable() || a.runs+1 >= route.MaxAttempts {
+	if !route.Repeatable() || len(a.runs)+1 >= route.MaxAttempts {
 		return 0
 	}
 	return max(responseTimeoutFactor*(route.Objective+a.pick.Wait), minResponseTimeout)
@@ -168,17 +178,17 @@
 	a.reason = string(failure.Kind)
 	switch {
 	case failure.Kind == comfreyworks.ExchangeNotRun && failure.Reason == comfreyworks.NotRunRejected:
-		a.runs--
+		a.removeRun()
 		a.reason += " " + string(failure.Reason)
 		a.result.Outcome = balance.Withdrawn
 		return attemptRejected
 	case failure.Kind == comfreyworks.ExchangeNotRun:
-		a.runs--
+		a.removeRun()
 		a.reason += " " + string(failure.Reason)
 		a.result.Outcome = notRunOutcome(failure.Reason)
 		return attemptNotRun
 	case failure.Kind == comfreyworks.ExchangeNotSent:
-		a.runs--
+		a.removeRun()
 		a.result.Outcome = a.balanceOutcome(ctx, balance.Unreachable)
 		return attemptNotSent
 	default:
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -225,6 +225,7 @@
 	}
 	r.poolState = f.pool(request.Pool)
 	r.budget.AddRequest()
+	defer r.returnReserved()
 	return r.run(ctx)
 }
 
@@ -247,7 +248,15 @@
 	mu    sync.Mutex
 	tried []comfreyworks.InstanceID
 	sends int
-	runs  int
+	// runs lists the upstreams on which the request may have run, those that ran it
+	// twice two times.
+	runs []comfreyworks.UpstreamIncarnation
+	// left lists the upstreams that the request has left although they had not failed.
+	// reserved means that a retry is reserved for returning to one of them, returnTo is
+	// the one that takeRetry has chosen.
+	left     []leftUpstream
+	reserved bool
+	returnTo *balance.Pick
 	// headerWritten means that the sink has received the header of an answer.
 	headerWritten bool
 	lastEventID   string
@@ -314,14 +323,18 @@
 }
 
 // takeRetry decides whether the request may be retried and, if so, takes the
-// retry from the budget. Otherwise it adds the cause to the reason.
+// retry from the budget. Otherwise it adds the cause to the reason, and the request may
+// still return to an upstream that it has left.
 func (r *activeRequest) takeRetry(after attemptResult) bool {
 	obstacle := r.retryObstacle(after)
 	if obstacle == "" && after != attemptNotSent && !r.budget.TryRetry() {
 		obstacle = ", retry budget spent"
 	}
 	r.reason += obstacle
-	return obstacle == ""
+	if obstacle != "" {
+		r.returnTo = r.pickReturn(false)
+	}
+	return obstacle == "" || r.returnTo != nil
 }
 
 // retryObstacle returns why the request may not be retried whatever the budget, or the
@@ -336,7 +349,7 @@
 		return ", sent too often"
 	case after == attemptLost && !r.request.Route.Repeatable():
 		return ", may not run again"
-	case r.runs >= r.request.Route.MaxAttempts:
+	case len(r.runs) >= r.request.Route.MaxAttempts:
 		return ", no run left"
 	case r.options.Clock.Until(r.request.Deadline) < max(minTimeLeft, r.minRemainingTime()):
 		return ", no time left"
@@ -350,9 +363,9 @@
 	switch {
 	case r.headerWritten:
 		return Outcome{Verdict: Broken}
-	case after == attemptRejected && r.runs == 0:
+	case after == attemptRejected && len(r.runs) == 0:
 		return Outcome{Verdict: Refused}
-	case (after == attemptNotRun || after == attemptNotSent) && r.runs == 0:
+	case (after == attemptNotRun || after == attemptNotSent) && len(r.runs) == 0:
 		return Outcome{Verdict: Refused, RetryAfter: r.retryAfter(retryAfterBusy)}
 	default:
 		return Outcome{Verdict: Failed}
@@ -377,7 +390,7 @@
 		return Outcome{Verdict: Abandoned, Reason: "caller left"}
 	case r.headerWritten:
 		return Outcome{Verdict: Broken, Reason: cause.Error()}
-	case r.runs == 0:
+	case len(r.runs) == 0:
 		return Outcome{Verdict: Refused, Reason: cause.Error(), RetryAfter: retryAfterBusy}
 	case stopping:
 		return Outcome{Verdict: Failed, Reason: cause.Error()}
@@ -391,7 +404,7 @@
 	if outcome.Reason == "" {
 		outcome.Reason = r.reason
 	}
-	outcome.Sends, outcome.Runs = r.sends, r.runs
+	outcome.Sends, outcome.Runs = r.sends, r.upstreamsRun()
 	if next := r.next; next != nil {
 		// It has lost against the answer that it was to replace, or against the deadline.
 		if next.response != nil {
@@ -400,6 +413,9 @@
 		next.cause, next.result.Outcome = errNotNeeded, balance.Withdrawn
 		next.end()
 	}
+	if r.returnTo != nil {
+		r.returnTo.Done(balance.Result{Outcome: balance.Withdrawn})
+	}
 	return outcome
 }
 
@@ -410,13 +426,20 @@
 		r.next = nil
 		return next.run(ctx)
 	}
+	if pick := r.returnTo; pick != nil {
+		r.returnTo = nil
+		return r.newAttempt(ctx, pick).run(ctx)
+	}
 	if outcome, quarantined := r.quarantined(); quarantined {
+		if pick := r.pickReturn(true); pick != nil {
+			return r.newAttempt(ctx, pick).run(ctx)
+		}
 		return outcome, attemptDone
 	}
 	pick := r.pick()
 	if pick == nil {
 		r.reason = "no upstream"
-		if r.runs > 0 || r.headerWritten {
+		if len(r.runs) > 0 || r.headerWritten {
 			return r.outcomeWithoutRetry(attemptLost), attemptDone
 		}
 		return Outcome{Verdict: Refused, RetryAfter: r.retryAfter(retryAfterNoUpstream)}, attemptDone
@@ -430,8 +453,8 @@
 	return r.newAttempt(ctx, pick).run(ctx)
 }
 
-// pick chooses an upstream, or returns nil if there is none. Those that were tried are
-// chosen again if there are no others, except for the given ones.
+// pick chooses an upstream, or returns nil if there is none. If all were tried, the request
+// returns to one that it has left, or else to any of them except for the given ones.
 func (r *activeRequest) pick(except ...comfreyworks.InstanceID) *balance.Pick {
 	query := r.balanceQuery()
 	if r.sentTo != 0 && r.beginsStream() {
@@ -443,6 +466,9 @@
 		query.Release = 0
 	}
 	pick := r.options.Balancer.Pick(query)
+	if pick == nil && len(except) == 0 {
+		pick = r.pickReturn(true)
+	}
 	if pick == nil && len(r.tried) > len(except) && r.sends < maxSends {
 		// Every upstream has been tried. One that was busy may have capacity again.
 		r.tried = except
--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -97,7 +97,7 @@
 	switch {
 	case r.headerWritten:
 		outcome.Verdict = Broken
-	case r.runs > 0:
+	case len(r.runs) > 0:
 		outcome.Verdict = Failed
 	case r.options.Crashes.Provisional(key):
 		outcome.RetryAfter = retryAfterSuspected
--- /dev/null
+++ b/internal/coordination/forward/return.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"slices"
+
+	"go.uber.org/zap"
+
+	"comfreyworks"
+	"comfreyworks/internal/coordination/balance"
+)
+
+// leftUpstream is an upstream that a request has left although it had not failed: it was
+// silent, or no longer needed.
+type leftUpstream struct {
+	comfreyworks.UpstreamIncarnation
+	// delivered means that it has sent events of the request, so that the request does
+	// not crash it.
+	delivered bool
+}
+
+// leave cancels an attempt whose upstream has not failed. The mutex must be held.
+func (a *attempt) leave(cause error) {
+	a.left = append(a.left, leftUpstream{a.pick.Upstream.Incarnation(), a.delivered})
+	a.cancel(cause)
+}
+
+// takeReservingRetry takes a retry from the budget and reserves another one, unless that
+// has been done.
+func (r *activeRequest) takeReservingRetry() bool {
+	if r.reserved {
+		return r.budget.TryRetry()
+	}
+	r.reserved = r.budget.TryRetryAndReserve()
+	return r.reserved
+}
+
+// returnReserved gives back the retry that is reserved, if any.
+func (r *activeRequest) returnReserved() {
+	if r.reserved {
+		r.reserved = false
+		r.budget.ReturnReserved()
+	}
+}
+
+// takeReturningRetry takes the retry for returning to an upstream.
+func (r *activeRequest) takeReturningRetry() bool {
+	if !r.reserved {
+		return r.budget.TryRetry()
+	}
+	r.reserved = false
+	return r.budget.UseReserved()
+}
+
+// pickReturn chooses one of the upstreams that the request has left, or returns nil if it
+// can't return to any. retryTaken means that a retry was taken already. The request may
+// run there once more than its route allows, because it has run there before: the limit
+// is on the number of upstreams.
+func (r *activeRequest) pickReturn(retryTaken bool) *balance.Pick {
+	query := r.balanceQuery()
+	query.Exclude = nil
+	if query.Only = r.returnable(); query.Only == nil {
+		return nil
+	}
+	pick := r.options.Balancer.Pick(query)
+	if pick == nil {
+		r.reason += ", upstream left before is gone"
+		return nil
+	}
+	if !retryTaken && !r.takeReturningRetry() {
+		pick.Done(balance.Result{Outcome: balance.Withdrawn})
+		r.reason += ", retry budget spent for returning"
+		return nil
+	}
+	r.options.Logger.Info("returning to an upstream that was silent",
+		zap.String("request", string(r.request.Message.ID)),
+		zap.String("upstream", string(pick.Upstream.ID)),
+		zap.String("resumes-after", r.lastEventID), zap.String("reason", r.reason),
+	)
+	return pick
+}
+
+// returnable returns the upstreams to which the request may return; nil if there is none.
+func (r *activeRequest) returnable() []comfreyworks.UpstreamIncarnation {
+	if len(r.left) == 0 || len(r.runs) > r.request.Route.MaxAttempts || r.options.Clock.Until(r.request.Deadline) < minTimeLeft {
+		return nil
+	}
+	_, blamed := r.options.Crashes.Blamed(r.suspects)
+	var upstreams []comfreyworks.UpstreamIncarnation
+	for _, left := range r.left {
+		mayRun := slices.ContainsFunc(r.runs, left.Equal) || r.upstreamsRun() < r.request.Route.MaxAttempts
+		if mayRun && (left.delivered || !(r.suspected || blamed)) {
+			upstreams = append(upstreams, left.UpstreamIncarnation)
+		}
+	}
+	return upstreams
+}
+
+// upstreamsRun returns the number of upstreams on which the request may have run.
+func (r *activeRequest) upstreamsRun() int {
+	n := 0
+	for i, upstream := range r.runs {
+		if !slices.ContainsFunc(r.runs[:i], upstream.Equal) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/coordination/forward/takeover.go
+++ b/internal/coordination/forward/takeover.go
@@ -36,7 +36,8 @@
 // takeover replaces the upstream of an attempt if it is silent for too long. A sound
 // upstream may be silent for a while, so that it is not given up before the answer of
 // another one has begun, or that one has not refused within takeoverOverlap. If the
-// silent upstream goes on before, that ends the takeover.
+// silent upstream goes on before, that ends the takeover. If the other one fails later, the
+// request may return to the silent one, for which a retry is reserved.
 //
 // Its fields, and those of the activeRequest that its goroutines use, are protected
 // by activeRequest.mu.
@@ -50,9 +51,9 @@
 	writing bool
 	// successor is the attempt that waits for the answer of another upstream.
 	successor *attempt
-	// abandoned means that the upstream was given up for a successor that has not
-	// answered yet, lost that the attempt has failed and its successor is waited for,
-	// stopped that the takeover has ended.
+	// abandoned means that the upstream was given up for a successor, lost that the
+	// attempt has failed and its successor is waited for, stopped that the takeover has
+	// ended.
 	abandoned, lost, stopped bool
 	// obstacle is why the upstream was last not replaced; empty if it was not tried.
 	obstacle string
@@ -87,11 +88,13 @@
 	t.silent.pick.Silent()
 	pick, obstacle := t.pick()
 	if pick == nil {
-		t.recordObstacle(obstacle, silentFor)
+		if t.successor == nil {
+			t.recordObstacle(obstacle, silentFor)
+		}
 		return
 	}
 	if t.successor != nil {
-		t.successor.cancel(errUpstreamSilent)
+		t.successor.leave(errUpstreamSilent)
 		t.successor = nil
 	}
 	next := r.newAttempt(ctx, pick)
@@ -101,7 +104,6 @@
 		zap.Duration("silent-for", silentFor), zap.String("resumes-after", r.lastEventID),
 	)
 	r.countSend(next)
-	r.runs++
 	next.recordOrigin()
 	t.successor = next
 	options := next.attemptOptions()
@@ -147,7 +149,7 @@
 	if pick == nil {
 		return nil, "no other upstream"
 	}
-	if !r.budget.TryRetry() {
+	if !r.takeReservingRetry() {
 		pick.Done(balance.Result{Outcome: balance.Withdrawn})
 		return nil, "retry budget spent"
 	}
@@ -160,7 +162,18 @@
 	t.timer.Stop()
 	t.successor = nil
 	t.silent.next = next
-	t.silent.cancel(errUpstreamSilent)
+	t.leaveSilent()
+}
+
+// leaveSilent ends the silent attempt. If it has not failed, the request may return to it.
+func (t *takeover) leaveSilent() {
+	switch {
+	case t.lost:
+		t.silent.cancel(errUpstreamSilent)
+	case !t.abandoned:
+		t.abandoned = true
+		t.silent.leave(errUpstreamSilent)
+	}
 }
 
 // await waits for the answer of the attempt that is to take over.
@@ -191,6 +204,9 @@
 		return
 	}
 	t.successor = nil
+	if !t.abandoned {
+		r.returnReserved()
+	}
 	switch {
 	case t.lost:
 	case result == attemptRejected:
@@ -221,8 +237,7 @@
 	t.silent.mu.Lock()
 	defer t.silent.mu.Unlock()
 	if t.successor == successor && !t.stopped {
-		t.abandoned = true
-		t.silent.cancel(errUpstreamSilent)
+		t.leaveSilent()
 	}
 }
 
@@ -252,6 +267,10 @@
 			a.recordOrigin()
 		}
 	}
+	a.delivered = true
+	if isNew {
+		a.returnReserved()
+	}
 	if t != nil && isNew {
 		t.writing = true
 		t.withdraw()
@@ -262,7 +281,7 @@
 // withdraw withdraws the request from the upstream that is about to take over.
 func (t *takeover) withdraw() {
 	if t.successor != nil {
-		t.successor.cancel(errNotNeeded)
+		t.successor.leave(errNotNeeded)
 		t.successor = nil
 	}
 }
--- a/internal/state/retrybudget/retrybudget.go
+++ b/internal/state/retrybudget/retrybudget.go
@@ -11,6 +11,9 @@
 //	budget.AddRequest()    // for each request
 //	if budget.TryRetry() { // before each retry
 //	}
+//	if budget.TryRetryAndReserve() { // before a retry that may need another one
+//		defer budget.ReturnReserved() // or UseReserved, once
+//	}
 package retrybudget
 
 import (
@@ -51,6 +54,8 @@
 
 	mu    sync.Mutex
 	limit Limit
+	// reserved is the number of retries that are reserved.
+	reserved int
 	// buckets is a ring buffer indexed by bucket.index modulo its length.
 	buckets [bucketsPerWindow + 1]bucket
 }
@@ -86,8 +91,43 @@
 func (b *Budget) TryRetry() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.tryRetry()
+}
+
+// TryRetryAndReserve counts a retry, reserves another one and returns true, or returns
+// false if the budget does not hold both. Either UseReserved or ReturnReserved must
+// be called once.
+func (b *Budget) TryRetryAndReserve() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved++
+	if !b.tryRetry() {
+		b.reserved--
+		return false
+	}
+	return true
+}
+
+// UseReserved counts the retry that was reserved and returns true, or returns false if
+// the budget has shrunk below that since. The reservation has ended in both cases.
+func (b *Budget) UseReserved() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved--
+	return b.tryRetry()
+}
+
+// ReturnReserved gives back the retry that was reserved.
+func (b *Budget) ReturnReserved() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved--
+}
+
+// tryRetry counts a retry unless the budget is spent. The mutex must be held.
+func (b *Budget) tryRetry() bool {
 	current := b.current()
-	requests, retries := 0, 0
+	requests, retries := 0, b.reserved
 	for i := range b.buckets {
 		if current.index-b.buckets[i].index <= bucketsPerWindow {
 			requests += b.buckets[i].requests
