--- a/internal/coordination/forward/return.go
+++ b/internal/coordination/forward/return.go
@@ -24,6 +24,12 @@
 	a.cancel(cause)
 }
 
+// isSound reports whether the answer goes on so well that no return is to be expected: the
+// upstream did not take over from a silent one, or its answer began long enough ago.
+func (a *attempt) isSound() bool {
+	return a.response == nil || a.answer.age(a.options.Clock.Now()) >= soundAnswerTime
+}
+
 // takeReservingRetry takes a retry from the budget and reserves another one, unless that
 // has been done.
 func (r *activeRequest) takeReservingRetry() bool {
--- a/internal/coordination/forward/takeover.go
+++ b/internal/coordination/forward/takeover.go
@@ -268,7 +268,7 @@
 		}
 	}
 	a.delivered = true
-	if isNew {
+	if isNew && a.isSound() {
 		a.returnReserved()
 	}
 	if t != nil && isNew {
