Return to a silent upstream again if it does not run the request

A request ended although its upstream was sound: it returned to it, and was refused for want of capacity or not sent. An upstream that was silent has a backlog, and where the link was cut for a second or two a new connection takes a second to fail.

Cause: an upstream was no longer counted among those that the request has left once the request was sent there, whatever came of it.

Change: if it does not run the request, the request returns after 0.2 s, three times in all, while the budget lasts. A return that was not sent takes no further retry.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -43,6 +43,8 @@
 	pace                 streamPace
 	// ended means that end was called, delivered that an event was passed on.
 	ended, delivered bool
+	// returnsTo is the upstream if the request had left it; nil if not.
+	returnsTo *leftUpstream
 	// resumesAfter is the event after which the attempt continues a stream; empty
 	// means from the start.
 	resumesAfter string
@@ -53,6 +55,10 @@
 	a := &attempt{activeRequest: r, pick: pick, startedAt: r.options.Clock.Now(), resumesAfter: r.lastEventID}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.silenceLimit = a.responseTimeout()
+	if i := slices.IndexFunc(r.left, func(l leftUpstream) bool { return l.Equal(pick.Upstream.Incarnation()) }); i >= 0 {
+		left := r.left[i]
+		r.left, a.returnsTo = slices.Delete(r.left, i, i+1), &left
+	}
 	return a
 }
 
@@ -62,7 +68,6 @@
 	r.sends++
 	r.tried = append(r.tried, upstream.ID)
 	r.runs = append(r.runs, upstream)
-	r.left = slices.DeleteFunc(r.left, func(l leftUpstream) bool { return l.Equal(upstream) })
 	a.beginTrial()
 }
 
@@ -78,6 +83,7 @@
 func (a *attempt) run(ctx context.Context) (Outcome, attemptResult) {
 	defer a.end()
 	if a.response == nil {
+		a.awaitReturn()
 		a.countSend(a)
 		a.recordOrigin()
 	}
@@ -184,11 +190,13 @@
 		return attemptRejected
 	case failure.Kind == comfreyworks.ExchangeNotRun:
 		a.removeRun()
+		a.leaveAgain()
 		a.reason += " " + string(failure.Reason)
 		a.result.Outcome = notRunOutcome(failure.Reason)
 		return attemptNotRun
 	case failure.Kind == comfreyworks.ExchangeNotSent:
 		a.removeRun()
+		a.leaveAgain()
 		a.result.Outcome = a.balanceOutcome(ctx, balance.Unreachable)
 		return attemptNotSent
 	default:
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -252,9 +252,10 @@
 	// twice two times.
 	runs []comfreyworks.UpstreamIncarnation
 	// left lists the upstreams that the request has left although they had not failed.
-	// reserved means that a retry is reserved for returning to one of them, returnTo is
-	// the one that takeRetry has chosen.
+	// returns is how often it has returned to one. reserved means that a retry is
+	// reserved for that, returnTo is the one that takeRetry has chosen.
 	left     []leftUpstream
+	returns  int
 	reserved bool
 	returnTo *balance.Pick
 	// headerWritten means that the sink has received the header of an answer.
@@ -332,7 +333,7 @@
 	}
 	r.reason += obstacle
 	if obstacle != "" {
-		r.returnTo = r.pickReturn(false)
+		r.returnTo = r.pickReturn(after == attemptNotSent)
 	}
 	return obstacle == "" || r.returnTo != nil
 }
--- a/internal/coordination/forward/return.go
+++ b/internal/coordination/forward/return.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -9,6 +10,15 @@
 	"comfreyworks/internal/coordination/balance"
 )
 
+const (
+	// maxReturns is the maximum number of times that a request returns to upstreams that
+	// it has left, including those that do not run it.
+	maxReturns = 3
+	// returnInterval is the time before each return but the first. An upstream that was
+	// silent has to catch up.
+	returnInterval = 200 * time.Millisecond
+)
+
 // leftUpstream is an upstream that a request has left although it had not failed: it was
 // silent, or no longer needed.
 type leftUpstream struct {
@@ -24,6 +34,23 @@
 	a.cancel(cause)
 }
 
+// leaveAgain records that the attempt has returned to an upstream that did not run it, so
+// that the request may return once more.
+func (a *attempt) leaveAgain() {
+	if a.returnsTo != nil {
+		a.left = append(a.left, *a.returnsTo)
+	}
+}
+
+// awaitReturn waits before the request returns once more. The wait ends early if the attempt
+// does.
+func (a *attempt) awaitReturn() {
+	if a.returnsTo != nil && a.returns > 1 {
+		comfreyworks.Sleep(a.ctx, a.options.Clock, returnInterval)
+		a.startedAt = a.options.Clock.Now()
+	}
+}
+
 // isSound reports whether the answer goes on so well that no return is to be expected: the
 // upstream did not take over from a silent one, or its answer began long enough ago.
 func (a *attempt) isSound() bool {
@@ -77,6 +104,7 @@
 		r.reason += ", retry budget spent for returning"
 		return nil
 	}
+	r.returns++
 	r.options.Logger.Info("returning to an upstream that was silent",
 		zap.String("request", string(r.request.Message.ID)),
 		zap.String("upstream", string(pick.Upstream.ID)),
@@ -87,7 +115,7 @@
 
 // returnable returns the upstreams to which the request may return; nil if there is none.
 func (r *activeRequest) returnable() []comfreyworks.UpstreamIncarnation {
-	if len(r.left) == 0 || len(r.runs) > r.request.Route.MaxAttempts || r.options.Clock.Until(r.request.Deadline) < minTimeLeft {
+	if len(r.left) == 0 || r.returns >= maxReturns || len(r.runs) > r.request.Route.MaxAttempts || r.options.Clock.Until(r.request.Deadline) < minTimeLeft {
 		return nil
 	}
 	_, blamed := r.options.Crashes.Blamed(r.suspects)
--- a/internal/coordination/forward/return_test.go
+++ b/internal/coordination/forward/return_test.go
@@ -124,6 +124,12 @@
 			request.Message = message(0)
 			f.forwarder.options.Crashes.Begin([]uint32{requestKey(request)}).EngineEnded()
 		},
+		"the silent one is busy at first": func(_ *fixture, sound *soundUpstreams, _ *comfreyworks.Route) {
+			sound.again = inTurn(busy, sound.again)
+		},
+		"the silent one cannot be reached at first": func(f *fixture, sound *soundUpstreams, _ *comfreyworks.Route) {
+			sound.again = inTurn(delayed(f.clock, maxOverlap, notSent), inTurn(notSent, sound.again))
+		},
 		"little time is left": func(f *fixture, _ *soundUpstreams, route *comfreyworks.Route) {
 			route.Timeout = 2200 * time.Millisecond
 			f.declared.OutputTokens = 1000
