--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -31,7 +31,7 @@
 	},
 	{
 		"reports requests that may have run as not run", "internal/coordination/forward/forward.go",
-		"case (after == attemptNotRun || after == attemptNotSent) && r.runs == 0:", "case true:",
+		"case (after == attemptNotRun || after == attemptNotSent) && len(r.runs) == 0:", "case true:",
 	},
 	{
 		"accepts keys that were not confirmed in time", "internal/transport/gateway/request.go",
@@ -64,7 +64,7 @@
 	},
 	{
 		"ends silent answers", "internal/coordination/forward/takeover.go",
-		"pick := t.pick()", "pick := t.pick()\n\tif pick == nil {\n\t\tt.silent.cancel(errUpstreamSilent)\n\t}",
+		"pick, obstacle := t.pick()", "pick, obstacle := t.pick()\n\tif pick == nil {\n\t\tt.silent.cancel(errUpstreamSilent)\n\t}",
 	},
 	{
 		"drops requests when the configuration changes", "internal/transport/gateway/serve.go",
--- a/internal/coordination/forward/takeover.go
+++ b/internal/coordination/forward/takeover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -13,6 +14,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
+	"comfreyworks/internal/state/meter"
 )
 
 // takeoverOverlap is how long a silent upstream is kept after another one was asked. An
@@ -34,7 +36,8 @@
 // takeover replaces the upstream of an attempt if it is silent for too long. A sound
 // upstream may be silent for a while, so that it is not given up before the answer of
 // another one has begun, or that one has not refused within takeoverOverlap. If the
-// silent upstream goes on before, that ends the takeover.
+// silent upstream goes on before, that ends the takeover. If the other one fails later, the
+// request may return to the silent one, for which a retry is reserved.
 //
 // Its fields, and those of the activeRequest that its goroutines use, are protected
 // by activeRequest.mu.
@@ -48,11 +51,13 @@
 	writing bool
 	// successor is the attempt that waits for the answer of another upstream.
 	successor *attempt
-	// abandoned means that the upstream was given up for a successor that has not
-	// answered yet, lost that the attempt has failed and its successor is waited for,
-	// stopped that the takeover has ended.
+	// abandoned means that the upstream was given up for a successor, lost that the
+	// attempt has failed and its successor is waited for, stopped that the takeover has
+	// ended.
 	abandoned, lost, stopped bool
-	group                    errgroup.Group
+	// obstacle is why the upstream was last not replaced; empty if it was not tried.
+	obstacle string
+	group    errgroup.Group
 }
 
 // watch starts to watch for the silence of the attempt's upstream.
@@ -81,12 +86,15 @@
 		return
 	}
 	t.silent.pick.Silent()
-	pick := t.pick()
+	pick, obstacle := t.pick()
 	if pick == nil {
+		if t.successor == nil {
+			t.recordObstacle(obstacle, silentFor)
+		}
 		return
 	}
 	if t.successor != nil {
-		t.successor.cancel(errUpstreamSilent)
+		t.successor.leave(errUpstreamSilent)
 		t.successor = nil
 	}
 	next := r.newAttempt(ctx, pick)
@@ -96,7 +104,6 @@
 		zap.Duration("silent-for", silentFor), zap.String("resumes-after", r.lastEventID),
 	)
 	r.countSend(next)
-	r.runs++
 	next.recordOrigin()
 	t.successor = next
 	options := next.attemptOptions()
@@ -108,23 +115,45 @@
 	})
 }
 
+// recordObstacle records why a silent upstream is not replaced, unless the reason is the
+// same as before.
+func (t *takeover) recordObstacle(obstacle string, silentFor time.Duration) {
+	if t.obstacle == obstacle {
+		return
+	}
+	t.obstacle = obstacle
+	r := t.silent.activeRequest
+	r.options.Meter.Add("comfrey_silent_upstreams_kept_total", meter.Labels{Class: comfreyworks.Class(obstacle)}, 1)
+	r.options.Logger.Info("silent upstream not replaced",
+		zap.String("request", string(r.request.Message.ID)),
+		zap.String("upstream", string(t.silent.pick.Upstream.ID)),
+		zap.Duration("silent-for", silentFor), zap.String("reason", obstacle),
+	)
+}
+
 // pick chooses the upstream that takes over and takes a retry from the budget. It
-// returns nil if the request cannot be sent again now.
-func (t *takeover) pick() *balance.Pick {
+// returns nil and the reason if the request cannot be sent again now.
+func (t *takeover) pick() (pick *balance.Pick, obstacle string) {
 	r := t.silent.activeRequest
-	if _, quarantined := r.quarantined(); quarantined || r.retryObstacle(attemptLost) != "" {
-		return nil
+	if outcome, quarantined := r.quarantined(); quarantined {
+		return nil, outcome.Reason
+	}
+	if obstacle := r.retryObstacle(attemptLost); obstacle != "" {
+		return nil, strings.TrimPrefix(obstacle, ", ")
 	}
 	keep := []comfreyworks.InstanceID{t.silent.pick.Upstream.ID}
 	if t.successor != nil {
 		keep = append(keep, t.successor.pick.Upstream.ID)
 	}
-	pick := r.pick(keep...)
-	if pick != nil && !r.budget.TryRetry() {
+	pick = r.pick(keep...)
+	if pick == nil {
+		return nil, "no other upstream"
+	}
+	if !r.takeReservingRetry() {
 		pick.Done(balance.Result{Outcome: balance.Withdrawn})
-		return nil
+		return nil, "retry budget spent"
 	}
-	return pick
+	return pick, ""
 }
 
 // finish ends the silent attempt in favor of the next one.
@@ -133,7 +162,18 @@
 	t.timer.Stop()
 	t.successor = nil
 	t.silent.next = next
-	t.silent.cancel(errUpstreamSilent)
+	t.leaveSilent()
+}
+
+// leaveSilent ends the silent attempt. If it has not failed, the request may return to it.
+func (t *takeover) leaveSilent() {
+	switch {
+	case t.lost:
+		t.silent.cancel(errUpstreamSilent)
+	case !t.abandoned:
+		t.abandoned = true
+		t.silent.leave(errUpstreamSilent)
+	}
 }
 
 // await waits for the answer of the attempt that is to take over.
@@ -164,6 +204,9 @@
 		return
 	}
 	t.successor = nil
+	if !t.abandoned {
+		r.returnReserved()
+	}
 	switch {
 	case t.lost:
 	case result == attemptRejected:
@@ -194,8 +237,7 @@
 	t.silent.mu.Lock()
 	defer t.silent.mu.Unlock()
 	if t.successor == successor && !t.stopped {
-		t.abandoned = true
-		t.silent.cancel(errUpstreamSilent)
+		t.leaveSilent()
 	}
 }
 
@@ -225,6 +267,10 @@
 			a.recordOrigin()
 		}
 	}
+	a.delivered = true
+	if isNew && a.isSound() {
+		a.returnReserved()
+	}
 	if t != nil && isNew {
 		t.writing = true
 		t.withdraw()
@@ -235,7 +281,7 @@
 // withdraw withdraws the request from the upstream that is about to take over.
 func (t *takeover) withdraw() {
 	if t.successor != nil {
-		t.successor.cancel(errNotNeeded)
+		t.successor.leave(errNotNeeded)
 		t.successor = nil
 	}
 }
