Leave entries that cannot be decoded out of the comparison of lists

What callers saw: nothing, but gateways never agreed. A gateway that had read a sound entry of an upstream before an odd one kept it; one that read the whole list afterwards had none. Their checksums differed as long as the odd entry stayed, so that each gateway doubted its list and read the whole one from the source, again after 1 s, 2 s and so on up to once a minute. A peer's whole list even removed the upstream from a gateway that had kept it.

Cause: only who reads a whole list from the source learned which entries cannot be decoded, and for that read only.

A sound entry that equals the last one is then passed on to peers as well.

Ruled out: to drop the last sound entry, which would make the lists equal, but lose an upstream that serves.

--- a/declaration.go
+++ b/declaration.go
@@ -48,8 +48,8 @@
 	// Since is the position since which Present and Gone list all changes. They mean
 	// nothing to a receiver that has not reached it. It is zero for a whole list.
 	Since Position
-	// Undecoded lists, in a whole list, the IDs of entries that cannot be decoded.
-	// Upstreams that are known by them stay as they are.
+	// Undecoded lists the IDs of changed entries that cannot be decoded. Upstreams that
+	// are known by them stay as they are and are not part of Checksum.
 	Undecoded []InstanceID
 	// Checksum is that of the sender's list at Next; zero means none. A receiver that
 	// then has another list must read it from the source.
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -122,6 +122,9 @@
 	known coverage
 	// removals lists the removed upstreams, the latest last, each once.
 	removals []removal
+	// undecoded holds the IDs whose newest entry cannot be decoded, with the position up to
+	// which the list had been read when that was found.
+	undecoded map[comfreyworks.InstanceID]comfreyworks.Position
 	// restoredAt is the first position since the list was restored from an earlier
 	// copy, or zero.
 	restoredAt comfreyworks.Position
@@ -174,6 +177,8 @@
 		entries:  make(map[comfreyworks.InstanceID]entry),
 		releases: make(map[comfreyworks.Pool]map[string]releaseSpan),
 		expired:  make(map[comfreyworks.Pool]map[string]time.Time),
+
+		undecoded: make(map[comfreyworks.InstanceID]comfreyworks.Position),
 	}
 	c.pools.Store(&map[comfreyworks.Pool]*PoolView{})
 	return c
@@ -349,6 +354,7 @@
 			change.Left = append(change.Left, id)
 		}
 	}
+	changed = c.markUndecoded(&changes) || changed
 	if changed || !change.Empty() {
 		c.updateReleases(lastConfirmedAt, now)
 		c.updateChecksum()
@@ -371,7 +377,9 @@
 	} else if known.upstream.State != upstream.State && upstream.State == comfreyworks.InstanceLeaving {
 		change.Left = append(change.Left, upstream.ID)
 	}
-	if ok && known.removeAt.IsZero() && sameContent(known.upstream, upstream) {
+	_, undecoded := c.undecoded[upstream.ID]
+	delete(c.undecoded, upstream.ID)
+	if ok && !undecoded && known.removeAt.IsZero() && sameContent(known.upstream, upstream) {
 		known.upstream = upstream
 		c.entries[upstream.ID] = known
 		return false
@@ -421,6 +429,7 @@
 // remove removes an upstream, or starts its grace period if it was live and its
 // entry may be missing because of an outage.
 func (c *Catalog) remove(id comfreyworks.InstanceID, now time.Time, change *Change) {
+	delete(c.undecoded, id)
 	e, ok := c.entries[id]
 	if !ok {
 		// Peers between this read and the one before may list the upstream.
--- a/internal/state/catalog/changes.go
+++ b/internal/state/catalog/changes.go
@@ -36,6 +36,7 @@
 	if restored || !c.known.includes(after) {
 		changes.Since, changes.Whole, changes.Restored = 0, true, c.restoredAt
 	}
+	changes.Undecoded = c.undecodedAfter(changes.Since)
 	for _, e := range c.entries {
 		if restored && after > 0 && !e.removeAt.IsZero() {
 			continue
--- a/internal/state/catalog/checksum.go
+++ b/internal/state/catalog/checksum.go
@@ -66,15 +66,18 @@
 	return c.checksum
 }
 
-// updateChecksum computes the checksum of all entries. It is never zero, and does not
+// updateChecksum computes the checksum of all entries but undecodable ones. It is never zero, and does not
 // depend on sequence numbers, which gateways do not pass on. The mutex must be held.
 func (c *Catalog) updateChecksum() {
 	c.lapsed = 0
 	var sum uint64
-	for _, e := range c.entries {
+	for id, e := range c.entries {
 		if !e.removeAt.IsZero() {
 			c.lapsed++
 		}
+		if _, undecoded := c.undecoded[id]; undecoded {
+			continue
+		}
 		sum += contentHash(&e.upstream)
 	}
 	c.checksum = max(1, uint32(sum))
