Check the upstreams that another gateway sends

What callers saw: during an update, a gateway that still takes an odd entry for usable passes it on, and those that already set it aside use it as well.

Cause: what peers send was used as far as its types allow.

Change: the client of a peer checks each upstream of a list with Upstream.Validate, sets aside what fails, once in the log for each ID, and treats it like an entry that cannot be decoded, so that a sound one of the same ID stays in force.

Before: TestOddUpstreamOfPeer failed, both upstreams arrived. After: it passes, and the tests of protocol/peer and transport/gateway.

--- a/internal/protocol/peer/client.go
+++ b/internal/protocol/peer/client.go
@@ -189,7 +189,9 @@
 
 // Sync implements comfreyworks.GatewayClient.
 func (c *Client) Sync(ctx context.Context, state comfreyworks.GatewayState) (comfreyworks.GatewayUpdate, error) {
-	return call[comfreyworks.GatewayUpdate](ctx, c, "Sync", state, callTimeout)
+	update, err := call[comfreyworks.GatewayUpdate](ctx, c, "Sync", state, callTimeout)
+	c.setAsideUpstreams(update.Upstreams)
+	return update, err
 }
 
 // Notify implements comfreyworks.GatewayClient.
