--- a/upstream.go
+++ b/upstream.go
@@ -18,9 +18,9 @@
 	MaxNameBytes = 250
 	// MaxUpstreamModels is the maximum number of models of one upstream.
 	MaxUpstreamModels = 1024
-	// maxCounter is beyond the highest sequence number and weights revision. Programs
-	// that hold numbers as floating point cannot count on from there.
-	maxCounter = 1 << 53
+	// MaxRevision is the highest revision and sequence number. Programs that hold numbers
+	// as floating point cannot count on from there.
+	MaxRevision = 1<<53 - 1
 	// maxStartedUnix is the end of the range of start times, in Unix seconds. It lies in
 	// the year 2242.
 	maxStartedUnix = 1 << 33
@@ -70,7 +70,7 @@
 		{FieldState, checkState(u.State)},
 		{FieldSlots, checkRange(int64(u.Slots), MaxUpstreamSlots)},
 		{FieldStarted, checkStarted(u.Started)},
-		{FieldSequence, checkCounter(u.Sequence)},
+		{FieldSequence, ValidateRevision(u.Sequence)},
 		{FieldRelease, checkName(u.Release, false)},
 		{FieldWeights, checkWeights(u.Weights)},
 	} {
@@ -129,8 +129,10 @@
 	return nil
 }
 
-func checkCounter(n uint64) error {
-	if n >= maxCounter {
+// ValidateRevision returns an error for a revision or sequence number that no later one
+// may follow.
+func ValidateRevision(n uint64) error {
+	if n > MaxRevision {
 		return fmt.Errorf("%d is too high", n)
 	}
 	return nil
@@ -148,7 +150,7 @@
 		return fmt.Errorf("%d models, more than %d", len(weights), MaxUpstreamModels)
 	}
 	for model, revision := range weights {
-		if err := errors.Join(checkName(string(model), true), checkCounter(uint64(revision))); err != nil {
+		if err := errors.Join(checkName(string(model), true), ValidateRevision(uint64(revision))); err != nil {
 			return err
 		}
 	}
