Call all registered gateways in turn

What callers saw: nothing yet; found by reading how a record of a gateway that does not exist is dealt with. A gateway that knows no other one read the registry every 2 s and called the same four registered gateways each time. The registry keeps gateways that no longer exist, so if these four were among them, it stayed alone until one of the others called it.

Cause: the order of the calls depends on the IDs only, and who did not answer is forgotten after a second.

Change: of the registered gateways that are not known, those come first that were not called for longest. Only gateways that are registered are remembered.

Before: TestDiscovery, which now reads the registry 25 times, failed: 4 of 100 gateways were called.

--- a/internal/coordination/peering/peering.go
+++ b/internal/coordination/peering/peering.go
@@ -176,6 +176,9 @@
 	// contacts are addresses at which there may be gateways that are not known yet,
 	// with the time until which they are called; zero means always.
 	contacts map[netip.AddrPort]time.Time
+	// contacted holds the registered gateways that were contacts, with the time until
+	// which they were last called.
+	contacted map[netip.AddrPort]time.Time
 	// relay means that this gateway is a relay. partners are the gateways that it
 	// calls.
 	relay    bool
--- a/internal/coordination/peering/peering_test.go
+++ b/internal/coordination/peering/peering_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"testing"
 	"time"
 
@@ -161,7 +162,16 @@
 		}
 		g.options.Registry = list
 		g.readRegistry(context.Background())
-		assert.Equal(t, len(g.updatePartners()), maxContacts)
+		called := maps.Clone(g.updatePartners())
+		assert.Equal(t, len(called), maxContacts)
+		// Gateways that no longer exist must not keep those from being called that do.
+		for range len(list)/maxContacts - 1 {
+			n.clock.Advance(isolatedRegistryInterval)
+			g.updatePartners()
+			g.readRegistry(context.Background())
+			maps.Copy(called, g.updatePartners())
+		}
+		assert.Equal(t, len(called), len(list))
 	})
 }
 
--- a/internal/coordination/peering/registry.go
+++ b/internal/coordination/peering/registry.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -72,8 +73,8 @@
 }
 
 // readRegistry adds registered gateways that are not yet known to the addresses to
-// call, each gateway other ones first. It returns false if this gateway is known
-// not to be registered.
+// call, each gateway other ones first, but those first that it has not called for
+// longest. It returns false if this gateway is known not to be registered.
 func (p *Peering) readRegistry(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -83,24 +84,30 @@
 		return true
 	}
 	key := rendezvous.Seed(string(p.options.Self.ID))
-	slices.SortFunc(registered, func(a, b comfreyworks.GatewayPeer) int {
-		return cmp.Compare(rendezvous.Score(rendezvous.Seed(string(a.ID)), key), rendezvous.Score(rendezvous.Seed(string(b.ID)), key))
-	})
 	until := p.options.Clock.Now().Add(contactTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	slices.SortFunc(registered, func(a, b comfreyworks.GatewayPeer) int {
+		return cmp.Or(p.contacted[a.Address].Compare(p.contacted[b.Address]),
+			cmp.Compare(rendezvous.Score(rendezvous.Seed(string(a.ID)), key), rendezvous.Score(rendezvous.Seed(string(b.ID)), key)))
+	})
 	added, listed := 0, false
+	contacted := make(map[netip.AddrPort]time.Time)
 	for _, other := range registered {
+		if at, ok := p.contacted[other.Address]; ok {
+			contacted[other.Address] = at
+		}
 		listed = listed || other.Address == p.options.Self.Address
 		m := p.members.members[other.Address]
 		if other.Address == p.options.Self.Address || (m != nil && !m.Gone) || added == maxContacts {
 			continue
 		}
 		if _, seed := p.contacts[other.Address]; !seed {
-			p.contacts[other.Address] = until
+			p.contacts[other.Address], contacted[other.Address] = until, until
 			added++
 		}
 	}
+	p.contacted = contacted
 	p.requestUpdate()
 	return listed
 }
