Let plausible entries replace those that look newer than they can be

What callers saw: an entry of another writer under the ID of an upstream, with a start time in a year or with a very high sequence number, counted as newer than all that the upstream itself wrote afterwards. Its address and state stayed in force, also when the upstream announced that it leaves, until the entry was removed. Gateways that read the whole list later used the upstream's own entry instead.

Cause: entries are ordered by start time and sequence number, because an entry of an earlier incarnation may be written late. Nothing judged whether they can be true.

Ruled out: to refuse such entries. A gateway whose clock is far behind would then use no upstream at all; now it orders entries as before.

Change: an entry that the upstream may have written by now, with an hour for clocks that differ, and a million entries beyond one each millisecond, is not older than one that it cannot have written.

--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -369,7 +369,7 @@
 // sequence number.
 func (c *Catalog) addOrUpdate(upstream comfreyworks.Upstream, change *Change) bool {
 	known, ok := c.entries[upstream.ID]
-	if ok && isOlder(&upstream, &known.upstream) {
+	if ok && isOlder(&upstream, &known.upstream, c.clock.Now()) {
 		return false
 	}
 	if !ok {
@@ -395,15 +395,6 @@
 		a.Slots == b.Slots && a.Release == b.Release && a.Started.Equal(b.Started) && maps.Equal(a.Weights, b.Weights)
 }
 
-// isOlder reports whether an entry belongs to an earlier incarnation than the
-// known one or was written earlier in the same incarnation.
-func isOlder(upstream, known *comfreyworks.Upstream) bool {
-	if !upstream.Started.Equal(known.Started) {
-		return upstream.Started.Before(known.Started)
-	}
-	return upstream.Sequence < known.Sequence
-}
-
 // removedIDs returns the upstreams that are no longer listed. A complete list
 // removes every upstream that it does not contain.
 func (c *Catalog) removedIDs(changes comfreyworks.UpstreamChanges) []comfreyworks.InstanceID {
--- a/internal/state/catalog/restore.go
+++ b/internal/state/catalog/restore.go
@@ -30,6 +30,6 @@
 	changes.Present = slices.DeleteFunc(slices.Clone(changes.Present), func(upstream comfreyworks.Upstream) bool {
 		last, ok := removed[upstream.ID]
 		_, listed := c.entries[upstream.ID]
-		return ok && !listed && !isOlder(&last, &upstream)
+		return ok && !listed && !isOlder(&last, &upstream, now)
 	})
 }
