Use the general error type for invalid upstreams

InvalidUpstreamError had a type of its own with the field and the cause. It is an OpError now, whose kind is the field, as the errors of the other packages are.

--- a/upstream.go
+++ b/upstream.go
@@ -43,17 +43,8 @@
 	FieldWeights  UpstreamField = "weights"
 )
 
-// InvalidUpstreamError tells which field makes an upstream unusable.
-type InvalidUpstreamError struct {
-	Field UpstreamField
-	Err   error
-}
-
-// Error returns "field: cause".
-func (e *InvalidUpstreamError) Error() string { return string(e.Field) + ": " + e.Err.Error() }
-
-// Unwrap returns the cause.
-func (e *InvalidUpstreamError) Unwrap() error { return e.Err }
+// InvalidUpstreamError tells, as its kind, which field makes an upstream unusable.
+type InvalidUpstreamError = OpError[UpstreamField]
 
 // Validate returns an InvalidUpstreamError for an upstream that cannot be used. Whoever
 // decodes upstreams calls it: what else a gateway does with them relies on it. Slots,
@@ -75,7 +66,7 @@
 		{FieldWeights, checkWeights(u.Weights)},
 	} {
 		if check.err != nil {
-			return &InvalidUpstreamError{Field: check.field, Err: check.err}
+			return &InvalidUpstreamError{Op: "validate upstream", Kind: check.field, Err: check.err}
 		}
 	}
 	return nil
