Take no answer of before for that to a request

Callers of similar systems were told that a request had not run, or it ran twice, after a faulty upstream had written an earlier refusal once more on a kept connection.

It can happen here.

Causes: refusals were believed without the request's ID; a request that is sent again to the upstream that refused it may use the same connection, where the old refusal has the right ID; the transport offers a connection to the next request before it looks for bytes behind the answer, and a bodyless answer to another request left its connection in use.

A request is now written only on a connection from which nothing was read since the last answer, with the transport waiting for more, whose last answer belonged to its request, and which has not answered the same request before. Otherwise it is sent on another one, and nothing is lost. An answer without an ID on a connection that was used before counts as lost. On a new one there is nothing of before, so that it is believed there.

--- a/internal/protocol/exchange/conn.go
+++ b/internal/protocol/exchange/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +26,9 @@
 	// kernel breaks the connection. On a working link, retransmissions are
 	// acknowledged sooner.
 	tcpUserTimeout = 2 * time.Second
+	// maxOpenAnswers is the maximum number of requests that one connection may have
+	// answered in a way that lets them be sent again.
+	maxOpenAnswers = 64
 )
 
 var (
@@ -33,28 +38,54 @@
 	// errSealed means that nothing was written to a connection because the request
 	// is sent on another one.
 	errSealed = errors.New("request was withdrawn before it was written")
+	// errUnasked means that nothing was written to a connection because the upstream
+	// had written something unasked.
+	errUnasked = errors.New("bytes that answer no request")
+	// errAnswered means that nothing was written to a connection because an answer on
+	// it might be one to an earlier attempt at the same request.
+	errAnswered = errors.New("connection has answered this request before")
 )
 
-// keepAliveConn returns errExpired from Write if the connection was idle for
-// nearly as long as the upstream's idle timeout. As no byte of the request has
-// been written then, the request can safely be sent on another connection.
+// hashSeed is the seed of the hashes of request IDs.
+var hashSeed = maphash.MakeSeed()
+
+// keepAliveConn is a connection on which an answer belongs to the request that was
+// written last, as far as that can be known. Write returns an error if
+//
+//   - the connection was idle for nearly as long as the upstream's idle timeout,
+//   - there are bytes that the upstream wrote before the request,
+//   - the connection has answered the same request before and may do so once more.
+//
+// As no byte of the request has been written then, the request can safely be sent on
+// another connection.
 type keepAliveConn struct {
 	net.Conn
 	clock comfreyworks.Clock
 
 	mu          sync.Mutex
+	changed     sync.Cond
 	lastUse     time.Time
 	idleTimeout time.Duration
-	// writes counts the calls of Write that reached the connection. After sealed is
-	// set, none does.
-	writes int
-	sealed bool
+	// writes counts the calls of Write that reached the connection. After sealed or
+	// closed is set, none does.
+	writes         int
+	sealed, closed bool
 	// head limits the response header of the current request; nil before the first.
 	head *headLimit
+	// idle means that nothing of the next request has been written, unasked that
+	// something was read meanwhile, reading that Read waits for bytes, and judged that
+	// the response to the request that was written last was judged.
+	idle, unasked, reading, judged bool
+	// request is the hash of the ID of the current request, and answered those of
+	// requests that may be sent again.
+	request  uint64
+	answered []uint64
 }
 
 func newKeepAliveConn(conn net.Conn, clock comfreyworks.Clock) *keepAliveConn {
-	return &keepAliveConn{Conn: conn, clock: clock, lastUse: clock.Now(), idleTimeout: defaultIdleTimeout}
+	c := &keepAliveConn{Conn: conn, clock: clock, lastUse: clock.Now(), idleTimeout: defaultIdleTimeout, idle: true}
+	c.changed.L = &c.mu
+	return c
 }
 
 // setIdleTimeout sets the upstream's idle timeout. Zero leaves it unchanged.
@@ -66,17 +97,57 @@
 	}
 }
 
-// setHeadLimit sets the limit on the response header of the next request.
-func (c *keepAliveConn) setHeadLimit(limit *headLimit) {
+// beginRequest prepares for the next request, and returns the number of writes so far.
+func (c *keepAliveConn) beginRequest(id comfreyworks.RequestID, limit *headLimit) (writes int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head = limit
+	c.request, c.head, c.idle = hashID(id), limit, true
+	return c.writes
+}
+
+// endResponse records that a response has ended. It must be called before anything else
+// is read.
+func (c *keepAliveConn) endResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = true
+}
+
+// judge records that the header of a response has been read. If it does not belong to the
+// request, the connection is closed. If the request may be sent again, that will not be on
+// this connection.
+func (c *keepAliveConn) judge(id comfreyworks.RequestID, belongs, mayBeSentAgain bool) {
+	c.mu.Lock()
+	if mayBeSentAgain {
+		c.answered = append(c.answered, hashID(id))
+	}
+	c.judged, c.closed = true, c.closed || !belongs
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	if !belongs {
+		_ = c.Conn.Close()
+	}
+}
+
+// Close implements net.Conn.
+func (c *keepAliveConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
 func (c *keepAliveConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	c.reading = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
+	c.reading = false
+	c.unasked = c.unasked || (n > 0 && c.idle)
 	c.lastUse = c.clock.Now()
 	head := c.head
 	c.mu.Unlock()
@@ -98,28 +169,45 @@
 	return n, err
 }
 
-// beginWrite counts a write, or returns the reason why there must be none.
+// beginWrite counts a write, or returns the reason why there must be none. The transport
+// may begin a request while its read loop still ends the response before. The first write
+// waits until the read loop asks for more bytes: before, some may be left in its buffer,
+// which it would take for the answer.
 func (c *keepAliveConn) beginWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for c.idle && c.writes > 0 && !c.sealed && !c.closed && !c.unasked && (!c.judged || !c.reading) {
+		c.changed.Wait()
+	}
 	switch {
 	case c.sealed:
 		return errSealed
+	case c.closed:
+		return net.ErrClosed
+	case c.unasked:
+		return errUnasked
+	case c.idle && (slices.Contains(c.answered, c.request) || len(c.answered) >= maxOpenAnswers):
+		return errAnswered
 	case c.clock.Since(c.lastUse) > c.idleTimeout-min(idleMargin, c.idleTimeout/2):
 		return errExpired
 	}
+	if c.idle {
+		c.idle, c.judged = false, false
+	}
 	c.writes++
 	return nil
 }
 
-// writeCount returns the number of writes so far.
-func (c *keepAliveConn) writeCount() int {
+func hashID(id comfreyworks.RequestID) uint64 { return maphash.String(hashSeed, string(id)) }
+
+// hasUnasked reports whether the upstream has written something unasked.
+func (c *keepAliveConn) hasUnasked() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.writes
+	return c.unasked
 }
 
-// sealUnsent reports whether nothing was written since writeCount returned the
+// sealUnsent reports whether nothing was written since beginRequest returned the
 // given number. If so, nothing will be: the transport may return the error of its
 // read loop while its write loop has not started yet.
 func (c *keepAliveConn) sealUnsent(writes int) bool {
@@ -129,6 +217,7 @@
 		return false
 	}
 	c.sealed = true
+	c.changed.Broadcast()
 	return true
 }
 
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -111,31 +111,34 @@
 		traced := httptrace.WithClientTrace(requestCtx, &httptrace.ClientTrace{
 			GotConn: func(info httptrace.GotConnInfo) {
 				if conn, _ = info.Conn.(*keepAliveConn); conn != nil {
-					writes = conn.writeCount()
-					conn.setHeadLimit(limit)
+					writes = conn.beginRequest(request.ID, limit)
 				}
 			},
 			Got1xxResponse: limit.informationalRead,
+			PutIdleConn:    func(error) { conn.endResponse() },
 		})
 		response, err := c.transport.RoundTrip(c.newRequest(traced, request, options))
 		limit.stop()
+		unsent := conn == nil || conn.sealUnsent(writes)
+		if err == nil && unsent {
+			_ = conn.Close()
+			_ = response.Body.Close()
+			err = errUnasked
+		}
 		if err != nil {
 			cancel(nil)
-			unsent := conn == nil || conn.sealUnsent(writes)
 			switch {
 			case !unsent:
 				return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeLost, Err: limit.wrap(err)}
-			case conn == nil || ctx.Err() != nil || attempt == maxConnections:
+			case conn == nil || ctx.Err() != nil || attempt == maxConnections || (writes == 0 && conn.hasUnasked()):
 				return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeNotSent, Err: err}
 			}
 			continue
 		}
-		if conn != nil {
-			conn.setIdleTimeout(keepAliveTimeout(response.Header))
-		}
+		conn.setIdleTimeout(keepAliveTimeout(response.Header))
 		comfreyworks.ReportAdvice(ctx, c.options.Headers.Advice(response.StatusCode, response.Header))
 		response.Body = &cancelBody{ReadCloser: response.Body, cancel: cancel}
-		return c.classify(request, response)
+		return c.classify(request, response, conn, writes > 0)
 	}
 }
 
@@ -227,27 +230,45 @@
 }
 
 // classify returns a response, or an error if it belongs to another request or
-// reports that the request has not run. A response to another request arrived
-// late on a reused connection; closing its body closes the connection.
-func (c *Client) classify(request *comfreyworks.ForwardedRequest, response *http.Response) (*comfreyworks.UpstreamResponse, error) {
+// reports that the request has not run. An upstream repeats the ID of the request in its
+// response. Without it, on a connection that was used before, the response may be an
+// earlier one that arrived late or once more.
+func (c *Client) classify(request *comfreyworks.ForwardedRequest, response *http.Response, conn *keepAliveConn, reused bool) (*comfreyworks.UpstreamResponse, error) {
 	names := &c.options.Headers
-	weights := parseWeights(response.Header.Get(names.Weights))
-	if id := response.Header.Get(names.RequestID); id != "" && id != string(request.ID) {
+	classified := &comfreyworks.UpstreamResponse{
+		Status: response.StatusCode, Header: response.Header,
+		HasDigest: response.Header.Get(names.Digest) != "" && response.Header.Get("Content-Encoding") == "",
+		Weights:   parseWeights(response.Header.Get(names.Weights)), ContentLength: response.ContentLength, Body: response.Body,
+	}
+	notRun := response.Header.Get(names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
+	err := c.checkBelongs(request, response, reused)
+	conn.judge(request.ID, err == nil, notRun || !classified.HasDigest || response.StatusCode >= http.StatusInternalServerError)
+	switch {
+	case err != nil:
 		_ = response.Body.Close()
+		return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeLost, Err: err}
+	case notRun:
+		c.drain(response.Body)
 		return nil, &comfreyworks.ExchangeError{
-			Kind: comfreyworks.ExchangeLost, Err: errors.New("answer to another request"),
+			Kind: comfreyworks.ExchangeNotRun, Reason: notRunReason(response, names, classified.Weights), Weights: classified.Weights,
 		}
+	default:
+		return classified, nil
 	}
-	if response.Header.Get(names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
-		reason := notRunReason(response, names, weights)
-		c.drain(response.Body)
-		return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeNotRun, Reason: reason, Weights: weights}
+}
+
+// checkBelongs returns an error if a response does not belong to the request.
+func (c *Client) checkBelongs(request *comfreyworks.ForwardedRequest, response *http.Response, reused bool) error {
+	switch id := response.Header.Get(c.options.Headers.RequestID); {
+	case id == string(request.ID):
+		return nil
+	case id != "":
+		return errors.New("answer to another request")
+	case reused:
+		return errors.New("answer without a request ID on a connection that was used before")
+	default:
+		return nil
 	}
-	return &comfreyworks.UpstreamResponse{
-		Status: response.StatusCode, Header: response.Header,
-		HasDigest: response.Header.Get(names.Digest) != "" && response.Header.Get("Content-Encoding") == "",
-		Weights:   weights, ContentLength: response.ContentLength, Body: response.Body,
-	}, nil
 }
 
 // notRunReason returns why an upstream did not run a request.
