Pass on only what continues a stream that broke off

Callers of similar systems found the text of an error in the middle of their streams, or streams that ended as if they were complete, after one upstream had broken off and the next one had answered with an error.

It can happen here if that answer has status 200 and a digest.

Cause: blocks without data were passed on with the next event or at the end, any event counted as the next one unless it was older, and any end as that of the stream.

The answer that continues a stream must now be of its media type and made of events, and begin with the event whose ID follows. Otherwise it counts as a break before any of it is passed on. IDs need not follow each other where they are known to skip numbers. In a stream with IDs, events without one wait for the next ID or the end. A stream without IDs is not begun again.

In forward.go there are three new fields and one reason not to retry, in takeover.go the media type in accepts. rawReplicas shares its listeners with the new tests; what it checks is unchanged.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -22,6 +22,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -171,6 +172,8 @@
 	budget    *retrybudget.Budget
 	admission admissionControl
 	events    eventLength
+	// poolSkipsIDs means that a complete stream had event IDs that skip numbers.
+	poolSkipsIDs atomic.Bool
 }
 
 // New returns a forwarder.
@@ -251,6 +254,10 @@
 	// headerWritten means that the sink has received the header of an answer.
 	headerWritten bool
 	lastEventID   string
+	// mediaType is that of the stream in that answer, and skipsIDs means that the event IDs
+	// of the stream skip numbers.
+	mediaType string
+	skipsIDs  bool
 	// release is the release that began the stream; zero as long as none has.
 	release uint32
 	// sentTo is the release to which the last attempt to begin the stream was sent;
@@ -336,6 +343,8 @@
 		return ", sent too often"
 	case after == attemptLost && !r.request.Route.Repeatable():
 		return ", may not run again"
+	case r.headerWritten && r.lastEventID == "":
+		return ", no event to go on after"
 	case r.runs >= r.request.Route.MaxAttempts:
 		return ", no run left"
 	case r.options.Clock.Until(r.request.Deadline) < max(minTimeLeft, r.minRemainingTime()):
--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -305,6 +305,13 @@
 		"resumed and failed":           {resumable, []response{respond(200, true, truncatedBody(events)), respond(500, true, completeBody("e"))}, Broken, 2, events},
 		"resumed and refused":          {resumable, []response{respond(200, true, truncatedBody(events)), busy}, Broken, 4, events},
 		"cut off twice":                {resumable, []response{respond(200, true, truncatedBody(events)), respond(200, true, truncatedBody("id: 3\n"))}, Broken, 2, events},
+		"without IDs, cut off":         {resumable, []response{respond(200, true, truncatedBody("data: a\n\n")), respondOK("data: a\n\ndata: b\n\n")}, Broken, 1, "data: a\n\n"},
+		"without IDs":                  {resumable, []response{respondOK("data: a\n\ndata: b\n\n")}, Delivered, 1, "data: a\n\ndata: b\n\n"},
+		"an end without an ID":         {resumable, []response{respondOK(events + "data: end\n\n")}, Delivered, 1, events + "data: end\n\n"},
+		"resumed within such an end":   {resumable, []response{respond(200, true, truncatedBody(events+"data: x\n\n")), respondOK("id: 3\ndata: c\n\ndata: x\n\n")}, Delivered, 2, events + "id: 3\ndata: c\n\ndata: x\n\n"},
+		"IDs that skip numbers":        {resumable, []response{respond(200, true, truncatedBody("id: 2\ndata: a\n\n")), respondOK("id: 7\ndata: b\n\n")}, Delivered, 2, "id: 2\ndata: a\n\nid: 7\ndata: b\n\n"},
+		"IDs that are no numbers":      {resumable, []response{respond(200, true, truncatedBody("id: a\ndata: a\n\n")), respondOK("id: a\ndata: a\n\nid: b\ndata: b\n\n")}, Delivered, 2, "id: a\ndata: a\n\nid: b\ndata: b\n\n"},
+		"a gap":                        {resumable, []response{respond(200, true, truncatedBody(events)), respondOK("id: 4\ndata: d\n\n")}, Broken, 2, events},
 		"lines that end with CRLF":     {once, []response{respondOK("id: 1\r\ndata: a\r\n\r\n")}, Delivered, 1, "id: 1\r\ndata: a\r\n\r\n"},
 	}
 	for name, c := range cases {
@@ -316,6 +323,11 @@
 			assert.Equal(t, f.sink.body.String(), c.body)
 		})
 	}
+	t.Run("a gap in a pool whose IDs skip numbers", func(t *testing.T) {
+		f := newFixture(respondOK("id: 1\ndata: a\n\nid: 4\ndata: d\n\n"), respond(200, true, truncatedBody(events)), respondOK("id: 4\ndata: d\n\n"))
+		assert.Equal(t, f.forward(resumable).Verdict, Delivered)
+		assert.Equal(t, f.forward(resumable).Verdict, Delivered)
+	})
 	t.Run("resumes after the last event delivered", func(t *testing.T) {
 		f := newFixture(respond(200, true, truncatedBody(events)), respondOK("id: 3\ndata: c\n\n"))
 		f.forward(resumable)
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -25,7 +25,11 @@
 	events := bufio.NewScanner(response.Body)
 	events.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
 	events.Split(new(eventSplitter).split)
-	first, replaced := true, false
+	replaced := false
+	continuation, err := a.newContinuation(response)
+	if err != nil {
+		return a.lost(err)
+	}
 	var gaps gapMeter
 	var progress streamProgress
 	for events.Scan() {
@@ -39,10 +43,14 @@
 		if !isEmpty {
 			a.eventArrived()
 		}
-		if a.alreadyDelivered(id) {
+		if a.alreadyDelivered(id) || continuation.repeats(id) {
 			continue
 		}
-		if isEmpty {
+		if err := continuation.check(event, id); err != nil {
+			return a.lost(err)
+		}
+		if isEmpty || (id == "" && a.lastEventID != "") {
+			// What another upstream would send again, as it goes on after the last ID.
 			if err := progress.hold(event); err != nil {
 				return a.lost(err)
 			}
@@ -53,9 +61,8 @@
 			// The other upstream sends this event too. The next read returns an error.
 			continue
 		}
-		if first {
+		if !continuation.begun {
 			a.recordAnswer(response.Status)
-			first = false
 			if a.response == nil {
 				a.pick.FirstEvent()
 			}
@@ -63,6 +70,7 @@
 		gaps.add(a, a.options.Clock.Now())
 		if begins {
 			a.awaitOriginExchange()
+			a.setMediaType(response.Header)
 			// Another upstream may write the rest of the stream with another length.
 			a.sink.Begin(response.Status, response.Header, -1)
 		}
@@ -70,18 +78,19 @@
 			return Outcome{Verdict: Abandoned, Reason: "caller left"}, attemptDone
 		}
 		gaps.written(a.options.Clock.Now())
+		continuation.passed(id)
 		a.endEvent(id, isNew)
 		a.pace.resume(a.options.Clock.Now())
 	}
-	err := events.Err()
+	err = events.Err()
 	if replaced && err == nil {
 		err = errUpstreamSilent
 	}
 	if err != nil {
 		return a.lost(limitError(err))
 	}
-	if !a.headerWritten {
-		return a.lost(errNoEvent)
+	if err := continuation.end(); err != nil {
+		return a.lost(err)
 	}
 	if held := progress.release(nil); len(held) > 0 {
 		if _, err := a.sink.Write(held); err != nil {
@@ -94,10 +103,10 @@
 	return Outcome{Verdict: Delivered, Status: response.Status}, attemptDone
 }
 
-// alreadyDelivered reports whether the sink has already received the event with
+// alreadyDelivered reports whether the caller has already received the event with
 // the given ID. An upstream that resumes a stream may repeat events.
 func (a *attempt) alreadyDelivered(id string) bool {
-	if !a.headerWritten || id == "" || a.lastEventID == "" {
+	if id == "" || a.lastEventID == "" {
 		return false
 	}
 	n, err := strconv.ParseUint(id, 10, 64)
--- a/internal/coordination/forward/takeover.go
+++ b/internal/coordination/forward/takeover.go
@@ -203,7 +203,7 @@
 // that of the silent one.
 func (a *attempt) accepts(response *comfreyworks.UpstreamResponse) bool {
 	if a.request.Route.Kind == comfreyworks.RouteStream {
-		return response.HasDigest && response.Status == http.StatusOK
+		return response.HasDigest && response.Status == http.StatusOK && (!a.headerWritten || a.fits(response.Header))
 	}
 	return response.HasDigest && response.Status < http.StatusInternalServerError
 }
--- a/internal/transport/gateway/repeated_test.go
+++ b/internal/transport/gateway/repeated_test.go
@@ -6,12 +6,10 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"sync"
 	"testing"
 
-	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
@@ -28,8 +26,7 @@
 }
 
 // serve serves one connection.
-func (p *repeater) serve(conn net.Conn) error {
-	defer func() { _ = conn.Close() }()
+func (p *repeater) serve(conn net.Conn, _ int) error {
 	reader := bufio.NewReader(conn)
 	stale := ""
 	for {
@@ -60,32 +57,6 @@
 	}
 }
 
-// replace puts n upstreams that share their refusals in the place of those of a pool.
-func (p *repeater) replace(t *testing.T, f *fixture, n int) {
-	t.Helper()
-	var group errgroup.Group
-	var listed []comfreyworks.Upstream
-	for i := range n {
-		listener := listen(t)
-		group.Go(func() error {
-			for {
-				conn, err := listener.Accept()
-				if err != nil {
-					return nil
-				}
-				group.Go(func() error { return p.serve(conn) })
-			}
-		})
-		t.Cleanup(func() { _ = listener.Close() })
-		listed = append(listed, comfreyworks.Upstream{
-			ID: comfreyworks.InstanceID(fmt.Sprint("repeater-", i)), Pool: "orders", State: comfreyworks.InstanceLive,
-			Address: netip.MustParseAddrPort(listener.Addr().String()),
-		})
-	}
-	f.source.change(func(s *memorySource) { s.upstreams = listed })
-	f.refresh(t)
-}
-
 // TestRepeatedRefusal guards against refusing a request that may run only once, or sending
 // it again, although it runs: its upstream has written an earlier refusal once more.
 func TestRepeatedRefusal(t *testing.T) {
@@ -99,7 +70,11 @@
 					t.Run(fmt.Sprintf("%s, %q, %d upstreams, %d refusals", name, id, upstreams, refusals), func(t *testing.T) {
 						f := newFixture(t)
 						p := &repeater{refusal: "HTTP/1.1 " + head + "\r\n" + id + "Content-Length: 0\r\n\r\n", refusals: refusals, runs: make(map[string]int)}
-						p.replace(t, f, upstreams)
+						f.source.upstreams = nil
+						for i := range upstreams {
+							f.source.upstreams = append(f.source.upstreams, comfreyworks.Upstream{ID: comfreyworks.InstanceID(fmt.Sprint("repeater-", i)), Pool: "orders", State: comfreyworks.InstanceLive})
+						}
+						f.serveRaw(t, p.serve)
 						for i := range 6 {
 							r := f.request(t, http.MethodPost, "/book/1", "text")
 							id := fmt.Sprint("r", i)
--- a/internal/transport/gateway/unframed_test.go
+++ b/internal/transport/gateway/unframed_test.go
@@ -37,7 +37,13 @@
 // replace puts raw replicas in the place of those of the fixture.
 func (r *rawReplicas) replace(t *testing.T) {
 	t.Helper()
-	for i := range r.f.source.upstreams {
+	r.f.serveRaw(t, r.serve)
+}
+
+// serveRaw calls serve for each connection to an upstream, with the number of the upstream.
+func (f *fixture) serveRaw(t *testing.T, serve func(conn net.Conn, i int) error) {
+	t.Helper()
+	for i := range f.source.upstreams {
 		listener := listen(t)
 		var group errgroup.Group
 		group.Go(func() error {
@@ -48,19 +54,19 @@
 				}
 				group.Go(func() error {
 					defer func() { _ = conn.Close() }()
-					return r.serve(conn, i)
+					return serve(conn, i)
 				})
 			}
 		})
 		t.Cleanup(func() {
 			_ = listener.Close()
-			r.f.gateway.upstreamClient.Close()
+			f.gateway.upstreamClient.Close()
 			assert.Check(t, group.Wait())
 		})
-		r.f.source.upstreams[i].Address = netip.MustParseAddrPort(listener.Addr().String())
+		f.source.upstreams[i].Address = netip.MustParseAddrPort(listener.Addr().String())
 	}
-	r.f.source.change(func(*memorySource) {})
-	r.f.refresh(t)
+	f.source.change(func(*memorySource) {})
+	f.refresh(t)
 }
 
 // serve answers one request, ends its side of the connection and counts what else
