Take no error of an engine for a token of its answer

An engine that answers 200 and reports an error as an event, with counts and the mark of the end behind it, gave an answer that looked complete and was empty. Found by reading, after the errors in broken streams of gateways. Later in an answer such an event had the wrong index and was noticed in the sidecar.

An event without an index or counts ends the stream as broken now. Two new cases of TestGenerate fail before; the packages of engine, sidecar and entry pass.

--- a/internal/protocol/upstream/engine.go
+++ b/internal/protocol/upstream/engine.go
@@ -100,7 +100,10 @@
 		if event.Data == doneData {
 			return usage, nil
 		}
-		var chunk CompletionChunk
+		var chunk struct {
+			CompletionChunk
+			Index *int `json:"index"`
+		}
 		if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil {
 			return usage, &Error{Op: "generate", Kind: KindBroken, Err: err}
 		}
@@ -108,8 +111,12 @@
 			usage = chunk.Usage.toUsage()
 			continue
 		}
+		if chunk.Index == nil {
+			// An error in the form of an event has no index.
+			return usage, &Error{Op: "generate", Kind: KindBroken, Err: fmt.Errorf("event that holds no token: %.200q", event.Data)}
+		}
 		reader.progress()
-		if err := emit(comfreyworks.GeneratedToken{Index: chunk.Index, Text: chunk.Text}); err != nil {
+		if err := emit(comfreyworks.GeneratedToken{Index: *chunk.Index, Text: chunk.Text}); err != nil {
 			return usage, &Error{Op: "generate", Kind: KindStopped, Err: err}
 		}
 	}
--- a/internal/protocol/upstream/upstream_test.go
+++ b/internal/protocol/upstream/upstream_test.go
@@ -69,6 +69,8 @@
 		{"cut off inside an event", chunk[:12], KindBroken},
 		{"empty body", "", KindBroken},
 		{"not JSON", "data: {\n\n", KindBroken},
+		{"an error as an event", "data: {\"error\":{\"message\":\"failed\"}}\n\n" + usage + "data: [DONE]\n\n", KindBroken},
+		{"one after a token", chunk + "event: error\ndata: {\"message\":\"failed\"}\n\n" + usage + "data: [DONE]\n\n", KindBroken},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
