Believe that a stream was over if nothing more can be missing

A complete answer with a digest and without a new event is believed again if the stream broke off between two events. It is not if an event had begun, or if the answer repeats only a part of the events: then it contradicts what was delivered.

In TestContinuedStream five kinds of answers may end the stream as complete now where it broke off between two events, and must not elsewhere. Both cases cannot be told apart there, and the stricter demand cut off sound streams.

--- a/internal/coordination/forward/continuation.go
+++ b/internal/coordination/forward/continuation.go
@@ -101,14 +101,14 @@
 		last, _ := strconv.ParseUint(c.lastEventID, 10, 64)
 		c.skipsIDs = c.skipsIDs || n > last+1
 	}
-	c.begun = true
+	c.begun, c.torn = true, false
 }
 
-// end returns an error if a response that has ended has not continued the stream. An
-// empty one may be right if the one before broke off behind its last event, but nothing
-// tells that.
-func (c *continuation) end() error {
-	if !c.begun {
+// end returns an error if a response ended too early, given the newest ID in it. One without
+// a new event tells that the response before broke off behind the last event of the stream,
+// unless that one broke off within an event, or this one repeats only a part of the events.
+func (c *continuation) end(newestID string) error {
+	if !c.begun && (!c.headerWritten || c.torn || (newestID != "" && newestID != c.lastEventID)) {
 		return errNoEvent
 	}
 	if c.skipsIDs {
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -254,10 +254,10 @@
 	// headerWritten means that the sink has received the header of an answer.
 	headerWritten bool
 	lastEventID   string
-	// mediaType is that of the stream in that answer, and skipsIDs means that the event IDs
-	// of the stream skip numbers.
-	mediaType string
-	skipsIDs  bool
+	// mediaType is that of the stream in that answer. skipsIDs means that the event IDs of
+	// the stream skip numbers, torn that it broke off within the event after the last one.
+	mediaType      string
+	skipsIDs, torn bool
 	// release is the release that began the stream; zero as long as none has.
 	release uint32
 	// sentTo is the release to which the last attempt to begin the stream was sent;
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -24,7 +24,8 @@
 func (a *attempt) relayEvents(response *comfreyworks.UpstreamResponse) (Outcome, attemptResult) {
 	events := bufio.NewScanner(response.Body)
 	events.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
-	events.Split(new(eventSplitter).split)
+	splitter := new(eventSplitter)
+	events.Split(splitter.split)
 	replaced := false
 	continuation, err := a.newContinuation(response)
 	if err != nil {
@@ -82,6 +83,7 @@
 		a.endEvent(id, isNew)
 		a.pace.resume(a.options.Clock.Now())
 	}
+	a.torn = a.torn || splitter.torn
 	err = events.Err()
 	if replaced && err == nil {
 		err = errUpstreamSilent
@@ -89,7 +91,7 @@
 	if err != nil {
 		return a.lost(limitError(err))
 	}
-	if err := continuation.end(); err != nil {
+	if err := continuation.end(progress.newestID); err != nil {
 		return a.lost(err)
 	}
 	if held := progress.release(nil); len(held) > 0 {
@@ -123,6 +125,8 @@
 	// event that arrives in small pieces would be searched from its beginning for each
 	// of them.
 	searched int
+	// torn means that the stream ended in the middle of an event.
+	torn bool
 }
 
 // split is a bufio.SplitFunc that returns each event including the empty line that
@@ -154,7 +158,7 @@
 		return 0, nil, nil
 	}
 	s.searched = 0
-	if len(bytes.TrimSpace(data)) > 0 {
+	if s.torn = len(bytes.TrimSpace(data)) > 0; s.torn {
 		return 0, nil, errPartialEvent
 	}
 	return len(data), nil, nil
