Let replicas of the soak write a refusal once more

The soak had no replica with the fault behind the refusals that were believed for requests that ran. One that is drawn writes a refusal, without the ID of its request, before the answer to the next request on the connection.

The mutant that restarts broken streams would cut them off now, since a stream without a last ID is not continued.

--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"comfreyworks/cmd/soak/internal/proxy"
+	"comfreyworks/internal/standin/replica"
 	"comfreyworks/platform/standin"
 )
 
@@ -206,7 +207,7 @@
 	if err != nil {
 		return nil, netip.AddrPort{}, err
 	}
-	server := &http.Server{Handler: handler}
+	server := &http.Server{Handler: handler, ConnContext: replica.ConnContext}
 	f.group.Go(func() error {
 		_ = server.Serve(listener)
 		return nil
--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -43,7 +43,7 @@
 	},
 	{
 		"restarts broken streams from the first event", "internal/coordination/forward/takeover.go",
-		"a.lastEventID = id", "_ = id",
+		"a.lastEventID = id", "a.lastEventID = \"0\"",
 	},
 	{
 		"sends requests to upstreams that say that they are leaving", "internal/coordination/balance/leaving.go",
@@ -72,6 +72,10 @@
 		"var outcome forward.Outcome\n\t\tbefore, _ := g.catalog.Routing()\n" +
 			"\t\tdefer func() {\n\t\t\tif after, _ := g.catalog.Routing(); after != before {\n\t\t\t\tabort(w, r)\n\t\t\t}\n\t\t}()",
 	},
+	{
+		"believes refusals without the ID of a request", "internal/protocol/exchange/exchange.go",
+		"case reused:", "case false:",
+	},
 	{
 		"takes a reset for the end of an answer", "internal/coordination/forward/attempt.go",
 		"complete := errors.Is(err, io.EOF)", "complete := isBrokenConnection(err) && !errors.Is(err, io.ErrUnexpectedEOF)",
--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -166,7 +166,8 @@
 	plan.addSilences(seed, length)
 	plan.addRewrites(seed, length, gateways)
 	plan.addStarts(seed, length, gateways)
-	plan.addUnframed(seed, length, gateways, replicas)
+	plan.addFaults(seed, unframedStream, unframedFaults, length, gateways, replicas)
+	plan.addFaults(seed, repeatedStream, repeatedFaults, length, gateways, replicas)
 	revocation := Event{Kind: RevokeKey, Start: time.Duration(rng.Int64N(int64(length / 2)))}
 	var cut Event
 	if seed%2 == 0 {
--- a/cmd/soak/internal/trouble/trouble_test.go
+++ b/cmd/soak/internal/trouble/trouble_test.go
@@ -72,7 +72,7 @@
 	for _, kind := range append([]Kind{StoreRestored, ReplicaLeaves, ReplicaCloses, Release, RevokeKey, Harm, Silence, RewriteConfigs, StartAtLeaving}, kinds...) {
 		assert.Assert(t, drawn[kind], "%s", kind)
 	}
-	for _, fault := range slices.Concat(unframedFaults, replicaFaults) {
+	for _, fault := range slices.Concat(unframedFaults, repeatedFaults, replicaFaults) {
 		assert.Assert(t, faults[fault], "%s", fault)
 	}
 }
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -26,7 +26,7 @@
 // Fault is a failure injected into the handling of one request.
 type Fault string
 
-// Injected faults. All but FaultBusy run the request.
+// Injected faults. All but FaultBusy and FaultRepeatedRefusal run the request.
 const (
 	// FaultBusy rejects the request with status 503, marked as not run.
 	FaultBusy Fault = "busy"
@@ -197,13 +197,17 @@
 		return
 	}
 	fault := rep.nextFault()
-	if fault == FaultBusy {
+	if fault == FaultRepeatedRefusal {
+		rep.rejectRepeatedly(r)
+	}
+	if fault == FaultBusy || fault == FaultRepeatedRefusal {
 		rep.setRetryAfter(w.Header())
 		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	run := rep.recordRun(r, string(body))
+	rep.repeatRejection(r)
 	fault = rep.harmFault(run, fault)
 	if fault != FaultNoDigest {
 		w.Header().Set(names.Digest, "digest-"+string(rep.currentID()))
