--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -121,6 +121,7 @@
 		limit.stop()
 		unsent := conn == nil || conn.sealUnsent(writes)
 		if err == nil && unsent {
+			// The response was there before the request.
 			_ = conn.Close()
 			_ = response.Body.Close()
 			err = errUnasked
@@ -131,6 +132,7 @@
 			case !unsent:
 				return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeLost, Err: limit.wrap(err)}
 			case conn == nil || ctx.Err() != nil || attempt == maxConnections || (writes == 0 && conn.hasUnasked()):
+				// An upstream that writes unasked on a new connection would do so on the next.
 				return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeNotSent, Err: err}
 			}
 			continue
