--- a/internal/protocol/listener/conn.go
+++ b/internal/protocol/listener/conn.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -144,66 +143,6 @@
 	return n, err
 }
 
-// depart records how the caller left. What follows from that does not count, nor does
-// what fails because the connection was closed here.
-func (c *conn) depart(departure Departure, err error) {
-	if !errors.Is(err, net.ErrClosed) && (departure != DepartureReadDeadline || !c.aborting.Load()) {
-		c.departed.CompareAndSwap(nil, &departure)
-	}
-}
-
-// departure returns how the caller has left.
-func (c *conn) departure() Departure {
-	if departed := c.departed.Load(); departed != nil {
-		return *departed
-	}
-	return DepartureNone
-}
-
-// refuseHeader answers a request whose header is too large.
-func (c *conn) refuseHeader() {
-	text := http.StatusText(http.StatusRequestHeaderFieldsTooLarge)
-	response := http.Response{
-		StatusCode: http.StatusRequestHeaderFieldsTooLarge, ProtoMajor: 1, ProtoMinor: 1, Close: true,
-		Header:        http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
-		ContentLength: int64(len(text)), Body: io.NopCloser(strings.NewReader(text)),
-	}
-	if c.TCPConn.SetDeadline(time.Now().Add(lingerPause)) == nil && response.Write(c.TCPConn) == nil {
-		_ = c.CloseWrite()
-	}
-}
-
-// CloseWrite implements closing for sending. It then reads what the caller still sends, so
-// that the caller gets the answer that was written.
-func (c *conn) CloseWrite() error {
-	if !c.lingered.CompareAndSwap(false, true) {
-		return nil
-	}
-	err := c.TCPConn.CloseWrite()
-	if err == nil {
-		_, _ = io.CopyN(io.Discard, &lingeringReader{c.TCPConn, time.Now().Add(lingerTime)}, lingerBytes)
-	}
-	return err
-}
-
-// lingeringReader reads until a time, or until nothing arrives for lingerPause.
-type lingeringReader struct {
-	tcp   *net.TCPConn
-	until time.Time
-}
-
-// Read implements io.Reader.
-func (r *lingeringReader) Read(p []byte) (int, error) {
-	deadline := time.Now().Add(lingerPause)
-	if deadline.After(r.until) {
-		deadline = r.until
-	}
-	if err := r.tcp.SetReadDeadline(deadline); err != nil {
-		return 0, err
-	}
-	return r.tcp.Read(p)
-}
-
 // SetReadDeadline implements net.Conn. It replaces the deadlines of the server by those
 // of the limits in force.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
--- a/internal/protocol/listener/listener.go
+++ b/internal/protocol/listener/listener.go
@@ -5,8 +5,14 @@
 // # Usage
 //
 //	l := listener.New(tcp, func() listener.Limits { return listener.Limits{IdleTimeout: time.Minute} })
+//	l.OnClosed(func(closed listener.Closed) { logger.Info(string(closed.Reason)) })
 //	err := l.Serve(server) // until Drain or server.Close
 //	drained := l.Drain(grace, endRequests)
+//
+// A handler asks about the connection of its request:
+//
+//	caller := listener.CallerOf(r.Context())
+//	w.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(caller.AnnounceIdle().Seconds())))
 package listener
 
 import (
@@ -50,13 +56,6 @@
 	// readAhead is what the server may read beyond the end of a request, and how much
 	// http.Server adds to its limit for that reason.
 	readAhead = 4 << 10
-	// lingerPause, lingerTime and lingerBytes bound what is read after an early answer: the
-	// time without a byte, the whole time and the number of bytes. Without it the answer
-	// would be lost: closing a connection with unread data resets it. The pause is that of
-	// http.Server.
-	lingerPause = 500 * time.Millisecond
-	lingerTime  = 2 * time.Second
-	lingerBytes = 64 << 20
 )
 
 // errClosed is what Accept returns after Close.
--- a/internal/protocol/listener/listener_test.go
+++ b/internal/protocol/listener/listener_test.go
@@ -146,3 +146,35 @@
 		})
 	}
 }
+
+// TestHeaderLimitsLoweredMeanwhile guards against refusing a request, or closing its
+// connection, because of limits that came into force after its header had begun.
+func TestHeaderLimitsLoweredMeanwhile(t *testing.T) {
+	before := Limits{HeaderBytes: 64 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	for name, after := range map[string]Limits{
+		"size": {HeaderBytes: 1, HeaderTimeout: time.Minute, IdleTimeout: time.Minute},
+		"time": {HeaderBytes: 64 << 10, HeaderTimeout: time.Millisecond, IdleTimeout: time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var current atomic.Pointer[Limits]
+			current.Store(&before)
+			s := serve(t, func() Limits { return *current.Load() }, func(http.ResponseWriter, *http.Request) {})
+			s.send(t, getRequest)
+			assert.Equal(t, s.receive(t), http.StatusOK)
+			s.send(t, "GET / HTTP/1.1\r\nX-Long: ")
+			waitFor(t, func() bool {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				for c := range s.states {
+					return c.(*conn).phase == phaseHeader
+				}
+				return false
+			})
+			current.Store(&after)
+			time.Sleep(50 * time.Millisecond)
+			s.send(t, strings.Repeat("x", 32<<10)+"\r\nHost: api.example\r\n\r\n")
+			assert.Equal(t, s.receive(t), http.StatusOK)
+		})
+	}
+}
