--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -68,9 +68,10 @@
 	},
 	{
 		"drops requests when the configuration changes", "internal/transport/gateway/serve.go",
-		"var outcome forward.Outcome",
-		"var outcome forward.Outcome\n\t\tbefore, _ := g.catalog.Routing()\n" +
-			"\t\tdefer func() {\n\t\t\tif after, _ := g.catalog.Routing(); after != before {\n\t\t\t\tabort(w, r)\n\t\t\t}\n\t\t}()",
+		"outcome := g.forward(r, request, s)",
+		"before, _ := g.catalog.Routing()\n" +
+			"\t\tdefer func() {\n\t\t\tif after, _ := g.catalog.Routing(); after != before {\n\t\t\t\tabort(w, r)\n\t\t\t}\n\t\t}()\n" +
+			"\t\toutcome := g.forward(r, request, s)",
 	},
 	{
 		"takes a reset for the end of an answer", "internal/coordination/forward/attempt.go",
