--- a/internal/coordination/forward/return.go
+++ b/internal/coordination/forward/return.go
@@ -96,7 +96,7 @@
 	}
 	pick := r.options.Balancer.Pick(query)
 	if pick == nil {
-		r.reason += ", upstream left before is gone"
+		r.reason += ", upstream left before may not receive it"
 		return nil
 	}
 	if !retryTaken && !r.takeReturningRetry() {
