--- a/exchange.go
+++ b/exchange.go
@@ -282,9 +282,17 @@
 	Next uint64
 }
 
+// CacheHolder is an engine or a cache store.
+type CacheHolder struct {
+	// ID is that of an engine, and empty for a cache store.
+	ID      InstanceID
+	Address netip.AddrPort
+}
+
 // CacheSource reports what engines and cache stores hold.
 type CacheSource interface {
 	// CacheChanges returns the changes after a sequence number. If there are
-	// none yet, it waits up to wait for the first one.
-	CacheChanges(ctx context.Context, engine netip.AddrPort, after uint64, wait time.Duration) (CacheChanges, error)
+	// none yet, it waits up to wait for the first one. If another upstream uses the
+	// address of the engine now, it returns an error.
+	CacheChanges(ctx context.Context, holder CacheHolder, after uint64, wait time.Duration) (CacheChanges, error)
 }
--- a/internal/coordination/watch/advice_test.go
+++ b/internal/coordination/watch/advice_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"testing"
 	"time"
 
@@ -23,7 +22,7 @@
 }
 
 // CacheChanges implements comfreyworks.CacheSource.
-func (e *advisingEngine) CacheChanges(ctx context.Context, _ netip.AddrPort, _ uint64, _ time.Duration) (comfreyworks.CacheChanges, error) {
+func (e *advisingEngine) CacheChanges(ctx context.Context, _ comfreyworks.CacheHolder, _ uint64, _ time.Duration) (comfreyworks.CacheChanges, error) {
 	comfreyworks.ReportAdvice(ctx, e.advice)
 	select {
 	case e.polled <- struct{}{}:
--- a/internal/coordination/watch/silence_test.go
+++ b/internal/coordination/watch/silence_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,7 +23,7 @@
 }
 
 // CacheChanges implements comfreyworks.CacheSource.
-func (s *silentTarget) CacheChanges(ctx context.Context, _ netip.AddrPort, after uint64, wait time.Duration) (comfreyworks.CacheChanges, error) {
+func (s *silentTarget) CacheChanges(ctx context.Context, _ comfreyworks.CacheHolder, after uint64, wait time.Duration) (comfreyworks.CacheChanges, error) {
 	s.polls++
 	if answerAt := time.Now().Add(wait); !answerAt.Before(s.from) && answerAt.Before(s.until) {
 		wait = time.Until(s.until)
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -56,11 +56,21 @@
 type Target struct {
 	ID      comfreyworks.InstanceID
 	Address netip.AddrPort
+	// IsStore means that the target is a cache store.
+	IsStore bool
 	// MaxReaders is the maximum number of concurrent polls of the target; zero
 	// means no limit.
 	MaxReaders int
 }
 
+func (t *Target) holder() comfreyworks.CacheHolder {
+	holder := comfreyworks.CacheHolder{ID: t.ID, Address: t.Address}
+	if t.IsStore {
+		holder.ID = ""
+	}
+	return holder
+}
+
 // Options configures a Watcher.
 type Options struct {
 	Source comfreyworks.CacheSource
@@ -143,7 +153,7 @@
 		wait, pause := pollSchedule(target.MaxReaders, int(w.readers.Load()))
 		pollCtx, cancel := context.WithTimeout(w.withAdvice(ctx, target, &state), wait+responseTimeout)
 		polledAt, after := w.options.Clock.Now(), state.after
-		changes, err := w.options.Source.CacheChanges(pollCtx, target.Address, after, wait)
+		changes, err := w.options.Source.CacheChanges(pollCtx, target.holder(), after, wait)
 		cancel()
 		switch {
 		case err != nil && w.closedFor(target, &state) > 0:
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -26,7 +25,7 @@
 }
 
 // CacheChanges implements comfreyworks.CacheSource.
-func (e *fakeEngine) CacheChanges(ctx context.Context, _ netip.AddrPort, after uint64, _ time.Duration) (comfreyworks.CacheChanges, error) {
+func (e *fakeEngine) CacheChanges(ctx context.Context, _ comfreyworks.CacheHolder, after uint64, _ time.Duration) (comfreyworks.CacheChanges, error) {
 	e.mu.Lock()
 	e.requested = append(e.requested, after)
 	e.mu.Unlock()
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -271,7 +271,7 @@
 		return nil
 	}
 	for _, store := range g.catalog.Stores() {
-		targets = append(targets, watch.Target{ID: store.ID, Address: store.Address, MaxReaders: store.MaxReaders})
+		targets = append(targets, watch.Target{ID: store.ID, Address: store.Address, IsStore: true, MaxReaders: store.MaxReaders})
 	}
 	return targets
 }
