Reserve no retry for the return to an upstream that is silent for over 2 s

Streams of a dead upstream waited until their callers left. A retry for the return is reserved with each takeover, so that a budget with one retry for each stream replaced the upstream for half of them at first, and for the last one not within 10 s.

A sound upstream that falls silent goes on within a second or two. After 2 s no return is to be expected, so that one retry is enough from then on. Weighed: to take one retry only if the budget does not hold two, which still kept one of ten streams waiting for 3.2 s, because others held reservations.

TestDeadUpstreamIsLeftByAll (ten streams, ten retries) failed before: one stream was not complete after 10 s ('caller left'); now the last is taken over within 3 s, in 40 of 40 runs with -race. The whole package passes four times; TestGivenUpUpstreamIsReturnedTo, whose pauses are up to 2 s, is unchanged. A mutant's text follows the changed line.

--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -64,7 +64,7 @@
 	},
 	{
 		"ends silent answers", "internal/coordination/forward/takeover.go",
-		"pick, obstacle := t.pick()", "pick, obstacle := t.pick()\n\tif pick == nil {\n\t\tt.silent.cancel(errUpstreamSilent)\n\t}",
+		"pick, obstacle := t.pick(silentFor)", "pick, obstacle := t.pick(silentFor)\n\tif pick == nil {\n\t\tt.silent.cancel(errUpstreamSilent)\n\t}",
 	},
 	{
 		"drops requests when the configuration changes", "internal/transport/gateway/serve.go",
--- a/internal/coordination/forward/return.go
+++ b/internal/coordination/forward/return.go
@@ -17,6 +17,9 @@
 	// returnInterval is the time before each return but the first. An upstream that was
 	// silent has to catch up.
 	returnInterval = 200 * time.Millisecond
+	// maxPause is how long a sound upstream may be silent. After that, it is replaced even
+	// if no retry is left to return to it.
+	maxPause = 2 * time.Second
 )
 
 // leftUpstream is an upstream that a request has left although it had not failed: it was
@@ -58,9 +61,10 @@
 }
 
 // takeReservingRetry takes a retry from the budget and reserves another one, unless that
-// has been done.
-func (r *activeRequest) takeReservingRetry() bool {
-	if r.reserved {
+// has been done. An upstream that has been silent for longer than maxPause needs no
+// reservation.
+func (r *activeRequest) takeReservingRetry(silentFor time.Duration) bool {
+	if r.reserved || silentFor > maxPause {
 		return r.budget.TryRetry()
 	}
 	r.reserved = r.budget.TryRetryAndReserve()
--- a/internal/coordination/forward/silence_test.go
+++ b/internal/coordination/forward/silence_test.go
@@ -277,6 +277,22 @@
 	}
 }
 
+// TestDeadUpstreamIsLeftByAll guards against streams that wait for a dead upstream until
+// their callers leave, because the budget has a retry for each of them but none to spare.
+func TestDeadUpstreamIsLeftByAll(t *testing.T) {
+	const streams = 10
+	f, sound := newSoundFixture(3, streams)
+	sound.pause(untilSecond, time.Hour)
+	sound.others = respondRest
+	outcomes, sinks := f.forwardAll(t, route(comfreyworks.RouteStream, 2, true), streams)
+	for i := range outcomes {
+		assertComplete(t, outcomes[i], &sinks[i], wholeStream)
+		sent := sound.sent[message(i).ID]
+		took := sent[len(sent)-1].at.Sub(sent[0].at)
+		assert.Assert(t, took <= maxPause+time.Second, took)
+	}
+}
+
 // delayed waits on the clock before it responds, unless its context ends.
 func delayed(clock *clockwork.FakeClock, delay time.Duration, then response) response {
 	return func(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
--- a/internal/coordination/forward/takeover.go
+++ b/internal/coordination/forward/takeover.go
@@ -86,7 +86,7 @@
 		return
 	}
 	t.silent.pick.Silent()
-	pick, obstacle := t.pick()
+	pick, obstacle := t.pick(silentFor)
 	if pick == nil {
 		if t.successor == nil {
 			t.recordObstacle(obstacle, silentFor)
@@ -131,9 +131,10 @@
 	)
 }
 
-// pick chooses the upstream that takes over and takes a retry from the budget. It
-// returns nil and the reason if the request cannot be sent again now.
-func (t *takeover) pick() (pick *balance.Pick, obstacle string) {
+// pick chooses the upstream that takes over from one that has been silent for some time,
+// and takes a retry from the budget. It returns nil and the reason if the request cannot be
+// sent again now.
+func (t *takeover) pick(silentFor time.Duration) (pick *balance.Pick, obstacle string) {
 	r := t.silent.activeRequest
 	if outcome, quarantined := r.quarantined(); quarantined {
 		return nil, outcome.Reason
@@ -149,7 +150,7 @@
 	if pick == nil {
 		return nil, "no other upstream"
 	}
-	if !r.takeReservingRetry() {
+	if !r.takeReservingRetry(silentFor) {
 		pick.Done(balance.Result{Outcome: balance.Withdrawn})
 		return nil, "retry budget spent"
 	}
