Show sound requests that are suspected while engines go away

The model of the log of crashes knew engines that end, and nothing of what gateways do afterwards: a request that is sent to an engine which is gone meets a kept connection, and is reset 2 to 20 ms later. It does now, with engines that go down and up by turns, a rack that ends, a zone that two thirds of the gateways don't reach, and a release. Callers repeat what fails, and each request is a suspect itself, as in gateways.

--- a/internal/state/crashes/model_test.go
+++ b/internal/state/crashes/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"flag"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -50,6 +51,10 @@
 	// take 1 to 5 s.
 	halves, resets int
 	slow           bool
+	// away is what else engines do whatever they run. If it is set, gateways send requests
+	// to engines that are gone on kept connections, which are reset 2 to 20 ms later, and
+	// callers repeat what fails.
+	away away
 }
 
 var patterns = []pattern{
@@ -83,6 +88,9 @@
 	// refused, cut and starved count sound requests: refused because of a part, cut
 	// by the end of their engine, without a running engine for two seconds.
 	refused, cut, starved int
+	// suspected counts sound requests that were refused because of a suspect or given up
+	// because engines had ended under one.
+	suspected int
 	// share is the share of sound requests with the first part of the crashing ones
 	// that began to be answered at the first attempt, from twice contact on.
 	share float64
@@ -97,6 +105,12 @@
 	gateways []policy
 	running  []map[*modelRequest]bool // by engine
 	back     []time.Time              // by engine
+	// ends counts the ends of each engine, leaving marks those that take no new requests,
+	// kept counts the idle connections of each gateway to each engine.
+	ends    []int
+	leaving []bool
+	kept    [][]int
+	zoneCut bool // the zone of away.zone is cut off
 	figures
 	crashed        map[uint32]int       // by crashing part
 	lateFrom       map[uint32]time.Time // by crashing part
@@ -160,16 +174,20 @@
 	repeated bool
 	run      run
 	began    bool
+	gateway  int
+	// tried is one more than the engine of the last attempt, zero if there was none.
+	tried int
 }
 
 // runModel runs one pattern with one policy.
 func runModel(f fleet, p pattern, seed uint64, newPolicy func(*modelClock) policy) figures {
 	m := &model{
 		fleet: f, pattern: p, random: rand.New(rand.NewPCG(seed, uint64(f.gateways))), clock: &modelClock{},
-		back: make([]time.Time, f.engines), crashed: make(map[uint32]int), lateFrom: make(map[uint32]time.Time),
+		back: make([]time.Time, f.engines), ends: make([]int, f.engines), leaving: make([]bool, f.engines), crashed: make(map[uint32]int), lateFrom: make(map[uint32]time.Time),
 	}
 	for range f.gateways {
 		m.gateways = append(m.gateways, newPolicy(m.clock))
+		m.kept = append(m.kept, make([]int, f.engines))
 	}
 	for range f.engines {
 		m.running = append(m.running, make(map[*modelRequest]bool))
@@ -182,7 +200,7 @@
 	}
 	if p.answered {
 		for _, g := range m.gateways {
-			g.begin(0, []uint32{firstCrasher}).Answered()
+			g.begin(0, 0, []uint32{firstCrasher}).Answered()
 		}
 	}
 	if p.halfEnds {
@@ -207,6 +225,7 @@
 			m.after(othersFrom+time.Duration(i)*time.Second, func() { m.end(m.random.IntN(f.engines)) })
 		}
 	}
+	m.startAway()
 	for m.events.Len() > 0 {
 		e := heap.Pop(&m.events).(event)
 		m.clock.now = e.at
@@ -255,6 +274,9 @@
 	if r.judged {
 		m.offered++
 	}
+	if m.away != (away{}) {
+		r.keys = slices.Insert(r.keys, 0, RequestKey(nil, fmt.Sprint(m.random.Uint64())))
+	}
 	m.arrive(r)
 }
 
@@ -279,11 +301,12 @@
 // attempt sends a request to its engine, or waits until there is one.
 func (m *model) attempt(r *modelRequest, gateway int, patience time.Duration) {
 	refused, alone := m.gateways[gateway].verdict(r.keys)
-	engine := m.choose(r, alone)
+	engine := m.choose(r, gateway, alone)
 	switch {
 	case refused:
 		if r.crashes == 0 {
 			m.refused++
+			m.suspected++
 		}
 	case engine < 0 && patience > 0:
 		const pause = 100 * time.Millisecond
@@ -299,14 +322,14 @@
 
 // choose returns the engine of a request's session or the next one that runs, -1 if
 // there is none.
-func (m *model) choose(r *modelRequest, alone bool) int {
+func (m *model) choose(r *modelRequest, gateway int, alone bool) int {
 	home := int(r.keys[len(r.keys)-1]*2654435761>>8) % m.engines
 	for i := range m.engines {
 		engine := (home + i) % m.engines
 		if alone {
 			engine = 0
 		}
-		if !m.back[engine].After(m.clock.now) {
+		if m.mayTry(r, gateway, engine) {
 			return engine
 		}
 	}
@@ -315,8 +338,12 @@
 
 func (m *model) start(r *modelRequest, gateway, engine int) {
 	r.attempts++
-	attempt, current := r.attempts, m.gateways[gateway].begin(engine, r.keys)
-	r.run, r.began = current, false
+	attempt, current := r.attempts, m.gateways[gateway].begin(engine, m.ends[engine], r.keys)
+	r.run, r.began, r.gateway, r.tried = current, false, gateway, engine+1
+	if !m.isUp(gateway, engine) {
+		m.meetGone(r, engine)
+		return
+	}
 	m.running[engine][r] = true
 	// running calls do unless the engine ended in the meantime.
 	running := func(after time.Duration, do func()) {
@@ -353,7 +380,10 @@
 		}
 	})
 	running(min(length, first+settled), current.Answered)
-	running(length, func() { delete(m.running[engine], r) })
+	running(length, func() {
+		delete(m.running[engine], r)
+		m.kept[gateway][engine] = min(m.kept[gateway][engine]+1, maxKept)
+	})
 }
 
 // end ends an engine and all that it runs.
@@ -361,7 +391,13 @@
 	if m.back[engine].After(m.clock.now) {
 		return
 	}
-	m.back[engine] = m.clock.now.Add(m.between(3*time.Second, 6*time.Second))
+	m.endFor(engine, m.between(3*time.Second, 6*time.Second))
+}
+
+// endFor ends an engine for a while.
+func (m *model) endFor(engine int, d time.Duration) {
+	m.back[engine] = m.clock.now.Add(d)
+	m.ends[engine]++
 	m.lose(m.running[engine])
 	m.running[engine] = make(map[*modelRequest]bool)
 }
@@ -391,6 +427,10 @@
 // more, unless one of their parts is suspected.
 func (m *model) lose(runs map[*modelRequest]bool) {
 	for _, r := range sorted(runs) {
+		if m.away != (away{}) {
+			m.after(m.between(0, 20*time.Millisecond), func() { m.loseAway(r) })
+			continue
+		}
 		crashes := r.run.EngineEnded()
 		if r.crashes == 0 {
 			m.cut++
--- a/internal/state/crashes/policy_test.go
+++ b/internal/state/crashes/policy_test.go
@@ -10,7 +10,7 @@
 
 // policy decides at one gateway of the model what becomes of a request.
 type policy interface {
-	begin(engine int, keys []uint32) run
+	begin(engine, incarnation int, keys []uint32) run
 	// verdict tells whether the request is refused, or sent to no engine but the
 	// first one.
 	verdict(keys []uint32) (refused, alone bool)
@@ -31,8 +31,8 @@
 	aloneAfter uint16
 }
 
-func (p logPolicy) begin(engine int, keys []uint32) run {
-	return p.Begin(keys).On(comfreyworks.InstanceID(fmt.Sprint("engine/", engine)), time.Time{})
+func (p logPolicy) begin(engine, incarnation int, keys []uint32) run {
+	return p.Begin(keys).On(comfreyworks.InstanceID(fmt.Sprint("engine/", engine)), time.UnixMilli(int64(incarnation)))
 }
 
 func (p logPolicy) verdict(keys []uint32) (refused, alone bool) {
@@ -75,7 +75,7 @@
 	p.crashes = append(p.crashes, c)
 }
 
-func (p *countPolicy) begin(engine int, keys []uint32) run { return countedRun{p, engine, keys} }
+func (p *countPolicy) begin(engine, _ int, keys []uint32) run { return countedRun{p, engine, keys} }
 
 func (p *countPolicy) verdict(keys []uint32) (refused, alone bool) {
 	for _, key := range keys {
