Blame a request only for an end under which it was alive

Callers saw requests fail with "upstream ended, request suspected", and prompts refused because of a part under which no engine crashed, while engines went down and up by turns.

Cause: the log of crashes counted every exchange whose connection broke before the answer had gone on for half a second. A request that is sent to an upstream that is gone meets a kept connection, is reset, and counted like one that had ended the upstream; the next one counted one more, because it was sent after the first was known. So one end of one engine blamed a part that a quarter of all prompts have.

Change: the question whether a request ended its upstream is answered from evidence by one function (crashes/evidence.go), the same for parts and whole requests:

- an answer that had begun proves that the upstream was alive; one that went on blames nobody, as before;
- a gateway keeps which incarnations have ended: by its own requests, by the hashes in the suspicions of others, and by the start time of the next incarnation to which it sends.
A request that is sent after that blames nobody, unless the upstream is heard of again;
- a connection that was used before and is reset within 30 ms, before a byte of the answer, has not been read.
That excuses a suspect three times without an answer;
- an end that a suspicion knows does not count again.
Suspicions of parts list their ends now as those of whole requests did, up to 12;
- ends without a suspect, within 10 s and reported a second ago, cast doubt on it: it takes one more end for 4 of them, two for 8, four at most, and one more for each engine that ends again at a time without the suspect;
- a part that was answered in the last seconds does not stop the retry of a request at its second crash, only when it is blamed.

ExchangeError says whether the connection had been used before: three lines in protocol/exchange. Attempts log the verdict as "break". The exchange between gateways sends no further calls; an entry grows by the hash of each end, 4 bytes and a few.

Ruled out by the model: to take a second end of an engine soon after its return for a sign of its own fault, because what crashes engines ends them again as soon as they are back.

The model gives up a retry by what Broke returns, as gateways do.

--- a/exchange.go
+++ b/exchange.go
@@ -166,7 +166,9 @@
 	// that the upstream serves, zero if unknown.
 	Reason  NotRunReason
 	Weights WeightsRevision
-	Err     error
+	// Reused is set for ExchangeLost if the connection had been used before.
+	Reused bool
+	Err    error
 }
 
 // Error returns "exchange: kind (reason): cause" without the parts that are
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -35,11 +35,12 @@
 	takeover     *takeover
 	answer       receivedAnswer
 	trial        *crashes.Request
-	// engineEnded means that the upstream ended under the request, crashes is how often
-	// that has happened to one of its suspects, and cleared means that it can't any more.
-	engineEnded, cleared bool
-	crashes              int
-	pace                 streamPace
+	// broke is set if the upstream ended its connection, finding is what follows from that.
+	// cleared means that the suspects were cleared, so that nothing does.
+	broke   *crashes.Evidence
+	finding crashes.Finding
+	cleared bool
+	pace    streamPace
 	// ended means that end was called.
 	ended bool
 	// resumesAfter is the event after which the attempt continues a stream; empty
@@ -311,7 +312,7 @@
 		zap.String("outcome", string(a.result.Outcome)),
 		zap.Strings("parts", a.request.Prompt.loggedParts()),
 		zap.Int("status", a.answer.status), zap.Int("events", a.answer.events), zap.Duration("answering", a.answer.age(a.options.Clock.Now())),
-		zap.Bool("upstream-ended", a.engineEnded), zap.Int("crashes", a.crashes),
+		zap.Bool("upstream-ended", a.finding.Verdict == crashes.EndedUnder), zap.String("break", string(a.finding.Verdict)), zap.Int("crashes", a.finding.Crashes),
 		zap.Error(a.cause),
 	)
 }
--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	// soundAnswerTime is how long an answer goes on after its first event when the request
-	// no longer counts as the cause if the upstream ends.
-	soundAnswerTime = 500 * time.Millisecond
-	// maxCrashesToRetry is the number of crashes of one of its suspects, or of upstreams
-	// under it, with which a request is still sent again.
+	// soundAnswerTime is how long an answer goes on after its first event when it clears the
+	// suspects of the request.
+	soundAnswerTime = crashes.SoundAnswerTime
+	// maxCrashesToRetry is the number of upstreams that may end under a request which is
+	// still sent again, apart from those that are in doubt.
 	maxCrashesToRetry = 1
 	// maxPartSuspects limits the parts of one prompt that are looked at.
 	maxPartSuspects = 64
@@ -105,9 +105,21 @@
 	return outcome, true
 }
 
-// recordBreak records whether an exchange was lost because the upstream ended under it.
+// recordBreak records what is known of an exchange that was lost because the upstream
+// ended its connection.
 func (a *attempt) recordBreak(ctx context.Context, err error) {
-	a.engineEnded = context.Cause(ctx) == nil && isBrokenConnection(err) && a.answer.age(a.options.Clock.Now()) < soundAnswerTime
+	if context.Cause(ctx) != nil || !isBrokenConnection(err) {
+		return
+	}
+	now := a.options.Clock.Now()
+	a.broke = &crashes.Evidence{
+		Took: now.Sub(a.startedAt), Answering: a.answer.age(now), Began: a.answer.status != 0 || !a.answer.beganAt.IsZero(),
+		Reset: errors.Is(err, syscall.ECONNRESET),
+	}
+	var failure *comfreyworks.ExchangeError
+	if errors.As(err, &failure) {
+		a.broke.Reused = failure.Reused
+	}
 }
 
 // isBrokenConnection reports whether an exchange failed because the other side closed
@@ -125,6 +137,9 @@
 // soundAnswerTime.
 func (a *attempt) eventArrived() {
 	now := a.options.Clock.Now()
+	if a.answer.events == 0 && a.trial != nil {
+		a.trial.Heard()
+	}
 	a.answer.addEvent(now)
 	a.observePace(now)
 	if a.answer.age(now) >= soundAnswerTime {
@@ -150,16 +165,20 @@
 		// The request was not sent.
 		return
 	}
-	if a.engineEnded {
-		a.blameSuspects()
+	if a.broke != nil {
+		a.judgeBreak()
 	}
 	a.trial.Done()
 }
 
-func (a *attempt) blameSuspects() {
-	a.crashes = a.trial.EngineEnded()
+// judgeBreak records whether the request ended its upstream.
+func (a *attempt) judgeBreak() {
+	a.finding = a.trial.Broke(*a.broke)
+	if a.finding.Verdict != crashes.EndedUnder {
+		return
+	}
 	a.crashed++
-	a.suspected = max(a.crashes, a.crashed) > maxCrashesToRetry
+	a.suspected = a.finding.Suspected || a.crashed-a.finding.Doubt > maxCrashesToRetry
 	if key, blamed := a.options.Crashes.Blamed(a.suspects); blamed {
 		a.options.Logger.Warn(string(crashes.KindOf(key))+" put under quarantine", a.suspectFields(key)...)
 	}
@@ -181,7 +200,7 @@
 // its prompt.
 func (a *attempt) suspectFields(key uint32) []zap.Field {
 	return []zap.Field{
-		zap.String("part", partOf(a.request, key)), zap.String("key", FormatSuspectKey(key)), zap.Int("crashes", a.crashes),
+		zap.String("part", partOf(a.request, key)), zap.String("key", FormatSuspectKey(key)), zap.Int("crashes", a.finding.Crashes),
 		zap.String("request", string(a.request.Message.ID)),
 		zap.String("upstream", string(a.pick.Upstream.ID)),
 	}
--- a/internal/coordination/forward/quarantine_test.go
+++ b/internal/coordination/forward/quarantine_test.go
@@ -135,6 +135,29 @@
 	})
 }
 
+// meetsGone fails an exchange with an upstream that had ended before: the host resets a
+// connection that was used before.
+func (f *fixture) meetsGone(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+	f.clock.Advance(20 * time.Millisecond)
+	return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeLost, Reused: true, Err: fmt.Errorf("read: %w", syscall.ECONNRESET)}
+}
+
+// TestUpstreamsGone guards against requests that are given up as suspected, and parts that
+// are refused, because one request after the other meets upstreams that have ended.
+func TestUpstreamsGone(t *testing.T) {
+	f := newFixture()
+	f.upstreams.script = []response{f.meetsGone, f.meetsGone, respondOK(event(1)), f.meetsGone, f.meetsGone, respondOK(event(1))}
+	core, logs := observer.New(zap.InfoLevel)
+	f.forwarder.options.Logger = zap.New(core)
+	for range 2 {
+		assert.Equal(t, f.prompt(context.Background(), route(comfreyworks.RouteStream, 4, true), "5c1e", "91bd").Verdict, Delivered)
+	}
+	assert.Equal(t, len(f.upstreams.sent), 6)
+	attempt := logs.FilterMessage("attempt finished").All()[0].ContextMap()
+	assert.Equal(t, attempt["break"], string(crashes.Unread))
+	assert.Equal(t, attempt["upstream-ended"], false)
+}
+
 // TestSoundPrompts guards against sound requests that are refused because they came at
 // the same time, or share something, with those under which engines crash.
 func TestSoundPrompts(t *testing.T) {
--- a/internal/coordination/peering/crashes_test.go
+++ b/internal/coordination/peering/crashes_test.go
@@ -22,7 +22,7 @@
 // crash lets engines end under requests of a gateway with a part.
 func (g *gateway) crash(part uint32, times int) {
 	for range times {
-		g.options.Crashes.Begin([]uint32{part}).EngineEnded()
+		g.options.Crashes.Begin([]uint32{part}).Broke(crashes.Evidence{})
 	}
 }
 
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -106,10 +106,12 @@
 	for attempt := 1; ; attempt++ {
 		var conn *keepAliveConn
 		var writes int
+		var reused bool
 		requestCtx, cancel := context.WithCancelCause(ctx)
 		limit := &headLimit{clock: c.options.Clock, cancel: cancel}
 		traced := httptrace.WithClientTrace(requestCtx, &httptrace.ClientTrace{
 			GotConn: func(info httptrace.GotConnInfo) {
+				reused = info.Reused
 				if conn, _ = info.Conn.(*keepAliveConn); conn != nil {
 					writes = conn.writeCount()
 					conn.setHeadLimit(limit)
@@ -124,7 +126,7 @@
 			unsent := conn == nil || conn.sealUnsent(writes)
 			switch {
 			case !unsent:
-				return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeLost, Err: limit.wrap(err)}
+				return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeLost, Reused: reused, Err: limit.wrap(err)}
 			case conn == nil || ctx.Err() != nil || attempt == maxConnections:
 				return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeNotSent, Err: err}
 			}
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -153,7 +153,7 @@
 				request := newForwardedRequest(method, body)
 				request.Header.Set("Idempotency-Key", "k")
 				_, err = f.exchange(u, request)
-				expectKind(t, err, comfreyworks.ExchangeLost)
+				assert.Assert(t, expectKind(t, err, comfreyworks.ExchangeLost).Reused)
 				assert.Equal(t, u.requests.Load(), int64(2))
 			})
 		}
--- a/internal/state/crashes/away_test.go
+++ b/internal/state/crashes/away_test.go
@@ -19,6 +19,8 @@
 	rack, zone int
 	// release means that one engine after the other leaves and is replaced.
 	release bool
+	// closes means that connections to engines that are gone are closed and not reset.
+	closes bool
 }
 
 // String names what happens.
@@ -32,6 +34,7 @@
 		{fmt.Sprintf("a rack of %d ends", a.rack), a.rack > 0},
 		{fmt.Sprintf("a zone of %d is cut", a.zone), a.zone > 0},
 		{"a release", a.release},
+		{"connections are closed", a.closes},
 	} {
 		if part.set {
 			parts = append(parts, part.text)
@@ -51,7 +54,7 @@
 )
 
 func (m *model) startAway() {
-	for engine := range m.away.turns {
+	for _, engine := range m.random.Perm(m.engines)[:m.away.turns] {
 		var down func()
 		down = func() {
 			m.endFor(engine, m.away.period)
@@ -127,23 +130,23 @@
 		if m.isUp(r.gateway, engine) {
 			m.kept[r.gateway][engine] = 0
 		}
-		m.loseAway(r)
+		m.loseAway(r, Evidence{Took: m.clock.now.Sub(r.sentAt), Reset: !m.away.closes, Reused: true})
 	})
 }
 
 // loseAway breaks the connection of a request. It is sent to another engine, or repeated
 // by its caller.
-func (m *model) loseAway(r *modelRequest) {
-	crashes := r.run.EngineEnded()
+func (m *model) loseAway(r *modelRequest, evidence Evidence) {
+	suspected := r.run.broke(evidence)
 	if r.crashes == 0 {
 		m.cut++
 	}
 	switch {
 	case r.began:
-	case crashes < 2 && r.attempts == 1:
+	case !suspected && r.attempts == 1:
 		m.attempt(r, r.gateway, 2*time.Second)
 	case r.crashes == 0:
-		if crashes >= 2 {
+		if suspected {
 			m.suspected++
 		}
 		m.repeat(r)
--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -33,21 +33,18 @@
 //	}
 //	request := log.Begin(keys)
 //	defer request.Done()
-//	request.Answered()    // the answer completed or went on for a while
-//	request.EngineEnded() // the engine ended before that
+//	request.Answered() // the answer completed or went on for a while
+//	request.Broke(crashes.Evidence{Took: took}) // the connection broke before that
 //	suspicions, next := log.After(version, crashes.Local)
 //	log.Merge(suspicions, crashes.Remote)
 package crashes
 
 import (
-	"fmt"
 	"math"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"comfreyworks"
 	"comfreyworks/internal/state/sharedlog"
 )
@@ -84,6 +81,9 @@
 	minRefusals           = 10
 	maxRequestsPerRefusal = 5
 	refusalWindow         = 5 * time.Second
+	// justAnsweredTime is how long a part that was answered is not taken for the cause of
+	// two crashes.
+	justAnsweredTime = 2 * time.Second
 	// maxTestWait is how long after the last crash a part that is blamed, but not for
 	// certain, waits for a request without other suspects. Then any request with it
 	// is let through, one at a time.
@@ -131,10 +131,12 @@
 	// early counts the early trials of this gateway, refusals its requests and refusals.
 	early    map[earlyTrial]int
 	refusals refusalCounts
-	// answered holds the parts that this gateway has seen answered.
-	answered recentParts
-	// ends holds the requests under which upstreams ended last.
-	ends recentEnds
+	// answered holds the parts that this gateway has seen answered, justAnswered those of
+	// the last seconds.
+	answered, justAnswered recentParts
+	// together holds the requests under which upstreams ended last, ends the upstreams.
+	together recentEnds
+	ends     knownEnds
 }
 
 // earlyTrial identifies a quarantine: the part, and how often it was cleared before.
@@ -156,19 +158,22 @@
 		clock: options.Clock, spread: options.Spread, tries: options.Tries,
 		trials: make(map[uint32]int), early: make(map[earlyTrial]int),
 		thresholds: thresholds{blameAfter, certainAfter, answeredMargin},
+		answered:   recentParts{keep: recently}, justAnswered: recentParts{keep: justAnsweredTime},
 	}
 }
 
-// Request is a request that was sent to an engine. Its first call of EngineEnded,
-// Answered or Done counts; later ones have no effect.
+// Request is a request that was sent to an engine. Its first call of Broke, Answered or
+// Done counts; later ones have no effect.
 type Request struct {
 	log   *Log
 	parts []snapshot
 	// trials lists the parts that the request tries after their quarantine.
 	trials []uint32
 	early  []earlyTrial
-	// upstream identifies the upstream to which it was sent; zero if unknown.
-	upstream uint32
+	// upstream is the upstream to which it was sent, goneAt when that was found to have
+	// ended before; both are zero if unknown.
+	upstream incarnation
+	goneAt   time.Time
 	ended    bool
 }
 
@@ -206,10 +211,22 @@
 
 // On records to which incarnation of an upstream the request is sent.
 func (r *Request) On(upstream comfreyworks.InstanceID, started time.Time) *Request {
-	r.upstream = max(1, uint32(xxhash.Sum64String(fmt.Sprint(upstream, " ", started.UnixMilli()))))
+	r.upstream = newIncarnation(upstream, started)
+	r.log.mu.Lock()
+	defer r.log.mu.Unlock()
+	now := r.log.clock.Now()
+	r.log.ends.replace(r.upstream, started, now)
+	r.goneAt = r.log.ends.endedAt(r.upstream, now)
 	return r
 }
 
+// Heard records that the upstream has sent a part of the answer.
+func (r *Request) Heard() {
+	r.log.mu.Lock()
+	defer r.log.mu.Unlock()
+	r.log.ends.hear(r.upstream)
+}
+
 // countEarly counts early trials. The mutex must be held.
 func (l *Log) countEarly(trials []earlyTrial, n int) {
 	if len(l.early) > maxEntries {
@@ -251,18 +268,38 @@
 // cancelled.
 func (r *Request) Done() {
 	if r.end() {
-		r.log.mu.Lock()
-		defer r.log.mu.Unlock()
-		r.log.countEarly(r.early, -1)
+		r.withdrawEarly()
 	}
 }
 
-// EngineEnded records that the engine ended under the request. It returns the
-// highest number of crashes of its parts. If a part of the request is already
-// blamed for certain, the crash does not count for the others.
-func (r *Request) EngineEnded() (crashes int) {
+// withdrawEarly takes back that the request was an early trial.
+func (r *Request) withdrawEarly() {
+	r.log.mu.Lock()
+	defer r.log.mu.Unlock()
+	r.log.countEarly(r.early, -1)
+}
+
+// Finding is what follows from the end of an upstream under a request.
+type Finding struct {
+	Verdict Verdict
+	// Crashes is the highest number of crashes of a suspect of the request, Doubt how many
+	// ends under the request don't count because others ended without it.
+	Crashes, Doubt int
+	// Suspected means that a suspect has so many crashes that the request must not be sent
+	// again. A part that was answered in the last seconds is none before it is blamed.
+	Suspected bool
+}
+
+// Broke records that the connection to the upstream broke under the request. If a part of
+// the request is already blamed for certain, the crash does not count for the others.
+func (r *Request) Broke(e Evidence) Finding {
 	if !r.end() {
-		return 0
+		return Finding{}
+	}
+	finding := Finding{Verdict: r.judge(e)}
+	if finding.Verdict != EndedUnder {
+		r.withdrawEarly()
+		return finding
 	}
 	cause := slices.DeleteFunc(slices.Clone(r.parts), func(s snapshot) bool {
 		known, _ := r.log.log.Lookup(s.key)
@@ -271,9 +308,10 @@
 	if len(cause) == 0 {
 		cause = r.parts
 	}
+	doubts := r.doubts(cause)
 	r.log.log.Merge(func(yield func(uint32, suspicion) bool) {
-		for _, s := range cause {
-			if s.known.cleared < math.MaxUint16 && !yield(s.key, s.known.crash(r.others(s.key), r.upstreamFor(s.key))) {
+		for i, s := range cause {
+			if s.known.cleared < math.MaxUint16 && !yield(s.key, s.known.crash(r.others(s.key), r.upstream, doubts[i])) {
 				return
 			}
 		}
@@ -281,18 +319,44 @@
 	r.log.excuseTogether(r)
 	for _, s := range r.parts {
 		if known, _ := r.log.log.Lookup(s.key); known.cleared == s.known.cleared {
-			crashes = max(crashes, int(known.crashes))
+			finding.Crashes = max(finding.Crashes, int(known.crashes))
+			finding.Suspected = finding.Suspected || r.log.isSuspected(s.key, known)
 		}
 	}
-	return crashes
+	if len(doubts) > 0 {
+		finding.Doubt = slices.Max(doubts)
+	}
+	return finding
 }
 
-// upstreamFor returns the upstream if it is recorded for the given suspect.
-func (r *Request) upstreamFor(key uint32) uint32 {
-	if KindOf(key) == WholeRequest {
-		return r.upstream
+// judge decides whether the request ended its upstream, and records that it has ended.
+func (r *Request) judge(e Evidence) Verdict {
+	l := r.log
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	if e.Began {
+		l.ends.hear(r.upstream)
+	}
+	verdict := judge(e, !r.goneAt.IsZero() && l.ends.endedAt(r.upstream, now).Equal(r.goneAt))
+	if verdict == Unread && !l.together.mayExcuse(r.parts, now) {
+		verdict = EndedUnder
 	}
-	return 0
+	l.ends.see(r.upstream, now)
+	return verdict
+}
+
+// doubts returns the doubt about each suspect.
+func (r *Request) doubts(suspects []snapshot) []int {
+	now := r.log.clock.Now()
+	r.log.mu.Lock()
+	defer r.log.mu.Unlock()
+	doubts := make([]int, len(suspects))
+	for i, s := range suspects {
+		known, _ := r.log.log.Lookup(s.key)
+		doubts[i] = doubt(r.log.ends.without(known.ended.union(newEndSet([]uint32{uint32(r.upstream)})), now))
+	}
+	return doubts
 }
 
 // others returns the parts of the request other than key. If there are too many,
@@ -317,9 +381,12 @@
 	}
 	r.log.mu.Lock()
 	now := r.log.clock.Now()
+	r.log.ends.hear(r.upstream)
 	for _, s := range r.parts {
+		r.log.together.forget(s.key)
 		if KindOf(s.key) == PromptPart {
 			r.log.answered.add(s.key, now)
+			r.log.justAnswered.add(s.key, now)
 		}
 	}
 	r.log.mu.Unlock()
@@ -340,9 +407,20 @@
 // isBlamed reports whether a part is under quarantine or was and is not cleared.
 func (l *Log) isBlamed(key uint32, s suspicion) bool { return l.reaches(l.thresholds.blame, key, s) }
 
+// isSuspected reports whether a request with a suspect must not be sent again.
+func (l *Log) isSuspected(key uint32, s suspicion) bool {
+	if s.crashes < blameAfter || l.isBlamed(key, s) {
+		return s.crashes >= blameAfter
+	}
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.justAnswered.has(key, now)
+}
+
 // isCertain reports whether a blamed suspect needs no further test.
 func (l *Log) isCertain(key uint32, s suspicion) bool {
-	return l.reaches(l.thresholds.certain, key, s) || s.endedMany()
+	return l.reaches(l.thresholds.certain, key, s) || (KindOf(key) == WholeRequest && s.endedMany())
 }
 
 // endedMany reports whether many upstreams ended, and not all of them together.
@@ -457,15 +535,28 @@
 
 // Merge records what other gateways know.
 func (l *Log) Merge(suspicions []comfreyworks.CrashSuspicion, from Origin) {
+	l.learnEnds(suspicions)
 	l.log.Merge(func(yield func(uint32, suspicion) bool) {
 		for _, s := range suspicions {
-			if !yield(s.Part, suspicion{s.Cleared, s.Crashes, newPartSet(s.With), newPartSet(s.Ended)}) {
+			if !yield(s.Part, suspicion{s.Cleared, s.Crashes, newPartSet(s.With), newEndSet(s.Ended)}) {
 				return
 			}
 		}
 	}, from, suspicion.join)
 }
 
+// learnEnds records the ends that other gateways have seen.
+func (l *Log) learnEnds(suspicions []comfreyworks.CrashSuspicion) {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range suspicions {
+		for _, ended := range s.Ended[:min(len(s.Ended), comfreyworks.MaxCrashSuspicionEnded)] {
+			l.ends.learn(incarnation(ended), now)
+		}
+	}
+}
+
 // After returns what was recorded after a version of the log, and the current
 // version. With origin Local it leaves out remote entries.
 func (l *Log) After(version uint64, from Origin) (suspicions []comfreyworks.CrashSuspicion, current uint64) {
--- a/internal/state/crashes/crashes_test.go
+++ b/internal/state/crashes/crashes_test.go
@@ -23,6 +23,9 @@
 	return New(Options{Clock: clock}), clock
 }
 
+// EngineEnded records that the engine ended under a request that had just begun.
+func (r *Request) EngineEnded() int { return r.Broke(Evidence{}).Crashes }
+
 // crash lets engines end one after another under requests with the given parts.
 func crash(l *Log, times int, keys ...uint32) {
 	for range times {
@@ -367,7 +370,7 @@
 	})
 	t.Run("recent parts are forgotten", func(t *testing.T) {
 		now := time.Unix(0, 0)
-		var r recentParts
+		r := recentParts{keep: recently}
 		assert.Assert(t, !r.has(sound, now))
 		r.add(sound, now)
 		assert.Assert(t, r.has(sound, now.Add(recently)))
--- a/internal/state/crashes/model_test.go
+++ b/internal/state/crashes/model_test.go
@@ -175,6 +175,7 @@
 	run      run
 	began    bool
 	gateway  int
+	sentAt   time.Time
 	// tried is one more than the engine of the last attempt, zero if there was none.
 	tried int
 }
@@ -339,7 +340,7 @@
 func (m *model) start(r *modelRequest, gateway, engine int) {
 	r.attempts++
 	attempt, current := r.attempts, m.gateways[gateway].begin(engine, m.ends[engine], r.keys)
-	r.run, r.began, r.gateway, r.tried = current, false, gateway, engine+1
+	r.run, r.began, r.gateway, r.sentAt, r.tried = current, false, gateway, m.clock.now, engine+1
 	if !m.isUp(gateway, engine) {
 		m.meetGone(r, engine)
 		return
@@ -428,14 +429,14 @@
 func (m *model) lose(runs map[*modelRequest]bool) {
 	for _, r := range sorted(runs) {
 		if m.away != (away{}) {
-			m.after(m.between(0, 20*time.Millisecond), func() { m.loseAway(r) })
+			m.after(m.between(0, 20*time.Millisecond), func() { m.loseAway(r, Evidence{Took: m.clock.now.Sub(r.sentAt), Began: r.began}) })
 			continue
 		}
-		crashes := r.run.EngineEnded()
+		suspected := r.run.broke(Evidence{})
 		if r.crashes == 0 {
 			m.cut++
 		}
-		if !r.began && r.attempts == 1 && crashes < 2 {
+		if !r.began && r.attempts == 1 && !suspected {
 			m.after(m.between(0, 50*time.Millisecond), func() { m.arrive(r) })
 		}
 	}
--- a/internal/state/crashes/policy_test.go
+++ b/internal/state/crashes/policy_test.go
@@ -20,7 +20,7 @@
 
 // run is a request at an engine.
 type run interface {
-	EngineEnded() (crashes int)
+	broke(evidence Evidence) (suspected bool)
 	Answered()
 }
 
@@ -50,6 +50,8 @@
 	return current
 }
 
+func (r *Request) broke(evidence Evidence) bool { return r.Broke(evidence).Suspected }
+
 // countPolicy refuses requests with parts under which a number of different engines
 // ended. Answers do not matter.
 type countPolicy struct {
@@ -99,12 +101,12 @@
 	keys   []uint32
 }
 
-func (r countedRun) EngineEnded() (crashes int) {
+func (r countedRun) broke(Evidence) (suspected bool) {
 	for _, key := range r.keys {
 		r.policy.add(engineCrash{key, r.engine, sharedlog.Local})
-		crashes = max(crashes, len(r.policy.engines[key]))
+		suspected = suspected || len(r.policy.engines[key]) >= blameAfter
 	}
-	return crashes
+	return suspected
 }
 
 func (r countedRun) Answered() {}
--- a/internal/state/crashes/recent.go
+++ b/internal/state/crashes/recent.go
@@ -3,16 +3,16 @@
 import "time"
 
 const (
-	// recently is for how long at least a part is in recentParts; at most it is twice
-	// as long.
+	// recently is how long a part is known to have been answered.
 	recently = 5 * time.Minute
 	// maxRecent limits the number of recent parts; at most there are twice as many.
 	maxRecent = 1 << 14
 )
 
-// recentParts is a set of parts that forgets those that were added long ago. Its
-// zero value is empty.
+// recentParts is a set of parts that forgets those that were added long ago: after keep
+// at least, and twice as long at most.
 type recentParts struct {
+	keep            time.Duration
 	current, former map[uint32]struct{}
 	since           time.Time // start of current
 }
@@ -37,8 +37,8 @@
 
 func (r *recentParts) forget(now time.Time) {
 	for range 2 {
-		if now.Sub(r.since) > recently {
-			r.former, r.current, r.since = r.current, nil, r.since.Add(recently)
+		if now.Sub(r.since) > r.keep {
+			r.former, r.current, r.since = r.current, nil, r.since.Add(r.keep)
 		}
 	}
 	if r.current == nil && r.former == nil {
--- a/internal/state/crashes/suspicion.go
+++ b/internal/state/crashes/suspicion.go
@@ -11,13 +11,25 @@
 // suspicion is what is known about a part, as in comfreyworks.CrashSuspicion.
 type suspicion struct {
 	cleared, crashes uint16
-	with, ended      partSet
+	with             partSet
+	ended            endSet
 }
 
 // crash returns the suspicion after an upstream ended under a request with the given
-// other suspects that was sent when s was known.
-func (s suspicion) crash(others partSet, upstream uint32) suspicion {
-	return suspicion{s.cleared, min(s.crashes, math.MaxUint16-1) + 1, others, s.ended.union(newPartSet([]uint32{upstream}))}
+// other suspects that was sent when s was known. An end that s knows doesn't count again,
+// and with a doubt that many ends don't count. Both need incarnations to be told apart.
+func (s suspicion) crash(others partSet, upstream incarnation, doubt int) suspicion {
+	ended := s.ended.union(newEndSet([]uint32{uint32(upstream)}))
+	crashes := min(s.crashes, math.MaxUint16-1) + 1
+	if upstream.isUnique() {
+		if s.ended.has(uint32(upstream)) {
+			return s
+		}
+		if ends := len(ended.keys()); ends < len(ended) {
+			crashes = min(crashes, max(1, s.crashes, uint16(max(0, ends-doubt))))
+		}
+	}
+	return suspicion{s.cleared, crashes, others, ended}
 }
 
 // add returns the suspicion after a crash that was not known yet.
@@ -61,6 +73,41 @@
 
 // newPartSet returns the set of the first keys that are not zero.
 func newPartSet(keys []uint32) (set partSet) {
+	fill(set[:], keys)
+	return set
+}
+
+// keys returns the members of the set, nil if there are none.
+func (p partSet) keys() []uint32 { return members(p[:]) }
+
+func (p partSet) has(key uint32) bool { return slices.Contains(p[:], key) }
+
+// intersect returns the parts that are in both sets.
+func (p partSet) intersect(other partSet) partSet {
+	return newPartSet(slices.DeleteFunc(p.keys(), func(key uint32) bool { return !other.has(key) }))
+}
+
+// endSet is a set of incarnations like partSet.
+type endSet [comfreyworks.MaxCrashSuspicionEnded]uint32
+
+func newEndSet(keys []uint32) (set endSet) {
+	fill(set[:], keys)
+	return set
+}
+
+func (e endSet) keys() []uint32 { return members(e[:]) }
+
+func (e endSet) has(key uint32) bool { return slices.Contains(e[:], key) }
+
+// union returns the lowest keys that are in either set.
+func (e endSet) union(other endSet) endSet {
+	keys := append(e.keys(), other.keys()...)
+	slices.Sort(keys)
+	return newEndSet(keys)
+}
+
+// fill writes the first keys that are not zero to an empty set, in ascending order.
+func fill(set, keys []uint32) {
 	n := 0
 	for _, key := range keys {
 		if n < len(set) && key != 0 && !slices.Contains(set[:n], key) {
@@ -69,29 +116,13 @@
 		}
 	}
 	slices.Sort(set[:n])
-	return set
 }
 
-// keys returns the members of the set, nil if there are none.
-func (p partSet) keys() (keys []uint32) {
-	for _, key := range p {
+func members(set []uint32) (keys []uint32) {
+	for _, key := range set {
 		if key != 0 {
 			keys = append(keys, key)
 		}
 	}
 	return keys
 }
-
-func (p partSet) has(key uint32) bool { return slices.Contains(p[:], key) }
-
-// intersect returns the parts that are in both sets.
-func (p partSet) intersect(other partSet) partSet {
-	return newPartSet(slices.DeleteFunc(p.keys(), func(key uint32) bool { return !other.has(key) }))
-}
-
-// union returns the lowest keys that are in either set.
-func (p partSet) union(other partSet) partSet {
-	keys := append(p.keys(), other.keys()...)
-	slices.Sort(keys)
-	return newPartSet(keys)
-}
--- a/internal/state/crashes/suspicion_test.go
+++ b/internal/state/crashes/suspicion_test.go
@@ -16,7 +16,7 @@
 			cleared: rapid.Uint16Range(0, 2).Draw(t, "cleared"), crashes: rapid.Uint16Range(0, 2).Draw(t, "crashes"),
 		}
 		s.with = newPartSet(rapid.SliceOfN(rapid.Uint32Range(0, 5), 0, 6).Draw(t, "with"))
-		s.ended = newPartSet(rapid.SliceOfN(rapid.Uint32Range(0, 12), 0, 8).Draw(t, "ended"))
+		s.ended = newEndSet(rapid.SliceOfN(rapid.Uint32Range(0, 24), 0, 16).Draw(t, "ended"))
 		return s
 	})
 	rapid.Check(t, func(t *rapid.T) {
@@ -25,7 +25,7 @@
 		assert.Equal(t, a.join(b), b.join(a))
 		assert.Equal(t, a.join(b).join(c), a.join(b.join(c)))
 		assert.Equal(t, a.clear().join(a), a.clear(), "an answer replaces the crashes before it")
-		crashed := a.add(a.crash(b.with, 1))
+		crashed := a.add(a.crash(b.with, 1, 0))
 		assert.Equal(t, crashed.join(a), crashed, "a crash replaces what was known before it")
 	})
 }
--- a/internal/state/crashes/together.go
+++ b/internal/state/crashes/together.go
@@ -25,7 +25,7 @@
 // endedRequest is a request under which an upstream ended.
 type endedRequest struct {
 	at       time.Time
-	upstream uint32
+	upstream incarnation
 	parts    []snapshot
 	excused  bool
 }
@@ -51,9 +51,7 @@
 	if len(all) < minTogether {
 		return nil
 	}
-	if e.excuses == nil || now.Sub(e.since) > recently || len(e.excuses) >= maxExcused {
-		e.excuses, e.since = make(map[uint32]int), now
-	}
+	e.forgetOld(now)
 	for i := range e.requests {
 		if e.requests[i].excused {
 			continue
@@ -69,15 +67,36 @@
 	return excused
 }
 
+// mayExcuse excuses the suspects of a request, unless one was excused too often.
+func (e *recentEnds) mayExcuse(parts []snapshot, now time.Time) bool {
+	e.forgetOld(now)
+	if slices.ContainsFunc(parts, func(s snapshot) bool { return e.excuses[s.key] >= maxExcuses }) {
+		return false
+	}
+	for _, s := range parts {
+		e.excuses[s.key]++
+	}
+	return true
+}
+
+// forget forgets how often a suspect was excused.
+func (e *recentEnds) forget(key uint32) { delete(e.excuses, key) }
+
+func (e *recentEnds) forgetOld(now time.Time) {
+	if e.excuses == nil || now.Sub(e.since) > recently || len(e.excuses) >= maxExcused {
+		e.excuses, e.since = make(map[uint32]int), now
+	}
+}
+
 // upstreams returns the upstreams that ended recently, and those that ended under each
 // suspect.
-func (e *recentEnds) upstreams() (all map[uint32]bool, at map[uint32]map[uint32]bool) {
-	all, at = make(map[uint32]bool), make(map[uint32]map[uint32]bool)
+func (e *recentEnds) upstreams() (all map[incarnation]bool, at map[uint32]map[incarnation]bool) {
+	all, at = make(map[incarnation]bool), make(map[uint32]map[incarnation]bool)
 	for _, r := range e.requests {
 		all[r.upstream] = true
 		for _, s := range r.parts {
 			if at[s.key] == nil {
-				at[s.key] = make(map[uint32]bool)
+				at[s.key] = make(map[incarnation]bool)
 			}
 			at[s.key][r.upstream] = true
 		}
@@ -91,7 +110,7 @@
 // it as they learn of an answer.
 func (l *Log) excuseTogether(r *Request) {
 	l.mu.Lock()
-	excused := l.ends.add(r, l.clock.Now())
+	excused := l.together.add(r, l.clock.Now())
 	l.mu.Unlock()
 	excused = slices.DeleteFunc(excused, func(s snapshot) bool { return l.isBlamed(s.key, s.known) })
 	l.log.Merge(func(yield func(uint32, suspicion) bool) {
--- a/internal/transport/gateway/gateway_test.go
+++ b/internal/transport/gateway/gateway_test.go
@@ -135,7 +135,7 @@
 	f := newFixture(t)
 	theirs, ours := crashes.Key("shared", "theirs"), crashes.Key("shared", "ours")
 	for range 3 {
-		f.gateway.crashes.Begin([]uint32{ours}).EngineEnded()
+		f.gateway.crashes.Begin([]uint32{ours}).Broke(crashes.Evidence{})
 	}
 	service := &peerService{f.gateway}
 	var reply comfreyworks.GatewayUpdate
--- a/peering.go
+++ b/peering.go
@@ -96,13 +96,16 @@
 	// With lists keys of what was in all of these requests as well. It has at most
 	// MaxCrashSuspicionWith entries.
 	With []uint32
-	// Ended lists hashes of upstreams that ended under the request, at most
-	// MaxCrashSuspicionWith; empty for a part.
+	// Ended lists hashes of the incarnations of upstreams that ended under these requests,
+	// at most MaxCrashSuspicionEnded.
 	Ended []uint32
 }
 
-// MaxCrashSuspicionWith is the maximum length of CrashSuspicion.With and Ended.
-const MaxCrashSuspicionWith = 5
+// Maximum lengths of CrashSuspicion.With and Ended.
+const (
+	MaxCrashSuspicionWith  = 5
+	MaxCrashSuspicionEnded = 12
+)
 
 // GatewayState is the state that gateways send to each other.
 type GatewayState struct {
