Name the ends that a request or a part is blamed for

Operators saw "request suspected" or a quarantine, and only the last of the ends behind it, so that a false suspicion could not be told from the logs.

Each end of an incarnation has the same name at all gateways. The line "attempt finished" has it with the verdict and the doubt; a line "request suspected" for each suspect of a request that is not sent again, the lines about quarantines and the list of suspicions have the names of the ends that are counted.

TestSuspectedLog fails without the lines.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -288,6 +288,14 @@
 	}
 }
 
+// endName identifies the end of the upstream; it is empty if it did not end.
+func (a *attempt) endName() string {
+	if a.finding.Verdict == "" {
+		return ""
+	}
+	return FormatSuspectKey(a.finding.End)
+}
+
 // log writes one line about the attempt, and one more if its answer was cut off.
 func (a *attempt) log() {
 	if errors.Is(a.cause, comfreyworks.ErrCutOff) {
@@ -312,7 +320,7 @@
 		zap.String("outcome", string(a.result.Outcome)),
 		zap.Strings("parts", a.request.Prompt.loggedParts()),
 		zap.Int("status", a.answer.status), zap.Int("events", a.answer.events), zap.Duration("answering", a.answer.age(a.options.Clock.Now())),
-		zap.Bool("upstream-ended", a.finding.Verdict == crashes.EndedUnder), zap.String("break", string(a.finding.Verdict)), zap.Int("crashes", a.finding.Crashes),
+		zap.Bool("upstream-ended", a.finding.Verdict == crashes.EndedUnder), zap.String("break", string(a.finding.Verdict)), zap.String("end", a.endName()), zap.Int("doubt", a.finding.Doubt), zap.Int("crashes", a.finding.Crashes),
 		zap.Error(a.cause),
 	)
 }
--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -60,6 +60,15 @@
 // FormatSuspectKey returns a key as it is written in logs and lists.
 func FormatSuspectKey(key uint32) string { return fmt.Sprintf("%08x", key) }
 
+// FormatEnds returns the ends that a suspect is blamed for as they are written in logs.
+func FormatEnds(ends []uint32) []string {
+	texts := make([]string, len(ends))
+	for i, end := range ends {
+		texts[i] = FormatSuspectKey(end)
+	}
+	return texts
+}
+
 // suspects returns the keys of what may crash upstreams in a request: the whole request
 // with the given key and the shared parts of its prompt.
 func suspects(request *Request, key uint32) []uint32 {
@@ -179,9 +188,23 @@
 	}
 	a.crashed++
 	a.suspected = a.finding.Suspected || a.crashed-a.finding.Doubt > maxCrashesToRetry
-	if key, blamed := a.options.Crashes.Blamed(a.suspects); blamed {
+	key, blamed := a.options.Crashes.Blamed(a.suspects)
+	if blamed {
 		a.options.Logger.Warn(string(crashes.KindOf(key))+" put under quarantine", a.suspectFields(key)...)
 	}
+	if a.suspected {
+		a.logSuspects()
+	}
+}
+
+// logSuspects names the ends that the suspects of a request which is not sent again are
+// blamed for.
+func (a *attempt) logSuspects() {
+	for _, key := range a.suspects {
+		if ends := a.options.Crashes.Ends(key); len(ends) > maxCrashesToRetry {
+			a.options.Logger.Info("request suspected", a.suspectFields(key)...)
+		}
+	}
 }
 
 func (a *attempt) clearSuspects() {
@@ -203,5 +226,6 @@
 		zap.String("part", partOf(a.request, key)), zap.String("key", FormatSuspectKey(key)), zap.Int("crashes", a.finding.Crashes),
 		zap.String("request", string(a.request.Message.ID)),
 		zap.String("upstream", string(a.pick.Upstream.ID)),
+		zap.Strings("ends", FormatEnds(a.options.Crashes.Ends(key))),
 	}
 }
--- a/internal/coordination/forward/quarantine_test.go
+++ b/internal/coordination/forward/quarantine_test.go
@@ -310,6 +310,30 @@
 	expect("prompt part cleared")
 }
 
+// TestSuspectedLog guards against requests that are given up as suspected without a word
+// on the ends that they are blamed for.
+func TestSuspectedLog(t *testing.T) {
+	f := newFixture(crash)
+	core, logs := observer.New(zap.InfoLevel)
+	f.forwarder.options.Logger = zap.New(core)
+	assert.Equal(t, f.prompt(context.Background(), route(comfreyworks.RouteStream, 4, true), "5c1e").Verdict, Failed)
+	ended := make(map[any]bool)
+	for _, attempt := range logs.FilterMessage("attempt finished").All() {
+		assert.Equal(t, attempt.ContextMap()["break"], string(crashes.EndedUnder))
+		ended[attempt.ContextMap()["end"]] = true
+	}
+	assert.Equal(t, len(ended), 2)
+	suspects := logs.FilterMessage("request suspected").All()
+	assert.Equal(t, len(suspects), 2, "the request and its part")
+	for _, suspect := range suspects {
+		ends := suspect.ContextMap()["ends"].([]any)
+		assert.Equal(t, len(ends), len(ended))
+		for _, end := range ends {
+			assert.Assert(t, ended[end], end)
+		}
+	}
+}
+
 // TestClearedBetweenCrashes guards against a request that ends one engine after another
 // because other requests clear its parts in between.
 func TestClearedBetweenCrashes(t *testing.T) {
--- a/internal/coordination/peering/malformed_test.go
+++ b/internal/coordination/peering/malformed_test.go
@@ -76,8 +76,13 @@
 	}
 	for i := range uint32(2 * maxCrashes) {
 		part := 1<<31 + 8*i
+		var ended []uint32
+		for n := range uint32(comfreyworks.MaxCrashSuspicionEnded + 1) {
+			ended = append(ended, part+n<<16+1)
+		}
 		state.Crashes = append(state.Crashes, comfreyworks.CrashSuspicion{
 			Part: part, Crashes: math.MaxUint16, With: []uint32{part + 1, part + 2, part + 3, part + 4, part + 5, part + 6},
+			Ended: ended,
 		})
 	}
 	for range 2 {
@@ -86,6 +91,7 @@
 		assert.Equal(t, update.State.Crashes[0].Part, state.Crashes[0].Part)
 		for _, s := range update.State.Crashes {
 			assert.Equal(t, len(s.With), comfreyworks.MaxCrashSuspicionWith)
+			assert.Equal(t, len(s.Ended), comfreyworks.MaxCrashSuspicionEnded)
 		}
 		var sent byteCounter
 		assert.NilError(t, gob.NewEncoder(&sent).Encode(update))
--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -288,6 +288,8 @@
 	// Suspected means that a suspect has so many crashes that the request must not be sent
 	// again. A part that was answered in the last seconds is none before it is blamed.
 	Suspected bool
+	// End identifies the end of the upstream in the logs of all gateways.
+	End uint32
 }
 
 // Broke records that the connection to the upstream broke under the request. If a part of
@@ -296,7 +298,7 @@
 	if !r.end() {
 		return Finding{}
 	}
-	finding := Finding{Verdict: r.judge(e)}
+	finding := Finding{Verdict: r.judge(e), End: uint32(r.upstream)}
 	if finding.Verdict != EndedUnder {
 		r.withdrawEarly()
 		return finding
@@ -489,6 +491,12 @@
 	return 0, false
 }
 
+// Ends returns the last known ends that a suspect is blamed for, as in Finding.End.
+func (l *Log) Ends(key uint32) []uint32 {
+	known, _ := l.log.Lookup(key)
+	return known.ended.keys()
+}
+
 // Provisional reports whether answers to requests that were sent before a part was
 // blamed may still clear it.
 func (l *Log) Provisional(key uint32) bool {
--- a/internal/transport/gateway/quarantine.go
+++ b/internal/transport/gateway/quarantine.go
@@ -16,6 +16,7 @@
 		zap.String("request", string(request.Message.ID)),
 		zap.String("kind", string(crashes.KindOf(outcome.Suspect))), zap.String("part", outcome.Part),
 		zap.String("key", forward.FormatSuspectKey(outcome.Suspect)),
+		zap.Strings("ends", forward.FormatEnds(g.crashes.Ends(outcome.Suspect))),
 	)
 	g.options.Meter.Add("comfrey_quarantined_total", meter.Labels{Class: comfreyworks.Class(request.Route.Name)}, 1)
 }
--- a/internal/transport/gateway/suspicions.go
+++ b/internal/transport/gateway/suspicions.go
@@ -27,6 +27,8 @@
 	Quarantined bool `json:"quarantined"`
 	// With lists the suspects that were in all crashed requests as well.
 	With []string `json:"with,omitempty"`
+	// Ends lists the ends that it is blamed for, as in the lines "attempt finished".
+	Ends []string `json:"ends,omitempty"`
 }
 
 // listSuspicions lists what upstreams have crashed under, most crashes first.
@@ -43,6 +45,9 @@
 		for _, key := range s.With {
 			entry.With = append(entry.With, forward.FormatSuspectKey(key))
 		}
+		if len(s.Ended) > 0 {
+			entry.Ends = forward.FormatEnds(s.Ended)
+		}
 		listed = append(listed, entry)
 	}
 	w.Header().Set("Content-Type", "application/json")
