--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -1,7 +1,8 @@
 // Package crashes finds out which requests and which parts of prompts crash upstreams,
 // so that they can be refused.
 //
-// An upstream that ends takes many requests with it, and gives no reason. Each request
+// An upstream that ends takes many requests with it, and gives no reason. A request whose
+// connection broke is blamed only if it may have been alive at the upstream. Each request
 // has suspects: the request itself, which callers may repeat, and the parts of its
 // prompt, which it shares with others. The log counts crashes for each suspect of the
 // requests that had just begun, but only those that follow one another: a request counts
--- a/internal/state/crashes/ends.go
+++ b/internal/state/crashes/ends.go
@@ -71,14 +71,15 @@
 
 // see records that an incarnation has ended.
 func (k *knownEnds) see(i incarnation, now time.Time) {
-	if known, ok := k.ends[i]; i == 0 || (ok && !known.heard && !k.isOld(i, known, now)) {
+	known, ok := k.ends[i]
+	if i == 0 || (ok && !known.heard && !k.isOld(i, known, now)) {
 		return
 	}
 	k.sweep(now)
 	if k.ends == nil {
 		k.ends = make(map[incarnation]ending)
 	}
-	if len(k.ends) < maxEnds {
+	if ok || len(k.ends) < maxEnds {
 		k.ends[i] = ending{at: now}
 	}
 }
@@ -160,7 +161,7 @@
 
 // sweep removes old ends now and then.
 func (k *knownEnds) sweep(now time.Time) {
-	if now.Sub(k.swept) < otherEndsWindow && len(k.ends) < maxEnds {
+	if now.Sub(k.swept) < reportTime {
 		return
 	}
 	k.swept = now
