--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -36,11 +36,12 @@
 	takeover     *takeover
 	answer       receivedAnswer
 	trial        *crashes.Request
-	// engineEnded means that the upstream ended under the request, crashes is how often
-	// that has happened to one of its suspects, and cleared means that it can't any more.
-	engineEnded, cleared bool
-	crashes              int
-	pace                 streamPace
+	// broke is set if the upstream ended its connection, finding is what follows from that.
+	// cleared means that the suspects were cleared, so that nothing does.
+	broke   *crashes.Evidence
+	finding crashes.Finding
+	cleared bool
+	pace    streamPace
 	// ended means that end was called, delivered that an event was passed on.
 	ended, delivered bool
 	// returnsTo is the upstream if the request had left it; nil if not.
@@ -305,6 +306,14 @@
 	}
 }
 
+// endName identifies the end of the upstream; it is empty if it did not end.
+func (a *attempt) endName() string {
+	if a.finding.Verdict == "" {
+		return ""
+	}
+	return FormatSuspectKey(a.finding.End)
+}
+
 // log writes one line about the attempt, and one more if its answer was cut off.
 func (a *attempt) log() {
 	if errors.Is(a.cause, comfreyworks.ErrCutOff) {
@@ -329,7 +338,7 @@
 		zap.String("outcome", string(a.result.Outcome)),
 		zap.Strings("parts", a.request.Prompt.loggedParts()),
 		zap.Int("status", a.answer.status), zap.Int("events", a.answer.events), zap.Duration("answering", a.answer.age(a.options.Clock.Now())),
-		zap.Bool("upstream-ended", a.engineEnded), zap.Int("crashes", a.crashes),
+		zap.Bool("upstream-ended", a.finding.Verdict == crashes.EndedUnder), zap.String("break", string(a.finding.Verdict)), zap.String("end", a.endName()), zap.Int("doubt", a.finding.Doubt), zap.Int("crashes", a.finding.Crashes),
 		zap.Error(a.cause),
 	)
 }
--- a/internal/coordination/forward/quarantine_test.go
+++ b/internal/coordination/forward/quarantine_test.go
@@ -135,6 +135,29 @@
 	})
 }
 
+// meetsGone fails an exchange with an upstream that had ended before: the host resets a
+// connection that was used before.
+func (f *fixture) meetsGone(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+	f.clock.Advance(20 * time.Millisecond)
+	return nil, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeLost, Reused: true, Err: fmt.Errorf("read: %w", syscall.ECONNRESET)}
+}
+
+// TestUpstreamsGone guards against requests that are given up as suspected, and parts that
+// are refused, because one request after the other meets upstreams that have ended.
+func TestUpstreamsGone(t *testing.T) {
+	f := newFixture()
+	f.upstreams.script = []response{f.meetsGone, f.meetsGone, respondOK(event(1)), f.meetsGone, f.meetsGone, respondOK(event(1))}
+	core, logs := observer.New(zap.InfoLevel)
+	f.forwarder.options.Logger = zap.New(core)
+	for range 2 {
+		assert.Equal(t, f.prompt(context.Background(), route(comfreyworks.RouteStream, 4, true), "5c1e", "91bd").Verdict, Delivered)
+	}
+	assert.Equal(t, len(f.upstreams.sent), 6)
+	attempt := logs.FilterMessage("attempt finished").All()[0].ContextMap()
+	assert.Equal(t, attempt["break"], string(crashes.Unread))
+	assert.Equal(t, attempt["upstream-ended"], false)
+}
+
 // TestSoundPrompts guards against sound requests that are refused because they came at
 // the same time, or share something, with those under which engines crash.
 func TestSoundPrompts(t *testing.T) {
@@ -287,6 +310,30 @@
 	expect("prompt part cleared")
 }
 
+// TestSuspectedLog guards against requests that are given up as suspected without a word
+// on the ends that they are blamed for.
+func TestSuspectedLog(t *testing.T) {
+	f := newFixture(crash)
+	core, logs := observer.New(zap.InfoLevel)
+	f.forwarder.options.Logger = zap.New(core)
+	assert.Equal(t, f.prompt(context.Background(), route(comfreyworks.RouteStream, 4, true), "5c1e").Verdict, Failed)
+	ended := make(map[any]bool)
+	for _, attempt := range logs.FilterMessage("attempt finished").All() {
+		assert.Equal(t, attempt.ContextMap()["break"], string(crashes.EndedUnder))
+		ended[attempt.ContextMap()["end"]] = true
+	}
+	assert.Equal(t, len(ended), 2)
+	suspects := logs.FilterMessage("request suspected").All()
+	assert.Equal(t, len(suspects), 2, "the request and its part")
+	for _, suspect := range suspects {
+		ends := suspect.ContextMap()["ends"].([]any)
+		assert.Equal(t, len(ends), len(ended))
+		for _, end := range ends {
+			assert.Assert(t, ended[end], end)
+		}
+	}
+}
+
 // TestClearedBetweenCrashes guards against a request that ends one engine after another
 // because other requests clear its parts in between.
 func TestClearedBetweenCrashes(t *testing.T) {
--- a/internal/coordination/forward/return_test.go
+++ b/internal/coordination/forward/return_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/crashes"
 )
 
 const third = "id: 3\ndata: c\n\n"
@@ -122,7 +123,7 @@
 		"an upstream has ended under the request before": func(f *fixture, _ *soundUpstreams, route *comfreyworks.Route) {
 			request := f.request(route)
 			request.Message = message(0)
-			f.forwarder.options.Crashes.Begin([]uint32{requestKey(request)}).EngineEnded()
+			f.forwarder.options.Crashes.Begin([]uint32{requestKey(request)}).Broke(crashes.Evidence{})
 		},
 		"the silent one is busy at first": func(_ *fixture, sound *soundUpstreams, _ *comfreyworks.Route) {
 			sound.again = inTurn(busy, sound.again)
--- a/internal/protocol/exchange/exchange_test.go
+++ b/internal/protocol/exchange/exchange_test.go
@@ -160,9 +160,11 @@
 				assert.NilError(t, err)
 				assert.NilError(t, response.Body.Close())
 				request := newForwardedRequest(method, body)
+				// The connection is not used for the request that was answered on it.
+				request.ID = "r2"
 				request.Header.Set("Idempotency-Key", "k")
 				_, err = f.exchange(u, request)
-				expectKind(t, err, comfreyworks.ExchangeLost)
+				assert.Assert(t, expectKind(t, err, comfreyworks.ExchangeLost).Reused)
 				assert.Equal(t, u.requests.Load(), int64(2))
 			})
 		}
--- a/internal/state/crashes/policy_test.go
+++ b/internal/state/crashes/policy_test.go
@@ -10,7 +10,7 @@
 
 // policy decides at one gateway of the model what becomes of a request.
 type policy interface {
-	begin(engine int, keys []uint32) run
+	begin(engine, incarnation int, keys []uint32) run
 	// verdict tells whether the request is refused, or sent to no engine but the
 	// first one.
 	verdict(keys []uint32) (refused, alone bool)
@@ -20,7 +20,7 @@
 
 // run is a request at an engine.
 type run interface {
-	EngineEnded() (crashes int)
+	broke(evidence Evidence) (suspected bool)
 	Answered()
 }
 
@@ -31,8 +31,8 @@
 	aloneAfter uint16
 }
 
-func (p logPolicy) begin(engine int, keys []uint32) run {
-	return p.Begin(keys).On(comfreyworks.InstanceID(fmt.Sprint("engine/", engine)), time.Time{})
+func (p logPolicy) begin(engine, incarnation int, keys []uint32) run {
+	return p.Begin(keys).On(comfreyworks.InstanceID(fmt.Sprint("engine/", engine)), time.UnixMilli(int64(incarnation)))
 }
 
 func (p logPolicy) verdict(keys []uint32) (refused, alone bool) {
@@ -50,6 +50,8 @@
 	return current
 }
 
+func (r *Request) broke(evidence Evidence) bool { return r.Broke(evidence).Suspected }
+
 // countPolicy refuses requests with parts under which a number of different engines
 // ended. Answers do not matter.
 type countPolicy struct {
@@ -75,7 +77,7 @@
 	p.crashes = append(p.crashes, c)
 }
 
-func (p *countPolicy) begin(engine int, keys []uint32) run { return countedRun{p, engine, keys} }
+func (p *countPolicy) begin(engine, _ int, keys []uint32) run { return countedRun{p, engine, keys} }
 
 func (p *countPolicy) verdict(keys []uint32) (refused, alone bool) {
 	for _, key := range keys {
@@ -99,12 +101,12 @@
 	keys   []uint32
 }
 
-func (r countedRun) EngineEnded() (crashes int) {
+func (r countedRun) broke(Evidence) (suspected bool) {
 	for _, key := range r.keys {
 		r.policy.add(engineCrash{key, r.engine, sharedlog.Local})
-		crashes = max(crashes, len(r.policy.engines[key]))
+		suspected = suspected || len(r.policy.engines[key]) >= blameAfter
 	}
-	return crashes
+	return suspected
 }
 
 func (r countedRun) Answered() {}
