--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -20,7 +20,7 @@
 	// suspects of the request.
 	soundAnswerTime = crashes.SoundAnswerTime
 	// maxCrashesToRetry is the number of upstreams that may end under a request which is
-	// still sent again, apart from those that are in doubt.
+	// still sent again.
 	maxCrashesToRetry = 1
 	// maxPartSuspects limits the parts of one prompt that are looked at.
 	maxPartSuspects = 64
@@ -187,7 +187,7 @@
 		return
 	}
 	a.crashed++
-	a.suspected = a.finding.Suspected || a.crashed-a.finding.Doubt > maxCrashesToRetry
+	a.suspected = a.finding.Suspected || a.crashed > maxCrashesToRetry
 	key, blamed := a.options.Crashes.Blamed(a.suspects)
 	if blamed {
 		a.options.Logger.Warn(string(crashes.KindOf(key))+" put under quarantine", a.suspectFields(key)...)
--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -356,6 +356,10 @@
 	defer r.log.mu.Unlock()
 	doubts := make([]int, len(suspects))
 	for i, s := range suspects {
+		if KindOf(s.key) == WholeRequest {
+			// Hardly any sound request is at two ends, and its pool may be small.
+			continue
+		}
 		known, _ := r.log.log.Lookup(s.key)
 		doubts[i] = doubt(r.log.ends.without(known.ended.union(newEndSet([]uint32{uint32(r.upstream)})), now))
 	}
