Count a request that may end a service as soon as it is read

An engine has to read a prompt before it runs; a service does not. A request without a prompt is counted now if it is unread, and still sent again. Also, 'ended before' needs a connection from before: an upstream that accepts a new one is back.

TestRequestThatEndsServicesAtOnce failed before for a service (0 crashes counted). Tried first: to count whole prompts too; then sound requests were suspected in 5 of the patterns that pass.

TestJudge and TestKnownEnds demand 'ended before' on connections that had been used, and one more case that a new connection is evidence of the return.

--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -300,7 +300,17 @@
 		return Finding{}
 	}
 	finding := Finding{Verdict: r.judge(e), End: uint32(r.upstream)}
-	if finding.Verdict != EndedUnder {
+	switch finding.Verdict {
+	case EndedUnder:
+	case Unread:
+		if !r.hasParts() {
+			// A service that a request ends as soon as it is read looks the same; an engine
+			// has to read the prompt first. The request is still sent again, but counted, so
+			// that it can't end one upstream after the other.
+			r.count(r.parts)
+		}
+		fallthrough
+	default:
 		r.withdrawEarly()
 		return finding
 	}
@@ -311,14 +321,7 @@
 	if len(cause) == 0 {
 		cause = r.parts
 	}
-	doubts := r.doubts(cause)
-	r.log.log.Merge(func(yield func(uint32, suspicion) bool) {
-		for i, s := range cause {
-			if s.known.cleared < math.MaxUint16 && !yield(s.key, s.known.crash(r.others(s.key), r.upstream, doubts[i])) {
-				return
-			}
-		}
-	}, Local, suspicion.add)
+	doubts := r.count(cause)
 	r.log.excuseTogether(r)
 	for _, s := range r.parts {
 		if known, _ := r.log.log.Lookup(s.key); known.cleared == s.known.cleared {
@@ -332,6 +335,25 @@
 	return finding
 }
 
+// hasParts reports whether a part of a prompt is among the suspects.
+func (r *Request) hasParts() bool {
+	return slices.ContainsFunc(r.parts, func(s snapshot) bool { return KindOf(s.key) == PromptPart })
+}
+
+// count counts an end of the upstream for some of the suspects, and returns the doubt
+// about each.
+func (r *Request) count(suspects []snapshot) []int {
+	doubts := r.doubts(suspects)
+	r.log.log.Merge(func(yield func(uint32, suspicion) bool) {
+		for i, s := range suspects {
+			if s.known.cleared < math.MaxUint16 && !yield(s.key, s.known.crash(r.others(s.key), r.upstream, doubts[i])) {
+				return
+			}
+		}
+	}, Local, suspicion.add)
+	return doubts
+}
+
 // judge decides whether the request ended its upstream, and records that it has ended.
 func (r *Request) judge(e Evidence) Verdict {
 	l := r.log
--- a/internal/state/crashes/evidence.go
+++ b/internal/state/crashes/evidence.go
@@ -47,14 +47,15 @@
 )
 
 // judge decides whether a request ended its upstream. known means that the upstream was
-// known to have ended when the request was sent, and has not been heard of since.
+// known to have ended when the request was sent, and has not been heard of since. One
+// that has accepted a new connection is back.
 func judge(e Evidence, known bool) Verdict {
 	switch {
 	case e.Began && e.Answering >= SoundAnswerTime:
 		return Answering
 	case e.Began:
 		return EndedUnder
-	case known:
+	case known && e.Reused:
 		return EndedBefore
 	case e.Reset && e.Reused && e.Took <= unreadTime:
 		return Unread
--- a/internal/state/crashes/evidence_test.go
+++ b/internal/state/crashes/evidence_test.go
@@ -27,7 +27,8 @@
 		want     Verdict
 	}{
 		"nothing is known":         {want: EndedUnder},
-		"known to have ended":      {known: true, want: EndedBefore},
+		"known to have ended":      {evidence: Evidence{Reused: true}, known: true, want: EndedBefore},
+		"back after its end":       {known: true, want: EndedUnder},
 		"reset soon":               {evidence: reset, want: Unread},
 		"reset late":               {evidence: change(func(e *Evidence) { e.Took = unreadTime + 1 }), want: EndedUnder},
 		"reset on a fresh one":     {evidence: change(func(e *Evidence) { e.Reused = false }), want: EndedUnder},
@@ -94,14 +95,14 @@
 		l, clock := newLog()
 		assert.Equal(t, send(l, 1, sound).Broke(Evidence{}).Verdict, EndedUnder)
 		clock.Advance(endKept)
-		assert.Equal(t, send(l, 1, other).Broke(Evidence{}).Verdict, EndedBefore)
+		assert.Equal(t, send(l, 1, other).Broke(Evidence{Reused: true}).Verdict, EndedBefore)
 		clock.Advance(1)
 		assert.Equal(t, send(l, 1, other).Broke(Evidence{}).Verdict, EndedUnder)
 	})
 	t.Run("while an answer went on", func(t *testing.T) {
 		l, _ := newLog()
 		assert.Equal(t, send(l, 1, sound).Broke(Evidence{Began: true, Answering: time.Minute}).Verdict, Answering)
-		assert.Equal(t, send(l, 1, sound).Broke(Evidence{}).Verdict, EndedBefore)
+		assert.Equal(t, send(l, 1, sound).Broke(Evidence{Reused: true}).Verdict, EndedBefore)
 		assert.Equal(t, crashesOf(l, sound), 0)
 	})
 	t.Run("seen by another gateway", func(t *testing.T) {
@@ -111,13 +112,13 @@
 		before := send(l, 1, other)
 		exchange(there, l)
 		assert.Equal(t, before.Broke(Evidence{}).Verdict, EndedUnder)
-		assert.Equal(t, send(l, 1, other).Broke(Evidence{}).Verdict, EndedBefore)
+		assert.Equal(t, send(l, 1, other).Broke(Evidence{Reused: true}).Verdict, EndedBefore)
 	})
 	t.Run("replaced", func(t *testing.T) {
 		l, _ := newLog()
 		send(l, 1, sound)
 		send(l, 2, sound)
-		assert.Equal(t, send(l, 1, other).Broke(Evidence{}).Verdict, EndedBefore)
+		assert.Equal(t, send(l, 1, other).Broke(Evidence{Reused: true}).Verdict, EndedBefore)
 		assert.Equal(t, send(l, 2, other).Broke(Evidence{}).Verdict, EndedUnder)
 	})
 	t.Run("heard of since", func(t *testing.T) {
@@ -133,7 +134,7 @@
 	t.Run("unknown start", func(t *testing.T) {
 		l, clock := newLog()
 		for _, want := range []Verdict{EndedUnder, EndedBefore} {
-			assert.Equal(t, send(l, 0, sound).On("engine", time.Time{}).Broke(Evidence{}).Verdict, want)
+			assert.Equal(t, send(l, 0, sound).On("engine", time.Time{}).Broke(Evidence{Reused: true}).Verdict, want)
 		}
 		clock.Advance(unknownStartKept + 1)
 		assert.Equal(t, send(l, 0, sound).On("engine", time.Time{}).Broke(Evidence{}).Verdict, EndedUnder)
@@ -178,3 +179,29 @@
 	assert.Equal(t, count(fewOtherEnds), blameAfter+1)
 	assert.Equal(t, count(100), blameAfter+maxDoubt)
 }
+
+// TestRequestThatEndsServicesAtOnce guards against a request that ends each service as
+// soon as it is read, which looks like a service that was gone.
+func TestRequestThatEndsServicesAtOnce(t *testing.T) {
+	request := RequestKey(nil, "request")
+	for name, c := range map[string]struct {
+		suspects []uint32
+		crashes  int
+	}{
+		"service": {[]uint32{request}, maxExcuses},
+		"engine":  {[]uint32{request, sound}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, _ := newLog()
+			for upstream := range maxExcuses {
+				sent := l.Begin(c.suspects).On(comfreyworks.InstanceID(fmt.Sprint(upstream)), start(1))
+				finding := sent.Broke(Evidence{Reset: true, Reused: true})
+				assert.Equal(t, finding.Verdict, Unread)
+				assert.Assert(t, !finding.Suspected)
+			}
+			assert.Equal(t, crashesOf(l, request), c.crashes)
+			_, blamed := l.Blamed(c.suspects)
+			assert.Equal(t, blamed, c.crashes > 0)
+		})
+	}
+}
