Write no request behind a part of another answer

Callers were told "not run" for requests that had run, or lost requests whose answer was there, after an upstream had written a part of a refusal behind a complete answer.

Cause: the first write of a request waits until the transport reads, since it then has nothing left. That holds between answers. With a part of a head in its buffer the transport reads too, for the rest of it, if the next request has come in before it looks.

The transport reads into its whole buffer only if that is empty. A read into a smaller one between an answer and the next request now counts as bytes that answer no request, and the request is written on another connection.

TestUnasked reads with a buffer of the transport's size now, as the transport does; what it demands has not changed.

Open: a refusal that breaks off in its head and arrives after the request was written.

--- a/internal/protocol/exchange/conn.go
+++ b/internal/protocol/exchange/conn.go
@@ -29,6 +29,8 @@
 	// maxOpenAnswers is the maximum number of requests that one connection may have
 	// answered in a way that lets them be sent again.
 	maxOpenAnswers = 64
+	// readBufferBytes is the size of the transport's read buffer.
+	readBufferBytes = 4 << 10
 )
 
 var (
@@ -73,8 +75,8 @@
 	// head limits the response header of the current request; nil before the first.
 	head *headLimit
 	// idle means that nothing of the next request has been written, unasked that
-	// something was read meanwhile, reading that Read waits for bytes, and judged that
-	// the response to the request that was written last was judged.
+	// something was read meanwhile or left over, reading that Read waits for bytes, and
+	// judged that the response to the request that was written last was judged.
 	idle, unasked, reading, judged bool
 	// request is the hash of the ID of the current request, and answered those of
 	// requests that may be sent again.
@@ -138,10 +140,12 @@
 	return c.Conn.Close()
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. Between a response and the next request, the transport reads
+// into its whole buffer, unless that holds a part of what is no answer to the request.
 func (c *keepAliveConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	c.reading = true
+	c.unasked = c.unasked || (c.idle && len(p) < readBufferBytes)
 	c.changed.Broadcast()
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
--- a/internal/protocol/exchange/conn_test.go
+++ b/internal/protocol/exchange/conn_test.go
@@ -21,7 +21,7 @@
 }
 
 func (c *keepAliveConn) readSome() error {
-	_, err := c.Read(make([]byte, 9))
+	_, err := c.Read(make([]byte, readBufferBytes))
 	return err
 }
 
@@ -46,6 +46,7 @@
 		want error
 	}{
 		"the reader asks for more":    {func(c *keepAliveConn) { _ = c.readSome() }, nil},
+		"it asks for a missing part":  {func(c *keepAliveConn) { _, _ = c.Read(make([]byte, readBufferBytes-1)) }, errUnasked},
 		"it is closed":                {func(c *keepAliveConn) { _ = c.Close() }, net.ErrClosed},
 		"it is withdrawn":             {func(c *keepAliveConn) { c.sealUnsent(1) }, errSealed},
 		"the answer before is judged": {func(c *keepAliveConn) { c.judge("q", false, false) }, net.ErrClosed},
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -82,6 +82,7 @@
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
 		IdleConnTimeout:        maxIdleTime,
 		MaxResponseHeaderBytes: maxHeaderBytes,
+		ReadBufferSize:         readBufferBytes,
 		DisableCompression:     true,
 	}
 	return c
