Take up only streams that may be resumed

Callers that sent Last-Event-Id on another streaming route got a part of the stream, as if it were the whole one.

Cause: the header counted on all streaming routes. Since events that the caller has are left out where it takes up a stream, they were left out there too. The header is still passed on; what the upstream makes of it is its answer.

--- a/internal/transport/gateway/request.go
+++ b/internal/transport/gateway/request.go
@@ -104,7 +104,9 @@
 		request.Prompt = parsePrompt(r.Header, names)
 	}
 	if route.Kind == comfreyworks.RouteStream {
-		request.LastEventID = r.Header.Get(names.LastEventID)
+		if route.Resumable {
+			request.LastEventID = r.Header.Get(names.LastEventID)
+		}
 		request.Resumes = comfreyworks.RequestID(r.Header.Get(names.Resumes))
 	}
 	return request, nil
