Show that a missed removal is not noticed after an odd entry

Callers' requests may go to an upstream that is gone: a gateway that has read an entry under its ID that cannot be decoded leaves it out of its checksum, so that it agrees with gateways that have removed the upstream.

TestMissedRemovalOfUndecoded fails.

--- a/internal/state/catalog/undecoded_test.go
+++ b/internal/state/catalog/undecoded_test.go
@@ -57,3 +57,20 @@
 		assert.Equal(t, len(f.undecoded), 0)
 	})
 }
+
+// TestMissedRemovalOfUndecoded guards against keeping an upstream for ever whose removal was
+// missed, because its last entry cannot be decoded and gateways that differ in it agree.
+func TestMissedRemovalOfUndecoded(t *testing.T) {
+	f, removed := newFixture(), newFixture()
+	f.applyList(10, true, []comfreyworks.Upstream{at("a", 1), at("b", 1)})
+	f.ApplyUpstreams(comfreyworks.UpstreamChanges{Since: 10, Next: 11, Undecoded: []comfreyworks.InstanceID{"b"}}, f.clock.Now())
+	removed.applyList(12, true, []comfreyworks.Upstream{at("a", 1)})
+	changes := *removed.UpstreamsAfter(12)
+	changes.Since = 11
+	assert.Assert(t, f.ApplyUpstreams(changes, f.clock.Now()).Doubted)
+	f.applyList(12, true, []comfreyworks.Upstream{at("a", 1)})
+	f.assertLive(t, "a")
+	f.UpstreamsVerified()
+	f.clock.Advance(maxDoubtPause)
+	assert.Assert(t, !f.ApplyUpstreams(*removed.UpstreamsAfter(12), f.clock.Now()).Doubted)
+}
