Count the IDs of undecodable entries in the checksum

Requests could go on to an upstream that is gone: gateways that had missed its removal and had an entry under its ID that cannot be decoded agreed with those that had removed it, and read the whole list no more.

Cause: such an entry was left out of the checksum altogether. That is right for its content, which only some gateways have read, but all of them know its ID.

Now the IDs count, unless there are as many as are remembered at most.

TestMissedRemovalOfUndecoded failed before. The tests of internal/state, internal/coordination/watch, internal/protocol/peer and platform pass with -race; internal/coordination/peering passed before IDs that are no text were left out, and was not run again.

--- a/declaration.go
+++ b/declaration.go
@@ -49,7 +49,7 @@
 	// nothing to a receiver that has not reached it. It is zero for a whole list.
 	Since Position
 	// Undecoded lists the IDs of changed entries that cannot be decoded. Upstreams that
-	// are known by them stay as they are and are not part of Checksum.
+	// are known by them stay as they are, and only their IDs are part of Checksum.
 	Undecoded []InstanceID
 	// Checksum is that of the sender's list at Next; zero means none. A receiver that
 	// then has another list must read it from the source.
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -333,6 +333,7 @@
 		c.graceEnd = now.Add(lapsedGracePeriod)
 	}
 	c.crossRestore(&changes, now, &change)
+	hadUndecoded := len(c.undecoded) > 0
 	lastConfirmedAt := c.listed.ConfirmedAt
 	c.updateKnownSince(lastConfirmedAt, now)
 	c.listed.Position = changes.Next
@@ -359,6 +360,8 @@
 		c.updateReleases(lastConfirmedAt, now)
 		c.updateChecksum()
 		c.publish(now)
+	} else if hadUndecoded {
+		c.updateChecksum()
 	}
 	change.Doubted = c.compare(&changes, now)
 	c.addFormerReleases(changes.Former, now)
--- a/internal/state/catalog/checksum.go
+++ b/internal/state/catalog/checksum.go
@@ -66,8 +66,9 @@
 	return c.checksum
 }
 
-// updateChecksum computes the checksum of all entries but undecodable ones. It is never zero, and does not
-// depend on sequence numbers, which gateways do not pass on. The mutex must be held.
+// updateChecksum computes the checksum of all entries. Of undecodable ones only the IDs
+// count, as long as all of them are remembered. It is never zero, and does not depend on
+// sequence numbers, which gateways do not pass on. The mutex must be held.
 func (c *Catalog) updateChecksum() {
 	c.lapsed = 0
 	var sum uint64
@@ -80,6 +81,11 @@
 		}
 		sum += contentHash(&e.upstream)
 	}
+	if len(c.undecoded) < maxUndecoded {
+		for id := range c.undecoded {
+			sum += xxhash.Sum64String(string(id))
+		}
+	}
 	c.checksum = max(1, uint32(sum))
 }
 
--- a/internal/state/catalog/undecoded.go
+++ b/internal/state/catalog/undecoded.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strings"
+	"unicode/utf8"
 
 	"comfreyworks"
 )
@@ -11,8 +13,8 @@
 
 // markUndecoded remembers the entries that cannot be decoded, and forgets in a whole list
 // those that it lacks. Gateways that have read a sound entry of the same upstream keep
-// that one, others have none, so that the checksum leaves them out. It reports whether the
-// checksum may have changed. The mutex must be held.
+// that one, others have none, so that the checksum leaves their content out. It reports
+// whether the checksum may have changed. The mutex must be held.
 func (c *Catalog) markUndecoded(changes *comfreyworks.UpstreamChanges) bool {
 	changed := false
 	if changes.Whole {
@@ -24,6 +26,10 @@
 		}
 	}
 	for _, id := range changes.Undecoded {
+		if strings.ContainsRune(string(id), utf8.RuneError) {
+			// No upstream has it, and it depends on the kind of read what replaces its bytes.
+			continue
+		}
 		if _, known := c.undecoded[id]; !known && len(c.undecoded) < maxUndecoded {
 			c.undecoded[id] = c.listed.Position
 			changed = true
