Tell a wait for callers to leave from a stalled body

Each held a connection and a goroutine until it left or the process ended, and got no answer at its deadline or at a stop.

Cause: a read of one byte was taken for the read with which the server waits for the caller to leave, whose deadline is removed. The buffer of the server asks for one byte too if it holds 4,095 bytes of an unfinished line.

Change: that read is expected only once the read deadline was removed during a request. The server removes it when it has read the whole request, before it waits, and handlers do after the body. The first byte of a next request is told apart in the same way.

--- a/internal/protocol/listener/conn.go
+++ b/internal/protocol/listener/conn.go
@@ -63,7 +63,8 @@
 	// aborting means that the server ends its own read of a connection whose request has
 	// been handled.
 	aborting atomic.Bool
-	// bodyRead means that the server has read the whole request.
+	// bodyRead means that the server has read the whole request, and waits for the caller to
+	// leave.
 	bodyRead atomic.Bool
 	// closed means that Close was called, lingered that the caller got its answer.
 	closed, lingered atomic.Bool
@@ -83,15 +84,12 @@
 		c.refuseHeader()
 		return 0, errHeaderTooLarge
 	}
-	if len(p) == 1 {
-		// The server reads a single byte once it has read the whole request.
-		c.bodyRead.Store(true)
-	}
+	waits := len(p) == 1 && c.bodyRead.Load()
 	p = p[:min(int64(len(p)), left)]
 	for {
 		n, err := c.TCPConn.Read(p)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			if c.listener.extendIdle(c) || len(p) == 1 && c.listener.keepsReading(c) {
+			if c.listener.extendIdle(c) || waits && c.listener.keepsReading(c) {
 				continue
 			}
 			if n = c.readArrived(p); n > 0 {
@@ -99,7 +97,7 @@
 			}
 		}
 		if n > 0 {
-			c.listener.bytesRead(c, n, len(p) == 1)
+			c.listener.bytesRead(c, n, waits)
 		}
 		// Fails if another phase has begun since.
 		c.headerLeft.CompareAndSwap(left, left-int64(n))
@@ -177,7 +175,10 @@
 		case deadline.Equal(abortDeadline):
 			c.aborting.Store(true)
 		case deadline.IsZero():
+			// The server removes the deadline before it waits for the caller to leave, and
+			// a handler once it has read the body.
 			c.aborting.Store(false)
+			c.bodyRead.Store(true)
 		}
 	}
 	return c.TCPConn.SetReadDeadline(deadline)
--- a/internal/protocol/listener/listener.go
+++ b/internal/protocol/listener/listener.go
@@ -236,11 +236,11 @@
 }
 
 // bytesRead records that n bytes were read, so that a connection is no longer idle. While
-// a request is handled, the server itself reads a single byte, the first of the next one.
-func (l *Listener) bytesRead(c *conn, n int, single bool) {
+// the server waits for the caller to leave, it may read the first byte of the next request.
+func (l *Listener) bytesRead(c *conn, n int, waits bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.phase != phaseRequest || single {
+	if c.phase != phaseRequest || waits {
 		c.arrived += n
 	}
 	if l.states[c] != http.StateIdle {
