Show no return to a silent upstream that wants no requests for a moment

What callers see: a stream of a sound upstream that was silent for a second is cut off. The upstream that was asked instead has failed, and the silent one, whose queue is long by then, has answered this or another request with 503 and the time until a retry. The balancer then offers it to nobody, so that the request ends at once, with a retry reserved and time left.

The two new cases of TestReturnInTrouble fail: "upstream left before may not receive it".

--- a/internal/coordination/forward/return_test.go
+++ b/internal/coordination/forward/return_test.go
@@ -97,6 +97,23 @@
 	}
 }
 
+// closing answers with a response after the upstream that was silent has said that it wants
+// no requests for some time.
+func (u *soundUpstreams) closing(f *fixture, closedFor time.Duration, then response) response {
+	return func(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+		response, err := then(ctx, options)
+		u.mu.Lock()
+		silent := u.sent[message(0).ID][0].upstream
+		u.mu.Unlock()
+		for _, upstream := range f.catalog.Upstreams(pool) {
+			if upstream.ID == silent {
+				f.forwarder.options.Balancer.Advise(&upstream, comfreyworks.UpstreamAdvice{ClosedFor: closedFor})
+			}
+		}
+		return response, err
+	}
+}
+
 // assertOneAtATime checks that the upstream that was silent gets the request again only
 // after all others have ended.
 func assertOneAtATime(t *testing.T, sent []sentAttempt) {
@@ -130,6 +147,12 @@
 		"the silent one cannot be reached at first": func(f *fixture, sound *soundUpstreams, _ *comfreyworks.Route) {
 			sound.again = inTurn(delayed(f.clock, maxOverlap, notSent), inTurn(notSent, sound.again))
 		},
+		"the silent one wants no requests for some time": func(f *fixture, sound *soundUpstreams, _ *comfreyworks.Route) {
+			sound.others = sound.closing(f, 400*time.Millisecond, sound.others)
+		},
+		"the silent one wants no requests when it is returned to": func(f *fixture, sound *soundUpstreams, _ *comfreyworks.Route) {
+			sound.again = inTurn(sound.closing(f, 300*time.Millisecond, busy), sound.again)
+		},
 		"little time is left": func(f *fixture, _ *soundUpstreams, route *comfreyworks.Route) {
 			route.Timeout = 2200 * time.Millisecond
 			f.declared.OutputTokens = 1000
