Return to silent upstreams that want no requests for a moment

Cause: an upstream that answers 503 with the time until a retry is closed for all requests of the gateway, also for those that are to return to it. It answers so when it goes on with a long queue, which silence causes, also to the request that returns.

Ruled out: to send at once despite that: it would be turned away again, and the three returns would be over after 0.4 s. To wait for any time: a caller should learn soon that its stream does not go on.

Change: a request that returns is offered such an upstream if that takes requests again within a second, and is sent then. The number of returns and their retries stay as they are. The limit on requests at a time after that does not hold for it.

After: the tests of forward and balance pass twice with -race.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -301,7 +301,7 @@
 	if query.BeginsStream {
 		c.settling = now.Before(b.options.Catalog.Pool(query.Pool).Settling[upstream.Release])
 	}
-	if !e.closure.admits(now) || (c.avoided && e.unreachable && query.Only == nil) {
+	if query.Only == nil && (!e.closure.admits(now) || (c.avoided && e.unreachable)) {
 		return candidate{}, false
 	}
 	c.avoided = c.avoided || now.Before(e.retrialUntil)
--- a/internal/coordination/balance/only_test.go
+++ b/internal/coordination/balance/only_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestOnly guards against requests that can't return to an upstream because it was silent
-// before, and against those that return to one that is leaving or was started again.
+// before or wants no requests for a moment, and against those that return to one that is leaving or was started again.
 func TestOnly(t *testing.T) {
 	changes := map[string]func(u *comfreyworks.Upstream){
 		"leaves":        func(u *comfreyworks.Upstream) { u.State = comfreyworks.InstanceLeaving },
@@ -27,6 +27,7 @@
 					last := upstreams[len(upstreams)-1]
 					query.Only = []comfreyworks.UpstreamIncarnation{last.Incarnation()}
 					f.Pick(query).Done(Result{Outcome: Unreachable})
+					f.Advise(&last, comfreyworks.UpstreamAdvice{ClosedFor: time.Second})
 					assert.Equal(t, f.Pick(query).Upstream.ID, last.ID)
 					change(&last)
 					f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Whole: true, Present: []comfreyworks.Upstream{last}, Next: 9}, f.clock.Now())
--- a/internal/coordination/balance/query.go
+++ b/internal/coordination/balance/query.go
@@ -53,7 +53,7 @@
 	// Exclude lists the upstreams that have already been tried.
 	Exclude []comfreyworks.InstanceID
 	// Only lists the upstreams to which the request may return, even if they can't be
-	// reached at the moment; nil means that it may be sent to any.
+	// reached or want no requests at the moment; nil means that it may be sent to any.
 	Only []comfreyworks.UpstreamIncarnation
 
 	// weighsBehind is the result of Balancer.weighsPromptsBehind.
--- a/internal/coordination/forward/return.go
+++ b/internal/coordination/forward/return.go
@@ -17,6 +17,8 @@
 	// returnInterval is the time before each return but the first. An upstream that was
 	// silent has to catch up.
 	returnInterval = 200 * time.Millisecond
+	// maxReturnWait is how long the request waits for an upstream that wants no requests.
+	maxReturnWait = time.Second
 )
 
 // leftUpstream is an upstream that a request has left although it had not failed: it was
@@ -42,15 +44,27 @@
 	}
 }
 
-// awaitReturn waits before the request returns once more. The wait ends early if the attempt
-// does.
+// awaitReturn waits before the request returns, if it does so once more or to an upstream that
+// wants no requests for some time. The wait ends early if the attempt does.
 func (a *attempt) awaitReturn() {
-	if a.returnsTo != nil && a.returns > 1 {
-		comfreyworks.Sleep(a.ctx, a.options.Clock, returnInterval)
+	if a.returnsTo == nil {
+		return
+	}
+	wait := a.closedFor(a.returnsTo)
+	if a.returns > 1 {
+		wait = max(wait, returnInterval)
+	}
+	if wait > 0 {
+		comfreyworks.Sleep(a.ctx, a.options.Clock, wait)
 		a.startedAt = a.options.Clock.Now()
 	}
 }
 
+// closedFor returns how much longer an upstream that the request has left wants no requests.
+func (r *activeRequest) closedFor(left *leftUpstream) time.Duration {
+	return r.options.Balancer.ClosedFor(&comfreyworks.Upstream{ID: left.ID, Started: left.Started})
+}
+
 // isSound reports whether the answer goes on so well that no return is to be expected: the
 // upstream did not take over from a silent one, or its answer began long enough ago.
 func (a *attempt) isSound() bool {
@@ -122,7 +136,7 @@
 	var upstreams []comfreyworks.UpstreamIncarnation
 	for _, left := range r.left {
 		mayRun := slices.ContainsFunc(r.runs, left.Equal) || r.upstreamsRun() < r.request.Route.MaxAttempts
-		if mayRun && (left.delivered || !(r.suspected || blamed)) {
+		if mayRun && (left.delivered || !(r.suspected || blamed)) && r.closedFor(&left) <= maxReturnWait {
 			upstreams = append(upstreams, left.UpstreamIncarnation)
 		}
 	}
