Show returns to upstreams that have begun to leave

A request that waits before it returns to a silent upstream was sent there although the upstream had begun to leave during the wait: it was chosen before. The wait is 0.2 s for a second return, and up to a second for an upstream that wants no requests.

--- a/internal/coordination/forward/return_test.go
+++ b/internal/coordination/forward/return_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -87,6 +88,48 @@
 	}
 }
 
+// TestLeavesBeforeReturn guards against sending a request to an upstream that has begun to
+// leave while the request waited before it returned there.
+func TestLeavesBeforeReturn(t *testing.T) {
+	for name, prepare := range map[string]func(f *fixture, sound *soundUpstreams, leave func()) (sends int){
+		"wanted no requests": func(f *fixture, sound *soundUpstreams, leave func()) int {
+			closing := sound.closing(f, 500*time.Millisecond, brokenOff(""))
+			sound.others = delayed(f.clock, maxOverlap, func(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+				leave()
+				return closing(ctx, options)
+			})
+			return 2
+		},
+		"was busy": func(f *fixture, sound *soundUpstreams, leave func()) int {
+			sound.others = delayed(f.clock, maxOverlap, brokenOff(""))
+			sound.again = func(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+				leave()
+				return busy(ctx, options)
+			}
+			return 3
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, sound := newSoundFixture(3, 10)
+			sound.pause(untilSecond, 1500*time.Millisecond)
+			sends := prepare(f, sound, func() {
+				f.clock.AfterFunc(100*time.Millisecond, func() {
+					sound.mu.Lock()
+					silent := sound.sent[message(0).ID][0].upstream
+					sound.mu.Unlock()
+					present := slices.Clone(f.catalog.Upstreams(pool))
+					i := slices.IndexFunc(present, func(u comfreyworks.Upstream) bool { return u.ID == silent })
+					present[i].State = comfreyworks.InstanceLeaving
+					f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Whole: true, Present: present, Next: 3}, f.clock.Now())
+				})
+			})
+			outcomes, _ := f.forwardAll(t, route(comfreyworks.RouteStream, 2, true), 1)
+			assert.Equal(t, outcomes[0].Verdict, Broken, "sent to an upstream that is leaving")
+			assert.Equal(t, len(sound.sent[message(0).ID]), sends)
+		})
+	}
+}
+
 // pause makes the first upstream of each request silent until the given time has passed,
 // also for attempts that reach it meanwhile.
 func (u *soundUpstreams) pause(after int, pause time.Duration) {
