Choose silent upstreams anew after the wait before a return

Cause: the upstream was chosen before the wait.

Change: it is chosen again after the wait, among that one alone. If it may not receive the request any more, or the request has ended meanwhile, nothing is sent or counted as sent, and the request goes on as after an upstream that did not run it.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -83,7 +83,10 @@
 func (a *attempt) run(ctx context.Context) (Outcome, attemptResult) {
 	defer a.end()
 	if a.response == nil {
-		a.awaitReturn()
+		if !a.awaitReturn() {
+			a.result.Outcome = balance.Withdrawn
+			return Outcome{}, attemptNotRun
+		}
 		a.countSend(a)
 		a.recordOrigin()
 	}
--- a/internal/coordination/forward/return.go
+++ b/internal/coordination/forward/return.go
@@ -45,19 +45,37 @@
 }
 
 // awaitReturn waits before the request returns, if it does so once more or to an upstream that
-// wants no requests for some time. The wait ends early if the attempt does.
-func (a *attempt) awaitReturn() {
+// wants no requests for some time. It returns false if the attempt has ended meanwhile, or if
+// the upstream may no longer receive the request.
+func (a *attempt) awaitReturn() bool {
 	if a.returnsTo == nil {
-		return
+		return true
 	}
 	wait := a.closedFor(a.returnsTo)
 	if a.returns > 1 {
 		wait = max(wait, returnInterval)
 	}
-	if wait > 0 {
-		comfreyworks.Sleep(a.ctx, a.options.Clock, wait)
-		a.startedAt = a.options.Clock.Now()
+	if wait <= 0 {
+		return true
 	}
+	if !comfreyworks.Sleep(a.ctx, a.options.Clock, wait) {
+		return false
+	}
+	pick := a.pickOnly(a.returnsTo.UpstreamIncarnation)
+	if pick == nil {
+		a.reason += ", upstream left before may no longer receive it"
+		return false
+	}
+	a.pick.Done(balance.Result{Outcome: balance.Withdrawn})
+	a.pick, a.startedAt = pick, a.options.Clock.Now()
+	return true
+}
+
+// pickOnly chooses one of the given upstreams, or returns nil if none may receive the request.
+func (r *activeRequest) pickOnly(upstreams ...comfreyworks.UpstreamIncarnation) *balance.Pick {
+	query := r.balanceQuery()
+	query.Exclude, query.Only = nil, upstreams
+	return r.options.Balancer.Pick(query)
 }
 
 // closedFor returns how much longer an upstream that the request has left wants no requests.
@@ -103,12 +121,11 @@
 // run there once more than its route allows, because it has run there before: the limit
 // is on the number of upstreams.
 func (r *activeRequest) pickReturn(retryTaken bool) *balance.Pick {
-	query := r.balanceQuery()
-	query.Exclude = nil
-	if query.Only = r.returnable(); query.Only == nil {
+	upstreams := r.returnable()
+	if len(upstreams) == 0 {
 		return nil
 	}
-	pick := r.options.Balancer.Pick(query)
+	pick := r.pickOnly(upstreams...)
 	if pick == nil {
 		r.reason += ", upstream left before may not receive it"
 		return nil
