Answer requests of the entry that panic before anything is written

Cause: the server closes the connection of a handler that panics; only the gateway, not the entry, recovered before.

Change: the entry logs the panic and answers 502, which does not say that nothing was run. A response that has begun is cut off as before.

Before: TestPanicIsAnswered failed with EOF. After: the tests of transport/entry and coordination/dispatch pass with -race.

--- a/internal/transport/entry/writer.go
+++ b/internal/transport/entry/writer.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // responseWriter sets a deadline for each write, so that a caller that stops
@@ -42,10 +44,22 @@
 // Unwrap lets http.ResponseController find the underlying writer.
 func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// withResponseWriter wraps the response writer of each request in a responseWriter.
+// withResponseWriter wraps the response writer of each request in a responseWriter. A request
+// that panics before anything is written gets an error response.
 func (e *Entry) withResponseWriter(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		limited := &responseWriter{ResponseWriter: w, timeout: e.deployment().Callers.WriteTimeout, announceClose: e.announceClose}
+		defer func() {
+			switch reason := recover(); {
+			case reason == nil:
+			case limited.headerWritten || reason == http.ErrAbortHandler:
+				panic(reason)
+			default:
+				e.options.Logger.Error("request panicked", zap.Any("reason", reason), zap.Stack("stack"))
+				clear(w.Header())
+				writeError(limited, incompleteError())
+			}
+		}()
 		next.ServeHTTP(limited, r)
 	})
 }
