--- a/internal/coordination/forward/return.go
+++ b/internal/coordination/forward/return.go
@@ -153,7 +153,11 @@
 	var upstreams []comfreyworks.UpstreamIncarnation
 	for _, left := range r.left {
 		mayRun := slices.ContainsFunc(r.runs, left.Equal) || r.upstreamsRun() < r.request.Route.MaxAttempts
-		if mayRun && (left.delivered || !(r.suspected || blamed)) && r.closedFor(&left) <= maxReturnWait {
+		switch {
+		case !mayRun || (!left.delivered && (r.suspected || blamed)):
+		case r.closedFor(&left) > maxReturnWait:
+			r.reason += ", upstream left before wants no requests"
+		default:
 			upstreams = append(upstreams, left.UpstreamIncarnation)
 		}
 	}
