--- a/internal/coordination/forward/return_test.go
+++ b/internal/coordination/forward/return_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -88,6 +89,48 @@
 	}
 }
 
+// TestLeavesBeforeReturn guards against sending a request to an upstream that has begun to
+// leave while the request waited before it returned there.
+func TestLeavesBeforeReturn(t *testing.T) {
+	for name, prepare := range map[string]func(f *fixture, sound *soundUpstreams, leave func()) (sends int){
+		"wanted no requests": func(f *fixture, sound *soundUpstreams, leave func()) int {
+			closing := sound.closing(f, 500*time.Millisecond, brokenOff(""))
+			sound.others = delayed(f.clock, maxOverlap, func(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+				leave()
+				return closing(ctx, options)
+			})
+			return 2
+		},
+		"was busy": func(f *fixture, sound *soundUpstreams, leave func()) int {
+			sound.others = delayed(f.clock, maxOverlap, brokenOff(""))
+			sound.again = func(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+				leave()
+				return busy(ctx, options)
+			}
+			return 3
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, sound := newSoundFixture(3, 10)
+			sound.pause(untilSecond, 1500*time.Millisecond)
+			sends := prepare(f, sound, func() {
+				f.clock.AfterFunc(100*time.Millisecond, func() {
+					sound.mu.Lock()
+					silent := sound.sent[message(0).ID][0].upstream
+					sound.mu.Unlock()
+					present := slices.Clone(f.catalog.Upstreams(pool))
+					i := slices.IndexFunc(present, func(u comfreyworks.Upstream) bool { return u.ID == silent })
+					present[i].State = comfreyworks.InstanceLeaving
+					f.catalog.ApplyUpstreams(comfreyworks.UpstreamChanges{Whole: true, Present: present, Next: 3}, f.clock.Now())
+				})
+			})
+			outcomes, _ := f.forwardAll(t, route(comfreyworks.RouteStream, 2, true), 1)
+			assert.Equal(t, outcomes[0].Verdict, Broken, "sent to an upstream that is leaving")
+			assert.Equal(t, len(sound.sent[message(0).ID]), sends)
+		})
+	}
+}
+
 // pause makes the first upstream of each request silent until the given time has passed,
 // also for attempts that reach it meanwhile.
 func (u *soundUpstreams) pause(after int, pause time.Duration) {
@@ -98,6 +141,23 @@
 	}
 }
 
+// closing answers with a response after the upstream that was silent has said that it wants
+// no requests for some time.
+func (u *soundUpstreams) closing(f *fixture, closedFor time.Duration, then response) response {
+	return func(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+		response, err := then(ctx, options)
+		u.mu.Lock()
+		silent := u.sent[message(0).ID][0].upstream
+		u.mu.Unlock()
+		for _, upstream := range f.catalog.Upstreams(pool) {
+			if upstream.ID == silent {
+				f.forwarder.options.Balancer.Advise(&upstream, comfreyworks.UpstreamAdvice{ClosedFor: closedFor})
+			}
+		}
+		return response, err
+	}
+}
+
 // assertOneAtATime checks that the upstream that was silent gets the request again only
 // after all others have ended.
 func assertOneAtATime(t *testing.T, sent []sentAttempt) {
@@ -131,6 +191,12 @@
 		"the silent one cannot be reached at first": func(f *fixture, sound *soundUpstreams, _ *comfreyworks.Route) {
 			sound.again = inTurn(delayed(f.clock, maxOverlap, notSent), inTurn(notSent, sound.again))
 		},
+		"the silent one wants no requests for some time": func(f *fixture, sound *soundUpstreams, _ *comfreyworks.Route) {
+			sound.others = sound.closing(f, 400*time.Millisecond, sound.others)
+		},
+		"the silent one wants no requests when it is returned to": func(f *fixture, sound *soundUpstreams, _ *comfreyworks.Route) {
+			sound.again = inTurn(sound.closing(f, 300*time.Millisecond, busy), sound.again)
+		},
 		"little time is left": func(f *fixture, _ *soundUpstreams, route *comfreyworks.Route) {
 			route.Timeout = 2200 * time.Millisecond
 			f.declared.OutputTokens = 1000
