--- a/Makefile
+++ b/Makefile
@@ -66,7 +66,7 @@
 # Runs gateways as processes, injects faults that are derived from a seed and
 # checks every guarantee. Seeds that failed in the past run first.
 soak: build
-	./bin/soak --program bin/gateway --regressions cmd/soak/regressions.txt --jobs 2
+	./bin/soak --program bin/gateway --regressions cmd/soak/regressions.txt --jobs 3
 	./bin/soak --program bin/gateway $(SOAK_FLAGS)
 
 # Compares the light days of the users' deployments with the recorded ones, given
