Read the declarations again sooner while no reader's state arrives

The two gateways that read the declarations for all were cut off from the store and still reached their peers, so that they stayed the readers. Each other gateway read once when its state was 2.8 s old, counted as current for the next 2.8 s, and saw the change after 2.6 s.

A gateway that relies on others reads again 0.8 s after its own last read now, as long as nothing newer arrives: a reader that is back, or another gateway that reads, ends that. While readers deliver, nothing changes. The time until the first of these reads is as before.

TestReadersWithoutSource failed before: 3 reads in 6 s; the case with readers that deliver holds, no further read.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -38,6 +38,11 @@
 	// Options.FallbackDelay extends them.
 	declarationFallbackAge = 2*declarationWait + 400*time.Millisecond
 	upstreamFallbackAge    = 1800 * time.Millisecond
+	// substituteInterval is the pause between reads of the declarations by a gateway that
+	// relies on others, as long as nothing newer than its own last read arrives. Readers
+	// that can reach their peers and not the source would otherwise be replaced by one
+	// read in declarationFallbackAge.
+	substituteInterval = 800 * time.Millisecond
 	// standbyInterval is the interval at which a gateway that relies on others
 	// checks whether it still may.
 	standbyInterval = 100 * time.Millisecond
@@ -115,7 +120,7 @@
 func (f *Follower) declarations() poll {
 	return poll{
 		source: "declarations", read: f.readDeclarations, confirmedAt: f.declarationsConfirmedAt,
-		fallbackAge: declarationFallbackAge,
+		fallbackAge: declarationFallbackAge, substituteInterval: substituteInterval,
 		position: func() comfreyworks.Position {
 			declared, _ := f.options.Catalog.SourceStates()
 			return declared.Position
@@ -135,6 +140,9 @@
 	// fallbackAge is the age of that state at which a gateway reads the source
 	// itself.
 	fallbackAge time.Duration
+	// substituteInterval takes the place of fallbackAge, counted from the end of the last
+	// read of this gateway, while no newer state arrives; zero means that nothing does.
+	substituteInterval time.Duration
 	// interval is the pause after a successful read.
 	interval time.Duration
 	// position returns the position up to which the source was read; nil if reads do
@@ -155,13 +163,20 @@
 	return declared.ConfirmedAt
 }
 
+// ownRead is the last successful read of a source by this gateway: the time as of which
+// it confirmed the state, and when it ended.
+type ownRead struct{ confirmedAt, endedAt time.Time }
+
 // onStandby reports whether this gateway currently relies on others to read a
 // source.
-func (f *Follower) onStandby(p *poll) bool {
+func (f *Follower) onStandby(p *poll, last ownRead) bool {
 	if f.isReader() || (p.doubtful != nil && p.doubtful()) {
 		return false
 	}
 	confirmedAt := p.confirmedAt()
+	if p.substituteInterval > 0 && !confirmedAt.IsZero() && confirmedAt.Equal(last.confirmedAt) {
+		return f.options.Clock.Since(last.endedAt) < p.substituteInterval
+	}
 	if confirmedAt.IsZero() {
 		return f.options.StartDelay != nil && f.options.Clock.Since(f.startedAt) < f.options.StartDelay()
 	}
@@ -185,8 +200,9 @@
 	logger := f.options.Logger.With(zap.String("source", p.source))
 	var failedAt time.Time
 	failures := 0
+	var last ownRead
 	for ctx.Err() == nil {
-		if f.onStandby(&p) {
+		if f.onStandby(&p, last) {
 			comfreyworks.Sleep(ctx, f.options.Clock, standbyInterval)
 			continue
 		}
@@ -194,6 +210,9 @@
 		err := errPanic
 		f.options.Faults.Run("follow-"+p.source, func() { err = p.read(ctx) })
 		wait := p.interval
+		if err == nil {
+			last = ownRead{p.confirmedAt(), f.options.Clock.Now()}
+		}
 		switch {
 		case ctx.Err() != nil:
 			return nil
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -157,6 +157,38 @@
 	})
 }
 
+// TestReadersWithoutSource guards against a fleet that learns of a change seconds late
+// because its readers reach their peers and not the source.
+func TestReadersWithoutSource(t *testing.T) {
+	const rounds = 60
+	for name, c := range map[string]struct {
+		peers           bool
+		atLeast, atMost int
+	}{
+		"nothing arrives from readers": {false, rounds * int(standbyInterval/time.Millisecond) / 1200, rounds},
+		"readers confirm the state":    {true, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			ctx, stop := context.WithCancel(context.Background())
+			var group errgroup.Group
+			group.Go(func() error { return f.follower.pollSource(ctx, f.follower.declarations()) })
+			for range rounds {
+				assert.NilError(t, f.clock.BlockUntilContext(ctx, 1))
+				f.clock.Advance(standbyInterval)
+				if c.peers {
+					f.catalog.ApplyDeclaration(comfreyworks.Declaration{Next: 1}, f.clock.Now())
+				}
+			}
+			assert.NilError(t, f.clock.BlockUntilContext(ctx, 1))
+			stop()
+			assert.NilError(t, group.Wait())
+			reads := f.source.readCount()
+			assert.Assert(t, reads >= c.atLeast && reads <= c.atMost, "%d reads", reads)
+		})
+	}
+}
+
 // TestSourceOutage guards against a fleet that reads a source which is down as fast
 // as it can: its readers try often enough to notice at once that it is back, the
 // other gateways seldom.
