--- a/internal/transport/control/control_test.go
+++ b/internal/transport/control/control_test.go
@@ -24,7 +24,7 @@
 	doubtful := filepath.Join(t.TempDir(), "doubtful.jsonc")
 	assert.NilError(t, os.WriteFile(doubtful, bytes.Replace(source, []byte(`"directory-shards": 2`), []byte(`"directory-shards": 20`), 1), 0o600))
 	routes := filepath.Join(t.TempDir(), "routes.json")
-	assert.NilError(t, os.WriteFile(routes, []byte(`{"routes": [{"name": "r", "hostname": "h", "kind": "idempotent", "service": "s"}], "services": [{"name": "s"}]}`), 0o600))
+	assert.NilError(t, os.WriteFile(routes, []byte(`{"version": 1, "routes": [{"name": "r", "hostname": "h", "kind": "idempotent", "service": "s"}], "services": [{"name": "s"}]}`), 0o600))
 	tests := []struct {
 		name     string
 		args     []string
