--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -17,7 +17,7 @@
 	"time"
 )
 
-var cases = map[string]func(w *world){"restored-keys": restoredKeys, "isolated": isolated}
+var cases = map[string]func(w *world){"restored-keys": restoredKeys, "isolated": isolated, "joined": joined}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- a/review/platform/store.go
+++ b/review/platform/store.go
@@ -21,8 +21,8 @@
 	topics map[string]*topic
 	era    int
 	away   bool
-	// refuses reports whether an append to a topic is answered 503.
-	refuses func(topic string) bool
+	// down reports whether a topic is down: calls are answered 503.
+	down func(topic string) bool
 }
 
 type topic struct {
@@ -126,6 +126,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	if s.down != nil && s.down(name) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	t := s.topic(name)
 	switch r.URL.Path {
 	case "/v1/log-read":
@@ -202,9 +206,6 @@
 	case name == "keyed.op" || name == "keyed.servers":
 		w.WriteHeader(http.StatusForbidden)
 		return
-	case s.refuses != nil && s.refuses(name):
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
 	}
 	if at := r.URL.Query().Get("at"); at != "" && at != strconv.Itoa(len(t.records)) {
 		w.WriteHeader(http.StatusPreconditionFailed)
