--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -53,8 +53,8 @@
 // back from a copy from before, and the operator writes the manifest again.
 func restoredKeys(w *world) {
 	const (
-		away    = 4000 * time.Millisecond
-		rewrite = 1500 * time.Millisecond
+		away    = 4400 * time.Millisecond
+		rewrite = 1900 * time.Millisecond
 		bound   = 5000 * time.Millisecond
 	)
 	kept, revoked := "key-kept", "key-revoked"
--- a/review/platform/replica.go
+++ b/review/platform/replica.go
@@ -99,6 +99,11 @@
 	if err != nil {
 		return
 	}
+	r.mu.Lock()
+	if r.unlisted {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	r.mu.Unlock()
 	if target := q.Header.Get(prefix + "Target-Instance"); target != "" && target != r.id {
 		w.Header().Set(prefix+"Request-Id", q.Header.Get(prefix+"Request-Id"))
 		w.Header().Set(prefix+"Not-Executed", "1")
