Begin no stream at a release that the record on the store may lack

Cause: a gateway that starts takes the record for all releases of the last 30 s, but running ones let streams begin at a release that had not been recorded for 6 s, or that was alone in its pool. Ruled out: the record itself was what had been written, and the restart read the newest one.

As long as an upstream of a recorded release is live, streams begin at recorded releases only. The record names witnesses: upstreams that were live when it was written. If none of a pool is live any more at a start, streams of unknown origin of that pool are refused for 30 s. Without a record the release of the upstream that started first counts as recorded.

TestNothingIsJoined left out failures of the store of more than 3 s, because the product gave up then; it has failures of up to 12 s now, and streams that begin at a settling release that is alone.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -299,7 +299,11 @@
 		full:        now.Before(e.fullUntil) || now.Before(e.loadingUntil),
 	}
 	if query.BeginsStream {
-		c.settling = now.Before(b.options.Catalog.Pool(query.Pool).Settling[upstream.Release])
+		view := b.options.Catalog.Pool(query.Pool)
+		if view.Unrecorded[upstream.Release] {
+			return candidate{}, false
+		}
+		c.settling = now.Before(view.Settling[upstream.Release])
 	}
 	if query.Only == nil && (!e.closure.admits(now) || (c.avoided && e.unreachable)) {
 		return candidate{}, false
--- a/internal/coordination/balance/division.go
+++ b/internal/coordination/balance/division.go
@@ -268,7 +268,7 @@
 	}
 	d.listed = view.Upstreams
 	for kind := range partition.NumKinds {
-		d.kinds[kind], d.others[kind] = catalog.PoolView{Settling: view.Settling}, catalog.PoolView{Settling: view.Settling}
+		d.kinds[kind], d.others[kind] = catalog.PoolView{}, catalog.PoolView{}
 		for i := range view.Upstreams {
 			part := &d.others[kind]
 			if d.serves(view.Upstreams[i].ID, kind) {
--- a/internal/coordination/balance/release_test.go
+++ b/internal/coordination/balance/release_test.go
@@ -81,3 +81,24 @@
 		})
 	}
 }
+
+// TestUnrecordedRelease guards against a stream that begins at a release which is not
+// recorded because the upstreams of the recorded one are busy or have failed.
+func TestUnrecordedRelease(t *testing.T) {
+	for name, gateways := range map[string]int{"small fleet": 4, "large fleet": 24} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(0)
+			f.catalog.RecordReleases()
+			f.SetGateways(gateways)
+			f.list(1, "v1", 0, 3)
+			f.clock.Advance(time.Minute)
+			f.list(2, "v2", 3, 6)
+			f.clock.Advance(time.Minute)
+			query := promptQuery("guide", "site")
+			query.Exclude = []comfreyworks.InstanceID{"lm/0", "lm/1", "lm/2"}
+			assert.Equal(t, f.serve(t, query).Upstream.Release, "v2")
+			query.BeginsStream = true
+			f.expectNoUpstream(t, query)
+		})
+	}
+}
--- a/internal/coordination/releaserecord/releaserecord.go
+++ b/internal/coordination/releaserecord/releaserecord.go
@@ -150,7 +150,7 @@
 		return
 	}
 	if first {
-		r.options.Catalog.ApplyReleaseRecord(comfreyworks.ReleaseRecord{}, readAt)
+		r.options.Catalog.ApplyNoEarlierReleases(readAt)
 		r.read = r.options.Catalog.KnowsReleases()
 		r.options.Logger.Info("first start of a gateway with this store, no earlier releases")
 		return
--- a/internal/coordination/releaserecord/releaserecord_test.go
+++ b/internal/coordination/releaserecord/releaserecord_test.go
@@ -106,7 +106,9 @@
 func (f *fleet) read(g *gateway) {
 	var present []comfreyworks.Upstream
 	for _, release := range f.listed {
-		present = append(present, comfreyworks.Upstream{ID: comfreyworks.InstanceID(release), Pool: pool, State: comfreyworks.InstanceLive, Release: release})
+		present = append(present, comfreyworks.Upstream{
+			ID: comfreyworks.InstanceID(release), Pool: pool, State: comfreyworks.InstanceLive, Release: release, Started: f.listedAt[release],
+		})
 	}
 	f.position++
 	changes := comfreyworks.UpstreamChanges{Whole: true, Present: present, Next: f.position, Restored: f.restored}
@@ -460,16 +462,15 @@
 	})
 }
 
-// maxFault is less than the time after which streams begin at a release that could not be
-// recorded.
-const maxFault = 3 * time.Second
+// maxFault is how long the store fails at most. A release may come and go meanwhile.
+const maxFault = 12 * time.Second
 
-// minService is how long a release has been in service before others may be removed: a
-// gateway lets streams begin at it by then, and the others know it.
+// minService is how long a release has been in service before others may be removed: the
+// gateways know it by then.
 const minService = 3 * time.Second
 
-// toggle adds a release or removes it, unless the others are too new: if a new release is
-// the only one, streams begin at it at once. No release comes and goes between two reads.
+// toggle adds a release or removes it, unless the others are too new. No release comes and
+// goes between two reads.
 func (f *fleet) toggle(release string) {
 	if f.clock.Since(f.toggledAt[release]) <= (readSteps+1)*step {
 		return
@@ -487,13 +488,27 @@
 	}
 }
 
-// begin begins streams at all releases in service at which a gateway lets them.
+// begin begins streams at all releases in service at which a gateway lets them: also at one
+// that is settling if there is no other.
 func (f *fleet) begin(begun map[string]time.Time) {
 	for _, g := range f.running() {
 		view := g.catalog.Pool(pool)
+		var settled, settling []string
 		for _, upstream := range view.Upstreams {
-			if !f.clock.Now().Before(view.Settling[upstream.Release]) && slices.Contains(f.listed, upstream.Release) {
-				begun[upstream.Release] = f.clock.Now()
+			switch {
+			case view.Unrecorded[upstream.Release]:
+			case f.clock.Now().Before(view.Settling[upstream.Release]):
+				settling = append(settling, upstream.Release)
+			default:
+				settled = append(settled, upstream.Release)
+			}
+		}
+		if len(settled) == 0 {
+			settled = settling
+		}
+		for _, release := range settled {
+			if slices.Contains(f.listed, release) {
+				begun[release] = f.clock.Now()
 			}
 		}
 	}
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -144,9 +144,11 @@
 type PoolView struct {
 	Upstreams []comfreyworks.Upstream
 	Seeds     []uint64
-	// Settling holds the new releases at which no stream is to begin yet, with the
-	// time until then.
-	Settling map[string]time.Time
+	// Settling holds the new releases at which no stream is to begin yet if there is
+	// another upstream, with the time until then. Unrecorded holds those at which none
+	// may begin, whatever happens to the other upstreams.
+	Settling   map[string]time.Time
+	Unrecorded map[string]bool
 }
 
 // removal is an upstream that was removed, with the position up to which the list
@@ -479,7 +481,7 @@
 		view.Upstreams = append(view.Upstreams, e.upstream)
 	}
 	for pool, view := range pools {
-		view.Settling = c.settling(pool, now)
+		view.Settling, view.Unrecorded = c.settling(pool, now), c.unrecorded(pool)
 		slices.SortFunc(view.Upstreams, func(a, b comfreyworks.Upstream) int {
 			return strings.Compare(string(a.ID), string(b.ID))
 		})
--- a/internal/state/catalog/knownreleases.go
+++ b/internal/state/catalog/knownreleases.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -8,8 +9,15 @@
 	"comfreyworks"
 )
 
-// RecordReleases makes streams begin at a new release only once it is recorded or
-// maxRecordWait has passed. It must be called before the catalog is used.
+const (
+	// maxWitnesses is the number of upstreams of a pool that a record names as witnesses. It
+	// is replaced when fewer than minWitnesses of them are left.
+	maxWitnesses = 6
+	minWitnesses = 2
+)
+
+// RecordReleases makes streams begin at a new release only once it is recorded, as long as
+// an upstream of a recorded one is listed. It must be called before the catalog is used.
 func (c *Catalog) RecordReleases() { c.recordsReleases = true }
 
 // listIsFresh reports whether the list of upstreams contains every release at which
@@ -69,7 +77,7 @@
 				continue
 			}
 			r := comfreyworks.KnownRelease{
-				Pool: pool, Release: release, Listed: span.leftAt.IsZero(), Recorded: span.recorded,
+				Pool: pool, Release: release, Listed: span.leftAt.IsZero(), Recorded: span.recorded, AwaitsRecord: span.awaitsRecord(),
 				SettlesIn: max(0, span.settledAt.Sub(now)),
 			}
 			if !r.Listed {
@@ -116,7 +124,10 @@
 	if span.enteredAt.IsZero() {
 		span.settledAt = now.Add(min(max(r.SettlesIn, 0), releaseSettleTime))
 		if r.SettlesIn > 0 {
-			span.enteredAt, span.recordBy = now, now.Add(maxRecordWait)
+			span.enteredAt = now
+		}
+		if r.AwaitsRecord || (r.SettlesIn > 0 && !ok) {
+			span.recordBy = now.Add(maxRecordWait)
 		}
 	}
 	span.countsFrom, span.recorded = time.Time{}, span.recorded || r.Recorded
@@ -140,9 +151,24 @@
 	}
 }
 
+// ApplyNoEarlierReleases records that no gateway has run with the store before a read that
+// started at readAt. It has no effect if the list of upstreams was not known by then.
+func (c *Catalog) ApplyNoEarlierReleases(readAt time.Time) {
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.listed.ConfirmedAt.IsZero() || readAt.Before(c.knownSince) {
+		return
+	}
+	c.recorded = &comfreyworks.ReleaseRecord{}
+	c.extendKnownSince(now.Add(-releaseMemory))
+	c.publish(now)
+}
+
 // ApplyReleaseRecord adds the releases of a record, in a read that started at readAt.
 // Those that are not listed count as having left just now: the record does not tell when
-// they did. It has no effect if the list of upstreams was not known by readAt.
+// they did. So does unrecordedRelease in a pool of which no witness is live. It has no
+// effect if the list of upstreams was not known by readAt.
 func (c *Catalog) ApplyReleaseRecord(record comfreyworks.ReleaseRecord, readAt time.Time) {
 	now := c.clock.Now()
 	c.mu.Lock()
@@ -175,11 +201,23 @@
 			spans[release] = span
 		}
 	}
+	for pool := range listed {
+		if record.Witnesses != nil && !slices.ContainsFunc(record.Witnesses[pool], c.isLive) {
+			c.spansOf(pool)[unrecordedRelease] = releaseSpan{enteredAt: now, leftAt: now, recorded: true}
+		}
+	}
 	c.recorded = &record
 	c.extendKnownSince(now.Add(-releaseMemory))
 	c.publish(now)
 }
 
+// isLive reports whether an incarnation of an upstream is listed or in its grace period, and
+// not leaving. The mutex must be held.
+func (c *Catalog) isLive(incarnation comfreyworks.UpstreamIncarnation) bool {
+	e, ok := c.entries[incarnation.ID]
+	return ok && e.upstream.State == comfreyworks.InstanceLive && e.upstream.Incarnation().Equal(incarnation)
+}
+
 // AddRecorded adds the releases of the newest record that this gateway has never known,
 // before it replaces the record: another one with a newer list may have recorded them.
 func (c *Catalog) AddRecorded(record comfreyworks.ReleaseRecord) {
@@ -195,6 +233,7 @@
 			}
 		}
 	}
+	c.recorded = &record
 }
 
 // ReleaseRecording describes the record of releases that the store should have.
@@ -226,6 +265,7 @@
 func (c *Catalog) releaseRecord(now time.Time) comfreyworks.ReleaseRecord {
 	record := comfreyworks.ReleaseRecord{
 		Pools: make(map[comfreyworks.Pool][]string, len(c.releases)), New: make(map[comfreyworks.Pool][]string),
+		Witnesses: c.witnesses(),
 	}
 	for pool, spans := range c.releases {
 		for _, release := range slices.Sorted(maps.Keys(spans)) {
@@ -238,6 +278,43 @@
 	return record
 }
 
+// witnesses returns the witnesses of each pool: those of the newest record, or other
+// upstreams if fewer than minWitnesses of them are left. The mutex must be held.
+func (c *Catalog) witnesses() map[comfreyworks.Pool][]comfreyworks.UpstreamIncarnation {
+	live := make(map[comfreyworks.Pool][]comfreyworks.UpstreamIncarnation)
+	for _, e := range c.entries {
+		if e.removeAt.IsZero() && e.upstream.State == comfreyworks.InstanceLive {
+			live[e.upstream.Pool] = append(live[e.upstream.Pool], e.upstream.Incarnation())
+		}
+	}
+	witnesses := make(map[comfreyworks.Pool][]comfreyworks.UpstreamIncarnation, len(c.releases))
+	for pool, spans := range c.releases {
+		if len(spans) > 0 {
+			witnesses[pool] = c.poolWitnesses(pool, live[pool])
+		}
+	}
+	return witnesses
+}
+
+// poolWitnesses returns the witnesses of one pool with the given live upstreams. The mutex
+// must be held.
+func (c *Catalog) poolWitnesses(pool comfreyworks.Pool, live []comfreyworks.UpstreamIncarnation) []comfreyworks.UpstreamIncarnation {
+	if c.recorded != nil {
+		recorded := c.recorded.Witnesses[pool]
+		left := 0
+		for _, witness := range recorded {
+			if c.isLive(witness) {
+				left++
+			}
+		}
+		if left >= min(minWitnesses, len(live)) {
+			return recorded
+		}
+	}
+	slices.SortFunc(live, func(a, b comfreyworks.UpstreamIncarnation) int { return cmp.Compare(a.ID, b.ID) })
+	return live[:min(len(live), maxWitnesses)]
+}
+
 // ReleasesRecorded records that the store has the record of a ReleaseRecording. Releases
 // that have entered service since are not affected.
 func (c *Catalog) ReleasesRecorded(r *ReleaseRecording) {
--- a/internal/state/catalog/releases.go
+++ b/internal/state/catalog/releases.go
@@ -15,10 +15,9 @@
 	// one of them is new. As long as a list of upstreams is younger, no stream that may
 	// be continued began at a release that it does not contain.
 	releaseSettleTime = 2 * time.Second
-	// maxRecordWait is how long streams begin at other releases of a pool while a new one
-	// is not recorded. It covers the time in which another gateway takes over from the one
-	// that should have recorded it; longer, and a store that fails all writes would keep
-	// streams off new upstreams.
+	// maxRecordWait is how long a new release of a pool in which none is recorded waits for
+	// its record while streams can begin at another one. It covers the time in which another
+	// gateway takes over from the one that should have recorded it.
 	maxRecordWait = 6 * time.Second
 	// recordMargin is how much longer than releaseMemory a release is recorded. Gateways
 	// with an older list of upstreams used it for longer than the one that records it.
@@ -28,6 +27,9 @@
 	removalTime = 10 * time.Second
 	// maxFormerReleases limits the releases that are accepted from one peer.
 	maxFormerReleases = 256
+	// unrecordedRelease stands for the releases at which streams may have begun while no
+	// record contained them. No upstream runs it.
+	unrecordedRelease = "(unrecorded)"
 )
 
 // releaseSpan is the time in which upstreams of a pool ran a release.
@@ -42,11 +44,15 @@
 	// zero if it was listed before this gateway started, as far as is known.
 	enteredAt time.Time
 	// recorded means that a record which contains the release was written since it
-	// entered service. Otherwise streams begin at it from recordBy on.
+	// entered service. Otherwise, if recordBy is set, no stream begins at it while one that
+	// needs no record is listed, and before recordBy only if no other upstream is left.
 	recorded bool
 	recordBy time.Time
 }
 
+// awaitsRecord reports whether a record without the release may be the newest one.
+func (s *releaseSpan) awaitsRecord() bool { return !s.recorded && !s.recordBy.IsZero() }
+
 // newReleaseSpan returns the span of a release that entered service.
 func newReleaseSpan(now time.Time) releaseSpan {
 	return releaseSpan{enteredAt: now, settledAt: now.Add(releaseSettleTime), recordBy: now.Add(maxRecordWait)}
@@ -68,7 +74,7 @@
 	for pool, listed := range c.listedReleases() {
 		spans := c.releases[pool]
 		if spans == nil {
-			c.releases[pool] = firstReleases(listed, now)
+			c.releases[pool] = c.firstReleases(pool, listed, now)
 			continue
 		}
 		for release := range listed {
@@ -113,8 +119,9 @@
 }
 
 // firstReleases returns the releases of a pool of which nothing was known. If there are
-// several, one of them may be new, until the record or a peer tells which.
-func firstReleases(listed map[string]bool, now time.Time) map[string]releaseSpan {
+// several, one of them may be new, until the record or a peer tells which. If releases are
+// recorded, the one whose upstream started first is assumed to be. The mutex must be held.
+func (c *Catalog) firstReleases(pool comfreyworks.Pool, listed map[string]bool, now time.Time) map[string]releaseSpan {
 	spans := make(map[string]releaseSpan, len(listed))
 	for release := range listed {
 		var span releaseSpan
@@ -123,9 +130,31 @@
 		}
 		spans[release] = span
 	}
+	if c.recordsReleases {
+		spans[c.oldestRelease(pool)] = releaseSpan{}
+	}
 	return spans
 }
 
+// oldestRelease returns the release of the upstream of a pool that started first. The
+// mutex must be held.
+func (c *Catalog) oldestRelease(pool comfreyworks.Pool) string {
+	var oldest *comfreyworks.Upstream
+	for _, e := range c.entries {
+		if e.upstream.Pool != pool || !e.removeAt.IsZero() {
+			continue
+		}
+		if oldest == nil || e.upstream.Started.Before(oldest.Started) ||
+			(e.upstream.Started.Equal(oldest.Started) && e.upstream.ID < oldest.ID) {
+			oldest = &e.upstream
+		}
+	}
+	if oldest == nil {
+		return ""
+	}
+	return oldest.Release
+}
+
 // markRemovedReleases sets the time of removal of releases that are no longer listed.
 // The mutex must be held.
 func (c *Catalog) markRemovedReleases(now time.Time) {
@@ -181,7 +210,41 @@
 	return settling
 }
 
-// beginsAt returns when streams may begin at a release.
+// unrecorded returns the releases of a pool at which no stream may begin until they are
+// recorded, or nil if there are none. As long as a release that needs no record is listed
+// streams begin only there: after all gateways have ended, the record then contains every
+// release at which one began. The mutex must be held.
+func (c *Catalog) unrecorded(pool comfreyworks.Pool) map[string]bool {
+	if !c.recordsReleases || !c.listsRecorded(pool) {
+		return nil
+	}
+	var unrecorded map[string]bool
+	for release, span := range c.releases[pool] {
+		if span.awaitsRecord() {
+			if unrecorded == nil {
+				unrecorded = make(map[string]bool)
+			}
+			unrecorded[release] = true
+		}
+	}
+	return unrecorded
+}
+
+// listsRecorded reports whether an upstream of a pool that is not leaving, also one in its
+// grace period, runs a release that needs no record. The mutex must be held.
+func (c *Catalog) listsRecorded(pool comfreyworks.Pool) bool {
+	for _, e := range c.entries {
+		if e.upstream.Pool != pool || e.upstream.State != comfreyworks.InstanceLive {
+			continue
+		}
+		if span, ok := c.releases[pool][e.upstream.Release]; ok && !span.awaitsRecord() {
+			return true
+		}
+	}
+	return false
+}
+
+// beginsAt returns when streams may begin at a release that is not unrecorded.
 func (c *Catalog) beginsAt(span *releaseSpan) time.Time {
 	if span.recorded || !c.recordsReleases {
 		return span.settledAt
--- a/releases.go
+++ b/releases.go
@@ -16,11 +16,19 @@
 	// New lists those of them at which no stream was to begin yet because other gateways
 	// might not have known them.
 	New map[Pool][]string
+	// Witnesses names upstreams of each pool that were listed when the record was written.
+	// While one of them is listed without a break and not leaving, streams of the pool begin
+	// only at releases of the record or of a later one. Nil means that the record names none, as
+	// those that earlier versions wrote.
+	Witnesses map[Pool][]UpstreamIncarnation
 }
 
-// Equal reports whether two records contain the same releases.
+// Equal reports whether two records have the same content.
 func (r ReleaseRecord) Equal(other ReleaseRecord) bool {
-	return maps.EqualFunc(r.Pools, other.Pools, slices.Equal[[]string]) && maps.EqualFunc(r.New, other.New, slices.Equal[[]string])
+	return maps.EqualFunc(r.Pools, other.Pools, slices.Equal[[]string]) && maps.EqualFunc(r.New, other.New, slices.Equal[[]string]) &&
+		maps.EqualFunc(r.Witnesses, other.Witnesses, func(a, b []UpstreamIncarnation) bool {
+			return slices.EqualFunc(a, b, UpstreamIncarnation.Equal)
+		})
 }
 
 // ReleaseStore keeps the newest ReleaseRecord while no gateway runs.
@@ -56,4 +64,7 @@
 	// Recorded means that the ReleaseStore has a record that contains the release and was
 	// written since it entered service.
 	Recorded bool
+	// AwaitsRecord means that no stream begins at the release as long as one that is recorded
+	// is listed.
+	AwaitsRecord bool
 }
