Name the shared cache scope after the set of isolated workspaces

Cause: all workspaces that were not isolated shared one scope, which did not change when one of them was isolated; engines and stores keep parts for as long as they have room. Ruled out: gateways had the new manifest and gave the isolated workspace its own scope.

The name of the shared scope now is that of the set of isolated workspaces, so that two workspaces meet in a scope only if neither is isolated, whatever the order of changes. It is taken from the configuration in force at each attempt: a request that was accepted before the change was sent again under the old scope (TestScopeOfLaterAttempt). Affinity, store and crash keys depend on whether the workspace is isolated, as before, so sessions keep their engines.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -402,6 +402,9 @@
 	b.leaving.prune(b.options.Catalog, now)
 }
 
+// CacheScope returns the Query.CacheScope for which the upstream was chosen.
+func (p *Pick) CacheScope() string { return p.query.CacheScope }
+
 // AnswerStarted records that the answer has started, which means that the engine
 // has prefilled the prompt and has it cached.
 func (p *Pick) AnswerStarted() {
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -167,7 +167,7 @@
 	}
 	if a.request.Prompt.Model != "" {
 		options.ExpectedWeights = a.pick.Weights
-		options.CacheSalt = holdings.Salt(cacheScope(a.request.Workspace), a.pick.Weights)
+		options.CacheSalt = holdings.Salt(a.pick.CacheScope(), a.pick.Weights)
 		options.ImportFrom = a.pick.ImportFrom
 		options.SaveTo = a.pick.SaveTo
 		options.Priority = a.priority()
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -491,7 +491,7 @@
 func (r *activeRequest) balanceQuery() balance.Query {
 	return balance.Query{
 		Pool: r.request.Pool, Model: r.request.Prompt.Model,
-		CacheScope: cacheScope(r.request.Workspace), AffinityKey: affinityKey(r.request), StoreKey: storeKey(r.request),
+		CacheScope: r.cacheScope(), AffinityKey: affinityKey(r.request), StoreKey: storeKey(r.request),
 		Parts: r.request.Prompt.Parts, Tokens: r.request.Prompt.Tokens, OutputTokens: r.request.Prompt.OutputTokens,
 		Events: r.expectedEvents(), Deadline: r.request.Deadline, Objective: r.request.Route.Objective, MaxWait: r.maxWait(),
 		RoutePriority: r.request.Route.Priority, Priority: r.priority(), Returning: r.isReturning(),
--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -433,6 +433,29 @@
 	})
 }
 
+// TestScopeOfLaterAttempt guards against a request that is sent again with cached parts which
+// its workspace may no longer share.
+func TestScopeOfLaterAttempt(t *testing.T) {
+	f := newFixture()
+	lab := comfreyworks.WorkspaceKeys{Name: "lab", Priority: -1}
+	declare := func(version comfreyworks.ConfigRevision, isolated bool) {
+		lab.Isolated = isolated
+		declared := comfreyworks.Routing{Version: version, Workspaces: []comfreyworks.WorkspaceKeys{lab, {Name: "office"}}}
+		f.catalog.ApplyDeclaration(comfreyworks.Declaration{Routing: &declared, Next: comfreyworks.Position(version)}, f.clock.Now())
+	}
+	declare(1, false)
+	f.upstreams.script = []response{func(ctx context.Context, options comfreyworks.AttemptOptions) (*comfreyworks.UpstreamResponse, error) {
+		declare(2, true)
+		return busy(ctx, options)
+	}, respondOK("x")}
+	request := f.request(route(comfreyworks.RouteIdempotent, 2, false))
+	request.Workspace = &comfreyworks.WorkspaceKeys{Name: "lab", Priority: -1}
+	request.Prompt = Prompt{Model: model, Parts: []comfreyworks.PromptPart{{ID: "guide", Tokens: 100}, {ID: "own", Tokens: 10}}, Tokens: 110}
+	f.forwarder.Forward(context.Background(), request, f.sink)
+	assert.Equal(t, f.upstreams.sent[0].CacheSalt, "shared/3")
+	assert.Equal(t, f.upstreams.sent[1].CacheSalt, "workspace:lab/3")
+}
+
 func TestExchangeErrorIsWrapped(t *testing.T) {
 	cause := errors.New("cause")
 	assert.ErrorIs(t, &comfreyworks.ExchangeError{Kind: comfreyworks.ExchangeLost, Err: cause}, cause)
--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -33,7 +33,7 @@
 
 // PartKey returns the key of a part of a workspace's prompts in the log of crashes.
 func PartKey(workspace *comfreyworks.WorkspaceKeys, part string) uint32 {
-	return crashes.Key(cacheScope(workspace), part)
+	return crashes.Key(workspaceGroup(workspace), part)
 }
 
 // requestKey returns the key of a whole request in the log of crashes.
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -13,6 +13,9 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -29,8 +32,14 @@
 	// byKey is indexed by the SHA-256 digest of a key, so that the time of a
 	// look-up does not depend on how much of a wrong key matches.
 	byKey map[[sha256.Size]byte]*comfreyworks.WorkspaceKeys
+	// isolated holds the names of the isolated workspaces.
+	isolated    map[comfreyworks.Workspace]bool
+	sharedScope string
 }
 
+// sharedCacheScope begins the cache scopes that several workspaces share.
+const sharedCacheScope = "shared"
+
 // New builds a table. It sets MaxAttempts of routes that have none to one. The
 // caller must not change the routing afterwards.
 func New(declared comfreyworks.Routing) *Table {
@@ -38,6 +47,7 @@
 		declared: declared,
 		byHost:   make(map[string][]*comfreyworks.Route),
 		byKey:    make(map[[sha256.Size]byte]*comfreyworks.WorkspaceKeys),
+		isolated: make(map[comfreyworks.Workspace]bool),
 	}
 	for i := range declared.Routes {
 		route := &declared.Routes[i]
@@ -57,10 +67,39 @@
 		for _, key := range workspace.Keys {
 			t.byKey[sha256.Sum256([]byte(key))] = workspace
 		}
+		if workspace.Isolated {
+			t.isolated[workspace.Name] = true
+		}
 	}
+	t.sharedScope = sharedScopeWithout(t.isolated)
 	return t
 }
 
+// sharedScopeWithout returns the name of the cache scope that all workspaces but the given
+// ones share. It differs for each set of workspaces: a scope that was named after the others
+// when one of them was not isolated may contain its parts. Since the name depends on nothing
+// else, gateways agree on it, and it does not matter which versions they have seen.
+func sharedScopeWithout(isolated map[comfreyworks.Workspace]bool) string {
+	if len(isolated) == 0 {
+		return sharedCacheScope
+	}
+	digest := sha256.New()
+	for _, name := range slices.Sorted(maps.Keys(isolated)) {
+		_, _ = fmt.Fprintf(digest, "%d:%s", len(name), name)
+	}
+	return sharedCacheScope + ":" + hex.EncodeToString(digest.Sum(nil)[:8])
+}
+
+// CacheScope names the group of workspaces whose cached parts a request of a workspace may
+// use and may add to. The workspace may be from an earlier table, or nil if requests need
+// no key.
+func (t *Table) CacheScope(workspace *comfreyworks.WorkspaceKeys) string {
+	if workspace != nil && (workspace.Isolated || t.isolated[workspace.Name]) {
+		return "workspace:" + string(workspace.Name)
+	}
+	return t.sharedScope
+}
+
 // Version returns the version of the routing.
 func (t *Table) Version() comfreyworks.ConfigRevision { return t.declared.Version }
 
--- a/internal/transport/gateway/request_test.go
+++ b/internal/transport/gateway/request_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/routing"
 	"comfreyworks/internal/standin/replica"
 )
 
@@ -46,7 +47,7 @@
 		run := f.runs(f.engines)[0]
 		assert.Equal(t, run.Header.Get(f.names.Prefix), "5c1e:800,91bd:410,e440:250")
 		assert.Equal(t, run.Header.Get(f.names.Tokens), "1460,80")
-		assert.Equal(t, run.Header.Get(f.names.CacheSalt), "shared/1")
+		assert.Equal(t, run.Header.Get(f.names.CacheSalt), routing.New(f.source.routing).CacheScope(nil)+"/1")
 		assert.Equal(t, run.Header.Get(f.names.ExpectedWeights), "1")
 	})
 	t.Run("an end-to-end header cannot be declared hop-by-hop", func(t *testing.T) {
