Know within 2 s that readers have lost the store

Cause: state counted from the start of a read that waits up to 1.2 s, so it was up to 2.4 s old in peace, and others read the store themselves at 2.8 s.

A read that waited in vain shows that nothing changed until the end of its wait. That moment is what gateways go by now; readers move it on every 0.8 s, also after a read that returned a change, and the others read the store when it is 1.4 s old, the list of upstreams too. Only the client of the store claims a wait: the time that an answer took, which counted until now, may have other reasons, and peers adopted the claim.

TestWaitInVain expected the claim from the time that the answer took; it now expects it from the source alone.

--- a/declaration.go
+++ b/declaration.go
@@ -18,8 +18,9 @@
 	// Weights maps models to the revision that their engines are to serve.
 	// Models that it does not contain have not changed.
 	Weights map[Model]WeightsRevision
-	// WaitedInVain is how long the read waited for changes without finding any, which
-	// shows that there were none until then. Zero is always safe.
+	// WaitedInVain is how long the source itself waited for changes without finding any,
+	// which shows that there were none until then. The time that the answer took shows
+	// nothing: it may have been on its way, or the reader suspended. Zero is always safe.
 	WaitedInVain time.Duration
 	// Next is the position to pass as after in the next call.
 	Next Position
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -25,19 +25,19 @@
 )
 
 const (
-	// declarationWait is how long a read of the declarations waits for changes.
-	// Its result confirms the routing as of the time of the request.
-	declarationWait = 1200 * time.Millisecond
+	// declarationWait is the time between two moments as of which the declarations are known
+	// to be complete: reads wait for changes until then, and at least minDeclarationWait.
+	declarationWait    = 800 * time.Millisecond
+	minDeclarationWait = 200 * time.Millisecond
 	// upstreamInterval is the pause between two reads of the upstreams. Engines
 	// stop no earlier than two seconds after they announced it.
 	upstreamInterval = 800 * time.Millisecond
-	// declarationFallbackAge and upstreamFallbackAge are the ages of the last
-	// confirmation at which a gateway that relies on others reads the source itself.
-	// A result is confirmed as of the start of its read, so it is as old as two
-	// reads when the next one arrives; the rest is the time to pass it on to peers.
-	// Options.FallbackDelay extends them.
-	declarationFallbackAge = 2*declarationWait + 400*time.Millisecond
-	upstreamFallbackAge    = 1800 * time.Millisecond
+	// fallbackAge is the age of what is known to be complete at which a gateway that relies
+	// on others reads the source itself. A change must be known everywhere within 2 s, also
+	// if it was made just after the last confirmation that readers passed on before they
+	// lost the source. When the next one arrives, what is known is as old as one read and
+	// the time to pass it on to peers. Options.FallbackDelay extends it.
+	fallbackAge = 1400 * time.Millisecond
 	// substituteInterval is the pause between reads of the declarations by a gateway that
 	// relies on others, as long as nothing newer than its own last read arrives. Readers
 	// that can reach their peers and not the source would otherwise be replaced by one
@@ -110,7 +110,7 @@
 	group.Go(func() error {
 		return f.pollSource(ctx, poll{
 			source: "upstreams", read: f.readUpstreams, confirmedAt: f.options.Catalog.UpstreamsConfirmedAt,
-			doubtful: f.options.Catalog.UpstreamsDoubtful, fallbackAge: upstreamFallbackAge, interval: upstreamInterval,
+			doubtful: f.options.Catalog.UpstreamsDoubtful, interval: upstreamInterval,
 		})
 	})
 	return group.Wait()
@@ -119,8 +119,8 @@
 // declarations describes the reads of the declarations, which wait for changes.
 func (f *Follower) declarations() poll {
 	return poll{
-		source: "declarations", read: f.readDeclarations, confirmedAt: f.declarationsConfirmedAt,
-		fallbackAge: declarationFallbackAge, substituteInterval: substituteInterval,
+		source: "declarations", read: f.readDeclarations, confirmedAt: f.declarationsCompleteAt,
+		substituteInterval: substituteInterval,
 		position: func() comfreyworks.Position {
 			declared, _ := f.options.Catalog.SourceStates()
 			return declared.Position
@@ -132,15 +132,12 @@
 type poll struct {
 	source string
 	read   func(context.Context) error
-	// confirmedAt returns the time as of which the known state was last confirmed.
+	// confirmedAt returns the latest time as of which the known state is known to be complete.
 	confirmedAt func() time.Time
 	// doubtful reports whether the known state may be wrong, in which case every gateway
 	// reads the source itself; nil means never.
 	doubtful func() bool
-	// fallbackAge is the age of that state at which a gateway reads the source
-	// itself.
-	fallbackAge time.Duration
-	// substituteInterval takes the place of fallbackAge, counted from the end of the last
+	// substituteInterval takes the place of the age at which a gateway reads the source itself, counted from the end of the last
 	// read of this gateway, while no newer state arrives; zero means that nothing does.
 	substituteInterval time.Duration
 	// interval is the pause after a successful read.
@@ -158,9 +155,9 @@
 	return p.position()
 }
 
-func (f *Follower) declarationsConfirmedAt() time.Time {
+func (f *Follower) declarationsCompleteAt() time.Time {
 	declared, _ := f.options.Catalog.SourceStates()
-	return declared.ConfirmedAt
+	return declared.CompleteAt
 }
 
 // ownRead is the last successful read of a source by this gateway: the time as of which
@@ -180,7 +177,7 @@
 	if confirmedAt.IsZero() {
 		return f.options.StartDelay != nil && f.options.Clock.Since(f.startedAt) < f.options.StartDelay()
 	}
-	limit := p.fallbackAge
+	limit := fallbackAge
 	if f.options.FallbackDelay != nil {
 		limit += f.options.FallbackDelay()
 	}
@@ -257,13 +254,11 @@
 	defer cancel()
 	declared, _ := f.options.Catalog.SourceStates()
 	requestedAt := f.options.Clock.Now()
-	declaration, err := f.options.Declarations.Declarations(ctx, declared.Position, declarationWait)
+	wait := min(max(declared.CompleteAt.Add(declarationWait).Sub(requestedAt), minDeclarationWait), declarationWait)
+	declaration, err := f.options.Declarations.Declarations(ctx, declared.Position, wait)
 	if err != nil {
 		return err
 	}
-	if declaration.Next == declared.Position && f.options.Clock.Since(requestedAt) >= declarationWait {
-		declaration.WaitedInVain = declarationWait
-	}
 	change := f.options.Catalog.ApplyDeclaration(declaration, requestedAt)
 	f.log(&change, declaration.Next, requestedAt)
 	return nil
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -93,7 +93,7 @@
 	group.Go(func() error {
 		return f.follower.pollSource(ctx, poll{
 			source: "upstreams", read: f.follower.readUpstreams, confirmedAt: f.catalog.UpstreamsConfirmedAt,
-			doubtful: f.catalog.UpstreamsDoubtful, fallbackAge: upstreamFallbackAge, interval: upstreamInterval,
+			doubtful: f.catalog.UpstreamsDoubtful, interval: upstreamInterval,
 		})
 	})
 	for range rounds {
@@ -133,7 +133,7 @@
 	t.Run("another gateway reads again when its state grows old", func(t *testing.T) {
 		f := newFixture()
 		f.poll(t, 1, upstreamInterval)
-		f.poll(t, 2, upstreamFallbackAge)
+		f.poll(t, 2, fallbackAge)
 		assert.Equal(t, f.source.readCount(), 3)
 	})
 	t.Run("another gateway reads the whole list once if a peer has another one", func(t *testing.T) {
@@ -150,7 +150,7 @@
 		f.follower.options.FallbackDelay = func() time.Duration { return time.Second }
 		f.poll(t, 0, upstreamInterval)
 		assert.Equal(t, f.source.readCount(), 1)
-		f.poll(t, 1, upstreamFallbackAge)
+		f.poll(t, 1, fallbackAge)
 		assert.Equal(t, f.source.readCount(), 1)
 		f.poll(t, 1, time.Second)
 		assert.Equal(t, f.source.readCount(), 2)
@@ -229,37 +229,37 @@
 	assert.Assert(t, !f.catalog.UpstreamsConfirmedAt().IsZero())
 }
 
-// slowSource takes some time for each read of the declarations.
-type slowSource struct {
+// waitingSource takes some time for each read of the declarations and claims to have waited
+// for some of it.
+type waitingSource struct {
 	fakeSource
-	clock *clockwork.FakeClock
-	takes time.Duration
-	next  comfreyworks.Position
+	clock         *clockwork.FakeClock
+	takes, waited time.Duration
+	// asked is how long the last read was to wait.
+	asked time.Duration
 }
 
 // Declarations implements comfreyworks.DeclarationSource.
-func (s *slowSource) Declarations(context.Context, comfreyworks.Position, time.Duration) (comfreyworks.Declaration, error) {
+func (s *waitingSource) Declarations(_ context.Context, after comfreyworks.Position, wait time.Duration) (comfreyworks.Declaration, error) {
 	s.clock.Advance(s.takes)
-	return comfreyworks.Declaration{Next: s.next}, nil
+	s.asked = wait
+	return comfreyworks.Declaration{Next: after, WaitedInVain: s.waited}, s.recordRead()
 }
 
-// TestWaitInVain guards against newer declarations that count as older than they are:
-// a read that waited for changes as long as it was allowed to and found none has shown
-// that there were none until then.
+// TestWaitInVain guards against declarations that count as complete at a time at which newer
+// ones may have been there: only the source knows how long it waited for changes, however
+// long its answer takes.
 func TestWaitInVain(t *testing.T) {
-	for name, test := range map[string]struct {
-		takes        time.Duration
-		next         comfreyworks.Position
-		wantComplete time.Duration
-	}{
-		"a read that waited in vain shows it until the end of its wait": {declarationWait + 5*time.Millisecond, 7, declarationWait},
-		"one that did not wait that long only until its start":          {declarationWait - 5*time.Millisecond, 7, 0},
-		"so does one that brought changes, however long it took":        {declarationWait + 5*time.Millisecond, 8, 0},
+	for name, test := range map[string]struct{ takes, waited, wantComplete time.Duration }{
+		"the source waited in vain":                          {declarationWait + 5*time.Millisecond, declarationWait, declarationWait},
+		"it waited for less than it was asked to":            {declarationWait, minDeclarationWait, minDeclarationWait},
+		"it did not wait, and its answer took long":          {declarationWait + 5*time.Millisecond, 0, 0},
+		"it claims to have waited longer than the read took": {minDeclarationWait, declarationWait, minDeclarationWait},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture()
 			f.catalog.ApplyDeclaration(comfreyworks.Declaration{Next: 7}, f.clock.Now())
-			f.follower.options.Declarations = &slowSource{clock: f.clock, takes: test.takes, next: test.next}
+			f.follower.options.Declarations = &waitingSource{clock: f.clock, takes: test.takes, waited: test.waited}
 			startedAt := f.clock.Now()
 			assert.NilError(t, f.follower.readDeclarations(context.Background()))
 			declared, _ := f.catalog.SourceStates()
@@ -269,6 +269,53 @@
 	}
 }
 
+// TestWaitAfterChange guards against declarations that are not known to be complete for as
+// long as two reads, because the first one returned a change: the others would then read the
+// source themselves.
+func TestWaitAfterChange(t *testing.T) {
+	const sinceComplete = 300 * time.Millisecond
+	f := newFixture()
+	f.catalog.ApplyDeclaration(comfreyworks.Declaration{Next: 7}, f.clock.Now())
+	source := &waitingSource{clock: f.clock}
+	f.follower.options.Declarations = source
+	for range 3 {
+		f.clock.Advance(sinceComplete)
+		assert.NilError(t, f.follower.readDeclarations(context.Background()))
+		assert.Equal(t, source.asked, declarationWait-sinceComplete)
+	}
+	f.clock.Advance(time.Minute)
+	assert.NilError(t, f.follower.readDeclarations(context.Background()))
+	assert.Equal(t, source.asked, minDeclarationWait)
+}
+
+// TestReadersLoseSource guards against a change that a gateway which reaches the source and
+// was never disturbed learns later than 2 s after it was made, because its readers lose the
+// source at any moment between two confirmations.
+func TestReadersLoseSource(t *testing.T) {
+	const bound = 2 * time.Second
+	for _, passedOnAfter := range []time.Duration{20 * time.Millisecond, 200 * time.Millisecond} {
+		for phase := time.Duration(0); phase < declarationWait; phase += 50 * time.Millisecond {
+			t.Run(fmt.Sprintf("%s after the last confirmation, passed on after %s", phase, passedOnAfter), func(t *testing.T) {
+				f := newFixture()
+				f.catalog.ApplyDeclaration(comfreyworks.Declaration{Next: 1}, f.clock.Now().Add(-passedOnAfter))
+				f.clock.Advance(phase)
+				changedAt := f.clock.Now()
+				ctx, stop := context.WithCancel(context.Background())
+				var group errgroup.Group
+				group.Go(func() error { return f.follower.pollSource(ctx, f.follower.declarations()) })
+				for f.source.readCount() == 0 {
+					assert.NilError(t, f.clock.BlockUntilContext(ctx, 1))
+					assert.Assert(t, f.clock.Since(changedAt) < bound)
+					f.clock.Advance(standbyInterval / 2)
+				}
+				assert.NilError(t, f.clock.BlockUntilContext(ctx, 1))
+				stop()
+				assert.NilError(t, group.Wait())
+			})
+		}
+	}
+}
+
 // TestAnswerThatDoesNotWait guards against reads without a pause of a source that
 // answers at once, without changes, although it was asked to wait for some.
 func TestAnswerThatDoesNotWait(t *testing.T) {
--- a/internal/transport/gateway/request_test.go
+++ b/internal/transport/gateway/request_test.go
@@ -16,8 +16,8 @@
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
-	"comfreyworks/internal/state/routing"
 	"comfreyworks/internal/standin/replica"
+	"comfreyworks/internal/state/routing"
 )
 
 func TestRequestForwardedUnchanged(t *testing.T) {
