Withdraw prompts that would begin on expired weights, and order all engines soon

Causes: a prompt that had been sent in time stayed in the engine's queue for 2.4 s, for which the estimate (the prompts ahead) did not provide; and the roll-out waited 1.1 s for each eight engines, so that half of them had no order after 3 s. Ruled out by logs: gateways that learned of the weights late, and engines taken for newer than they are.

An attempt whose answer has not begun by the time until which its weights may be used is withdrawn, also if they were superseded while it waited. How long another request has waited at an engine counts beside the prompts ahead. When engines answer status requests and not their orders, all get theirs at once and again, and serve until one is accepted.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -74,6 +74,10 @@
 	// engine, the delay with which declarations arrive and the requests that peers
 	// send in the meantime.
 	supersededWeightsMargin = 800 * time.Millisecond
+	// withdrawalMargin is how much of Options.SupersededWeights must be left for a request
+	// to go on waiting for the begin of its answer on superseded weights. It covers the
+	// time until the upstream notices that the request has been withdrawn.
+	withdrawalMargin = 250 * time.Millisecond
 	// unknownAgeLimit is how long a gateway uses superseded weights after it learned
 	// of newer ones, whenever these were declared. It is long enough to load new
 	// weights after all gateways have failed, and ends before a gateway that was cut
@@ -273,13 +277,17 @@
 	c.endpoint.backlog.AddTokens(query.Priority, prefillTokens)
 	kind := b.countDemand(&query, c.upstream, prefillTokens, c.endpoint.seenAt)
 	memory := c.endpoint.running.begin(&query, prefillTokens)
-	return &Pick{
+	pick := &Pick{
 		Upstream: *c.upstream, Weights: c.weights, Candidates: candidates, CachedTokens: c.cachedTokens,
 		Wait:     c.wait(),
 		balancer: b, endpoint: c.endpoint, query: query, prefillTokens: prefillTokens, kind: kind, memory: memory, Pressure: c.pressure,
 		sentAt: b.options.Clock.Now(), tokensBefore: c.tokensAhead + prefillTokens,
 		trial: c.endpoint.closure.start(), isProbe: c.isProbe, isRetrial: c.endpoint.startRetrial(),
 	}
+	if query.Model != "" {
+		c.endpoint.running.startWait(pick)
+	}
+	return pick
 }
 
 // newCandidate returns the candidate for an upstream, or false if the upstream
@@ -334,9 +342,29 @@
 	if b.options.SupersededWeights == 0 {
 		return true
 	}
-	limit := b.options.SupersededWeights - supersededWeightsMargin
-	return now.Sub(successor.NotBefore) <= limit-c.wait() ||
-		now.Sub(successor.LearnedAt) <= min(limit, unknownAgeLimit)-c.wait()
+	wait := max(c.wait(), c.endpoint.running.longestWait(now))
+	return now.Add(wait).Before(supersededUntil(successor, b.options.SupersededWeights-supersededWeightsMargin).Add(1))
+}
+
+// supersededUntil returns until when superseded weights may be used if their age is limited.
+func supersededUntil(successor catalog.Supersession, limit time.Duration) time.Time {
+	return comfreyworks.Later(successor.NotBefore.Add(limit), successor.LearnedAt.Add(min(limit, unknownAgeLimit)))
+}
+
+// MustBeginBy returns until when the answer may begin on the weights with which the request
+// was sent. If they are not superseded yet, it returns the earliest time at which it could be
+// too late, and false. A zero time means that there is no limit.
+func (p *Pick) MustBeginBy() (by time.Time, superseded bool) {
+	options := &p.balancer.options
+	if options.SupersededWeights == 0 || p.query.Model == "" {
+		return time.Time{}, false
+	}
+	limit := options.SupersededWeights - withdrawalMargin
+	successor, superseded := options.Catalog.Weights(p.query.Model).Superseded(p.Weights)
+	if !superseded {
+		return options.Clock.Now().Add(limit), false
+	}
+	return supersededUntil(successor, limit), true
 }
 
 // Requests returns the number of requests in progress at an upstream, from all
@@ -410,6 +438,7 @@
 func (p *Pick) AnswerStarted() {
 	p.balancer.mu.Lock()
 	p.endpoint.running.heardAt = p.balancer.options.Clock.Now()
+	delete(p.endpoint.running.waiting, p)
 	p.endpoint.backlog.AddTokens(p.query.Priority, -p.prefillTokens)
 	p.prefillTokens = 0
 	p.endTrial(p.balancer.options.Clock.Now(), true)
--- a/internal/coordination/balance/pressure.go
+++ b/internal/coordination/balance/pressure.go
@@ -61,6 +61,27 @@
 	// heardAt is when any answer of the engine last got on.
 	heardAt time.Time
 	streams map[*Pick]runningStream
+	// waiting holds the requests whose answers have not begun.
+	waiting map[*Pick]struct{}
+}
+
+// startWait adds a request whose answer has not begun.
+func (l *runningLoad) startWait(p *Pick) {
+	if l.waiting == nil {
+		l.waiting = make(map[*Pick]struct{})
+	}
+	l.waiting[p] = struct{}{}
+}
+
+// longestWait returns for how long a request has waited for the begin of its answer. A new
+// one may have to wait as long, whatever the prompts ahead of it: the engine may have no free
+// slot or memory, or be slower than its last answers were.
+func (l *runningLoad) longestWait(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for p := range l.waiting {
+		longest = max(longest, now.Sub(p.sentAt))
+	}
+	return longest
 }
 
 // begin adds a request and returns the memory that it takes. Cached parts of the prompt are
@@ -75,6 +96,7 @@
 func (l *runningLoad) end(p *Pick) {
 	l.memory -= p.memory
 	delete(l.streams, p)
+	delete(l.waiting, p)
 }
 
 // reportedMemory returns the memory in the unit of reports.
--- a/internal/coordination/balance/weightsage_test.go
+++ b/internal/coordination/balance/weightsage_test.go
@@ -48,6 +48,17 @@
 		f.SetPeerLoads("other", []comfreyworks.UpstreamLoad{{ID: "lm/0", Unread: comfreyworks.PrefillBacklog{80_000}}}, f.clock.Now().Add(time.Second))
 		f.expectNoUpstream(t, query)
 	})
+	t.Run("or as long as a request has waited there, whatever the prompts ahead of it", func(t *testing.T) {
+		f := newFixture(1)
+		f.clock.Advance(time.Minute)
+		waiting := f.Pick(query)
+		f.clock.Advance(time.Second)
+		f.declareWeights(2)
+		f.clock.Advance(unknownAgeLimit - time.Second + time.Millisecond)
+		f.expectNoUpstream(t, query)
+		waiting.AnswerStarted()
+		assert.Assert(t, f.Pick(query) != nil)
+	})
 	t.Run("a gateway that reads regularly uses them almost as long as allowed", func(t *testing.T) {
 		f := newFixture(1)
 		for range 5 {
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -49,6 +49,8 @@
 	// resumesAfter is the event after which the attempt continues a stream; empty
 	// means from the start.
 	resumesAfter string
+	// withdrawal is nil if the answer may begin at any time.
+	withdrawal *withdrawal
 }
 
 // newAttempt returns an attempt at a chosen upstream. It must be ended.
@@ -60,6 +62,7 @@
 		left := r.left[i]
 		r.left, a.returnsTo = slices.Delete(r.left, i, i+1), &left
 	}
+	a.withdrawal = newWithdrawal(a)
 	return a
 }
 
@@ -101,6 +104,7 @@
 // end releases the attempt's resources and reports its result.
 func (a *attempt) end() {
 	a.ended = true
+	a.withdrawal.stop()
 	a.cancel(nil)
 	a.judgePace()
 	a.pick.Done(a.result)
@@ -241,6 +245,7 @@
 	if !response.HasDigest || a.headerWritten {
 		return a.lost(errors.New("answer without proof"))
 	}
+	a.withdrawal.stop()
 	var buffer bytes.Buffer
 	_, err := io.CopyN(&buffer, &answerBody{response.Body, a.options.Clock, &a.answer}, maxBufferedBytes)
 	complete := errors.Is(err, io.EOF)
--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -146,6 +146,9 @@
 // soundAnswerTime.
 func (a *attempt) eventArrived() {
 	now := a.options.Clock.Now()
+	if a.answer.events == 0 {
+		a.withdrawal.stop()
+	}
 	if a.answer.events == 0 && a.trial != nil {
 		a.trial.Heard()
 	}
--- a/internal/coordination/rollout/loadtracker.go
+++ b/internal/coordination/rollout/loadtracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +29,11 @@
 	// accepted is the number of orders that each incarnation of an engine is known
 	// to have accepted.
 	accepted map[incarnation]uint64
+	// orderedAt is when the last order was sent to an engine.
+	orderedAt map[comfreyworks.InstanceID]time.Time
+	// unanswered holds the engines that have answered status requests and not their last
+	// order, since an order was last answered or known to be accepted.
+	unanswered map[comfreyworks.InstanceID]bool
 }
 
 // incarnation identifies one run of an engine.
@@ -47,6 +53,9 @@
 		loading:  make(map[comfreyworks.InstanceID]bool),
 		retryAt:  make(map[comfreyworks.InstanceID]time.Time),
 		accepted: make(map[incarnation]uint64),
+
+		orderedAt:  make(map[comfreyworks.InstanceID]time.Time),
+		unanswered: make(map[comfreyworks.InstanceID]bool),
 	}
 }
 
@@ -58,12 +67,14 @@
 }
 
 // selectEngines returns the engines to update now, those with the oldest weights
-// first. It stops when these and all engines that are already loading or draining
+// first, and of these the ones that have waited longest for an order. It stops when these and all engines that are already loading or draining
 // reach the limit.
 func (t *loadTracker) selectEngines(outdated []outdatedEngine, limits loadLimits, now time.Time) []comfreyworks.Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	slices.SortStableFunc(outdated, func(a, b outdatedEngine) int { return cmp.Compare(a.serving, b.serving) })
+	slices.SortStableFunc(outdated, func(a, b outdatedEngine) int {
+		return cmp.Or(cmp.Compare(a.serving, b.serving), t.orderedAt[a.engine.ID].Compare(t.orderedAt[b.engine.ID]))
+	})
 	var chosen []comfreyworks.Upstream
 	for _, candidate := range outdated {
 		if len(t.draining)+len(t.loading)+len(chosen) >= limits.total {
@@ -132,3 +143,41 @@
 	defer t.mu.Unlock()
 	delete(t.accepted, incarnationOf(engine))
 }
+
+// orderSent records that an order is sent to an engine.
+func (t *loadTracker) orderSent(id comfreyworks.InstanceID, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.orderedAt[id] = now
+}
+
+// orderUnanswered records that an engine which answers status requests has not answered an
+// order nor accepted it so far.
+func (t *loadTracker) orderUnanswered(id comfreyworks.InstanceID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unanswered[id] = true
+}
+
+// orderAnswered records that an engine has answered an order or is known to have accepted it.
+func (t *loadTracker) orderAnswered() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.unanswered)
+}
+
+// ordersGetNoAnswer reports whether orders take effect late or not at all, wherever they are
+// sent: several engines in a row have not answered theirs.
+func (t *loadTracker) ordersGetNoAnswer(limits loadLimits) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.unanswered) >= max(minUnanswered, limits.loading/2)
+}
+
+// retain removes what is known of engines that are not listed any more.
+func (t *loadTracker) retain(listed func(comfreyworks.InstanceID) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.orderedAt, func(id comfreyworks.InstanceID, _ time.Time) bool { return !listed(id) })
+	maps.DeleteFunc(t.unanswered, func(id comfreyworks.InstanceID, _ bool) bool { return !listed(id) })
+}
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -46,6 +46,9 @@
 	maxSilence    = 1200 * time.Millisecond
 	silentTimeout = 500 * time.Millisecond
 	reportDelay   = 300 * time.Millisecond
+	// minUnanswered is the number of engines in a row from which unanswered orders count as a
+	// fault of the way to all engines.
+	minUnanswered = 2
 	// loadingShare is the share of a pool's engines that may load weights at the
 	// same time. The limit is never below minLoadLimit.
 	loadingShare = 0.19
@@ -190,12 +193,20 @@
 	if table == nil {
 		return
 	}
+	r.loads.retain(func(id comfreyworks.InstanceID) bool {
+		_, listed := r.options.Catalog.Upstream(id)
+		return listed
+	})
 	for _, pool := range table.Declared().Pools {
 		for _, model := range pool.Models {
 			declared := r.options.Catalog.Weights(model)
 			if declared.Revision == 0 {
 				continue
 			}
+			load := r.loadWeights
+			if r.loads.ordersGetNoAnswer(r.limits(pool.Name)) {
+				load = r.orderAgain
+			}
 			for _, engine := range r.enginesToLoad(pool.Name, model, declared.Revision) {
 				order := comfreyworks.WeightsLoadOrder{
 					Upstream: engine, Model: model, Weights: declared.Revision,
@@ -203,7 +214,7 @@
 				}
 				r.loads.start(engine.ID)
 				group.Go(func() error {
-					if !r.options.Faults.Run("rollout-load", func() { r.loadWeights(ctx, order) }) {
+					if !r.options.Faults.Run("rollout-load", func() { load(ctx, order) }) {
 						r.loads.finish(order.Upstream.ID, r.options.Clock.Now().Add(retryDelay))
 					}
 					return nil
@@ -228,6 +239,11 @@
 	return r.loads.selectEngines(outdated, limitsOf(len(engines)), r.options.Clock.Now())
 }
 
+// limits returns how many engines of a pool may load or drain at the same time.
+func (r *Rollout) limits(pool comfreyworks.Pool) loadLimits {
+	return limitsOf(len(r.options.Catalog.Upstreams(pool)))
+}
+
 // limitsOf returns how many of a pool's engines may load or drain at the same time.
 func limitsOf(engines int) loadLimits {
 	loading := max(minLoadLimit, int(loadingShare*float64(engines)))
@@ -246,6 +262,49 @@
 	r.awaitLoad(ctx, &order.Upstream)
 	startedAt := r.options.Clock.Now()
 	result, err := r.giveOrder(ctx, order)
+	r.finishLoad(ctx, order, startedAt, result, err)
+}
+
+// orderAgain sends an order once while orders get no answer. Such an order may be carried out
+// seconds later, so that engines go on serving instead of being drained and waited for. It
+// is sent again and again, under the same number of accepted orders, until the engine's
+// status shows that one has been accepted.
+func (r *Rollout) orderAgain(ctx context.Context, order comfreyworks.WeightsLoadOrder) {
+	ctx = comfreyworks.WithAdvice(ctx, func(advice comfreyworks.UpstreamAdvice) { r.options.Balancer.Advise(&order.Upstream, advice) })
+	startedAt := r.options.Clock.Now()
+	known := r.loads.acceptedOrders(&order.Upstream)
+	status, err := r.status(ctx, order.Upstream, engineTimeout)
+	var result comfreyworks.WeightsLoadResult
+	switch {
+	case err != nil:
+	case status.Weights[order.Model] >= order.Weights:
+		result = comfreyworks.LoadDone
+	case status.Loading:
+		result = comfreyworks.LoadStarted
+	default:
+		order.AcceptedOrders = max(status.AcceptedOrders, known)
+		result, err = r.sendOrder(ctx, order)
+		switch {
+		case err != nil && r.availability(&order.Upstream) == nil:
+			err = errNotAccepted
+		case result == comfreyworks.LoadStarted:
+			r.loads.setAcceptedOrders(&order.Upstream, order.AcceptedOrders+1)
+		case result == comfreyworks.LoadBusy:
+			r.loads.forgetAcceptedOrders(&order.Upstream)
+			result = comfreyworks.LoadStarted
+		}
+	}
+	r.finishLoad(ctx, order, startedAt, result, err)
+}
+
+// finishLoad waits for the end of a load that has started, and tells all gateways what the
+// engine serves.
+func (r *Rollout) finishLoad(ctx context.Context, order comfreyworks.WeightsLoadOrder, startedAt time.Time, result comfreyworks.WeightsLoadResult, err error) {
+	if errors.Is(err, errNotAccepted) {
+		r.loads.orderUnanswered(order.Upstream.ID)
+	} else if err == nil {
+		r.loads.orderAnswered()
+	}
 	done := result == comfreyworks.LoadDone
 	if err == nil && result == comfreyworks.LoadStarted {
 		done = r.waitForWeights(ctx, order)
@@ -293,7 +352,7 @@
 // awaitLoad waits until the engine may load without exceeding the limit of its
 // pool.
 func (r *Rollout) awaitLoad(ctx context.Context, engine *comfreyworks.Upstream) {
-	for !r.loads.tryLoad(engine.ID, limitsOf(len(r.options.Catalog.Upstreams(engine.Pool)))) {
+	for !r.loads.tryLoad(engine.ID, r.limits(engine.Pool)) {
 		if !comfreyworks.Sleep(ctx, r.options.Clock, drainPollInterval) {
 			return
 		}
@@ -317,6 +376,9 @@
 		if result, err = r.sendOrder(ctx, order); err == nil {
 			break
 		}
+		if r.loads.ordersGetNoAnswer(r.limits(order.Upstream.Pool)) {
+			return "", errNotAccepted
+		}
 	}
 	switch {
 	case err == nil && result == comfreyworks.LoadStarted:
@@ -352,7 +414,7 @@
 			return comfreyworks.LoadDone, nil
 		case err == nil && (status.Loading || status.AcceptedOrders > order.AcceptedOrders):
 			return comfreyworks.LoadStarted, nil
-		case err == nil && answered:
+		case err == nil && (answered || r.loads.ordersGetNoAnswer(r.limits(order.Upstream.Pool))):
 			return "", errNotAccepted
 		case err == nil:
 			answered = true
@@ -389,6 +451,7 @@
 	r.options.Meter.Add("comfrey_load_orders_total", meter.Labels{}, 1)
 	now := r.options.Clock.Now()
 	r.lastOrderAt.Store(&now)
+	r.loads.orderSent(order.Upstream.ID, now)
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	return r.options.Loader.Load(ctx, order)
--- a/internal/coordination/rollout/rollout_test.go
+++ b/internal/coordination/rollout/rollout_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -122,10 +123,18 @@
 	catalog  *catalog.Catalog
 	balancer *balance.Balancer
 	engines  *fakeEngines
+	mu       sync.Mutex
 	notices  []comfreyworks.WeightsLoadNotice
 	*Rollout
 }
 
+// announced returns the notices so far.
+func (f *fixture) announced() []comfreyworks.WeightsLoadNotice {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.notices)
+}
+
 // newFixture returns a rollout that holds the lease, with n engines that serve
 // revision 1.
 func newFixture(t *testing.T, n int) *fixture {
@@ -149,12 +158,11 @@
 		Catalog: f.catalog, Holdings: holdings.New(), Clock: clock,
 		Policy: placement.Comfrey{RecomputeWeight: placement.DefaultRecomputeWeight},
 	})
-	var mu sync.Mutex
 	f.Rollout = New(Options{
 		Self: "g0", LeaseDuration: time.Hour, Catalog: f.catalog, Balancer: f.balancer, Log: &uncontendedLog{}, Loader: f.engines,
 		Announce: func(notice comfreyworks.WeightsLoadNotice) {
-			mu.Lock()
-			defer mu.Unlock()
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			f.notices = append(f.notices, notice)
 		},
 		Clock: clock, Logger: zap.NewNop(), Meter: meter.New(),
