Begin no stream at a release that other gateways may not know yet

Cause, where it can happen here: a gateway trusts a list that is up to 2 s old to contain every release at which streams begin. But streams began at a release that had been listed for less than 2 s if the upstreams of the others were busy or had failed, or if it was alone in its pool. Ruled out: gateways whose list is older refuse such streams or ask the others.

If the pool had another release in the last 30 s, no stream begins at one that has not settled; callers are refused for 2 s at most. If no release is known to be recorded, streams begin at the one whose upstream started first: an append without an answer may have recorded it. A pool that the record names and that is empty at a start has no witness either.

TestUnsettledRelease fails on the old code.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -308,7 +308,7 @@
 	}
 	if query.BeginsStream {
 		view := b.options.Catalog.Pool(query.Pool)
-		if view.Unrecorded[upstream.Release] {
+		if view.Unrecorded[upstream.Release] || now.Before(view.Unsettled[upstream.Release]) {
 			return candidate{}, false
 		}
 		c.settling = now.Before(view.Settling[upstream.Release])
--- a/internal/coordination/balance/release_test.go
+++ b/internal/coordination/balance/release_test.go
@@ -82,6 +82,25 @@
 	}
 }
 
+// TestUnsettledRelease guards against a stream that begins at a release which joined less than
+// releaseSettleTime ago, because the upstreams of the other one are busy or have failed: a
+// gateway that was out of step meanwhile would take the stream up at the other one.
+func TestUnsettledRelease(t *testing.T) {
+	f := newFixture(0)
+	f.catalog.RecordReleases()
+	f.list(1, "v1", 0, 3)
+	f.catalog.ApplyNoEarlierReleases(f.clock.Now())
+	f.clock.Advance(time.Second)
+	f.list(2, "v2", 3, 6)
+	due := f.catalog.ReleasesToRecord()
+	f.catalog.ReleasesRecorded(&due)
+	query := promptQuery("guide", "site")
+	query.BeginsStream, query.Exclude = true, []comfreyworks.InstanceID{"lm/0", "lm/1", "lm/2"}
+	f.expectNoUpstream(t, query)
+	f.clock.Advance(2 * time.Second)
+	assert.Equal(t, f.serve(t, query).Upstream.Release, "v2")
+}
+
 // TestUnrecordedRelease guards against a stream that begins at a release which is not
 // recorded because the upstreams of the recorded one are busy or have failed.
 func TestUnrecordedRelease(t *testing.T) {
--- a/internal/coordination/releaserecord/releaserecord_test.go
+++ b/internal/coordination/releaserecord/releaserecord_test.go
@@ -236,11 +236,12 @@
 		f.store.SetFault(releasestore.Delayed)
 		f.run(t, 3*time.Second)
 		view := f.gateways[0].catalog.Pool(pool)
-		assert.Assert(t, view.Settling["v2"].After(f.clock.Now()))
-		assert.Assert(t, view.Settling["v1"].IsZero())
+		assert.Assert(t, view.Unrecorded["v2"])
+		assert.Assert(t, !view.Unrecorded["v1"] && view.Settling["v1"].IsZero())
 		f.store.SetFault(releasestore.None)
 		f.run(t, 3*time.Second)
-		assert.Assert(t, !f.gateways[0].catalog.Pool(pool).Settling["v2"].After(f.clock.Now()))
+		view = f.gateways[0].catalog.Pool(pool)
+		assert.Assert(t, !view.Unrecorded["v2"] && !view.Settling["v2"].After(f.clock.Now()))
 	})
 	t.Run("the writer ends between the change of the list and the append", func(t *testing.T) {
 		f := newKnownFleet(t, 3, "v1")
@@ -314,7 +315,8 @@
 		f.run(t, time.Second)
 		f.store.SetFault(releasestore.None)
 		f.run(t, 3*time.Second)
-		assert.Assert(t, !f.gateways[0].catalog.Pool(pool).Settling["v2"].After(f.clock.Now()))
+		view := f.gateways[0].catalog.Pool(pool)
+		assert.Assert(t, !view.Unrecorded["v2"] && !view.Settling["v2"].After(f.clock.Now()))
 	})
 }
 
@@ -465,12 +467,7 @@
 // maxFault is how long the store fails at most. A release may come and go meanwhile.
 const maxFault = 12 * time.Second
 
-// minService is how long a release has been in service before others may be removed: the
-// gateways know it by then.
-const minService = 3 * time.Second
-
-// toggle adds a release or removes it, unless the others are too new. No release comes and
-// goes between two reads.
+// toggle adds a release or removes it. No release comes and goes between two reads.
 func (f *fleet) toggle(release string) {
 	if f.clock.Since(f.toggledAt[release]) <= (readSteps+1)*step {
 		return
@@ -482,10 +479,7 @@
 		f.listedAt[release] = f.clock.Now()
 		return
 	}
-	others := slices.Delete(slices.Clone(f.listed), i, i+1)
-	if slices.ContainsFunc(others, func(other string) bool { return f.clock.Since(f.listedAt[other]) > minService }) {
-		f.listed = others
-	}
+	f.listed = slices.Delete(slices.Clone(f.listed), i, i+1)
 }
 
 // begin begins streams at all releases in service at which a gateway lets them: also at one
@@ -496,7 +490,7 @@
 		var settled, settling []string
 		for _, upstream := range view.Upstreams {
 			switch {
-			case view.Unrecorded[upstream.Release]:
+			case view.Unrecorded[upstream.Release], f.clock.Now().Before(view.Unsettled[upstream.Release]):
 			case f.clock.Now().Before(view.Settling[upstream.Release]):
 				settling = append(settling, upstream.Release)
 			default:
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -145,10 +145,11 @@
 	Upstreams []comfreyworks.Upstream
 	Seeds     []uint64
 	// Settling holds the new releases at which no stream is to begin yet if there is
-	// another upstream, with the time until then. Unrecorded holds those at which none
-	// may begin, whatever happens to the other upstreams.
-	Settling   map[string]time.Time
-	Unrecorded map[string]bool
+	// another upstream, with the time until then. Unsettled and Unrecorded hold those at
+	// which none may begin, whatever happens to the other upstreams: until a time, or until
+	// they are recorded.
+	Settling, Unsettled map[string]time.Time
+	Unrecorded          map[string]bool
 }
 
 // removal is an upstream that was removed, with the position up to which the list
@@ -481,7 +482,7 @@
 		view.Upstreams = append(view.Upstreams, e.upstream)
 	}
 	for pool, view := range pools {
-		view.Settling, view.Unrecorded = c.settling(pool, now), c.unrecorded(pool)
+		view.Settling, view.Unsettled, view.Unrecorded = c.settling(pool, now), c.unsettled(pool, now), c.unrecorded(pool)
 		slices.SortFunc(view.Upstreams, func(a, b comfreyworks.Upstream) int {
 			return strings.Compare(string(a.ID), string(b.ID))
 		})
--- a/internal/state/catalog/knownreleases.go
+++ b/internal/state/catalog/knownreleases.go
@@ -127,7 +127,7 @@
 			span.enteredAt = now
 		}
 		if r.AwaitsRecord || (r.SettlesIn > 0 && !ok) {
-			span.recordBy = now.Add(maxRecordWait)
+			span.needsRecord = true
 		}
 	}
 	span.countsFrom, span.recorded = time.Time{}, span.recorded || r.Recorded
@@ -194,14 +194,14 @@
 			if !span.enteredAt.IsZero() {
 				continue
 			}
-			span.settledAt, span.recordBy = time.Time{}, time.Time{}
+			span.settledAt, span.needsRecord = time.Time{}, false
 			if !slices.Contains(releases, release) || slices.Contains(record.New[pool], release) {
 				span = newReleaseSpan(now)
 			}
 			spans[release] = span
 		}
 	}
-	for pool := range listed {
+	for pool := range c.releases {
 		if record.Witnesses != nil && !slices.ContainsFunc(record.Witnesses[pool], c.isLive) {
 			c.spansOf(pool)[unrecordedRelease] = releaseSpan{enteredAt: now, leftAt: now, recorded: true}
 		}
--- a/internal/state/catalog/releases.go
+++ b/internal/state/catalog/releases.go
@@ -15,10 +15,6 @@
 	// one of them is new. As long as a list of upstreams is younger, no stream that may
 	// be continued began at a release that it does not contain.
 	releaseSettleTime = 2 * time.Second
-	// maxRecordWait is how long a new release of a pool in which none is recorded waits for
-	// its record while streams can begin at another one. It covers the time in which another
-	// gateway takes over from the one that should have recorded it.
-	maxRecordWait = 6 * time.Second
 	// recordMargin is how much longer than releaseMemory a release is recorded. Gateways
 	// with an older list of upstreams used it for longer than the one that records it.
 	recordMargin = 5 * time.Second
@@ -44,18 +40,16 @@
 	// zero if it was listed before this gateway started, as far as is known.
 	enteredAt time.Time
 	// recorded means that a record which contains the release was written since it
-	// entered service. Otherwise, if recordBy is set, no stream begins at it while one that
-	// needs no record is listed, and before recordBy only if no other upstream is left.
-	recorded bool
-	recordBy time.Time
+	// entered service. needsRecord means that the newest record may lack it otherwise.
+	recorded, needsRecord bool
 }
 
 // awaitsRecord reports whether a record without the release may be the newest one.
-func (s *releaseSpan) awaitsRecord() bool { return !s.recorded && !s.recordBy.IsZero() }
+func (s *releaseSpan) awaitsRecord() bool { return s.needsRecord && !s.recorded }
 
 // newReleaseSpan returns the span of a release that entered service.
 func newReleaseSpan(now time.Time) releaseSpan {
-	return releaseSpan{enteredAt: now, settledAt: now.Add(releaseSettleTime), recordBy: now.Add(maxRecordWait)}
+	return releaseSpan{enteredAt: now, settledAt: now.Add(releaseSettleTime), needsRecord: true}
 }
 
 // updateKnownSince restarts the time since which all releases are known if the list of
@@ -126,22 +120,22 @@
 	for release := range listed {
 		var span releaseSpan
 		if len(listed) > 1 {
-			span.settledAt, span.recordBy = now.Add(releaseSettleTime), now.Add(maxRecordWait)
+			span.settledAt, span.needsRecord = now.Add(releaseSettleTime), true
 		}
 		spans[release] = span
 	}
-	if c.recordsReleases {
-		spans[c.oldestRelease(pool)] = releaseSpan{}
+	if oldest := c.oldestRelease(pool); c.recordsReleases && listed[oldest] {
+		spans[oldest] = releaseSpan{}
 	}
 	return spans
 }
 
-// oldestRelease returns the release of the upstream of a pool that started first. The
-// mutex must be held.
+// oldestRelease returns the release of the live upstream of a pool that started first, or
+// the empty string if there is none. The mutex must be held.
 func (c *Catalog) oldestRelease(pool comfreyworks.Pool) string {
 	var oldest *comfreyworks.Upstream
 	for _, e := range c.entries {
-		if e.upstream.Pool != pool || !e.removeAt.IsZero() {
+		if e.upstream.Pool != pool || e.upstream.State != comfreyworks.InstanceLive {
 			continue
 		}
 		if oldest == nil || e.upstream.Started.Before(oldest.Started) ||
@@ -200,27 +194,58 @@
 func (c *Catalog) settling(pool comfreyworks.Pool, now time.Time) map[string]time.Time {
 	var settling map[string]time.Time
 	for release, span := range c.releases[pool] {
-		if begins := c.beginsAt(&span); begins.After(now) {
+		if span.settledAt.After(now) {
 			if settling == nil {
 				settling = make(map[string]time.Time)
 			}
-			settling[release] = begins
+			settling[release] = span.settledAt
 		}
 	}
 	return settling
 }
 
+// unsettled returns the releases of a pool at which no stream may begin yet, with the time
+// until then, or nil if there are none. A gateway whose list is up to releaseSettleTime older
+// takes another release for the only one if there was one in the last time. The mutex must
+// be held.
+func (c *Catalog) unsettled(pool comfreyworks.Pool, now time.Time) map[string]time.Time {
+	if !c.recordsReleases {
+		return nil
+	}
+	unsettled := make(map[string]time.Time)
+	known := 0
+	for release, span := range c.releases[pool] {
+		if span.isForgotten(now) {
+			continue
+		}
+		known++
+		if span.settledAt.After(now) {
+			unsettled[release] = span.settledAt
+		}
+	}
+	if known < 2 {
+		return nil
+	}
+	return unsettled
+}
+
 // unrecorded returns the releases of a pool at which no stream may begin until they are
-// recorded, or nil if there are none. As long as a release that needs no record is listed
-// streams begin only there: after all gateways have ended, the record then contains every
-// release at which one began. The mutex must be held.
+// recorded, or nil if there are none. As long as an upstream of a recorded release is live,
+// streams begin at recorded ones only: after all gateways have ended, the record then contains
+// every release at which one began. If none is known to be recorded, one of them may be all
+// the same, because an append without an answer may have taken effect. Streams then begin at
+// the release whose upstream started first, which was recorded first. The mutex must be held.
 func (c *Catalog) unrecorded(pool comfreyworks.Pool) map[string]bool {
-	if !c.recordsReleases || !c.listsRecorded(pool) {
+	if !c.recordsReleases {
 		return nil
 	}
+	oldest := ""
+	if !c.hasLiveRecorded(pool) {
+		oldest = c.oldestRelease(pool)
+	}
 	var unrecorded map[string]bool
 	for release, span := range c.releases[pool] {
-		if span.awaitsRecord() {
+		if span.awaitsRecord() && release != oldest {
 			if unrecorded == nil {
 				unrecorded = make(map[string]bool)
 			}
@@ -230,9 +255,9 @@
 	return unrecorded
 }
 
-// listsRecorded reports whether an upstream of a pool that is not leaving, also one in its
-// grace period, runs a release that needs no record. The mutex must be held.
-func (c *Catalog) listsRecorded(pool comfreyworks.Pool) bool {
+// hasLiveRecorded reports whether an upstream of a pool that is not leaving, also one in its
+// grace period, runs a release that does not wait for a record. The mutex must be held.
+func (c *Catalog) hasLiveRecorded(pool comfreyworks.Pool) bool {
 	for _, e := range c.entries {
 		if e.upstream.Pool != pool || e.upstream.State != comfreyworks.InstanceLive {
 			continue
@@ -244,14 +269,6 @@
 	return false
 }
 
-// beginsAt returns when streams may begin at a release that is not unrecorded.
-func (c *Catalog) beginsAt(span *releaseSpan) time.Time {
-	if span.recorded || !c.recordsReleases {
-		return span.settledAt
-	}
-	return comfreyworks.Later(span.settledAt, span.recordBy)
-}
-
 // formerReleases returns the releases that are no longer listed but whose streams may
 // still be continued. The mutex must be held.
 func (c *Catalog) formerReleases(now time.Time) []comfreyworks.FormerRelease {
--- a/internal/state/catalog/releases_test.go
+++ b/internal/state/catalog/releases_test.go
@@ -184,7 +184,8 @@
 				starting.RecordReleases()
 				starting.applyList(1, true, []comfreyworks.Upstream{upstreamOf("a", "v1"), upstreamOf("b", "v2")})
 				learn(starting)
-				assert.DeepEqual(t, starting.Pool(pool).Settling, map[string]time.Time{"v2": f.clock.Now().Add(maxRecordWait)})
+				assert.DeepEqual(t, starting.Pool(pool).Settling, map[string]time.Time{"v2": f.clock.Now().Add(releaseSettleTime)})
+				assert.DeepEqual(t, starting.Pool(pool).Unrecorded, map[string]bool{"v2": true})
 			})
 		}
 	})
