Refuse requests that come late in the stop of an entry

Reported by operators of a similar system: requests that came late in the grace period of a planned stop were passed on and cut off at its end, among them ones that may not be repeated (LOST).

The gateway refuses them (TestLateRequestDuringShutdown). The product's entry did not: a request whose body arrived late was dispatched whatever its deadline, and ended with 502 though it may have run.

An entry that has stopped accepting connections refuses requests that are complete more than 0.6 s later and whose deadline is after the end of the grace period, as not run. TestLateRequestAtEntry: 200 before, 503 now; a request whose deadline is in time is still answered.

--- a/internal/transport/entry/completions.go
+++ b/internal/transport/entry/completions.go
@@ -39,7 +39,7 @@
 
 func (e *Entry) serveCompletion(w http.ResponseWriter, r *http.Request, c caller, parse func([]byte) (*completion.Request, error)) {
 	start := e.options.Clock.Now()
-	body, ok := e.readBody(w, r)
+	body, ok := e.readBody(w, r, c)
 	if !ok {
 		return
 	}
@@ -83,10 +83,10 @@
 }
 
 // readBody reads the body within the size limit, until the entry ends its requests. If
-// that fails, it responds with an error and returns false. It clears the read deadline after the body, because
+// that fails, or the request is late in a stop, it responds with an error and returns false. It clears the read deadline after the body, because
 // the server keeps reading while the answer is written, to detect that the caller
 // disconnects, and would treat an expired deadline as a disconnect.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, c caller) ([]byte, bool) {
 	limit := int64(e.deployment().Callers.MaxBody)
 	controller := http.NewResponseController(w)
 	stop := context.AfterFunc(r.Context(), func() { _ = controller.SetReadDeadline(time.Now()) })
@@ -97,7 +97,7 @@
 	case errors.As(err, &tooLarge):
 		writeError(w, bodyTooLargeError(limit))
 		return nil, false
-	case err != nil && isStopping(r.Context()):
+	case err != nil && isStopping(r.Context()), err == nil && e.isLate(c):
 		writeError(w, refusedError(comfreyworks.Refusal{Reason: comfreyworks.RefusedLeaving, RetryAfter: leavingRetryAfter}))
 		return nil, false
 	case err != nil:
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -21,6 +21,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/gorilla/mux"
 	"go.uber.org/zap"
@@ -76,6 +77,8 @@
 	config     *configuration.Follower
 	keys       atomic.Pointer[keyring]
 	leaving    atomic.Bool
+	// stop is set when the entry stops accepting connections.
+	stop atomic.Pointer[stopTimes]
 	// serveCtx ends when the entry stops serving; kill cancels it.
 	serveCtx context.Context
 	kill     context.CancelFunc
@@ -182,6 +185,22 @@
 // errStopping ends the requests that are open at the end of the stop grace period.
 var errStopping = errors.New("open requests cut off at the end of the stop grace period")
 
+// lateRequestDelay is how long after a stopping entry has stopped accepting connections it
+// still begins requests that it might have to cut off. A caller that opened its connection
+// before has sent its request by then.
+const lateRequestDelay = 600 * time.Millisecond
+
+// stopTimes holds the times of a stop: from when on requests are late, and when those that
+// are open are ended.
+type stopTimes struct{ lateFrom, endsAt time.Time }
+
+// isLate reports whether a request was complete so late in a stop that it might be cut off
+// at the end.
+func (e *Entry) isLate(c caller) bool {
+	stop, now := e.stop.Load(), e.options.Clock.Now()
+	return stop != nil && !now.Before(stop.lateFrom) && now.Add(c.class.Deadline).After(stop.endsAt)
+}
+
 // drain reports not ready, keeps serving until the load balancer has noticed and
 // then lets open requests finish within the stop grace period. At its end, those
 // without an answer are answered with an error.
@@ -191,6 +210,8 @@
 	e.options.Logger.Info("shutdown started, reporting not ready")
 	e.options.Clock.Sleep(limits.StopNotice)
 	grace := max(limits.StopGrace-listener.LastAnswerTime, 0)
+	now := e.options.Clock.Now()
+	e.stop.Store(&stopTimes{lateFrom: now.Add(lateRequestDelay), endsAt: now.Add(grace)})
 	if !callers.Drain(grace, func() { endRequests(errStopping) }) {
 		e.options.Logger.Warn("shutdown finished", zap.Error(errStopping))
 		return &Error{Op: "drain", Kind: KindServe, Err: errStopping}
--- a/internal/transport/entry/entry_test.go
+++ b/internal/transport/entry/entry_test.go
@@ -34,6 +34,7 @@
 type overrides struct {
 	callers func(*settings.Callers)
 	rates   func(*engine.Rates)
+	class   func(*settings.Class)
 }
 
 // newRig starts one entry and two upstreams for each pool.
@@ -55,6 +56,11 @@
 	if changes.callers != nil {
 		changes.callers(&deployment.Callers)
 	}
+	if changes.class != nil {
+		for i := range deployment.Classes {
+			changes.class(&deployment.Classes[i])
+		}
+	}
 	rates := engine.DefaultRates()
 	rates.StepTime = time.Millisecond
 	if changes.rates != nil {
--- a/internal/transport/entry/service.go
+++ b/internal/transport/entry/service.go
@@ -31,7 +31,7 @@
 			return
 		}
 	}
-	body, ok := e.readBody(w, r)
+	body, ok := e.readBody(w, r, c)
 	if !ok {
 		return
 	}
--- a/internal/transport/entry/stop_test.go
+++ b/internal/transport/entry/stop_test.go
@@ -127,3 +127,48 @@
 		})
 	}
 }
+
+// TestLateRequestAtEntry guards against beginning a request that a stopping entry must cut off,
+// because it was complete too late: one that may not be repeated would be lost.
+func TestLateRequestAtEntry(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		deadline time.Duration
+		status   int
+	}{
+		{"it might be cut off", 10 * time.Second, http.StatusServiceUnavailable},
+		{"it ends in time", 1600 * time.Millisecond, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, overrides{
+				callers: func(callers *settings.Callers) { callers.StopGrace = 3 * time.Second },
+				class:   func(class *settings.Class) { class.Deadline = c.deadline },
+			})
+			conn, err := net.Dial("tcp", strings.TrimPrefix(r.EntryURL(0), "http://"))
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			var text strings.Builder
+			assert.NilError(t, request(t, http.MethodPost, r.EntryURL(0)+"/v1/chat/completions", validBody).Write(&text))
+			_, err = io.WriteString(conn, text.String()[:text.Len()-2])
+			assert.NilError(t, err)
+			var group errgroup.Group
+			stoppedAt := time.Now()
+			group.Go(func() error {
+				r.StopEntry(0)
+				return nil
+			})
+			time.Sleep(time.Second)
+			_, err = io.WriteString(conn, text.String()[text.Len()-2:])
+			assert.NilError(t, err)
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err, "no answer")
+			_, err = io.ReadAll(answer.Body)
+			assert.NilError(t, err, "incomplete answer")
+			assert.Equal(t, answer.StatusCode, c.status)
+			assert.Assert(t, time.Since(stoppedAt) < 3*time.Second)
+			_ = conn.Close()
+			assert.NilError(t, group.Wait())
+		})
+	}
+}
