Confirm nothing by what a restored store read from its copy

Cause: each read of the declarations that succeeded confirmed the keys in force, also the first one after a restore, which returns an earlier state. Ruled out: gateways that went back to the older routing (they had none newer), and keys that expired too late while the store was away (they were refused).

A read of the whole state of a restored source says so. Until the routing is declared again, in the known version or a later one, or for 4 s, nothing confirms the declarations; peers pass on the restore and its end. The age of superseded weights counts from the last confirmation too.

--- a/declaration.go
+++ b/declaration.go
@@ -22,6 +22,12 @@
 	// which shows that there were none until then. The time that the answer took shows
 	// nothing: it may have been on its way, or the reader suspended. Zero is always safe.
 	WaitedInVain time.Duration
+	// Restored is set if the whole state of a source that was restored from an earlier copy
+	// was read: it is the first position since. What was declared after the copy is missing
+	// until operators declare it again. Redeclared means that the routing was declared since
+	// then, or that the time for it has passed.
+	Restored   Position
+	Redeclared bool
 	// Next is the position to pass as after in the next call.
 	Next Position
 }
--- a/internal/coordination/peering/exchange.go
+++ b/internal/coordination/peering/exchange.go
@@ -148,6 +148,7 @@
 		State: p.reply(&state, declared, listed), DeclaredAge: p.sinceRead(declared), ListedAge: p.sinceRead(listed),
 		DeclaredWait: declared.CompleteAt.Sub(declared.ConfirmedAt),
 	}
+	update.DeclaredRestored, update.Redeclared = p.options.Catalog.Redeclared()
 	if state.WantsReleases {
 		update.Releases = p.options.Catalog.KnownReleases()
 	}
@@ -348,6 +349,7 @@
 		declaration = *update.Declaration
 	}
 	declaration.WaitedInVain = update.DeclaredWait
+	declaration.Restored, declaration.Redeclared = update.DeclaredRestored, update.Redeclared
 	if known, _ := p.options.Catalog.SourceStates(); declaration.Next > known.Position && update.Declaration == nil {
 		return
 	}
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -115,6 +115,8 @@
 	// recorded is the newest record; nil if it is not known.
 	recordsReleases bool
 	recorded        *comfreyworks.ReleaseRecord
+	// redeclaration is what is awaited since the declarations were restored.
+	redeclaration redeclaration
 	// routingChangedAt is the position up to which the declarations were read when
 	// the routing last changed.
 	routingChangedAt comfreyworks.Position
@@ -192,9 +194,10 @@
 // Routing returns the current routing, or nil before the first declaration, and
 // the start time of the latest read that confirmed it.
 func (c *Catalog) Routing() (*routing.Table, time.Time) {
+	now := c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.table.Load(), c.declared.ConfirmedAt
+	return c.table.Load(), c.redeclaration.limit(c.declared, now).ConfirmedAt
 }
 
 // Upstreams returns the upstreams of a pool, sorted by ID. The caller must not
@@ -292,7 +295,8 @@
 		return change
 	}
 	now := c.clock.Now()
-	learned := Supersession{NotBefore: c.declared.CompleteAt, LearnedAt: now}
+	learned := Supersession{NotBefore: c.redeclaration.limit(c.declared, now).CompleteAt, LearnedAt: now}
+	c.updateRedeclaration(&d, now)
 	c.declared.Position = d.Next
 	if readAt.After(c.declared.ConfirmedAt) {
 		c.declared.ConfirmedAt = readAt
--- a/peering.go
+++ b/peering.go
@@ -173,6 +173,10 @@
 	// DeclaredWait is how long after the start of that read of the DeclarationSource
 	// the declarations are still known to have been complete.
 	DeclaredWait time.Duration
+	// DeclaredRestored and Redeclared are Declaration.Restored and Declaration.Redeclared as
+	// the sender knows them.
+	DeclaredRestored Position
+	Redeclared       bool
 	// Declaration holds what changed after the other gateway's Declared position;
 	// nil means nothing, or that it was not asked for.
 	Declaration *Declaration
