--- a/cmd/soak/internal/check/check.go
+++ b/cmd/soak/internal/check/check.go
@@ -49,6 +49,9 @@
 	UnchangedRequest Rule = "unchanged"
 	// Routing: a request runs in a pool of its route.
 	Routing Rule = "route"
+	// Isolation: a request uses no cached part of another workspace if one of the two is
+	// isolated.
+	Isolation Rule = "isolation"
 	// KeyRevocation: a revoked key is no longer accepted after the bound.
 	KeyRevocation Rule = "revoked"
 	// RetryBudget: the retries of all gateways together stay within the budget.
@@ -124,6 +127,8 @@
 	// RevokedAt is when the guest's key was revoked; zero means never.
 	RevokedAt   time.Time
 	StopWindows []StopWindow
+	// Isolated holds when workspace fleet.IsolatedAtTimes was isolated.
+	Isolated []fleet.Span
 	// Replicas holds what replicas have said about themselves.
 	Replicas     []Replica
 	Disturbances []Disturbance
@@ -167,6 +172,7 @@
 		c.checkDrain(&observed.Replicas[i])
 	}
 	c.checkTakeUps()
+	c.checkIsolation()
 	c.checkQuarantine()
 	return c.violations
 }
--- a/cmd/soak/internal/check/check_test.go
+++ b/cmd/soak/internal/check/check_test.go
@@ -122,6 +122,19 @@
 			o.Records[0].Key = "key-guest"
 			o.Runs[0].Header.Set(names.Workspace, "guest")
 		}},
+		"parts of another workspace": {caller.Stream, Isolation, func(o *Observations) {
+			o.Gateways, o.Stores = make([][]fleet.Span, 1), make([][]fleet.Span, 1)
+			o.Isolated = []fleet.Span{{From: start.Add(-time.Minute)}}
+			record, run := o.Records[0], runOn(caller.Stream, "u")
+			record.ID, run.ID = "made", "made"
+			record.Key, record.SentAt, run.At = "key-guest", start.Add(-time.Hour), start.Add(-time.Hour)
+			record.ResponseHeader = record.ResponseHeader.Clone()
+			record.ResponseHeader.Set(names.RequestID, record.ID)
+			run.Header.Set(names.Workspace, "guest")
+			o.Runs[0].Header.Set(names.CacheSalt, "shared/1")
+			run.Header.Set(names.CacheSalt, "shared/1")
+			o.Records, o.Runs = append(o.Records, record), append(o.Runs, run)
+		}},
 		"same token of two holders": {caller.Idempotent, LeaseHolder, func(o *Observations) {
 			o.Orders = map[string][]standin.Order{"e": {{Holder: "a", Token: 3}, {Holder: "b", Token: 3}}}
 		}},
--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -33,6 +33,8 @@
 	EnginePool = "lm"
 	AppPool    = "app"
 	Model      = "oak"
+	// IsolatedAtTimes is the workspace that plans isolate for a time.
+	IsolatedAtTimes = "office"
 	// HarmSources is the number of sources of harmful requests.
 	HarmSources = 2
 	// StreamEvents is the number of events of every stream.
@@ -102,6 +104,10 @@
 	everHarmful []*Harmful
 	crashed     errgroup.Group
 
+	// Isolation records when workspace IsolatedAtTimes was isolated.
+	Isolation    Disturbances
+	endIsolation func()
+
 	group       errgroup.Group
 	stopping    chan struct{}
 	storeServer *http.Server
@@ -143,7 +149,7 @@
 		},
 		Services: []standin.Service{{Name: AppPool}, {Name: EnginePool, Model: Model}},
 		Tenants: []standin.Tenant{
-			{Name: "office", Keys: []string{"key-office"}},
+			{Name: IsolatedAtTimes, Keys: []string{"key-office"}},
 			{Name: "lab", Keys: []string{"key-lab"}, Isolated: true},
 			{Name: "guest", Keys: []string{"key-guest"}},
 		},
@@ -175,6 +181,24 @@
 	f.putConfig()
 }
 
+// SetIsolated declares whether workspace IsolatedAtTimes is isolated, and records since when.
+func (f *Fleet) SetIsolated(isolated bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if isolated == f.deployment.Tenants[0].Isolated {
+		return
+	}
+	f.deployment.Tenants[0].Isolated = isolated
+	f.deployment.Version += 2
+	if isolated {
+		f.putConfig()
+		f.endIsolation = f.Isolation.Disturb()
+		return
+	}
+	f.endIsolation()
+	f.putConfig()
+}
+
 // DeclareWeights declares a version of the model's weights.
 func (f *Fleet) DeclareWeights(version uint64) {
 	f.mu.Lock()
--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -97,6 +97,10 @@
 		"trusts the only listed release", "internal/state/catalog/knownreleases.go",
 		"return now.Sub(c.knownSince) >= releaseMemory", "return !now.Before(c.knownSince)",
 	},
+	{
+		"shares cached parts of workspaces that are isolated later", "internal/state/routing/routing.go",
+		"t.sharedScope = sharedScopeWithout(t.isolated)", "t.sharedScope = sharedScopeWithout(nil)",
+	},
 	{
 		"loses what left between gateways", "internal/state/catalog/changes.go",
 		"if restored || !c.known.includes(after) {", "if restored || after == 0 {",
--- a/cmd/soak/internal/series/series.go
+++ b/cmd/soak/internal/series/series.go
@@ -236,7 +236,7 @@
 
 func (s *soak) evaluate(plan *trouble.Plan, startedAt, revokedAt time.Time, notServing string, stopWindow check.StopWindow) *Result {
 	observed := &check.Observations{
-		RevokedAt: revokedAt, StopWindows: []check.StopWindow{stopWindow}, Disturbances: plan.Disturbances(startedAt),
+		RevokedAt: revokedAt, Isolated: s.fleet.Isolation.Disturbed(), StopWindows: []check.StopWindow{stopWindow}, Disturbances: plan.Disturbances(startedAt),
 		Orders: make(map[string][]standin.Order), Arrivals: make(map[string][]time.Time),
 	}
 	for _, c := range s.callers {
--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -57,6 +57,10 @@
 	// start. Operators declare the deployment several times meanwhile, so that more of
 	// their records are lost than they write again.
 	StoreRestored Kind = "store-restored"
+	// TopicDown makes only the topic with the record of releases answer with errors.
+	TopicDown Kind = "topic-down"
+	// Isolate declares a workspace as isolated, and ends that.
+	Isolate Kind = "isolate"
 	// ReplicaUnlisted removes a replica from the list of upstreams.
 	ReplicaUnlisted Kind = "entry-lapses"
 	// ReplicaDraining lists a replica as draining.
@@ -168,6 +172,7 @@
 	plan.addStarts(seed, length, gateways)
 	plan.addFaults(seed, unframedStream, unframedFaults, length, gateways, replicas)
 	plan.addFaults(seed, repeatedStream, repeatedFaults, length, gateways, replicas)
+	plan.addScopes(seed, length)
 	revocation := Event{Kind: RevokeKey, Start: time.Duration(rng.Int64N(int64(length / 2)))}
 	var cut Event
 	if seed%2 == 0 {
@@ -325,6 +330,9 @@
 	case RewriteConfig:
 		f.RewriteConfig()
 		return noop
+	case Isolate:
+		f.SetIsolated(true)
+		return func() { f.SetIsolated(false) }
 	case DeclareWeights:
 		f.DeclareWeights(uint64(2 + e.Start/time.Second))
 		return noop
@@ -361,6 +369,9 @@
 	case StoreResponseLoss:
 		f.Store.SetFault(standin.Fault{DropResponses: true})
 		return removeFault
+	case TopicDown:
+		f.Store.SetTopicDown(standin.ReleaseTopic, true)
+		return func() { f.Store.SetTopicDown(standin.ReleaseTopic, false) }
 	default:
 		f.Store.Compact(standin.OperatorTopic)
 		f.Store.Compact(standin.UpstreamTopic)
