--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -151,6 +151,7 @@
 		Tenants: []standin.Tenant{
 			{Name: IsolatedAtTimes, Keys: []string{"key-office"}},
 			{Name: "lab", Keys: []string{"key-lab"}, Isolated: true},
+			{Name: "crew", Keys: []string{"key-crew"}},
 			{Name: "guest", Keys: []string{"key-guest"}},
 		},
 	}
@@ -168,7 +169,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.deployment.Version += 3
-	f.deployment.Tenants = f.deployment.Tenants[:2]
+	f.deployment.Tenants = f.deployment.Tenants[:3]
 	f.putConfig()
 	return time.Now()
 }
--- a/cmd/soak/internal/series/series.go
+++ b/cmd/soak/internal/series/series.go
@@ -113,7 +113,7 @@
 	for i := range ordinary + fleet.HarmSources*harmCallers {
 		options := caller.Options{
 			Name: fmt.Sprintf("caller-%d", i), Gateways: s.addresses, Seed: s.options.Seed + uint64(i),
-			Keys: []string{"key-office", "key-lab", "key-guest"},
+			Keys: []string{"key-office", "key-lab", "key-crew", "key-guest"},
 		}
 		switch {
 		case i >= ordinary:
@@ -139,6 +139,8 @@
 		return nil, err
 	}
 	notServing := s.awaitServing(ctx, "recover", recoverTimeout)
+	// From now on gateways reach the store, so that isolation is checked for all of them.
+	s.fleet.SetIsolated(true)
 	if err := s.startAlone(); err != nil {
 		return nil, err
 	}
