--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -137,8 +137,8 @@
 	// doubtful reports whether the known state may be wrong, in which case every gateway
 	// reads the source itself; nil means never.
 	doubtful func() bool
-	// substituteInterval takes the place of the age at which a gateway reads the source itself, counted from the end of the last
-	// read of this gateway, while no newer state arrives; zero means that nothing does.
+	// substituteInterval takes the place of fallbackAge, counted from the end of the last read
+	// of this gateway, while no newer state arrives; zero means that nothing does.
 	substituteInterval time.Duration
 	// interval is the pause after a successful read.
 	interval time.Duration
