--- a/cmd/soak/internal/trouble/scope.go
+++ b/cmd/soak/internal/trouble/scope.go
@@ -11,8 +11,7 @@
 	// isolations is the number of times that a workspace is isolated.
 	isolations = 3
 	// minScopeTime and maxScopeTime bound the duration of these events: from less than the
-	// time in which a change is in force to more than the time for which a new release waited
-	// for its record once.
+	// time in which a change is in force to more than a new release takes to settle.
 	minScopeTime, maxScopeTime = time.Second, 9 * time.Second
 )
 
--- a/internal/coordination/rollout/loadtracker.go
+++ b/internal/coordination/rollout/loadtracker.go
@@ -67,8 +67,8 @@
 }
 
 // selectEngines returns the engines to update now, those with the oldest weights
-// first, and of these the ones that have waited longest for an order. It stops when these and all engines that are already loading or draining
-// reach the limit.
+// first, and of these the ones that have waited longest for an order. It stops when these
+// and all engines that are already loading or draining reach the limit.
 func (t *loadTracker) selectEngines(outdated []outdatedEngine, limits loadLimits, now time.Time) []comfreyworks.Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/releases.go
+++ b/releases.go
@@ -10,16 +10,16 @@
 // ReleaseRecord lists the software releases of upstreams that are in service, or were
 // so recently that callers may still take up streams that began at them.
 type ReleaseRecord struct {
-	// Pools holds the releases of each pool in increasing order. A pool that it does
-	// not contain has had none.
+	// Pools holds the releases of each pool in increasing order. A pool that it does not
+	// contain had none when the record was written.
 	Pools map[Pool][]string
 	// New lists those of them at which no stream was to begin yet because other gateways
 	// might not have known them.
 	New map[Pool][]string
-	// Witnesses names upstreams of each pool that were listed when the record was written.
-	// While one of them is listed without a break and not leaving, streams of the pool begin
-	// only at releases of the record or of a later one. Nil means that the record names none, as
-	// those that earlier versions wrote.
+	// Witnesses names upstreams of each pool that were live when the record was written. While
+	// one of them is live without a break, streams of the pool begin only at releases of this
+	// record or of a later one. Nil means that an earlier version wrote the record, which
+	// names none.
 	Witnesses map[Pool][]UpstreamIncarnation
 }
 
