--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -66,12 +66,14 @@
 	store  *standin.Store
 	// storeAddress is where the store listens.
 	storeAddress netip.AddrPort
-	dir          string
-	gateways     []*gateway
-	replicas     []*replica
-	stop         chan struct{}
-	background   sync.WaitGroup
-	closeOnce    sync.Once
+	// keep is the store of kept KV cache.
+	keep       *keep
+	dir        string
+	gateways   []*gateway
+	replicas   []*replica
+	stop       chan struct{}
+	background sync.WaitGroup
+	closeOnce  sync.Once
 
 	mu       sync.Mutex
 	version  int
@@ -93,7 +95,11 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{record: rec, store: standin.NewStore(), dir: dir, stop: make(chan struct{}), ran: make(map[string]bool)}
+	keep, err := startKeep()
+	if err != nil {
+		return nil, err
+	}
+	w := &world{keep: keep, record: rec, store: standin.NewStore(), dir: dir, stop: make(chan struct{}), ran: make(map[string]bool)}
 	w.putConfig(tenant{"members", []string{firstKey, secondKey}})
 	key, weights := standin.Weights(model, 1)
 	w.store.Put(standin.OperatorTopic, key, weights)
@@ -154,6 +160,7 @@
 				"kv_capacity_tokens": 95939, "max_concurrent": 12, "models": []map[string]any{{"name": model}},
 			}},
 			{"name": appPool, "max_connections": 100},
+			{"name": "prompt-keep", "max_connections": 92, "kv_store_addr": w.keep.address.String(), "zone": "atl-b", "max_concurrent": 12},
 		},
 		"tenants": append([]tenant{}, tenants...),
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
@@ -290,6 +297,7 @@
 		for _, r := range w.replicas {
 			r.end()
 		}
+		_ = w.keep.server.Close()
 		_ = os.RemoveAll(w.dir)
 	})
 }
