Require keys while the list of workspaces is declared and empty

Cause: whether keys are needed was the number of workspaces. That the list was declared was lost when the declaration was decoded, and would be lost again between gateways, because gob doesn't transmit empty lists.

--- a/internal/state/routing/review.go
+++ b/internal/state/routing/review.go
@@ -40,7 +40,8 @@
 
 // Warning is a fault of a routing that is well-formed.
 type Warning struct {
-	List  List
+	List List
+	// Index is that of the entry; negative if the warning is about the whole list.
 	Index int
 	Field Field
 	// Message says what was found and what it means. It contains no keys.
@@ -170,6 +171,9 @@
 			owner[key] = i
 		}
 	}
+	if r.declared.KeysRequired && len(r.declared.Workspaces) == 0 {
+		r.warn(Workspaces, -1, "", "the list is empty, so requests are refused unless their route is public")
+	}
 	for i, workspace := range r.declared.Workspaces {
 		if names[workspace.Name] {
 			r.warn(Workspaces, i, FieldName, "%q is declared twice", workspace.Name)
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -110,8 +110,11 @@
 // Limits returns the limits for what callers send.
 func (t *Table) Limits() comfreyworks.CallerLimits { return t.declared.Limits }
 
-// RequiresKeys reports whether requests need a key unless their route is public.
-func (t *Table) RequiresKeys() bool { return len(t.declared.Workspaces) > 0 }
+// RequiresKeys reports whether requests need a key unless their route is public. A list of
+// workspaces that has become empty still requires keys: all of them were revoked.
+func (t *Table) RequiresKeys() bool {
+	return t.declared.KeysRequired || len(t.declared.Workspaces) > 0
+}
 
 // Route returns the route with the longest path prefix that matches, or nil. The
 // host may include a port and is case-insensitive.
--- a/internal/transport/entry/entry_test.go
+++ b/internal/transport/entry/entry_test.go
@@ -30,11 +30,13 @@
 )
 
 // overrides holds functions that change the limits for callers and the rates of
-// the engines before a rig starts; both may be nil.
+// the engines before a rig starts; all may be nil.
 type overrides struct {
 	callers func(*settings.Callers)
 	rates   func(*engine.Rates)
 	class   func(*settings.Class)
+	// workspaces takes the place of the declared ones unless it is nil.
+	workspaces []settings.Workspace
 }
 
 // newRig starts one entry and two upstreams for each pool.
@@ -61,6 +63,9 @@
 			changes.class(&deployment.Classes[i])
 		}
 	}
+	if changes.workspaces != nil {
+		deployment.Workspaces = changes.workspaces
+	}
 	rates := engine.DefaultRates()
 	rates.StepTime = time.Millisecond
 	if changes.rates != nil {
@@ -154,6 +159,21 @@
 	expectCompletion(t, r)
 }
 
+// TestNoWorkspaces guards against an entry that admits every caller once the last workspace
+// is removed.
+func TestNoWorkspaces(t *testing.T) {
+	r := newRig(t, overrides{workspaces: []settings.Workspace{}})
+	for _, change := range []func(*http.Request){
+		func(*http.Request) {},
+		func(r *http.Request) { r.Header.Del("Authorization") },
+		func(r *http.Request) { r.Header.Set("Authorization", "Bearer ") },
+	} {
+		req := request(t, "POST", r.EntryURL(0)+"/v1/chat/completions", validBody)
+		change(req)
+		expectError(t, req, 401, "invalid_key", comfreyworks.RunStateNotRun)
+	}
+}
+
 func TestModelsHealthAndMetrics(t *testing.T) {
 	r := newRig(t, overrides{})
 	expectCompletion(t, r)
--- a/internal/transport/gateway/request_test.go
+++ b/internal/transport/gateway/request_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/gob"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +19,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/standin/replica"
+	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/routing"
 )
 
@@ -206,6 +209,61 @@
 	})
 }
 
+// TestLastWorkspaceRemoved guards against revoked and unknown keys that are accepted once
+// the last workspace is removed, also at gateways that learn of the change from others.
+func TestLastWorkspaceRemoved(t *testing.T) {
+	f := newFixture(t)
+	office := f.source.routing.Workspaces
+	steps := []struct {
+		name       string
+		required   bool
+		workspaces []comfreyworks.WorkspaceKeys
+		status     int
+	}{
+		{"with its key", true, office, http.StatusOK},
+		{"the last workspace is removed", true, nil, http.StatusUnauthorized},
+		{"a workspace without keys", true, []comfreyworks.WorkspaceKeys{{Name: "office"}}, http.StatusUnauthorized},
+		{"empty again", true, nil, http.StatusUnauthorized},
+		{"no keys are required", false, nil, http.StatusOK},
+		{"an earlier version, which does not say that keys are required", false, office[1:], http.StatusUnauthorized},
+		{"with its key again", true, office, http.StatusOK},
+	}
+	for _, step := range steps {
+		t.Run(step.name, func(t *testing.T) {
+			f.source.change(func(s *memorySource) {
+				s.routing.KeysRequired, s.routing.Workspaces = step.required, step.workspaces
+			})
+			f.refresh(t)
+			assert.Equal(t, f.call(t, "/book/1").StatusCode, step.status)
+			assert.Equal(t, f.call(t, "/open/1").StatusCode, http.StatusOK, "public")
+			follower := catalog.New(f.clock)
+			follower.ApplyDeclaration(sentToPeer(t, f.source), f.clock.Now())
+			table, _ := follower.Routing()
+			own, _ := f.gateway.catalog.Routing()
+			assert.Equal(t, table.RequiresKeys(), own.RequiresKeys())
+		})
+	}
+	t.Run("knowledge of an empty list expires like that of keys", func(t *testing.T) {
+		f.source.change(func(s *memorySource) { s.routing.KeysRequired, s.routing.Workspaces = true, nil })
+		f.refresh(t)
+		f.source.change(func(s *memorySource) { s.down = true })
+		f.clock.Advance(5 * time.Second)
+		assert.Equal(t, f.call(t, "/book/1").StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(t, f.gateway.notReadyReason(), "keys not proven")
+	})
+}
+
+// sentToPeer returns the whole declaration as another gateway receives it.
+func sentToPeer(t *testing.T, source *memorySource) (received comfreyworks.Declaration) {
+	t.Helper()
+	declaration, err := source.Declarations(t.Context(), 0, 0)
+	assert.NilError(t, err)
+	var message bytes.Buffer
+	assert.NilError(t, gob.NewEncoder(&message).Encode(declaration))
+	assert.NilError(t, gob.NewDecoder(&message).Decode(&received))
+	return received
+}
+
 func TestNoRoutingYet(t *testing.T) {
 	f := newFixture(t)
 	fresh := New(f.gateway.options)
--- a/routing.go
+++ b/routing.go
@@ -117,8 +117,11 @@
 	Routes  []Route
 	Pools   []UpstreamPool
 	Limits  CallerLimits
-	// Workspaces is empty if requests need no key.
-	Workspaces []WorkspaceKeys
+	// KeysRequired means that requests need a key, also while there are no workspaces.
+	// Gateways of earlier versions don't pass it on; a routing with workspaces requires
+	// keys anyway.
+	KeysRequired bool
+	Workspaces   []WorkspaceKeys
 }
 
 // WeightsRevision numbers the versions of a model's weights in the order in
