Keep suspicions of what crashes upstreams on the platform's store

Cause: suspicions live in gateways and are exchanged between them. When all end, nothing is left. A restart of some gateways loses nothing: the others tell the rest.

Change: a record on the store, read once after a start, appended by one gateway within 0.1 s of a crash and at most every 2 s, checked by a second one after 5 s. Requests never wait for it; without a crash there are no calls. Ages are kept, so that starts don't renew a quarantine.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -72,7 +72,7 @@
 	})
 	defer stop()
 	return gateway.New(gateway.Options{
-		Settings: settings.Gateway, Declarations: store, Upstreams: store, Leases: store, Registry: store, Releases: store,
+		Settings: settings.Gateway, Declarations: store, Upstreams: store, Leases: store, Registry: store, Releases: store, Crashes: store,
 		Loader: upstreams, Caches: upstreams,
 		Clock: clock, Logger: logger, Meter: metrics, Faults: recorder,
 	}).Run(ctx, listeners)
--- a/internal/state/catalog/restore.go
+++ b/internal/state/catalog/restore.go
@@ -88,3 +88,11 @@
 	defer c.mu.Unlock()
 	return c.redeclaration.restored, !c.redeclaration.awaited(now)
 }
+
+// RestoredAt returns the first position since the source of the list of upstreams was last
+// restored from an earlier copy, as far as this gateway knows, or zero.
+func (c *Catalog) RestoredAt() comfreyworks.Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.restoredAt
+}
--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -38,6 +38,7 @@
 //	request.Broke(crashes.Evidence{Took: took}) // the connection broke before that
 //	suspicions, next := log.After(version, crashes.Local)
 //	log.Merge(suspicions, crashes.Remote)
+//	log.Restore(record) // of a gateway that ran before
 package crashes
 
 import (
@@ -340,7 +341,7 @@
 	l.learnEnds(suspicions)
 	l.log.Merge(func(yield func(uint32, suspicion) bool) {
 		for _, s := range suspicions {
-			if !yield(s.Part, suspicion{s.Cleared, s.Crashes, newPartSet(s.With), newEndSet(s.Ended), s.Answered && KindOf(s.Part) == PromptPart}) {
+			if !yield(s.Part, newSuspicion(s)) {
 				return
 			}
 		}
--- a/internal/state/crashes/suspicion.go
+++ b/internal/state/crashes/suspicion.go
@@ -17,6 +17,10 @@
 	answered bool
 }
 
+func newSuspicion(s comfreyworks.CrashSuspicion) suspicion {
+	return suspicion{s.Cleared, s.Crashes, newPartSet(s.With), newEndSet(s.Ended), s.Answered && KindOf(s.Part) == PromptPart}
+}
+
 // crash returns the suspicion after an upstream ended under a request with the given
 // other suspects that was sent when s was known. An end that s knows doesn't count again,
 // and with a doubt that many ends don't count. Both need incarnations to be told apart.
--- a/internal/state/sharedlog/sharedlog.go
+++ b/internal/state/sharedlog/sharedlog.go
@@ -72,19 +72,29 @@
 // from the known and the given one. Entries that change nothing are not recorded,
 // and so not passed on, again.
 func (l *Log[V]) Merge(items iter.Seq2[uint32, V], origin Origin, resolve func(known, given V) V) {
+	l.mergeAt(items, l.options.Clock.Now(), origin, resolve)
+}
+
+// MergeAt is Merge with one key that was recorded at an earlier time. If the key is known,
+// a new value counts from now on.
+func (l *Log[V]) MergeAt(key uint32, value V, at time.Time, origin Origin, resolve func(known, given V) V) {
+	l.mergeAt(func(yield func(uint32, V) bool) { yield(key, value) }, at, origin, resolve)
+}
+
+func (l *Log[V]) mergeAt(items iter.Seq2[uint32, V], at time.Time, origin Origin, resolve func(known, given V) V) {
 	now := l.options.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.removeExpired(now)
 	for key, value := range items {
-		e := entry[V]{key, value, now, origin}
+		e := entry[V]{key, value, at, origin}
 		if known := l.last(key, now); known != nil {
 			e.value = resolve(known.value, value)
 			if e.value == known.value && !(l.options.Promote && origin < known.origin) {
 				continue
 			}
 			// The replaced entry may not have been passed on yet.
-			e.origin = min(origin, known.origin)
+			e.origin, e.at = min(origin, known.origin), now
 		}
 		l.latest[key] = l.first + uint64(len(l.entries))
 		l.entries = append(l.entries, e)
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -28,6 +28,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/balance"
+	"comfreyworks/internal/coordination/crashrecord"
 	"comfreyworks/internal/coordination/follow"
 	"comfreyworks/internal/coordination/forward"
 	"comfreyworks/internal/coordination/peering"
@@ -115,6 +116,9 @@
 	// Releases keeps the record of releases that gateways read after all of them ended. If
 	// it is nil, streams of unknown origin are refused for some time after such a start.
 	Releases comfreyworks.ReleaseStore
+	// Crashes keeps the suspicions that crashes raise, which gateways read after all of them
+	// ended. If it is nil, they are forgotten then.
+	Crashes comfreyworks.CrashStore
 	// Caches reports what engines and cache stores hold. If it is nil, this is
 	// inferred from the requests of this process alone.
 	Caches comfreyworks.CacheSource
@@ -144,7 +148,9 @@
 	forwarder *forward.Forwarder
 	follower  *follow.Follower
 	// releases is nil if there is no ReleaseStore.
-	releases       *releaserecord.Recorder
+	releases *releaserecord.Recorder
+	// crashRecord is nil if there is no CrashStore.
+	crashRecord    *crashrecord.Recorder
 	upstreamClient *exchange.Client
 	rollout        *rollout.Rollout
 	holdings       *holdings.Index
@@ -207,6 +213,9 @@
 			if g.releases != nil {
 				g.releases.ListRead(reader)
 			}
+			if g.crashRecord != nil {
+				g.crashRecord.ListRead()
+			}
 		},
 		Clock: options.Clock, Logger: options.Logger, Meter: options.Meter, Faults: options.Faults,
 	})
@@ -217,6 +226,12 @@
 			NoneBefore: g.noneBefore, Clock: options.Clock, Logger: options.Logger, Meter: options.Meter, Faults: options.Faults,
 		})
 	}
+	if options.Crashes != nil {
+		g.crashRecord = crashrecord.New(crashrecord.Options{
+			Store: options.Crashes, Log: g.crashes, IsWriter: func(n int) bool { return g.peering.IsSelected("record crashes", n) },
+			RestoredAt: g.catalog.RestoredAt, Clock: options.Clock, Logger: options.Logger, Meter: options.Meter, Faults: options.Faults,
+		})
+	}
 	g.peerClients = peer.NewClients(peer.ClientOptions{
 		Clock: options.Clock, Limits: peer.MessageLimits{Bytes: maxPeerMessageBytes}, Faults: options.Faults,
 	})
@@ -341,6 +356,9 @@
 	if g.releases != nil {
 		group.Go(func() error { return g.releases.Run(workCtx) })
 	}
+	if g.crashRecord != nil {
+		group.Go(func() error { return g.crashRecord.Run(workCtx) })
+	}
 	if listeners.Peers != nil {
 		// Not known until peers answer.
 		g.balancer.SetGateways(0)
