Test that crowds of callers and endless answers keep a gateway within its machine

Test: the gateway as a process on loopback, with memory_mb = 64 and max_fds = 400. Crowd and bounds are fixed here, before any change: the process lives, its peak resident memory stays within 64 MB and its descriptors within 400, and one ordinary request is answered afterwards.

--- /dev/null
+++ b/cmd/gateway/process_test.go
@@ -0,0 +1,237 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"comfreyworks"
+	"comfreyworks/platform"
+	"comfreyworks/platform/standin"
+)
+
+const (
+	// memoryMB and maxFDs are the limits in the settings of the gateway, and the bounds that it
+	// must keep.
+	memoryMB = 64
+	maxFDs   = 400
+	// maxHeader and maxBody are the limits for what callers send.
+	maxHeader = 16 << 10
+	maxBody   = 4 << 20
+	// requestTimeout is the timeout of all routes.
+	requestTimeout = 4 * time.Second
+	engines        = 8
+	host           = "app.example"
+)
+
+// process is a gateway that runs as a process, in front of a service and some engines.
+type process struct {
+	command *exec.Cmd
+	address netip.AddrPort
+	metrics string
+	exited  chan struct{}
+	// fds is the highest number of open descriptors that was seen.
+	fds   atomic.Int64
+	names comfreyworks.HeaderNames
+}
+
+// upstreams answers the requests of a process.
+type upstreams struct {
+	service, engine http.Handler
+	// events answers reads of cache events; nil means that there are none.
+	events http.Handler
+}
+
+// answer answers a request like a sound upstream.
+func answer(delay time.Duration, size int) http.HandlerFunc {
+	names := platform.HeaderNames()
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(delay)
+		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+		w.Header().Set(names.Digest, "signed")
+		_, _ = w.Write(bytes.Repeat([]byte("a"), size))
+	}
+}
+
+// buildGateway builds the gateway without the race detector, which multiplies its memory.
+func buildGateway(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "gateway")
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, ".").CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+	return program
+}
+
+// startProcess starts a store, upstreams and a gateway, and waits until it serves.
+func startProcess(t *testing.T, program string, u upstreams) *process {
+	t.Helper()
+	store := standin.NewStore()
+	serve := func(handler http.Handler) netip.AddrPort {
+		server := httptest.NewServer(handler)
+		t.Cleanup(func() {
+			server.CloseClientConnections()
+			server.Close()
+		})
+		return netip.MustParseAddrPort(server.Listener.Addr().String())
+	}
+	route := func(name, kind, service string) standin.Route {
+		return standin.Route{Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, Service: service, Timeout: requestTimeout, Objective: time.Second, MaxAttempts: 1}
+	}
+	deployment := standin.Deployment{
+		Version: 1, Routes: []standin.Route{route("look", "idempotent", "app"), route("note", "streaming", "lm")},
+		Services:       []standin.Service{{Name: "app"}, {Name: "lm", Model: "m0"}},
+		MaxHeaderBytes: maxHeader, MaxBodyBytes: maxBody,
+	}
+	store.Put(standin.OperatorTopic, "config", deployment.Config())
+	key, weights := standin.Weights("m0", 1)
+	store.Put(standin.OperatorTopic, key, weights)
+	list := func(id, service, model string, handler http.Handler) {
+		entry := standin.Entry{Service: service, Zone: "z", Address: serve(handler), Started: time.Now(), Model: model, Version: 1, Sequence: 1}
+		store.Put(standin.UpstreamTopic, id, entry.Record())
+	}
+	list("app-0", "app", "", u.service)
+	for i := range engines {
+		engine := &standin.Engine{Requests: u.engine, Model: "m0"}
+		list(fmt.Sprint("lm-", i), "lm", "m0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if u.events != nil && r.URL.Path == "/v1/kv-events" {
+				u.events.ServeHTTP(w, r)
+				return
+			}
+			engine.ServeHTTP(w, r)
+		}))
+	}
+	settings := standin.Settings{
+		Node: "g0", Zone: "z", Listen: freeAddress(t), Ready: freeAddress(t), PeerListen: freeAddress(t), Store: serve(store),
+		KeyRevocation: 5 * time.Second, StopGrace: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
+		LeaseDuration: 3 * time.Second, SupersededWeights: 6 * time.Second, MemoryMB: memoryMB, MaxFDs: maxFDs,
+	}
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	assert.NilError(t, os.WriteFile(file, []byte(settings.File()), 0o600))
+	metrics := freeAddress(t)
+	p := &process{
+		command: exec.Command(program, "--metrics-port", strconv.Itoa(int(metrics.Port()))), address: settings.Listen,
+		metrics: "http://" + metrics.String() + "/metrics", exited: make(chan struct{}), names: platform.HeaderNames(),
+	}
+	p.command.Env = []string{platform.SettingsVariable + "=" + file}
+	p.command.Stdout = io.Discard
+	var stderr bytes.Buffer
+	p.command.Stderr = &stderr
+	assert.NilError(t, p.command.Start())
+	watched := make(chan struct{})
+	inGroup(t, func() {
+		_ = p.command.Wait()
+		close(p.exited)
+	})
+	inGroup(t, func() {
+		defer close(watched)
+		p.watchDescriptors()
+	})
+	// Runs before the clean-ups that wait for the process.
+	t.Cleanup(func() {
+		_ = p.command.Process.Kill()
+		<-p.exited
+		<-watched
+		if t.Failed() {
+			t.Logf("%.4000s", stderr.String())
+		}
+	})
+	p.assertAnswers(t)
+	return p
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// watchDescriptors records the highest number of open descriptors until the process ends.
+func (p *process) watchDescriptors() {
+	directory := fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid)
+	for {
+		select {
+		case <-p.exited:
+			return
+		case <-time.After(10 * time.Millisecond):
+			open, _ := os.ReadDir(directory)
+			p.fds.Store(max(p.fds.Load(), int64(len(open))))
+		}
+	}
+}
+
+// peakMB returns the highest resident memory of the process, in MB.
+func (p *process) peakMB(t *testing.T) float64 {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	assert.NilError(t, err)
+	_, rest, found := strings.Cut(string(status), "VmHWM:")
+	assert.Assert(t, found, "the process has ended")
+	kb, err := strconv.Atoi(strings.Fields(rest)[0])
+	assert.NilError(t, err)
+	return float64(kb) / 1024
+}
+
+// newRequest returns a request of an ordinary caller.
+func (p *process) newRequest(t *testing.T, body io.Reader) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+p.address.String()+"/look/1", body)
+	assert.NilError(t, err)
+	r.Host = host
+	r.Header.Set(p.names.RequestID, fmt.Sprint("ordinary-", time.Now().UnixNano()))
+	return r
+}
+
+// assertAnswers checks that an ordinary request is answered. Like its callers it tries again
+// while it is refused or finds no connection.
+func (p *process) assertAnswers(t *testing.T) {
+	t.Helper()
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	var last string
+	for range 100 {
+		response, err := client.Do(p.newRequest(t, nil))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+			last = response.Status
+		} else {
+			last = err.Error()
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatalf("no ordinary request is answered: %s", last)
+}
+
+// assertBounds checks that the process lives within its limits, and answers.
+func (p *process) assertBounds(t *testing.T) {
+	t.Helper()
+	peak := p.peakMB(t)
+	t.Logf("peak %.1f MB, %d descriptors", peak, p.fds.Load())
+	assert.Check(t, peak <= memoryMB, "peak %.1f MB", peak)
+	assert.Check(t, p.fds.Load() <= maxFDs, "%d descriptors", p.fds.Load())
+	p.assertAnswers(t)
+	select {
+	case <-p.exited:
+		t.Fatal("the process has ended")
+	default:
+	}
+}
