Bound what upstreams' answers take in memory, all together

Cause: each response has a limit (16 MB for cache events), and all engines are read at once, by io.ReadAll. Nothing bounded the sum; the memory limit of the settings was read by nobody. Buffered answers (256 KB) and events (1 MB) are the same, once for each request.

Change: one account of bytes for a process, of which answers have a share; the largest gives way. Bytes are charged as they arrive.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -20,6 +20,7 @@
 
 	"comfreyworks/internal/state/bootclock"
 	"comfreyworks/internal/state/faults"
+	"comfreyworks/internal/state/memory"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/transport/gateway"
 	"comfreyworks/internal/transport/program"
@@ -61,6 +62,9 @@
 	upstreams := platform.NewReplicaClient(client)
 	store := platform.NewStoreClient(settings.StoreAddress, client, logger)
 	clock, metrics := bootclock.New(), meter.New()
+	budget := memory.ForProcess(settings.Gateway.MemoryBytes, clock, metrics)
+	upstreams.LimitMemory(budget)
+	store.LimitMemory(budget)
 	recorder := faults.New(faults.Options{Clock: clock, Logger: logger, Meter: metrics})
 	store.RecordFaults(recorder)
 	upstreams.RecordFaults(recorder)
@@ -74,7 +78,7 @@
 	return gateway.New(gateway.Options{
 		Settings: settings.Gateway, Declarations: store, Upstreams: store, Leases: store, Registry: store, Releases: store, Crashes: store,
 		Loader: upstreams, Caches: upstreams,
-		Clock: clock, Logger: logger, Meter: metrics, Faults: recorder,
+		Clock: clock, Logger: logger, Meter: metrics, Memory: budget, Faults: recorder,
 	}).Run(ctx, listeners)
 }
 
--- a/cmd/gateway/process_test.go
+++ b/cmd/gateway/process_test.go
@@ -106,14 +106,7 @@
 	}
 	list("app-0", "app", "", u.service)
 	for i := range engines {
-		engine := &standin.Engine{Requests: u.engine, Model: "m0"}
-		list(fmt.Sprint("lm-", i), "lm", "m0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if u.events != nil && r.URL.Path == "/v1/kv-events" {
-				u.events.ServeHTTP(w, r)
-				return
-			}
-			engine.ServeHTTP(w, r)
-		}))
+		list(fmt.Sprint("lm-", i), "lm", "m0", &standin.Engine{Requests: u.engine, CacheEvents: u.events, Model: "m0"})
 	}
 	settings := standin.Settings{
 		Node: "g0", Zone: "z", Listen: freeAddress(t), Ready: freeAddress(t), PeerListen: freeAddress(t), Store: serve(store),
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -17,6 +17,7 @@
 	"comfreyworks/internal/coordination/balance"
 	"comfreyworks/internal/state/crashes"
 	"comfreyworks/internal/state/holdings"
+	"comfreyworks/internal/state/memory"
 )
 
 // attempt is one attempt to get the answer to a request from one upstream.
@@ -241,7 +242,7 @@
 }
 
 // relayBody passes an answer on once it has arrived completely, or once it
-// exceeds maxBufferedBytes. An answer without the upstream's digest counts as
+// exceeds maxBufferedBytes or the memory that there is. An answer without the upstream's digest counts as
 // lost, and so does any answer after the sink has received a part of a stream. Their
 // bodies are not read, because they may never end.
 func (a *attempt) relayBody(response *comfreyworks.UpstreamResponse) (Outcome, attemptResult) {
@@ -250,7 +251,11 @@
 	}
 	a.withdrawal.stop()
 	var buffer bytes.Buffer
-	_, err := io.CopyN(&buffer, &answerBody{response.Body, a.options.Clock, &a.answer}, maxBufferedBytes)
+	hold := a.options.Memory.Hold(memory.Answer, nil)
+	defer hold.Release()
+	// Instead of giving way, an answer is passed on without being buffered.
+	hold.Complete()
+	err := bufferAnswer(&buffer, &answerBody{response.Body, a.options.Clock, &a.answer}, hold)
 	complete := errors.Is(err, io.EOF)
 	if err != nil && !complete {
 		return a.lost(err)
@@ -277,7 +282,10 @@
 		return Outcome{Verdict: Abandoned, Reason: "caller left"}, attemptDone
 	}
 	if !complete {
-		if err := a.relayRest(response); err != nil {
+		buffered := int64(buffer.Len())
+		buffer = bytes.Buffer{}
+		hold.Empty()
+		if err := a.relayRest(response, buffered); err != nil {
 			a.cause = err
 			a.recordBreak(a.ctx, err)
 			return Outcome{Verdict: Broken, Reason: "answer cut off"}, attemptDone
@@ -287,14 +295,14 @@
 	return Outcome{Verdict: Delivered, Status: response.Status}, attemptDone
 }
 
-// relayRest passes on what follows the first maxBufferedBytes of an answer, up to its
-// declared length or up to maxAnswerBytes in all.
-func (a *attempt) relayRest(response *comfreyworks.UpstreamResponse) error {
+// relayRest passes on what follows the buffered part of an answer, up to its declared
+// length or up to maxAnswerBytes in all.
+func (a *attempt) relayRest(response *comfreyworks.UpstreamResponse, buffered int64) error {
 	if response.ContentLength >= 0 {
 		_, err := io.Copy(a.sink, response.Body)
 		return err
 	}
-	_, err := io.CopyN(a.sink, response.Body, maxAnswerBytes-maxBufferedBytes)
+	_, err := io.CopyN(a.sink, response.Body, maxAnswerBytes-buffered)
 	switch {
 	case err == nil:
 		return fmt.Errorf("%w: %d bytes without a declared length", comfreyworks.ErrCutOff, maxAnswerBytes)
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -33,6 +33,7 @@
 	"comfreyworks/internal/state/catalog"
 	"comfreyworks/internal/state/crashes"
 	"comfreyworks/internal/state/faults"
+	"comfreyworks/internal/state/memory"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/retrybudget"
 )
@@ -159,6 +160,8 @@
 	Meter *meter.Meter
 	// RetryLimit returns this gateway's share of the retry budget.
 	RetryLimit func() retrybudget.Limit
+	// Memory accounts for the answers that are held; nil means that it has no limit.
+	Memory *memory.Budget
 }
 
 // Forwarder forwards requests. It is safe for concurrent use.
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/memory"
 )
 
 // maxEventBytes is the maximum size of one event of a stream.
@@ -22,7 +23,10 @@
 // relayEvents passes a stream on event by event. A stream that breaks has thus
 // been delivered up to the end of an event and can be resumed after it.
 func (a *attempt) relayEvents(response *comfreyworks.UpstreamResponse) (Outcome, attemptResult) {
-	events := bufio.NewScanner(response.Body)
+	hold := a.options.Memory.Hold(memory.Answer, func() {})
+	defer hold.Release()
+	body := &eventReader{Reader: response.Body, ctx: a.ctx, hold: hold}
+	events := bufio.NewScanner(body)
 	events.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
 	splitter := new(eventSplitter)
 	events.Split(splitter.split)
@@ -35,6 +39,7 @@
 	var progress streamProgress
 	for events.Scan() {
 		event := events.Bytes()
+		body.passed()
 		id := eventID(event)
 		isNew, err := progress.add(event, id)
 		if err != nil {
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -45,6 +45,7 @@
 	"comfreyworks/internal/state/enginepace"
 	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/holdings"
+	"comfreyworks/internal/state/memory"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/retrybudget"
 	"comfreyworks/internal/state/savedsessions"
@@ -125,6 +126,8 @@
 	Clock  comfreyworks.Clock
 	Logger *zap.Logger
 	Meter  *meter.Meter
+	// Memory accounts for the bytes that the process holds; nil means that it has no limit.
+	Memory *memory.Budget
 	// Faults records what is set aside and panics; nil means one of its own.
 	Faults *faults.Recorder
 }
@@ -203,6 +206,7 @@
 	g.forwarder = forward.New(forward.Options{
 		Catalog: g.catalog, Balancer: g.balancer, Exchanger: g.upstreamClient, Clock: options.Clock,
 		Origins: origins, Crashes: g.crashes, Logger: options.Logger, Faults: options.Faults, Meter: options.Meter, RetryLimit: g.retryLimit,
+		Memory: options.Memory,
 	})
 	g.follower = follow.New(follow.Options{
 		Declarations: options.Declarations, Upstreams: options.Upstreams, Catalog: g.catalog,
--- a/settings.go
+++ b/settings.go
@@ -22,6 +22,8 @@
 	Capacity int
 	// MemoryBytes is the memory limit of the process; zero means no limit.
 	MemoryBytes int64
+	// MaxDescriptors is the maximum number of open descriptors; zero means no limit.
+	MaxDescriptors int
 	Bounds      GatewayBounds
 	Headers     HeaderNames
 }
