Keep a crowd of callers within the memory and descriptors of the process

Callers: clients that the operators don't control ended a process with requests that each keep the limits: many large bodies at once that stop short of their end, very many short header lines.

Cause: every limit is one request's; bodies were read whole into buffers that double, a header becomes a map of about 20 times its bytes and is copied, and connections had no limit.

Change: headers and bodies are charged to the account of the process as they arrive. What waits for its own bytes gives way first, then the youngest; small requests have a reserve; what was refused has not run. Connections are limited by memory and descriptors; idle and incomplete ones give way. The entry does the same with memory-limit in its instance file.

--- a/attempt.go
+++ b/attempt.go
@@ -33,6 +33,8 @@
 	RefusedLogDown RefusalReason = "log-down"
 	// RefusedOverLimit means that the workspace is over its limit.
 	RefusedOverLimit RefusalReason = "over-limit"
+	// RefusedMemory means that an entry has no memory left for the body of the request.
+	RefusedMemory RefusalReason = "memory"
 )
 
 // Refusal reports that an attempt was not accepted. Nothing was sent to the
--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -12,6 +12,7 @@
 	"os"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/memory"
 	"comfreyworks/internal/transport/entry"
 	"comfreyworks/internal/transport/program"
 )
@@ -27,6 +28,7 @@
 		Clock:      env.Clock,
 		Logger:     env.Logger,
 		Meter:      env.Meter,
+		Memory:     memory.ForProcess(int64(env.Instance.MemoryLimit), env.Clock, env.Meter),
 		HTTP:       env.HTTP,
 	}).Run(ctx, listener)
 }
--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -30,6 +30,7 @@
 	"comfreyworks/internal/standin/kept"
 	"comfreyworks/internal/standin/logservice"
 	"comfreyworks/internal/standin/service"
+	"comfreyworks/internal/state/memory"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/settings"
 	"comfreyworks/internal/transport/entry"
@@ -83,6 +84,8 @@
 	OffloadBlocks int
 	// AppendsPerSecond limits the appends to the log; zero means no limit.
 	AppendsPerSecond int
+	// EntryMemory accounts for the requests of entries; nil means no limit.
+	EntryMemory *memory.Budget
 	// Chooser creates the chooser that each entry uses instead of the prefix
 	// directory; nil means that entries use the directory.
 	Chooser func(*Rig) comfreyworks.UpstreamChooser
@@ -369,6 +372,7 @@
 		HTTP:       program.NewHTTPClient(),
 		Dial:       r.partition.dialer(instance.Listen),
 		Chooser:    chooser,
+		Memory:     r.options.EntryMemory,
 	})
 	return startRole(r, instance, role, role.Run, listener)
 }
--- a/internal/protocol/listener/closed.go
+++ b/internal/protocol/listener/closed.go
@@ -18,7 +18,10 @@
 	ReasonBodyTimeout    CloseReason = "body-timeout"
 	ReasonHeaderTooLarge CloseReason = "header-too-large"
 	ReasonMalformed      CloseReason = "malformed-request"
-	ReasonStop           CloseReason = "stop"
+	// ReasonNoRoom means that the connection gave way to others, or that there was no memory
+	// for the header of its request.
+	ReasonNoRoom CloseReason = "no-room"
+	ReasonStop   CloseReason = "stop"
 	// ReasonUnanswered means that the handler of a request wrote nothing.
 	ReasonUnanswered CloseReason = "unanswered"
 	// ReasonAnswered means that the answer was the last one or was cut off.
@@ -85,6 +88,8 @@
 	stopping := c.listener.closed.Load()
 	departure := c.departure()
 	switch {
+	case c.yields:
+		return ReasonNoRoom
 	case c.headerLeft.Load() <= 0:
 		return ReasonHeaderTooLarge
 	case departure != DepartureNone && departure != DepartureReadDeadline:
--- a/internal/protocol/listener/conn.go
+++ b/internal/protocol/listener/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"comfreyworks/internal/state/memory"
 )
 
 // phase is what an http.Server does with a connection. It is known from the read
@@ -35,6 +37,9 @@
 // for a read, which http.Server does not answer.
 var errHeaderTooLarge = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("request header too large")}
 
+// errNoMemory ends a connection for whose header there is no memory, like errHeaderTooLarge.
+var errNoMemory = &net.OpError{Op: "read", Net: "tcp", Err: memory.ErrFull}
+
 // abortDeadline is the read deadline with which http.Server ends its own read.
 var abortDeadline = time.Unix(1, 0)
 
@@ -69,12 +74,18 @@
 	// bodyRead means that the server has read the whole request, and waits for the caller to
 	// leave.
 	bodyRead atomic.Bool
+	// openedAt is when the connection was accepted. readAt, when bytes arrived last, header,
+	// what is held for the header of the current request, and yields, which means that the
+	// connection is closed to make room, are protected by Listener.mu.
+	openedAt, readAt time.Time
+	header           *memory.Hold
+	yields           bool
 	// closed means that Close was called, lingered that the caller got its answer.
 	closed, lingered atomic.Bool
 }
 
 func newConn(tcp *net.TCPConn, l *Listener) *conn {
-	c := &conn{TCPConn: tcp, listener: l}
+	c := &conn{TCPConn: tcp, listener: l, openedAt: time.Now()}
 	c.headerLeft.Store(math.MaxInt64)
 	return c
 }
@@ -84,7 +95,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	left := c.headerLeft.Load()
 	if left <= 0 {
-		c.refuseHeader()
+		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
 		return 0, errHeaderTooLarge
 	}
 	waits := len(p) == 1 && c.bodyRead.Load()
@@ -92,6 +103,9 @@
 	for {
 		n, err := c.TCPConn.Read(p)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if c.listener.isYielding(c) {
+				return 0, err
+			}
 			if c.listener.extendIdle(c) || waits && c.listener.keepsReading(c) {
 				continue
 			}
@@ -101,6 +115,11 @@
 		}
 		if n > 0 {
 			c.listener.bytesRead(c, n, waits)
+			if !c.holdHeader(p[:n]) {
+				c.listener.yield(c)
+				c.refuse(http.StatusServiceUnavailable)
+				return 0, errNoMemory
+			}
 		}
 		// Fails if another phase has begun since.
 		c.headerLeft.CompareAndSwap(left, left-int64(n))
@@ -155,6 +174,7 @@
 		deadline = c.beginHeader()
 	case phaseHeader:
 		c.phase, c.arrived, c.announced = phaseRequest, 0, 0
+		c.header.Complete()
 		c.headerLeft.Store(math.MaxInt64)
 		c.bodyRead.Store(false)
 		c.departed.Store(nil)
--- a/internal/protocol/listener/linger.go
+++ b/internal/protocol/listener/linger.go
@@ -18,14 +18,21 @@
 	lingerBytes = 64 << 20
 )
 
-// refuseHeader answers a request whose header is too large.
-func (c *conn) refuseHeader() {
-	text := http.StatusText(http.StatusRequestHeaderFieldsTooLarge)
+// unavailableRetryAfter is the Retry-After, in seconds, of requests that are refused because
+// there is no memory for their header.
+const unavailableRetryAfter = "1"
+
+// refuse answers a request whose header is not complete, and which has thus not run.
+func (c *conn) refuse(status int) {
+	text := http.StatusText(status)
 	response := http.Response{
-		StatusCode: http.StatusRequestHeaderFieldsTooLarge, ProtoMajor: 1, ProtoMinor: 1, Close: true,
+		StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Close: true,
 		Header:        http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
 		ContentLength: int64(len(text)), Body: io.NopCloser(strings.NewReader(text)),
 	}
+	if status == http.StatusServiceUnavailable {
+		response.Header.Set("Retry-After", unavailableRetryAfter)
+	}
 	if c.TCPConn.SetDeadline(time.Now().Add(lingerPause)) == nil && response.Write(c.TCPConn) == nil {
 		_ = c.CloseWrite()
 	}
--- a/internal/protocol/listener/listener.go
+++ b/internal/protocol/listener/listener.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/memory"
 )
 
 // Kind classifies the errors of this package.
@@ -79,6 +80,17 @@
 	IdleTimeout time.Duration
 }
 
+// Bounds limits what all connections together use.
+type Bounds struct {
+	// Connections is the maximum number of connections; zero means no limit.
+	Connections int
+	// Memory accounts for the headers of requests; nil means that nothing does.
+	Memory *memory.Budget
+}
+
+// Bound sets the bounds. It must be called before Serve.
+func (l *Listener) Bound(bounds Bounds) { l.bounds = bounds }
+
 // deadlineAfter returns the end of a timeout, or the zero time if there is none.
 func deadlineAfter(since time.Time, timeout time.Duration) time.Time {
 	if timeout <= 0 {
@@ -113,6 +125,7 @@
 type Listener struct {
 	net.Listener
 	limits func() Limits
+	bounds Bounds
 	// onClosed may be nil.
 	onClosed func(Closed)
 	// served is closed when Serve has returned.
@@ -157,12 +170,21 @@
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil && l.closed.Load() {
-		accepted, err = l.acceptQueued()
-	}
-	if err != nil {
-		return nil, err
+	var accepted net.Conn
+	for {
+		var err error
+		accepted, err = l.Listener.Accept()
+		if err != nil && l.closed.Load() {
+			accepted, err = l.acceptQueued()
+		}
+		if err != nil {
+			return nil, err
+		}
+		if l.makeRoom() {
+			break
+		}
+		// Its caller knows that nothing was read.
+		_ = accepted.Close()
 	}
 	tcp, ok := accepted.(*net.TCPConn)
 	if !ok {
@@ -237,9 +259,14 @@
 	default:
 		l.states[c] = state
 	}
-	if caller, ok := c.(*conn); ok && state == http.StateIdle {
+	caller, ok := c.(*conn)
+	if ok && state == http.StateIdle {
 		caller.phase, caller.idleSince = phaseAnswered, time.Now()
 	}
+	if ok && state != http.StateNew && state != http.StateActive {
+		caller.header.Release()
+		caller.header = nil
+	}
 }
 
 func (l *Listener) checkDrained() {
@@ -253,6 +280,7 @@
 func (l *Listener) bytesRead(c *conn, n int, waits bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	c.readAt = time.Now()
 	if c.phase != phaseRequest || waits {
 		c.arrived += n
 	}
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -177,6 +177,8 @@
 	PeerSecret string `json:"peer-secret"`
 	// Platform is the address of the platform's log and instance list.
 	Platform netip.AddrPort `json:"platform"`
+	// MemoryLimit is the memory that the process may use; absent means no limit.
+	MemoryLimit ByteSize `json:"memory-limit" optional:"true"`
 	// Pool is the pool of a sidecar and Upstream the address of its upstream. Both
 	// are required for sidecars.
 	Pool     comfreyworks.Pool `json:"pool" optional:"true"`
--- a/internal/transport/entry/completions.go
+++ b/internal/transport/entry/completions.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -13,6 +12,7 @@
 	"comfreyworks"
 	"comfreyworks/internal/coordination/dispatch"
 	"comfreyworks/internal/protocol/completion"
+	"comfreyworks/internal/state/memory"
 	"comfreyworks/internal/state/prefix"
 	"comfreyworks/internal/state/settings"
 )
@@ -21,6 +21,9 @@
 // load balancer sends them to another entry.
 const leavingRetryAfter = time.Second
 
+// memoryRetryAfter is the Retry-After of requests whose body there is no memory for.
+const memoryRetryAfter = time.Second
+
 func (e *Entry) serveModels(w http.ResponseWriter, _ *http.Request, _ caller) {
 	list := completion.ModelList{Object: "list"}
 	for _, model := range e.deployment().Models {
@@ -39,7 +42,9 @@
 
 func (e *Entry) serveCompletion(w http.ResponseWriter, r *http.Request, c caller, parse func([]byte) (*completion.Request, error)) {
 	start := e.options.Clock.Now()
-	body, ok := e.readBody(w, r, c)
+	hold := e.holdBody(w)
+	defer hold.Release()
+	body, ok := e.readBody(w, r, c, hold)
 	if !ok {
 		return
 	}
@@ -82,18 +87,38 @@
 	return errors.Is(context.Cause(requestCtx), errStopping)
 }
 
+// holdBody returns a hold for the body of a request.
+func (e *Entry) holdBody(w http.ResponseWriter) *memory.Hold {
+	return e.options.Memory.Hold(memory.Body, func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+}
+
 // readBody reads the body within the size limit, until the entry ends its requests. If
 // that fails, or the request is late in a stop, it responds with an error and returns false. It clears the read deadline after the body, because
 // the server keeps reading while the answer is written, to detect that the caller
 // disconnects, and would treat an expired deadline as a disconnect.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, c caller) ([]byte, bool) {
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, c caller, hold *memory.Hold) ([]byte, bool) {
 	limit := int64(e.deployment().Callers.MaxBody)
+	if e.options.Memory != nil {
+		limit = min(limit, e.options.Memory.Largest()-1)
+	}
+	if r.ContentLength > limit {
+		writeError(w, bodyTooLargeError(limit))
+		return nil, false
+	}
 	controller := http.NewResponseController(w)
 	stop := context.AfterFunc(r.Context(), func() { _ = controller.SetReadDeadline(time.Now()) })
 	defer stop()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	expected := r.ContentLength
+	if expected < 0 {
+		expected = limit
+	}
+	body, err := hold.ReadAll(r.Context(), http.MaxBytesReader(w, r.Body, limit), expected)
+	hold.Complete()
 	var tooLarge *http.MaxBytesError
 	switch {
+	case hold.Evicted() || errors.Is(err, memory.ErrFull):
+		writeError(w, refusedError(comfreyworks.Refusal{Reason: comfreyworks.RefusedMemory, RetryAfter: memoryRetryAfter}))
+		return nil, false
 	case errors.As(err, &tooLarge):
 		writeError(w, bodyTooLargeError(limit))
 		return nil, false
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -34,6 +34,7 @@
 	"comfreyworks/internal/protocol/listener"
 	"comfreyworks/internal/protocol/logservice"
 	"comfreyworks/internal/protocol/peer"
+	"comfreyworks/internal/state/memory"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/revision"
 	"comfreyworks/internal/state/settings"
@@ -61,6 +62,8 @@
 	Meter      *meter.Meter
 	// HTTP is the client for calls to the platform.
 	HTTP *http.Client
+	// Memory accounts for the requests of callers; nil means that it has no limit.
+	Memory *memory.Budget
 	// Dial opens connections to peers; nil means TCP.
 	Dial peer.Dial
 	// Chooser chooses upstreams instead of the prefix directory. If it is nil, the
@@ -131,6 +134,7 @@
 	defer endRequests(nil)
 	server := e.newServer(requestCtx)
 	callers := listener.New(requests, e.callerLimits)
+	callers.Bound(listener.Bounds{Connections: memory.MaxConnections(int64(e.options.Instance.MemoryLimit), 0), Memory: e.options.Memory})
 	group, workCtx := errgroup.WithContext(e.serveCtx)
 	group.Go(func() error { return e.view.Run(workCtx) })
 	group.Go(func() error { return e.config.Run(workCtx) })
--- a/internal/transport/entry/entry_test.go
+++ b/internal/transport/entry/entry_test.go
@@ -24,6 +24,7 @@
 	"comfreyworks/internal/protocol/completion"
 	"comfreyworks/internal/standin/engine"
 	"comfreyworks/internal/standin/service"
+	"comfreyworks/internal/state/memory"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/settings"
 	"comfreyworks/internal/transport/entry"
@@ -35,6 +36,7 @@
 	callers func(*settings.Callers)
 	rates   func(*engine.Rates)
 	class   func(*settings.Class)
+	memory  *memory.Budget
 	// workspaces takes the place of the declared ones unless it is nil.
 	workspaces []settings.Workspace
 }
@@ -72,7 +74,7 @@
 		changes.rates(&rates)
 	}
 	r, err := rig.Start(context.Background(), rig.Options{
-		Deployment: deployment, Entries: entries, Clock: clockwork.NewRealClock(), Seed: 1,
+		Deployment: deployment, Entries: entries, Clock: clockwork.NewRealClock(), Seed: 1, EntryMemory: changes.memory,
 		Rates: func(comfreyworks.InstanceID) engine.Rates { return rates },
 	})
 	assert.NilError(t, err)
@@ -159,6 +161,21 @@
 	expectCompletion(t, r)
 }
 
+// TestNoMemory guards against bodies that together take more memory than an entry has, and
+// against small ones that are refused beside them.
+func TestNoMemory(t *testing.T) {
+	budget := memory.New(memory.Options{Limit: 1 << 20, Clock: clockwork.NewRealClock(), Meter: meter.New()})
+	r := newRig(t, overrides{memory: budget})
+	others := budget.Hold(memory.Body, nil)
+	assert.Assert(t, others.TryGrow(700<<10))
+	others.Complete()
+	large := strings.Replace(validBody, "{", "{"+strings.Repeat(" ", 200<<10), 1)
+	expectError(t, request(t, "POST", r.EntryURL(0)+"/v1/chat/completions", large), 503, "memory", comfreyworks.RunStateNotRun)
+	expectCompletion(t, r)
+	tooLarge := strings.Repeat(" ", 900<<10)
+	expectError(t, request(t, "POST", r.EntryURL(0)+"/v1/chat/completions", tooLarge), 413, "body_too_large", comfreyworks.RunStateNotRun)
+}
+
 // TestNoWorkspaces guards against an entry that admits every caller once the last workspace
 // is removed.
 func TestNoWorkspaces(t *testing.T) {
--- a/internal/transport/entry/service.go
+++ b/internal/transport/entry/service.go
@@ -31,7 +31,9 @@
 			return
 		}
 	}
-	body, ok := e.readBody(w, r, c)
+	hold := e.holdBody(w)
+	defer hold.Release()
+	body, ok := e.readBody(w, r, c, hold)
 	if !ok {
 		return
 	}
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -340,6 +340,9 @@
 	requestServer := g.newServer(g.requestHandler())
 	requestServer.BaseContext = func(net.Listener) context.Context { return requestCtx }
 	callers := listener.New(listeners.Requests, g.callerLimits)
+	callers.Bound(listener.Bounds{
+		Connections: memory.MaxConnections(g.options.Settings.MemoryBytes, g.options.Settings.MaxDescriptors), Memory: g.options.Memory,
+	})
 	callers.OnClosed(func(closed listener.Closed) {
 		// http.Server does not recover from panics there.
 		g.options.Faults.Run("record", func() { g.closings.record(closed) })
--- a/internal/transport/gateway/request.go
+++ b/internal/transport/gateway/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -13,6 +12,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/forward"
+	"comfreyworks/internal/state/memory"
 	"comfreyworks/internal/state/routing"
 )
 
@@ -28,6 +28,8 @@
 	// staleRetryAfter is the Retry-After of responses that are caused by a missing
 	// or stale routing.
 	staleRetryAfter = 300 * time.Millisecond
+	// memoryRetryAfter is the Retry-After of requests whose body there is no memory for.
+	memoryRetryAfter = time.Second
 	// defaultMaxBodyBytes is the maximum size of a request's body if the routing
 	// declares none.
 	defaultMaxBodyBytes = 64 << 20
@@ -57,8 +59,8 @@
 }
 
 // prepareRequest finds the route and workspace of a request, reads its body and
-// returns the request to forward, or the rejection to respond with.
-func (g *Gateway) prepareRequest(w http.ResponseWriter, r *http.Request, received time.Time) (*forward.Request, *rejection) {
+// returns the request to forward, or the rejection to respond with. hold accounts for the body.
+func (g *Gateway) prepareRequest(w http.ResponseWriter, r *http.Request, hold *memory.Hold, received time.Time) (*forward.Request, *rejection) {
 	table, confirmedAt := g.catalog.Routing()
 	if table == nil {
 		return nil, &rejection{http.StatusServiceUnavailable, "no routing yet", staleRetryAfter}
@@ -87,7 +89,7 @@
 		return nil, rejected
 	}
 	deadline := requestDeadline(r.Header.Get(names.Deadline), route, received)
-	body, rejected := readBody(w, r, table.Limits().BodyBytes, g.options.Clock.Until(deadline))
+	body, rejected := readBody(w, r, hold, g.bodyLimit(table), g.options.Clock.Until(deadline))
 	if rejected != nil {
 		g.usage.giveBack(workspace, amount)
 		return nil, rejected
@@ -121,12 +123,24 @@
 	return &rejection{status: status, reason: reason}
 }
 
-// readBody reads the body of a request until its deadline or the end of the process;
-// zero or less for the limit means defaultMaxBodyBytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, remaining time.Duration) ([]byte, *rejection) {
+// bodyLimit returns the maximum size of a request's body: the declared one or the default,
+// but no more than there is memory for.
+func (g *Gateway) bodyLimit(table *routing.Table) int64 {
+	limit := table.Limits().BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	if g.options.Memory != nil {
+		limit = min(limit, g.options.Memory.Largest()-1)
+	}
+	return limit
+}
+
+// readBody reads the body of a request until its deadline or the end of the process.
+func readBody(w http.ResponseWriter, r *http.Request, hold *memory.Hold, limit int64, remaining time.Duration) ([]byte, *rejection) {
+	if r.ContentLength > limit {
+		return nil, &rejection{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	}
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(remaining))
 	ended := make(chan struct{})
@@ -140,11 +154,18 @@
 			<-ended
 		}
 	}()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	expected := r.ContentLength
+	if expected < 0 {
+		expected = limit
+	}
+	body, err := hold.ReadAll(r.Context(), http.MaxBytesReader(w, r.Body, limit), expected)
+	hold.Complete()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err != nil && errors.Is(context.Cause(r.Context()), forward.ErrStopping):
 		return nil, &rejection{http.StatusServiceUnavailable, "stopping before the body was complete", staleRetryAfter}
+	case hold.Evicted() || errors.Is(err, memory.ErrFull):
+		return nil, &rejection{http.StatusServiceUnavailable, "no memory for the body", memoryRetryAfter}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, &rejection{status: http.StatusRequestTimeout, reason: "body incomplete at the deadline"}
 	case errors.As(err, &tooLarge):
--- a/internal/transport/gateway/serve.go
+++ b/internal/transport/gateway/serve.go
@@ -12,6 +12,7 @@
 	"comfreyworks"
 	"comfreyworks/internal/coordination/forward"
 	"comfreyworks/internal/protocol/listener"
+	"comfreyworks/internal/state/memory"
 	"comfreyworks/internal/state/meter"
 )
 
@@ -25,7 +26,9 @@
 // requestHandler handles callers' requests.
 func (g *Gateway) requestHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		request, rejected := g.admit(w, r)
+		body := g.options.Memory.Hold(memory.Body, func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+		defer body.Release()
+		request, rejected := g.admit(w, r, body)
 		if rejected != nil {
 			if r.Body != http.NoBody && r.Context().Err() == nil {
 				// The server reads the rest of a body before it writes the header.
@@ -52,10 +55,10 @@
 }
 
 // admit returns the request to forward, or the rejection to respond with.
-func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (request *forward.Request, rejected *rejection) {
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, hold *memory.Hold) (request *forward.Request, rejected *rejection) {
 	received := g.options.Clock.Now()
 	admitted := g.options.Faults.Run("request", func() {
-		request, rejected = g.prepareRequest(w, r, received)
+		request, rejected = g.prepareRequest(w, r, hold, received)
 		if rejected == nil && g.isLate(request) {
 			g.usage.giveBack(request.Workspace, request.Usage)
 			rejected = &rejection{http.StatusServiceUnavailable, "stopping", staleRetryAfter}
--- a/settings.go
+++ b/settings.go
@@ -24,8 +24,8 @@
 	MemoryBytes int64
 	// MaxDescriptors is the maximum number of open descriptors; zero means no limit.
 	MaxDescriptors int
-	Bounds      GatewayBounds
-	Headers     HeaderNames
+	Bounds         GatewayBounds
+	Headers        HeaderNames
 }
 
 // GatewayBounds holds the limits that a gateway guarantees.
