Count the tries of a part under quarantine for all gateways

Cause: each gateway counted the two early tries for itself, so that a restart, or another choice of the gateway that tries, renewed them. The exchanged number of crashes doesn't limit them: several requests may end upstreams at once.

Change: a try under which an upstream ends is counted in the suspicion, which gateways exchange and record on the store.

--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -129,8 +129,7 @@
 	mu sync.Mutex
 	// trials counts the requests in flight with each blamed part after its quarantine.
 	trials map[uint32]int
-	// early counts the early trials of this gateway, refusals its requests and refusals.
-	early    map[earlyTrial]int
+	// refusals counts the requests and refusals of this gateway.
 	refusals refusalCounts
 	// answered holds the parts that this gateway has seen answered, justAnswered those of
 	// the last seconds.
@@ -140,12 +139,6 @@
 	ends     knownEnds
 }
 
-// earlyTrial identifies a quarantine: the part, and how often it was cleared before.
-type earlyTrial struct {
-	key     uint32
-	cleared uint16
-}
-
 // thresholds are numbers of crashes.
 type thresholds struct{ blame, certain, answeredMargin uint16 }
 
@@ -157,29 +150,19 @@
 			Preserve: func(s suspicion) bool { return s.crashes >= certainAfter || s.endedMany() },
 		}),
 		clock: options.Clock, spread: options.Spread, tries: options.Tries,
-		trials: make(map[uint32]int), early: make(map[earlyTrial]int),
+		trials:     make(map[uint32]int),
 		thresholds: thresholds{blameAfter, certainAfter, answeredMargin},
 		answered:   recentParts{keep: recently}, justAnswered: recentParts{keep: justAnsweredTime},
 	}
 }
 
-// countEarly counts early trials. The mutex must be held.
-func (l *Log) countEarly(trials []earlyTrial, n int) {
-	if len(l.early) > maxEntries {
-		clear(l.early)
-	}
-	for _, trial := range trials {
-		l.early[trial] += n
-	}
-}
-
 // mayTryEarly reports whether this gateway tries a part early in its quarantine.
 func (l *Log) mayTryEarly(key uint32, s suspicion, age time.Duration) bool {
-	if l.tries == nil || age < earlyTrialWait || !l.isCertain(key, s) {
+	if l.tries == nil || age < earlyTrialWait || s.tried >= maxEarlyTrials || !l.isCertain(key, s) {
 		return false
 	}
 	l.mu.Lock()
-	due := l.refusals.many(key, l.clock.Now()) && l.trials[key] == 0 && l.early[earlyTrial{key, s.cleared}] < maxEarlyTrials
+	due := l.refusals.many(key, l.clock.Now()) && l.trials[key] == 0
 	l.mu.Unlock()
 	return due && l.tries(key)
 }
@@ -381,7 +364,7 @@
 func (l *Log) After(version uint64, from Origin) (suspicions []comfreyworks.CrashSuspicion, current uint64) {
 	current = l.log.After(version, from, func(key uint32, s suspicion) {
 		suspicions = append(suspicions, comfreyworks.CrashSuspicion{
-			Part: key, Cleared: s.cleared, Crashes: s.crashes, With: s.with.keys(), Ended: s.ended.keys(), Answered: s.answered,
+			Part: key, Cleared: s.cleared, Crashes: s.crashes, With: s.with.keys(), Ended: s.ended.keys(), Answered: s.answered, Tried: s.tried,
 		})
 	})
 	return suspicions, current
--- a/internal/state/crashes/earlytrial_test.go
+++ b/internal/state/crashes/earlytrial_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
 )
 
 // TestEarlyTrial guards against a part that all prompts share and that is refused at all
@@ -51,6 +52,30 @@
 		clock.Advance(earlyTrialWait)
 		assertBlamed(t, owner, sound, sound)
 	})
+	for name, restart := range map[string]func(from, to *Log){
+		"the others tell a gateway that starts": exchange,
+		"all gateways start":                    func(from, to *Log) { to.Restore(from.Record()) },
+	} {
+		// Guards against restarts in turn, each of which lets a crashing part through again.
+		t.Run("a restart does not renew the tries: "+name, func(t *testing.T) {
+			owner, _, clock := newPair()
+			arrived := 0
+			for range 3 * maxEarlyTrials {
+				for range minRefusals {
+					owner.Admit([]uint32{sound, 100})
+				}
+				clock.Advance(earlyTrialWait)
+				if _, blamed := owner.Admit([]uint32{sound}); !blamed {
+					arrived++
+					owner.Begin([]uint32{sound}).EngineEnded()
+				}
+				next := New(Options{Clock: clock, Tries: func(uint32) bool { return true }})
+				restart(owner, next)
+				owner = next
+			}
+			assert.Equal(t, arrived, maxEarlyTrials)
+		})
+	}
 	t.Run("looking at a part does not count as a request", func(t *testing.T) {
 		owner, _, clock := newPair()
 		for range minRefusals {
--- a/internal/state/crashes/record.go
+++ b/internal/state/crashes/record.go
@@ -41,11 +41,11 @@
 }
 
 // Supersedes reports whether a record that contains stored, or nothing about the suspect if
-// known is false, has to be written again because of s: it lacks a crash, or blames what was
-// cleared since.
+// known is false, has to be written again because of s: it lacks a crash or a failed trial, or
+// blames what was cleared since.
 func Supersedes(s, stored comfreyworks.CrashSuspicion, known bool) bool {
 	if s.Crashes == 0 {
 		return known && stored.Crashes >= blameAfter && stored.Cleared < s.Cleared
 	}
-	return !known || stored.Cleared < s.Cleared || (stored.Cleared == s.Cleared && stored.Crashes < s.Crashes)
+	return !known || stored.Cleared < s.Cleared || (stored.Cleared == s.Cleared && (stored.Crashes < s.Crashes || stored.Tried < s.Tried))
 }
--- a/internal/state/crashes/request.go
+++ b/internal/state/crashes/request.go
@@ -15,7 +15,8 @@
 	parts []snapshot
 	// trials lists the parts that the request tries after their quarantine.
 	trials []uint32
-	early  []earlyTrial
+	// early lists those of them that are still in quarantine.
+	early []uint32
 	// upstream is the upstream to which it was sent, goneAt when that was found to have
 	// ended before; both are zero if unknown.
 	upstream incarnation
@@ -42,7 +43,7 @@
 			r.trials = append(r.trials, key)
 		case l.mayTryEarly(key, known, age):
 			r.trials = append(r.trials, key)
-			r.early = append(r.early, earlyTrial{key, known.cleared})
+			r.early = append(r.early, key)
 		}
 	}
 	if len(r.trials) > 0 {
@@ -51,7 +52,6 @@
 		for _, key := range r.trials {
 			l.trials[key]++
 		}
-		l.countEarly(r.early, 1)
 	}
 	return r
 }
@@ -92,17 +92,18 @@
 
 // Done ends the request without a result, for example when it was refused or
 // cancelled.
-func (r *Request) Done() {
-	if r.end() {
-		r.withdrawEarly()
-	}
-}
+func (r *Request) Done() { r.end() }
 
-// withdrawEarly takes back that the request was an early trial.
-func (r *Request) withdrawEarly() {
-	r.log.mu.Lock()
-	defer r.log.mu.Unlock()
-	r.log.countEarly(r.early, -1)
+// countEarly records that the early trials of the request failed, so that no gateway makes
+// more of them than one alone would.
+func (r *Request) countEarly() {
+	r.log.log.Merge(func(yield func(uint32, suspicion) bool) {
+		for _, s := range r.parts {
+			if slices.Contains(r.early, s.key) && !yield(s.key, suspicion{cleared: s.known.cleared, tried: s.known.tried + 1}) {
+				return
+			}
+		}
+	}, Local, suspicion.join)
 }
 
 // Finding is what follows from the end of an upstream under a request.
@@ -136,9 +137,9 @@
 		}
 		fallthrough
 	default:
-		r.withdrawEarly()
 		return finding
 	}
+	r.countEarly()
 	cause := slices.DeleteFunc(slices.Clone(r.parts), func(s snapshot) bool {
 		known, _ := r.log.log.Lookup(s.key)
 		return !r.log.isCertain(s.key, known) || known.cleared != s.known.cleared
--- a/internal/state/crashes/suspicion.go
+++ b/internal/state/crashes/suspicion.go
@@ -15,10 +15,12 @@
 	ended            endSet
 	// answered means that a gateway had seen the part answered shortly before.
 	answered bool
+	// tried counts early trials that failed.
+	tried uint16
 }
 
 func newSuspicion(s comfreyworks.CrashSuspicion) suspicion {
-	return suspicion{s.Cleared, s.Crashes, newPartSet(s.With), newEndSet(s.Ended), s.Answered && KindOf(s.Part) == PromptPart}
+	return suspicion{s.Cleared, s.Crashes, newPartSet(s.With), newEndSet(s.Ended), s.Answered && KindOf(s.Part) == PromptPart, s.Tried}
 }
 
 // crash returns the suspicion after an upstream ended under a request with the given
@@ -35,7 +37,7 @@
 			crashes = min(crashes, max(1, s.crashes, uint16(max(0, ends-doubt))))
 		}
 	}
-	return suspicion{s.cleared, crashes, others, ended, s.answered}
+	return suspicion{s.cleared, crashes, others, ended, s.answered, s.tried}
 }
 
 // add returns the suspicion after a crash that was not known yet.
@@ -45,6 +47,7 @@
 	}
 	return suspicion{
 		s.cleared, max(s.crashes, crash.crashes), s.with.intersect(crash.with), s.ended.union(crash.ended), s.answered || crash.answered,
+		max(s.tried, crash.tried),
 	}
 }
 
@@ -66,7 +69,7 @@
 		}
 		return s
 	}
-	ended := s.ended.union(other.ended)
+	ended, tried := s.ended.union(other.ended), max(s.tried, other.tried)
 	switch cmp.Compare(s.crashes, other.crashes) {
 	case -1:
 		s = other
@@ -74,7 +77,7 @@
 		s.with = s.with.intersect(other.with)
 		s.answered = s.answered || other.answered
 	}
-	s.ended = ended
+	s.ended, s.tried = ended, tried
 	return s
 }
 
--- a/peering.go
+++ b/peering.go
@@ -102,6 +102,10 @@
 	// Answered means that a gateway had seen the part answered shortly before the first of
 	// these crashes, so that it takes more of them to blame it. Older gateways don't send it.
 	Answered bool
+	// Tried counts the requests that were let through early in a quarantine, since the
+	// suspicion was last cleared, and under which an upstream ended. Older gateways don't
+	// send it.
+	Tried uint16
 }
 
 // Maximum lengths of CrashSuspicion.With and Ended.
