--- a/internal/protocol/listener/listener.go
+++ b/internal/protocol/listener/listener.go
@@ -5,6 +5,7 @@
 // # Usage
 //
 //	l := listener.New(tcp, func() listener.Limits { return listener.Limits{IdleTimeout: time.Minute} })
+//	l.Bound(listener.Bounds{Connections: 1000, Memory: budget}) // for all connections together
 //	l.OnClosed(func(closed listener.Closed) { logger.Info(string(closed.Reason)) })
 //	err := l.Serve(server) // until Drain or server.Close
 //	drained := l.Drain(grace, endRequests)
