End an attempt at once whose event gives way for memory

Callers: found by reading, not in a play or test. A stream that was told to give way noticed it with its next read. While its upstream was silent, the others waited for its memory for a second each and were refused.

Change: the attempt is cancelled, which ends the read. The tests of package forward pass; none shows the wait.

--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -23,7 +23,7 @@
 // relayEvents passes a stream on event by event. A stream that breaks has thus
 // been delivered up to the end of an event and can be resumed after it.
 func (a *attempt) relayEvents(response *comfreyworks.UpstreamResponse) (Outcome, attemptResult) {
-	hold := a.options.Memory.Hold(memory.Answer, func() {})
+	hold := a.options.Memory.Hold(memory.Answer, func() { a.cancel(memory.ErrFull) })
 	defer hold.Release()
 	body := &eventReader{Reader: response.Body, ctx: a.ctx, hold: hold}
 	events := bufio.NewScanner(body)
