Give gateways under test addresses that no connection uses

Cause: the test looked for a free port of 127.0.0.1, closed it and passed it on. Until the gateway listened, a connection of a test of another package, which run at the same time, could have its source there. The gateway, its limits and the checks had no part in it.

Change: addresses on a loopback host of the test process, which no connection has as its source. Crowd, bounds and checks are unchanged.

The failure was not provoked again on purpose.

--- a/cmd/gateway/process_test.go
+++ b/cmd/gateway/process_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -38,6 +37,9 @@
 	host           = "app.example"
 )
 
+// free hands out the addresses of all processes of this package's tests.
+var free addresses
+
 // process is a gateway that runs as a process, in front of a service and some engines.
 type process struct {
 	command *exec.Cmd
@@ -109,13 +111,13 @@
 		list(fmt.Sprint("lm-", i), "lm", "m0", &standin.Engine{Requests: u.engine, CacheEvents: u.events, Model: "m0"})
 	}
 	settings := standin.Settings{
-		Node: "g0", Zone: "z", Listen: freeAddress(t), Ready: freeAddress(t), PeerListen: freeAddress(t), Store: serve(store),
+		Node: "g0", Zone: "z", Listen: free.next(), Ready: free.next(), PeerListen: free.next(), Store: serve(store),
 		KeyRevocation: 5 * time.Second, StopGrace: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 		LeaseDuration: 3 * time.Second, SupersededWeights: 6 * time.Second, MemoryMB: memoryMB, MaxFDs: maxFDs,
 	}
 	file := filepath.Join(t.TempDir(), "settings.toml")
 	assert.NilError(t, os.WriteFile(file, []byte(settings.File()), 0o600))
-	metrics := freeAddress(t)
+	metrics := free.next()
 	p := &process{
 		command: exec.Command(program, "--metrics-port", strconv.Itoa(int(metrics.Port()))), address: settings.Listen,
 		metrics: "http://" + metrics.String() + "/metrics", exited: make(chan struct{}), names: platform.HeaderNames(),
@@ -147,12 +149,16 @@
 	return p
 }
 
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return netip.MustParseAddrPort(listener.Addr().String())
+// addresses hands out addresses for processes under test. A port that was free on 127.0.0.1
+// may be the source port of another process's connection by the time a gateway listens on it;
+// no connection has its source at the loopback address of this process.
+type addresses struct{ given atomic.Uint32 }
+
+func (a *addresses) next() netip.AddrPort {
+	const firstPort = 20_000
+	pid := os.Getpid()
+	host := netip.AddrFrom4([4]byte{127, byte(128 | pid>>16), byte(pid >> 8), byte(pid)})
+	return netip.AddrPortFrom(host, uint16(firstPort+a.given.Add(1)))
 }
 
 // watchDescriptors records the highest number of open descriptors until the process ends.
