Tell the phases of a connection by what http.Server promises

Callers: a client that sent a request and then half a header kept its connection open without any time limit if the gateway was built with Go 1.26.0, which go.mod allows (found in a review; with that release TestClosedConnections/half_a_header hung until its 300 s were over).

Cause: a connection counted the read deadlines that the server sets to tell what the server does. A patch release sets one more, so that half a header counted as a complete one.

Weighed: naming the release in go.mod, which ends with the next change of the order; counting the ends of headers in the bytes, which the server may have read with the request before.

Change: the server gets a header timeout and an idle timeout that nothing reaches, and which differ by a factor of 100. What a deadline was made of tells the phase, however often it is set; the server documents that it removes the deadline once the header is read.

--- a/internal/protocol/listener/conn.go
+++ b/internal/protocol/listener/conn.go
@@ -15,9 +15,10 @@
 	"comfreyworks/internal/state/memory"
 )
 
-// phase is what an http.Server does with a connection. It is known from the read
-// deadlines that the server sets: one when it waits for the next request, one when a
-// header begins, and one when the header is complete.
+// phase is what an http.Server does with a connection. It is known from the states of the
+// connection and from the read deadlines that the server sets, as its ReadHeaderTimeout and
+// IdleTimeout promise: one for the wait for the next request, one for a header, and none once the
+// header is complete. How often and when it sets them depends on its release.
 type phase int
 
 const (
@@ -169,31 +170,9 @@
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch c.phase {
-	case phaseOpened, phaseWaiting:
-		deadline = c.beginHeader()
-	case phaseHeader:
-		c.phase, c.arrived, c.announced = phaseRequest, 0, 0
-		c.header.Complete()
-		c.headerLeft.Store(math.MaxInt64)
-		c.bodyRead.Store(false)
-		c.departed.Store(nil)
-		l.states[c] = http.StateActive
-		deadline = deadlineAfter(c.headerSince, longerTimeout(c.bodyTimeout, l.limits().BodyTimeout))
-	case phaseAnswered:
-		c.phase = phaseWaiting
-		c.departed.Store(nil)
-		limits := l.limits()
-		c.limitThen = c.idleTimeout(limits)
-		deadline = deadlineAfter(c.idleSince, c.limitThen)
-		switch {
-		case c.arrived > 0:
-			l.states[c] = http.StateActive
-			deadline = deadlineAfter(time.Now(), limits.headerTimeout())
-		case l.closing:
-			deadline = time.Now()
-		}
-	case phaseRequest:
+	left := time.Until(deadline)
+	switch {
+	case c.phase == phaseRequest:
 		switch {
 		case deadline.Equal(abortDeadline):
 			c.aborting.Store(true)
@@ -203,10 +182,52 @@
 			c.aborting.Store(false)
 			c.bodyRead.Store(true)
 		}
+	case deadline.IsZero():
+		if c.phase != phaseHeader {
+			return nil
+		}
+		deadline = c.beginRequest()
+	case left > serverIdleTimeout/2:
+		deadline = c.beginWait()
+	case left > serverHeaderTimeout/2:
+		if c.phase == phaseHeader {
+			return nil
+		}
+		deadline = c.beginHeader()
 	}
 	return c.TCPConn.SetReadDeadline(deadline)
 }
 
+// beginRequest returns the deadline of a request whose header is complete.
+func (c *conn) beginRequest() time.Time {
+	l := c.listener
+	c.phase, c.arrived, c.announced = phaseRequest, 0, 0
+	c.header.Complete()
+	c.headerLeft.Store(math.MaxInt64)
+	c.bodyRead.Store(false)
+	c.departed.Store(nil)
+	l.states[c] = http.StateActive
+	return deadlineAfter(c.headerSince, longerTimeout(c.bodyTimeout, l.limits().BodyTimeout))
+}
+
+// beginWait returns the deadline of the wait for the next request.
+func (c *conn) beginWait() time.Time {
+	l := c.listener
+	c.phase = phaseWaiting
+	c.departed.Store(nil)
+	limits := l.limits()
+	c.limitThen = c.idleTimeout(limits)
+	switch {
+	case c.arrived > 0:
+		l.states[c] = http.StateActive
+		return deadlineAfter(time.Now(), limits.headerTimeout())
+	case l.closing:
+		return time.Now()
+	default:
+		return deadlineAfter(c.idleSince, c.limitThen)
+	}
+}
+
 // idleTimeout returns how long the connection may be idle, or zero.
 func (c *conn) idleTimeout(limits Limits) time.Duration {
 	limit := limits.idleTimeout()
--- a/internal/protocol/listener/listener.go
+++ b/internal/protocol/listener/listener.go
@@ -52,9 +52,12 @@
 	// firstRequestWait is how long a drain waits for the first request on a new
 	// connection. Later ones might not be answered before the end of the grace period.
 	firstRequestWait = 500 * time.Millisecond
-	// serverTimeout is the header timeout of the server. It must be positive, so that the
-	// server sets a deadline for each header; conn replaces its value.
-	serverTimeout = time.Minute
+	// serverHeaderTimeout and serverIdleTimeout are the timeouts of the server. They end
+	// nothing: conn learns from a deadline that was made of one of them what the server does
+	// next, and replaces it by that of the limits in force. They differ so much that no delay makes
+	// one look like the other.
+	serverHeaderTimeout = 24 * time.Hour
+	serverIdleTimeout   = 100 * serverHeaderTimeout
 	// readAhead is what the server may read beyond the end of a request, and how much
 	// http.Server adds to its limit for that reason.
 	readAhead = 4 << 10
@@ -158,10 +161,7 @@
 // Serve serves until the listener or the server is closed, and then returns nil. It must be called once, also before Drain.
 func (l *Listener) Serve(server *http.Server) error {
 	defer close(l.served)
-	server.ConnState = l.setState
-	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
-	server.ReadHeaderTimeout, server.ReadTimeout = serverTimeout, 0
-	server.MaxHeaderBytes = math.MaxInt32
+	l.configure(server)
 	err := server.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, errClosed) {
 		return nil
@@ -169,6 +169,14 @@
 	return &Error{Op: "serve", Kind: KindServe, Err: err}
 }
 
+// configure sets the hooks and limits of a server.
+func (l *Listener) configure(server *http.Server) {
+	server.ConnState = l.setState
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	server.ReadHeaderTimeout, server.IdleTimeout, server.ReadTimeout = serverHeaderTimeout, serverIdleTimeout, 0
+	server.MaxHeaderBytes = math.MaxInt32
+}
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	var accepted net.Conn
