Test callers that don't read, other ports, and what lies unread in the kernel

Bytes that were received and not read count toward the memory of a machine, and readiness and metrics are ports like that of callers.

Test: all crowds now also keep resident memory plus the unread bytes of the process's connections within 64 MB, and probes and metrics are answered afterwards. New: 100 callers that read nothing of a service's answers, of streams of short and of long events; 800 connections to each of the other ports.

--- a/cmd/gateway/crowd_test.go
+++ b/cmd/gateway/crowd_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -29,14 +30,14 @@
 	t.Cleanup(func() { _ = group.Wait() })
 }
 
-// crowd runs n callers, each on a connection of its own, and closes the connections after
-// crowdTime.
-func (p *process) crowd(n int, caller func(i int, c net.Conn)) {
+// crowd runs n callers of an address, each on a connection of its own, and closes the
+// connections after crowdTime.
+func crowd(address netip.AddrPort, n int, caller func(i int, c net.Conn)) {
 	var callers sync.WaitGroup
 	until := time.Now().Add(crowdTime)
 	for i := range n {
 		callers.Go(func() {
-			c, err := net.DialTimeout("tcp", p.address.String(), time.Until(until))
+			c, err := net.DialTimeout("tcp", address.String(), time.Until(until))
 			if err != nil {
 				return
 			}
@@ -153,7 +154,68 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := startProcess(t, program, upstreams{service: test.upstream, engine: answer(0, 10)})
-			p.crowd(test.callers, func(i int, c net.Conn) { test.caller(p, i, c) })
+			crowd(p.address, test.callers, func(i int, c net.Conn) { test.caller(p, i, c) })
+			p.assertBounds(t)
+		})
+	}
+}
+
+// TestUnreadAnswers guards against callers that don't read what they asked for, so that answers
+// stay in the process and in its connections to upstreams.
+func TestUnreadAnswers(t *testing.T) {
+	program := buildGateway(t)
+	events := func(size int) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			answer(0, 0)(w, r)
+			for n := 1; r.Context().Err() == nil; n++ {
+				if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, bytes.Repeat([]byte("x"), size)); err != nil {
+					return
+				}
+			}
+		})
+	}
+	for name, test := range map[string]struct {
+		upstreams upstreams
+		path      string
+	}{
+		"of a service":            {upstreams{service: answer(0, 8<<20), engine: answer(0, 10)}, "look"},
+		"streams of short events": {upstreams{service: answer(0, 10), engine: events(100)}, "note"},
+		"streams of long events":  {upstreams{service: answer(0, 10), engine: events(512 << 10)}, "note"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := startProcess(t, program, test.upstreams)
+			crowd(p.address, 100, func(i int, c net.Conn) {
+				_, _ = io.WriteString(c, p.head(i, test.path, "Content-Length: 0\r\n"))
+				time.Sleep(crowdTime)
+			})
+			p.assertBounds(t)
+		})
+	}
+}
+
+// TestOtherPorts guards against clients that end a gateway by way of the ports that aren't
+// meant for callers.
+func TestOtherPorts(t *testing.T) {
+	program := buildGateway(t)
+	const half = "half a header"
+	for port, test := range map[string]struct {
+		address func(p *process) netip.AddrPort
+		sends   string
+	}{
+		"readiness": {func(p *process) netip.AddrPort { return p.ready }, half},
+		"metrics":   {func(p *process) netip.AddrPort { return p.metrics }, half},
+		"peers":     {func(p *process) netip.AddrPort { return p.peers }, ""},
+	} {
+		t.Run(port, func(t *testing.T) {
+			p := startProcess(t, program, upstreams{service: answer(0, 10), engine: answer(0, 10)})
+			sends := test.sends
+			if sends == half {
+				sends = strings.TrimSuffix(p.head(0, "look", shortLines()), "\r\n")
+			}
+			crowd(test.address(p), 2*maxFDs, func(i int, c net.Conn) {
+				_, _ = io.WriteString(c, sends)
+				stay(c)
+			})
 			p.assertBounds(t)
 		})
 	}
@@ -180,7 +242,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := startProcess(t, program, u)
-			p.crowd(24, func(i int, c net.Conn) {
+			crowd(p.address, 24, func(i int, c net.Conn) {
 				reader := bufio.NewReader(c)
 				for n := 0; ; n++ {
 					_, _ = io.WriteString(c, p.head(i*1000+n, "note", "Content-Length: 0\r\n"))
--- a/cmd/gateway/process_test.go
+++ b/cmd/gateway/process_test.go
@@ -44,11 +44,15 @@
 type process struct {
 	command *exec.Cmd
 	address netip.AddrPort
-	metrics string
-	exited  chan struct{}
-	// fds is the highest number of open descriptors that was seen.
-	fds   atomic.Int64
-	names comfreyworks.HeaderNames
+	// ready, metrics and peers are the addresses for probes of the load balancer, for the metrics
+	// and for other gateways.
+	ready, metrics, peers netip.AddrPort
+	readyPath             string
+	exited                chan struct{}
+	// fds is the highest number of open descriptors that was seen, and used the highest sum of
+	// resident memory and of bytes that were received and not read, in bytes.
+	fds, used atomic.Int64
+	names     comfreyworks.HeaderNames
 }
 
 // upstreams answers the requests of a process.
@@ -117,10 +121,13 @@
 	}
 	file := filepath.Join(t.TempDir(), "settings.toml")
 	assert.NilError(t, os.WriteFile(file, []byte(settings.File()), 0o600))
+	read, err := platform.ReadSettings(file)
+	assert.NilError(t, err)
 	metrics := free.next()
 	p := &process{
 		command: exec.Command(program, "--metrics-port", strconv.Itoa(int(metrics.Port()))), address: settings.Listen,
-		metrics: "http://" + metrics.String() + "/metrics", exited: make(chan struct{}), names: platform.HeaderNames(),
+		ready: settings.Ready, metrics: metrics, peers: settings.PeerListen,
+		readyPath: read.Gateway.ReadyPath, exited: make(chan struct{}), names: platform.HeaderNames(),
 	}
 	p.command.Env = []string{platform.SettingsVariable + "=" + file}
 	p.command.Stdout = io.Discard
@@ -134,7 +141,7 @@
 	})
 	inGroup(t, func() {
 		defer close(watched)
-		p.watchDescriptors()
+		p.watch()
 	})
 	// Runs before the clean-ups that wait for the process.
 	t.Cleanup(func() {
@@ -161,18 +168,58 @@
 	return netip.AddrPortFrom(host, uint16(firstPort+a.given.Add(1)))
 }
 
-// watchDescriptors records the highest number of open descriptors until the process ends.
-func (p *process) watchDescriptors() {
+// watch records the highest use of descriptors and memory until the process ends.
+func (p *process) watch() {
 	directory := fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid)
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-p.exited:
 			return
 		case <-time.After(10 * time.Millisecond):
 			open, _ := os.ReadDir(directory)
 			p.fds.Store(max(p.fds.Load(), int64(len(open))))
+			if n%10 == 0 {
+				p.used.Store(max(p.used.Load(), p.residentBytes()+p.unreadBytes(open)))
+			}
+		}
+	}
+}
+
+// residentBytes returns the resident memory of the process now.
+func (p *process) residentBytes() int64 {
+	statm, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.command.Process.Pid))
+	fields := strings.Fields(string(statm))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
+
+// unreadBytes returns how many bytes the kernel has received on the connections of the process
+// that it has not read, given its descriptors.
+func (p *process) unreadBytes(open []os.DirEntry) int64 {
+	sockets := make(map[string]bool)
+	for _, fd := range open {
+		link, _ := os.Readlink(fmt.Sprintf("/proc/%d/fd/%s", p.command.Process.Pid, fd.Name()))
+		if inode, ok := strings.CutPrefix(link, "socket:["); ok {
+			sockets[strings.TrimSuffix(inode, "]")] = true
 		}
 	}
+	table, _ := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", p.command.Process.Pid))
+	var unread int64
+	for line := range strings.Lines(string(table)) {
+		// The fields are those of proc(5): the fifth one is tx_queue:rx_queue, the tenth the inode.
+		fields := strings.Fields(line)
+		const established = "01"
+		if len(fields) < 10 || fields[3] != established || !sockets[fields[9]] {
+			continue
+		}
+		_, queue, _ := strings.Cut(fields[4], ":")
+		n, _ := strconv.ParseInt(queue, 16, 64)
+		unread += n
+	}
+	return unread
 }
 
 // peakMB returns the highest resident memory of the process, in MB.
@@ -224,13 +271,33 @@
 func (p *process) assertBounds(t *testing.T) {
 	t.Helper()
 	peak := p.peakMB(t)
-	t.Logf("peak %.1f MB, %d descriptors", peak, p.fds.Load())
+	used := float64(p.used.Load()) / (1 << 20)
+	t.Logf("peak %.1f MB, %.1f MB with what was not read, %d descriptors", peak, used, p.fds.Load())
+	assert.Check(t, used <= memoryMB, "%.1f MB with what was not read", used)
 	assert.Check(t, peak <= memoryMB, "peak %.1f MB", peak)
 	assert.Check(t, p.fds.Load() <= maxFDs, "%d descriptors", p.fds.Load())
 	p.assertAnswers(t)
+	p.assertProbes(t)
 	select {
 	case <-p.exited:
 		t.Fatal("the process has ended")
 	default:
 	}
 }
+
+// assertProbes checks that the load balancer's probe and a request for the metrics are answered.
+func (p *process) assertProbes(t *testing.T) {
+	t.Helper()
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, url := range []string{"http://" + p.ready.String() + p.readyPath, "http://" + p.metrics.String() + "/metrics"} {
+		var last error
+		for n := 0; n == 0 || last != nil; n++ {
+			assert.Assert(t, n < 100, "%s: %v", url, last)
+			var response *http.Response
+			if response, last = client.Get(url); last == nil {
+				_ = response.Body.Close()
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+			}
+		}
+	}
+}
