Bound what the kernel holds of bytes that a process has not read

Callers: 100 clients that don't read their answers made a gateway hold 85 and 152 MB of 64, most of it received from upstreams and not read. What callers send ahead is the same from the other side.

Cause: the number of connections was bounded, their receive buffers were not; the kernel lets each grow to megabytes, and unread bytes count toward the memory of the machine.

Ruled out: smaller buffers after a connection was accepted.

Change: listening sockets and those that connect to upstreams begin with a small buffer, 13 KB at 134 MB; the first connections, one in 16, get four times as much, so that a few callers with long prompts lose nothing that slow start would not take.

--- a/internal/protocol/exchange/conn.go
+++ b/internal/protocol/exchange/conn.go
@@ -69,7 +69,8 @@
 // another connection.
 type keepAliveConn struct {
 	net.Conn
-	clock comfreyworks.Clock
+	clock   comfreyworks.Clock
+	onClose func()
 
 	mu          sync.Mutex
 	changed     sync.Cond
@@ -91,8 +92,8 @@
 	answered []uint64
 }
 
-func newKeepAliveConn(conn net.Conn, clock comfreyworks.Clock) *keepAliveConn {
-	c := &keepAliveConn{Conn: conn, clock: clock, lastUse: clock.Now(), idleTimeout: defaultIdleTimeout, idle: true}
+func newKeepAliveConn(conn net.Conn, clock comfreyworks.Clock, onClose func()) *keepAliveConn {
+	c := &keepAliveConn{Conn: conn, clock: clock, onClose: sync.OnceFunc(onClose), lastUse: clock.Now(), idleTimeout: defaultIdleTimeout, idle: true}
 	c.changed.L = &c.mu
 	return c
 }
@@ -144,6 +145,7 @@
 	c.closed = true
 	c.changed.Broadcast()
 	c.mu.Unlock()
+	c.onClose()
 	return c.Conn.Close()
 }
 
@@ -232,9 +234,9 @@
 	return true
 }
 
-// setTCPUserTimeout is a net.Dialer.Control function. It makes the kernel break
-// connections on which the peer no longer acknowledges data.
-func setTCPUserTimeout(_, _ string, conn syscall.RawConn) error {
+// setTCPUserTimeout makes the kernel break a connection on which the peer no longer
+// acknowledges data.
+func setTCPUserTimeout(conn syscall.RawConn) error {
 	var failure error
 	err := conn.Control(func(fd uintptr) {
 		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
--- a/internal/protocol/exchange/conn_test.go
+++ b/internal/protocol/exchange/conn_test.go
@@ -17,7 +17,7 @@
 	near, far := net.Pipe()
 	t.Cleanup(func() { _, _ = near.Close(), far.Close() })
 	clock := clockwork.NewFakeClock()
-	return newKeepAliveConn(discardConn{near}, clock), clock, far
+	return newKeepAliveConn(discardConn{near}, clock, func() {}), clock, far
 }
 
 func (c *keepAliveConn) readSome() error {
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -26,9 +26,12 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/memory"
 )
 
 const (
@@ -56,6 +59,8 @@
 type Options struct {
 	Clock   comfreyworks.Clock
 	Headers comfreyworks.HeaderNames
+	// Receive bounds what upstreams have sent and was not read.
+	Receive memory.ReceiveBuffers
 	// Dial opens connections; nil means TCP with a dial timeout and a TCP user
 	// timeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -67,6 +72,8 @@
 type Client struct {
 	options   Options
 	transport *http.Transport
+	// open is the number of connections.
+	open atomic.Int64
 }
 
 var _ comfreyworks.Exchanger = (*Client)(nil)
@@ -75,7 +82,9 @@
 func NewClient(options Options) *Client {
 	if options.Dial == nil {
 		// With a TCP user timeout, the kernel breaks a connection because of one lost probe.
-		options.Dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTCPUserTimeout}).DialContext
+		options.Dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: func(_, _ string, socket syscall.RawConn) error {
+			return errors.Join(setTCPUserTimeout(socket), options.Receive.Limit(socket))
+		}}).DialContext
 	}
 	c := &Client{options: options}
 	c.transport = &http.Transport{
@@ -97,7 +106,11 @@
 	if c.options.OnConnect != nil {
 		c.options.OnConnect()
 	}
-	return newKeepAliveConn(conn, c.options.Clock), nil
+	open := int(c.open.Add(1)) - 1
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		c.options.Receive.Grow(tcp, open)
+	}
+	return newKeepAliveConn(conn, c.options.Clock, func() { c.open.Add(-1) }), nil
 }
 
 // Close closes all idle connections.
--- a/internal/protocol/listener/listener.go
+++ b/internal/protocol/listener/listener.go
@@ -88,12 +88,17 @@
 type Bounds struct {
 	// Connections is the maximum number of connections; zero means no limit.
 	Connections int
+	// Receive bounds what callers have sent and was not read.
+	Receive memory.ReceiveBuffers
 	// Memory accounts for the headers of requests; nil means that nothing does.
 	Memory *memory.Budget
 }
 
 // Bound sets the bounds. It must be called before Serve.
-func (l *Listener) Bound(bounds Bounds) { l.bounds = bounds }
+func (l *Listener) Bound(bounds Bounds) {
+	l.bounds = bounds
+	l.limitReceive()
+}
 
 // deadlineAfter returns the end of a timeout, or the zero time if there is none.
 func deadlineAfter(since time.Time, timeout time.Duration) time.Time {
@@ -180,6 +185,7 @@
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	var accepted net.Conn
+	var open int
 	for {
 		var err error
 		accepted, err = l.Listener.Accept()
@@ -189,7 +195,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.makeRoom() {
+		var ok bool
+		if open, ok = l.makeRoom(); ok {
 			break
 		}
 		// Its caller knows that nothing was read.
@@ -200,6 +207,7 @@
 		_ = accepted.Close()
 		return nil, &Error{Op: "accept", Kind: KindNetwork, Err: fmt.Errorf("expected a TCP connection, found %T", accepted)}
 	}
+	l.bounds.Receive.Grow(tcp, open)
 	return newConn(tcp, l), nil
 }
 
--- a/internal/protocol/listener/room.go
+++ b/internal/protocol/listener/room.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"syscall"
 	"time"
 
 	"comfreyworks/internal/state/memory"
@@ -54,17 +55,16 @@
 	return c.yields && l.states[c] != http.StateIdle
 }
 
-// makeRoom returns whether one more connection is within the bounds. If not, it closes the
-// connection that has been idle for longest, or else the one that has left a request
-// incomplete for longest, and returns false if there is neither.
-func (l *Listener) makeRoom() bool {
+// makeRoom returns whether one more connection is within the bounds, and how many others are
+// open. If it is not, it closes the connection that has been idle for longest, or else the one
+// that has left a request incomplete for longest, and returns false if there is neither.
+func (l *Listener) makeRoom() (open int, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.bounds.Connections == 0 {
-		return true
+		return 0, true
 	}
 	now := time.Now()
-	open := 0
 	var idle, incomplete *conn
 	for other, state := range l.states {
 		c, ok := other.(*conn)
@@ -84,18 +84,30 @@
 		}
 	}
 	if open < l.bounds.Connections {
-		return true
+		return open, true
 	}
 	victim := idle
 	if victim == nil {
 		victim = incomplete
 	}
 	if victim == nil {
-		return false
+		return open, false
 	}
 	victim.yields = true
 	_ = victim.TCPConn.SetReadDeadline(now)
-	return true
+	return open - 1, true
+}
+
+// limitReceive makes new connections begin with the smallest receive buffer. That of a
+// connection that has begun with a larger one may be full before it is accepted.
+func (l *Listener) limitReceive() {
+	tcp, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := tcp.SyscallConn(); err == nil {
+		_ = l.bounds.Receive.Limit(raw)
+	}
 }
 
 // lastSeen returns when the caller last sent something or opened the connection. The mutex
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -201,6 +201,7 @@
 	})
 	g.upstreamClient = exchange.NewClient(exchange.Options{
 		Clock: options.Clock, Headers: options.Settings.Headers,
+		Receive:   memory.ForConnections(options.Settings.MemoryBytes, options.Settings.MaxDescriptors).Receive,
 		OnConnect: func() { options.Meter.Add("comfrey_upstream_connections_total", meter.Labels{}, 1) },
 	})
 	g.forwarder = forward.New(forward.Options{
@@ -339,10 +340,9 @@
 	defer endRequests(nil)
 	requestServer := g.newServer(g.requestHandler())
 	requestServer.BaseContext = func(net.Listener) context.Context { return requestCtx }
+	bounds := memory.ForConnections(g.options.Settings.MemoryBytes, g.options.Settings.MaxDescriptors)
 	callers := listener.New(listeners.Requests, g.callerLimits)
-	callers.Bound(listener.Bounds{
-		Connections: memory.MaxConnections(g.options.Settings.MemoryBytes, g.options.Settings.MaxDescriptors), Memory: g.options.Memory,
-	})
+	callers.Bound(listener.Bounds{Connections: bounds.Callers, Receive: bounds.Receive, Memory: g.options.Memory})
 	callers.OnClosed(func(closed listener.Closed) {
 		// http.Server does not recover from panics there.
 		g.options.Faults.Run("record", func() { g.closings.record(closed) })
