Bound the ports for readiness, metrics and peers like that of callers

The port for readiness can be reached like that of callers.

Cause: the bounds for crowds belonged to one listener. The ports for probes had a plain http.Server with limits for each request only, the one for peers no limit of connections before they authenticate.

Change: readiness and metrics are served by a listener with bounds of its own, in which idle and incomplete connections give way; a probe finds room beside a crowd. Of peers that have not authenticated themselves the oldest gives way.

--- a/internal/protocol/peer/server.go
+++ b/internal/protocol/peer/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -31,12 +32,19 @@
 	// StopTimeout is how long a server that stops waits for the calls that it has read and
 	// for their answers to be sent; zero means defaultStopTimeout.
 	StopTimeout time.Duration
-	secret      string
-	rpc         *rpc.Server
-	group       errgroup.Group
-	mu          sync.Mutex
-	conns       map[*servedConn]struct{}
-	closed      bool
+	// MaxHandshakes is the maximum number of connections whose client has not authenticated
+	// itself; one more closes the oldest. Zero means no limit.
+	MaxHandshakes int
+
+	secret string
+	rpc    *rpc.Server
+	group  errgroup.Group
+	mu     sync.Mutex
+	conns  map[*servedConn]struct{}
+	// handshakes are the connections whose client has not authenticated itself, the oldest one
+	// first.
+	handshakes []*servedConn
+	closed     bool
 }
 
 // NewServer returns a server for a receiver whose methods follow the rules of
@@ -68,8 +76,13 @@
 			}
 			return &Error{Op: "accept", Kind: KindRemote, Err: err}
 		}
+		served := &servedConn{Conn: conn}
+		if !s.track(served) {
+			_ = conn.Close()
+			continue
+		}
 		s.group.Go(func() error {
-			s.Faults.Run("peer-connection", func() { s.serveConn(conn) })
+			s.Faults.Run("peer-connection", func() { s.serveConn(served) })
 			return nil
 		})
 	}
@@ -104,17 +117,15 @@
 
 // serveConn authenticates the client and serves its calls until the connection is
 // closed.
-func (s *Server) serveConn(accepted net.Conn) {
-	conn := &servedConn{Conn: accepted}
-	defer func() { _ = accepted.Close() }()
-	if !s.track(conn) {
-		return
-	}
+func (s *Server) serveConn(conn *servedConn) {
+	defer func() { _ = conn.Conn.Close() }()
 	defer s.untrack(conn)
-	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return
+	err := conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	if err == nil {
+		err = serverHandshake(conn, s.secret)
 	}
-	if err := serverHandshake(conn, s.secret); err != nil {
+	s.endHandshake(conn)
+	if err != nil {
 		return
 	}
 	if err := conn.SetDeadline(time.Time{}); err != nil {
@@ -133,9 +144,23 @@
 		return false
 	}
 	s.conns[conn] = struct{}{}
+	s.handshakes = append(s.handshakes, conn)
+	if s.MaxHandshakes > 0 && len(s.handshakes) > s.MaxHandshakes {
+		_ = s.handshakes[0].Conn.Close()
+		s.handshakes = slices.Delete(s.handshakes, 0, 1)
+	}
 	return true
 }
 
+// endHandshake records that a client has authenticated itself, or failed to.
+func (s *Server) endHandshake(conn *servedConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(s.handshakes, conn); i >= 0 {
+		s.handshakes = slices.Delete(s.handshakes, i, i+1)
+	}
+}
+
 func (s *Server) untrack(conn *servedConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/transport/gateway/gateway.go
+++ b/internal/transport/gateway/gateway.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log"
 	"net"
@@ -102,6 +101,10 @@
 	defaultMaxHeaderBytes = 64 << 10
 )
 
+var defaultCallerLimits = listener.Limits{
+	HeaderBytes: defaultMaxHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+}
+
 // Options configures a Gateway.
 type Options struct {
 	Settings     comfreyworks.GatewaySettings
@@ -352,10 +355,10 @@
 		g.awaitInitialState(workCtx)
 		return callers.Serve(requestServer)
 	})
-	group.Go(func() error { return serve(readyServer, listeners.Ready) })
+	group.Go(func() error { return g.serveProbes(readyServer, listeners.Ready, bounds.Probes) })
 	if listeners.Metrics != nil {
 		metricsServer := g.newServer(g.metricsHandler())
-		group.Go(func() error { return serve(metricsServer, listeners.Metrics) })
+		group.Go(func() error { return g.serveProbes(metricsServer, listeners.Metrics, bounds.Probes) })
 		context.AfterFunc(workCtx, func() { _ = metricsServer.Close() })
 	}
 	group.Go(func() error { return g.follower.Run(workCtx) })
@@ -369,7 +372,7 @@
 	if listeners.Peers != nil {
 		// Not known until peers answer.
 		g.balancer.SetGateways(0)
-		if err := g.servePeers(workCtx, group, listeners.Peers); err != nil {
+		if err := g.servePeers(workCtx, group, listeners.Peers, bounds.Handshakes); err != nil {
 			return err
 		}
 	}
@@ -413,7 +416,7 @@
 // callerLimits returns the limits of callers' connections now: those of the routing, and
 // defaults for what it does not declare.
 func (g *Gateway) callerLimits() listener.Limits {
-	limits := listener.Limits{HeaderBytes: defaultMaxHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	limits := defaultCallerLimits
 	table, _ := g.catalog.Routing()
 	if table == nil {
 		return limits
@@ -431,8 +434,12 @@
 	return limits
 }
 
-func serve(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+// serveProbes serves a port for probes or metrics. It is bounded like that of callers, because
+// clients that the operators don't control may reach it.
+func (g *Gateway) serveProbes(server *http.Server, port net.Listener, connections int) error {
+	probes := listener.New(port, func() listener.Limits { return defaultCallerLimits })
+	probes.Bound(listener.Bounds{Connections: connections, Memory: g.options.Memory})
+	if err := probes.Serve(server); err != nil {
 		return &Error{Op: "serve", Kind: KindServe, Err: err}
 	}
 	return nil
--- a/internal/transport/gateway/peers.go
+++ b/internal/transport/gateway/peers.go
@@ -51,13 +51,14 @@
 
 // servePeers starts the RPC server for other gateways and the exchange of state
 // with them.
-func (g *Gateway) servePeers(ctx context.Context, group *errgroup.Group, listener net.Listener) error {
+func (g *Gateway) servePeers(ctx context.Context, group *errgroup.Group, listener net.Listener, maxHandshakes int) error {
 	server, err := peer.NewServer("", &peerService{g})
 	if err != nil {
 		return &Error{Op: "serve peers", Kind: KindServe, Err: err}
 	}
 	server.Faults = g.options.Faults
 	server.StopTimeout = peerStopTimeout
+	server.MaxHandshakes = maxHandshakes
 	server.Limits = peer.MessageLimits{Bytes: maxPeerMessageBytes}
 	group.Go(func() error { return server.Serve(ctx, listener) })
 	group.Go(func() error { return g.peering.Run(ctx) })
