Account for answers that an entry and a sidecar hold whole

A plain service may answer with 64 MB, a sidecar read each answer by io.ReadAll, and an entry takes messages of up to 80 MB from each sidecar: their number times their size exceeded any limit, as in the gateway before.

Change: memory-limit of the instance file is in force for sidecars too. Their reads of a service's answers and an entry's reads of peers' messages are charged to the account, three quarters of which are for answers there, because they are held whole; the largest gives way. A large buffer grows by a quarter, so that one answer of unknown length may take most of the share. Without memory-limit nothing changes.

Not run as processes.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -28,7 +28,7 @@
 		Clock:      env.Clock,
 		Logger:     env.Logger,
 		Meter:      env.Meter,
-		Memory:     memory.ForProcess(int64(env.Instance.MemoryLimit), env.Clock, env.Meter),
+		Memory:     memory.ForProcess(int64(env.Instance.MemoryLimit), memory.WholeAnswers, env.Clock, env.Meter),
 		HTTP:       env.HTTP,
 	}).Run(ctx, listener)
 }
--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -62,7 +62,7 @@
 	upstreams := platform.NewReplicaClient(client)
 	store := platform.NewStoreClient(settings.StoreAddress, client, logger)
 	clock, metrics := bootclock.New(), meter.New()
-	budget := memory.ForProcess(settings.Gateway.MemoryBytes, clock, metrics)
+	budget := memory.ForProcess(settings.Gateway.MemoryBytes, memory.RelayedAnswers, clock, metrics)
 	upstreams.LimitMemory(budget)
 	store.LimitMemory(budget)
 	recorder := faults.New(faults.Options{Clock: clock, Logger: logger, Meter: metrics})
--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -12,6 +12,7 @@
 	"os"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/memory"
 	"comfreyworks/internal/transport/program"
 	"comfreyworks/internal/transport/sidecar"
 )
@@ -28,6 +29,7 @@
 		Logger:     env.Logger,
 		Meter:      env.Meter,
 		HTTP:       env.HTTP,
+		Memory:     memory.ForProcess(int64(env.Instance.MemoryLimit), memory.WholeAnswers, env.Clock, env.Meter),
 		Admin:      env.Admin,
 	})
 	if err != nil {
--- a/internal/protocol/peer/codec.go
+++ b/internal/protocol/peer/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/gob"
 	"errors"
 	"fmt"
@@ -14,6 +15,7 @@
 
 	"comfreyworks"
 	"comfreyworks/internal/state/faults"
+	"comfreyworks/internal/state/memory"
 )
 
 const (
@@ -35,6 +37,9 @@
 	Bytes int64
 	// Time is the maximum time from the first byte of a message to its last one.
 	Time time.Duration
+	// Memory accounts for the answers that clients read; nil means that nothing does. The
+	// connection on which the largest one arrives is closed if there is no room.
+	Memory *memory.Budget
 }
 
 func (l MessageLimits) withDefaults() MessageLimits {
@@ -60,14 +65,23 @@
 	left int64
 	// err is the first error; no read succeeds after it.
 	err error
+	// hold accounts for the message, of which arrived bytes were read and held bytes are
+	// reserved. The buffer of gob keeps that size until the next message.
+	hold          *memory.Hold
+	arrived, held int64
 }
 
+// unheldBytes is the part of a message for which the account of memory is not asked.
+const unheldBytes = 64 << 10
+
 // begin waits for the first byte of a message.
 func (r *messageReader) begin() error {
 	if r.err != nil {
 		return r.err
 	}
 	r.left = r.limits.Bytes
+	r.hold.Empty()
+	r.arrived, r.held = 0, 0
 	if _, err := r.buffer.Peek(1); err != nil {
 		return r.fail(err)
 	}
@@ -87,6 +101,12 @@
 	}
 	n, err := r.buffer.Read(p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
+	r.arrived += int64(n)
+	if grow := r.arrived - max(r.held, unheldBytes); err == nil && r.hold != nil && grow > 0 {
+		grow = max(grow, r.held)
+		err = r.hold.Grow(context.Background(), grow)
+		r.held += grow
+	}
 	if err != nil {
 		err = r.fail(err)
 	}
@@ -134,10 +154,14 @@
 
 func newCodec(conn net.Conn, limits MessageLimits, recorder *faults.Recorder) *codec {
 	reader := &messageReader{conn: conn, buffer: bufio.NewReader(conn), limits: limits.withDefaults(), abort: conn.Close}
+	reader.hold = limits.Memory.Hold(memory.Answer, func() { _ = conn.Close() })
 	buffer := bufio.NewWriter(conn)
 	return &codec{
 		reader: reader, faults: recorder, decoder: gob.NewDecoder(reader), encoder: gob.NewEncoder(buffer), buffer: buffer,
-		close: sync.OnceValue(conn.Close), calls: make(map[uint64]struct{}),
+		close: sync.OnceValue(func() error {
+			reader.hold.Release()
+			return conn.Close()
+		}), calls: make(map[uint64]struct{}),
 	}
 }
 
--- a/internal/protocol/upstream/endless_test.go
+++ b/internal/protocol/upstream/endless_test.go
@@ -39,7 +39,7 @@
 	}
 	t.Run("of a service", func(t *testing.T) {
 		text := string(make([]byte, 1<<20))
-		service := NewService(serve(t, writeEndlessly("", text, 2*maxResponseBytes, &open)), http.DefaultClient)
+		service := NewService(serve(t, writeEndlessly("", text, 2*maxResponseBytes, &open)), http.DefaultClient, nil)
 		_, err := service.Do(context.Background(), comfreyworks.ServiceCall{Method: http.MethodGet, Path: "/"})
 		assert.ErrorIs(t, err, comfreyworks.ErrCutOff)
 		closed(t)
--- a/internal/protocol/upstream/limit.go
+++ b/internal/protocol/upstream/limit.go
@@ -1,10 +1,13 @@
 package upstream
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net/http"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/memory"
 )
 
 // maxIdleBytes is the maximum number of bytes of a stream that bring no token.
@@ -30,9 +33,13 @@
 	return n, err
 }
 
-// readAll reads a body of at most maxResponseBytes.
-func readAll(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
+// readAll reads a body of at most maxResponseBytes, which a hold accounts for.
+func readAll(ctx context.Context, response *http.Response, hold *memory.Hold) ([]byte, error) {
+	expected := response.ContentLength
+	if expected < 0 {
+		expected = maxResponseBytes
+	}
+	body, err := hold.ReadAll(ctx, io.LimitReader(response.Body, maxResponseBytes+1), expected)
 	if err == nil && len(body) > maxResponseBytes {
 		return nil, fmt.Errorf("%w: response is longer than %d bytes", comfreyworks.ErrCutOff, maxResponseBytes)
 	}
--- a/internal/protocol/upstream/service.go
+++ b/internal/protocol/upstream/service.go
@@ -6,6 +6,7 @@
 	"net/netip"
 
 	"comfreyworks"
+	"comfreyworks/internal/state/memory"
 )
 
 // HeaderIdempotencyKey is the request header with the idempotency key.
@@ -15,19 +16,25 @@
 type Service struct {
 	baseURL    string
 	httpClient *http.Client
+	memory     *memory.Budget
 }
 
 var _ comfreyworks.Service = (*Service)(nil)
 
-// NewService returns a client for the service at an address.
-func NewService(address netip.AddrPort, client *http.Client) *Service {
-	return &Service{baseURL: "http://" + address.String(), httpClient: client}
+// NewService returns a client for the service at an address. budget accounts for the answers
+// that it reads; nil means that nothing does.
+func NewService(address netip.AddrPort, client *http.Client, budget *memory.Budget) *Service {
+	return &Service{baseURL: "http://" + address.String(), httpClient: client, memory: budget}
 }
 
 // Do implements comfreyworks.Service. A response with any status, including a
 // redirect, is returned as the answer. After an error of KindNotSent the call has
 // certainly not run; after any other error it may have run.
 func (s *Service) Do(ctx context.Context, call comfreyworks.ServiceCall) (comfreyworks.ServiceAnswer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	hold := s.memory.Hold(memory.Answer, func() { cancel(memory.ErrFull) })
+	defer hold.Release()
 	client := *s.httpClient
 	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	header := http.Header{}
@@ -38,7 +45,7 @@
 		return comfreyworks.ServiceAnswer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := readAll(resp.Body)
+	body, err := readAll(ctx, resp, hold)
 	if err != nil {
 		return comfreyworks.ServiceAnswer{}, &Error{Op: call.Method, Kind: KindBroken, Err: err}
 	}
--- a/internal/protocol/upstream/upstream_test.go
+++ b/internal/protocol/upstream/upstream_test.go
@@ -41,7 +41,7 @@
 				if runs.Add(1) > 1 {
 					panic(http.ErrAbortHandler)
 				}
-			}), &http.Client{Transport: &http.Transport{}})
+			}), &http.Client{Transport: &http.Transport{}}, nil)
 			_, err := service.Do(context.Background(), test.call)
 			assert.NilError(t, err)
 			_, err = service.Do(context.Background(), test.call)
@@ -50,7 +50,7 @@
 		})
 	}
 	t.Run("connection refused", func(t *testing.T) {
-		service := NewService(netip.MustParseAddrPort("127.0.0.1:1"), http.DefaultClient)
+		service := NewService(netip.MustParseAddrPort("127.0.0.1:1"), http.DefaultClient, nil)
 		_, err := service.Do(context.Background(), tests[0].call)
 		assert.Assert(t, IsKind(err, KindNotSent), "got %v", err)
 	})
--- a/internal/state/memory/memory.go
+++ b/internal/state/memory/memory.go
@@ -20,6 +20,7 @@
 package memory
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -49,24 +50,27 @@
 const (
 	// smallHold is the size up to which holds may use the reserve.
 	smallHold = 64 << 10
-	// reserveShare and answerShare are the parts of the limit that are reserved for small
-	// holds, and that answers may use.
+	// reserveShare is the part of the limit that is reserved for small holds.
 	reserveShare = 0.25
-	answerShare  = 0.25
 	// stallTime is how long no byte arrives for a hold until it is the first to give way.
 	stallTime = time.Second
 	// evictionWait is how long a hold waits in all for room that others are giving back.
 	evictionWait = time.Second
 	// minBuffer is the first size of the buffer of ReadAll.
 	minBuffer = 4 << 10
+	// A buffer of one part in largeBuffer of what a single hold may have grows by a quarter and
+	// is not doubled: its unused end would take the room that the rest needs.
+	largeBuffer = 4
 )
 
 // Options configures a Budget.
 type Options struct {
 	// Limit is the number of bytes that all holds may have together.
 	Limit int64
-	Clock comfreyworks.Clock
-	Meter *meter.Meter
+	// AnswerShare is the part of it that answers may use; zero means RelayedAnswers.
+	AnswerShare float64
+	Clock       comfreyworks.Clock
+	Meter       *meter.Meter
 }
 
 // Budget is the account of a process. It is safe for concurrent use.
@@ -84,8 +88,16 @@
 	released chan struct{}
 }
 
+// Values of Options.AnswerShare, for processes that pass answers on as they arrive, and for
+// those that need a whole one.
+const (
+	RelayedAnswers = 0.25
+	WholeAnswers   = 0.75
+)
+
 // New returns an account without holds.
 func New(options Options) *Budget {
+	options.AnswerShare = cmp.Or(options.AnswerShare, RelayedAnswers)
 	return &Budget{options: options, holds: make(map[*Hold]struct{}), released: make(chan struct{})}
 }
 
@@ -129,7 +141,7 @@
 	limit := b.options.Limit
 	switch {
 	case h.kind == Answer:
-		return b.answers+n <= int64(answerShare*float64(limit)) && b.total+n <= limit
+		return b.answers+n <= int64(b.options.AnswerShare*float64(limit)) && b.total+n <= limit
 	case h.bytes+n <= smallHold:
 		return b.total+n <= limit
 	default:
@@ -315,6 +327,9 @@
 	for {
 		if len(body) == cap(body) {
 			size := max(int64(2*cap(body)), minBuffer)
+			if int64(cap(body)) >= h.budget.Largest()/largeBuffer {
+				size = int64(cap(body) + cap(body)/4)
+			}
 			if int64(cap(body)) <= expected {
 				// One byte more finds the end without another growth.
 				size = min(size, expected+1)
--- a/internal/state/memory/process.go
+++ b/internal/state/memory/process.go
@@ -30,15 +30,16 @@
 	minOthers           = 4
 )
 
-// ForProcess returns the account of a process with a memory limit in bytes, and sets the soft
+// ForProcess returns the account of a process with a memory limit in bytes, of which answers
+// may use a share as in Options, and sets the soft
 // limit of the Go runtime, which makes the garbage collector run more often before the
 // process exceeds its limit. Zero means no limit; the account is nil then.
-func ForProcess(limit int64, clock comfreyworks.Clock, m *meter.Meter) *Budget {
+func ForProcess(limit int64, answerShare float64, clock comfreyworks.Clock, m *meter.Meter) *Budget {
 	if limit <= 0 {
 		return nil
 	}
 	debug.SetMemoryLimit(shareOf(limit, runtimeShare))
-	return New(Options{Limit: shareOf(limit, heldShare), Clock: clock, Meter: m})
+	return New(Options{Limit: shareOf(limit, heldShare), AnswerShare: answerShare, Clock: clock, Meter: m})
 }
 
 // Connections bounds the connections that a process accepts. Zero values mean no limit.
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -96,6 +96,7 @@
 		Secret: options.Instance.PeerSecret,
 		Clock:  options.Clock,
 		Dial:   options.Dial,
+		Limits: peer.MessageLimits{Memory: options.Memory},
 	})
 	client := logservice.NewClient(options.Instance.Platform, options.HTTP)
 	e.view = membership.New(membership.Options{
--- a/internal/transport/sidecar/sidecar.go
+++ b/internal/transport/sidecar/sidecar.go
@@ -41,6 +41,7 @@
 	"comfreyworks/internal/protocol/peer"
 	"comfreyworks/internal/protocol/upstream"
 	"comfreyworks/internal/state/directory"
+	"comfreyworks/internal/state/memory"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/revision"
 	"comfreyworks/internal/state/settings"
@@ -75,6 +76,8 @@
 	HTTP *http.Client
 	// Dial opens connections to peers; nil means TCP.
 	Dial peer.Dial
+	// Memory accounts for the answers of a plain service; nil means that it has no limit.
+	Memory *memory.Budget
 	// Admin is the listener for health, readiness and metrics. If it is nil, they
 	// are not served.
 	Admin net.Listener
@@ -205,7 +208,7 @@
 }
 
 func (s *Sidecar) setUpService(log comfreyworks.Log) {
-	service := upstream.NewService(s.options.Instance.Upstream, s.options.HTTP)
+	service := upstream.NewService(s.options.Instance.Upstream, s.options.HTTP, s.options.Memory)
 	s.executor = claim.New(claim.Options{
 		Log:     log,
 		Service: service,
