Let the soak remove the last workspace, end all gateways after crashes and fill their memory

Change: gateways of the soak have 134 MB and 4,100 descriptors, and the peak of each process is checked. Plans draw endless answers of several replicas and crowds, apart from the other events.

--- a/cmd/soak/internal/fleet/fleet.go
+++ b/cmd/soak/internal/fleet/fleet.go
@@ -36,6 +36,8 @@
 	Model      = "oak"
 	// IsolatedAtTimes is the workspace that plans isolate for a time.
 	IsolatedAtTimes = "office"
+	// CrowdKey is the key of requests that are never complete.
+	CrowdKey = "key-lab"
 	// HarmSources is the number of sources of harmful requests.
 	HarmSources = 2
 	// StreamEvents is the number of events of every stream.
@@ -55,6 +57,9 @@
 	// LeaseDuration is how long the lease for sending orders to engines lasts
 	// unless its holder renews it.
 	LeaseDuration = 3 * time.Second
+	// memoryMB and maxFDs are the limits of a gateway's machine.
+	memoryMB = 134
+	maxFDs   = 4100
 	// DepartureBound is how long a gateway may send requests to a replica after it has
 	// passed on an answer in which the replica says that it is leaving.
 	DepartureBound = 2 * time.Second
@@ -116,6 +121,8 @@
 	// Isolation records when workspace IsolatedAtTimes was isolated.
 	Isolation    Disturbances
 	endIsolation func()
+	// NoWorkspaces records when no workspace was declared, so that no key was valid.
+	NoWorkspaces Disturbances
 
 	group       errgroup.Group
 	stopping    chan struct{}
@@ -159,7 +166,7 @@
 		Services: []standin.Service{{Name: AppPool}, {Name: EnginePool, Model: Model}},
 		Tenants: []standin.Tenant{
 			{Name: IsolatedAtTimes, Keys: []string{"key-office"}},
-			{Name: "lab", Keys: []string{"key-lab"}, Isolated: true},
+			{Name: "lab", Keys: []string{CrowdKey}, Isolated: true},
 			{Name: "crew", Keys: []string{"key-crew"}},
 			{Name: "guest", Keys: []string{"key-guest"}},
 		},
@@ -183,6 +190,26 @@
 	return time.Now()
 }
 
+// RemoveWorkspaces declares the deployment with an empty list of workspaces, and returns a
+// function that declares them again.
+func (f *Fleet) RemoveWorkspaces() (restore func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	removed := f.deployment.Tenants
+	f.deployment.Tenants = []standin.Tenant{}
+	f.deployment.Version += 2
+	f.putConfig()
+	end := f.NoWorkspaces.Disturb()
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.deployment.Tenants = removed
+		f.deployment.Version += 2
+		f.putConfig()
+		end()
+	}
+}
+
 // RewriteConfig declares the same deployment as a new version.
 func (f *Fleet) RewriteConfig() {
 	f.mu.Lock()
@@ -281,6 +308,7 @@
 		Node: fmt.Sprint("gateway-", i), Zone: fmt.Sprint("z", i%2), Listen: port(0), Ready: port(1), PeerListen: port(2),
 		Store: storeAddress, KeyRevocation: KeyRevocationBound, StopGrace: StopGrace, RetryRatio: RetryRatio, RetrySlack: RetrySlack,
 		RetryWindow: RetryWindow, LeaseDuration: LeaseDuration, SupersededWeights: supersededWeightsBound,
+		MemoryMB: memoryMB, MaxFDs: maxFDs,
 	}
 }
 
--- a/cmd/soak/internal/fleet/gateway.go
+++ b/cmd/soak/internal/fleet/gateway.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -36,6 +37,8 @@
 	// failures describe exits that were not requested or that returned an error
 	// after SIGTERM.
 	failures []string
+	// peakMB is the highest resident memory of its processes, as far as it was noted.
+	peakMB float64
 }
 
 // process is one process of a gateway, from its start to its exit.
@@ -113,6 +116,7 @@
 		return nil
 	}
 	beforeSend(g.process)
+	g.notePeak()
 	_ = g.process.command.Process.Signal(signal)
 	return g.process
 }
@@ -197,13 +201,30 @@
 	}
 }
 
+// notePeak notes the highest resident memory of the process. The mutex must be held.
+func (g *Gateway) notePeak() {
+	if g.process == nil {
+		return
+	}
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.process.command.Process.Pid))
+	_, rest, _ := bytes.Cut(status, []byte("VmHWM:"))
+	if fields := bytes.Fields(rest); len(fields) > 0 {
+		kb, _ := strconv.Atoi(string(fields[0]))
+		g.peakMB = max(g.peakMB, float64(kb)/1024)
+	}
+}
+
 // Failures describes the exits of the gateway's processes that were not requested
 // or returned an error after SIGTERM, and the panics and fatal errors in their
 // log.
 func (g *Gateway) Failures() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.notePeak()
 	failures := append([]string(nil), g.failures...)
+	if g.peakMB > memoryMB {
+		failures = append(failures, fmt.Sprintf("%s used %.0f MB of %d MB", g.settings.Node, g.peakMB, memoryMB))
+	}
 	log, err := os.ReadFile(g.logPath)
 	if err != nil {
 		return append(failures, err.Error())
--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -105,6 +105,18 @@
 		"loses what left between gateways", "internal/state/catalog/changes.go",
 		"if restored || !c.known.includes(after) {", "if restored || after == 0 {",
 	},
+	{
+		"asks for no keys once the last workspace is removed", "internal/state/routing/routing.go",
+		"return t.declared.KeysRequired || len(t.declared.Workspaces) > 0", "return len(t.declared.Workspaces) > 0",
+	},
+	{
+		"forgets crashes once all gateways have ended", "internal/coordination/crashrecord/crashrecord.go",
+		"r.options.Log.Restore(record)", "_ = record",
+	},
+	{
+		"holds any number of bodies and headers", "internal/state/memory/process.go",
+		"\tif limit <= 0 {\n\t\treturn nil", "\tif limit >= 0 {\n\t\treturn nil",
+	},
 }
 
 // Calm lists the mutants that a soak without faults has to detect.
--- a/cmd/soak/internal/series/series.go
+++ b/cmd/soak/internal/series/series.go
@@ -37,6 +37,12 @@
 	// quietPeriod is the time without faults before a gateway is killed or told to
 	// stop while nothing else is disturbed, so that only this can cut off requests.
 	quietPeriod = 4 * time.Second
+	// recordTime is the time until a request has crashed several replicas and gateways have
+	// recorded that.
+	recordTime = 8 * time.Second
+	// endsAfterCrashes is how often all gateways are killed then, forgetTime the time in which
+	// gateways that have forgotten it let the request crash replicas again.
+	endsAfterCrashes, forgetTime = 2, 6 * time.Second
 	// harmCallers is the number of callers of each source of harmful requests.
 	harmCallers = 3
 	// streamCallers is the number of callers of long streams for each other caller.
@@ -172,6 +178,12 @@
 	if err := s.breakStreams(); err != nil {
 		return nil, err
 	}
+	if err := s.removeWorkspaces(); err != nil {
+		return nil, err
+	}
+	if err := s.endAllAfterCrashes(); err != nil {
+		return nil, err
+	}
 	time.Sleep(quietPeriod)
 	if err := trouble.EndAllInRelease(s.fleet, s.options.Seed, fleet.Releases[0]); err != nil {
 		return nil, err
@@ -237,6 +249,55 @@
 	return nil
 }
 
+// removeWorkspaces revokes all keys for a time, with the workspaces that they belong to. Odd
+// seeds do this, even ones endAllAfterCrashes.
+func (s *soak) removeWorkspaces() error {
+	if s.options.Seed%2 == 0 {
+		return nil
+	}
+	restore := s.fleet.RemoveWorkspaces()
+	time.Sleep(fleet.KeyRevocationBound + quietPeriod)
+	restore()
+	return nil
+}
+
+// endAllAfterCrashes kills all gateways, more than once, while callers send a request that has
+// crashed several replicas, and nothing else is disturbed.
+func (s *soak) endAllAfterCrashes() error {
+	if s.options.Seed%2 == 1 {
+		return nil
+	}
+	time.Sleep(quietPeriod)
+	var group errgroup.Group
+	group.Go(func() error {
+		return s.fleet.Harm(fleet.HarmSources-1, trouble.HarmfulRequest(s.options.Seed), recordTime+endsAfterCrashes*forgetTime)
+	})
+	time.Sleep(recordTime)
+	for range endsAfterCrashes {
+		if err := s.restartAll(); err != nil {
+			return err
+		}
+		time.Sleep(forgetTime)
+	}
+	return group.Wait()
+}
+
+// restartAll kills all gateways at once and starts them again.
+func (s *soak) restartAll() error {
+	var ends []func()
+	for _, g := range s.fleet.Gateways {
+		ends = append(ends, g.Disturb())
+		g.Kill()
+	}
+	for i, g := range s.fleet.Gateways {
+		if err := g.Start(); err != nil {
+			return err
+		}
+		ends[i]()
+	}
+	return nil
+}
+
 // stopOneGateway tells one gateway to stop while no faults are injected and the
 // callers continue to send requests.
 func (s *soak) stopOneGateway() check.StopWindow {
@@ -274,7 +335,7 @@
 
 func (s *soak) evaluate(plan *trouble.Plan, startedAt, revokedAt time.Time, notServing string, stopWindows ...check.StopWindow) *Result {
 	observed := &check.Observations{
-		RevokedAt: revokedAt, Isolated: s.fleet.Isolation.Disturbed(), StopWindows: stopWindows, Disturbances: plan.Disturbances(startedAt),
+		RevokedAt: revokedAt, Isolated: s.fleet.Isolation.Disturbed(), NoWorkspaces: s.fleet.NoWorkspaces.Disturbed(), StopWindows: stopWindows, Disturbances: plan.Disturbances(startedAt),
 		Calm: s.options.Calm, Orders: make(map[string][]standin.Order), Arrivals: make(map[string][]time.Time),
 	}
 	if s.options.Calm {
--- a/cmd/soak/internal/trouble/harm.go
+++ b/cmd/soak/internal/trouble/harm.go
@@ -35,6 +35,14 @@
 	},
 }
 
+// HarmfulRequest returns a request that the seed draws, with an ID that no plan uses.
+func HarmfulRequest(seed uint64) *fleet.Harmful {
+	requests := harmful[fleet.HarmSources-1]
+	h := requests[seed/2%uint64(len(requests))]
+	h.ID = fmt.Sprintf("harm-at-end-%016x", seed)
+	return &h
+}
+
 // addHarm adds an event for each source in which callers send requests that harm replicas.
 // They are drawn apart from the others, and go on for some time after most of them.
 func (p *Plan) addHarm(seed uint64, length time.Duration) {
--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -89,6 +89,10 @@
 	Harm Kind = "harm"
 	// StartAtLeaving restarts a gateway at the moment at which a replica leaves.
 	StartAtLeaving Kind = "start-at-leaving"
+	// EndlessAnswers makes all answers of several replicas endless.
+	EndlessAnswers Kind = "endless-answers"
+	// Crowd opens many connections to a gateway that leave requests incomplete.
+	Crowd Kind = "crowd"
 	// PauseReplicas pauses sound replicas, and nothing else is wrong with them.
 	PauseReplicas Kind = "sound-replicas-pause"
 	// ChangeConfig declares a change of the configuration.
@@ -183,6 +187,7 @@
 	plan.addFaults(seed, unframedStream, unframedFaults, length, gateways, replicas)
 	plan.addFaults(seed, repeatedStream, repeatedFaults, length, gateways, replicas)
 	plan.addScopes(seed, length)
+	plan.addMemory(seed, length, gateways)
 	revocation := Event{Kind: RevokeKey, Start: time.Duration(rng.Int64N(int64(length / 2)))}
 	var cut Event
 	if seed%2 == 0 {
@@ -344,6 +349,10 @@
 		return e.rewriteConfigs(f)
 	case Silence:
 		return e.silence(f)
+	case EndlessAnswers:
+		return e.answerWithoutEnd(f)
+	case Crowd:
+		return crowd(g.Address())
 	case RewriteConfig:
 		f.RewriteConfig()
 		return noop
