Replace a silent connection to a peer also if contexts end its calls

Callers: a gateway that had been cut off from all others called them in vain for more than 4 s after the cut had ended, and learned of nothing from them: it went on using replicas that had left (DRAIN).

Such a connection is replaced after 2 s of silence, but only calls that end by their own timeout counted; calls between gateways are ended after 0.4 s by their context.

Change: every call that ends without an answer counts toward the silence of its connection.

Measured: TestShortTimeoutsKeepConnection/their_context fails without the change.

--- a/internal/protocol/peer/client.go
+++ b/internal/protocol/peer/client.go
@@ -218,6 +218,7 @@
 	}
 	conn.addCall()
 	defer conn.removeCall()
+	sentAt := c.options.Clock.Now()
 	reply := new(R)
 	deadline := callDeadline{timer: timer, timeout: timeout, conn: conn, lastReads: conn.reads.Load()}
 	pending := conn.rpc.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
@@ -229,16 +230,24 @@
 			if deadline.extend() {
 				continue
 			}
-			if deadline.noNewReads() && conn.silentFor(c.options.Clock.Now(), timeout) >= callTimeout {
-				c.retire(conn)
-			}
+			c.noteSilence(conn, &deadline, sentAt)
 			return zero, noAnswer(method, context.DeadlineExceeded)
 		case <-ctx.Done():
+			c.noteSilence(conn, &deadline, sentAt)
 			return zero, noAnswer(method, context.Cause(ctx))
 		}
 	}
 }
 
+// noteSilence retires a connection on which calls have waited in vain for too long. After a
+// partition the kernel may not send anything on it for as long as that lasted.
+func (c *Client) noteSilence(conn *connection, deadline *callDeadline, sentAt time.Time) {
+	now := c.options.Clock.Now()
+	if deadline.noNewReads() && conn.silentFor(now, now.Sub(sentAt)) >= callTimeout {
+		c.retire(conn)
+	}
+}
+
 // callError converts the error of a finished call and closes the connection
 // unless the peer answered. Only ErrShutdown guarantees that nothing was sent,
 // because net/rpc returns it before it writes anything; see ReadResponseHeader.
--- a/internal/protocol/peer/peer_test.go
+++ b/internal/protocol/peer/peer_test.go
@@ -156,34 +156,42 @@
 	assert.Equal(t, dials.Load(), int32(2))
 }
 
+// TestShortTimeoutsKeepConnection guards against giving up a connection after one short wait,
+// and against keeping one on which all calls wait in vain, whichever ends them.
 func TestShortTimeoutsKeepConnection(t *testing.T) {
-	address, receiver := serve(t)
-	receiver.hold = make(chan struct{})
-	defer close(receiver.hold)
-	clock := clockwork.NewFakeClock()
-	clients := NewClients(ClientOptions{Secret: secret, Clock: clock})
-	defer clients.Close()
-	client := clients.To(address)
-	_, err := read(client, "s1")
-	assert.NilError(t, err)
 	const short = callTimeout / 4
-	// Each call with a short timeout times out without an answer. The connection is
-	// retired only after these calls have waited for callTimeout together.
-	for i := range 5 {
-		before, _ := client.currentConn()
-		var group errgroup.Group
-		group.Go(func() error {
-			_, err := call[comfreyworks.StreamUpdate](context.Background(), client, "Read", ReadArgs{Stream: "held"}, short)
-			return err
+	for name, timeout := range map[string]time.Duration{"their own timeout": short, "their context": callTimeout} {
+		t.Run(name, func(t *testing.T) {
+			address, receiver := serve(t)
+			receiver.hold = make(chan struct{})
+			defer close(receiver.hold)
+			clock := clockwork.NewFakeClock()
+			clients := NewClients(ClientOptions{Secret: secret, Clock: clock})
+			defer clients.Close()
+			client := clients.To(address)
+			_, err := read(client, "s1")
+			assert.NilError(t, err)
+			// Each call ends without an answer. The connection is retired only after these calls
+			// have waited for callTimeout together.
+			for i := range 4 {
+				before, _ := client.currentConn()
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				var group errgroup.Group
+				group.Go(func() error {
+					_, err := call[comfreyworks.StreamUpdate](ctx, client, "Read", ReadArgs{Stream: "held"}, timeout)
+					return err
+				})
+				assert.NilError(t, clock.BlockUntilContext(context.Background(), 1))
+				clock.Advance(short)
+				if timeout > short {
+					cancel()
+				}
+				assertErrorKind(t, group.Wait(), KindNoAnswer)
+				after, _ := client.currentConn()
+				assert.Equal(t, before == after, i != 3, "call %d", i)
+			}
 		})
-		assert.NilError(t, clock.BlockUntilContext(context.Background(), 1))
-		clock.Advance(short)
-		assertErrorKind(t, group.Wait(), KindNoAnswer)
-		after, _ := client.currentConn()
-		assert.Equal(t, before == after, i != 3, "call %d", i)
-		if i == 3 {
-			return
-		}
 	}
 }
 
