End the grace period of missing upstreams once a peer shows that they have left

Cause: after an outage of its own list a gateway keeps what is missing for 1.8 s, because it can't tell its own outage from one of the store, in which upstreams can't renew their entries. By then it is in touch with peers that can: they have followed the list all the time.

Change: a gateway tells for how long it has followed the list without an outage. One with a grace period ends it if a peer has done so since before the outage; after a restore, since the restore and past a grace period of its own. The list of a peer in doubt proves nothing.

Measured: two of seven subtests of TestGraceEndsWithSteadyPeer fail without endGrace.

--- a/declaration.go
+++ b/declaration.go
@@ -67,6 +67,9 @@
 	Checksum uint32
 	// Former lists releases that no listed upstream runs any more.
 	Former []FormerRelease
+	// SteadyFor is for how long the sender has followed the list without an outage; zero means
+	// that it has not, or that nothing is known.
+	SteadyFor time.Duration
 	// Next is the position to pass as after in the next call.
 	Next Position
 }
--- a/internal/coordination/peering/exchange.go
+++ b/internal/coordination/peering/exchange.go
@@ -146,6 +146,7 @@
 	declared, listed := p.options.Catalog.SourceStates()
 	update := comfreyworks.GatewayUpdate{
 		State: p.reply(&state, declared, listed), DeclaredAge: p.sinceRead(declared), ListedAge: p.sinceRead(listed),
+		ListedSteady: p.options.Catalog.SteadyFor(),
 		DeclaredWait: declared.CompleteAt.Sub(declared.ConfirmedAt),
 	}
 	update.DeclaredRestored, update.Redeclared = p.options.Catalog.Redeclared()
@@ -367,6 +368,7 @@
 	if _, known := p.options.Catalog.SourceStates(); changes.Next > known.Position && update.Upstreams == nil {
 		return
 	}
+	changes.SteadyFor = update.ListedSteady
 	change := p.options.Catalog.ApplyUpstreams(changes, readAt)
 	p.logChange(&change, update, readAt)
 }
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -139,6 +139,9 @@
 	// graceEnd is the time until which live upstreams are kept although their
 	// entries are missing.
 	graceEnd time.Time
+	// outageBegan is when the outage began before which nothing is certain, steadySince when
+	// the last one ended.
+	outageBegan, steadySince time.Time
 }
 
 // PoolView holds the upstreams of a pool, sorted by ID. Seeds holds the seed of
@@ -280,10 +283,14 @@
 	if changes.Whole {
 		c.known.add(c.listed.Position, changes.Next)
 	}
-	if !c.listed.ConfirmedAt.IsZero() && readAt.Sub(c.listed.ConfirmedAt) > outageThreshold {
-		c.graceEnd = now.Add(lapsedGracePeriod)
+	switch {
+	case c.listed.ConfirmedAt.IsZero():
+		c.steadySince = now
+	case readAt.Sub(c.listed.ConfirmedAt) > outageThreshold:
+		c.beginGrace(c.listed.ConfirmedAt, now)
 	}
 	c.crossRestore(&changes, now, &change)
+	c.endGrace(changes.SteadyFor, now)
 	hadUndecoded := len(c.undecoded) > 0
 	lastConfirmedAt := c.listed.ConfirmedAt
 	c.updateKnownSince(lastConfirmedAt, now)
--- a/internal/state/catalog/lapsed_test.go
+++ b/internal/state/catalog/lapsed_test.go
@@ -71,3 +71,84 @@
 		calm.assertLive(t, "a", "b")
 	})
 }
+
+// TestGraceEndsWithSteadyPeer guards against a gateway that was cut off and goes on using
+// upstreams that left meanwhile: for a grace period of its own, although a peer that followed the
+// list throughout tells that they have left.
+func TestGraceEndsWithSteadyPeer(t *testing.T) {
+	a, b := upstream("a"), upstream("b")
+	start := func() (cut, steady fixture) {
+		cut = newFixture()
+		steady = fixture{clock: cut.clock, Catalog: New(cut.clock)}
+		for _, f := range []fixture{cut, steady} {
+			f.applyList(1, true, []comfreyworks.Upstream{a, b})
+		}
+		return cut, steady
+	}
+	follow := func(f fixture, position comfreyworks.Position, gone ...comfreyworks.InstanceID) {
+		for range 4 {
+			f.clock.Advance(outageThreshold / 2)
+			f.applyList(position, false, nil, gone...)
+		}
+	}
+	tell := func(to, from fixture, after comfreyworks.Position) {
+		changes := *from.UpstreamsAfter(after)
+		changes.SteadyFor = from.SteadyFor()
+		to.ApplyUpstreams(changes, to.clock.Now())
+	}
+	t.Run("which tells of it first", func(t *testing.T) {
+		cut, steady := start()
+		follow(steady, 2, "b")
+		tell(cut, steady, 1)
+		cut.assertLive(t, "a")
+	})
+	t.Run("after the gateway has read it from the source", func(t *testing.T) {
+		cut, steady := start()
+		follow(steady, 2, "b")
+		cut.applyList(2, false, nil, "b")
+		cut.assertLive(t, "a", "b")
+		tell(cut, steady, 2)
+		cut.assertLive(t, "a")
+	})
+	t.Run("which tells that it is back", func(t *testing.T) {
+		cut, steady := start()
+		follow(steady, 2, "b")
+		cut.applyList(2, false, nil, "b")
+		steady.applyList(3, false, []comfreyworks.Upstream{b})
+		tell(cut, steady, 2)
+		cut.assertLive(t, "a", "b")
+	})
+	t.Run("not with one that had an outage in that time", func(t *testing.T) {
+		cut, other := start()
+		other.clock.Advance(outageThreshold * 2)
+		other.applyList(1, false, nil)
+		follow(other, 2, "b")
+		tell(cut, other, 1)
+		cut.assertLive(t, "a", "b")
+	})
+	t.Run("not with one that has a grace period itself", func(t *testing.T) {
+		cut, other := start()
+		other.clock.Advance(outageThreshold * 2)
+		other.applyList(2, false, nil, "b")
+		assert.Equal(t, other.SteadyFor(), time.Duration(0))
+		tell(cut, other, 1)
+		cut.assertLive(t, "a", "b")
+	})
+	t.Run("not with one whose list is old", func(t *testing.T) {
+		cut, other := start()
+		follow(other, 2, "b")
+		other.clock.Advance(outageThreshold * 2)
+		assert.Equal(t, other.SteadyFor(), time.Duration(0))
+		tell(cut, other, 1)
+		cut.assertLive(t, "a", "b")
+	})
+	t.Run("not of a list that was restored since", func(t *testing.T) {
+		cut, steady := start()
+		follow(steady, 1)
+		follow(cut, 1)
+		steady.applyRestored(restored+1, a)
+		steady.clock.Advance(lapsedGracePeriod / 2)
+		tell(cut, steady, 1)
+		cut.assertLive(t, "a", "b")
+	})
+}
--- a/internal/state/catalog/restore.go
+++ b/internal/state/catalog/restore.go
@@ -22,7 +22,7 @@
 	change.Restored = true
 	c.recorded = nil
 	c.checksumsFrom = now.Add(restorePause)
-	c.graceEnd = now.Add(lapsedGracePeriod)
+	c.beginGrace(now, now)
 	removed := make(map[comfreyworks.InstanceID]comfreyworks.Upstream, len(c.removals))
 	for _, r := range c.removals {
 		removed[r.id] = comfreyworks.Upstream{Started: r.started, Sequence: r.sequence}
--- a/peering.go
+++ b/peering.go
@@ -177,6 +177,8 @@
 	// DeclaredAge and ListedAge are how long before this reply the latest read of
 	// the DeclarationSource and the UpstreamSource started; negative means never.
 	DeclaredAge, ListedAge time.Duration
+	// ListedSteady is UpstreamChanges.SteadyFor, also if Upstreams is nil.
+	ListedSteady time.Duration
 	// DeclaredWait is how long after the start of that read of the DeclarationSource
 	// the declarations are still known to have been complete.
 	DeclaredWait time.Duration
