Keep the stream at a silent sidecar until another one has accepted the request

Callers of an entry: an answer ended incomplete because its sidecar was silent for a while and all others refused as they were leaving; and a request went on at a second sidecar while the silent one still worked on it (found in a review, two red tests).

Cause: a silent sidecar was left for good, and its stream neither cancelled nor kept. Mending one of the two alone breaks the other: what is cancelled can't be returned to.

Change: the stream that was left stays until another sidecar accepts the request, is cancelled then or at the end of the request, and is read on if another sidecar refuses or none is left.

Gateways don't contain this package.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -142,9 +142,11 @@
 	// for a new request.
 	attemptOffset int
 	origin        StreamOrigin
-	excluded      []comfreyworks.InstanceID
-	refusal       comfreyworks.Refusal
-	result        Result
+	// left is nil if no stream was left at a silent sidecar.
+	left     *leftStream
+	excluded []comfreyworks.InstanceID
+	refusal  comfreyworks.Refusal
+	result   Result
 	// countedTries is the number of attempts and backoff waits that count
 	// towards maxAttempts. Starts without an answer and the waits after them do
 	// not count.
@@ -175,12 +177,20 @@
 		return state.result, err
 	}
 	d.budgets.deposit(state.budgetKey)
+	defer d.cancelLeft(ctx, state)
 	delays := d.newBackoff()
 	for state.countedTries < maxAttempts && ctx.Err() == nil {
 		if !d.mayAttempt(state) {
 			break
 		}
 		instance, ok := d.chooseInstance(ctx, state)
+		if !ok && state.left != nil {
+			if err := d.returnToLeft(ctx, state); state.finished {
+				return state.result, err
+			}
+			state.countedTries++
+			continue
+		}
 		if !ok {
 			if !d.waitBackoff(ctx, delays) {
 				break
@@ -306,17 +316,21 @@
 	}
 	if refusal != nil {
 		d.recordRefusal(state, instance, *refusal)
+		if state.left != nil {
+			return d.returnToLeft(ctx, state)
+		}
 		return nil
 	}
+	d.cancelLeft(ctx, state)
 	state.mayHaveStarted = true
 	d.options.View.RecordSuccess(instance.ID)
 	state.origin.Instance = instance.ID
 	return d.relay(ctx, state, instance, attempt.Stream)
 }
 
-// streamID returns the ID of the current attempt's stream.
-func (s *requestState) streamID() comfreyworks.StreamID {
-	return comfreyworks.StreamID(fmt.Sprintf("%s/%d", s.job.Request.ID, s.origin.Attempt))
+// streamID returns the ID of an attempt's stream.
+func (s *requestState) streamID(origin StreamOrigin) comfreyworks.StreamID {
+	return comfreyworks.StreamID(fmt.Sprintf("%s/%d", s.job.Request.ID, origin.Attempt))
 }
 
 func (d *Dispatcher) newAttempt(state *requestState) comfreyworks.GenerateAttempt {
@@ -324,7 +338,7 @@
 	request := state.job.Request
 	request.ResumeFrom = state.delivered
 	return comfreyworks.GenerateAttempt{
-		Stream:    state.streamID(),
+		Stream:    state.streamID(state.origin),
 		Workspace: state.job.Workspace,
 		Class:     state.job.Class,
 		Request:   request,
@@ -369,6 +383,9 @@
 				d.cancel(ctx, sidecar, id)
 				return d.fail(state, KindGivenUp, errDeadline)
 			}
+			if state.isSilence(err) {
+				state.left = &leftStream{instance, state.origin}
+			}
 			return err
 		case update.Unknown:
 			return nil
--- a/internal/coordination/dispatch/resume.go
+++ b/internal/coordination/dispatch/resume.go
@@ -45,5 +45,5 @@
 	if !ok {
 		return nil
 	}
-	return d.relay(ctx, state, instance, state.streamID())
+	return d.relay(ctx, state, instance, state.streamID(state.origin))
 }
