--- a/cmd/gateway/crowd_test.go
+++ b/cmd/gateway/crowd_test.go
@@ -9,12 +9,13 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
+
+	"comfreyworks/internal/standin/crowd"
 )
 
 // crowdTime is how long a crowd stays.
@@ -30,49 +31,11 @@
 	t.Cleanup(func() { _ = group.Wait() })
 }
 
-// crowd runs n callers of an address, each on a connection of its own, and closes the
-// connections after crowdTime.
-func crowd(address netip.AddrPort, n int, caller func(i int, c net.Conn)) {
-	var callers sync.WaitGroup
-	until := time.Now().Add(crowdTime)
-	for i := range n {
-		callers.Go(func() {
-			c, err := net.DialTimeout("tcp", address.String(), time.Until(until))
-			if err != nil {
-				return
-			}
-			defer func() { _ = c.Close() }()
-			_ = c.SetDeadline(until)
-			caller(i, c)
-		})
-	}
-	callers.Wait()
-}
-
-// stay reads nothing until the connection is closed by the crowd's end.
-func stay(c net.Conn) {
-	buffer := make([]byte, 1)
-	for {
-		if _, err := c.Read(buffer); err != nil {
-			return
-		}
-	}
-}
-
 // head returns the header of a request with further lines.
 func (p *process) head(i int, path string, lines ...string) string {
 	return fmt.Sprintf("POST /%s/%d HTTP/1.1\r\nHost: %s\r\n%s: crowd-%d-%d\r\n%s\r\n", path, i, host, p.names.RequestID, i, time.Now().UnixNano(), strings.Join(lines, ""))
 }
 
-// shortLines returns as many header lines as fit into the limit beside those of head.
-func shortLines() string {
-	var lines strings.Builder
-	for i := 0; lines.Len() < maxHeader-900; i++ {
-		_, _ = fmt.Fprintf(&lines, "%x:\r\n", i)
-	}
-	return lines.String()
-}
-
 // oneByteChunks returns a body in chunks of one byte, without its end.
 func oneByteChunks(n int) []byte { return bytes.Repeat([]byte("1\r\nx\r\n"), n) }
 
@@ -83,7 +46,7 @@
 	body := bytes.Repeat([]byte("x"), maxBody)
 	length := fmt.Sprintf("Content-Length: %d\r\n", maxBody)
 	const chunked = "Transfer-Encoding: chunked\r\n"
-	lines := shortLines()
+	lines := crowd.ShortLines(maxHeader - 900)
 	send := func(c net.Conn, parts ...[]byte) bool {
 		for _, part := range parts {
 			if _, err := c.Write(part); err != nil {
@@ -99,11 +62,11 @@
 	}{
 		"bodies that stop short of their end": {answer(0, 10), 24, func(p *process, i int, c net.Conn) {
 			send(c, []byte(p.head(i, "look", length)), body[10:])
-			stay(c)
+			crowd.Stay(c)
 		}},
 		"bodies in one chunk that stop short of its end": {answer(0, 10), 24, func(p *process, i int, c net.Conn) {
 			send(c, []byte(p.head(i, "look", chunked)), fmt.Appendf(nil, "%x\r\n", maxBody), body[10:])
-			stay(c)
+			crowd.Stay(c)
 		}},
 		"bodies in chunks of one byte": {answer(0, 10), 24, func(p *process, i int, c net.Conn) {
 			chunks := oneByteChunks(64 << 10)
@@ -127,15 +90,15 @@
 		}},
 		"headers of short lines without their end": {answer(0, 10), 200, func(p *process, i int, c net.Conn) {
 			send(c, []byte(strings.TrimSuffix(p.head(i, "look", lines), "\r\n")))
-			stay(c)
+			crowd.Stay(c)
 		}},
 		"headers of short lines": {answer(2*time.Second, 10), 200, func(p *process, i int, c net.Conn) {
 			send(c, []byte(p.head(i, "look", lines, "Content-Length: 0\r\n")))
-			stay(c)
+			crowd.Stay(c)
 		}},
 		"headers of equal names": {answer(2*time.Second, 10), 200, func(p *process, i int, c net.Conn) {
 			send(c, []byte(p.head(i, "look", strings.Repeat("a:\r\n", (maxHeader-900)/4), "Content-Length: 0\r\n")))
-			stay(c)
+			crowd.Stay(c)
 		}},
 		"requests sent ahead, answers unread": {answer(0, 1<<20), 24, func(p *process, i int, c net.Conn) {
 			for n := range 100 {
@@ -149,12 +112,12 @@
 			if i%2 == 0 {
 				send(c, []byte("POST /look/1 HTTP/1.1\r\n"))
 			}
-			stay(c)
+			crowd.Stay(c)
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := startProcess(t, program, upstreams{service: test.upstream, engine: answer(0, 10)})
-			crowd(p.address, test.callers, func(i int, c net.Conn) { test.caller(p, i, c) })
+			crowd.Connect(p.address, crowdTime, test.callers, func(i int, c net.Conn) { test.caller(p, i, c) })
 			p.assertBounds(t)
 		})
 	}
@@ -184,7 +147,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := startProcess(t, program, test.upstreams)
-			crowd(p.address, 100, func(i int, c net.Conn) {
+			crowd.Connect(p.address, crowdTime, 100, func(i int, c net.Conn) {
 				_, _ = io.WriteString(c, p.head(i, test.path, "Content-Length: 0\r\n"))
 				time.Sleep(crowdTime)
 			})
@@ -210,11 +173,11 @@
 			p := startProcess(t, program, upstreams{service: answer(0, 10), engine: answer(0, 10)})
 			sends := test.sends
 			if sends == half {
-				sends = strings.TrimSuffix(p.head(0, "look", shortLines()), "\r\n")
+				sends = strings.TrimSuffix(p.head(0, "look", crowd.ShortLines(maxHeader-900)), "\r\n")
 			}
-			crowd(test.address(p), 2*maxFDs, func(i int, c net.Conn) {
+			crowd.Connect(test.address(p), crowdTime, 2*maxFDs, func(i int, c net.Conn) {
 				_, _ = io.WriteString(c, sends)
-				stay(c)
+				crowd.Stay(c)
 			})
 			p.assertBounds(t)
 		})
@@ -242,7 +205,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := startProcess(t, program, u)
-			crowd(p.address, 24, func(i int, c net.Conn) {
+			crowd.Connect(p.address, crowdTime, 24, func(i int, c net.Conn) {
 				reader := bufio.NewReader(c)
 				for n := 0; ; n++ {
 					_, _ = io.WriteString(c, p.head(i*1000+n, "note", "Content-Length: 0\r\n"))
@@ -269,7 +232,7 @@
 		},
 		"a header of short lines": func() *http.Request {
 			r := p.newRequest(t, nil)
-			for line := range strings.Lines(shortLines()) {
+			for line := range strings.Lines(crowd.ShortLines(maxHeader - 900)) {
 				r.Header[strings.TrimSpace(strings.TrimSuffix(line, ":\r\n"))] = []string{""}
 			}
 			return r
--- a/cmd/gateway/process_test.go
+++ b/cmd/gateway/process_test.go
@@ -11,14 +11,13 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"comfreyworks"
+	"comfreyworks/internal/standin/crowd"
 	"comfreyworks/platform"
 	"comfreyworks/platform/standin"
 )
@@ -37,9 +36,6 @@
 	host           = "app.example"
 )
 
-// free hands out the addresses of all processes of this package's tests.
-var free addresses
-
 // process is a gateway that runs as a process, in front of a service and some engines.
 type process struct {
 	command *exec.Cmd
@@ -49,10 +45,8 @@
 	ready, metrics, peers netip.AddrPort
 	readyPath             string
 	exited                chan struct{}
-	// fds is the highest number of open descriptors that was seen, and used the highest sum of
-	// resident memory and of bytes that were received and not read, in bytes.
-	fds, used atomic.Int64
-	names     comfreyworks.HeaderNames
+	usage                 *crowd.Usage
+	names                 comfreyworks.HeaderNames
 }
 
 // upstreams answers the requests of a process.
@@ -115,7 +109,7 @@
 		list(fmt.Sprint("lm-", i), "lm", "m0", &standin.Engine{Requests: u.engine, CacheEvents: u.events, Model: "m0"})
 	}
 	settings := standin.Settings{
-		Node: "g0", Zone: "z", Listen: free.next(), Ready: free.next(), PeerListen: free.next(), Store: serve(store),
+		Node: "g0", Zone: "z", Listen: crowd.FreeAddress(), Ready: crowd.FreeAddress(), PeerListen: crowd.FreeAddress(), Store: serve(store),
 		KeyRevocation: 5 * time.Second, StopGrace: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 		LeaseDuration: 3 * time.Second, SupersededWeights: 6 * time.Second, MemoryMB: memoryMB, MaxFDs: maxFDs,
 	}
@@ -123,7 +117,7 @@
 	assert.NilError(t, os.WriteFile(file, []byte(settings.File()), 0o600))
 	read, err := platform.ReadSettings(file)
 	assert.NilError(t, err)
-	metrics := free.next()
+	metrics := crowd.FreeAddress()
 	p := &process{
 		command: exec.Command(program, "--metrics-port", strconv.Itoa(int(metrics.Port()))), address: settings.Listen,
 		ready: settings.Ready, metrics: metrics, peers: settings.PeerListen,
@@ -134,20 +128,16 @@
 	var stderr bytes.Buffer
 	p.command.Stderr = &stderr
 	assert.NilError(t, p.command.Start())
-	watched := make(chan struct{})
+	p.usage = crowd.Watch(p.command.Process.Pid, p.exited)
 	inGroup(t, func() {
 		_ = p.command.Wait()
 		close(p.exited)
 	})
-	inGroup(t, func() {
-		defer close(watched)
-		p.watch()
-	})
 	// Runs before the clean-ups that wait for the process.
 	t.Cleanup(func() {
 		_ = p.command.Process.Kill()
 		<-p.exited
-		<-watched
+		p.usage.Wait()
 		if t.Failed() {
 			t.Logf("%.4000s", stderr.String())
 		}
@@ -156,84 +146,6 @@
 	return p
 }
 
-// addresses hands out addresses for processes under test. A port that was free on 127.0.0.1
-// may be the source port of another process's connection by the time a gateway listens on it;
-// no connection has its source at the loopback address of this process.
-type addresses struct{ given atomic.Uint32 }
-
-func (a *addresses) next() netip.AddrPort {
-	const firstPort = 20_000
-	pid := os.Getpid()
-	host := netip.AddrFrom4([4]byte{127, byte(128 | pid>>16), byte(pid >> 8), byte(pid)})
-	return netip.AddrPortFrom(host, uint16(firstPort+a.given.Add(1)))
-}
-
-// watch records the highest use of descriptors and memory until the process ends.
-func (p *process) watch() {
-	directory := fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid)
-	for n := 0; ; n++ {
-		select {
-		case <-p.exited:
-			return
-		case <-time.After(10 * time.Millisecond):
-			open, _ := os.ReadDir(directory)
-			p.fds.Store(max(p.fds.Load(), int64(len(open))))
-			if n%10 == 0 {
-				p.used.Store(max(p.used.Load(), p.residentBytes()+p.unreadBytes(open)))
-			}
-		}
-	}
-}
-
-// residentBytes returns the resident memory of the process now.
-func (p *process) residentBytes() int64 {
-	statm, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.command.Process.Pid))
-	fields := strings.Fields(string(statm))
-	if len(fields) < 2 {
-		return 0
-	}
-	pages, _ := strconv.ParseInt(fields[1], 10, 64)
-	return pages * int64(os.Getpagesize())
-}
-
-// unreadBytes returns how many bytes the kernel has received on the connections of the process
-// that it has not read, given its descriptors.
-func (p *process) unreadBytes(open []os.DirEntry) int64 {
-	sockets := make(map[string]bool)
-	for _, fd := range open {
-		link, _ := os.Readlink(fmt.Sprintf("/proc/%d/fd/%s", p.command.Process.Pid, fd.Name()))
-		if inode, ok := strings.CutPrefix(link, "socket:["); ok {
-			sockets[strings.TrimSuffix(inode, "]")] = true
-		}
-	}
-	table, _ := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", p.command.Process.Pid))
-	var unread int64
-	for line := range strings.Lines(string(table)) {
-		// The fields are those of proc(5): the fifth one is tx_queue:rx_queue, the tenth the inode.
-		fields := strings.Fields(line)
-		const established = "01"
-		if len(fields) < 10 || fields[3] != established || !sockets[fields[9]] {
-			continue
-		}
-		_, queue, _ := strings.Cut(fields[4], ":")
-		n, _ := strconv.ParseInt(queue, 16, 64)
-		unread += n
-	}
-	return unread
-}
-
-// peakMB returns the highest resident memory of the process, in MB.
-func (p *process) peakMB(t *testing.T) float64 {
-	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
-	assert.NilError(t, err)
-	_, rest, found := strings.Cut(string(status), "VmHWM:")
-	assert.Assert(t, found, "the process has ended")
-	kb, err := strconv.Atoi(strings.Fields(rest)[0])
-	assert.NilError(t, err)
-	return float64(kb) / 1024
-}
-
 // newRequest returns a request of an ordinary caller.
 func (p *process) newRequest(t *testing.T, body io.Reader) *http.Request {
 	t.Helper()
@@ -270,12 +182,13 @@
 // assertBounds checks that the process lives within its limits, and answers.
 func (p *process) assertBounds(t *testing.T) {
 	t.Helper()
-	peak := p.peakMB(t)
-	used := float64(p.used.Load()) / (1 << 20)
-	t.Logf("peak %.1f MB, %.1f MB with what was not read, %d descriptors", peak, used, p.fds.Load())
+	peak, err := p.usage.PeakMB()
+	assert.NilError(t, err, "the process has ended")
+	used, descriptors := p.usage.UsedMB(), p.usage.Descriptors()
+	t.Logf("peak %.1f MB, %.1f MB with what was not read, %d descriptors", peak, used, descriptors)
 	assert.Check(t, used <= memoryMB, "%.1f MB with what was not read", used)
 	assert.Check(t, peak <= memoryMB, "peak %.1f MB", peak)
-	assert.Check(t, p.fds.Load() <= maxFDs, "%d descriptors", p.fds.Load())
+	assert.Check(t, descriptors <= maxFDs, "%d descriptors", descriptors)
 	p.assertAnswers(t)
 	p.assertProbes(t)
 	select {
