--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -139,8 +139,8 @@
 	// graceEnd is the time until which live upstreams are kept although their
 	// entries are missing.
 	graceEnd time.Time
-	// outageBegan is when the outage began before which nothing is certain, steadySince when
-	// the last one ended.
+	// outageBegan is when the last outage began, or when a restore was noticed, and steadySince
+	// since when there has been none.
 	outageBegan, steadySince time.Time
 }
 
--- a/internal/state/catalog/grace.go
+++ b/internal/state/catalog/grace.go
@@ -9,9 +9,9 @@
 	c.outageBegan, c.steadySince = outageBegan, now
 }
 
-// endGrace ends the grace period if a peer that has followed the list for a time tells of it:
-// the outage was not that of the source then, and what its list lacks has left. The mutex must
-// be held.
+// endGrace ends the grace period if the sender of a list has followed it for a time that includes
+// the outage: the source worked meanwhile, so what the list lacks has left. The mutex must be
+// held.
 func (c *Catalog) endGrace(steadyFor time.Duration, now time.Time) {
 	if !now.Before(c.graceEnd) || steadyFor <= 0 || now.Add(-steadyFor).After(c.outageBegan) {
 		return
