Reject responses whose status is not one of a final response

Callers got answers with a status that no upstream may send: an upstream in trouble answered with status 000, or any other below 100. On the entry path the answer was returned with status 0. At a gateway net/http panicked on it, so that the caller got 502 "panic", also where the request could have been sent again; 101 and 600 to 999 were passed on. With Comfrey-Not-Run the gateway took it for a promise that the request had not run.

Cause: net/http checks that a status has three characters, not its range, and the clients compared it with one side of a range or with single values. An append to the platform's log or store that was answered with 000 counted as refused, which promises that nothing was done. A revision was read from such an answer.

Change: package httpclient decides which statuses are an answer (200 to 599; RFC 9110, section 15), and all clients use it: exchange calls the check, the others are made by httpclient.New. Such an answer is an attempt that failed and may have run: sent again where the route allows, otherwise 502, and its connection is closed. An entry answers 502 "run unknown" for a recorded outcome with such a status instead of panicking.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -31,6 +31,7 @@
 	"time"
 
 	"comfreyworks"
+	"comfreyworks/internal/protocol/httpclient"
 	"comfreyworks/internal/state/memory"
 )
 
@@ -137,11 +138,11 @@
 		response, err := c.transport.RoundTrip(c.newRequest(traced, request, options))
 		limit.stop()
 		unsent := conn == nil || conn.sealUnsent(writes)
-		if err == nil && unsent {
-			// The response was there before the request.
-			_ = conn.Close()
-			_ = response.Body.Close()
-			err = errUnasked
+		if err == nil {
+			if err = checkResponse(response, unsent); err != nil {
+				_ = conn.Close()
+				_ = response.Body.Close()
+			}
 		}
 		if err != nil {
 			cancel(nil)
@@ -161,6 +162,14 @@
 	}
 }
 
+// checkResponse returns an error if a response was there before its request or is broken.
+func checkResponse(response *http.Response, unsent bool) error {
+	if unsent {
+		return errUnasked
+	}
+	return httpclient.Check(response)
+}
+
 // newRequest returns the HTTP request to send, in a form that the transport does
 // not send twice.
 func (c *Client) newRequest(ctx context.Context, request *comfreyworks.ForwardedRequest, options comfreyworks.AttemptOptions) *http.Request {
--- /dev/null
+++ b/internal/protocol/httpclient/httpclient.go
@@ -0,0 +1,51 @@
+// Package httpclient rejects HTTP responses that are broken although net/http returns
+// them, so that nothing of them is taken for an answer. All clients of upstreams and of the
+// platform use it.
+//
+// # Usage
+//
+//	client := httpclient.New(&http.Client{Transport: transport})
+//	response, err := client.Do(request)
+//
+// A client that traces its requests itself calls Check instead. Errors have the kinds
+// listed at Kind. None of them says that the request has not run.
+package httpclient
+
+import (
+	"fmt"
+	"net/http"
+
+	"comfreyworks"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// KindStatus means that the status is not one of a final response.
+const KindStatus Kind = "invalid status"
+
+// Error is the error type of this package.
+type Error = comfreyworks.OpError[Kind]
+
+// Check returns an error of type *Error if a response is broken. The caller must then close
+// the connection, because where the response ends is not known.
+func Check(response *http.Response) error {
+	if !IsFinalStatus(response.StatusCode) {
+		return &Error{Op: "read response", Kind: KindStatus, Err: fmt.Errorf("status %q", response.Status)}
+	}
+	return nil
+}
+
+// IsFinalStatus reports whether a status code is valid (RFC 9110, section 15) and ends an
+// exchange. Of the informational ones, net/http returns 101, which no request asks for.
+func IsFinalStatus(code int) bool { return code >= http.StatusOK && code <= 599 }
+
+// New returns a client like another one that checks its responses.
+func New(client *http.Client) *http.Client {
+	if _, ok := client.Transport.(*transport); ok {
+		return client
+	}
+	checked := *client
+	checked.Transport = newTransport(client.Transport)
+	return &checked
+}
--- a/internal/protocol/logservice/logservice.go
+++ b/internal/protocol/logservice/logservice.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"comfreyworks"
+	"comfreyworks/internal/protocol/httpclient"
 )
 
 // Kind classifies the errors of this package.
@@ -74,7 +75,7 @@
 
 // NewClient returns a client for the platform at an address.
 func NewClient(address netip.AddrPort, client *http.Client) *Client {
-	return &Client{baseURL: "http://" + address.String(), httpClient: client}
+	return &Client{baseURL: "http://" + address.String(), httpClient: httpclient.New(client)}
 }
 
 // Append implements comfreyworks.Log.
--- a/internal/protocol/upstream/engine.go
+++ b/internal/protocol/upstream/engine.go
@@ -15,6 +15,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"comfreyworks"
+	"comfreyworks/internal/protocol/httpclient"
 )
 
 // Kind classifies the errors of this package.
@@ -56,7 +57,7 @@
 
 // NewEngine returns a client for the engine at an address.
 func NewEngine(address netip.AddrPort, client *http.Client) *Engine {
-	return &Engine{baseURL: "http://" + address.String(), httpClient: client}
+	return &Engine{baseURL: "http://" + address.String(), httpClient: httpclient.New(client)}
 }
 
 // Generate implements comfreyworks.Engine.
--- a/internal/protocol/upstream/service.go
+++ b/internal/protocol/upstream/service.go
@@ -6,6 +6,7 @@
 	"net/netip"
 
 	"comfreyworks"
+	"comfreyworks/internal/protocol/httpclient"
 	"comfreyworks/internal/state/memory"
 )
 
@@ -24,7 +25,7 @@
 // NewService returns a client for the service at an address. budget accounts for the answers
 // that it reads; nil means that nothing does.
 func NewService(address netip.AddrPort, client *http.Client, budget *memory.Budget) *Service {
-	return &Service{baseURL: "http://" + address.String(), httpClient: client, memory: budget}
+	return &Service{baseURL: "http://" + address.String(), httpClient: httpclient.New(client), memory: budget}
 }
 
 // Do implements comfreyworks.Service. A response with any status, including a
--- a/internal/transport/admin/admin.go
+++ b/internal/transport/admin/admin.go
@@ -25,6 +25,7 @@
 	"go.uber.org/zap"
 
 	"comfreyworks"
+	"comfreyworks/internal/protocol/httpclient"
 	"comfreyworks/internal/state/meter"
 )
 
@@ -53,6 +54,9 @@
 	Revision comfreyworks.ConfigRevision `json:"revision"`
 }
 
+// revisionClient is the client of FetchRevision.
+var revisionClient = httpclient.New(http.DefaultClient)
+
 // FetchRevision returns the configuration revision that another process has in
 // force.
 func FetchRevision(ctx context.Context, address netip.AddrPort) (comfreyworks.ConfigRevision, error) {
@@ -60,7 +64,7 @@
 	if err != nil {
 		return 0, &Error{Op: "ask", Kind: KindServe, Err: err}
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := revisionClient.Do(req)
 	if err != nil {
 		return 0, &Error{Op: "ask", Kind: KindServe, Err: err}
 	}
--- a/internal/transport/entry/service.go
+++ b/internal/transport/entry/service.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 
 	"github.com/gorilla/mux"
 
 	"comfreyworks"
 	"comfreyworks/internal/coordination/claim"
+	"comfreyworks/internal/protocol/httpclient"
 	"comfreyworks/internal/protocol/upstream"
 	"comfreyworks/internal/state/settings"
 )
@@ -70,6 +72,9 @@
 	switch {
 	case outcome.Conflict:
 		writeError(w, keyConflictError())
+	case outcome.Run == comfreyworks.RunStateRan && !httpclient.IsFinalStatus(outcome.Answer.Status):
+		// Outcomes that were recorded before services' answers were checked can be replayed.
+		writeError(w, runUnknownError(fmt.Sprintf("answer with status %03d", outcome.Answer.Status)))
 	case outcome.Run == comfreyworks.RunStateRan:
 		w.Header().Set(HeaderRun, string(outcome.Run))
 		if outcome.Answer.ContentType != "" {
--- a/internal/transport/program/program.go
+++ b/internal/transport/program/program.go
@@ -30,6 +30,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"comfreyworks"
+	"comfreyworks/internal/protocol/httpclient"
 	"comfreyworks/internal/state/faults"
 	"comfreyworks/internal/state/meter"
 	"comfreyworks/internal/state/settings"
@@ -225,11 +226,11 @@
 // NewHTTPClient returns a client for upstreams and the platform. It sets no
 // timeout for whole requests, because every request is bounded by its context.
 func NewHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return httpclient.New(&http.Client{Transport: &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost:    idleConnsPerHost,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
-	}}
+	}})
 }
