Reject responses with a malformed field name

Callers got answers in whose head the name of a field held a blank: the line was dropped, and with "Transfer-Encoding : chunked" the marks of the chunks were passed on as a part of the body, which was not the upstream's. Sizes of chunks and "Content-Length : 3" were ignored alike on the entry path and by the clients of the platform's log and store.

Cause: textproto accepts a blank in the name of a field and keeps the name as it is. net/http has by then decided without that line where the body ends.

A name that is no token is a broken answer, in an informational response too. Removing the blank, as RFC 9112, section 5.1 asks of a proxy that passes the response on, would not give the body that was sent.

Names with a control byte, a tab, brackets or bytes beyond ASCII and empty ones were not taken before either: textproto rejects them. Their cases stay in the test.

--- a/internal/protocol/exchange/broken_test.go
+++ b/internal/protocol/exchange/broken_test.go
@@ -17,6 +17,9 @@
 		"status":                 "HTTP/1.1 000 Broken\r\n" + fields,
 		"status of a refusal":    "HTTP/1.1 000 Broken\r\nComfrey-Not-Run: 1\r\n" + fields,
 		"status above the range": "HTTP/1.1 600 Broken\r\n" + fields,
+		"field":                  "HTTP/1.1 200 OK\r\nX Broken: 1\r\n" + fields,
+		"field of a refusal":     "HTTP/1.1 503 Busy\r\nX-Broken : 1\r\nComfrey-Not-Run: 1\r\n" + fields,
+		"informational response": "HTTP/1.1 103 Early Hints\r\nX Broken: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + fields,
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
--- a/internal/protocol/exchange/headlimit.go
+++ b/internal/protocol/exchange/headlimit.go
@@ -12,14 +12,13 @@
 	"github.com/jonboulle/clockwork"
 
 	"comfreyworks"
+	"comfreyworks/internal/protocol/httpclient"
 )
 
 const (
 	// headTimeout is the maximum time from the first byte of a response header to its
 	// end. A sound upstream writes it at once, unless it pauses.
 	headTimeout = maxSilence + time.Second
-	// maxInformational is the maximum number of informational responses to a request.
-	maxInformational = 5
 	// drainTimeout is the maximum time to read the body of a response whose header
 	// says that the request did not run. It is read only to reuse the connection.
 	drainTimeout = 100 * time.Millisecond
@@ -52,17 +51,17 @@
 	})
 }
 
-// informationalRead ends the time limit of an informational response. It implements
-// httptrace.ClientTrace.Got1xxResponse.
-func (l *headLimit) informationalRead(int, textproto.MIMEHeader) error {
+// informationalRead ends the time limit of an informational response, and checks it. It
+// implements httptrace.ClientTrace.Got1xxResponse.
+func (l *headLimit) informationalRead(_ int, header textproto.MIMEHeader) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stopTimer()
 	l.read = 0
-	if l.informational++; l.informational > maxInformational {
-		return fmt.Errorf("%w: more than %d informational responses", comfreyworks.ErrCutOff, maxInformational)
+	if l.informational++; l.informational > httpclient.MaxInformational {
+		return fmt.Errorf("%w: more than %d informational responses", comfreyworks.ErrCutOff, httpclient.MaxInformational)
 	}
-	return nil
+	return httpclient.CheckFields(header)
 }
 
 // wrap marks an error that ended a request as a cut if the transport's limit on the size
--- a/internal/protocol/httpclient/httpclient.go
+++ b/internal/protocol/httpclient/httpclient.go
@@ -7,7 +7,8 @@
 //	client := httpclient.New(&http.Client{Transport: transport})
 //	response, err := client.Do(request)
 //
-// A client that traces its requests itself calls Check instead. Errors have the kinds
+// A client that traces its requests itself calls Check instead, and CheckFields for
+// informational responses. Errors have the kinds
 // listed at Kind. None of them says that the request has not run.
 package httpclient
 
@@ -15,14 +16,27 @@
 	"fmt"
 	"net/http"
 
+	"golang.org/x/net/http/httpguts"
+
 	"comfreyworks"
 )
 
 // Kind classifies the errors of this package.
 type Kind string
 
-// KindStatus means that the status is not one of a final response.
-const KindStatus Kind = "invalid status"
+// Kinds of errors.
+const (
+	// KindStatus means that the status is not one of a final response.
+	KindStatus Kind = "invalid status"
+	// KindField means that the name of a field is not a token.
+	KindField Kind = "invalid field name"
+	// KindInformational means that there were more than MaxInformational informational
+	// responses.
+	KindInformational Kind = "too many informational responses"
+)
+
+// MaxInformational is the maximum number of informational responses to a request.
+const MaxInformational = 5
 
 // Error is the error type of this package.
 type Error = comfreyworks.OpError[Kind]
@@ -33,6 +47,19 @@
 	if !IsFinalStatus(response.StatusCode) {
 		return &Error{Op: "read response", Kind: KindStatus, Err: fmt.Errorf("status %q", response.Status)}
 	}
+	return CheckFields(response.Header)
+}
+
+// CheckFields returns an error of type *Error if the name of a field is malformed. net/http
+// accepts blanks in names, and has by then decided without such fields where the body ends.
+// Before the colon they could be removed (RFC 9112, section 5.1), but the body of a response
+// whose field says otherwise would not be the one that was sent.
+func CheckFields(header map[string][]string) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &Error{Op: "read response", Kind: KindField, Err: fmt.Errorf("field %q", name)}
+		}
+	}
 	return nil
 }
 
--- a/internal/protocol/httpclient/httpclient_test.go
+++ b/internal/protocol/httpclient/httpclient_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -33,6 +34,11 @@
 	}{
 		"sound":  {"HTTP/1.1 200 OK" + end, true},
 		"status": {"HTTP/1.1 600 Broken" + end, false},
+		"field":  {"HTTP/1.1 200 OK\r\nX Broken: 1" + end, false},
+
+		"informational responses":            {strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", MaxInformational) + "HTTP/1.1 200 OK" + end, true},
+		"too many of them":                   {strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", MaxInformational+1) + "HTTP/1.1 200 OK" + end, false},
+		"field of an informational response": {"HTTP/1.1 103 Early Hints\r\nX Broken: 1\r\n\r\nHTTP/1.1 200 OK" + end, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			server, err := rawserver.Start(rawserver.Answer{Text: c.text, KeepOpen: true})
--- a/internal/transport/gateway/brokenhead_test.go
+++ b/internal/transport/gateway/brokenhead_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -80,3 +81,32 @@
 		t.Run(line, func(t *testing.T) { expectPassedOn(t, "HTTP/1.1 "+line, status) })
 	}
 }
+
+// TestMalformedFieldName guards against passing on an answer with a field whose name is
+// none: the field may be the one that says where the body ends.
+func TestMalformedFieldName(t *testing.T) {
+	const status = "HTTP/1.1 200 OK\r\n"
+	length := fmt.Sprint("Content-Length: ", len(fullStream()))
+	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(fullStream()), fullStream())
+	for name, c := range map[string]struct{ head, body string }{
+		"a blank inside":            {status + "X Broken: 1\r\n" + length, fullStream()},
+		"a blank before the colon":  {status + "X-Broken : 1\r\n" + length, fullStream()},
+		"and without a length":      {status + "X-Broken : 1", fullStream()},
+		"and without a body":        {status + "X-Broken : 1\r\nContent-Length: 0", ""},
+		"before a tab":              {status + "X-Broken\t: 1\r\n" + length, fullStream()},
+		"of the framing":            {status + "Transfer-Encoding : chunked", chunked},
+		"of the framing beside one": {status + "Transfer-Encoding : chunked\r\n" + length, chunked},
+		"of the length":             {status + "Content-Length : 3", fullStream()},
+		"a control byte":            {status + "X\x01Broken: 1\r\n" + length, fullStream()},
+		"a zero byte":               {status + "X\x00Broken: 1\r\n" + length, fullStream()},
+		"empty":                     {status + ": 1\r\n" + length, fullStream()},
+		"brackets":                  {status + "X(Broken): 1\r\n" + length, fullStream()},
+		"beyond ASCII":              {status + "X-Bröken: 1\r\n" + length, fullStream()},
+		"of an informational one":   {"HTTP/1.1 103 Early Hints\r\nX Broken: 1\r\n\r\n" + status + length, fullStream()},
+	} {
+		t.Run(name, func(t *testing.T) { expectNoAnswer(t, c.head, c.body) })
+	}
+	t.Run("tabs in a value", func(t *testing.T) {
+		expectPassedOn(t, status+"X-Sound:\ta\tb\t\r\n"+length, http.StatusOK)
+	})
+}
--- a/internal/transport/program/brokenanswer_test.go
+++ b/internal/transport/program/brokenanswer_test.go
@@ -104,6 +104,11 @@
 			{"HTTP/1.1 099 Broken\r\n" + length, false},
 			{"HTTP/1.1 101 Broken\r\nConnection: upgrade\r\nUpgrade: x\r\n", false},
 			{"HTTP/1.1 600 Broken\r\n" + length, false},
+			{"HTTP/1.1 200 OK\r\nX Broken: 1\r\n" + length, false},
+			{"HTTP/1.1 200 OK\r\nContent-Length : 1\r\n" + length, false},
+			{"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n", false},
+			{"HTTP/1.1 409 Conflict\r\nX Broken: 1\r\n" + length, false},
+			{"HTTP/1.1 103 Early Hints\r\nX Broken: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + length, false},
 		} {
 			t.Run(fmt.Sprintf("%s %q", name, c.head), func(t *testing.T) {
 				err := reader.readFrom(t, rawserver.Answer{Text: c.head + "\r\n" + reader.body})
