Report a reset to the reader of a response although the writer met it first

Callers got a part of an answer as a complete one: an upstream answered a long upload at once, with neither a length nor chunks, and reset the connection while the upload was still being written. Calls to services on the entry path and appends to the platform's log and store took such a part for the whole as well.

Cause: the kernel reports the error that ended a connection once. If Write gets it, Read returns the end of the stream from then on, and a response that ends with its connection looks complete. The tests of such answers reset the connection after the upload was read, so that only Read could get the error.

Change: connections of httpclient keep the error that a Write got, and return it from Read in place of io.EOF. A Write may have got it without having returned yet: Read waits for it if TCP_INFO says that the connection is closed in both directions, where a Write returns at once, and not otherwise, because an upstream may have ended its answer in order without reading on. EPIPE is no such error: the upstream's end of the stream came first, or Read itself got the reset. Exchange opens its connections so, and clients that are made by httpclient.New copy their transport to do so. Weighed and not taken: the hook WroteRequest, which does not see errors of the last flush, and to take no unframed answer that ends before its request is written, which would reject early answers that are sound.

Early answers that end in order arrived before and still do (TestEarlyAnswerIsPassedOn). Resets of answers with a length or in chunks were detected before.

--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -111,7 +111,7 @@
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		c.options.Receive.Grow(tcp, open)
 	}
-	return newKeepAliveConn(conn, c.options.Clock, func() { c.open.Add(-1) }), nil
+	return newKeepAliveConn(httpclient.NewConn(conn), c.options.Clock, func() { c.open.Add(-1) }), nil
 }
 
 // Close closes all idle connections.
--- a/internal/protocol/httpclient/httpclient.go
+++ b/internal/protocol/httpclient/httpclient.go
@@ -7,8 +7,8 @@
 //	client := httpclient.New(&http.Client{Transport: transport})
 //	response, err := client.Do(request)
 //
-// A client that traces its requests itself calls Check instead, and CheckFields for
-// informational responses. Errors have the kinds
+// A client that traces its requests and opens its connections itself calls Check instead,
+// CheckFields for informational responses, and NewConn. Errors have the kinds
 // listed at Kind. None of them says that the request has not run.
 package httpclient
 
@@ -33,6 +33,9 @@
 	// KindInformational means that there were more than MaxInformational informational
 	// responses.
 	KindInformational Kind = "too many informational responses"
+	// KindReset means that the connection was reset, or timed out, before the end of a
+	// response that ends with it.
+	KindReset Kind = "connection reset"
 )
 
 // MaxInformational is the maximum number of informational responses to a request.
@@ -67,7 +70,8 @@
 // exchange. Of the informational ones, net/http returns 101, which no request asks for.
 func IsFinalStatus(code int) bool { return code >= http.StatusOK && code <= 599 }
 
-// New returns a client like another one that checks its responses.
+// New returns a client like another one that checks its responses. Unless the transport is
+// of another type than *http.Transport, the client has connections of its own.
 func New(client *http.Client) *http.Client {
 	if _, ok := client.Transport.(*transport); ok {
 		return client
--- a/internal/protocol/httpclient/transport.go
+++ b/internal/protocol/httpclient/transport.go
@@ -14,11 +14,17 @@
 type transport struct{ base http.RoundTripper }
 
 // newTransport returns a transport that checks the responses of base; nil means
-// http.DefaultTransport.
+// http.DefaultTransport. An *http.Transport is copied, because it has to open connections
+// in another way.
 func newTransport(base http.RoundTripper) *transport {
 	if base == nil {
 		base = http.DefaultTransport
 	}
+	if tcp, ok := base.(*http.Transport); ok {
+		tcp = tcp.Clone()
+		tcp.DialContext = dialWith(tcp.DialContext)
+		base = tcp
+	}
 	return &transport{base}
 }
 
--- a/internal/transport/gateway/unframed_test.go
+++ b/internal/transport/gateway/unframed_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
@@ -28,6 +29,10 @@
 	// sending, closed.
 	body  string
 	reset bool
+	// early means that the first answer is sent before the body of its request is read,
+	// and its end resetAfter later, while that body is still being written.
+	early      bool
+	resetAfter time.Duration
 	// before precedes the body of all other answers.
 	before string
 
@@ -77,10 +82,12 @@
 	if err != nil {
 		return nil
 	}
-	if _, err := io.Copy(io.Discard, request.Body); err != nil {
-		return err
-	}
 	nth := r.requests.Add(1)
+	if nth > 1 || !r.early {
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return err
+		}
+	}
 	head, body := r.head, r.body
 	if nth > 1 {
 		head, body = "HTTP/1.1 200 OK", r.before+soundBody(request)
@@ -98,6 +105,7 @@
 		return err
 	}
 	if nth == 1 && r.reset {
+		time.Sleep(r.resetAfter)
 		return tcp.SetLinger(0)
 	}
 	if err := tcp.CloseWrite(); err != nil {
@@ -183,6 +191,74 @@
 	}
 }
 
+// TestResetDuringUpload guards against taking a part of an answer for all of it, because
+// the connection was reset while the body of the request was being written: the kernel
+// reports the reset only once, to whichever of reader and writer it meets first.
+func TestResetDuringUpload(t *testing.T) {
+	upload := strings.Repeat("x", 8<<20)
+	half := replica.Stream(eventsPerStream / 2)
+	for name, c := range map[string]struct {
+		path, body string
+		status     int
+		runs       int64
+		want       string
+		// mayBegin means that the part may be passed on, if it is read before the reset. The
+		// answer is cut off then.
+		mayBegin bool
+	}{
+		"book":   {"/book/1", "part", http.StatusBadGateway, 1, "", false},
+		"look":   {"/look/1", "part", http.StatusOK, 2, "whole", false},
+		"review": {"/review/1", half, http.StatusBadGateway, 1, "", true},
+		"note":   {"/note/1", half, http.StatusOK, 2, fullStream(), false},
+	} {
+		for _, head := range []string{"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 200 OK\r\nConnection: close"} {
+			for _, after := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s, %q after %s", name, head, after), func(t *testing.T) {
+					t.Parallel()
+					f := newFixture(t)
+					f.source.routing.Limits.BodyBytes = int64(len(upload))
+					replicas := &rawReplicas{f: f, head: head, body: c.body, reset: true, early: true, resetAfter: after}
+					replicas.replace(t)
+					resp := f.do(t, f.request(t, http.MethodPost, c.path, upload))
+					assert.Equal(t, replicas.requests.Load(), c.runs)
+					if c.mayBegin && resp.StatusCode == http.StatusOK {
+						assert.Assert(t, resp.cut)
+						return
+					}
+					assert.Equal(t, resp.StatusCode, c.status, resp.body)
+					assert.Assert(t, !resp.cut)
+					if c.want != "" {
+						assert.Equal(t, resp.body, c.want)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestEarlyAnswerIsPassedOn guards against taking an answer for broken because it ends
+// while the body of the request is still being written.
+func TestEarlyAnswerIsPassedOn(t *testing.T) {
+	upload := strings.Repeat("x", 8<<20)
+	for _, head := range []string{
+		"HTTP/1.1 200 OK",
+		"HTTP/1.1 413 Too Large",
+		"HTTP/1.1 413 Too Large\r\nContent-Length: 5",
+		"HTTP/1.1 500 Failed\r\nContent-Length: 5\r\nConnection: close",
+	} {
+		t.Run(head, func(t *testing.T) {
+			f := newFixture(t)
+			f.source.routing.Limits.BodyBytes = int64(len(upload))
+			replicas := &rawReplicas{f: f, head: head, body: "early", early: true}
+			replicas.replace(t)
+			resp := f.do(t, f.request(t, http.MethodPost, "/book/1", upload))
+			assert.Equal(t, fmt.Sprint(resp.StatusCode), strings.Fields(head)[1])
+			assert.Equal(t, resp.body, "early")
+			assert.Assert(t, !resp.cut)
+		})
+	}
+}
+
 // TestLengthOfResumedStream guards against declaring the length of one engine's stream to
 // the caller, although another engine may write the rest of it differently.
 func TestLengthOfResumedStream(t *testing.T) {
--- a/internal/transport/program/brokenanswer_test.go
+++ b/internal/transport/program/brokenanswer_test.go
@@ -86,6 +86,40 @@
 	return err
 }
 
+// TestResetWhileSending guards against taking an answer for complete whose connection was
+// reset while the body of the request was being written.
+func TestResetWhileSending(t *testing.T) {
+	large := make([]byte, 8<<20)
+	for name, reader := range map[string]reader{
+		"service": {"part", func(ctx context.Context, address netip.AddrPort) error {
+			_, err := upstream.NewService(address, http.DefaultClient, nil).Do(ctx, comfreyworks.ServiceCall{Method: http.MethodPost, Path: "/bookings", Body: large})
+			return err
+		}, broken},
+		"client of a program": {"part", func(ctx context.Context, address netip.AddrPort) error {
+			_, err := upstream.NewService(address, NewHTTPClient(), nil).Do(ctx, comfreyworks.ServiceCall{Method: http.MethodPost, Path: "/bookings", Body: large})
+			return err
+		}, broken},
+		"log": {"{}", func(ctx context.Context, address netip.AddrPort) error {
+			_, err := logservice.NewClient(address, http.DefaultClient).Append(ctx, "s", [][]byte{large})
+			return err
+		}, func(err error) bool { return isKind(err, logservice.KindUnavailable) }},
+		"store": {"{\"offset\":0}", func(ctx context.Context, address netip.AddrPort) error {
+			_, err := platform.NewStoreClient(address, http.DefaultClient, zap.NewNop()).AppendAt(ctx, "s", 0, large)
+			return err
+		}, unavailable},
+	} {
+		for _, after := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, " after ", after), func(t *testing.T) {
+				t.Parallel()
+				for range 3 {
+					err := reader.readFrom(t, rawserver.Answer{Text: "HTTP/1.1 200 OK\r\n\r\n" + reader.body, ResetAfter: after})
+					assert.Assert(t, reader.uncertain(err), "%v", err)
+				}
+			})
+		}
+	}
+}
+
 // TestBrokenHeads guards against taking an answer for valid, or for a refusal that
 // promises that nothing was done, if its status or a name of a field is malformed.
 func TestBrokenHeads(t *testing.T) {
