Let the soak's replicas answer with broken heads

The soak could not draw what callers met: its replicas sent sound heads only, and its checker took a status that no replica may send for one of an ordinary failure.

Change: three faults of replicas, drawn apart from the others: status 000, status 600, and chunks that are announced with a blank in the name of the field. The checker reports a complete answer whose status is not from 200 to 599. Two mutants pass on any status and any name of a field. Resets during uploads are not drawn: bodies of the soak's callers fit into the buffers of a connection.

--- a/cmd/soak/internal/check/check.go
+++ b/cmd/soak/internal/check/check.go
@@ -265,8 +265,11 @@
 			c.report(Recognized, "%s was answered with status %d", record.ID, record.Status)
 		}
 	}
-	if record.Status >= 200 && record.Status < 300 {
+	switch {
+	case record.Status >= 200 && record.Status < 300:
 		c.checkSuccess(record)
+	case record.Complete && (record.Status < 200 || record.Status > 599):
+		c.report(CorrectResponse, "%s was answered with status %03d", record.ID, record.Status)
 	}
 }
 
--- a/cmd/soak/internal/check/check_test.go
+++ b/cmd/soak/internal/check/check_test.go
@@ -96,6 +96,7 @@
 		}},
 		"rejected but ran":          {caller.NonIdempotent, NotRun, func(o *Observations) { o.Records[0].Status = http.StatusServiceUnavailable }},
 		"answer to another request": {caller.Idempotent, CorrectResponse, func(o *Observations) { o.Records[0].ResponseHeader.Set(names.RequestID, "s") }},
+		"invalid status":            {caller.Idempotent, CorrectResponse, func(o *Observations) { o.Records[0].Status = 0 }},
 		"no digest":                 {caller.Idempotent, CorrectResponse, func(o *Observations) { o.Records[0].ResponseHeader.Del(names.Digest) }},
 		"wrong body":                {caller.Idempotent, CorrectResponse, func(o *Observations) { o.Records[0].ResponseBody = []byte("answer to s") }},
 		"an answer without end that looks complete": {caller.Idempotent, CorrectResponse, func(o *Observations) {
--- a/cmd/soak/internal/mutant/mutant.go
+++ b/cmd/soak/internal/mutant/mutant.go
@@ -81,6 +81,14 @@
 		"takes a reset for the end of an answer", "internal/coordination/forward/attempt.go",
 		"complete := errors.Is(err, io.EOF)", "complete := isBrokenConnection(err) && !errors.Is(err, io.ErrUnexpectedEOF)",
 	},
+	{
+		"passes on any status", "internal/protocol/httpclient/httpclient.go",
+		"return code >= http.StatusOK && code <= 599", "return code >= 0",
+	},
+	{
+		"passes on answers with malformed field names", "internal/protocol/httpclient/httpclient.go",
+		"if !httpguts.ValidHeaderFieldName(name) {", "if name == \"\" && !httpguts.ValidHeaderFieldName(name) {",
+	},
 	{
 		"sends prompts that crash engines", "internal/state/crashes/crashes.go",
 		"if l.isBlamed(candidate, known) && !l.tests(known, age, candidate, keys) {", "if l.tests(known, age, candidate, keys) && !l.tests(known, age, candidate, keys) {",
--- a/cmd/soak/internal/trouble/apart.go
+++ b/cmd/soak/internal/trouble/apart.go
@@ -8,19 +8,22 @@
 )
 
 const (
-	// unframedStream and repeatedStream select the random numbers of unframed answers and
-	// of repeated refusals.
-	unframedStream = 7
-	repeatedStream = 10
+	// unframedStream, repeatedStream and brokenHeadStream select the random numbers of
+	// unframed answers, of repeated refusals and of answers with broken heads.
+	unframedStream   = 7
+	repeatedStream   = 10
+	brokenHeadStream = 14
 	// apartInterval is the mean time between two groups of events with them.
 	apartInterval = 1500 * time.Millisecond
 )
 
 var (
 	// unframedFaults are the faults of replicas whose answers end with their connection,
-	// closed or reset, repeatedFaults those with answers that are written once more.
-	unframedFaults = []replica.Fault{replica.FaultUnframed, replica.FaultUnframedReset}
-	repeatedFaults = []replica.Fault{replica.FaultRepeatedRefusal}
+	// closed or reset, repeatedFaults those with answers that are written once more, and
+	// brokenHeadFaults those with an invalid status or field name.
+	unframedFaults   = []replica.Fault{replica.FaultUnframed, replica.FaultUnframedReset}
+	repeatedFaults   = []replica.Fault{replica.FaultRepeatedRefusal}
+	brokenHeadFaults = []replica.Fault{replica.FaultLowStatus, replica.FaultHighStatus, replica.FaultFieldName}
 )
 
 // addFaults adds groups of events with the given faults of replicas. They are drawn apart
--- a/cmd/soak/internal/trouble/trouble.go
+++ b/cmd/soak/internal/trouble/trouble.go
@@ -186,6 +186,7 @@
 	plan.addStarts(seed, length, gateways)
 	plan.addFaults(seed, unframedStream, unframedFaults, length, gateways, replicas)
 	plan.addFaults(seed, repeatedStream, repeatedFaults, length, gateways, replicas)
+	plan.addFaults(seed, brokenHeadStream, brokenHeadFaults, length, gateways, replicas)
 	plan.addScopes(seed, length)
 	plan.addMemory(seed, length, gateways)
 	revocation := Event{Kind: RevokeKey, Start: time.Duration(rng.Int64N(int64(length / 2)))}
--- a/cmd/soak/internal/trouble/trouble_test.go
+++ b/cmd/soak/internal/trouble/trouble_test.go
@@ -72,7 +72,7 @@
 	for _, kind := range append([]Kind{StoreRestored, ReplicaLeaves, ReplicaCloses, Release, RevokeKey, Harm, Silence, RewriteConfigs, StartAtLeaving, EndlessAnswers, Crowd}, kinds...) {
 		assert.Assert(t, drawn[kind], "%s", kind)
 	}
-	for _, fault := range slices.Concat(unframedFaults, repeatedFaults, replicaFaults) {
+	for _, fault := range slices.Concat(unframedFaults, repeatedFaults, brokenHeadFaults, replicaFaults) {
 		assert.Assert(t, faults[fault], "%s", fault)
 	}
 }
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -235,6 +235,8 @@
 		rep.respondEndlessly(w, run, fault)
 	case FaultUnframed, FaultUnframedReset:
 		rep.respondUnframed(w, run, fault)
+	case FaultLowStatus, FaultHighStatus, FaultFieldName:
+		rep.respondWithBrokenHead(w, run, fault)
 	default:
 		rep.respond(w, run, fault)
 	}
