Name the checked connection after what it does

A variable of the package shadowed the type. The comment on RoundTrip says what closing a connection can cost: a request that has begun on it fails as one that may have run.

--- a/internal/protocol/httpclient/conn.go
+++ b/internal/protocol/httpclient/conn.go
@@ -15,11 +15,11 @@
 // TCPInfo.State (TCP_CLOSE in Linux).
 const tcpClosed = 7
 
-// conn is a connection whose Read does not return io.EOF after a reset. The kernel reports
+// checkedConn is a connection whose Read does not return io.EOF after a reset. The kernel reports
 // the error that ended a connection once, to Read or Write, and to Read returns the end of
 // the stream from then on. A response that ends with its connection would look complete if
 // Write got the error, because the request was still being written.
-type conn struct {
+type checkedConn struct {
 	net.Conn
 
 	mu      sync.Mutex
@@ -33,13 +33,13 @@
 // NewConn returns a connection like another one whose Read also returns the error that
 // ended the connection if Write got it.
 func NewConn(base net.Conn) net.Conn {
-	c := &conn{Conn: base}
+	c := &checkedConn{Conn: base}
 	c.written.L = &c.mu
 	return c
 }
 
 // Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
+func (c *checkedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.writing++
 	c.mu.Unlock()
@@ -55,7 +55,7 @@
 }
 
 // Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
+func (c *checkedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
 		if cause := c.resetCause(); cause != nil {
@@ -68,7 +68,7 @@
 // resetCause returns the error that ended the connection if a Write got it. A Write may
 // have got it without having returned yet. On a connection that has ended, it is about to
 // return, while on others it may wait for an upstream that does not read.
-func (c *conn) resetCause() error {
+func (c *checkedConn) resetCause() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for c.writing > 0 && isClosed(c.Conn) {
@@ -105,8 +105,8 @@
 // dialFunc opens connections, as http.Transport.DialContext.
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// dialWith returns a function that opens connections with dial, whose nil value means a
-// net.Dialer.
+// dialWith returns a function that opens connections with another one, nil meaning that of a
+// net.Dialer, and checks them.
 func dialWith(dial dialFunc) dialFunc {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
--- a/internal/protocol/httpclient/transport.go
+++ b/internal/protocol/httpclient/transport.go
@@ -28,8 +28,9 @@
 	return &transport{base}
 }
 
-// RoundTrip implements http.RoundTripper. It closes the connection of a broken response,
-// which may be idle again by then.
+// RoundTrip implements http.RoundTripper. It closes the connection of a broken response. If
+// the response had no body, another request may have begun on it, and fails as one that may
+// have run.
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
 	informational := &informationalResponses{}
