--- a/review/third/crashrequest/main.go
+++ b/review/third/crashrequest/main.go
@@ -3,9 +3,10 @@
 //
 // # Usage
 //
-//	crashrequest GATEWAY RECORD query|same
+//	crashrequest GATEWAY RECORD query|same|together
 //
-// With query, each of them has another query, with same they are alike.
+// With query, each of them has another query, with same they are alike. With together, they are
+// alike and sent to all gateways at the same time, at longer intervals.
 package main
 
 import (
@@ -27,8 +28,9 @@
 	runTime     = 45 * time.Second
 	crashesFrom = 5 * time.Second
 	// badInterval and soundInterval are the times between two sends of the crashing request and
-	// between two others.
+	// between two others, togetherEvery takes the place of the former if it is sent to all gateways.
 	badInterval   = time.Second
+	togetherEvery = 3800 * time.Millisecond
 	soundInterval = 75 * time.Millisecond
 	badBody       = "order 4711"
 	workTime      = 60 * time.Millisecond
@@ -65,25 +67,34 @@
 	defer r.Stop()
 	var senders sync.WaitGroup
 	began := time.Now()
-	next, number := began.Add(crashesFrom), 0
+	next, number, interval := began.Add(crashesFrom), 0, badInterval
+	if os.Args[3] == "together" {
+		interval = togetherEvery
+	}
 	for ; time.Since(began) < runTime; time.Sleep(soundInterval) {
-		senders.Go(func() { seen.send(r, "/book/2f", fmt.Sprintf("order %d", rand.Uint64()), false) })
+		senders.Go(func() {
+			seen.send(r, r.Gateways[rand.N(len(r.Gateways))], "/book/2f", fmt.Sprintf("order %d", rand.Uint64()), false)
+		})
 		if time.Now().After(next) {
-			next = next.Add(badInterval)
-			path := "/book/4711"
-			if number++; os.Args[3] == "query" {
+			path, to := "/book/4711", r.Gateways[rand.N(len(r.Gateways)):][:1]
+			switch number++; os.Args[3] {
+			case "query":
 				path += fmt.Sprint("?send=", number)
+			case "together":
+				to = r.Gateways
+			}
+			next = next.Add(interval)
+			for _, g := range to {
+				senders.Go(func() { seen.send(r, g, path, badBody, true) })
 			}
-			senders.Go(func() { seen.send(r, path, badBody, true) })
 		}
 	}
 	senders.Wait()
 	return seen.judge(r)
 }
 
-// send sends a request to a gateway that is drawn.
-func (o *observer) send(r *rig.Rig, path, body string, bad bool) {
-	g := r.Gateways[rand.N(len(r.Gateways))]
+// send sends a request to a gateway.
+func (o *observer) send(r *rig.Rig, g *rig.Gateway, path, body string, bad bool) {
 	result := g.Send(rig.Request{Method: http.MethodPost, Path: path, Body: body, Deadline: deadline, Key: rig.Key})
 	r.Note("at %s: request %s, %s %q: status %d, error %v", g.Name, result.ID, path, body, result.Status, result.Err)
 	if bad {
--- a/review/third/rig/crash.go
+++ b/review/third/rig/crash.go
@@ -48,7 +48,7 @@
 }
 
 func (e *Engine) restart(id string) {
-	e.cache.clear()
+	e.cache.Clear()
 	listener, err := net.Listen("tcp", e.Address.String())
 	if err != nil {
 		e.rig.Note("replica cannot listen again: %v", err)
--- a/review/third/rig/gateway.go
+++ b/review/third/rig/gateway.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -140,3 +141,13 @@
 	}
 	return megabytes(status, "VmRSS:"), megabytes(status, "VmHWM:")
 }
+
+func megabytes(status []byte, field string) float64 {
+	_, rest, _ := bytes.Cut(status, []byte(field))
+	fields := bytes.Fields(rest)
+	if len(fields) == 0 {
+		return 0
+	}
+	kb, _ := strconv.Atoi(string(fields[0]))
+	return float64(kb) / 1024
+}
