--- a/review/third/inplace/main.go
+++ b/review/third/inplace/main.go
@@ -26,13 +26,13 @@
 const (
 	// runTime is how long streams begin. Replicas end from restartsFrom on, one every
 	// restartInterval, and are back after downTime.
-	runTime         = 44 * time.Second
+	runTime         = 60 * time.Second
 	restartsFrom    = 8 * time.Second
-	restartInterval = 1400 * time.Millisecond
+	restartInterval = 1250 * time.Millisecond
 	downTime        = time.Second
 	engines         = 9
 	// rounds is how often each of them ends.
-	rounds = 2
+	rounds = 3
 	// streamInterval is the time between the begins of two streams, eventInterval that between
 	// two events.
 	streamInterval = 100 * time.Millisecond
